--- /dev/null
+++ b/include/kcf/datagram.h
@@ -0,0 +1,64 @@
+/*
+ * datagram - frames peer messages as ONC RPC calls with a keyed MAC.
+ *
+ * The verifier of the call header carries the MAC over the whole datagram.
+ * Calls are one-way: an acknowledgement is a call of its own.
+ */
+#ifndef KCF_DATAGRAM_H
+#define KCF_DATAGRAM_H
+
+#include "peer.h"
+#include <kcf/clock.h>
+#include <kcf/str.h>
+
+/* Largest datagram that is sent; below the usual path MTU. */
+#define DATAGRAM_MAX 1400
+/* Bytes that IPv4 and UDP add to a datagram. */
+#define DATAGRAM_OVERHEAD 28
+#define DATAGRAM_KEY_BYTES 32
+/* Age at which a datagram is refused as a replay. */
+#define DATAGRAM_AGE_MAX_MS 120000
+
+typedef enum datagram_err {
+	DATAGRAM_OK = 0,
+	DATAGRAM_ESIZE = -1,
+	DATAGRAM_EMAC = -2,
+	DATAGRAM_EHEADER = -3,
+	DATAGRAM_EBODY = -4,
+	DATAGRAM_EAGE = -5,
+} datagram_err_t;
+
+/* Parallel to datagram_err_t, indexed by the negated error. */
+extern const char *const datagram_err_string[];
+
+/*
+ * datagram_encode - frames one message.
+ * @key:  DATAGRAM_KEY_BYTES bytes
+ * @proc: PEER_PING and its like
+ * @m:    message; its strings may not be NULL
+ * @out:  at least DATAGRAM_MAX bytes
+ * @len:  receives the length
+ *
+ * Return: DATAGRAM_OK, or DATAGRAM_ESIZE when the message does not fit.
+ */
+int datagram_encode(const unsigned char *key, unsigned int proc,
+		    const peer_message_t *m, unsigned char *out, size_t *len);
+
+/*
+ * datagram_decode - checks and reads one datagram.
+ * @data: copied
+ * @wall: present wall time in milliseconds
+ * @proc: receives the procedure
+ * @m:    receives the message on success; to be freed with datagram_free
+ *
+ * Return: DATAGRAM_OK or a negative datagram_err_t; on error m is untouched.
+ */
+int datagram_decode(const unsigned char *key, str_t data, mstime_t wall,
+		    unsigned int *proc, peer_message_t *m);
+
+/*
+ * datagram_free - releases what datagram_decode made.
+ */
+void datagram_free(peer_message_t *m);
+
+#endif
--- /dev/null
+++ b/include/kcf/http_client.h
@@ -0,0 +1,100 @@
+/*
+ * http_client - HTTP client of a task, libcurl multi on its libev loop.
+ *
+ * All calls belong to the loop's thread.
+ */
+#ifndef KCF_HTTP_CLIENT_H
+#define KCF_HTTP_CLIENT_H
+
+#include <ev.h>
+#include <kcf/clock.h>
+#include <kcf/str.h>
+
+typedef enum http_err {
+	HTTP_OK = 0,
+	HTTP_ECONNECT = -1, /* nothing was sent */
+	HTTP_ETIMEOUT = -2, /* may have been sent */
+	HTTP_ECUT = -3,	    /* may have been sent; broke before the end */
+	HTTP_EURL = -4,	    /* nothing was sent */
+} http_err_t;
+
+/* Parallel to http_err_t, indexed by the negated error. */
+extern const char *const http_err_string[];
+
+typedef struct http_client http_client_t;
+typedef struct http_call http_call_t;
+
+/* Behaviour of the owner of a call; each function may be NULL but done. */
+typedef struct http_call_ops {
+	/* Status line and headers are in. */
+	void (*head)(void *ctx, http_call_t *call, int status);
+	/* Body bytes; without it the body is collected in the call. */
+	void (*data)(void *ctx, http_call_t *call, str_t data);
+	/* The call is over, freed after this; status is 0 without a head. */
+	void (*done)(void *ctx, http_call_t *call, int err, int status);
+} http_call_ops_t;
+
+typedef struct http_call_spec {
+	const char *method;
+	const char *url;
+	const char *const *headers; /* "Name: value" lines, NULL at the end */
+	str_t body;
+	mstime_t deadline; /* MSTIME_NEVER for none */
+	bool fresh;	   /* a connection of its own, never reused */
+} http_call_spec_t;
+
+struct http_client {
+	void *multi;
+	struct ev_loop *loop;
+	ev_timer timer;
+	GHashTable *calls;
+	GHashTable *sockets;
+	const char *ca_file;
+	int64_t bytes; /* sent and received by ended calls, headers counted */
+};
+
+/*
+ * http_client_init - prepares a client on a loop.
+ * @c: caller-owned memory, to be kept in place until http_client_finish
+ */
+void http_client_init(http_client_t *c, struct ev_loop *loop);
+
+/*
+ * http_client_finish - drops all open calls without calling their owners.
+ */
+void http_client_finish(http_client_t *c);
+
+/*
+ * http_call_start - begins a call.
+ * @spec: copied
+ * @ops:  must outlive the call
+ *
+ * Return: the call; it lives until its done function returns or until
+ * http_call_cancel. Never NULL; errors reach the done function later.
+ */
+http_call_t *http_call_start(http_client_t *c, const http_call_spec_t *spec,
+			     const http_call_ops_t *ops, void *ctx);
+
+/*
+ * http_call_cancel - closes a call's connection and frees the call; its
+ * done function is not called. Not allowed inside the call's own functions
+ * head and data.
+ */
+void http_call_cancel(http_call_t *call);
+
+/*
+ * http_call_pause - stops or restarts reading the answer.
+ */
+void http_call_pause(http_call_t *call, bool pause);
+
+/*
+ * http_call_header - a header of the answer; empty view when absent.
+ */
+str_t http_call_header(http_call_t *call, const char *name);
+
+/*
+ * http_call_body - the collected body, for calls without a data function.
+ */
+str_t http_call_body(const http_call_t *call);
+
+#endif
--- /dev/null
+++ b/include/kcf/http_server.h
@@ -0,0 +1,147 @@
+/*
+ * http_server - HTTP/1.1 server of a task, libmicrohttpd on its libev loop.
+ *
+ * Requests reach the handler once their body is complete. The handler may
+ * answer at once, later, or as a stream. All calls belong to the loop's thread.
+ */
+#ifndef KCF_HTTP_SERVER_H
+#define KCF_HTTP_SERVER_H
+
+#include <ev.h>
+#include <kcf/clock.h>
+#include <kcf/str.h>
+
+typedef enum http_server_err {
+	HTTP_SERVER_OK = 0,
+	HTTP_SERVER_EADDRESS = -1,
+	HTTP_SERVER_ELISTEN = -2,
+	HTTP_SERVER_EDAEMON = -3,
+} http_server_err_t;
+
+/* Parallel to http_server_err_t, indexed by the negated error. */
+extern const char *const http_server_err_string[];
+
+/* One header of an answer. */
+typedef struct http_header {
+	const char *name;
+	const char *value;
+} http_header_t;
+
+typedef struct http_server http_server_t;
+typedef struct http_request http_request_t;
+
+/* Behaviour of the owner of a server. */
+typedef struct http_server_ops {
+	/* A complete request; answer it now or later. */
+	void (*request)(void *ctx, http_request_t *r);
+	/*
+	 * The request is over and its memory goes away after this call.
+	 * whole is false when the caller did not get the answer to its end.
+	 */
+	void (*closed)(void *ctx, http_request_t *r, bool whole);
+} http_server_ops_t;
+
+typedef struct http_server_conf {
+	const char *address; /* ip:port */
+	size_t max_body;     /* bytes */
+	size_t max_header;   /* bytes of request line and headers */
+	unsigned int max_connections;
+	unsigned int idle_timeout_s;
+	const char *tls_cert; /* PEM text, or NULL for plain TCP */
+	const char *tls_key;
+} http_server_conf_t;
+
+struct MHD_Daemon;
+
+struct http_server {
+	struct MHD_Daemon *daemon;
+	struct ev_loop *loop;
+	ev_io io;
+	ev_timer timer;
+	ev_prepare prepare;
+	const http_server_ops_t *ops;
+	void *ctx;
+	size_t max_body;
+	bool dirty;
+	int listen_fd;
+	unsigned int open;
+};
+
+/*
+ * http_server_init - listens and serves on the loop.
+ * @s:    caller-owned memory, to be kept in place until http_server_finish
+ * @conf: read during the call only
+ * @ops:  must outlive the server
+ *
+ * Return: HTTP_SERVER_OK or a negative http_server_err_t.
+ */
+int http_server_init(http_server_t *s, struct ev_loop *loop,
+		     const http_server_conf_t *conf,
+		     const http_server_ops_t *ops, void *ctx);
+
+/*
+ * http_server_quiesce - closes the listening socket; open requests go on.
+ */
+void http_server_quiesce(http_server_t *s);
+
+/*
+ * http_server_finish - closes every connection and releases the server.
+ */
+void http_server_finish(http_server_t *s);
+
+/* Method, path without query, header, query argument and body of a request. */
+str_t http_request_method(const http_request_t *r);
+str_t http_request_path(const http_request_t *r);
+str_t http_request_header(const http_request_t *r, const char *name);
+str_t http_request_query(const http_request_t *r, const char *name);
+str_t http_request_body(const http_request_t *r);
+
+/*
+ * http_request_query_string - the query part as sent, without question mark.
+ */
+str_t http_request_query_string(const http_request_t *r);
+
+/*
+ * http_request_each_header - calls fn for each request header.
+ */
+void http_request_each_header(const http_request_t *r,
+			      void (*fn)(void *arg, const char *name,
+					 str_t value),
+			      void *arg);
+
+/* A pointer of the owner's choice, kept with the request. */
+void http_request_set_user(http_request_t *r, void *user);
+void *http_request_user(const http_request_t *r);
+
+/*
+ * http_reply - answers a request whole.
+ * @headers: ended by an entry whose name is NULL, or NULL for none
+ * Precondition: the request has not been answered yet.
+ */
+void http_reply(http_request_t *r, unsigned int status,
+		const http_header_t *headers, str_t body);
+
+/*
+ * http_stream_begin - answers with a stream of unknown length.
+ * Precondition: the request has not been answered yet.
+ */
+void http_stream_begin(http_request_t *r, unsigned int status,
+		       const http_header_t *headers);
+
+/*
+ * http_stream_write - appends bytes to a stream that has begun.
+ */
+void http_stream_write(http_request_t *r, str_t data);
+
+/*
+ * http_stream_end - ends a stream.
+ * @whole: false closes the connection so that the caller sees the cut
+ */
+void http_stream_end(http_request_t *r, bool whole);
+
+/*
+ * http_stream_pending - bytes written to the stream and not yet taken.
+ */
+size_t http_stream_pending(const http_request_t *r);
+
+#endif
--- /dev/null
+++ b/include/kcf/member.h
@@ -0,0 +1,214 @@
+/*
+ * member - who is in the fleet, by probing and gossip (SWIM).
+ *
+ * A state machine without sockets or clocks: the caller feeds it time and
+ * messages, and it sends through a table of functions. Failures are found by
+ * direct and indirect probes; a suspected node has time to refute with a
+ * higher incarnation before it is declared dead.
+ */
+#ifndef KCF_MEMBER_H
+#define KCF_MEMBER_H
+
+#include <glib.h>
+#include <kcf/clock.h>
+#include <kcf/datagram.h>
+#include <kcf/str.h>
+
+typedef enum member_state {
+	MEMBER_JOINING,
+	MEMBER_LIVE,
+	MEMBER_SUSPECT,
+	MEMBER_LEAVING,
+	MEMBER_DEAD,
+	MEMBER_STATE_COUNT,
+} member_state_t;
+
+/* Parallel to member_state_t. */
+extern const char *const member_state_string[];
+
+/* Interval between two probes. */
+#define MEMBER_PROBE_MS 1000
+/* Time for a direct acknowledgement before others are asked to probe. */
+#define MEMBER_ACK_MS 300
+/* After a probe of its own has failed, a node probes faster for a while. */
+#define MEMBER_FAST_PROBE_MS 400
+#define MEMBER_FAST_ACK_MS 150
+#define MEMBER_FAST_MS 4000
+/* Without any sign of life for so long, a node is cut off itself. */
+#define MEMBER_SILENCE_MS 2500
+/* Time in which a suspected node may refute. */
+#define MEMBER_SUSPECT_MS 2500
+/* A tick that comes later than this means the process was paused. */
+#define MEMBER_PAUSE_MS 2000
+/* Dead nodes are remembered, so that late news of them is not believed. */
+#define MEMBER_FORGET_MS 120000
+
+typedef struct member {
+	char *name;
+	char *data_centre;
+	char *region;
+	char *peer;
+	char *callers;
+	char *operators;
+	uint64_t incarnation;
+	member_state_t state;
+	mstime_t since;	  /* when the state was entered */
+	mstime_t heard;	  /* last datagram from the node itself */
+	mstime_t expires; /* end of suspicion */
+	uint64_t applied; /* configuration offset in force there */
+	uint32_t key;	  /* hash of the name */
+	int gossip_left;  /* times its update is still to be sent */
+} member_t;
+
+/* How the state machine acts. */
+typedef struct member_ops {
+	/* Sends a message; the fields seq to from are filled in by the caller.
+	 */
+	void (*send)(void *ctx, const char *address, unsigned int proc,
+		     peer_message_t *m);
+	/* A node joined, left, died or came back. */
+	void (*changed)(void *ctx, const member_t *m, member_state_t before);
+} member_ops_t;
+
+/* A probe that waits for its acknowledgement. */
+typedef struct member_probe {
+	char *target;
+	unsigned int seq;
+	mstime_t indirect_at;
+	mstime_t fails_at;
+	bool indirect_sent;
+} member_probe_t;
+
+/* A probe made for another node. */
+typedef struct member_relay {
+	unsigned int seq;
+	unsigned int origin_seq;
+	char *origin;
+	mstime_t expires;
+} member_relay_t;
+
+typedef struct members {
+	const member_ops_t *ops;
+	void *ctx;
+	GRand *rand;
+	GHashTable *by_name; /* char * to member_t * */
+	member_t *self;
+	GPtrArray *seeds; /* char *, peer addresses */
+	GPtrArray *round; /* names still to be probed in this round */
+	GArray *relays;
+	member_probe_t probe;
+	unsigned int seq;
+	mstime_t next_probe;
+	mstime_t fast_until;
+	mstime_t last_tick;
+	mstime_t last_ack;  /* last sign of life from any peer */
+	mstime_t paused_at; /* when a pause was last noticed, or 0 */
+	guint fact_cursor;
+} members_t;
+
+/* Identity of this node. */
+typedef struct member_self {
+	const char *name;
+	const char *data_centre;
+	const char *region;
+	const char *peer;
+	const char *callers;
+	const char *operators;
+	uint64_t incarnation;
+} member_self_t;
+
+/*
+ * members_init - starts with this node alone, in state joining.
+ * @ms:   caller-owned memory
+ * @seed: of the random choices
+ */
+void members_init(members_t *ms, const member_self_t *self, guint32 seed,
+		  const member_ops_t *ops, void *ctx, mstime_t now);
+
+/*
+ * members_finish - releases everything.
+ */
+void members_finish(members_t *ms);
+
+/*
+ * members_add_seed - an address to be probed while it belongs to no member.
+ */
+void members_add_seed(members_t *ms, const char *address);
+
+/*
+ * members_clear_seeds - forgets the seeds, before a new host list is taken.
+ */
+void members_clear_seeds(members_t *ms);
+
+/*
+ * members_tick - lets time pass; to be called several times a second.
+ */
+void members_tick(members_t *ms, mstime_t now);
+
+/*
+ * members_receive - takes a message.
+ * @from: address that it came from
+ */
+void members_receive(members_t *ms, mstime_t now, const char *from,
+		     unsigned int proc, const peer_message_t *m);
+
+/*
+ * members_set_state - moves this node itself to joining, live or leaving.
+ */
+void members_set_state(members_t *ms, mstime_t now, member_state_t state);
+
+/*
+ * members_announce - tells several peers of this node's state at once.
+ */
+void members_announce(members_t *ms, mstime_t now);
+
+/*
+ * members_set_applied - this node's own configuration offset.
+ */
+void members_set_applied(members_t *ms, uint64_t applied);
+
+/*
+ * members_fill - adds sender, updates and facts to a message to be sent.
+ * @updates, @facts: storage for PEER_UPDATES_MAX and PEER_FACTS_MAX entries
+ */
+void members_fill(members_t *ms, peer_message_t *m, peer_update_t *updates,
+		  peer_fact_t *facts);
+
+/*
+ * members_find - a member by name, or NULL.
+ */
+member_t *members_find(const members_t *ms, const char *name);
+
+/*
+ * members_usable - whether a node may own upstreams and take requests.
+ */
+bool members_usable(const member_t *m);
+
+/*
+ * members_count - number of members in a state.
+ */
+guint members_count(const members_t *ms, member_state_t state);
+
+/*
+ * members_isolated - whether this node is likely cut off itself: half or more
+ * of the nodes that were live have stopped answering within a short time.
+ */
+bool members_isolated(const members_t *ms, mstime_t now);
+
+/*
+ * members_lease_ends - until when peers can be trusted not to have declared
+ * this node dead; MSTIME_NEVER while the node is alone.
+ */
+mstime_t members_lease_ends(const members_t *ms);
+
+/*
+ * members_highest_applied - largest configuration offset heard of.
+ */
+uint64_t members_highest_applied(const members_t *ms);
+
+/*
+ * member_key - hash of a name as used in facts.
+ */
+uint32_t member_key(const char *name);
+
+#endif
--- /dev/null
+++ b/include/kcf/settings.h
@@ -0,0 +1,86 @@
+/*
+ * settings - the TOML file of one node, read into checked typed values.
+ */
+#ifndef KCF_SETTINGS_H
+#define KCF_SETTINGS_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <kcf/str.h>
+
+typedef enum settings_err {
+	SETTINGS_OK = 0,
+	SETTINGS_EREAD = -1,
+	SETTINGS_ESYNTAX = -2,
+	SETTINGS_EFAULTS = -3,
+} settings_err_t;
+
+/* Parallel to settings_err_t, indexed by the negated error. */
+extern const char *const settings_err_string[];
+
+#define PEER_KEY_BYTES 32
+
+typedef struct settings {
+	GString *name;
+	GString *data_centre;
+	GString *region;
+	GString *caller_listen;
+	int64_t caller_max_body;   /* bytes */
+	int64_t caller_max_header; /* bytes */
+	int64_t caller_max_connections;
+	int64_t caller_idle_timeout_s;
+	int64_t caller_heartbeat_ms;
+	GString *caller_tls_cert; /* file names; empty for plain TCP */
+	GString *caller_tls_key;
+	GString *operator_listen;
+	GString *operator_tls_cert;
+	GString *operator_tls_key;
+	GPtrArray *operator_names;  /* char *, parallel to operator_hashes */
+	GPtrArray *operator_hashes; /* char *, SHA-256 in hexadecimal */
+	GString *peer_listen;
+	unsigned char peer_key[PEER_KEY_BYTES];
+	int64_t peer_budget;   /* bytes a second */
+	GPtrArray *peer_seeds; /* char *, ip:port */
+	GString *log_url;
+	GString *host_list_url;
+	GString *weight_store_url;
+	int64_t log_retention_s;
+	int64_t drain_s;
+	int log_level; /* syslog severity */
+} settings_t;
+
+/*
+ * settings_init - gives every value its default.
+ * @s: caller-owned memory
+ */
+void settings_init(settings_t *s);
+
+/*
+ * settings_finish - releases the values.
+ */
+void settings_finish(settings_t *s);
+
+/*
+ * settings_parse - reads a TOML text.
+ * @s:      initialised settings; unchanged when the text has a fault
+ * @faults: receives one text a fault, each with its line: char *, to be
+ *          freed by the array
+ *
+ * Return: SETTINGS_OK or a negative settings_err_t.
+ */
+int settings_parse(settings_t *s, str_t text, GPtrArray *faults);
+
+/*
+ * settings_load - reads a TOML file; see settings_parse.
+ */
+int settings_load(settings_t *s, const char *file, GPtrArray *faults);
+
+/*
+ * settings_toml_to_json - turns any TOML text into a JSON tree.
+ * @faults: receives the syntax fault, if there is one
+ *
+ * Return: a new reference, or NULL.
+ */
+json_t *settings_toml_to_json(str_t text, GPtrArray *faults);
+
+#endif
--- /dev/null
+++ b/include/kcf/sse.h
@@ -0,0 +1,47 @@
+/*
+ * sse - splits a server-sent event stream into whole events.
+ */
+#ifndef KCF_SSE_H
+#define KCF_SSE_H
+
+#include <kcf/str.h>
+
+/* Longest event that is accepted. */
+#define SSE_EVENT_MAX (1024 * 1024)
+
+/* One event, as views into the splitter's buffer. */
+typedef struct sse_event {
+	str_t raw;    /* with its closing blank line */
+	str_t data;   /* last data line */
+	int64_t id;   /* -1 when the event has none */
+	bool comment; /* holds nothing but comments */
+} sse_event_t;
+
+typedef struct sse {
+	GString *buffer;
+	size_t taken;
+} sse_t;
+
+void sse_init(sse_t *s);
+void sse_finish(sse_t *s);
+
+/*
+ * sse_reset - forgets an event that was cut.
+ */
+void sse_reset(sse_t *s);
+
+/*
+ * sse_feed - appends bytes of the stream.
+ *
+ * Return: false when an event is longer than SSE_EVENT_MAX.
+ */
+bool sse_feed(sse_t *s, str_t data);
+
+/*
+ * sse_next - takes the next whole event; its views last until the next call.
+ *
+ * Return: false when no whole event is there.
+ */
+bool sse_next(sse_t *s, sse_event_t *event);
+
+#endif
--- /dev/null
+++ b/include/kcf/view.h
@@ -0,0 +1,134 @@
+/*
+ * view - typed, immutable picture of the resources in force.
+ *
+ * Made anew after each change and shared between tasks by reference count.
+ */
+#ifndef KCF_VIEW_H
+#define KCF_VIEW_H
+
+#include <kcf/config.h>
+#include <kcf/str.h>
+
+typedef enum service_type {
+	SERVICE_MODEL,
+	SERVICE_PLAIN,
+} service_type_t;
+
+typedef struct data_centre {
+	char *name;
+	char *region;
+	bool out;
+	double power_cap_w; /* 0 for none */
+	double ramp_s;
+	uint64_t version;
+} data_centre_t;
+
+/* Calls that may run at most once: a method and a path, * at its end. */
+typedef struct once_rule {
+	char *method;
+	char *path;
+} once_rule_t;
+
+typedef struct service {
+	char *name;
+	service_type_t type;
+	int64_t timeout_ms;
+	int64_t gap_ms; /* silence in a stream that means a dead connection */
+	int64_t queue_max;
+	bool echoes_request_id;
+	GArray *once; /* once_rule_t */
+} service_t;
+
+typedef struct upstream {
+	char *name;
+	uint32_t key;  /* short hash, as in load reports between nodes */
+	uint64_t hash; /* for ranking */
+	char *address;
+	const service_t *service;
+	const data_centre_t *data_centre;
+	GPtrArray *models; /* char *; NULL serves all models of the service */
+	bool leaving;
+	int slots;
+	int floor;
+	double ramp_s;
+	double weight;
+	int64_t cache_tokens;
+	double idle_w;
+	double slot_w;
+	bool fencing;
+	uint64_t version;
+} upstream_t;
+
+typedef struct model {
+	char *name;
+	const service_t *service;
+	GPtrArray *adapters; /* char * */
+	char *model_version;
+} model_t;
+
+typedef struct customer {
+	char *name;
+	double weight;
+	GPtrArray *services; /* char *; NULL allows all */
+} customer_t;
+
+typedef struct host {
+	char *name;
+	bool out;
+} host_t;
+
+typedef struct view {
+	gint refs;
+	uint64_t applied;
+	double load_bound;
+	double power_cap_w; /* 0 for none */
+	GPtrArray *data_centres;
+	GPtrArray *services;
+	GPtrArray *upstreams;
+	GPtrArray *models;
+	GPtrArray *customers;
+	GPtrArray *hosts;
+	GHashTable *by_name; /* "Kind/name" to entry */
+	GHashTable *by_key;  /* SHA-256 in hexadecimal to customer_t * */
+} view_t;
+
+/*
+ * view_new - picture of the present configuration, with one reference.
+ */
+view_t *view_new(const config_t *c);
+view_t *view_ref(view_t *v);
+void view_unref(view_t *v);
+
+/*
+ * view_find - typed entry of a kind by name, or NULL.
+ */
+void *view_find(const view_t *v, resource_kind_t kind, const char *name);
+
+/*
+ * view_customer_of - customer that holds a key.
+ * @sha256: hexadecimal, lower case
+ */
+const customer_t *view_customer_of(const view_t *v, const char *sha256);
+
+/*
+ * customer_may_use - whether a customer may use a service.
+ */
+bool customer_may_use(const customer_t *c, const service_t *s);
+
+/*
+ * service_runs_once - whether a call of a service may run at most once.
+ */
+bool service_runs_once(const service_t *s, str_t method, str_t path);
+
+/*
+ * upstream_serves - whether an upstream serves a model.
+ * @model: NULL for plain services
+ */
+bool upstream_serves(const upstream_t *u, const model_t *model);
+
+/*
+ * upstream_open - whether configuration lets an upstream take new work.
+ */
+bool upstream_open(const upstream_t *u);
+
+#endif
--- /dev/null
+++ b/packages/base/counter.c
@@ -0,0 +1,84 @@
+#include <kcf/counter.h>
+
+#include <assert.h>
+#include <stdatomic.h>
+#include <string.h>
+
+static _Atomic int64_t values[COUNTER_COUNT];
+
+/* Parallel to counter_t. */
+static const char *const names[COUNTER_COUNT] = {
+	[COUNTER_REQUESTS] = "kcf_requests_total",
+	[COUNTER_ANSWERS_WHOLE] = "kcf_answers_whole_total",
+	[COUNTER_ANSWERS_CUT] = "kcf_answers_cut_total",
+	[COUNTER_FORWARDED] = "kcf_forwarded_total",
+	[COUNTER_RESUMED] = "kcf_streams_resumed_total",
+	[COUNTER_CROSSED] = "kcf_crossed_answers_total",
+	[COUNTER_RETRIES] = "kcf_retries_total",
+	[COUNTER_REFUSED_INPUT] = "kcf_refusals_total{reason=\"input\"}",
+	[COUNTER_REFUSED_AUTH] = "kcf_refusals_total{reason=\"auth\"}",
+	[COUNTER_REFUSED_LOAD] = "kcf_refusals_total{reason=\"load\"}",
+	[COUNTER_REFUSED_DEADLINE] = "kcf_refusals_total{reason=\"deadline\"}",
+	[COUNTER_REFUSED_UPSTREAM] = "kcf_refusals_total{reason=\"upstream\"}",
+	[COUNTER_REFUSED_NOT_READY] =
+		"kcf_refusals_total{reason=\"not_ready\"}",
+	[COUNTER_CALLER_GONE] = "kcf_callers_gone_total",
+	[COUNTER_CACHED_TOKENS] = "kcf_cached_tokens_total",
+	[COUNTER_PROMPT_TOKENS] = "kcf_prompt_tokens_total",
+	[COUNTER_PLACED_FIRST] = "kcf_placed_total{rank=\"first\"}",
+	[COUNTER_PLACED_SPILL] = "kcf_placed_total{rank=\"spill\"}",
+	[COUNTER_QUEUED] = "kcf_queued_total",
+	[COUNTER_CONFIG_APPLIED] = "kcf_config_applied_total",
+	[COUNTER_CONFIG_REJECTED] = "kcf_config_rejected_total",
+	[COUNTER_CONFIG_CONFLICTS] = "kcf_config_conflicts_total",
+	[COUNTER_CONTROL_SENT_BYTES] = "kcf_control_sent_bytes_total",
+	[COUNTER_CONTROL_RECEIVED_BYTES] = "kcf_control_received_bytes_total",
+	[COUNTER_CONTROL_DROPPED] = "kcf_control_over_budget_total",
+	[COUNTER_MAC_REJECTED] = "kcf_datagrams_rejected_total",
+	[COUNTER_LOG_ERRORS] = "kcf_log_errors_total",
+	[COUNTER_ONCE_RUNS] = "kcf_once_runs_total",
+	[COUNTER_ONCE_REFUSED] = "kcf_once_refused_total",
+	[COUNTER_ONCE_UNKNOWN] = "kcf_once_unknown_total",
+	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
+	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
+	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
+	[GAUGE_OWNED_UPSTREAMS] = "kcf_owned_upstreams",
+	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
+};
+
+void counter_add(counter_t c, int64_t n)
+{
+	assert(c < COUNTER_COUNT);
+	atomic_fetch_add_explicit(&values[c], n, memory_order_relaxed);
+}
+
+void counter_set(counter_t c, int64_t v)
+{
+	assert(c < COUNTER_COUNT);
+	atomic_store_explicit(&values[c], v, memory_order_relaxed);
+}
+
+int64_t counter_get(counter_t c)
+{
+	assert(c < COUNTER_COUNT);
+	return atomic_load_explicit(&values[c], memory_order_relaxed);
+}
+
+void counter_render(GString *out)
+{
+	size_t last_len = 0;
+
+	for (int c = 0; c < COUNTER_COUNT; c++) {
+		size_t len = strcspn(names[c], "{");
+		bool gauge = c >= GAUGE_OPEN_REQUESTS;
+
+		if (!c || len != last_len ||
+		    strncmp(names[c], names[c - 1], len) != 0)
+			g_string_append_printf(out, "# TYPE %.*s %s\n",
+					       (int)len, names[c],
+					       gauge ? "gauge" : "counter");
+		last_len = len;
+		g_string_append_printf(out, "%s %" G_GINT64_FORMAT "\n",
+				       names[c], counter_get((counter_t)c));
+	}
+}
--- /dev/null
+++ b/packages/ctl/cmd_load.c
@@ -0,0 +1,584 @@
+/*
+ * load - drives a workload of returning chats against callers' interface.
+ *
+ * Requests arrive at random times at a given rate, whatever the answers take,
+ * so that slow answers are not hidden by fewer requests.
+ */
+#include "private/ctl.h"
+#include "private/samples.h"
+
+#include <ev.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TURN_BYTES 256
+#define KEYS_MAX 64
+
+typedef struct load_options {
+	char *model;
+	char *service;
+	char *keys;  /* comma-separated key[=share] */
+	char *surge; /* key index:factor:from_ms:to_ms */
+	char *direct;
+	char *once_path;
+	double rate;
+	double once_share;
+	int duration_ms;
+	int chats;
+	int prompt_bytes;
+	int max_tokens;
+	int deadline_ms;
+	int seed;
+	gboolean stream;
+	gboolean any; /* use any node, without asking where */
+} load_options_t;
+
+typedef struct customer_load {
+	char *key;
+	double share;
+	samples_t total_ms;
+	int64_t ok;
+	int64_t refused;
+} customer_load_t;
+
+typedef struct chat_load {
+	char *id;
+	int turns;
+	int customer;
+	bool busy;
+	char *address; /* from the last answer of where */
+	mstime_t valid_until;
+} chat_load_t;
+
+typedef struct load {
+	ctl_t *ctl;
+	load_options_t o;
+	GRand *rand;
+	customer_load_t customers[KEYS_MAX];
+	int customer_count;
+	double share_sum;
+	chat_load_t *chats;
+	mstime_t started;
+	mstime_t ends;
+	int open;
+	int64_t sent;
+	int64_t ok;
+	int64_t once_sent;
+	int64_t prompt;
+	int64_t cached;
+	samples_t total_ms;
+	samples_t first_ms;
+	GHashTable *reasons;
+	GHashTable *upstreams;
+	ev_timer arrival;
+} load_t;
+
+typedef struct shot {
+	load_t *load;
+	chat_load_t *chat;
+	int64_t started_us;
+	int64_t first_us;
+	GString *tail; /* end of the body */
+	bool where;
+	bool once;
+} shot_t;
+
+static void count_(GHashTable *table, const char *what)
+{
+	int64_t *n = g_hash_table_lookup(table, what);
+
+	if (!n) {
+		n = g_new0(int64_t, 1);
+		g_hash_table_insert(table, g_strdup(what), n);
+	}
+	(*n)++;
+}
+
+static void send_(shot_t *s);
+
+static char *prompt_(const load_t *l, const chat_load_t *chat)
+{
+	size_t len =
+		(size_t)l->o.prompt_bytes + (size_t)chat->turns * TURN_BYTES;
+	char *text = g_malloc(len + 1);
+	size_t id_len = strlen(chat->id);
+
+	for (size_t i = 0; i < len; i++)
+		text[i] = chat->id[i % id_len];
+	text[len] = '\0';
+	return text;
+}
+
+static char *body_(const load_t *l, const chat_load_t *chat)
+{
+	char *prompt = prompt_(l, chat);
+	json_t *o = json_pack("{s:s,s:b,s:i,s:[{s:s,s:s}]}", "model",
+			      l->o.model, "stream", (int)l->o.stream,
+			      "max_tokens", l->o.max_tokens, "messages", "role",
+			      "user", "content", prompt);
+	char *dump = json_dumps(o, JSON_COMPACT);
+
+	json_decref(o);
+	g_free(prompt);
+	return dump;
+}
+
+static void finish_(shot_t *s)
+{
+	load_t *l = s->load;
+
+	s->chat->busy = false;
+	l->open--;
+	g_string_free(s->tail, TRUE);
+	g_free(s);
+	if (!l->open && clock_now() >= l->ends)
+		ev_break(l->ctl->loop, EVBREAK_ALL);
+}
+
+static int64_t number_(http_call_t *call, const char *name)
+{
+	int64_t v;
+
+	return str_to_int(http_call_header(call, name), &v) ? v : 0;
+}
+
+static void count_refusal_(load_t *l, shot_t *s, int err, int status)
+{
+	json_t *body = json_loadb(s->tail->str, s->tail->len, 0, NULL);
+	const char *title = json_string_value(json_object_get(body, "title"));
+	char *what = err ? g_strdup(http_err_string[-err])
+			 : g_strdup_printf("%d %s", status, title ? title : "");
+
+	count_(l->reasons, what);
+	l->customers[s->chat->customer].refused++;
+	g_free(what);
+	json_decref(body);
+}
+
+static bool complete_(const shot_t *s)
+{
+	if (!s->load->o.stream || s->once)
+		return true;
+	return strstr(s->tail->str, "[DONE]");
+}
+
+static void on_done_(void *ctx, http_call_t *call, int err, int status)
+{
+	shot_t *s = ctx;
+	load_t *l = s->load;
+	customer_load_t *c = &l->customers[s->chat->customer];
+	double total = (double)(clock_now_us() - s->started_us) / MSEC_PER_SEC;
+	char *upstream;
+
+	if (err || status != 200) {
+		count_refusal_(l, s, err, status);
+		finish_(s);
+		return;
+	}
+	if (!complete_(s)) {
+		count_(l->reasons, "stream cut");
+		finish_(s);
+		return;
+	}
+	l->ok++;
+	c->ok++;
+	samples_add(&l->total_ms, total);
+	samples_add(&c->total_ms, total);
+	if (s->first_us)
+		samples_add(&l->first_ms,
+			    (double)(s->first_us - s->started_us) /
+				    MSEC_PER_SEC);
+	l->prompt += number_(call, "X-Prompt-Tokens");
+	l->cached += number_(call, "X-Cached-Tokens");
+	upstream = str_dup(http_call_header(call, "X-Upstream"));
+	count_(l->upstreams, upstream);
+	g_free(upstream);
+	s->chat->turns++;
+	finish_(s);
+}
+
+static void on_data_(void *ctx, http_call_t *call, str_t data)
+{
+	shot_t *s = ctx;
+
+	(void)call;
+	if (!s->first_us)
+		s->first_us = clock_now_us();
+	g_string_append_len(s->tail, data.data, (gssize)data.len);
+	if (s->tail->len > 4096)
+		g_string_erase(s->tail, 0, (gssize)(s->tail->len - 1024));
+}
+
+static const http_call_ops_t shot_ops = { .data = on_data_, .done = on_done_ };
+
+static void on_where_(void *ctx, http_call_t *call, int err, int status)
+{
+	shot_t *s = ctx;
+	str_t body = http_call_body(call);
+	json_t *root = NULL;
+	const char *address;
+
+	if (!err && status == 200)
+		root = json_loadb(body.data, body.len, 0, NULL);
+	address = json_string_value(
+		json_array_get(json_object_get(root, "addresses"), 0));
+	if (address) {
+		g_free(s->chat->address);
+		s->chat->address = g_strdup(address);
+		s->chat->valid_until =
+			clock_now() +
+			json_integer_value(json_object_get(root, "valid_ms"));
+	}
+	json_decref(root);
+	send_(s);
+}
+
+static const http_call_ops_t where_ops = { .done = on_where_ };
+
+static void ask_where_(shot_t *s)
+{
+	load_t *l = s->load;
+	char *url = g_strdup_printf(
+		"http://%s/v1/where?service=%s&chat=%s&model=%s",
+		l->ctl->callers, l->o.service, s->chat->id, l->o.model);
+	char *auth = g_strdup_printf("Authorization: Bearer %s",
+				     l->customers[s->chat->customer].key);
+	const char *headers[] = { auth, NULL };
+	http_call_spec_t spec = { .method = "GET",
+				  .url = url,
+				  .headers = headers,
+				  .deadline = clock_now() + MSEC_PER_SEC };
+
+	s->where = true;
+	http_call_start(&l->ctl->http, &spec, &where_ops, s);
+	g_free(url);
+	g_free(auth);
+}
+
+static void send_(shot_t *s)
+{
+	load_t *l = s->load;
+	const char *address = l->o.direct	 ? l->o.direct
+			      : s->chat->address ? s->chat->address
+						 : l->ctl->callers;
+	char *url = g_strdup_printf("http://%s%s", address,
+				    s->once ? l->o.once_path
+					    : "/v1/chat/completions");
+	char *body = body_(l, s->chat);
+	char *auth = g_strdup_printf("Authorization: Bearer %s",
+				     l->customers[s->chat->customer].key);
+	char *chat = g_strdup_printf("X-Chat-Id: %s", s->chat->id);
+	char *deadline = g_strdup_printf("X-Deadline-Ms: %d", l->o.deadline_ms);
+	char *key = g_strdup_printf("Idempotency-Key: %lld-load-%d-%lld",
+				    (long long)(clock_wall() / MSEC_PER_SEC),
+				    l->o.seed, (long long)l->sent);
+	const char *headers[] = { "Content-Type: application/json",
+				  auth,
+				  chat,
+				  deadline,
+				  s->once ? key : NULL,
+				  NULL };
+	http_call_spec_t spec = { .method = "POST",
+				  .url = url,
+				  .headers = headers,
+				  .body = str_of(body),
+				  .deadline = MSTIME_NEVER };
+
+	s->started_us = clock_now_us();
+	http_call_start(&l->ctl->http, &spec, &shot_ops, s);
+	free(body);
+	g_free(url);
+	g_free(auth);
+	g_free(chat);
+	g_free(deadline);
+	g_free(key);
+}
+
+static bool surging_(const load_t *l, int *customer, double *factor)
+{
+	int from;
+	int to;
+	mstime_t at = clock_now() - l->started;
+
+	return l->o.surge &&
+	       sscanf(l->o.surge, "%d:%lf:%d:%d", customer, factor, &from,
+		      &to) == 4 &&
+	       at >= from && at < to && *customer < l->customer_count;
+}
+
+static int pick_customer_(load_t *l)
+{
+	double at;
+	int surger = -1;
+	double factor = 1;
+	double sum = l->share_sum;
+
+	if (surging_(l, &surger, &factor))
+		sum += (factor - 1) * l->customers[surger].share;
+	at = g_rand_double(l->rand) * sum;
+	for (int i = 0; i < l->customer_count; i++) {
+		at -= l->customers[i].share * (i == surger ? factor : 1);
+		if (at < 0)
+			return i;
+	}
+	return 0;
+}
+
+/* A chat of the customer that is not waiting for an answer. */
+static chat_load_t *pick_chat_(load_t *l, int customer)
+{
+	int per = MAX(1, l->o.chats / l->customer_count);
+
+	for (int i = 0; i < per; i++) {
+		int at = customer * per + g_rand_int_range(l->rand, 0, per);
+
+		if (!l->chats[at].busy)
+			return &l->chats[at];
+	}
+	return NULL;
+}
+
+static void shoot_(load_t *l)
+{
+	chat_load_t *chat = pick_chat_(l, pick_customer_(l));
+	shot_t *s;
+
+	if (!chat) {
+		count_(l->reasons, "all chats busy");
+		return;
+	}
+	s = g_new0(shot_t, 1);
+	s->load = l;
+	s->chat = chat;
+	s->tail = g_string_new(NULL);
+	s->once = l->o.once_path && g_rand_double(l->rand) < l->o.once_share;
+	chat->busy = true;
+	l->open++;
+	l->sent++;
+	l->once_sent += s->once;
+	if (l->o.direct || l->o.any || clock_now() < chat->valid_until)
+		send_(s);
+	else
+		ask_where_(s);
+}
+
+static void on_arrival_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	load_t *l = w->data;
+	double rate = l->o.rate;
+	double factor = 1;
+	int surger;
+
+	(void)revents;
+	if (clock_now() >= l->ends) {
+		if (!l->open)
+			ev_break(loop, EVBREAK_ALL);
+		return;
+	}
+	shoot_(l);
+	if (surging_(l, &surger, &factor))
+		rate *= 1 + (factor - 1) * l->customers[surger].share /
+				    l->share_sum;
+	ev_timer_set(w, -log(1 - g_rand_double(l->rand)) / rate, 0);
+	ev_timer_start(loop, w);
+}
+
+static json_t *table_(GHashTable *table)
+{
+	json_t *o = json_object();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		json_object_set_new(o, key, json_integer(*(int64_t *)value));
+	return o;
+}
+
+static json_t *percentiles_(samples_t *s)
+{
+	return json_pack("{s:f,s:f,s:f,s:f,s:f}", "p50", samples_at(s, 0.5),
+			 "p90", samples_at(s, 0.9), "p95", samples_at(s, 0.95),
+			 "p99", samples_at(s, 0.99), "max", samples_at(s, 1.0));
+}
+
+static double skew_(GHashTable *upstreams)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int64_t max = 0;
+	int64_t sum = 0;
+
+	g_hash_table_iter_init(&iter, upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		max = MAX(max, *(int64_t *)value);
+		sum += *(int64_t *)value;
+	}
+	return sum ? (double)max * g_hash_table_size(upstreams) / (double)sum
+		   : 0;
+}
+
+static json_t *report_(load_t *l)
+{
+	json_t *customers = json_array();
+	double seconds = (double)l->o.duration_ms / MSEC_PER_SEC;
+
+	for (int i = 0; i < l->customer_count; i++) {
+		customer_load_t *c = &l->customers[i];
+
+		json_array_append_new(
+			customers, json_pack("{s:i,s:I,s:I,s:o}", "customer", i,
+					     "ok", (json_int_t)c->ok, "refused",
+					     (json_int_t)c->refused, "total_ms",
+					     percentiles_(&c->total_ms)));
+	}
+	return json_pack(
+		"{s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:o,s:o,s:o}", "sent",
+		(json_int_t)l->sent, "ok", (json_int_t)l->ok, "once",
+		(json_int_t)l->once_sent, "ok_per_s", (double)l->ok / seconds,
+		"total_ms", percentiles_(&l->total_ms), "first_ms",
+		percentiles_(&l->first_ms), "reuse",
+		l->prompt ? (double)l->cached / (double)l->prompt : 0.0, "skew",
+		skew_(l->upstreams), "upstreams", table_(l->upstreams),
+		"refused", table_(l->reasons), "customers", customers);
+}
+
+static bool take_customers_(load_t *l)
+{
+	char **list = g_strsplit(l->o.keys     ? l->o.keys
+				 : l->ctl->key ? l->ctl->key
+					       : "",
+				 ",", KEYS_MAX);
+
+	for (char **k = list; *k && l->customer_count < KEYS_MAX; k++) {
+		customer_load_t *c = &l->customers[l->customer_count];
+		char *eq = strchr(*k, '=');
+
+		c->share = eq ? g_ascii_strtod(eq + 1, NULL) : 1;
+		if (eq)
+			*eq = '\0';
+		if (!**k || c->share <= 0)
+			continue;
+		c->key = g_strdup(*k);
+		samples_init(&c->total_ms);
+		l->share_sum += c->share;
+		l->customer_count++;
+	}
+	g_strfreev(list);
+	return l->customer_count > 0;
+}
+
+static void make_chats_(load_t *l)
+{
+	int per;
+
+	l->o.chats = MAX(l->o.chats, l->customer_count);
+	per = l->o.chats / l->customer_count;
+	l->chats = g_new0(chat_load_t, (gsize)l->o.chats);
+	for (int i = 0; i < l->o.chats; i++) {
+		l->chats[i].id = g_strdup_printf("load-%d-%d", l->o.seed, i);
+		l->chats[i].customer = MIN(i / per, l->customer_count - 1);
+	}
+}
+
+static bool parse_(load_options_t *o, int argc, char **argv)
+{
+	const GOptionEntry entries[] = {
+		{ "model", 0, 0, G_OPTION_ARG_STRING, &o->model, "Model",
+		  "NAME" },
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &o->service,
+		  "Service of the model", "NAME" },
+		{ "keys", 0, 0, G_OPTION_ARG_STRING, &o->keys,
+		  "Customers' keys with their shares", "KEY[=SHARE],..." },
+		{ "surge", 0, 0, G_OPTION_ARG_STRING, &o->surge,
+		  "One customer sends more for a while",
+		  "CUSTOMER:FACTOR:FROM_MS:TO_MS" },
+		{ "direct", 0, 0, G_OPTION_ARG_STRING, &o->direct,
+		  "Send to this address alone", "IP:PORT" },
+		{ "any", 0, 0, G_OPTION_ARG_NONE, &o->any,
+		  "Use the given node without asking where", NULL },
+		{ "rate", 0, 0, G_OPTION_ARG_DOUBLE, &o->rate,
+		  "Requests a second", "N" },
+		{ "duration-ms", 0, 0, G_OPTION_ARG_INT, &o->duration_ms,
+		  "Time of arrivals", "MS" },
+		{ "chats", 0, 0, G_OPTION_ARG_INT, &o->chats,
+		  "Chats that return", "N" },
+		{ "prompt-bytes", 0, 0, G_OPTION_ARG_INT, &o->prompt_bytes,
+		  "First prompt of a chat", "N" },
+		{ "max-tokens", 0, 0, G_OPTION_ARG_INT, &o->max_tokens,
+		  "Tokens of an answer", "N" },
+		{ "deadline-ms", 0, 0, G_OPTION_ARG_INT, &o->deadline_ms,
+		  "Deadline of a request", "MS" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &o->seed,
+		  "Of arrivals and chats", "N" },
+		{ "stream", 0, 0, G_OPTION_ARG_NONE, &o->stream,
+		  "Ask for streams", NULL },
+		{ "once-share", 0, 0, G_OPTION_ARG_DOUBLE, &o->once_share,
+		  "Share of run-once calls", "0..1" },
+		{ "once-path", 0, 0, G_OPTION_ARG_STRING, &o->once_path,
+		  "Path of run-once calls", "PATH" },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new("load");
+	GError *error = NULL;
+	/* GLib expects the program's name first. */
+	char **args = g_new0(char *, (gsize)argc + 2);
+	int n = argc + 1;
+	bool ok;
+
+	args[0] = "load";
+	for (int i = 0; i < argc; i++)
+		args[i + 1] = argv[i];
+	g_option_context_add_main_entries(context, entries, NULL);
+	ok = g_option_context_parse(context, &n, &args, &error);
+	if (!ok) {
+		fprintf(stderr, "kcfctl: %s\n", error->message);
+		g_error_free(error);
+	} else if (n > 1 || !o->model || !o->service || o->rate <= 0 ||
+		   o->duration_ms <= 0) {
+		fprintf(stderr, "usage: kcfctl load --model M --service S "
+				"--rate N --duration-ms N [...]\n");
+		ok = false;
+	}
+	g_option_context_free(context);
+	g_free(args);
+	return ok;
+}
+
+ctl_exit_t cmd_load(ctl_t *c, int argc, char **argv)
+{
+	load_t *l = g_new0(load_t, 1);
+	json_t *report;
+	char *text;
+
+	l->ctl = c;
+	l->o = (load_options_t){ .chats = 100,
+				 .prompt_bytes = 2048,
+				 .max_tokens = 16,
+				 .deadline_ms = 60000,
+				 .seed = 1 };
+	if (!parse_(&l->o, argc, argv) || !take_customers_(l))
+		return CTL_USAGE;
+	l->rand = g_rand_new_with_seed((guint32)l->o.seed);
+	l->reasons =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	l->upstreams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	samples_init(&l->total_ms);
+	samples_init(&l->first_ms);
+	make_chats_(l);
+	l->started = clock_now();
+	l->ends = l->started + l->o.duration_ms;
+	ev_timer_init(&l->arrival, on_arrival_, 0, 0);
+	l->arrival.data = l;
+	ev_timer_start(c->loop, &l->arrival);
+	ev_run(c->loop, 0);
+	report = report_(l);
+	text = json_dumps(report, c->json ? JSON_COMPACT : JSON_INDENT(2));
+	printf("%s\n", text);
+	free(text);
+	json_decref(report);
+	return CTL_FINE;
+}
--- /dev/null
+++ b/packages/decide/private/slot.h
@@ -0,0 +1,137 @@
+/*
+ * slot - what one node knows of one upstream.
+ */
+#ifndef KCF_PRIVATE_SLOT_H
+#define KCF_PRIVATE_SLOT_H
+
+#include <kcf/fairq.h>
+#include <kcf/limit.h>
+#include <kcf/lru.h>
+#include <kcf/sched.h>
+
+/* Weight in gossip: thousandths, then two marks above full weight. */
+#define WEIGHT_FULL 1000
+#define WEIGHT_RECENT                                                          \
+	1001 /* full, but some of its chats are warm elsewhere                 \
+	      */
+#define WEIGHT_SETTLED 1002
+/* Flag beside the weight: requests wait only for want of power. */
+#define WEIGHT_SHORT_OF_POWER 0x10000u
+#define WEIGHT_MASK 0xffffu
+
+typedef struct slot {
+	uint32_t key;
+	const upstream_t *up; /* NULL once it left the configuration */
+	bool owned;
+	bool open; /* by configuration, at the last view */
+	mstime_t owned_since;
+
+	/* Known as the owner. */
+	limit_t limit;
+	int out;	  /* requests sent from here and not ended */
+	int out_max;	  /* highest out in this window of time */
+	int out_max_last; /* and in the window before */
+	int foreign;	  /* outstanding there but not sent from here */
+	uint64_t start_id;
+	int failures; /* in a row */
+	bool down;
+	int flaps;
+	mstime_t stable_at; /* from when its weight may grow */
+	mstime_t hold_until;
+	bool returned;	    /* had been away while others took its chats */
+	double duration_ms; /* moving average of a request */
+	int misses;	    /* chats in a row that should have been warm */
+	lru_t warm;
+	fairq_t queue;
+
+	/* Known by gossip. */
+	int peer_out;
+	int peer_limit;
+	uint32_t peer_weight;
+	uint32_t peer_stamp;
+	mstime_t peer_heard; /* 0 for never */
+	int handed;	     /* handed to its owner since then */
+} slot_t;
+
+/* A request that was let through and has not ended. */
+typedef struct permit {
+	uint64_t id;
+	uint32_t key;
+	uint64_t chat;
+	bool sticky;
+	bool warm;
+	int64_t prompt_tokens;
+	mstime_t started;
+} permit_t;
+
+slot_t *slot_new(uint32_t key);
+void slot_free(void *slot);
+
+/*
+ * slot_acquire - this node becomes the owner.
+ */
+void slot_acquire(slot_t *sl, mstime_t now);
+
+/*
+ * slot_lose - this node is no longer the owner; the queue is emptied by the
+ * caller.
+ */
+void slot_lose(slot_t *sl);
+
+/*
+ * slot_restarted - the upstream has started anew.
+ */
+void slot_restarted(slot_t *sl, mstime_t now);
+
+/*
+ * slot_failed - one more sign that it cannot be reached.
+ *
+ * Return: true when this makes it count as down.
+ */
+bool slot_failed(slot_t *sl, mstime_t now);
+
+/*
+ * slot_recovered - it answers again.
+ */
+void slot_recovered(slot_t *sl, mstime_t now);
+
+/*
+ * slot_weight - present weight as in gossip; 0 takes no chats.
+ */
+uint32_t slot_weight(const slot_t *sl, mstime_t now);
+
+/*
+ * slot_load - outstanding requests as far as known.
+ */
+int slot_load(const slot_t *sl, mstime_t now);
+
+/*
+ * slot_alive - whether it is not known to be down.
+ */
+bool slot_alive(const slot_t *sl, mstime_t now);
+
+/*
+ * slot_limit - outstanding requests allowed by ramp, adaptation and power,
+ * or as told by the owner.
+ */
+int slot_limit(const slot_t *sl, const sched_t *s, mstime_t now);
+
+/*
+ * slot_window - starts a new window of the highest own load.
+ */
+void slot_window(slot_t *sl);
+
+/*
+ * slot_wait - time until a new request of a customer would start.
+ */
+mstime_t slot_wait(const slot_t *sl, const sched_t *s, mstime_t now,
+		   const char *customer);
+
+/*
+ * slot_note_cache - compares what an answer tells of the cache with what was
+ * believed.
+ */
+void slot_note_cache(slot_t *sl, mstime_t now, const permit_t *p,
+		     const sched_outcome_t *o);
+
+#endif
--- /dev/null
+++ b/packages/decide/rank.c
@@ -0,0 +1,19 @@
+#include <kcf/rank.h>
+
+#include <math.h>
+#include <xxhash.h>
+
+/* 2^53: numbers below it are exact in a double. */
+#define UNIT (1.0 / 9007199254740992.0)
+
+double rank_score(uint64_t key, uint64_t entry, double weight)
+{
+	uint64_t h;
+	double u;
+
+	if (weight <= 0)
+		return 0;
+	h = XXH3_64bits_withSeed(&entry, sizeof(entry), key);
+	u = ((double)(h >> 11) + 0.5) * UNIT;
+	return -weight / log(u);
+}
--- /dev/null
+++ b/packages/decide/slot.c
@@ -0,0 +1,211 @@
+#include "private/slot.h"
+
+#define WARM_IDLE_MS (6 * 3600 * MSEC_PER_SEC)
+#define DURATION_START_MS 500.0
+#define FAILURES_TO_DOWN 3
+/* Hold of a flapping upstream doubles with each flap. */
+#define FLAP_HOLD_MS 500
+#define FLAP_HOLD_MAX_MS 60000
+#define FLAP_FORGET_MS 60000
+/* After a return, chats stay where they are warm for this long. */
+#define RECENT_MS (10 * 60 * MSEC_PER_SEC)
+/* Ramp of a new owner over an upstream that was known to be at full weight. */
+#define TAKEOVER_RAMP_MS 2000
+#define PEER_STALE_MS 15000
+/* Misses in a row that show a cache gone cold. */
+#define MISSES_TO_COLD 3
+/* A cached share below this is a miss. */
+#define MISS_SHARE 0.25
+
+static mstime_t ramp_ms_(const slot_t *sl);
+
+slot_t *slot_new(uint32_t key)
+{
+	slot_t *sl = g_new0(slot_t, 1);
+
+	sl->key = key;
+	sl->peer_weight = WEIGHT_SETTLED;
+	sl->duration_ms = DURATION_START_MS;
+	lru_init(&sl->warm, 0, WARM_IDLE_MS);
+	fairq_init(&sl->queue);
+	return sl;
+}
+
+void slot_free(void *p)
+{
+	slot_t *sl = p;
+
+	lru_finish(&sl->warm);
+	fairq_finish(&sl->queue);
+	g_free(sl);
+}
+
+static bool peer_fresh_(const slot_t *sl, mstime_t now)
+{
+	return sl->peer_heard && now - sl->peer_heard < PEER_STALE_MS;
+}
+
+void slot_acquire(slot_t *sl, mstime_t now)
+{
+	bool known_warm = peer_fresh_(sl, now) &&
+			  (sl->peer_weight & WEIGHT_MASK) >= WEIGHT_FULL;
+
+	sl->owned = true;
+	sl->owned_since = now;
+	sl->failures = 0;
+	sl->down = false;
+	sl->foreign = 0;
+	sl->start_id = 0;
+	sl->stable_at = now;
+	sl->hold_until = now;
+	limit_init(&sl->limit, sl->up->slots, sl->up->floor, now,
+		   known_warm ? MIN(ramp_ms_(sl), TAKEOVER_RAMP_MS)
+			      : ramp_ms_(sl));
+	lru_set_max(&sl->warm, sl->up->cache_tokens);
+}
+
+void slot_lose(slot_t *sl)
+{
+	sl->owned = false;
+	lru_clear(&sl->warm);
+}
+
+void slot_restarted(slot_t *sl, mstime_t now)
+{
+	limit_restart(&sl->limit, now, ramp_ms_(sl));
+	lru_clear(&sl->warm);
+	sl->returned = true;
+	sl->stable_at = MAX(sl->stable_at, now);
+}
+
+bool slot_failed(slot_t *sl, mstime_t now)
+{
+	sl->failures++;
+	limit_note(&sl->limit, now, LIMIT_FAILED);
+	if (sl->down || sl->failures < FAILURES_TO_DOWN)
+		return false;
+	sl->down = true;
+	return true;
+}
+
+void slot_recovered(slot_t *sl, mstime_t now)
+{
+	mstime_t hold = FLAP_HOLD_MS;
+
+	sl->failures = 0;
+	if (!sl->down)
+		return;
+	sl->down = false;
+	if (now - sl->stable_at > FLAP_FORGET_MS)
+		sl->flaps = 0;
+	for (int i = 0; i < sl->flaps && hold < FLAP_HOLD_MAX_MS; i++)
+		hold *= 2;
+	sl->flaps++;
+	sl->stable_at = now + MIN(hold, FLAP_HOLD_MAX_MS);
+	sl->returned = true;
+	limit_restart(&sl->limit, now, ramp_ms_(sl));
+}
+
+uint32_t slot_weight(const slot_t *sl, mstime_t now)
+{
+	mstime_t ramp;
+	mstime_t age = now - sl->stable_at;
+
+	if (!sl->owned)
+		return peer_fresh_(sl, now) ? sl->peer_weight & WEIGHT_MASK
+					    : WEIGHT_SETTLED;
+	if (sl->down || age < 0)
+		return 0;
+	if (!sl->returned || age > RECENT_MS)
+		return WEIGHT_SETTLED;
+	ramp = ramp_ms_(sl);
+	if (age >= ramp)
+		return WEIGHT_RECENT;
+	return (uint32_t)MAX(1, WEIGHT_FULL * age / ramp);
+}
+
+int slot_load(const slot_t *sl, mstime_t now)
+{
+	if (sl->owned)
+		return sl->out + sl->foreign;
+	return (peer_fresh_(sl, now) ? sl->peer_out : 0) + sl->handed;
+}
+
+bool slot_alive(const slot_t *sl, mstime_t now)
+{
+	if (sl->owned)
+		return !sl->down;
+	return !peer_fresh_(sl, now) || sl->peer_limit > 0;
+}
+
+static int power_limit_(const slot_t *sl, const sched_t *s, mstime_t now)
+{
+	double share = power_share(s->view, sl->up);
+
+	if (share <= 0)
+		return sl->up->slots;
+	share += power_balance(&s->power, now, sl->key);
+	/* A former owner may have lent what it was able to lend. */
+	if (now - sl->owned_since < POWER_LOAN_MS + POWER_LOAN_GUARD_MS &&
+	    sl->peer_heard)
+		share -= (share - sl->up->idle_w) / 2;
+	return power_slots(sl->up, share);
+}
+
+int slot_limit(const slot_t *sl, const sched_t *s, mstime_t now)
+{
+	int limit;
+
+	if (!sl->up)
+		return 0;
+	if (!sl->owned)
+		return peer_fresh_(sl, now) ? sl->peer_limit : sl->up->slots;
+	if (sl->down)
+		return 0;
+	limit = limit_now(&sl->limit, now);
+	return MIN(limit, power_limit_(sl, s, now));
+}
+
+void slot_window(slot_t *sl)
+{
+	sl->out_max_last = sl->out_max;
+	sl->out_max = sl->out;
+}
+
+mstime_t slot_wait(const slot_t *sl, const sched_t *s, mstime_t now,
+		   const char *customer)
+{
+	guint ahead = fairq_ahead(&sl->queue, customer);
+	int lanes = MAX(1, MIN(slot_limit(sl, s, now), MAX(1, sl->out)));
+
+	return (mstime_t)((ahead + 1) * sl->duration_ms / lanes);
+}
+
+void slot_note_cache(slot_t *sl, mstime_t now, const permit_t *p,
+		     const sched_outcome_t *o)
+{
+	bool miss;
+
+	if (o->start_id && sl->start_id && o->start_id != sl->start_id) {
+		sl->start_id = o->start_id;
+		slot_restarted(sl, now);
+		return;
+	}
+	if (!p->sticky || o->cached_tokens < 0 || o->prompt_tokens <= 0)
+		return;
+	if (!p->warm)
+		return;
+	miss = (double)o->cached_tokens < MISS_SHARE * (double)o->prompt_tokens;
+	sl->misses = miss ? sl->misses + 1 : 0;
+	if (sl->misses < MISSES_TO_COLD)
+		return;
+	sl->misses = 0;
+	lru_clear(&sl->warm);
+}
+
+static mstime_t ramp_ms_(const slot_t *sl)
+{
+	double s = MAX(sl->up->ramp_s, 0);
+
+	return (mstime_t)(s * MSEC_PER_SEC);
+}
--- /dev/null
+++ b/packages/http/client.c
@@ -0,0 +1,345 @@
+#include <kcf/http_client.h>
+
+#include <assert.h>
+#include <curl/curl.h>
+#include <string.h>
+
+#define MSEC_TO_SEC 0.001
+#define CONNECT_TIMEOUT_MS 1000L
+/* A pooled connection may have gone silent; do not trust an old one. */
+#define POOL_IDLE_MAX_S 20L
+#define POOL_CONNECTIONS 1024L
+#define COLLECT_MAX_BYTES (16 * 1024 * 1024)
+
+struct http_call {
+	http_client_t *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	GByteArray *body;
+	const http_call_ops_t *ops;
+	void *ctx;
+	bool paused;
+	bool head_seen;
+};
+
+const char *const http_err_string[] = {
+	"ok",
+	"cannot connect",
+	"timed out",
+	"connection broke",
+	"unusable address",
+};
+
+static int on_socket_(CURL *easy, curl_socket_t fd, int what, void *userp,
+		      void *socketp);
+static int on_multi_timer_(CURLM *multi, long timeout_ms, void *userp);
+static void on_io_(struct ev_loop *loop, ev_io *w, int revents);
+static void on_timer_(struct ev_loop *loop, ev_timer *w, int revents);
+static size_t on_header_(char *data, size_t size, size_t n, void *userp);
+static size_t on_body_(char *data, size_t size, size_t n, void *userp);
+static void reap_(http_client_t *c);
+static void end_call_(http_call_t *call, CURLcode code);
+static void free_call_(http_call_t *call);
+static int err_of_(http_call_t *call, CURLcode code);
+static void set_method_(http_call_t *call, const http_call_spec_t *spec);
+
+void http_client_init(http_client_t *c, struct ev_loop *loop)
+{
+	CURLM *multi = curl_multi_init();
+
+	*c = (http_client_t){ .multi = multi, .loop = loop };
+	c->calls = g_hash_table_new(NULL, NULL);
+	c->sockets = g_hash_table_new(NULL, NULL);
+	ev_timer_init(&c->timer, on_timer_, 0, 0);
+	c->timer.data = c;
+	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket_);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, c);
+	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_multi_timer_);
+	curl_multi_setopt(multi, CURLMOPT_TIMERDATA, c);
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, POOL_CONNECTIONS);
+}
+
+void http_client_finish(http_client_t *c)
+{
+	GList *calls = g_hash_table_get_keys(c->calls);
+	GList *sockets;
+
+	for (GList *l = calls; l; l = l->next)
+		http_call_cancel(l->data);
+	g_list_free(calls);
+	curl_multi_cleanup(c->multi);
+	sockets = g_hash_table_get_values(c->sockets);
+	for (GList *l = sockets; l; l = l->next) {
+		ev_io_stop(c->loop, l->data);
+		g_free(l->data);
+	}
+	g_list_free(sockets);
+	ev_timer_stop(c->loop, &c->timer);
+	g_hash_table_destroy(c->calls);
+	g_hash_table_destroy(c->sockets);
+}
+
+http_call_t *http_call_start(http_client_t *c, const http_call_spec_t *spec,
+			     const http_call_ops_t *ops, void *ctx)
+{
+	http_call_t *call = g_new0(http_call_t, 1);
+	mstime_t left = spec->deadline;
+
+	assert(ops && ops->done);
+	call->client = c;
+	call->ops = ops;
+	call->ctx = ctx;
+	call->easy = curl_easy_init();
+	call->body = g_byte_array_new();
+	for (const char *const *h = spec->headers; h && *h; h++)
+		call->headers = curl_slist_append(call->headers, *h);
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	curl_easy_setopt(call->easy, CURLOPT_URL, spec->url);
+	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(call->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+	curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, on_header_);
+	curl_easy_setopt(call->easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_body_);
+	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(call->easy, CURLOPT_MAXAGE_CONN, POOL_IDLE_MAX_S);
+	if (c->ca_file)
+		curl_easy_setopt(call->easy, CURLOPT_CAINFO, c->ca_file);
+	if (spec->fresh) {
+		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	if (left != MSTIME_NEVER) {
+		left = MAX(1, left - clock_now());
+		curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)left);
+	}
+	set_method_(call, spec);
+	g_hash_table_add(c->calls, call);
+	curl_multi_add_handle(c->multi, call->easy);
+	return call;
+}
+
+void http_call_cancel(http_call_t *call)
+{
+	curl_multi_remove_handle(call->client->multi, call->easy);
+	free_call_(call);
+}
+
+void http_call_pause(http_call_t *call, bool pause)
+{
+	if (call->paused == pause)
+		return;
+	call->paused = pause;
+	curl_easy_pause(call->easy, pause ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+}
+
+str_t http_call_header(http_call_t *call, const char *name)
+{
+	struct curl_header *h;
+
+	if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &h))
+		return STR_NONE;
+	return str_of(h->value);
+}
+
+str_t http_call_body(const http_call_t *call)
+{
+	return (str_t){ (const char *)call->body->data, call->body->len };
+}
+
+static void set_method_(http_call_t *call, const http_call_spec_t *spec)
+{
+	if (!strcmp(spec->method, "GET") && !spec->body.len)
+		return;
+	if (!strcmp(spec->method, "HEAD")) {
+		curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, spec->method);
+	if (!spec->body.len && strcmp(spec->method, "POST") != 0 &&
+	    strcmp(spec->method, "PUT") != 0)
+		return;
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+			 (curl_off_t)spec->body.len);
+	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS,
+			 spec->body.len ? spec->body.data : "");
+}
+
+static int on_socket_(CURL *easy, curl_socket_t fd, int what, void *userp,
+		      void *socketp)
+{
+	http_client_t *c = userp;
+	ev_io *io = socketp;
+	int events = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (!io)
+			return 0;
+		ev_io_stop(c->loop, io);
+		g_hash_table_remove(c->sockets, io);
+		g_free(io);
+		curl_multi_assign(c->multi, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		events |= EV_READ;
+	if (what & CURL_POLL_OUT)
+		events |= EV_WRITE;
+	if (!io) {
+		io = g_new0(ev_io, 1);
+		ev_io_init(io, on_io_, fd, events);
+		io->data = c;
+		g_hash_table_insert(c->sockets, io, io);
+		curl_multi_assign(c->multi, fd, io);
+	} else {
+		ev_io_stop(c->loop, io);
+		ev_io_set(io, fd, events);
+	}
+	ev_io_start(c->loop, io);
+	return 0;
+}
+
+static int on_multi_timer_(CURLM *multi, long timeout_ms, void *userp)
+{
+	http_client_t *c = userp;
+
+	(void)multi;
+	ev_timer_stop(c->loop, &c->timer);
+	if (timeout_ms >= 0) {
+		ev_timer_set(&c->timer, (double)timeout_ms * MSEC_TO_SEC, 0);
+		ev_timer_start(c->loop, &c->timer);
+	}
+	return 0;
+}
+
+static void on_io_(struct ev_loop *loop, ev_io *w, int revents)
+{
+	http_client_t *c = w->data;
+	int flags = 0;
+	int running;
+
+	(void)loop;
+	if (revents & EV_READ)
+		flags |= CURL_CSELECT_IN;
+	if (revents & EV_WRITE)
+		flags |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(c->multi, w->fd, flags, &running);
+	reap_(c);
+}
+
+static void on_timer_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	http_client_t *c = w->data;
+	int running;
+
+	(void)loop;
+	(void)revents;
+	curl_multi_socket_action(c->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	reap_(c);
+}
+
+static void reap_(http_client_t *c)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(c->multi, &left))) {
+		http_call_t *call;
+		CURLcode code = msg->data.result;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &call);
+		end_call_(call, code);
+	}
+}
+
+static void end_call_(http_call_t *call, CURLcode code)
+{
+	long status = 0;
+	long request_size = 0;
+	long header_size = 0;
+	curl_off_t up = 0;
+	curl_off_t down = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request_size);
+	curl_easy_getinfo(call->easy, CURLINFO_HEADER_SIZE, &header_size);
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
+	curl_easy_getinfo(call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
+	call->client->bytes += request_size + header_size + up + down;
+	/* Taken out first, so that the owner may start new calls. */
+	curl_multi_remove_handle(call->client->multi, call->easy);
+	call->ops->done(call->ctx, call, err_of_(call, code), (int)status);
+	free_call_(call);
+}
+
+static int err_of_(http_call_t *call, CURLcode code)
+{
+	long request_size = 0;
+
+	switch (code) {
+	case CURLE_OK:
+		return HTTP_OK;
+	case CURLE_COULDNT_CONNECT:
+	case CURLE_COULDNT_RESOLVE_HOST:
+		return HTTP_ECONNECT;
+	case CURLE_URL_MALFORMAT:
+	case CURLE_UNSUPPORTED_PROTOCOL:
+		return HTTP_EURL;
+	case CURLE_OPERATION_TIMEDOUT:
+		/* A reused connection has no connect time; look at bytes. */
+		curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE,
+				  &request_size);
+		return request_size ? HTTP_ETIMEOUT : HTTP_ECONNECT;
+	default:
+		return HTTP_ECUT;
+	}
+}
+
+static void free_call_(http_call_t *call)
+{
+	g_hash_table_remove(call->client->calls, call);
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	g_byte_array_unref(call->body);
+	g_free(call);
+}
+
+static size_t on_header_(char *data, size_t size, size_t n, void *userp)
+{
+	http_call_t *call = userp;
+	size_t len = size * n;
+	long status = 0;
+
+	if (len > 2 || (len && data[0] != '\r' && data[0] != '\n'))
+		return len;
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status < 200 || call->head_seen)
+		return len;
+	call->head_seen = true;
+	if (call->ops->head)
+		call->ops->head(call->ctx, call, (int)status);
+	return len;
+}
+
+static size_t on_body_(char *data, size_t size, size_t n, void *userp)
+{
+	http_call_t *call = userp;
+	size_t len = size * n;
+
+	if (call->ops->data) {
+		call->ops->data(call->ctx, call, (str_t){ data, len });
+		return len;
+	}
+	if (call->body->len + len > COLLECT_MAX_BYTES)
+		return 0;
+	g_byte_array_append(call->body, (const guint8 *)data, (guint)len);
+	return len;
+}
--- /dev/null
+++ b/packages/http/server.c
@@ -0,0 +1,475 @@
+#include <kcf/address.h>
+#include <kcf/http_server.h>
+
+#include <assert.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 512
+#define STREAM_BLOCK_BYTES 16384
+#define MSEC_TO_SEC 0.001
+/* Upper bound between two looks at the daemon's own time-outs. */
+#define MAX_POLL_S 1.0
+
+struct http_request {
+	http_server_t *server;
+	struct MHD_Connection *connection;
+	char *method;
+	char *path;
+	char *query;
+	GByteArray *body;
+	struct MHD_Response *response;
+	unsigned int status;
+	GString *stream;
+	size_t stream_taken;
+	void *user;
+	bool handled;
+	bool suspended;
+	bool streaming;
+	bool stream_ended;
+	bool stream_cut;
+	bool too_large;
+};
+
+const char *const http_server_err_string[] = {
+	"ok",
+	"address is not a numeric ip:port",
+	"cannot listen on the address",
+	"cannot start the HTTP daemon",
+};
+
+static enum MHD_Result on_access_(void *cls, struct MHD_Connection *c,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *size, void **con_cls);
+static void on_completed_(void *cls, struct MHD_Connection *c, void **con_cls,
+			  enum MHD_RequestTerminationCode code);
+static void *on_uri_(void *cls, const char *uri, struct MHD_Connection *c);
+static void on_io_(struct ev_loop *loop, ev_io *w, int revents);
+static void on_timer_(struct ev_loop *loop, ev_timer *w, int revents);
+static void on_prepare_(struct ev_loop *loop, ev_prepare *w, int revents);
+static ssize_t on_read_(void *cls, uint64_t pos, char *buf, size_t max);
+static void run_(http_server_t *s);
+static void wake_(http_request_t *r);
+static int listen_(const char *address);
+static void free_request_(http_request_t *r);
+static enum MHD_Result refuse_early_(http_request_t *r, unsigned int status,
+				     const char *detail);
+static bool body_missing_(const http_request_t *r);
+
+int http_server_init(http_server_t *s, struct ev_loop *loop,
+		     const http_server_conf_t *conf,
+		     const http_server_ops_t *ops, void *ctx)
+{
+	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+	const union MHD_DaemonInfo *info;
+	struct MHD_OptionItem tls[] = {
+		{ MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)conf->tls_cert },
+		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)conf->tls_key },
+		{ MHD_OPTION_END, 0, NULL },
+	};
+
+	assert(s && loop && conf && ops);
+	*s = (http_server_t){ .loop = loop, .ops = ops, .ctx = ctx };
+	s->max_body = conf->max_body;
+	s->listen_fd = listen_(conf->address);
+	if (s->listen_fd < 0)
+		return s->listen_fd;
+	if (conf->tls_cert)
+		flags |= MHD_USE_TLS;
+	else
+		tls[0].option = MHD_OPTION_END;
+	s->daemon = MHD_start_daemon(
+		flags, 0, NULL, NULL, on_access_, s, MHD_OPTION_LISTEN_SOCKET,
+		s->listen_fd, MHD_OPTION_CONNECTION_LIMIT,
+		conf->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+		conf->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		conf->max_header, MHD_OPTION_NOTIFY_COMPLETED, on_completed_, s,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri_, s, MHD_OPTION_ARRAY, tls,
+		MHD_OPTION_END);
+	if (!s->daemon) {
+		close(s->listen_fd);
+		return HTTP_SERVER_EDAEMON;
+	}
+	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_io_init(&s->io, on_io_, info->epoll_fd, EV_READ);
+	ev_timer_init(&s->timer, on_timer_, MAX_POLL_S, MAX_POLL_S);
+	ev_prepare_init(&s->prepare, on_prepare_);
+	s->io.data = s;
+	s->timer.data = s;
+	s->prepare.data = s;
+	ev_io_start(loop, &s->io);
+	ev_timer_start(loop, &s->timer);
+	ev_prepare_start(loop, &s->prepare);
+	return HTTP_SERVER_OK;
+}
+
+void http_server_quiesce(http_server_t *s)
+{
+	if (s->listen_fd < 0)
+		return;
+	MHD_quiesce_daemon(s->daemon);
+	close(s->listen_fd);
+	s->listen_fd = -1;
+}
+
+void http_server_finish(http_server_t *s)
+{
+	if (!s->daemon)
+		return;
+	ev_io_stop(s->loop, &s->io);
+	ev_timer_stop(s->loop, &s->timer);
+	ev_prepare_stop(s->loop, &s->prepare);
+	http_server_quiesce(s);
+	MHD_stop_daemon(s->daemon);
+	s->daemon = NULL;
+}
+
+str_t http_request_method(const http_request_t *r)
+{
+	return str_of(r->method);
+}
+
+str_t http_request_path(const http_request_t *r)
+{
+	return str_of(r->path);
+}
+
+str_t http_request_query_string(const http_request_t *r)
+{
+	return str_of(r->query);
+}
+
+str_t http_request_header(const http_request_t *r, const char *name)
+{
+	return str_of(MHD_lookup_connection_value(r->connection,
+						  MHD_HEADER_KIND, name));
+}
+
+str_t http_request_query(const http_request_t *r, const char *name)
+{
+	return str_of(MHD_lookup_connection_value(r->connection,
+						  MHD_GET_ARGUMENT_KIND, name));
+}
+
+str_t http_request_body(const http_request_t *r)
+{
+	return (str_t){ (const char *)r->body->data, r->body->len };
+}
+
+typedef struct each_header {
+	void (*fn)(void *arg, const char *name, str_t value);
+	void *arg;
+} each_header_t;
+
+static enum MHD_Result visit_header_(void *cls, enum MHD_ValueKind kind,
+				     const char *key, const char *value)
+{
+	const each_header_t *each = cls;
+
+	(void)kind;
+	each->fn(each->arg, key, str_of(value));
+	return MHD_YES;
+}
+
+void http_request_each_header(const http_request_t *r,
+			      void (*fn)(void *arg, const char *name,
+					 str_t value),
+			      void *arg)
+{
+	each_header_t each = { fn, arg };
+
+	MHD_get_connection_values(r->connection, MHD_HEADER_KIND, visit_header_,
+				  &each);
+}
+
+void http_request_set_user(http_request_t *r, void *user)
+{
+	r->user = user;
+}
+
+void *http_request_user(const http_request_t *r)
+{
+	return r->user;
+}
+
+static void set_response_(http_request_t *r, struct MHD_Response *response,
+			  unsigned int status, const http_header_t *headers)
+{
+	assert(!r->response);
+	for (const http_header_t *h = headers; h && h->name; h++)
+		MHD_add_response_header(response, h->name, h->value);
+	r->response = response;
+	r->status = status;
+	wake_(r);
+}
+
+void http_reply(http_request_t *r, unsigned int status,
+		const http_header_t *headers, str_t body)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		body.len, (void *)body.data, MHD_RESPMEM_MUST_COPY);
+
+	set_response_(r, response, status, headers);
+}
+
+void http_stream_begin(http_request_t *r, unsigned int status,
+		       const http_header_t *headers)
+{
+	struct MHD_Response *response = MHD_create_response_from_callback(
+		MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, on_read_, r, NULL);
+
+	r->streaming = true;
+	r->stream = g_string_new(NULL);
+	set_response_(r, response, status, headers);
+}
+
+void http_stream_write(http_request_t *r, str_t data)
+{
+	assert(r->streaming && !r->stream_ended);
+	if (!data.len)
+		return;
+	g_string_append_len(r->stream, data.data, (gssize)data.len);
+	wake_(r);
+}
+
+void http_stream_end(http_request_t *r, bool whole)
+{
+	assert(r->streaming);
+	r->stream_ended = true;
+	r->stream_cut = !whole;
+	wake_(r);
+}
+
+size_t http_stream_pending(const http_request_t *r)
+{
+	return r->stream ? r->stream->len - r->stream_taken : 0;
+}
+
+static int listen_(const char *address)
+{
+	struct sockaddr_in sa;
+	int one = 1;
+	int fd;
+
+	if (!address_parse(address, &sa))
+		return HTTP_SERVER_EADDRESS;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return HTTP_SERVER_ELISTEN;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
+	    listen(fd, LISTEN_BACKLOG)) {
+		close(fd);
+		return HTTP_SERVER_ELISTEN;
+	}
+	return fd;
+}
+
+/* Runs before the URL is split, and so sees the query string as sent. */
+static void *on_uri_(void *cls, const char *uri, struct MHD_Connection *c)
+{
+	http_server_t *s = cls;
+	http_request_t *r = g_new0(http_request_t, 1);
+	const char *mark = strchr(uri, '?');
+
+	r->server = s;
+	r->connection = c;
+	r->query = mark ? g_strdup(mark + 1) : NULL;
+	r->body = g_byte_array_new();
+	s->open++;
+	return r;
+}
+
+static enum MHD_Result refuse_early_(http_request_t *r, unsigned int status,
+				     const char *detail)
+{
+	char *body = g_strdup_printf("{\"type\":\"about:blank\",\"status\":%u,"
+				     "\"title\":\"%s\",\"ran\":\"no\"}",
+				     status, detail);
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		strlen(body), body, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result ret;
+
+	g_free(body);
+	MHD_add_response_header(response, "Content-Type",
+				"application/problem+json");
+	MHD_add_response_header(response, "Connection", "close");
+	ret = MHD_queue_response(r->connection, status, response);
+	MHD_destroy_response(response);
+	return ret;
+}
+
+/* Whether a method that carries a body came without a length of any kind. */
+static bool body_missing_(const http_request_t *r)
+{
+	if (strcmp(r->method, "POST") != 0 && strcmp(r->method, "PUT") != 0)
+		return false;
+	return !http_request_header(r, "Content-Length").data &&
+	       !http_request_header(r, "Transfer-Encoding").data;
+}
+
+static enum MHD_Result first_call_(http_request_t *r, const char *url,
+				   const char *method)
+{
+	int64_t length;
+
+	r->method = g_strdup(method);
+	r->path = g_strdup(url);
+	if (body_missing_(r))
+		return refuse_early_(r, MHD_HTTP_LENGTH_REQUIRED,
+				     "a body needs Content-Length");
+	if (str_to_int(http_request_header(r, "Content-Length"), &length) &&
+	    (uint64_t)length > r->server->max_body)
+		return refuse_early_(r, MHD_HTTP_CONTENT_TOO_LARGE,
+				     "body is larger than allowed");
+	return MHD_YES;
+}
+
+static enum MHD_Result on_access_(void *cls, struct MHD_Connection *c,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *size, void **con_cls)
+{
+	http_server_t *s = cls;
+	http_request_t *r = *con_cls;
+
+	(void)version;
+	if (!r)
+		return MHD_NO;
+	if (!r->method)
+		return first_call_(r, url, method);
+	if (*size) {
+		if (r->body->len + *size > s->max_body)
+			r->too_large = true;
+		else
+			g_byte_array_append(r->body, (const guint8 *)data,
+					    (guint)*size);
+		*size = 0;
+		return MHD_YES;
+	}
+	if (r->too_large)
+		return refuse_early_(r, MHD_HTTP_CONTENT_TOO_LARGE,
+				     "body is larger than allowed");
+	if (!r->handled) {
+		r->handled = true;
+		s->ops->request(s->ctx, r);
+	}
+	if (r->response)
+		return MHD_queue_response(c, r->status, r->response);
+	MHD_suspend_connection(c);
+	r->suspended = true;
+	return MHD_YES;
+}
+
+static void on_completed_(void *cls, struct MHD_Connection *c, void **con_cls,
+			  enum MHD_RequestTerminationCode code)
+{
+	http_server_t *s = cls;
+	http_request_t *r = *con_cls;
+	bool whole;
+
+	(void)c;
+	if (!r)
+		return;
+	whole = code == MHD_REQUEST_TERMINATED_COMPLETED_OK && !r->stream_cut;
+	if (r->handled)
+		s->ops->closed(s->ctx, r, whole);
+	s->open--;
+	free_request_(r);
+	*con_cls = NULL;
+}
+
+static void free_request_(http_request_t *r)
+{
+	if (r->response)
+		MHD_destroy_response(r->response);
+	if (r->stream)
+		g_string_free(r->stream, TRUE);
+	g_byte_array_unref(r->body);
+	g_free(r->method);
+	g_free(r->path);
+	g_free(r->query);
+	g_free(r);
+}
+
+static ssize_t on_read_(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	http_request_t *r = cls;
+	size_t n = http_stream_pending(r);
+
+	(void)pos;
+	if (!n) {
+		if (r->stream_cut)
+			return MHD_CONTENT_READER_END_WITH_ERROR;
+		if (r->stream_ended)
+			return MHD_CONTENT_READER_END_OF_STREAM;
+		MHD_suspend_connection(r->connection);
+		r->suspended = true;
+		return 0;
+	}
+	n = MIN(n, max);
+	memcpy(buf, r->stream->str + r->stream_taken, n);
+	r->stream_taken += n;
+	if (r->stream_taken == r->stream->len) {
+		g_string_truncate(r->stream, 0);
+		r->stream_taken = 0;
+	} else if (r->stream_taken >= STREAM_BLOCK_BYTES) {
+		g_string_erase(r->stream, 0, (gssize)r->stream_taken);
+		r->stream_taken = 0;
+	}
+	return (ssize_t)n;
+}
+
+static void wake_(http_request_t *r)
+{
+	r->server->dirty = true;
+	if (!r->suspended)
+		return;
+	r->suspended = false;
+	MHD_resume_connection(r->connection);
+}
+
+static void on_io_(struct ev_loop *loop, ev_io *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	run_(w->data);
+}
+
+static void on_timer_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	run_(w->data);
+}
+
+static void on_prepare_(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	http_server_t *s = w->data;
+
+	(void)loop;
+	(void)revents;
+	while (s->dirty) {
+		s->dirty = false;
+		run_(s);
+	}
+}
+
+static void run_(http_server_t *s)
+{
+	MHD_UNSIGNED_LONG_LONG wait;
+
+	MHD_run(s->daemon);
+	if (MHD_get_timeout(s->daemon, &wait) == MHD_YES) {
+		s->timer.repeat = MIN(MAX_POLL_S, (double)wait * MSEC_TO_SEC);
+		if (s->timer.repeat <= 0)
+			s->timer.repeat = MSEC_TO_SEC;
+	} else {
+		s->timer.repeat = MAX_POLL_S;
+	}
+	ev_timer_again(s->loop, &s->timer);
+}
--- /dev/null
+++ b/packages/member/member.c
@@ -0,0 +1,680 @@
+#include <kcf/member.h>
+
+#include <assert.h>
+#include <string.h>
+
+#define INDIRECT_PROBES 3
+/* An update is sent this many times for each doubling of the fleet. */
+#define GOSSIP_FACTOR 3
+#define JOIN_PROBE_MS 250
+#define ANNOUNCE_PEERS 4
+#define RELAY_MS 1000
+/* Deaths within this time count towards isolation. */
+#define ISOLATION_WINDOW_MS 15000
+
+const char *const member_state_string[] = {
+	"joining", "live", "suspect", "leaving", "dead",
+};
+
+static member_t *member_new_(const peer_update_t *u);
+static void member_free_(gpointer p);
+static void set_state_(members_t *ms, mstime_t now, member_t *m,
+		       member_state_t state);
+static void take_update_(members_t *ms, mstime_t now, const peer_update_t *u);
+static void take_facts_(members_t *ms, const peer_message_t *m);
+static void refute_(members_t *ms, uint64_t incarnation);
+static void start_probe_(members_t *ms, mstime_t now);
+static void check_probe_(members_t *ms, mstime_t now);
+static void send_indirect_(members_t *ms);
+static const char *next_target_(members_t *ms);
+static int gossip_times_(const members_t *ms);
+static void expire_(members_t *ms, mstime_t now);
+static void probe_seed_(members_t *ms);
+static member_t *random_peer_(members_t *ms, const char *except);
+
+uint32_t member_key(const char *name)
+{
+	return (uint32_t)str_hash64(str_of(name), 0);
+}
+
+void members_init(members_t *ms, const member_self_t *self, guint32 seed,
+		  const member_ops_t *ops, void *ctx, mstime_t now)
+{
+	peer_update_t u = {
+		.name = (char *)self->name,
+		.data_centre = (char *)self->data_centre,
+		.region = (char *)self->region,
+		.peer = (char *)self->peer,
+		.callers = (char *)self->callers,
+		.operators = (char *)self->operators,
+		.incarnation = self->incarnation,
+		.state = MEMBER_JOINING,
+	};
+
+	assert(ms && self && ops);
+	*ms = (members_t){ .ops = ops, .ctx = ctx };
+	ms->rand = g_rand_new_with_seed(seed);
+	ms->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    member_free_);
+	ms->seeds = g_ptr_array_new_with_free_func(g_free);
+	ms->round = g_ptr_array_new_with_free_func(g_free);
+	ms->relays = g_array_new(FALSE, FALSE, sizeof(member_relay_t));
+	ms->self = member_new_(&u);
+	ms->self->since = now;
+	ms->self->heard = now;
+	ms->last_tick = now;
+	ms->last_ack = now;
+	g_hash_table_insert(ms->by_name, ms->self->name, ms->self);
+	ms->self->gossip_left = gossip_times_(ms);
+}
+
+void members_finish(members_t *ms)
+{
+	for (guint i = 0; i < ms->relays->len; i++)
+		g_free(g_array_index(ms->relays, member_relay_t, i).origin);
+	g_array_unref(ms->relays);
+	g_ptr_array_unref(ms->round);
+	g_ptr_array_unref(ms->seeds);
+	g_hash_table_destroy(ms->by_name);
+	g_free(ms->probe.target);
+	g_rand_free(ms->rand);
+}
+
+void members_add_seed(members_t *ms, const char *address)
+{
+	if (!strcmp(address, ms->self->peer))
+		return;
+	for (guint i = 0; i < ms->seeds->len; i++) {
+		if (!strcmp(ms->seeds->pdata[i], address))
+			return;
+	}
+	g_ptr_array_add(ms->seeds, g_strdup(address));
+}
+
+void members_clear_seeds(members_t *ms)
+{
+	g_ptr_array_set_size(ms->seeds, 0);
+}
+
+member_t *members_find(const members_t *ms, const char *name)
+{
+	return g_hash_table_lookup(ms->by_name, name);
+}
+
+bool members_usable(const member_t *m)
+{
+	return m->state == MEMBER_LIVE || m->state == MEMBER_SUSPECT;
+}
+
+guint members_count(const members_t *ms, member_state_t state)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint n = 0;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((member_t *)value)->state == state;
+	return n;
+}
+
+bool members_isolated(const members_t *ms, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint answering = 0;
+	guint lost = 0;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (m == ms->self)
+			continue;
+		if (m->state == MEMBER_LIVE)
+			answering++;
+		else if (m->state == MEMBER_SUSPECT)
+			lost++;
+		else if (m->state == MEMBER_DEAD &&
+			 now - m->since < ISOLATION_WINDOW_MS)
+			lost++;
+	}
+	if (lost + answering > 1 && now - ms->last_ack > MEMBER_SILENCE_MS)
+		return true;
+	/* One lost peer of one says nothing about who is cut off. */
+	return lost > 1 && lost >= answering + 1;
+}
+
+mstime_t members_lease_ends(const members_t *ms)
+{
+	if (members_count(ms, MEMBER_LIVE) + members_count(ms, MEMBER_SUSPECT) <
+	    2)
+		return MSTIME_NEVER;
+	return ms->last_ack + MEMBER_PROBE_MS + MEMBER_SUSPECT_MS;
+}
+
+uint64_t members_highest_applied(const members_t *ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t highest = 0;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (m->state != MEMBER_DEAD)
+			highest = MAX(highest, m->applied);
+	}
+	return highest;
+}
+
+void members_set_applied(members_t *ms, uint64_t applied)
+{
+	ms->self->applied = MAX(ms->self->applied, applied);
+}
+
+void members_set_state(members_t *ms, mstime_t now, member_state_t state)
+{
+	if (ms->self->state == state)
+		return;
+	ms->self->incarnation++;
+	set_state_(ms, now, ms->self, state);
+}
+
+void members_announce(members_t *ms, mstime_t now)
+{
+	(void)now;
+	for (int i = 0; i < ANNOUNCE_PEERS; i++) {
+		member_t *peer = random_peer_(ms, NULL);
+		peer_message_t m = { .seq = ++ms->seq, .target = "" };
+
+		if (!peer)
+			return;
+		ms->self->gossip_left = MAX(ms->self->gossip_left, 1);
+		ms->ops->send(ms->ctx, peer->peer, PEER_PING, &m);
+	}
+}
+
+static mstime_t probe_interval_(const members_t *ms, mstime_t now)
+{
+	if (ms->self->state == MEMBER_JOINING)
+		return JOIN_PROBE_MS;
+	if (now < ms->fast_until)
+		return MEMBER_FAST_PROBE_MS;
+	return MEMBER_PROBE_MS;
+}
+
+void members_tick(members_t *ms, mstime_t now)
+{
+	if (now - ms->last_tick > MEMBER_PAUSE_MS) {
+		/* Probes that were open during the pause prove nothing. */
+		g_clear_pointer(&ms->probe.target, g_free);
+		ms->paused_at = now;
+	}
+	ms->last_tick = now;
+	ms->self->heard = now;
+	check_probe_(ms, now);
+	expire_(ms, now);
+	if (now < ms->next_probe)
+		return;
+	ms->next_probe = now + probe_interval_(ms, now);
+	start_probe_(ms, now);
+}
+
+void members_receive(members_t *ms, mstime_t now, const char *from,
+		     unsigned int proc, const peer_message_t *m)
+{
+	member_t *sender;
+	peer_message_t reply = { .target = "" };
+
+	if (!strcmp(m->from, ms->self->name)) {
+		/* Somebody else runs under this name, or an echo of our own. */
+		return;
+	}
+	for (u_int i = 0; i < m->updates.updates_len; i++)
+		take_update_(ms, now, &m->updates.updates_val[i]);
+	take_facts_(ms, m);
+	sender = members_find(ms, m->from);
+	if (sender) {
+		sender->heard = now;
+		if (sender->state == MEMBER_SUSPECT &&
+		    m->incarnation >= sender->incarnation)
+			set_state_(ms, now, sender, MEMBER_LIVE);
+		/* Lets a node that is wrongly held dead learn of it. */
+		if (sender->state == MEMBER_DEAD &&
+		    m->incarnation <= sender->incarnation)
+			sender->gossip_left = MAX(sender->gossip_left, 1);
+	}
+	ms->last_ack = now;
+	switch (proc) {
+	case PEER_PING:
+		reply.seq = m->seq;
+		ms->ops->send(ms->ctx, from, PEER_ACK, &reply);
+		break;
+	case PEER_PING_REQ: {
+		member_t *target = members_find(ms, m->target);
+		member_relay_t relay = { .seq = ++ms->seq,
+					 .origin_seq = m->seq,
+					 .expires = now + RELAY_MS };
+
+		if (!target)
+			break;
+		relay.origin = g_strdup(from);
+		g_array_append_val(ms->relays, relay);
+		reply.seq = relay.seq;
+		ms->ops->send(ms->ctx, target->peer, PEER_PING, &reply);
+		break;
+	}
+	case PEER_ACK:
+		if (ms->probe.target && m->seq == ms->probe.seq)
+			g_clear_pointer(&ms->probe.target, g_free);
+		for (guint i = 0; i < ms->relays->len; i++) {
+			member_relay_t *r =
+				&g_array_index(ms->relays, member_relay_t, i);
+
+			if (r->seq != m->seq)
+				continue;
+			reply.seq = r->origin_seq;
+			ms->ops->send(ms->ctx, r->origin, PEER_ACK, &reply);
+			g_free(r->origin);
+			g_array_remove_index_fast(ms->relays, i);
+			break;
+		}
+		break;
+	default:
+		break;
+	}
+}
+
+static void put_update_(peer_update_t *u, const member_t *m)
+{
+	*u = (peer_update_t){
+		.name = m->name,
+		.data_centre = m->data_centre,
+		.region = m->region,
+		.peer = m->peer,
+		.callers = m->callers,
+		.operators = m->operators,
+		.incarnation = m->incarnation,
+		.state = m->state,
+	};
+}
+
+/* News first; what room is left goes to one random member, against gaps. */
+static u_int fill_updates_(members_t *ms, peer_update_t *updates)
+{
+	GHashTableIter iter;
+	gpointer value;
+	member_t *other;
+	u_int n = 0;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (n < PEER_UPDATES_MAX - 1 &&
+	       g_hash_table_iter_next(&iter, NULL, &value)) {
+		member_t *m = value;
+
+		if (m->gossip_left <= 0)
+			continue;
+		m->gossip_left--;
+		put_update_(&updates[n++], m);
+	}
+	other = random_peer_(ms, NULL);
+	if (other)
+		put_update_(&updates[n++], other);
+	return n;
+}
+
+static u_int fill_facts_(members_t *ms, peer_fact_t *facts)
+{
+	GList *all = g_hash_table_get_values(ms->by_name);
+	guint size = g_hash_table_size(ms->by_name);
+	guint room = MIN(size, PEER_FACTS_MAX / 2);
+	u_int n = 0;
+
+	facts[n++] = (peer_fact_t){ ms->self->key, ms->self->applied };
+	for (guint i = 0; i < room; i++) {
+		const member_t *m;
+
+		m = g_list_nth_data(all, (ms->fact_cursor + i) % size);
+		if (m != ms->self && m->applied && m->state != MEMBER_DEAD)
+			facts[n++] = (peer_fact_t){ m->key, m->applied };
+	}
+	ms->fact_cursor += room;
+	g_list_free(all);
+	return n;
+}
+
+void members_fill(members_t *ms, peer_message_t *m, peer_update_t *updates,
+		  peer_fact_t *facts)
+{
+	m->from = ms->self->name;
+	m->incarnation = ms->self->incarnation;
+	if (!m->target)
+		m->target = "";
+	m->updates.updates_val = updates;
+	m->updates.updates_len = fill_updates_(ms, updates);
+	m->facts.facts_val = facts;
+	m->facts.facts_len = fill_facts_(ms, facts);
+}
+
+static member_t *member_new_(const peer_update_t *u)
+{
+	member_t *m = g_new0(member_t, 1);
+
+	m->name = g_strdup(u->name);
+	m->data_centre = g_strdup(u->data_centre);
+	m->region = g_strdup(u->region);
+	m->peer = g_strdup(u->peer);
+	m->callers = g_strdup(u->callers);
+	m->operators = g_strdup(u->operators);
+	m->incarnation = u->incarnation;
+	m->state = (member_state_t)u->state;
+	m->key = member_key(u->name);
+	return m;
+}
+
+static void member_free_(gpointer p)
+{
+	member_t *m = p;
+
+	g_free(m->name);
+	g_free(m->data_centre);
+	g_free(m->region);
+	g_free(m->peer);
+	g_free(m->callers);
+	g_free(m->operators);
+	g_free(m);
+}
+
+static int gossip_times_(const members_t *ms)
+{
+	return GOSSIP_FACTOR *
+	       (int)g_bit_storage(g_hash_table_size(ms->by_name) + 1);
+}
+
+static void set_state_(members_t *ms, mstime_t now, member_t *m,
+		       member_state_t state)
+{
+	member_state_t before = m->state;
+
+	if (before == state)
+		return;
+	m->state = state;
+	m->since = now;
+	m->expires = now + MEMBER_SUSPECT_MS;
+	m->gossip_left = gossip_times_(ms);
+	ms->ops->changed(ms->ctx, m, before);
+}
+
+static void replace_(char **slot, const char *text)
+{
+	if (!strcmp(*slot, text))
+		return;
+	g_free(*slot);
+	*slot = g_strdup(text);
+}
+
+/* Order of belief: higher incarnation; then the worse state. */
+static bool newer_(const member_t *m, const peer_update_t *u)
+{
+	if (u->incarnation != m->incarnation)
+		return u->incarnation > m->incarnation;
+	return u->state > (u_int)m->state;
+}
+
+static void take_update_(members_t *ms, mstime_t now, const peer_update_t *u)
+{
+	member_t *m = members_find(ms, u->name);
+
+	if (u->state >= MEMBER_STATE_COUNT || !u->name[0])
+		return;
+	if (m == ms->self) {
+		if (u->incarnation >= m->incarnation &&
+		    u->state != (u_int)m->state)
+			refute_(ms, u->incarnation);
+		return;
+	}
+	if (!m) {
+		if (u->state == MEMBER_DEAD)
+			return;
+		m = member_new_(u);
+		m->since = now;
+		m->heard = now;
+		m->expires = now + MEMBER_SUSPECT_MS;
+		g_hash_table_insert(ms->by_name, m->name, m);
+		m->gossip_left = gossip_times_(ms);
+		ms->ops->changed(ms->ctx, m, MEMBER_DEAD);
+		return;
+	}
+	if (!newer_(m, u))
+		return;
+	if (u->incarnation > m->incarnation) {
+		replace_(&m->data_centre, u->data_centre);
+		replace_(&m->region, u->region);
+		replace_(&m->peer, u->peer);
+		replace_(&m->callers, u->callers);
+		replace_(&m->operators, u->operators);
+	}
+	m->incarnation = u->incarnation;
+	set_state_(ms, now, m, (member_state_t)u->state);
+	m->gossip_left = gossip_times_(ms);
+}
+
+static void refute_(members_t *ms, uint64_t incarnation)
+{
+	ms->self->incarnation = incarnation + 1;
+	ms->self->gossip_left = gossip_times_(ms);
+}
+
+static void take_facts_(members_t *ms, const peer_message_t *m)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	for (u_int i = 0; i < m->facts.facts_len; i++) {
+		const peer_fact_t *f = &m->facts.facts_val[i];
+
+		g_hash_table_iter_init(&iter, ms->by_name);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			member_t *known = value;
+
+			if (known->key != f->node || known == ms->self)
+				continue;
+			known->applied = MAX(known->applied, f->applied);
+			break;
+		}
+	}
+}
+
+static bool probed_(const members_t *ms, const member_t *m)
+{
+	return m != ms->self && m->state != MEMBER_DEAD;
+}
+
+static member_t *random_peer_(members_t *ms, const char *except)
+{
+	GHashTableIter iter;
+	gpointer value;
+	member_t *chosen = NULL;
+	gint32 seen = 0;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member_t *m = value;
+
+		if (!probed_(ms, m) || (except && !strcmp(m->name, except)))
+			continue;
+		seen++;
+		if (g_rand_int_range(ms->rand, 0, seen) == 0)
+			chosen = m;
+	}
+	return chosen;
+}
+
+/* Adds every member to the round, in random order. */
+static void refill_round_(members_t *ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+		guint last = ms->round->len;
+		guint at =
+			(guint)g_rand_int_range(ms->rand, 0, (gint32)last + 1);
+		gpointer swap;
+
+		if (!probed_(ms, m))
+			continue;
+		g_ptr_array_add(ms->round, g_strdup(m->name));
+		swap = ms->round->pdata[at];
+		ms->round->pdata[at] = ms->round->pdata[last];
+		ms->round->pdata[last] = swap;
+	}
+}
+
+static const char *pop_round_(members_t *ms)
+{
+	while (ms->round->len) {
+		guint last = ms->round->len - 1;
+		const member_t *m = members_find(ms, ms->round->pdata[last]);
+
+		g_ptr_array_remove_index(ms->round, last);
+		if (m && probed_(ms, m))
+			return m->name;
+	}
+	return NULL;
+}
+
+static const char *next_target_(members_t *ms)
+{
+	const char *name = pop_round_(ms);
+
+	if (name)
+		return name;
+	refill_round_(ms);
+	return pop_round_(ms);
+}
+
+static bool address_known_(const members_t *ms, const char *address)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (m->state != MEMBER_DEAD && !strcmp(m->peer, address))
+			return true;
+	}
+	return false;
+}
+
+/* One seed that belongs to no member; joins split fleets and new nodes. */
+static void probe_seed_(members_t *ms)
+{
+	guint start;
+
+	if (!ms->seeds->len)
+		return;
+	start = (guint)g_rand_int_range(ms->rand, 0, (gint32)ms->seeds->len);
+	for (guint i = 0; i < ms->seeds->len; i++) {
+		const char *address =
+			ms->seeds->pdata[(start + i) % ms->seeds->len];
+		peer_message_t m = { .seq = ++ms->seq };
+
+		if (address_known_(ms, address))
+			continue;
+		/* The other side must learn who asks. */
+		ms->self->gossip_left = MAX(ms->self->gossip_left, 1);
+		ms->ops->send(ms->ctx, address, PEER_PING, &m);
+		return;
+	}
+}
+
+static void start_probe_(members_t *ms, mstime_t now)
+{
+	const char *name;
+	peer_message_t m = { 0 };
+	bool fast;
+
+	probe_seed_(ms);
+	if (ms->probe.target)
+		return;
+	name = next_target_(ms);
+	if (!name)
+		return;
+	ms->probe.target = g_strdup(name);
+	ms->probe.seq = ++ms->seq;
+	fast = now < ms->fast_until;
+	ms->probe.indirect_at =
+		now + (fast ? MEMBER_FAST_ACK_MS : MEMBER_ACK_MS);
+	ms->probe.fails_at =
+		now + (fast ? MEMBER_FAST_PROBE_MS : MEMBER_PROBE_MS) - 1;
+	ms->probe.indirect_sent = false;
+	m.seq = ms->probe.seq;
+	ms->ops->send(ms->ctx, members_find(ms, name)->peer, PEER_PING, &m);
+}
+
+static void send_indirect_(members_t *ms)
+{
+	for (int i = 0; i < INDIRECT_PROBES; i++) {
+		member_t *peer = random_peer_(ms, ms->probe.target);
+		peer_message_t m = { .seq = ms->probe.seq,
+				     .target = ms->probe.target };
+
+		if (peer)
+			ms->ops->send(ms->ctx, peer->peer, PEER_PING_REQ, &m);
+	}
+	ms->probe.indirect_sent = true;
+}
+
+static void check_probe_(members_t *ms, mstime_t now)
+{
+	member_t *m;
+
+	if (!ms->probe.target)
+		return;
+	if (!ms->probe.indirect_sent && now >= ms->probe.indirect_at)
+		send_indirect_(ms);
+	if (now < ms->probe.fails_at)
+		return;
+	ms->fast_until = now + MEMBER_FAST_MS;
+	m = members_find(ms, ms->probe.target);
+	if (m && m->state == MEMBER_LIVE)
+		set_state_(ms, now, m, MEMBER_SUSPECT);
+	else if (m && m->state != MEMBER_SUSPECT && probed_(ms, m))
+		set_state_(ms, now, m, MEMBER_DEAD);
+	g_clear_pointer(&ms->probe.target, g_free);
+}
+
+static void expire_(members_t *ms, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, ms->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		member_t *m = value;
+
+		if (m->state == MEMBER_SUSPECT && now >= m->expires)
+			set_state_(ms, now, m, MEMBER_DEAD);
+		if (m->state == MEMBER_DEAD && m != ms->self &&
+		    now - m->since > MEMBER_FORGET_MS)
+			g_hash_table_iter_remove(&iter);
+	}
+	for (guint i = 0; i < ms->relays->len;) {
+		member_relay_t *r =
+			&g_array_index(ms->relays, member_relay_t, i);
+
+		if (now < r->expires) {
+			i++;
+			continue;
+		}
+		g_free(r->origin);
+		g_array_remove_index_fast(ms->relays, i);
+	}
+}
--- /dev/null
+++ b/packages/node/control.c
@@ -0,0 +1,305 @@
+#include "private/control.h"
+
+#include <kcf/logline.h>
+#include <string.h>
+
+#define TICK_S 0.1
+#define TRACES_MAX 10000
+/* After the last open request, addresses handed out must have run out too. */
+#define LEAVE_GRACE_MS 1500
+#define BUDGET_SAVED_S 3
+
+static bool start_(void *ctx, struct ev_loop *loop);
+static void receive_(void *ctx, void *message);
+static void stop_(void *ctx);
+static void on_tick_(struct ev_loop *loop, ev_timer *w, int revents);
+static void answer_(void *ctx, const sched_answer_t *a);
+static void lend_(void *ctx, const char *node, const power_loan_t *loan);
+static void health_(void *ctx, const char *upstream, const char *what);
+static void set_phase_(control_t *c, node_phase_t phase);
+
+static const task_ops_t task_ops = { start_, receive_, stop_ };
+static const sched_ops_t sched_ops = { answer_, lend_, health_ };
+
+void control_init(control_t *c, const settings_t *settings,
+		  uint64_t incarnation, void (*stopped)(void *arg), void *arg)
+{
+	*c = (control_t){ .settings = settings,
+			  .incarnation = incarnation,
+			  .stopped = stopped,
+			  .stopped_arg = arg,
+			  .socket = -1 };
+	c->budget.rate = settings->peer_budget;
+	c->changes = g_hash_table_new(g_str_hash, g_str_equal);
+	c->watchers = g_ptr_array_new();
+	c->polling = g_hash_table_new(NULL, NULL);
+	c->traces = g_hash_table_new(g_str_hash, g_str_equal);
+	c->trace_order = g_queue_new();
+	config_init(&c->config);
+	sched_init(&c->sched, settings->name->str, settings->data_centre->str,
+		   settings->region->str, (guint32)incarnation, &sched_ops, c);
+	task_init(&c->task, &task_ops, c);
+}
+
+bool control_start(control_t *c, relay_t *relay)
+{
+	c->relay = relay;
+	return task_start(&c->task, "control");
+}
+
+void control_stop(control_t *c)
+{
+	task_stop(&c->task);
+}
+
+static void free_trace_(gpointer p)
+{
+	trace_t *t = p;
+
+	g_string_free(t->steps, TRUE);
+	g_free(t);
+}
+
+void control_finish(control_t *c)
+{
+	task_finish(&c->task);
+	sched_finish(&c->sched);
+	config_finish(&c->config);
+	g_hash_table_destroy(c->changes);
+	g_ptr_array_unref(c->watchers);
+	g_hash_table_destroy(c->polling);
+	g_hash_table_destroy(c->traces);
+	g_queue_free_full(c->trace_order, free_trace_);
+}
+
+static bool start_(void *ctx, struct ev_loop *loop)
+{
+	control_t *c = ctx;
+
+	http_client_init(&c->http, loop);
+	if (!peers_start(c))
+		return false;
+	if (!operators_start(c)) {
+		peers_stop(c);
+		return false;
+	}
+	stream_start(c);
+	once_start(c);
+	ev_timer_init(&c->tick, on_tick_, TICK_S, TICK_S);
+	c->tick.data = c;
+	ev_timer_start(loop, &c->tick);
+	return true;
+}
+
+static void stop_(void *ctx)
+{
+	control_t *c = ctx;
+
+	ev_timer_stop(c->task.loop, &c->tick);
+	operators_stop(c);
+	once_stop(c);
+	stream_stop(c);
+	peers_stop(c);
+	http_client_finish(&c->http);
+}
+
+void control_leave(control_t *c)
+{
+	mstime_t now = clock_now();
+
+	if (c->phase == PHASE_LEAVING)
+		return;
+	LOG_EVENT(LOG_NOTICE, "node.leaving",
+		  F_INT("drain_s", c->settings->drain_s));
+	c->leave_at = now + c->settings->drain_s * MSEC_PER_SEC;
+	set_phase_(c, PHASE_LEAVING);
+	members_set_state(&c->members, now, MEMBER_LEAVING);
+	members_announce(&c->members, now);
+	peers_roster(c, now);
+}
+
+static void set_phase_(control_t *c, node_phase_t phase)
+{
+	message_t *m = message_new(MSG_PHASE);
+
+	c->phase = phase;
+	m->phase = phase;
+	relay_post(c->relay, m);
+}
+
+static void check_ready_(control_t *c, mstime_t now)
+{
+	if (c->phase != PHASE_JOINING || !stream_caught_up(c))
+		return;
+	LOG_EVENT(LOG_NOTICE, "node.ready",
+		  F_INT("applied", (int64_t)c->config.applied));
+	set_phase_(c, PHASE_READY);
+	members_set_state(&c->members, now, MEMBER_LIVE);
+	members_announce(&c->members, now);
+	peers_roster(c, now);
+}
+
+static void check_left_(control_t *c, mstime_t now)
+{
+	mstime_t started;
+
+	if (c->phase != PHASE_LEAVING)
+		return;
+	started = c->leave_at - c->settings->drain_s * MSEC_PER_SEC;
+	if (now < c->leave_at && (counter_get(GAUGE_OPEN_REQUESTS) > 0 ||
+				  now < started + LEAVE_GRACE_MS))
+		return;
+	LOG_EVENT(LOG_NOTICE, "node.left",
+		  F_INT("open", counter_get(GAUGE_OPEN_REQUESTS)));
+	c->leave_at = MSTIME_NEVER;
+	c->stopped(c->stopped_arg);
+}
+
+static void on_tick_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	control_t *c = w->data;
+	mstime_t now = clock_now();
+
+	(void)loop;
+	(void)revents;
+	peers_tick(c, now);
+	stream_tick(c, now);
+	loads_tick(c, now);
+	once_tick(c, now);
+	sched_tick(&c->sched, now);
+	check_ready_(c, now);
+	check_left_(c, now);
+}
+
+/* Whether callers may be sent to a node. */
+static const char *given_address_(const control_t *c, const char *name)
+{
+	const member_t *m = members_find(&c->members, name);
+	const view_t *v = c->sched.view;
+	const host_t *host = v ? view_find(v, KIND_HOST, name) : NULL;
+	const data_centre_t *dc = NULL;
+
+	if (!m || !members_usable(m) || (host && host->out))
+		return NULL;
+	if (v)
+		dc = view_find(v, KIND_DATA_CENTRE, m->data_centre);
+	return dc && dc->out ? NULL : m->callers;
+}
+
+static void answer_where_(control_t *c, const where_question_t *q)
+{
+	message_t *m = message_new(MSG_WHERE_ANSWER);
+	const char *best =
+		sched_where(&c->sched, clock_now(), q->service, q->chat);
+	const char *address = best ? given_address_(c, best) : NULL;
+	where_reply_t *w = &m->where_reply;
+	GPtrArray *nodes = c->sched.nodes;
+	guint start = nodes->len ? g_random_int() % nodes->len : 0;
+
+	w->id = q->id;
+	if (address)
+		g_strlcpy(w->addresses[w->count++], address, ADDRESS_MAX);
+	for (guint i = 0; i < nodes->len; i++) {
+		const sched_node_t *n = nodes->pdata[(start + i) % nodes->len];
+
+		if (w->count == WHERE_ADDRESSES_MAX)
+			break;
+		address = given_address_(c, n->name);
+		if (address && g_strcmp0(best, n->name) != 0)
+			g_strlcpy(w->addresses[w->count++], address,
+				  ADDRESS_MAX);
+	}
+	relay_post(c->relay, m);
+}
+
+static void keep_trace_(control_t *c, trace_t *from)
+{
+	trace_t *t = g_new0(trace_t, 1);
+	trace_t *old;
+
+	*t = *from;
+	from->steps = NULL;
+	g_hash_table_replace(c->traces, t->request_id, t);
+	g_queue_push_tail(c->trace_order, t);
+	if (g_queue_get_length(c->trace_order) <= TRACES_MAX)
+		return;
+	old = g_queue_pop_head(c->trace_order);
+	if (g_hash_table_lookup(c->traces, old->request_id) == old)
+		g_hash_table_remove(c->traces, old->request_id);
+	free_trace_(old);
+}
+
+static void receive_(void *ctx, void *message)
+{
+	control_t *c = ctx;
+	message_t *m = message;
+	mstime_t now = clock_now();
+
+	switch (m->type) {
+	case MSG_PLACE:
+		sched_place(&c->sched, now, &m->place);
+		break;
+	case MSG_CANCEL:
+		sched_cancel(&c->sched, now, m->cancel);
+		break;
+	case MSG_RELEASE:
+		sched_release(&c->sched, now, &m->release);
+		break;
+	case MSG_WHERE:
+		answer_where_(c, &m->where);
+		break;
+	case MSG_TRACE:
+		keep_trace_(c, &m->trace);
+		break;
+	case MSG_ONCE_BEGIN:
+		once_begin(c, &m->once);
+		break;
+	case MSG_ONCE_END:
+		once_end(c, &m->once);
+		break;
+	case MSG_PHASE:
+		control_leave(c);
+		break;
+	default:
+		break;
+	}
+	message_free(m);
+}
+
+static void answer_(void *ctx, const sched_answer_t *a)
+{
+	control_t *c = ctx;
+	message_t *m = message_new(MSG_ANSWER);
+
+	m->answer = *a;
+	relay_post(c->relay, m);
+}
+
+static void lend_(void *ctx, const char *node, const power_loan_t *loan)
+{
+	peers_send_loan(ctx, node, loan);
+}
+
+static void health_(void *ctx, const char *upstream, const char *what)
+{
+	(void)ctx;
+	LOG_EVENT(LOG_NOTICE, "upstream.health", F_STR("upstream", upstream),
+		  F_STR("state", what));
+}
+
+bool budget_take(budget_t *b, mstime_t now, int64_t bytes, bool must)
+{
+	double max = (double)b->rate * BUDGET_SAVED_S;
+
+	if (!b->filled)
+		b->saved = max;
+	else
+		b->saved +=
+			(double)(b->rate * (now - b->filled)) / MSEC_PER_SEC;
+	b->filled = now;
+	b->saved = MIN(b->saved, max);
+	if (b->saved < (double)bytes && !must)
+		return false;
+	b->saved -= (double)bytes;
+	return true;
+}
--- /dev/null
+++ b/packages/node/control_config.c
@@ -0,0 +1,389 @@
+#include "private/control.h"
+#include "private/peer_proof.h"
+
+#include <kcf/logline.h>
+#include <string.h>
+
+#define CONFIG_STREAM "config"
+#define READ_WAIT_MS 10000
+#define READ_RETRY_MS 500
+#define CHANGE_TIMEOUT_MS 8000
+#define KEEP_INTERVAL_MS 5000
+/* Records are kept alive once they are this share of the retention old. */
+#define KEEP_AGE_SHARE 0.4
+#define KEEPS_AT_ONCE 20
+#define CATCH_UP_INTERVAL_MS 1000
+#define CATCH_UP_TIMEOUT_MS 5000
+
+static void read_(control_t *c);
+static void on_read_(void *arg, int err, const log_batch_t *batch);
+static void new_view_(control_t *c);
+static void settle_(control_t *c, const config_result_t *r);
+static void expire_changes_(control_t *c, mstime_t now);
+static void keep_(control_t *c, mstime_t now);
+static void catch_up_(control_t *c, mstime_t now);
+
+static void free_change_(pending_change_t *p)
+{
+	g_free(p->name);
+	g_free(p);
+}
+
+void stream_start(control_t *c)
+{
+	c->log = (log_client_t){ .ops = &log_http_ops,
+				 .http = &c->http,
+				 .url = c->settings->log_url->str };
+	new_view_(c);
+}
+
+void stream_stop(control_t *c)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->changes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		g_hash_table_iter_steal(&iter);
+		free_change_(value);
+	}
+}
+
+void stream_tick(control_t *c, mstime_t now)
+{
+	if (!c->log_reading && now >= c->next_read)
+		read_(c);
+	expire_changes_(c, now);
+	if (c->phase == PHASE_READY && now >= c->next_keep) {
+		c->next_keep = now + KEEP_INTERVAL_MS;
+		keep_(c, now);
+	}
+	if (!c->log_ok && now >= c->next_catch_up) {
+		c->next_catch_up = now + CATCH_UP_INTERVAL_MS;
+		catch_up_(c, now);
+	}
+}
+
+bool stream_caught_up(const control_t *c)
+{
+	return c->caught_up &&
+	       c->config.applied >= members_highest_applied(&c->members);
+}
+
+static void read_(control_t *c)
+{
+	mstime_t wait = c->caught_up ? READ_WAIT_MS : 0;
+
+	c->log_reading = true;
+	c->log.ops->read(&c->log, CONFIG_STREAM, c->config.applied + 1, wait,
+			 on_read_, c);
+}
+
+static void apply_(control_t *c, const log_record_t *record)
+{
+	config_result_t r;
+
+	config_apply(&c->config, record->offset, record->at, record->body, &r);
+	if (r.verdict == CONFIG_APPLIED)
+		counter_add(COUNTER_CONFIG_APPLIED, 1);
+	else if (r.verdict == CONFIG_CONFLICT)
+		counter_add(COUNTER_CONFIG_CONFLICTS, 1);
+	else if (r.verdict == CONFIG_INVALID || r.verdict == CONFIG_UNREADABLE)
+		counter_add(COUNTER_CONFIG_REJECTED, 1);
+	LOG_EVENT(LOG_INFO, "config.record",
+		  F_INT("offset", (int64_t)record->offset),
+		  F_STR("verdict", config_verdict_string[r.verdict]),
+		  F_STR("id", r.id));
+	if (r.id[0])
+		settle_(c, &r);
+	config_result_finish(&r);
+}
+
+static void on_read_(void *arg, int err, const log_batch_t *batch)
+{
+	control_t *c = arg;
+	uint64_t before = c->config.applied;
+
+	c->log_reading = false;
+	if (err) {
+		if (c->log_ok)
+			LOG_EVENT(LOG_WARNING, "log.down",
+				  F_STR("error", log_err_string[-err]));
+		c->log_ok = false;
+		counter_add(COUNTER_LOG_ERRORS, 1);
+		c->next_read = clock_now() + READ_RETRY_MS;
+		return;
+	}
+	c->log_ok = true;
+	c->next_read = 0;
+	for (size_t i = 0; i < batch->count; i++)
+		apply_(c, &batch->records[i]);
+	if (batch->first > 0)
+		config_skip(&c->config, batch->first - 1);
+	if (c->config.applied + 1 >= batch->next)
+		c->caught_up = true;
+	counter_set(GAUGE_APPLIED_OFFSET, (int64_t)c->config.applied);
+	if (c->config.applied != before)
+		new_view_(c);
+	read_(c);
+}
+
+/* Hands the new picture to the scheduler, the relay and the watchers. */
+static void new_view_(control_t *c)
+{
+	view_t *v = view_new(&c->config);
+	message_t *m = message_new(MSG_VIEW);
+
+	sched_set_view(&c->sched, clock_now(), v);
+	m->view = v;
+	relay_post(c->relay, m);
+}
+
+static json_t *winner_json_(const control_t *c, const pending_change_t *p)
+{
+	const resource_t *r = config_find(&c->config, p->kind, p->name);
+
+	return r ? resource_json(r) : json_null();
+}
+
+static void answer_conflict_(control_t *c, pending_change_t *p)
+{
+	json_t *body =
+		json_pack("{s:s,s:i,s:s,s:s,s:o}", "type", "about:blank",
+			  "status", 409, "title", "another change came first",
+			  "ran", "no", "winner", winner_json_(c, p));
+
+	operators_json(p->req, 409, body, NULL);
+}
+
+static void answer_applied_(control_t *c, pending_change_t *p,
+			    const config_result_t *r)
+{
+	const resource_t *now = config_find(&c->config, p->kind, p->name);
+	char etag[32];
+
+	g_snprintf(etag, sizeof(etag), "\"%" G_GUINT64_FORMAT "\"", r->version);
+	if (p->deletes || !now)
+		operators_json(p->req, 200,
+			       json_pack("{s:s,s:s,s:I}", "kind",
+					 resource_kind_string[p->kind], "name",
+					 p->name, "deleted",
+					 (json_int_t)r->version),
+			       etag);
+	else
+		operators_json(p->req, 200, resource_json(now), etag);
+}
+
+/* Answers the operator whose proposal has been read back. */
+static void settle_(control_t *c, const config_result_t *r)
+{
+	pending_change_t *p = g_hash_table_lookup(c->changes, r->id);
+
+	if (r->verdict == CONFIG_APPLIED) {
+		const audit_entry_t *e = g_queue_peek_tail(c->config.audit);
+
+		LOG_EVENT(LOG_NOTICE, "audit.change", F_STR("id", r->id),
+			  F_STR("kind", resource_kind_string[e->kind]),
+			  F_STR("name", e->name),
+			  F_STR("operator", e->operator_name),
+			  F_STR("reason", e->reason));
+		operators_notify(c,
+				 config_latest(&c->config, e->kind, e->name));
+	}
+	if (!p)
+		return;
+	g_hash_table_remove(c->changes, p->id);
+	if (p->req) {
+		if (r->verdict == CONFIG_APPLIED)
+			answer_applied_(c, p, r);
+		else if (r->verdict == CONFIG_CONFLICT)
+			answer_conflict_(c, p);
+		else
+			operators_problem(p->req, 422, "change has faults",
+					  "no", r->faults);
+	}
+	free_change_(p);
+}
+
+typedef struct append_arg {
+	control_t *control;
+	char id[64];
+} append_arg_t;
+
+static void on_appended_(void *arg, int err, uint64_t offset)
+{
+	append_arg_t *a = arg;
+	control_t *c = a->control;
+	pending_change_t *p = g_hash_table_lookup(c->changes, a->id);
+
+	(void)offset;
+	if (p && err == LOG_EREFUSED) {
+		g_hash_table_remove(c->changes, p->id);
+		if (p->req)
+			operators_problem(p->req, 503,
+					  "the platform's log is not taking "
+					  "changes",
+					  "no", NULL);
+		free_change_(p);
+	}
+	/* Otherwise the record is looked for in the stream. */
+	g_free(a);
+}
+
+void stream_propose(control_t *c, http_request_t *req,
+		    const config_proposal_t *p)
+{
+	pending_change_t *change = g_new0(pending_change_t, 1);
+	append_arg_t *a = g_new0(append_arg_t, 1);
+	char *record = config_record(p);
+
+	g_strlcpy(change->id, p->id, sizeof(change->id));
+	change->req = req;
+	change->kind = p->kind;
+	change->name = g_strdup(p->name);
+	change->deletes = !p->body;
+	change->deadline = clock_now() + CHANGE_TIMEOUT_MS;
+	g_hash_table_insert(c->changes, change->id, change);
+	a->control = c;
+	g_strlcpy(a->id, p->id, sizeof(a->id));
+	c->log.ops->append(&c->log, CONFIG_STREAM, str_of(record), on_appended_,
+			   a);
+	g_free(record);
+}
+
+void stream_operator_gone(control_t *c, http_request_t *req)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->changes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		pending_change_t *p = value;
+
+		if (p->req == req)
+			p->req = NULL;
+	}
+}
+
+static void expire_changes_(control_t *c, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->changes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		pending_change_t *p = value;
+
+		if (now < p->deadline)
+			continue;
+		g_hash_table_iter_steal(&iter);
+		if (p->req)
+			operators_problem(p->req, 504,
+					  "the change may come into force "
+					  "later; read the resource",
+					  "unknown", NULL);
+		free_change_(p);
+	}
+}
+
+static void on_kept_(void *arg, int err, uint64_t offset)
+{
+	(void)arg;
+	(void)offset;
+	if (err)
+		counter_add(COUNTER_LOG_ERRORS, 1);
+}
+
+/* One node, the same in every view, re-appends what would grow too old. */
+static bool keeper_(const control_t *c)
+{
+	GHashTableIter iter;
+	gpointer value;
+	const char *lowest = c->settings->name->str;
+
+	g_hash_table_iter_init(&iter, c->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (members_usable(m) && strcmp(m->name, lowest) < 0)
+			lowest = m->name;
+	}
+	return !strcmp(lowest, c->settings->name->str);
+}
+
+static void keep_(control_t *c, mstime_t now)
+{
+	mstime_t age = (mstime_t)((double)c->settings->log_retention_s *
+				  MSEC_PER_SEC * KEEP_AGE_SHARE);
+	GPtrArray *due;
+
+	(void)now;
+	if (!c->log_ok || !keeper_(c))
+		return;
+	due = config_due(&c->config, clock_wall() - age);
+	for (guint i = 0; i < due->len && i < KEEPS_AT_ONCE; i++) {
+		char *record = config_keep_record(due->pdata[i]);
+
+		c->log.ops->append(&c->log, CONFIG_STREAM, str_of(record),
+				   on_kept_, c);
+		g_free(record);
+	}
+	if (due->len)
+		LOG_EVENT(LOG_INFO, "config.kept", F_INT("due", due->len));
+	g_ptr_array_unref(due);
+}
+
+static void on_snapshot_(void *ctx, http_call_t *call, int err, int status)
+{
+	control_t *c = ctx;
+	str_t body = http_call_body(call);
+	json_t *snapshot;
+
+	if (err || status != 200)
+		return;
+	snapshot = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	if (snapshot && config_restore(&c->config, snapshot)) {
+		LOG_EVENT(LOG_NOTICE, "config.from_peer",
+			  F_INT("applied", (int64_t)c->config.applied));
+		c->caught_up = true;
+		counter_set(GAUGE_APPLIED_OFFSET, (int64_t)c->config.applied);
+		new_view_(c);
+	}
+	json_decref(snapshot);
+}
+
+static const http_call_ops_t snapshot_ops = { .done = on_snapshot_ };
+
+/* While the log cannot be read, peers that are ahead give their state. */
+static void catch_up_(control_t *c, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	const member_t *ahead = NULL;
+	char *url;
+	char *proof;
+	const char *headers[2] = { NULL, NULL };
+	http_call_spec_t spec = { .method = "GET",
+				  .headers = headers,
+				  .deadline = now + CATCH_UP_TIMEOUT_MS };
+
+	g_hash_table_iter_init(&iter, c->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (m == c->members.self || m->state == MEMBER_DEAD ||
+		    m->applied <= c->config.applied)
+			continue;
+		if (!ahead || m->applied > ahead->applied)
+			ahead = m;
+	}
+	if (!ahead)
+		return;
+	proof = peer_proof(c->settings->peer_key, clock_wall());
+	headers[0] = proof;
+	url = g_strdup_printf("http://%s/v1/peer/config", ahead->operators);
+	spec.url = url;
+	http_call_start(&c->http, &spec, &snapshot_ops, c);
+	g_free(url);
+	g_free(proof);
+}
--- /dev/null
+++ b/packages/node/control_loads.c
@@ -0,0 +1,88 @@
+#include "private/control.h"
+
+#include <kcf/logline.h>
+#include <string.h>
+
+#define POLL_INTERVAL_MS 1000
+#define POLL_TIMEOUT_MS 900
+/* Request and answer of one poll with their headers, about. */
+#define POLL_BYTES 400
+
+typedef struct poll_call {
+	control_t *control;
+	uint32_t key;
+} poll_call_t;
+
+static void take_(control_t *c, uint32_t key, str_t body)
+{
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	json_int_t outstanding = 0;
+	json_int_t start_id = 0;
+	sched_report_t r = { .key = key };
+
+	r.ok = json_unpack(root, "{s:I,s:I}", "outstanding", &outstanding,
+			   "start_id", &start_id) == 0;
+	r.outstanding = (int)CLAMP(outstanding, 0, G_MAXINT);
+	r.start_id = (uint64_t)start_id;
+	sched_take_report(&c->sched, clock_now(), &r);
+	json_decref(root);
+}
+
+static void on_polled_(void *ctx, http_call_t *call, int err, int status)
+{
+	poll_call_t *p = ctx;
+	control_t *c = p->control;
+
+	g_hash_table_remove(c->polling, GUINT_TO_POINTER(p->key));
+	if (err == HTTP_OK && status == 200) {
+		take_(c, p->key, http_call_body(call));
+	} else {
+		sched_report_t r = { .key = p->key };
+
+		sched_take_report(&c->sched, clock_now(), &r);
+	}
+	g_free(p);
+}
+
+static const http_call_ops_t poll_ops = { .done = on_polled_ };
+
+static void poll_(control_t *c, const upstream_t *u, mstime_t now)
+{
+	char *url = g_strdup_printf("http://%s/load", u->address);
+	http_call_spec_t spec = {
+		.method = "GET",
+		.url = url,
+		.deadline = now + POLL_TIMEOUT_MS,
+	};
+	poll_call_t *p = g_new0(poll_call_t, 1);
+
+	p->control = c;
+	p->key = u->key;
+	g_hash_table_add(c->polling, GUINT_TO_POINTER(u->key));
+	http_call_start(&c->http, &spec, &poll_ops, p);
+	g_free(url);
+}
+
+void loads_tick(control_t *c, mstime_t now)
+{
+	GPtrArray *owned;
+
+	if (now < c->next_loads)
+		return;
+	c->next_loads = now + POLL_INTERVAL_MS;
+	owned = sched_owned(&c->sched);
+	for (guint i = 0; i < owned->len; i++) {
+		const upstream_t *u = owned->pdata[i];
+
+		if (g_hash_table_contains(c->polling, GUINT_TO_POINTER(u->key)))
+			continue;
+		if (!budget_take(&c->budget, now, POLL_BYTES, false)) {
+			counter_add(COUNTER_CONTROL_DROPPED, 1);
+			continue;
+		}
+		counter_add(COUNTER_CONTROL_SENT_BYTES, POLL_BYTES);
+		poll_(c, u, now);
+	}
+	g_ptr_array_unref(owned);
+}
--- /dev/null
+++ b/packages/node/control_peers.c
@@ -0,0 +1,278 @@
+#include "private/control.h"
+
+#include <kcf/address.h>
+#include <kcf/logline.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HOSTS_INTERVAL_MS 10000
+#define HOSTS_RETRY_MS 2000
+#define TENTHS_MS 100
+#define MILLI 1000.0
+/* Time without sending after this process was paused. */
+#define PAUSE_HOLD_MS 2000
+
+static void on_readable_(struct ev_loop *loop, ev_io *w, int revents);
+static void send_(void *ctx, const char *address, unsigned int proc,
+		  peer_message_t *m);
+static void changed_(void *ctx, const member_t *m, member_state_t before);
+static void on_hosts_(void *arg, const host_entry_t *hosts, size_t count);
+
+static const member_ops_t member_ops = { send_, changed_ };
+
+bool peers_start(control_t *c)
+{
+	const settings_t *s = c->settings;
+	struct sockaddr_in sa;
+	member_self_t self = {
+		.name = s->name->str,
+		.data_centre = s->data_centre->str,
+		.region = s->region->str,
+		.peer = s->peer_listen->str,
+		.callers = s->caller_listen->str,
+		.operators = s->operator_listen->str,
+		.incarnation = c->incarnation,
+	};
+
+	address_parse(s->peer_listen->str, &sa);
+	c->socket =
+		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (c->socket < 0 ||
+	    bind(c->socket, (struct sockaddr *)&sa, sizeof(sa))) {
+		LOG_EVENT(LOG_ERR, "peers.listen",
+			  F_STR("address", s->peer_listen->str),
+			  F_STR("error", g_strerror(errno)));
+		return false;
+	}
+	ev_io_init(&c->socket_io, on_readable_, c->socket, EV_READ);
+	c->socket_io.data = c;
+	ev_io_start(c->task.loop, &c->socket_io);
+	members_init(&c->members, &self, (guint32)c->incarnation, &member_ops,
+		     c, clock_now());
+	for (guint i = 0; i < s->peer_seeds->len; i++)
+		members_add_seed(&c->members, s->peer_seeds->pdata[i]);
+	c->hosts = (host_list_client_t){ .ops = &host_list_http_ops,
+					 .http = &c->http,
+					 .url = s->host_list_url->str };
+	return true;
+}
+
+void peers_stop(control_t *c)
+{
+	ev_io_stop(c->task.loop, &c->socket_io);
+	close(c->socket);
+	members_finish(&c->members);
+	g_free(c->hosts.etag);
+}
+
+static bool spend_(control_t *c, size_t len)
+{
+	int64_t bytes = (int64_t)len + DATAGRAM_OVERHEAD;
+
+	if (!budget_take(&c->budget, clock_now(), bytes, false)) {
+		counter_add(COUNTER_CONTROL_DROPPED, 1);
+		return false;
+	}
+	counter_add(COUNTER_CONTROL_SENT_BYTES, bytes);
+	return true;
+}
+
+static void send_(void *ctx, const char *address, unsigned int proc,
+		  peer_message_t *m)
+{
+	control_t *c = ctx;
+	peer_update_t updates[PEER_UPDATES_MAX];
+	peer_fact_t facts[PEER_FACTS_MAX];
+	peer_load_t loads[PEER_LOADS_MAX];
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	peer_message_t full;
+	size_t len;
+	mstime_t wall = clock_wall();
+
+	if (!address_parse(address, &sa))
+		return;
+	full = *m;
+	members_fill(&c->members, &full, updates, facts);
+	full.sent = (u_quad_t)wall;
+	full.loads.loads_val = loads;
+	full.loads.loads_len = sched_fill_loads(&c->sched, clock_now(),
+						(uint32_t)(wall / TENTHS_MS),
+						loads, PEER_LOADS_MAX);
+	while (datagram_encode(c->settings->peer_key, proc, &full, data,
+			       &len)) {
+		/* Too long: loads and updates come again with later ones. */
+		if (full.loads.loads_len)
+			full.loads.loads_len /= 2;
+		else if (full.updates.updates_len)
+			full.updates.updates_len /= 2;
+		else
+			return;
+	}
+	if (!spend_(c, len))
+		return;
+	sendto(c->socket, data, len, 0, (struct sockaddr *)&sa, sizeof(sa));
+}
+
+static void take_loans_(control_t *c, mstime_t now, const peer_message_t *m)
+{
+	mstime_t wall = clock_wall();
+
+	for (u_int i = 0; i < m->loans.loans_len; i++) {
+		const peer_loan_t *l = &m->loans.loans_val[i];
+		mstime_t left = (mstime_t)l->expires - wall;
+
+		if (left > 0)
+			sched_take_loan(&c->sched, now, l, left);
+	}
+}
+
+static void take_datagram_(control_t *c, str_t data, const char *from)
+{
+	peer_message_t m = { 0 };
+	unsigned int proc;
+	mstime_t now = clock_now();
+	int err;
+
+	counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
+		    (int64_t)data.len + DATAGRAM_OVERHEAD);
+	err = datagram_decode(c->settings->peer_key, data, clock_wall(), &proc,
+			      &m);
+	if (err) {
+		counter_add(COUNTER_MAC_REJECTED, 1);
+		LOG_EVENT(LOG_INFO, "datagram.rejected", F_STR("from", from),
+			  F_STR("error", datagram_err_string[-err]));
+		return;
+	}
+	for (u_int i = 0; i < m.loads.loads_len; i++)
+		sched_take_load(&c->sched, now, &m.loads.loads_val[i]);
+	take_loans_(c, now, &m);
+	members_receive(&c->members, now, from, proc, &m);
+	datagram_free(&m);
+}
+
+static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
+{
+	control_t *c = w->data;
+	char data[DATAGRAM_MAX + 1];
+	char from[ADDRESS_TEXT_MAX];
+	struct sockaddr_in sa;
+	socklen_t sa_len = sizeof(sa);
+	ssize_t n;
+
+	(void)loop;
+	(void)revents;
+	while ((n = recvfrom(c->socket, data, sizeof(data), 0,
+			     (struct sockaddr *)&sa, &sa_len)) >= 0) {
+		address_format(&sa, from);
+		take_datagram_(c, (str_t){ data, (size_t)n }, from);
+		sa_len = sizeof(sa);
+	}
+}
+
+static void changed_(void *ctx, const member_t *m, member_state_t before)
+{
+	control_t *c = ctx;
+
+	LOG_EVENT(LOG_NOTICE, "member.changed", F_STR("member", m->name),
+		  F_STR("state", member_state_string[m->state]),
+		  F_STR("before", member_state_string[before]),
+		  F_INT("incarnation", (int64_t)m->incarnation));
+	c->roster_changed = true;
+}
+
+/* Tells scheduler and relay who may own upstreams. */
+void peers_roster(control_t *c, mstime_t now)
+{
+	GPtrArray *nodes = g_ptr_array_new_with_free_func(sched_node_free);
+	roster_t *roster = roster_new();
+	message_t *m = message_new(MSG_ROSTER);
+	GHashTableIter iter;
+	gpointer value;
+
+	c->roster_changed = false;
+	g_hash_table_iter_init(&iter, c->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *member = value;
+
+		roster_add(roster, member->name, member->callers);
+		if (members_usable(member))
+			g_ptr_array_add(nodes,
+					sched_node_new(member->name,
+						       member->data_centre,
+						       member->region));
+	}
+	counter_set(GAUGE_MEMBERS_LIVE, nodes->len);
+	m->roster = roster;
+	relay_post(c->relay, m);
+	sched_set_nodes(&c->sched, now, nodes);
+}
+
+static void check_pause_(control_t *c, mstime_t now)
+{
+	if (c->members.paused_at == c->paused_at)
+		return;
+	c->paused_at = c->members.paused_at;
+	LOG_EVENT(LOG_WARNING, "node.paused", F_INT("hold_ms", PAUSE_HOLD_MS));
+	sched_pause(&c->sched, now + PAUSE_HOLD_MS);
+}
+
+void peers_tick(control_t *c, mstime_t now)
+{
+	bool isolated;
+
+	members_set_applied(&c->members, c->config.applied);
+	members_tick(&c->members, now);
+	check_pause_(c, now);
+	isolated = members_isolated(&c->members, now);
+	if (isolated != c->isolated) {
+		c->isolated = isolated;
+		c->roster_changed = true;
+		LOG_EVENT(LOG_WARNING, "node.isolated",
+			  F_INT("isolated", isolated));
+	}
+	/* A node that is cut off itself takes nothing over. */
+	if (c->roster_changed && !isolated)
+		peers_roster(c, now);
+	if (now < c->next_hosts)
+		return;
+	c->next_hosts = now + HOSTS_INTERVAL_MS;
+	c->hosts.ops->fetch(&c->hosts, on_hosts_, c);
+}
+
+static void on_hosts_(void *arg, const host_entry_t *hosts, size_t count)
+{
+	control_t *c = arg;
+
+	if (!hosts) {
+		if (!c->hosts.etag)
+			c->next_hosts = clock_now() + HOSTS_RETRY_MS;
+		return;
+	}
+	members_clear_seeds(&c->members);
+	for (guint i = 0; i < c->settings->peer_seeds->len; i++)
+		members_add_seed(&c->members,
+				 c->settings->peer_seeds->pdata[i]);
+	for (size_t i = 0; i < count; i++)
+		members_add_seed(&c->members, hosts[i].peer);
+}
+
+void peers_send_loan(control_t *c, const char *node, const power_loan_t *loan)
+{
+	const member_t *member = members_find(&c->members, node);
+	peer_loan_t wire = {
+		.donor = loan->donor,
+		.borrower = loan->borrower,
+		.milliwatts = (u_int)(loan->watts * MILLI),
+		.expires =
+			(u_quad_t)(clock_wall() + loan->expires - clock_now()),
+	};
+	peer_message_t m = { .seq = ++c->members.seq };
+
+	if (!member)
+		return;
+	m.loans.loans_len = 1;
+	m.loans.loans_val = &wire;
+	send_(c, member->peer, PEER_LOAN, &m);
+}
--- /dev/null
+++ b/packages/node/exchange.c
@@ -0,0 +1,278 @@
+#include "private/exchange.h"
+
+#include <kcf/logline.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct filter {
+	const char *name;
+	filter_result_t (*run)(exchange_t *x);
+} filter_t;
+
+static const filter_t filters[] = {
+	{ "identify", filter_identify }, { "authorise", filter_authorise },
+	{ "classify", filter_classify }, { "once", filter_once },
+	{ "place", filter_place },
+};
+
+static const char *const ran_string[] = { "no", "unknown", "yes" };
+
+static void post_trace_(exchange_t *x, bool whole);
+
+exchange_t *exchange_new(relay_t *relay, http_request_t *req)
+{
+	exchange_t *x = g_new0(exchange_t, 1);
+
+	x->id = ++relay->next_id;
+	x->relay = relay;
+	x->req = req;
+	x->weight = 1;
+	x->told_prompt = -1;
+	x->told_cached = -1;
+	x->first_token_ms = -1;
+	x->started = clock_now();
+	x->body = g_string_new(NULL);
+	x->trace = g_string_new(NULL);
+	sse_init(&x->events);
+	ev_init(&x->kick, NULL);
+	http_request_set_user(req, x);
+	g_hash_table_insert(relay->exchanges, &x->id, x);
+	counter_add(COUNTER_REQUESTS, 1);
+	counter_add(GAUGE_OPEN_REQUESTS, 1);
+	return x;
+}
+
+void exchange_run(exchange_t *x)
+{
+	while (x->filter < G_N_ELEMENTS(filters)) {
+		const filter_t *f = &filters[x->filter++];
+		filter_result_t result = f->run(x);
+
+		if (result != FILTER_NEXT)
+			return;
+	}
+}
+
+void exchange_gone(exchange_t *x, bool whole)
+{
+	message_t *m;
+
+	if (x->placing) {
+		m = message_new(MSG_CANCEL);
+		m->cancel = x->id;
+		task_post(x->relay->control, m);
+	}
+	exchange_abort(x, SCHED_ABANDONED);
+	if (x->once_held)
+		exchange_once_end(x, x->sent, 0, STR_NONE, "");
+	counter_add(whole ? COUNTER_ANSWERS_WHOLE : COUNTER_ANSWERS_CUT, 1);
+	counter_add(GAUGE_OPEN_REQUESTS, -1);
+	post_trace_(x, whole);
+	g_hash_table_remove(x->relay->exchanges, &x->id);
+	ev_timer_stop(x->relay->task.loop, &x->kick);
+	sse_finish(&x->events);
+	g_string_free(x->body, TRUE);
+	g_string_free(x->trace, TRUE);
+	if (x->subpath_text)
+		g_string_free(x->subpath_text, TRUE);
+	g_free(x);
+}
+
+void exchange_refuse(exchange_t *x, unsigned int status, const char *title,
+		     ran_t ran, counter_t counter, mstime_t retry_ms)
+{
+	char retry[24];
+	char retry_exact[24];
+	http_header_t headers[] = {
+		{ "Content-Type", "application/problem+json" },
+		{ "X-Request-Id", x->request_id },
+		{ retry_ms ? "Retry-After" : NULL, retry },
+		{ "X-Retry-After-Ms", retry_exact },
+		{ NULL, NULL },
+	};
+	json_t *body = json_pack("{s:s,s:i,s:s,s:s,s:s}", "type", "about:blank",
+				 "status", (int)status, "title", title, "ran",
+				 ran_string[ran], "request_id", x->request_id);
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	snprintf(retry, sizeof(retry), "%lld",
+		 (long long)((retry_ms + MSEC_PER_SEC - 1) / MSEC_PER_SEC));
+	snprintf(retry_exact, sizeof(retry_exact), "%lld", (long long)retry_ms);
+	counter_add(counter, 1);
+	exchange_trace(x, "refused status=%u ran=%s", status, ran_string[ran]);
+	LOG_EVENT(LOG_INFO, "request.refused", F_STR("request", x->request_id),
+		  F_STR("customer", x->customer), F_STR("service", x->service),
+		  F_INT("status", status), F_STR("title", title),
+		  F_STR("ran", ran_string[ran]), F_INT("retry_ms", retry_ms));
+	if (x->once_held)
+		exchange_once_end(x, ran != RAN_NO, 0, STR_NONE, "");
+	if (x->streaming)
+		http_stream_end(x->req, false);
+	else
+		http_reply(x->req, status, headers, str_of(text));
+	free(text);
+	json_decref(body);
+}
+
+void exchange_reply(exchange_t *x, unsigned int status, json_t *body)
+{
+	const http_header_t headers[] = {
+		{ "Content-Type", "application/json" },
+		{ "X-Request-Id", x->request_id },
+		{ NULL, NULL },
+	};
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	http_reply(x->req, status, headers, str_of(text));
+	free(text);
+	json_decref(body);
+}
+
+void exchange_trace(exchange_t *x, const char *fmt, ...)
+{
+	va_list ap;
+
+	g_string_append_printf(x->trace, "ms=%" G_GINT64_FORMAT " ",
+			       clock_now() - x->started);
+	va_start(ap, fmt);
+	g_string_append_vprintf(x->trace, fmt, ap);
+	va_end(ap);
+	g_string_append_c(x->trace, '\n');
+}
+
+static void post_trace_(exchange_t *x, bool whole)
+{
+	message_t *m;
+
+	if (x->route == ROUTE_WHERE || x->route == ROUTE_MODELS)
+		return;
+	exchange_trace(x, "closed whole=%d", whole);
+	m = message_new(MSG_TRACE);
+	g_strlcpy(m->trace.request_id, x->request_id,
+		  sizeof(m->trace.request_id));
+	m->trace.steps = g_string_new_len(x->trace->str, (gssize)x->trace->len);
+	task_post(x->relay->control, m);
+}
+
+void exchange_place(exchange_t *x)
+{
+	message_t *m = message_new(MSG_PLACE);
+	sched_request_t *r = &m->place;
+
+	r->id = x->id;
+	r->chat = x->chat;
+	r->sticky = x->sticky;
+	g_strlcpy(r->service, x->service, sizeof(r->service));
+	g_strlcpy(r->model, x->model, sizeof(r->model));
+	g_strlcpy(r->customer, x->customer, sizeof(r->customer));
+	g_strlcpy(r->avoid, x->avoid, sizeof(r->avoid));
+	r->weight = x->weight;
+	r->urgency = x->urgency;
+	r->deadline = x->deadline;
+	r->prompt_tokens = x->prompt_tokens;
+	r->hop = x->hop;
+	r->target = x->target;
+	r->excluded = x->excluded;
+	memcpy(r->exclude, x->exclude, sizeof(r->exclude));
+	x->placing = true;
+	task_post(x->relay->control, m);
+}
+
+void exchange_placed(exchange_t *x, const sched_answer_t *a)
+{
+	x->placing = false;
+	x->placed = *a;
+	if (a->verdict == SCHED_REFUSE) {
+		exchange_refuse(x, 503, sched_refusal_string[a->refusal],
+				x->once && x->sent ? RAN_UNKNOWN : RAN_NO,
+				a->refusal == REFUSE_DEADLINE
+					? COUNTER_REFUSED_DEADLINE
+					: COUNTER_REFUSED_LOAD,
+				MAX(1, a->retry_after_ms));
+		return;
+	}
+	x->permit = a->verdict == SCHED_RUN;
+	if (a->verdict == SCHED_RUN)
+		exchange_trace(x, "placed upstream=%s warm=%d hop=%d",
+			       a->upstream, a->warm, x->hop);
+	else
+		exchange_trace(x, "forward node=%s target=%08x hop=%d", a->node,
+			       a->target, a->hop);
+	exchange_send(x);
+}
+
+static void reply_recorded_(exchange_t *x, const once_reply_t *r)
+{
+	const http_header_t headers[] = {
+		{ "Content-Type", r->content_type },
+		{ "X-Request-Id", x->request_id },
+		{ "Idempotent-Replayed", "true" },
+		{ NULL, NULL },
+	};
+	gsize len = 0;
+	const char *data = r->body ? g_bytes_get_data(r->body, &len) : "";
+
+	exchange_trace(x, "replayed status=%d", r->status);
+	http_reply(x->req, (unsigned int)r->status, headers,
+		   (str_t){ data, len });
+}
+
+void exchange_once(exchange_t *x, const once_reply_t *r)
+{
+	switch (r->verdict) {
+	case ONCE_RUN:
+		x->once_held = true;
+		counter_add(COUNTER_ONCE_RUNS, 1);
+		exchange_run(x);
+		break;
+	case ONCE_REPLAY:
+		reply_recorded_(x, r);
+		break;
+	case ONCE_UNKNOWN:
+		exchange_refuse(x, 409, "an earlier try may have run",
+				RAN_UNKNOWN, COUNTER_ONCE_UNKNOWN, 0);
+		break;
+	case ONCE_BUSY:
+		exchange_refuse(x, 409, "another try with this key is running",
+				RAN_UNKNOWN, COUNTER_ONCE_REFUSED,
+				MAX(1, r->retry_after_ms));
+		break;
+	case ONCE_FORWARD:
+		x->placed = (sched_answer_t){ .verdict = SCHED_FORWARD };
+		g_strlcpy(x->placed.node, r->node, sizeof(x->placed.node));
+		exchange_trace(x, "once forward node=%s", r->node);
+		exchange_send(x);
+		break;
+	case ONCE_UNSETTLED:
+		exchange_refuse(x, 503, "the key cannot be settled now",
+				RAN_UNKNOWN, COUNTER_ONCE_UNKNOWN,
+				MAX(1, r->retry_after_ms));
+		break;
+	case ONCE_NOT_RUN:
+		exchange_refuse(x, 503, "the key cannot be settled now", RAN_NO,
+				COUNTER_ONCE_REFUSED,
+				MAX(1, r->retry_after_ms));
+		break;
+	case ONCE_EXPIRED:
+		exchange_refuse(x, 400, "the key is too old", RAN_UNKNOWN,
+				COUNTER_ONCE_REFUSED, 0);
+		break;
+	}
+}
+
+void exchange_once_end(exchange_t *x, bool ran, int status, str_t body,
+		       const char *content_type)
+{
+	message_t *m = message_new(MSG_ONCE_END);
+
+	x->once_held = false;
+	m->once.id = x->id;
+	g_strlcpy(m->once.key, x->once_key, sizeof(m->once.key));
+	m->once.ran = ran;
+	m->once.status = status;
+	m->once.body = body.len ? g_bytes_new(body.data, body.len) : NULL;
+	g_strlcpy(m->once.content_type, content_type,
+		  sizeof(m->once.content_type));
+	task_post(x->relay->control, m);
+}
--- /dev/null
+++ b/packages/node/filters.c
@@ -0,0 +1,366 @@
+#include "private/exchange.h"
+#include "private/once_key.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#define URGENCY_DEFAULT 3
+/* Rough size of a token, for prompts that no engine has counted yet. */
+#define BYTES_PER_TOKEN 4
+#define REQUEST_ID_RANDOM_BYTES 12
+#define NOT_READY_RETRY_MS 2000
+
+static const char chat_path[] = "/v1/chat/completions";
+static const char service_path[] = "/v1/services/";
+
+static bool request_id_ok_(str_t id)
+{
+	if (!id.len || id.len >= TRACE_ID_MAX)
+		return false;
+	for (size_t i = 0; i < id.len; i++) {
+		if (!g_ascii_isalnum(id.data[i]) && !strchr("-_.:", id.data[i]))
+			return false;
+	}
+	return true;
+}
+
+static bool take_request_id_(exchange_t *x)
+{
+	str_t id = http_request_header(x->req, "X-Request-Id");
+	unsigned char random[REQUEST_ID_RANDOM_BYTES];
+
+	if (!id.data) {
+		randombytes_buf(random, sizeof(random));
+		sodium_bin2hex(x->request_id, sizeof(x->request_id), random,
+			       sizeof(random));
+		return true;
+	}
+	if (!request_id_ok_(id))
+		return false;
+	memcpy(x->request_id, id.data, id.len);
+	x->request_id[id.len] = '\0';
+	return true;
+}
+
+static bool take_service_path_(exchange_t *x, str_t path)
+{
+	str_t rest = str_skip(path, strlen(service_path));
+	str_t query = http_request_query_string(x->req);
+	size_t len = 0;
+
+	while (len < rest.len && rest.data[len] != '/')
+		len++;
+	if (!len || len >= sizeof(x->service))
+		return false;
+	memcpy(x->service, rest.data, len);
+	x->service[len] = '\0';
+	x->subpath_text = g_string_new(len < rest.len ? NULL : "/");
+	g_string_append_len(x->subpath_text, rest.data + len,
+			    (gssize)(rest.len - len));
+	x->subpath = (str_t){ x->subpath_text->str, x->subpath_text->len };
+	if (query.len) {
+		g_string_append_c(x->subpath_text, '?');
+		g_string_append_len(x->subpath_text, query.data,
+				    (gssize)query.len);
+		x->subpath.data = x->subpath_text->str;
+	}
+	return true;
+}
+
+static filter_result_t bad_input_(exchange_t *x, unsigned int status,
+				  const char *title)
+{
+	exchange_refuse(x, status, title, RAN_NO, COUNTER_REFUSED_INPUT, 0);
+	return FILTER_DONE;
+}
+
+static filter_result_t take_hop_(exchange_t *x)
+{
+	str_t text = http_request_header(x->req, HOP_HEADER);
+	hop_t hop = { 0 };
+
+	if (!text.data)
+		return FILTER_NEXT;
+	if (!hop_parse(x->relay->settings->peer_key, x->request_id, text, &hop))
+		return bad_input_(x, 400, "hop header is not signed by a node");
+	x->hop = hop.count;
+	x->target = hop.target;
+	x->once_hop = hop.once;
+	return FILTER_NEXT;
+}
+
+filter_result_t filter_identify(exchange_t *x)
+{
+	str_t path = http_request_path(x->req);
+	str_t method = http_request_method(x->req);
+	bool get = str_eq(method, str_of("GET"));
+
+	if (!take_request_id_(x)) {
+		g_strlcpy(x->request_id, "invalid", sizeof(x->request_id));
+		return bad_input_(x, 400, "X-Request-Id is malformed");
+	}
+	if (str_eq(path, str_of("/v1/where")) && get) {
+		x->route = ROUTE_WHERE;
+	} else if (str_eq(path, str_of("/v1/models")) && get) {
+		x->route = ROUTE_MODELS;
+	} else if (str_eq(path, str_of(chat_path))) {
+		x->route = ROUTE_CHAT;
+		if (!str_eq(method, str_of("POST")))
+			return bad_input_(x, 405, "use POST");
+	} else if (str_starts(path, str_of(service_path))) {
+		x->route = ROUTE_SERVICE;
+		if (!take_service_path_(x, path))
+			return bad_input_(x, 404, "no service in the path");
+	} else {
+		return bad_input_(x, 404, "no such resource");
+	}
+	return take_hop_(x);
+}
+
+filter_result_t filter_authorise(exchange_t *x)
+{
+	static const str_t scheme = { "Bearer ", 7 };
+	str_t header = http_request_header(x->req, "Authorization");
+	unsigned char digest[crypto_hash_sha256_BYTES];
+	char hex[2 * crypto_hash_sha256_BYTES + 1];
+	const customer_t *customer;
+
+	if (x->relay->phase == PHASE_JOINING) {
+		exchange_refuse(x, 503, "node is not ready", RAN_NO,
+				COUNTER_REFUSED_NOT_READY, NOT_READY_RETRY_MS);
+		return FILTER_DONE;
+	}
+	if (!str_starts(header, scheme)) {
+		exchange_refuse(x, 401, "a bearer key is required", RAN_NO,
+				COUNTER_REFUSED_AUTH, 0);
+		return FILTER_DONE;
+	}
+	header = str_skip(header, scheme.len);
+	crypto_hash_sha256(digest, (const unsigned char *)header.data,
+			   header.len);
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	customer = view_customer_of(x->relay->view, hex);
+	if (!customer) {
+		exchange_refuse(x, 401, "unknown key", RAN_NO,
+				COUNTER_REFUSED_AUTH, 0);
+		return FILTER_DONE;
+	}
+	g_strlcpy(x->customer, customer->name, sizeof(x->customer));
+	x->weight = customer->weight;
+	return FILTER_NEXT;
+}
+
+/* RFC 9218: the digit after "u=" of the Priority header. */
+static int urgency_(const exchange_t *x)
+{
+	str_t p = http_request_header(x->req, "Priority");
+
+	for (size_t i = 0; i + 2 < p.len; i++) {
+		if (p.data[i] == 'u' && p.data[i + 1] == '=' &&
+		    p.data[i + 2] >= '0' && p.data[i + 2] <= '7')
+			return p.data[i + 2] - '0';
+	}
+	return URGENCY_DEFAULT;
+}
+
+static bool take_deadline_(exchange_t *x, const service_t *service)
+{
+	str_t text = http_request_header(x->req, "X-Deadline-Ms");
+	mstime_t now = clock_now();
+	int64_t left;
+
+	x->deadline = now + service->timeout_ms;
+	if (!text.data)
+		return true;
+	if (!str_to_int(text, &left) || left <= 0)
+		return false;
+	x->deadline = MIN(x->deadline, now + left);
+	return true;
+}
+
+static uint64_t chat_hash_(const exchange_t *x, str_t chat, const char *adapter)
+{
+	uint64_t h = str_hash64(str_of(x->customer), 0);
+
+	h = str_hash64(str_of(x->service), h);
+	h = str_hash64(str_of(x->model), h);
+	h = str_hash64(str_of(adapter), h);
+	return str_hash64(chat, h);
+}
+
+static void take_chat_(exchange_t *x, const char *adapter)
+{
+	str_t chat = http_request_header(x->req, "X-Chat-Id");
+
+	x->sticky = chat.len > 0;
+	if (!x->sticky)
+		chat = str_of(x->request_id);
+	x->chat = chat_hash_(x, chat, adapter);
+}
+
+static bool adapter_ok_(const model_t *model, const char *adapter)
+{
+	if (!adapter[0])
+		return true;
+	for (guint i = 0; model->adapters && i < model->adapters->len; i++) {
+		if (!strcmp(model->adapters->pdata[i], adapter))
+			return true;
+	}
+	return false;
+}
+
+static filter_result_t classify_chat_(exchange_t *x)
+{
+	str_t body = http_request_body(x->req);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	const char *name = json_string_value(json_object_get(root, "model"));
+	const model_t *model = NULL;
+	char **parts;
+	filter_result_t result = FILTER_NEXT;
+
+	if (!json_is_object(root) ||
+	    !json_is_array(json_object_get(root, "messages"))) {
+		json_decref(root);
+		return bad_input_(x, 400,
+				  "body must be JSON with a list of messages");
+	}
+	parts = g_strsplit(name ? name : "", ":", 2);
+	if (parts[0] && strlen(parts[0]) < sizeof(x->model))
+		model = view_find(x->relay->view, KIND_MODEL, parts[0]);
+	if (!model) {
+		result = bad_input_(x, 404, "unknown model");
+	} else if (!adapter_ok_(model, parts[1] ? parts[1] : "")) {
+		result = bad_input_(x, 404, "unknown adapter");
+	} else if (!model->service) {
+		result = bad_input_(x, 404, "model has no service");
+	} else {
+		g_strlcpy(x->model, model->name, sizeof(x->model));
+		g_strlcpy(x->service, model->service->name, sizeof(x->service));
+		x->streamed = json_is_true(json_object_get(root, "stream"));
+		x->prompt_tokens = (int64_t)body.len / BYTES_PER_TOKEN + 1;
+		take_chat_(x, parts[1] ? parts[1] : "");
+	}
+	g_strfreev(parts);
+	json_decref(root);
+	return result;
+}
+
+static filter_result_t reply_models_(exchange_t *x)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < x->relay->view->models->len; i++) {
+		const model_t *m = x->relay->view->models->pdata[i];
+
+		json_array_append_new(list,
+				      json_pack("{s:s,s:s,s:s}", "id", m->name,
+						"object", "model", "owned_by",
+						"kingcupfork"));
+	}
+	exchange_reply(x, 200,
+		       json_pack("{s:s,s:o}", "object", "list", "data", list));
+	return FILTER_DONE;
+}
+
+static filter_result_t ask_where_(exchange_t *x)
+{
+	str_t service = http_request_query(x->req, "service");
+	str_t chat = http_request_query(x->req, "chat");
+	message_t *m;
+
+	if (!service.len || service.len >= sizeof(x->service))
+		return bad_input_(x, 400, "service is required");
+	memcpy(x->service, service.data, service.len);
+	if (!view_find(x->relay->view, KIND_SERVICE, x->service))
+		return bad_input_(x, 404, "unknown service");
+	m = message_new(MSG_WHERE);
+	m->where.id = x->id;
+	g_strlcpy(m->where.service, x->service, sizeof(m->where.service));
+	if (chat.len) {
+		str_t model = http_request_query(x->req, "model");
+		char **parts = g_strsplit(model.len ? model.data : "", ":", 2);
+
+		if (parts[0])
+			g_strlcpy(x->model, parts[0], sizeof(x->model));
+		m->where.chat = chat_hash_(
+			x, chat, parts[0] && parts[1] ? parts[1] : "");
+		g_strfreev(parts);
+	}
+	task_post(x->relay->control, m);
+	return FILTER_WAIT;
+}
+
+filter_result_t filter_classify(exchange_t *x)
+{
+	const service_t *service;
+	str_t path = x->subpath;
+	const char *mark;
+	filter_result_t result;
+
+	if (x->route == ROUTE_MODELS)
+		return reply_models_(x);
+	if (x->route == ROUTE_WHERE)
+		return ask_where_(x);
+	if (x->route == ROUTE_CHAT) {
+		result = classify_chat_(x);
+		if (result != FILTER_NEXT)
+			return result;
+	}
+	service = view_find(x->relay->view, KIND_SERVICE, x->service);
+	if (!service)
+		return bad_input_(x, 404, "unknown service");
+	if (!customer_may_use(
+		    view_find(x->relay->view, KIND_CUSTOMER, x->customer),
+		    service)) {
+		exchange_refuse(x, 403, "service is not open to this customer",
+				RAN_NO, COUNTER_REFUSED_AUTH, 0);
+		return FILTER_DONE;
+	}
+	if (!take_deadline_(x, service))
+		return bad_input_(x, 400, "X-Deadline-Ms is malformed");
+	if (x->route == ROUTE_SERVICE) {
+		take_chat_(x, "");
+		mark = memchr(path.data, '?', path.len);
+		if (mark)
+			path.len = (size_t)(mark - path.data);
+	} else {
+		path = http_request_path(x->req);
+	}
+	x->once = service_runs_once(service, http_request_method(x->req), path);
+	x->echoes = service->echoes_request_id;
+	x->gap_ms = service->gap_ms;
+	x->urgency = urgency_(x);
+	str_to_int(http_request_header(x->req, "Last-Event-ID"), &x->last_id);
+	return FILTER_NEXT;
+}
+
+filter_result_t filter_once(exchange_t *x)
+{
+	str_t key = http_request_header(x->req, "Idempotency-Key");
+	message_t *m;
+
+	if (!x->once || x->once_hop == HOP_ONCE_SETTLED)
+		return FILTER_NEXT;
+	if (!key.len)
+		return bad_input_(x, 400, "this call needs an Idempotency-Key");
+	if (!once_key_ok(key))
+		return bad_input_(x, 400,
+				  "Idempotency-Key must be a key given by "
+				  "/v1/where or <unix seconds>-<unique text>");
+	if (!once_key_scope(x->customer, x->service, key, x->once_key,
+			    sizeof(x->once_key)))
+		return bad_input_(x, 400, "Idempotency-Key is too long");
+	m = message_new(MSG_ONCE_BEGIN);
+	m->once.id = x->id;
+	m->once.here = x->once_hop == HOP_ONCE_HERE;
+	g_strlcpy(m->once.key, x->once_key, sizeof(m->once.key));
+	task_post(x->relay->control, m);
+	return FILTER_WAIT;
+}
+
+filter_result_t filter_place(exchange_t *x)
+{
+	exchange_place(x);
+	return FILTER_WAIT;
+}
--- /dev/null
+++ b/packages/node/hop.c
@@ -0,0 +1,53 @@
+#include "private/hop.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#define MAC_BYTES 16
+#define HEX_BYTES (2 * MAC_BYTES + 1)
+
+static void sign_(const unsigned char *key, const char *request_id,
+		  const hop_t *h, char *hex)
+{
+	unsigned char mac[MAC_BYTES];
+	char *text = g_strdup_printf("hop %d %08x %d %s", h->count, h->target,
+				     h->once, request_id);
+
+	crypto_generichash(mac, sizeof(mac), (unsigned char *)text,
+			   strlen(text), key, PEER_KEY_BYTES);
+	sodium_bin2hex(hex, HEX_BYTES, mac, sizeof(mac));
+	g_free(text);
+}
+
+void hop_format(const unsigned char *key, const char *request_id,
+		const hop_t *h, char *out)
+{
+	char hex[HEX_BYTES];
+
+	sign_(key, request_id, h, hex);
+	snprintf(out, HOP_TEXT_MAX, "%d.%08x.%d.%s", h->count, h->target,
+		 h->once, hex);
+}
+
+bool hop_parse(const unsigned char *key, const char *request_id, str_t text,
+	       hop_t *h)
+{
+	char copy[HOP_TEXT_MAX];
+	char expected[HOP_TEXT_MAX];
+	int once;
+
+	if (!text.len || text.len >= sizeof(copy))
+		return false;
+	memcpy(copy, text.data, text.len);
+	copy[text.len] = '\0';
+	/* The signature covers all numbers, so a bad parse cannot pass. */
+	if (sscanf(copy, "%d.%8x.%d.", &h->count, &h->target, &once) != 3)
+		return false;
+	if (once < 0 || once >= HOP_ONCE_COUNT)
+		return false;
+	h->once = (hop_once_t)once;
+	hop_format(key, request_id, h, expected);
+	return strlen(expected) == text.len &&
+	       !sodium_memcmp(expected, copy, text.len);
+}
--- /dev/null
+++ b/packages/node/messages.c
@@ -0,0 +1,91 @@
+#include "private/messages.h"
+
+#include <string.h>
+
+static void entry_free_(gpointer p)
+{
+	roster_entry_t *e = p;
+
+	g_free(e->name);
+	g_free(e->callers);
+	g_free(e);
+}
+
+roster_t *roster_new(void)
+{
+	roster_t *r = g_new0(roster_t, 1);
+
+	r->refs = 1;
+	r->entries = g_ptr_array_new_with_free_func(entry_free_);
+	return r;
+}
+
+void roster_add(roster_t *r, const char *name, const char *callers)
+{
+	roster_entry_t *e = g_new0(roster_entry_t, 1);
+
+	e->name = g_strdup(name);
+	e->callers = g_strdup(callers);
+	g_ptr_array_add(r->entries, e);
+}
+
+const char *roster_find(const roster_t *r, const char *name)
+{
+	for (guint i = 0; r && i < r->entries->len; i++) {
+		const roster_entry_t *e = r->entries->pdata[i];
+
+		if (!strcmp(e->name, name))
+			return e->callers;
+	}
+	return NULL;
+}
+
+roster_t *roster_ref(roster_t *r)
+{
+	g_atomic_int_inc(&r->refs);
+	return r;
+}
+
+void roster_unref(roster_t *r)
+{
+	if (!r || !g_atomic_int_dec_and_test(&r->refs))
+		return;
+	g_ptr_array_unref(r->entries);
+	g_free(r);
+}
+
+message_t *message_new(message_type_t type)
+{
+	message_t *m = g_new0(message_t, 1);
+
+	m->type = type;
+	return m;
+}
+
+void message_free(message_t *m)
+{
+	switch (m->type) {
+	case MSG_VIEW:
+		view_unref(m->view);
+		break;
+	case MSG_ROSTER:
+		roster_unref(m->roster);
+		break;
+	case MSG_TRACE:
+		if (m->trace.steps)
+			g_string_free(m->trace.steps, TRUE);
+		break;
+	case MSG_ONCE_BEGIN:
+	case MSG_ONCE_END:
+		if (m->once.body)
+			g_bytes_unref(m->once.body);
+		break;
+	case MSG_ONCE_ANSWER:
+		if (m->once_reply.body)
+			g_bytes_unref(m->once_reply.body);
+		break;
+	default:
+		break;
+	}
+	g_free(m);
+}
--- /dev/null
+++ b/packages/node/once_key.c
@@ -0,0 +1,116 @@
+#include "private/once_key.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#define KEY_MAX 100
+#define TIME_DIGITS 10
+#define NONCE_BYTES 8
+#define MAC_BYTES 8
+#define PREFIX "kcf."
+
+static bool chars_ok_(str_t key)
+{
+	for (size_t i = 0; i < key.len; i++) {
+		if (!g_ascii_isalnum(key.data[i]) &&
+		    !strchr("-_.:", key.data[i]))
+			return false;
+	}
+	return key.len > 0 && key.len <= KEY_MAX;
+}
+
+bool once_key_ok(str_t key)
+{
+	int64_t t;
+
+	if (!chars_ok_(key))
+		return false;
+	if (str_starts(key, str_of(PREFIX)))
+		return true;
+	if (key.len < TIME_DIGITS + 2 || key.data[TIME_DIGITS] != '-')
+		return false;
+	return str_to_int((str_t){ key.data, TIME_DIGITS }, &t) && t > 0;
+}
+
+int64_t once_key_time(str_t key)
+{
+	int64_t t = 0;
+
+	str_to_int((str_t){ key.data, TIME_DIGITS }, &t);
+	return t;
+}
+
+bool once_key_scope(const char *customer, const char *service, str_t key,
+		    char *out, size_t size)
+{
+	int n = snprintf(out, size, "%s/%s/%.*s", customer, service,
+			 (int)key.len, key.data);
+
+	return n > 0 && (size_t)n < size;
+}
+
+str_t once_key_unscoped(const char *scoped)
+{
+	const char *slash = strrchr(scoped, '/');
+
+	return str_of(slash ? slash + 1 : scoped);
+}
+
+static void sign_(const unsigned char *peer_key, const char *text, char *hex)
+{
+	unsigned char mac[crypto_generichash_BYTES_MIN];
+
+	crypto_generichash(mac, sizeof(mac), (const unsigned char *)text,
+			   strlen(text), peer_key, PEER_KEY_BYTES);
+	sodium_bin2hex(hex, 2 * MAC_BYTES + 1, mac, MAC_BYTES);
+}
+
+void once_key_issue(const unsigned char *peer_key, const char *node,
+		    uint64_t incarnation, mstime_t wall, char *out)
+{
+	unsigned char nonce[NONCE_BYTES];
+	char nonce_hex[2 * NONCE_BYTES + 1];
+	char mac_hex[2 * MAC_BYTES + 1];
+	char text[ONCE_ISSUED_MAX];
+
+	randombytes_buf(nonce, sizeof(nonce));
+	sodium_bin2hex(nonce_hex, sizeof(nonce_hex), nonce, sizeof(nonce));
+	snprintf(text, sizeof(text), "%s:%lx:%lld:%s", node,
+		 (unsigned long)incarnation, (long long)(wall / MSEC_PER_SEC),
+		 nonce_hex);
+	sign_(peer_key, text, mac_hex);
+	snprintf(out, ONCE_ISSUED_MAX, PREFIX "%.110s:%s", text, mac_hex);
+}
+
+bool once_key_issued(const unsigned char *peer_key, str_t key,
+		     once_issued_t *out)
+{
+	char *copy;
+	char *mac;
+	char expected[2 * MAC_BYTES + 1];
+	unsigned long incarnation;
+	long long at;
+	bool ok;
+
+	if (!str_starts(key, str_of(PREFIX)))
+		return false;
+	copy = str_dup(str_skip(key, strlen(PREFIX)));
+	mac = strrchr(copy, ':');
+	if (!mac) {
+		g_free(copy);
+		return false;
+	}
+	*mac++ = '\0';
+	sign_(peer_key, copy, expected);
+	ok = strlen(mac) == 2 * MAC_BYTES &&
+	     !sodium_memcmp(mac, expected, 2 * MAC_BYTES) &&
+	     sscanf(copy, "%63[^:]:%lx:%lld:", out->node, &incarnation, &at) ==
+		     3;
+	if (ok) {
+		out->incarnation = incarnation;
+		out->at_s = at;
+	}
+	g_free(copy);
+	return ok;
+}
--- /dev/null
+++ b/packages/node/private/control.h
@@ -0,0 +1,158 @@
+/*
+ * control - the task that owns membership, configuration and decisions.
+ */
+#ifndef KCF_PRIVATE_CONTROL_H
+#define KCF_PRIVATE_CONTROL_H
+
+#include "messages.h"
+#include "relay.h"
+#include <kcf/config.h>
+#include <kcf/counter.h>
+#include <kcf/http_client.h>
+#include <kcf/http_server.h>
+#include <kcf/member.h>
+#include <kcf/platform.h>
+#include <kcf/settings.h>
+#include <kcf/task.h>
+
+/* Bucket of bytes that control traffic may take. */
+typedef struct budget {
+	int64_t rate; /* bytes a second */
+	double saved;
+	mstime_t filled;
+} budget_t;
+
+/* A change that an operator waits for. */
+typedef struct pending_change {
+	char id[64];
+	http_request_t *req; /* NULL once the operator is gone */
+	resource_kind_t kind;
+	char *name;
+	bool deletes;
+	bool appended; /* the log took it, or may have */
+	mstime_t deadline;
+} pending_change_t;
+
+/* An operator's stream of changes. */
+typedef struct watcher {
+	http_request_t *req;
+	resource_kind_t kind; /* KIND_COUNT for all */
+} watcher_t;
+
+struct once_book;
+
+typedef struct control {
+	task_t task;
+	relay_t *relay;
+	const settings_t *settings;
+	uint64_t incarnation;
+	node_phase_t phase;
+	mstime_t leave_at; /* end of a graceful stop, or 0 */
+	void (*stopped)(void *arg);
+	void *stopped_arg;
+
+	http_client_t http;
+	http_server_t operators;
+	ev_timer tick;
+
+	/* peers */
+	int socket;
+	ev_io socket_io;
+	members_t members;
+	budget_t budget;
+	bool roster_changed;
+	bool isolated;
+	mstime_t next_hosts;
+	host_list_client_t hosts;
+
+	/* configuration */
+	config_t config;
+	log_client_t log;
+	bool log_reading;
+	bool log_ok;	/* the last read succeeded */
+	bool caught_up; /* the end of the stream has been seen */
+	mstime_t next_read;
+	mstime_t next_keep;
+	mstime_t next_catch_up;
+	GHashTable *changes; /* id to pending_change_t * */
+	GPtrArray *watchers; /* watcher_t * */
+
+	/* decisions */
+	sched_t sched;
+	mstime_t next_loads;
+	GHashTable *polling; /* keys of upstreams whose report is awaited */
+	mstime_t paused_at;
+
+	/* run-once */
+	struct once_book *once;
+
+	/* explanations */
+	GHashTable *traces; /* request id to GString * */
+	GQueue *trace_order;
+} control_t;
+
+/*
+ * control_init - prepares the task.
+ * @stopped: called on the task's thread once a graceful stop is complete
+ */
+void control_init(control_t *c, const settings_t *settings,
+		  uint64_t incarnation, void (*stopped)(void *arg), void *arg);
+bool control_start(control_t *c, relay_t *relay);
+void control_stop(control_t *c);
+void control_finish(control_t *c);
+
+/*
+ * control_leave - begins a graceful stop; to be posted through the task.
+ */
+void control_leave(control_t *c);
+
+/*
+ * budget_take - asks to spend bytes of control traffic.
+ * @must: spend even what is not saved; it is then missing later
+ *
+ * Return: false when the budget does not allow it.
+ */
+bool budget_take(budget_t *b, mstime_t now, int64_t bytes, bool must);
+
+/* control_peers.c */
+bool peers_start(control_t *c);
+void peers_stop(control_t *c);
+void peers_tick(control_t *c, mstime_t now);
+void peers_send_loan(control_t *c, const char *node, const power_loan_t *loan);
+void peers_roster(control_t *c, mstime_t now);
+
+/* control_config.c */
+void stream_start(control_t *c);
+void stream_stop(control_t *c);
+void stream_tick(control_t *c, mstime_t now);
+/*
+ * stream_propose - appends an operator's change and remembers who waits.
+ */
+void stream_propose(control_t *c, http_request_t *req,
+		    const config_proposal_t *p);
+void stream_operator_gone(control_t *c, http_request_t *req);
+/*
+ * stream_caught_up - whether the configuration is as new as any heard of.
+ */
+bool stream_caught_up(const control_t *c);
+
+/* control_loads.c */
+void loads_tick(control_t *c, mstime_t now);
+
+/* control_once.c */
+void once_start(control_t *c);
+void once_stop(control_t *c);
+void once_tick(control_t *c, mstime_t now);
+void once_begin(control_t *c, const once_question_t *q);
+void once_end(control_t *c, const once_question_t *q);
+
+/* operators.c */
+bool operators_start(control_t *c);
+void operators_stop(control_t *c);
+void operators_notify(control_t *c, const resource_t *r);
+void operators_problem(http_request_t *req, unsigned int status,
+		       const char *title, const char *ran, GPtrArray *faults);
+void operators_json(http_request_t *req, unsigned int status, json_t *body,
+		    const char *etag);
+
+#endif
--- /dev/null
+++ b/packages/node/private/exchange.h
@@ -0,0 +1,183 @@
+/*
+ * exchange - one request from its caller to its final answer.
+ *
+ * A request runs through a chain of filters. Each filter either lets it pass,
+ * answers it, or waits for a message after which the chain goes on.
+ */
+#ifndef KCF_PRIVATE_EXCHANGE_H
+#define KCF_PRIVATE_EXCHANGE_H
+
+#include "hop.h"
+#include "relay.h"
+#include <kcf/counter.h>
+#include <kcf/sse.h>
+
+/* Whether a request has run at an upstream, as told to the caller. */
+typedef enum ran {
+	RAN_NO,
+	RAN_UNKNOWN,
+	RAN_YES,
+} ran_t;
+
+typedef enum route {
+	ROUTE_WHERE,
+	ROUTE_MODELS,
+	ROUTE_CHAT,
+	ROUTE_SERVICE,
+} route_t;
+
+typedef enum filter_result {
+	FILTER_NEXT, /* go on with the next filter */
+	FILTER_WAIT, /* exchange_continue will be called */
+	FILTER_DONE, /* the request has its answer */
+} filter_result_t;
+
+typedef struct exchange {
+	uint64_t id;
+	relay_t *relay;
+	http_request_t *req;
+	size_t filter; /* index of the filter that is next */
+
+	/* identify */
+	route_t route;
+	char request_id[TRACE_ID_MAX];
+	str_t subpath; /* below the service, query included */
+	GString *subpath_text;
+
+	/* authorise */
+	char customer[SCHED_NAME_MAX];
+	double weight;
+
+	/* classify */
+	char service[SCHED_NAME_MAX];
+	char model[SCHED_NAME_MAX];
+	bool once;
+	bool streamed; /* the caller asked for a stream */
+	bool sticky;
+	bool echoes;
+	uint64_t chat;
+	int urgency;
+	mstime_t deadline;
+	mstime_t gap_ms;
+	int64_t prompt_tokens;
+
+	/* run-once */
+	char once_key[ONCE_KEY_MAX];
+	bool once_held;	     /* this try is the one that may run */
+	hop_once_t once_hop; /* as told by the node that handed it on */
+
+	/* place */
+	int hop;
+	uint32_t target;
+	uint32_t exclude[SCHED_EXCLUDE_MAX];
+	int excluded;
+	char avoid[SCHED_NAME_MAX];
+	sched_answer_t placed;
+	bool placing; /* a question is open at the control task */
+	bool permit;  /* the control task counts it as running */
+
+	/* send and relay */
+	http_call_t *call;
+	GString *body; /* of an answer that is not streamed */
+	sse_t events;
+	bool streaming; /* the head of a stream has gone to the caller */
+	bool finished;	/* the last event was seen */
+	bool crossed;	/* the answer belongs to another request */
+	bool paused;
+	bool sent; /* bytes may have reached an upstream at some time */
+	int64_t last_id;
+	int attempts;
+	mstime_t started;
+	mstime_t sent_at;
+	mstime_t heard_at; /* last byte from upstream */
+	mstime_t wrote_at; /* last byte to the caller */
+	mstime_t first_token_ms;
+	int64_t told_prompt;
+	int64_t told_cached;
+	uint64_t told_start;
+	ev_timer kick; /* looks at the call outside of its own functions */
+	GString *trace;
+} exchange_t;
+
+/*
+ * exchange_new - takes a request of the callers' server.
+ */
+exchange_t *exchange_new(relay_t *relay, http_request_t *req);
+
+/*
+ * exchange_run - runs filters until one waits or answers.
+ */
+void exchange_run(exchange_t *x);
+
+/*
+ * exchange_gone - the caller is gone or has its answer; frees the exchange.
+ */
+void exchange_gone(exchange_t *x, bool whole);
+
+/*
+ * exchange_refuse - final problem answer.
+ * @counter: counter of the refusal's kind
+ * @retry_ms: time after which the caller may come back; 0 for none
+ */
+void exchange_refuse(exchange_t *x, unsigned int status, const char *title,
+		     ran_t ran, counter_t counter, mstime_t retry_ms);
+
+/*
+ * exchange_reply - final JSON answer of the node itself.
+ */
+void exchange_reply(exchange_t *x, unsigned int status, json_t *body);
+
+/*
+ * exchange_trace - notes one step for the explanation of the request.
+ */
+void exchange_trace(exchange_t *x, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+/*
+ * exchange_place - asks the control task for a place.
+ */
+void exchange_place(exchange_t *x);
+
+/*
+ * exchange_placed - takes the control task's answer.
+ */
+void exchange_placed(exchange_t *x, const sched_answer_t *a);
+
+/*
+ * exchange_once - takes the answer on a run-once key.
+ */
+void exchange_once(exchange_t *x, const once_reply_t *r);
+
+/*
+ * exchange_once_end - tells the control task how a run-once try ended.
+ */
+void exchange_once_end(exchange_t *x, bool ran, int status, str_t body,
+		       const char *content_type);
+
+/*
+ * exchange_where - takes the addresses for a caller.
+ */
+void exchange_where(exchange_t *x, const where_reply_t *w);
+
+/*
+ * exchange_send - starts the call to the place given.
+ */
+void exchange_send(exchange_t *x);
+
+/*
+ * exchange_abort - closes the call, if there is one, and gives up the permit.
+ */
+void exchange_abort(exchange_t *x, sched_result_t result);
+
+/*
+ * exchange_sweep - looks at silence, deadlines and heartbeats.
+ */
+void exchange_sweep(exchange_t *x, mstime_t now);
+
+/* The filters, in order. */
+filter_result_t filter_identify(exchange_t *x);
+filter_result_t filter_authorise(exchange_t *x);
+filter_result_t filter_classify(exchange_t *x);
+filter_result_t filter_once(exchange_t *x);
+filter_result_t filter_place(exchange_t *x);
+
+#endif
--- /dev/null
+++ b/packages/state/config.c
@@ -0,0 +1,550 @@
+#include <kcf/config.h>
+
+#include <assert.h>
+#include <string.h>
+
+/* Proposal ids remembered against repeated appends. */
+#define SEEN_MAX 8192
+#define AUDIT_MAX 10000
+#define RECORD_FORMAT 1
+#define ID_MAX 63
+
+const char *const config_verdict_string[] = {
+	"applied", "conflict", "invalid",    "repeated",
+	"kept",	   "stale",    "unreadable",
+};
+
+/* A record read from the stream; strings belong to the JSON tree. */
+typedef struct record {
+	bool keep;
+	const char *id;
+	uint64_t base;
+	resource_kind_t kind;
+	const char *name;
+	json_t *body;
+	const char *operator_name;
+	const char *reason;
+	mstime_t at;
+} record_t;
+
+static void resource_free_(gpointer p);
+static void audit_free_(gpointer p);
+static char *key_(resource_kind_t kind, const char *name);
+static resource_t *lookup_(const config_t *c, resource_kind_t kind,
+			   const char *name);
+static bool parse_(const json_t *root, record_t *rec);
+static void put_(config_t *c, uint64_t offset, mstime_t wall,
+		 const record_t *rec);
+static void apply_keep_(config_t *c, uint64_t offset, mstime_t wall,
+			const record_t *rec, config_result_t *out);
+static void apply_put_(config_t *c, uint64_t offset, mstime_t wall,
+		       const record_t *rec, config_result_t *out);
+static void remember_(config_t *c, const char *id);
+static void note_(config_t *c, uint64_t offset, const record_t *rec,
+		  config_verdict_t verdict, const json_t *before);
+
+void config_init(config_t *c)
+{
+	assert(c);
+	*c = (config_t){ 0 };
+	c->resources = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     resource_free_);
+	c->seen = g_hash_table_new(g_str_hash, g_str_equal);
+	c->seen_order = g_queue_new();
+	c->audit = g_queue_new();
+}
+
+void config_finish(config_t *c)
+{
+	g_hash_table_destroy(c->resources);
+	g_hash_table_destroy(c->seen);
+	g_queue_free_full(c->seen_order, g_free);
+	g_queue_free_full(c->audit, audit_free_);
+}
+
+static char *render_(json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
+	free(text);
+	json_decref(root);
+	return copy;
+}
+
+static void set_body_(json_t *root, const json_t *body)
+{
+	if (body)
+		json_object_set(root, "body", (json_t *)body);
+	else
+		json_object_set_new(root, "body", json_null());
+}
+
+char *config_record(const config_proposal_t *p)
+{
+	json_t *root = json_pack(
+		"{s:i,s:s,s:s,s:I,s:s,s:s,s:s,s:s,s:I}", "v", RECORD_FORMAT,
+		"type", "put", "id", p->id, "base", (json_int_t)p->base, "kind",
+		resource_kind_string[p->kind], "name", p->name, "operator",
+		p->operator_name, "reason", p->reason, "at", (json_int_t)p->at);
+
+	set_body_(root, p->body);
+	return render_(root);
+}
+
+char *config_keep_record(const resource_t *r)
+{
+	json_t *root = json_pack("{s:i,s:s,s:s,s:I,s:s,s:s,s:s,s:s,s:I}", "v",
+				 RECORD_FORMAT, "type", "keep", "id", "",
+				 "base", (json_int_t)r->version, "kind",
+				 resource_kind_string[r->kind], "name", r->name,
+				 "operator", r->operator_name, "reason",
+				 r->reason, "at", (json_int_t)r->changed_at);
+
+	set_body_(root, r->body);
+	return render_(root);
+}
+
+void config_apply(config_t *c, uint64_t offset, mstime_t wall, str_t text,
+		  config_result_t *out)
+{
+	json_t *root;
+	record_t rec = { 0 };
+
+	assert(c && out);
+	*out = (config_result_t){ .verdict = CONFIG_STALE };
+	if (offset <= c->applied)
+		return;
+	c->applied = offset;
+	root = json_loadb(text.data ? text.data : "", text.len, 0, NULL);
+	if (!root || !parse_(root, &rec))
+		out->verdict = CONFIG_UNREADABLE;
+	else if (rec.keep)
+		apply_keep_(c, offset, wall, &rec, out);
+	else
+		apply_put_(c, offset, wall, &rec, out);
+	if (rec.name)
+		out->version = config_version(c, rec.kind, rec.name);
+	json_decref(root);
+}
+
+void config_result_finish(config_result_t *r)
+{
+	if (r->faults)
+		g_ptr_array_unref(r->faults);
+	r->faults = NULL;
+}
+
+void config_skip(config_t *c, uint64_t offset)
+{
+	c->applied = MAX(c->applied, offset);
+}
+
+static void apply_keep_(config_t *c, uint64_t offset, mstime_t wall,
+			const record_t *rec, config_result_t *out)
+{
+	resource_t *r = lookup_(c, rec->kind, rec->name);
+	GPtrArray *faults = schema_faults_new();
+
+	out->verdict = CONFIG_KEPT;
+	if (r && r->version == rec->base) {
+		r->recorded = offset;
+		r->recorded_at = wall;
+	} else if (!r || r->version < rec->base) {
+		/* The record that made it has left the stream already. */
+		if (!rec->body ||
+		    schema_check(rec->body, resource_fields(rec->kind), "",
+				 faults))
+			put_(c, offset, wall, rec);
+		else
+			out->verdict = CONFIG_INVALID;
+	}
+	g_ptr_array_unref(faults);
+}
+
+static void apply_put_(config_t *c, uint64_t offset, mstime_t wall,
+		       const record_t *rec, config_result_t *out)
+{
+	const resource_t *r = lookup_(c, rec->kind, rec->name);
+	json_t *before = r && r->body ? json_incref(r->body) : NULL;
+	config_proposal_t p = {
+		.base = rec->base,
+		.kind = rec->kind,
+		.name = rec->name,
+		.body = rec->body,
+	};
+
+	g_strlcpy(out->id, rec->id, sizeof(out->id));
+	if (g_hash_table_contains(c->seen, rec->id)) {
+		out->verdict = CONFIG_REPEATED;
+		json_decref(before);
+		return;
+	}
+	remember_(c, rec->id);
+	out->faults = schema_faults_new();
+	if (config_version(c, rec->kind, rec->name) != rec->base) {
+		out->verdict = CONFIG_CONFLICT;
+	} else if (!config_check(c, &p, out->faults)) {
+		out->verdict = CONFIG_INVALID;
+	} else {
+		record_t made = *rec;
+
+		out->verdict = CONFIG_APPLIED;
+		made.base = offset;
+		put_(c, offset, wall, &made);
+	}
+	note_(c, offset, rec, out->verdict, before);
+	json_decref(before);
+}
+
+/* Stores a record's content under version rec->base. */
+static void put_(config_t *c, uint64_t offset, mstime_t wall,
+		 const record_t *rec)
+{
+	resource_t *r = g_new0(resource_t, 1);
+
+	r->kind = rec->kind;
+	r->name = g_strdup(rec->name);
+	r->version = rec->base;
+	r->recorded = offset;
+	r->recorded_at = wall;
+	r->body = rec->body ? json_incref(rec->body) : NULL;
+	r->operator_name = g_strdup(rec->operator_name);
+	r->reason = g_strdup(rec->reason);
+	r->changed_at = rec->at;
+	g_hash_table_replace(c->resources, key_(rec->kind, rec->name), r);
+}
+
+typedef struct ref_check {
+	const config_t *config;
+	GPtrArray *faults;
+	/* The resource to be deleted, or unset. */
+	const char *kind;
+	const char *name;
+	const char *holder;
+} ref_check_t;
+
+static void check_ref_(void *arg, const char *field, const char *kind,
+		       const char *name)
+{
+	ref_check_t *check = arg;
+
+	if (config_find(check->config, resource_kind_of(str_of(kind)), name))
+		return;
+	schema_fault_add(check->faults, field, "there is no %s named %s", kind,
+			 name);
+}
+
+static void check_holder_(void *arg, const char *field, const char *kind,
+			  const char *name)
+{
+	ref_check_t *check = arg;
+
+	if (strcmp(kind, check->kind) != 0 || strcmp(name, check->name) != 0)
+		return;
+	schema_fault_add(check->faults, field, "still named by %s",
+			 check->holder);
+}
+
+static void check_delete_(const config_t *c, const config_proposal_t *p,
+			  GPtrArray *faults)
+{
+	GPtrArray *all = config_list(c, KIND_COUNT);
+
+	for (guint i = 0; i < all->len; i++) {
+		const resource_t *r = all->pdata[i];
+		char *holder = key_(r->kind, r->name);
+		ref_check_t check = { c, faults, resource_kind_string[p->kind],
+				      p->name, holder };
+
+		schema_each_ref(r->body, resource_fields(r->kind),
+				check_holder_, &check);
+		g_free(holder);
+	}
+	g_ptr_array_unref(all);
+}
+
+bool config_check(const config_t *c, const config_proposal_t *p,
+		  GPtrArray *faults)
+{
+	guint before = faults->len;
+	ref_check_t check = { .config = c, .faults = faults };
+
+	if (!schema_name_ok(str_of(p->name)))
+		schema_fault_add(faults, "name", "is not a valid name");
+	if (!p->body) {
+		check_delete_(c, p, faults);
+		return faults->len == before;
+	}
+	if (schema_check(p->body, resource_fields(p->kind), "", faults))
+		schema_each_ref(p->body, resource_fields(p->kind), check_ref_,
+				&check);
+	return faults->len == before;
+}
+
+const resource_t *config_find(const config_t *c, resource_kind_t kind,
+			      const char *name)
+{
+	const resource_t *r = lookup_(c, kind, name);
+
+	return r && r->body ? r : NULL;
+}
+
+const resource_t *config_latest(const config_t *c, resource_kind_t kind,
+				const char *name)
+{
+	return lookup_(c, kind, name);
+}
+
+uint64_t config_version(const config_t *c, resource_kind_t kind,
+			const char *name)
+{
+	const resource_t *r = lookup_(c, kind, name);
+
+	return r ? r->version : 0;
+}
+
+static gint by_name_(gconstpointer a, gconstpointer b)
+{
+	const resource_t *ra = *(const resource_t *const *)a;
+	const resource_t *rb = *(const resource_t *const *)b;
+
+	if (ra->kind != rb->kind)
+		return ra->kind < rb->kind ? -1 : 1;
+	return strcmp(ra->name, rb->name);
+}
+
+GPtrArray *config_list(const config_t *c, resource_kind_t kind)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->resources);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const resource_t *r = value;
+
+		if (r->body && (kind == KIND_COUNT || r->kind == kind))
+			g_ptr_array_add(list, value);
+	}
+	g_ptr_array_sort(list, by_name_);
+	return list;
+}
+
+GPtrArray *config_due(const config_t *c, mstime_t older_than)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->resources);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((resource_t *)value)->recorded_at < older_than)
+			g_ptr_array_add(list, value);
+	}
+	g_ptr_array_sort(list, by_name_);
+	return list;
+}
+
+json_t *resource_json(const resource_t *r)
+{
+	json_t *o = json_pack("{s:s,s:s,s:I,s:s,s:s,s:I}", "kind",
+			      resource_kind_string[r->kind], "name", r->name,
+			      "version", (json_int_t)r->version, "operator",
+			      r->operator_name, "reason", r->reason, "at",
+			      (json_int_t)r->changed_at);
+
+	set_body_(o, r->body);
+	return o;
+}
+
+json_t *audit_json(const audit_entry_t *e)
+{
+	json_t *o = json_pack("{s:I,s:s,s:s,s:s,s:s,s:s,s:s,s:I}", "offset",
+			      (json_int_t)e->offset, "verdict",
+			      config_verdict_string[e->verdict], "id", e->id,
+			      "kind", resource_kind_string[e->kind], "name",
+			      e->name, "operator", e->operator_name, "reason",
+			      e->reason, "at", (json_int_t)e->at);
+
+	json_object_set_new(o, "before",
+			    e->before ? json_incref(e->before) : json_null());
+	json_object_set_new(o, "after",
+			    e->after ? json_incref(e->after) : json_null());
+	return o;
+}
+
+json_t *config_snapshot(const config_t *c)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->resources);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const resource_t *r = value;
+		json_t *o = resource_json(r);
+
+		json_object_set_new(o, "recorded",
+				    json_integer((json_int_t)r->recorded));
+		json_object_set_new(o, "recorded_at",
+				    json_integer(r->recorded_at));
+		json_array_append_new(list, o);
+	}
+	return json_pack("{s:i,s:I,s:o}", "v", RECORD_FORMAT, "applied",
+			 (json_int_t)c->applied, "resources", list);
+}
+
+static bool restore_one_(config_t *c, const json_t *o)
+{
+	record_t rec;
+	json_t *copy = json_copy((json_t *)o);
+	json_int_t recorded = 0;
+	json_int_t recorded_at = 0;
+	bool ok;
+
+	json_object_set(copy, "base", json_object_get(o, "version"));
+	json_object_set_new(copy, "id", json_string(""));
+	json_object_set_new(copy, "type", json_string("keep"));
+	json_object_set_new(copy, "v", json_integer(RECORD_FORMAT));
+	ok = parse_(copy, &rec) &&
+	     json_unpack(copy, "{s:I,s:I}", "recorded", &recorded,
+			 "recorded_at", &recorded_at) == 0;
+	if (ok)
+		put_(c, (uint64_t)recorded, recorded_at, &rec);
+	json_decref(copy);
+	return ok;
+}
+
+bool config_restore(config_t *c, const json_t *snapshot)
+{
+	config_t fresh;
+	json_int_t applied;
+	json_t *list;
+	json_t *o;
+	size_t i;
+	bool ok = true;
+
+	if (json_unpack((json_t *)snapshot, "{s:I,s:o}", "applied", &applied,
+			"resources", &list) != 0)
+		return false;
+	if (applied <= 0 || (uint64_t)applied <= c->applied)
+		return false;
+	config_init(&fresh);
+	json_array_foreach (list, i, o)
+		ok = ok && restore_one_(&fresh, o);
+	if (ok) {
+		GHashTable *old = c->resources;
+
+		c->resources = fresh.resources;
+		c->applied = (uint64_t)applied;
+		fresh.resources = old;
+	}
+	config_finish(&fresh);
+	return ok;
+}
+
+static bool parse_(const json_t *root, record_t *rec)
+{
+	const char *type;
+	const char *kind;
+	json_int_t base;
+	json_int_t at;
+	int format;
+
+	*rec = (record_t){ 0 };
+	if (json_unpack((json_t *)root,
+			"{s:i,s:s,s:s,s:I,s:s,s:s,s:o,s:s,s:s,s:I}", "v",
+			&format, "type", &type, "id", &rec->id, "base", &base,
+			"kind", &kind, "name", &rec->name, "body", &rec->body,
+			"operator", &rec->operator_name, "reason", &rec->reason,
+			"at", &at) != 0) {
+		rec->name = NULL;
+		return false;
+	}
+	rec->kind = resource_kind_of(str_of(kind));
+	rec->base = (uint64_t)base;
+	rec->at = at;
+	rec->keep = !strcmp(type, "keep");
+	if (json_is_null(rec->body))
+		rec->body = NULL;
+	if (rec->kind == KIND_COUNT || base < 0 || format != RECORD_FORMAT ||
+	    strlen(rec->id) > ID_MAX || !schema_name_ok(str_of(rec->name)) ||
+	    (!rec->keep && (strcmp(type, "put") != 0 || !rec->id[0]))) {
+		rec->name = NULL;
+		return false;
+	}
+	return true;
+}
+
+static char *key_(resource_kind_t kind, const char *name)
+{
+	return g_strdup_printf("%s/%s", resource_kind_string[kind], name);
+}
+
+static resource_t *lookup_(const config_t *c, resource_kind_t kind,
+			   const char *name)
+{
+	char *key = key_(kind, name);
+	resource_t *r = g_hash_table_lookup(c->resources, key);
+
+	g_free(key);
+	return r;
+}
+
+static void remember_(config_t *c, const char *id)
+{
+	char *copy = g_strdup(id);
+
+	g_hash_table_add(c->seen, copy);
+	g_queue_push_tail(c->seen_order, copy);
+	if (g_queue_get_length(c->seen_order) <= SEEN_MAX)
+		return;
+	copy = g_queue_pop_head(c->seen_order);
+	g_hash_table_remove(c->seen, copy);
+	g_free(copy);
+}
+
+static void note_(config_t *c, uint64_t offset, const record_t *rec,
+		  config_verdict_t verdict, const json_t *before)
+{
+	audit_entry_t *e = g_new0(audit_entry_t, 1);
+
+	e->offset = offset;
+	e->verdict = verdict;
+	e->id = g_strdup(rec->id);
+	e->kind = rec->kind;
+	e->name = g_strdup(rec->name);
+	e->operator_name = g_strdup(rec->operator_name);
+	e->reason = g_strdup(rec->reason);
+	e->at = rec->at;
+	e->before = json_incref((json_t *)before);
+	e->after = json_incref(rec->body);
+	g_queue_push_tail(c->audit, e);
+	if (g_queue_get_length(c->audit) > AUDIT_MAX)
+		audit_free_(g_queue_pop_head(c->audit));
+}
+
+static void resource_free_(gpointer p)
+{
+	resource_t *r = p;
+
+	g_free(r->name);
+	g_free(r->operator_name);
+	g_free(r->reason);
+	json_decref(r->body);
+	g_free(r);
+}
+
+static void audit_free_(gpointer p)
+{
+	audit_entry_t *e = p;
+
+	g_free(e->id);
+	g_free(e->name);
+	g_free(e->operator_name);
+	g_free(e->reason);
+	json_decref(e->before);
+	json_decref(e->after);
+	g_free(e);
+}
--- /dev/null
+++ b/packages/wire/peer.x
@@ -0,0 +1,66 @@
+/*
+ * Datagrams between nodes: one-way ONC RPC calls over UDP.
+ */
+
+const PEER_NAME_MAX = 63;
+const PEER_ADDRESS_MAX = 21;
+const PEER_UPDATES_MAX = 8;
+const PEER_FACTS_MAX = 24;
+const PEER_LOADS_MAX = 40;
+const PEER_LOANS_MAX = 8;
+
+/* What is known of one node. */
+struct peer_update_t {
+	string name<PEER_NAME_MAX>;
+	string data_centre<PEER_NAME_MAX>;
+	string region<PEER_NAME_MAX>;
+	string peer<PEER_ADDRESS_MAX>;
+	string callers<PEER_ADDRESS_MAX>;
+	string operators<PEER_ADDRESS_MAX>;
+	unsigned hyper incarnation;
+	unsigned int state;
+};
+
+/* Highest configuration offset in force on one node. */
+struct peer_fact_t {
+	unsigned int node;
+	unsigned hyper applied;
+};
+
+/* Load of one upstream as its owner counts it. */
+struct peer_load_t {
+	unsigned int upstream;
+	unsigned int stamp;
+	unsigned int outstanding;
+	unsigned int limit;
+	unsigned int weight;
+};
+
+/* Power lent by the owner of one upstream to the owner of another. */
+struct peer_loan_t {
+	unsigned int donor;
+	unsigned int borrower;
+	unsigned int milliwatts;
+	unsigned hyper expires;
+};
+
+struct peer_message_t {
+	unsigned int seq;
+	unsigned hyper sent;
+	string from<PEER_NAME_MAX>;
+	unsigned hyper incarnation;
+	string target<PEER_NAME_MAX>;
+	peer_update_t updates<PEER_UPDATES_MAX>;
+	peer_fact_t facts<PEER_FACTS_MAX>;
+	peer_load_t loads<PEER_LOADS_MAX>;
+	peer_loan_t loans<PEER_LOANS_MAX>;
+};
+
+program PEER_PROGRAM {
+	version PEER_VERSION {
+		void PEER_PING(peer_message_t) = 1;
+		void PEER_ACK(peer_message_t) = 2;
+		void PEER_PING_REQ(peer_message_t) = 3;
+		void PEER_LOAN(peer_message_t) = 4;
+	} = 1;
+} = 0x20004b43;
--- /dev/null
+++ b/tests/unit/fixture.h
@@ -0,0 +1,23 @@
+/*
+ * fixture - small configurations for tests.
+ */
+#ifndef KCF_FIXTURE_H
+#define KCF_FIXTURE_H
+
+#include <kcf/config.h>
+
+/*
+ * fixture_put - puts one resource; the record takes the next offset.
+ * @body: JSON text, or NULL to delete
+ */
+void fixture_put(config_t *c, resource_kind_t kind, const char *name,
+		 const char *body);
+
+/*
+ * fixture_fleet - data centres d1 and d2, service "svc" of model "m", plain
+ * service "plain", customer "c" with key "key", and upstreams e0, e1, ... of
+ * 8 slots without ramp.
+ */
+void fixture_fleet(config_t *c, int upstreams);
+
+#endif
--- /dev/null
+++ b/tests/unit/main.c
@@ -0,0 +1,40 @@
+#include "suites.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const struct {
+	const char *name;
+	Suite *(*make)(void);
+} suites[] = {
+	{ "config", config_suite },	{ "datagram", datagram_suite },
+	{ "fairq", fairq_suite },	{ "hop", hop_suite },
+	{ "limit", limit_suite },	{ "logline", logline_suite },
+	{ "lru", lru_suite },		{ "member", member_suite },
+	{ "once", once_suite },		{ "once_key", once_key_suite },
+	{ "power", power_suite },	{ "rank", rank_suite },
+	{ "schema", schema_suite },	{ "sched", sched_suite },
+	{ "settings", settings_suite }, { "sse", sse_suite },
+	{ "str", str_suite },		{ "view", view_suite },
+};
+
+/* usage: kcf-unit SUITE */
+int main(int argc, char **argv)
+{
+	SRunner *runner = NULL;
+	int failed;
+
+	if (sodium_init() < 0)
+		return EXIT_FAILURE;
+	for (size_t i = 0; i < sizeof(suites) / sizeof(suites[0]); i++) {
+		if (argc == 2 && !strcmp(argv[1], suites[i].name))
+			runner = srunner_create(suites[i].make());
+	}
+	if (!runner)
+		return EXIT_FAILURE;
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/unit/suites.h
@@ -0,0 +1,28 @@
+/*
+ * suites - one check suite a module.
+ */
+#ifndef KCF_SUITES_H
+#define KCF_SUITES_H
+
+#include <check.h>
+
+Suite *config_suite(void);
+Suite *datagram_suite(void);
+Suite *fairq_suite(void);
+Suite *hop_suite(void);
+Suite *limit_suite(void);
+Suite *logline_suite(void);
+Suite *lru_suite(void);
+Suite *member_suite(void);
+Suite *once_suite(void);
+Suite *once_key_suite(void);
+Suite *power_suite(void);
+Suite *rank_suite(void);
+Suite *schema_suite(void);
+Suite *sched_suite(void);
+Suite *settings_suite(void);
+Suite *sse_suite(void);
+Suite *str_suite(void);
+Suite *view_suite(void);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_config.c
@@ -0,0 +1,200 @@
+#include "suites.h"
+
+#include <kcf/config.h>
+#include <string.h>
+
+#define DC "{\"region\":\"r\"}"
+#define SERVICE "{\"type\":\"plain\"}"
+#define UPSTREAM                                                               \
+	"{\"service\":\"s\",\"data_centre\":\"d\",\"address\":\"127.0.0.1:"    \
+	"9\"}"
+
+/* One record of a stream and what must come of it. */
+typedef struct step {
+	const char *id;
+	uint64_t base;
+	resource_kind_t kind;
+	const char *name;
+	const char *body; /* NULL deletes */
+	config_verdict_t verdict;
+	uint64_t version; /* of the resource afterwards */
+} step_t;
+
+static const step_t steps[] = {
+	{ "1", 0, KIND_DATA_CENTRE, "d", DC, CONFIG_APPLIED, 1 },
+	{ "2", 0, KIND_DATA_CENTRE, "d", DC, CONFIG_CONFLICT, 1 },
+	{ "1", 0, KIND_DATA_CENTRE, "d", DC, CONFIG_REPEATED, 1 },
+	{ "3", 1, KIND_DATA_CENTRE, "d", "{\"region\":1}", CONFIG_INVALID, 1 },
+	{ "4", 1, KIND_DATA_CENTRE, "d", "{\"region\":\"q\"}", CONFIG_APPLIED,
+	  5 },
+	{ "5", 0, KIND_UPSTREAM, "u", UPSTREAM, CONFIG_INVALID, 0 },
+	{ "6", 0, KIND_SERVICE, "s", SERVICE, CONFIG_APPLIED, 7 },
+	{ "7", 0, KIND_UPSTREAM, "u", UPSTREAM, CONFIG_APPLIED, 8 },
+	{ "8", 7, KIND_SERVICE, "s", NULL, CONFIG_INVALID, 7 },
+	{ "9", 8, KIND_UPSTREAM, "u", NULL, CONFIG_APPLIED, 10 },
+	{ "a", 7, KIND_SERVICE, "s", NULL, CONFIG_APPLIED, 11 },
+	{ "b", 0, KIND_SERVICE, "s", SERVICE, CONFIG_CONFLICT, 11 },
+	{ "c", 11, KIND_SERVICE, "s", SERVICE, CONFIG_APPLIED, 13 },
+	{ "d", 0, KIND_HOST, "Bad/Name", SERVICE, CONFIG_UNREADABLE, 0 },
+};
+
+static char *record_(const step_t *s)
+{
+	json_t *body = s->body ? json_loads(s->body, 0, NULL) : NULL;
+	config_proposal_t p = {
+		.id = s->id,
+		.base = s->base,
+		.kind = s->kind,
+		.name = s->name,
+		.body = body,
+		.operator_name = "ana",
+		.reason = "test",
+		.at = 5,
+	};
+	char *text = config_record(&p);
+
+	json_decref(body);
+	return text;
+}
+
+static void play_(config_t *c, size_t from, size_t to, bool check)
+{
+	for (size_t i = from; i < to; i++) {
+		char *text = record_(&steps[i]);
+		config_result_t r;
+
+		config_apply(c, i + 1, 100 + (mstime_t)i, str_of(text), &r);
+		if (check) {
+			ck_assert_str_eq(
+				config_verdict_string[r.verdict],
+				config_verdict_string[steps[i].verdict]);
+			ck_assert_uint_eq(r.version, steps[i].version);
+		}
+		config_result_finish(&r);
+		g_free(text);
+	}
+}
+
+START_TEST(test_steps)
+{
+	config_t c;
+
+	config_init(&c);
+	play_(&c, 0, G_N_ELEMENTS(steps), true);
+	ck_assert_uint_eq(c.applied, G_N_ELEMENTS(steps));
+	ck_assert_ptr_null(config_find(&c, KIND_UPSTREAM, "u"));
+	/* All but the repeated and the unreadable one are audited. */
+	ck_assert_uint_eq(g_queue_get_length(c.audit), G_N_ELEMENTS(steps) - 2);
+	config_finish(&c);
+}
+END_TEST
+
+/* An older record after a newer one changes nothing. */
+START_TEST(test_never_back)
+{
+	config_t c;
+
+	config_init(&c);
+	play_(&c, 0, 8, false);
+	play_(&c, 0, 8, false);
+	ck_assert_uint_eq(c.applied, 8);
+	ck_assert_uint_eq(config_version(&c, KIND_DATA_CENTRE, "d"), 5);
+	config_finish(&c);
+}
+END_TEST
+
+START_TEST(test_snapshot)
+{
+	config_t a;
+	config_t b;
+	json_t *snap;
+
+	config_init(&a);
+	config_init(&b);
+	play_(&a, 0, 10, false);
+	play_(&b, 0, 3, false);
+	snap = config_snapshot(&a);
+	ck_assert(config_restore(&b, snap));
+	ck_assert_uint_eq(b.applied, 10);
+	ck_assert_uint_eq(config_version(&b, KIND_UPSTREAM, "u"), 10);
+	ck_assert_ptr_null(config_find(&b, KIND_UPSTREAM, "u"));
+	ck_assert(!config_restore(&b, snap));
+	json_decref(snap);
+	/* It goes on with the stream where the snapshot ends. */
+	play_(&b, 10, G_N_ELEMENTS(steps), true);
+	config_finish(&a);
+	config_finish(&b);
+}
+END_TEST
+
+/* A node that starts after the first records are gone sees the checkpoints. */
+START_TEST(test_keep)
+{
+	config_t a;
+	config_t late;
+	config_result_t r;
+	char *keep;
+	char *stale;
+	GPtrArray *due;
+
+	config_init(&a);
+	config_init(&late);
+	play_(&a, 0, 1, false);
+	due = config_due(&a, 1000);
+	ck_assert_uint_eq(due->len, 1);
+	stale = config_keep_record(due->pdata[0]);
+	g_ptr_array_unref(due);
+	play_(&a, 1, 5, false);
+	keep = config_keep_record(config_find(&a, KIND_DATA_CENTRE, "d"));
+	config_apply(&a, 20, 2000, str_of(keep), &r);
+	ck_assert_int_eq(r.verdict, CONFIG_KEPT);
+	config_result_finish(&r);
+	due = config_due(&a, 1000);
+	ck_assert_uint_eq(due->len, 0);
+	g_ptr_array_unref(due);
+	config_apply(&late, 20, 2000, str_of(keep), &r);
+	config_result_finish(&r);
+	ck_assert_uint_eq(config_version(&late, KIND_DATA_CENTRE, "d"), 5);
+	/* A checkpoint of an older version changes nothing. */
+	config_apply(&late, 21, 2000, str_of(stale), &r);
+	config_result_finish(&r);
+	ck_assert_uint_eq(config_version(&late, KIND_DATA_CENTRE, "d"), 5);
+	g_free(keep);
+	g_free(stale);
+	config_finish(&a);
+	config_finish(&late);
+}
+END_TEST
+
+static const char *const unreadable[] = {
+	"",	 "{",	      "[]",	  "null", "{\"v\":1}",
+	"\"x\"", "{\"v\":2}", "\xff\xfe", "1",
+};
+
+START_TEST(test_unreadable)
+{
+	config_t c;
+	config_result_t r;
+
+	config_init(&c);
+	config_apply(&c, 1, 0, str_of(unreadable[_i]), &r);
+	ck_assert_int_eq(r.verdict, CONFIG_UNREADABLE);
+	ck_assert_uint_eq(c.applied, 1);
+	config_result_finish(&r);
+	config_finish(&c);
+}
+END_TEST
+
+Suite *config_suite(void)
+{
+	Suite *s = suite_create("config");
+	TCase *t = tcase_create("config");
+
+	tcase_add_test(t, test_steps);
+	tcase_add_test(t, test_never_back);
+	tcase_add_test(t, test_snapshot);
+	tcase_add_test(t, test_keep);
+	tcase_add_loop_test(t, test_unreadable, 0, G_N_ELEMENTS(unreadable));
+	suite_add_tcase(s, t);
+	return s;
+}
--- /dev/null
+++ b/tests/unit/test_datagram.c
@@ -0,0 +1,100 @@
+#include "suites.h"
+
+#include <kcf/datagram.h>
+#include <string.h>
+
+#define WALL 1796342000000
+
+static const unsigned char key[DATAGRAM_KEY_BYTES] = { 9, 8, 7 };
+
+static size_t make_(unsigned char *out, unsigned int updates)
+{
+	peer_update_t list[PEER_UPDATES_MAX];
+	peer_message_t m = {
+		.seq = 5, .sent = WALL, .from = "n1", .target = ""
+	};
+	size_t len = 0;
+
+	for (unsigned int i = 0; i < updates; i++)
+		list[i] = (peer_update_t){
+			"n2",	       "d",	      "r", "127.0.0.1:1",
+			"127.0.0.1:2", "127.0.0.1:3", 77,  1
+		};
+	m.updates.updates_len = updates;
+	m.updates.updates_val = list;
+	ck_assert_int_eq(datagram_encode(key, PEER_PING, &m, out, &len),
+			 DATAGRAM_OK);
+	return len;
+}
+
+START_TEST(test_round)
+{
+	unsigned char data[DATAGRAM_MAX];
+	size_t len = make_(data, 3);
+	peer_message_t m = { 0 };
+	unsigned int proc = 0;
+	str_t view = { (char *)data, len };
+
+	ck_assert_int_eq(datagram_decode(key, view, WALL, &proc, &m),
+			 DATAGRAM_OK);
+	ck_assert_uint_eq(proc, PEER_PING);
+	ck_assert_str_eq(m.from, "n1");
+	ck_assert_uint_eq(m.updates.updates_len, 3);
+	ck_assert_uint_eq(m.updates.updates_val[2].incarnation, 77);
+	datagram_free(&m);
+	ck_assert_int_eq(datagram_decode(key, view,
+					 WALL + DATAGRAM_AGE_MAX_MS + 1, &proc,
+					 &m),
+			 DATAGRAM_EAGE);
+}
+END_TEST
+
+/* No single changed byte passes, wherever it is. */
+START_TEST(test_changed_byte)
+{
+	unsigned char data[DATAGRAM_MAX];
+	size_t len = make_(data, 1);
+	peer_message_t m = { 0 };
+	unsigned int proc;
+
+	for (size_t i = 0; i < len; i++) {
+		data[i] ^= 1;
+		ck_assert_int_ne(datagram_decode(key,
+						 (str_t){ (char *)data, len },
+						 WALL, &proc, &m),
+				 DATAGRAM_OK);
+		data[i] ^= 1;
+	}
+	for (size_t cut = 0; cut < len; cut++)
+		ck_assert_int_ne(datagram_decode(key,
+						 (str_t){ (char *)data, cut },
+						 WALL, &proc, &m),
+				 DATAGRAM_OK);
+}
+END_TEST
+
+START_TEST(test_too_long)
+{
+	unsigned char data[DATAGRAM_MAX];
+	char name[PEER_NAME_MAX + 2];
+	peer_message_t m = { .from = name, .target = "" };
+	size_t len;
+
+	memset(name, 'x', sizeof(name));
+	name[PEER_NAME_MAX + 1] = '\0';
+	ck_assert_int_eq(datagram_encode(key, PEER_PING, &m, data, &len),
+			 DATAGRAM_ESIZE);
+}
+END_TEST
+
+Suite *datagram_suite(void)
+{
+	Suite *s = suite_create("datagram");
+	TCase *t = tcase_create("datagram");
+
+	tcase_add_test(t, test_round);
+	tcase_add_test(t, test_changed_byte);
+	tcase_add_test(t, test_too_long);
+	suite_add_tcase(s, t);
+	return s;
+}
--- /dev/null
+++ b/tests/unit/test_keys.c
@@ -0,0 +1,115 @@
+#include "../../packages/node/private/hop.h"
+#include "../../packages/node/private/once_key.h"
+#include "suites.h"
+
+#include <string.h>
+
+static const unsigned char key[PEER_KEY_BYTES] = { 1, 2, 3 };
+static const unsigned char other[PEER_KEY_BYTES] = { 3, 2, 1 };
+
+static const hop_t hops[] = {
+	{ 0, 0, HOP_ONCE_OPEN },
+	{ 2, 0xdeadbeef, HOP_ONCE_SETTLED },
+	{ 1, 7, HOP_ONCE_HERE },
+};
+
+START_TEST(test_hop)
+{
+	char text[HOP_TEXT_MAX];
+	hop_t got = { 0 };
+
+	hop_format(key, "req-1", &hops[_i], text);
+	ck_assert(hop_parse(key, "req-1", str_of(text), &got));
+	ck_assert_int_eq(got.count, hops[_i].count);
+	ck_assert_uint_eq(got.target, hops[_i].target);
+	ck_assert_int_eq(got.once, hops[_i].once);
+	ck_assert(!hop_parse(key, "req-2", str_of(text), &got));
+	ck_assert(!hop_parse(other, "req-1", str_of(text), &got));
+	text[0]++;
+	ck_assert(!hop_parse(key, "req-1", str_of(text), &got));
+}
+END_TEST
+
+static const char *const bad_hops[] = {
+	"",
+	"x",
+	"1.2",
+	"1.00000000.0.",
+	"1.00000000.9.00",
+	"-1.0.0.0",
+	"1.00000000.1.000102030405060708090a0b0c0d0e0f00112233445566778899000",
+};
+
+START_TEST(test_bad_hop)
+{
+	hop_t got;
+
+	ck_assert(!hop_parse(key, "r", str_of(bad_hops[_i]), &got));
+}
+END_TEST
+
+Suite *hop_suite(void)
+{
+	Suite *s = suite_create("hop");
+	TCase *t = tcase_create("hop");
+
+	tcase_add_loop_test(t, test_hop, 0, G_N_ELEMENTS(hops));
+	tcase_add_loop_test(t, test_bad_hop, 0, G_N_ELEMENTS(bad_hops));
+	suite_add_tcase(s, t);
+	return s;
+}
+
+static const struct {
+	const char *text;
+	bool ok;
+} keys[] = {
+	{ "1796342000-hold-77", true },
+	{ "1796342000-a", true },
+	{ "1796342000-", false },
+	{ "1796342000", false },
+	{ "17963420-hold", false },
+	{ "hold-77", false },
+	{ "", false },
+	{ "1796342000-a/b", false },
+	{ "1796342000-a b", false },
+	{ "0000000000-a", false },
+};
+
+START_TEST(test_form)
+{
+	ck_assert(once_key_ok(str_of(keys[_i].text)) == keys[_i].ok);
+}
+END_TEST
+
+START_TEST(test_issued)
+{
+	char text[ONCE_ISSUED_MAX];
+	char scoped[128];
+	once_issued_t got;
+
+	once_key_issue(key, "baires-1-a", 0x123456, 1796342000000, text);
+	ck_assert(once_key_ok(str_of(text)));
+	ck_assert(once_key_issued(key, str_of(text), &got));
+	ck_assert_str_eq(got.node, "baires-1-a");
+	ck_assert_uint_eq(got.incarnation, 0x123456);
+	ck_assert_int_eq(got.at_s, 1796342000);
+	ck_assert(!once_key_issued(other, str_of(text), &got));
+	ck_assert(!once_key_issued(key, str_of("1796342000-a"), &got));
+	ck_assert(once_key_scope("c", "s", str_of("1796342000-a"), scoped,
+				 sizeof(scoped)));
+	ck_assert(str_eq(once_key_unscoped(scoped), str_of("1796342000-a")));
+	ck_assert_int_eq(once_key_time(str_of("1796342000-a")), 1796342000);
+	ck_assert(!once_key_scope("c", "s", str_of("1796342000-a"), scoped, 8));
+}
+END_TEST
+
+Suite *once_key_suite(void)
+{
+	Suite *s = suite_create("once_key");
+	TCase *t = tcase_create("once_key");
+
+	tcase_add_loop_test(t, test_form, 0, G_N_ELEMENTS(keys));
+	tcase_add_test(t, test_issued);
+	suite_add_tcase(s, t);
+	return s;
+}
--- /dev/null
+++ b/tests/unit/test_member.c
@@ -0,0 +1,295 @@
+#include "suites.h"
+
+#include <kcf/member.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NODES 7
+#define STEP_MS 100
+
+/* Nodes in one process over a virtual clock; datagrams may be cut. */
+typedef struct net_node {
+	members_t members;
+	bool up;
+	bool frozen;
+	char address[32];
+} net_node_t;
+
+typedef struct net_packet {
+	int from;
+	int to;
+	unsigned int proc;
+	unsigned char data[DATAGRAM_MAX];
+	size_t len;
+} net_packet_t;
+
+static struct {
+	net_node_t nodes[NODES];
+	bool cut[NODES][NODES]; /* from, to */
+	GQueue packets;
+	mstime_t now;
+	int sender;
+	int64_t bytes;
+} net;
+
+static const unsigned char key[DATAGRAM_KEY_BYTES] = { 1 };
+
+static void send_(void *ctx, const char *address, unsigned int proc,
+		  peer_message_t *m)
+{
+	net_node_t *n = ctx;
+	net_packet_t *p = g_new0(net_packet_t, 1);
+	peer_update_t updates[PEER_UPDATES_MAX];
+	peer_fact_t facts[PEER_FACTS_MAX];
+	peer_message_t full = *m;
+
+	members_fill(&n->members, &full, updates, facts);
+	full.sent = (u_quad_t)net.now;
+	p->from = (int)(n - net.nodes);
+	p->to = -1;
+	for (int i = 0; i < NODES; i++) {
+		if (!strcmp(net.nodes[i].address, address))
+			p->to = i;
+	}
+	p->proc = proc;
+	ck_assert_int_eq(datagram_encode(key, proc, &full, p->data, &p->len),
+			 DATAGRAM_OK);
+	net.bytes += (int64_t)p->len + DATAGRAM_OVERHEAD;
+	g_queue_push_tail(&net.packets, p);
+}
+
+static void changed_(void *ctx, const member_t *m, member_state_t before)
+{
+	(void)ctx;
+	(void)m;
+	(void)before;
+}
+
+static const member_ops_t ops = { send_, changed_ };
+
+static void start_(int i, uint64_t incarnation)
+{
+	net_node_t *n = &net.nodes[i];
+	char name[8];
+	member_self_t self = { .name = name,
+			       .data_centre = "d",
+			       .region = "r",
+			       .peer = n->address,
+			       .callers = "127.0.0.1:8",
+			       .operators = "127.0.0.1:9",
+			       .incarnation = incarnation };
+
+	snprintf(name, sizeof(name), "n%d", i);
+	snprintf(n->address, sizeof(n->address), "127.0.0.%d:7", i + 1);
+	members_init(&n->members, &self, (guint32)(i + 1), &ops, n, net.now);
+	if (i)
+		members_add_seed(&n->members, "127.0.0.1:7");
+	else
+		members_add_seed(&n->members, "127.0.0.2:7");
+	members_set_state(&n->members, net.now, MEMBER_LIVE);
+	n->up = true;
+	n->frozen = false;
+}
+
+static void deliver_(void)
+{
+	net_packet_t *p;
+
+	/* Answers to what is delivered wait for the next step's delivery. */
+	for (guint left = g_queue_get_length(&net.packets); left; left--) {
+		unsigned int proc;
+		peer_message_t m = { 0 };
+
+		p = g_queue_pop_head(&net.packets);
+		if (p->to >= 0 && net.nodes[p->to].up &&
+		    !net.nodes[p->to].frozen && !net.cut[p->from][p->to]) {
+			ck_assert_int_eq(
+				datagram_decode(
+					key, (str_t){ (char *)p->data, p->len },
+					net.now, &proc, &m),
+				DATAGRAM_OK);
+			members_receive(&net.nodes[p->to].members, net.now,
+					net.nodes[p->from].address, proc, &m);
+			datagram_free(&m);
+		}
+		g_free(p);
+	}
+}
+
+static void run_(mstime_t ms)
+{
+	for (mstime_t end = net.now + ms; net.now < end; net.now += STEP_MS) {
+		for (int i = 0; i < NODES; i++) {
+			if (net.nodes[i].up && !net.nodes[i].frozen)
+				members_tick(&net.nodes[i].members, net.now);
+		}
+		/* Probe, relayed probe and both answers fit into a step. */
+		for (int hop = 0; hop < 4; hop++)
+			deliver_();
+	}
+}
+
+static void setup_(void)
+{
+	memset(&net, 0, sizeof(net));
+	g_queue_init(&net.packets);
+	net.now = 1000;
+	for (int i = 0; i < NODES; i++)
+		start_(i, 100);
+	run_(15000);
+}
+
+static void teardown_(void)
+{
+	for (int i = 0; i < NODES; i++)
+		members_finish(&net.nodes[i].members);
+	g_queue_clear_full(&net.packets, g_free);
+}
+
+static member_state_t seen_(int by, int of)
+{
+	char name[8];
+	const member_t *m;
+
+	snprintf(name, sizeof(name), "n%d", of);
+	m = members_find(&net.nodes[by].members, name);
+	return m ? m->state : MEMBER_STATE_COUNT;
+}
+
+static void expect_all_(int of, member_state_t state)
+{
+	for (int i = 0; i < NODES; i++) {
+		if (i == of || !net.nodes[i].up)
+			continue;
+		ck_assert_msg(seen_(i, of) == state, "n%d sees n%d as %d", i,
+			      of, seen_(i, of));
+	}
+}
+
+START_TEST(test_join)
+{
+	for (int i = 0; i < NODES; i++)
+		expect_all_(i, MEMBER_LIVE);
+}
+END_TEST
+
+START_TEST(test_death)
+{
+	net.nodes[3].up = false;
+	run_(10000);
+	expect_all_(3, MEMBER_DEAD);
+	ck_assert(!members_isolated(&net.nodes[0].members, net.now));
+}
+END_TEST
+
+START_TEST(test_restart)
+{
+	net.nodes[3].up = false;
+	run_(10000);
+	members_finish(&net.nodes[3].members);
+	start_(3, 5000);
+	run_(15000);
+	expect_all_(3, MEMBER_LIVE);
+}
+END_TEST
+
+START_TEST(test_leave)
+{
+	members_set_state(&net.nodes[2].members, net.now, MEMBER_LEAVING);
+	members_announce(&net.nodes[2].members, net.now);
+	run_(5000);
+	expect_all_(2, MEMBER_LEAVING);
+}
+END_TEST
+
+/* Frozen for longer than the suspicion lasts, it refutes its death. */
+START_TEST(test_freeze)
+{
+	net.nodes[4].frozen = true;
+	run_(12000);
+	expect_all_(4, MEMBER_DEAD);
+	net.nodes[4].frozen = false;
+	run_(15000);
+	expect_all_(4, MEMBER_LIVE);
+	ck_assert(net.nodes[4].members.paused_at > 0);
+}
+END_TEST
+
+/* A one-way cut between two nodes is bridged by indirect probes. */
+START_TEST(test_one_way_cut)
+{
+	net.cut[1][5] = true;
+	run_(30000);
+	expect_all_(1, MEMBER_LIVE);
+	expect_all_(5, MEMBER_LIVE);
+}
+END_TEST
+
+START_TEST(test_half_vanishes)
+{
+	for (int i = 3; i < NODES; i++)
+		net.nodes[i].up = false;
+	run_(4000);
+	ck_assert(members_isolated(&net.nodes[0].members, net.now));
+	run_(40000);
+	/* In the end they are gone, and the rest goes on without them. */
+	ck_assert(!members_isolated(&net.nodes[0].members, net.now));
+	expect_all_(5, MEMBER_DEAD);
+}
+END_TEST
+
+/* Both halves of a split fleet find each other again through the seeds. */
+START_TEST(test_split_heals)
+{
+	for (int a = 0; a < NODES; a++) {
+		for (int b = 0; b < NODES; b++)
+			net.cut[a][b] = (a < 3) != (b < 3);
+	}
+	run_(30000);
+	ck_assert_int_eq(seen_(0, 6), MEMBER_DEAD);
+	memset(net.cut, 0, sizeof(net.cut));
+	run_(30000);
+	for (int i = 0; i < NODES; i++)
+		expect_all_(i, MEMBER_LIVE);
+}
+END_TEST
+
+START_TEST(test_applied_spreads)
+{
+	members_set_applied(&net.nodes[6].members, 42);
+	run_(16000);
+	for (int i = 0; i < NODES; i++)
+		ck_assert_uint_eq(
+			members_highest_applied(&net.nodes[i].members), 42);
+}
+END_TEST
+
+/* 4 KB a second a node is the target; probes may take half of it. */
+START_TEST(test_bytes)
+{
+	int64_t before = net.bytes;
+
+	run_(20000);
+	ck_assert_int_lt((net.bytes - before) / 20 / NODES, 4096 / 2);
+}
+END_TEST
+
+Suite *member_suite(void)
+{
+	Suite *s = suite_create("member");
+	TCase *t = tcase_create("member");
+
+	tcase_add_checked_fixture(t, setup_, teardown_);
+	tcase_add_test(t, test_join);
+	tcase_add_test(t, test_death);
+	tcase_add_test(t, test_restart);
+	tcase_add_test(t, test_leave);
+	tcase_add_test(t, test_freeze);
+	tcase_add_test(t, test_one_way_cut);
+	tcase_add_test(t, test_half_vanishes);
+	tcase_add_test(t, test_split_heals);
+	tcase_add_test(t, test_applied_spreads);
+	tcase_add_test(t, test_bytes);
+	suite_add_tcase(s, t);
+	return s;
+}
--- /dev/null
+++ b/tests/unit/test_once.c
@@ -0,0 +1,117 @@
+#include "suites.h"
+
+#include <kcf/once.h>
+#include <string.h>
+
+typedef struct step {
+	const char *type; /* intent, outcome or release */
+	const char *try_id;
+	once_state_t state; /* of the key afterwards */
+	const char *holder;
+} step_t;
+
+static const step_t first_wins[] = {
+	{ "intent", "a", ONCE_HELD, "a" },   { "intent", "b", ONCE_HELD, "a" },
+	{ "outcome", "b", ONCE_HELD, "a" },  { "release", "b", ONCE_HELD, "a" },
+	{ "outcome", "a", ONCE_ENDED, "a" }, { "intent", "c", ONCE_ENDED, "a" },
+	{ "release", "a", ONCE_ENDED, "a" }, { NULL, NULL, 0, NULL },
+};
+
+static const step_t released[] = {
+	{ "intent", "a", ONCE_HELD, "a" },
+	{ "intent", "a", ONCE_HELD, "a" },
+	{ "release", "a", ONCE_ABSENT, NULL },
+	{ "intent", "b", ONCE_HELD, "b" },
+	{ "outcome", "a", ONCE_HELD, "b" },
+	{ "outcome", "b", ONCE_ENDED, "b" },
+	{ NULL, NULL, 0, NULL },
+};
+
+static const step_t *const plays[] = { first_wins, released };
+
+static json_t *entry_(const step_t *s)
+{
+	GBytes *body = g_bytes_new("done", 4);
+	json_t *o;
+
+	if (!strcmp(s->type, "intent"))
+		o = once_intent("k", s->try_id);
+	else if (!strcmp(s->type, "release"))
+		o = once_release("k", s->try_id);
+	else
+		o = once_outcome("k", s->try_id, 201, "text/plain", body);
+	g_bytes_unref(body);
+	return o;
+}
+
+START_TEST(test_plays)
+{
+	once_keys_t k;
+	uint64_t offset = 0;
+
+	once_keys_init(&k);
+	for (const step_t *s = plays[_i]; s->type; s++) {
+		json_t *list = json_array();
+		const once_entry_t *e;
+		char *text;
+
+		json_array_append_new(list, entry_(s));
+		text = json_dumps(list, JSON_COMPACT);
+		once_fold(&k, ++offset, 10, str_of(text));
+		e = once_find(&k, "k");
+		ck_assert_int_eq(e ? e->state : ONCE_ABSENT, s->state);
+		if (e)
+			ck_assert_str_eq(e->owner_try, s->holder);
+		if (e && e->state == ONCE_ENDED) {
+			ck_assert_int_eq(e->status, 201);
+			ck_assert_uint_eq(g_bytes_get_size(e->body), 4);
+		}
+		free(text);
+		json_decref(list);
+	}
+	once_expire(&k, 11);
+	ck_assert_ptr_null(once_find(&k, "k"));
+	once_keys_finish(&k);
+}
+END_TEST
+
+static const char *const unreadable[] = {
+	"", "{}", "[1]", "[{}]", "[{\"type\":\"intent\"}]", "\xff"
+};
+
+START_TEST(test_unreadable)
+{
+	once_keys_t k;
+
+	once_keys_init(&k);
+	once_fold(&k, 1, 0, str_of(unreadable[_i]));
+	ck_assert_uint_eq(k.next, 2);
+	ck_assert_uint_eq(g_hash_table_size(k.entries), 0);
+	once_keys_finish(&k);
+}
+END_TEST
+
+START_TEST(test_long_body)
+{
+	char *text = g_strnfill(ONCE_BODY_MAX + 1, 'x');
+	GBytes *body = g_bytes_new(text, ONCE_BODY_MAX + 1);
+	json_t *o = once_outcome("k", "a", 200, "", body);
+
+	ck_assert_ptr_null(json_object_get(o, "body"));
+	json_decref(o);
+	g_bytes_unref(body);
+	g_free(text);
+}
+END_TEST
+
+Suite *once_suite(void)
+{
+	Suite *s = suite_create("once");
+	TCase *t = tcase_create("once");
+
+	tcase_add_loop_test(t, test_plays, 0, G_N_ELEMENTS(plays));
+	tcase_add_loop_test(t, test_unreadable, 0, G_N_ELEMENTS(unreadable));
+	tcase_add_test(t, test_long_body);
+	suite_add_tcase(s, t);
+	return s;
+}
