--- /dev/null
+++ b/tests/unit/test_sched.c
@@ -0,0 +1,516 @@
+#include "fixture.h"
+#include "suites.h"
+
+#include <kcf/sched.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ENGINES 10
+#define CHATS 400
+
+/* One node, or two that know each other, without sockets. */
+static struct {
+	config_t config;
+	sched_t sched;
+	sched_answer_t last;
+	int answers;
+	int runs;
+	int refused;
+	int loans;
+	int out[ENGINES];
+	uint64_t next_id;
+	mstime_t now;
+} t;
+
+static void answer_(void *ctx, const sched_answer_t *a)
+{
+	(void)ctx;
+	t.last = *a;
+	t.answers++;
+	t.refused += a->verdict == SCHED_REFUSE;
+	if (a->verdict != SCHED_RUN)
+		return;
+	t.runs++;
+	t.out[atoi(a->upstream + 1)]++;
+}
+
+static void lend_(void *ctx, const char *node, const power_loan_t *loan)
+{
+	(void)ctx;
+	(void)node;
+	(void)loan;
+	t.loans++;
+}
+
+static void health_(void *ctx, const char *upstream, const char *what)
+{
+	(void)ctx;
+	(void)upstream;
+	(void)what;
+}
+
+static const sched_ops_t ops = { answer_, lend_, health_ };
+
+static void nodes_(const char *other)
+{
+	GPtrArray *nodes = g_ptr_array_new_with_free_func(sched_node_free);
+
+	g_ptr_array_add(nodes, sched_node_new("self", "d1", "r"));
+	if (other)
+		g_ptr_array_add(nodes, sched_node_new(other, "d2", "r"));
+	sched_set_nodes(&t.sched, t.now, nodes);
+}
+
+static void new_view_(void)
+{
+	view_t *v = view_new(&t.config);
+
+	sched_set_view(&t.sched, t.now, v);
+	view_unref(v);
+}
+
+static void setup_(void)
+{
+	memset(&t, 0, sizeof(t));
+	t.now = 100000;
+	config_init(&t.config);
+	fixture_fleet(&t.config, ENGINES);
+	sched_init(&t.sched, "self", "d1", "r", 7, &ops, NULL);
+	new_view_();
+	nodes_(NULL);
+}
+
+static void teardown_(void)
+{
+	sched_finish(&t.sched);
+	config_finish(&t.config);
+}
+
+static sched_request_t request_(uint64_t chat)
+{
+	sched_request_t r = { .id = ++t.next_id,
+			      .chat = str_hash64((str_t){ (char *)&chat, 8 },
+						 1),
+			      .sticky = true,
+			      .service = "svc",
+			      .model = "m",
+			      .customer = "c",
+			      .weight = 1,
+			      .urgency = 3,
+			      .deadline = t.now + 60000,
+			      .prompt_tokens = 100 };
+
+	return r;
+}
+
+static uint64_t place_(uint64_t chat)
+{
+	sched_request_t r = request_(chat);
+
+	sched_place(&t.sched, t.now, &r);
+	return r.id;
+}
+
+static void release_(uint64_t id, int engine, sched_result_t result)
+{
+	sched_outcome_t o = { .id = id,
+			      .result = result,
+			      .prompt_tokens = 100,
+			      .cached_tokens = 100,
+			      .first_token_ms = 10 };
+
+	t.out[engine]--;
+	sched_release(&t.sched, t.now, &o);
+}
+
+static void fail_(int engine, int times)
+{
+	char name[16];
+	sched_report_t r = { 0 };
+
+	snprintf(name, sizeof(name), "e%d", engine);
+	r.key = (uint32_t)str_hash64(str_of(name), 0);
+	while (times--)
+		sched_take_report(&t.sched, t.now, &r);
+}
+
+static void report_(int engine, int outstanding, uint64_t start_id)
+{
+	char name[16];
+	sched_report_t r = { .ok = true,
+			     .outstanding = outstanding,
+			     .start_id = start_id };
+
+	snprintf(name, sizeof(name), "e%d", engine);
+	r.key = (uint32_t)str_hash64(str_of(name), 0);
+	sched_take_report(&t.sched, t.now, &r);
+}
+
+/* At every moment of a growing load: at most the bound, one request of slack.
+ */
+START_TEST(test_bound)
+{
+	for (int i = 0; i < 8 * ENGINES; i++) {
+		int max = 0;
+		int sum = 0;
+
+		place_((uint64_t)(i % 40));
+		for (int e = 0; e < ENGINES; e++) {
+			max = MAX(max, t.out[e]);
+			sum += t.out[e];
+		}
+		ck_assert_int_le(max, (int)floor(1.25 * sum / ENGINES) + 1);
+	}
+}
+END_TEST
+
+/* A chat that comes back alone goes to the same engine each time. */
+START_TEST(test_returning_chat)
+{
+	char engine[SCHED_NAME_MAX];
+
+	for (uint64_t chat = 0; chat < 50; chat++) {
+		uint64_t id = place_(chat);
+
+		g_strlcpy(engine, t.last.upstream, sizeof(engine));
+		ck_assert(!t.last.warm);
+		release_(id, atoi(engine + 1), SCHED_DONE);
+		id = place_(chat);
+		ck_assert_str_eq(t.last.upstream, engine);
+		ck_assert(t.last.warm);
+		release_(id, atoi(engine + 1), SCHED_DONE);
+	}
+}
+END_TEST
+
+/* Where each chat went; all are released at once. */
+static void tour_(int *engine_of)
+{
+	for (int chat = 0; chat < CHATS; chat++) {
+		uint64_t id = place_((uint64_t)chat);
+
+		ck_assert_int_eq(t.last.verdict, SCHED_RUN);
+		engine_of[chat] = atoi(t.last.upstream + 1);
+		release_(id, engine_of[chat], SCHED_DONE);
+	}
+}
+
+/*
+ * An engine is lost: only its chats move. It comes back cold: chats that are
+ * warm elsewhere stay there.
+ */
+START_TEST(test_lost_and_back)
+{
+	int before[CHATS];
+	int without[CHATS];
+	int after[CHATS];
+
+	tour_(before);
+	fail_(3, 3);
+	tour_(without);
+	for (int i = 0; i < CHATS; i++) {
+		ck_assert_int_ne(without[i], 3);
+		if (before[i] != 3)
+			ck_assert_int_eq(without[i], before[i]);
+	}
+	report_(3, 0, 9);
+	t.now += 5000;
+	tour_(after);
+	for (int i = 0; i < CHATS; i++)
+		ck_assert_int_eq(after[i], without[i]);
+	/* Chats that are new may go there. */
+	for (uint64_t chat = 1000; chat < 1400 && !t.out[3]; chat++)
+		place_(chat);
+	ck_assert_int_gt(t.out[3], 0);
+}
+END_TEST
+
+START_TEST(test_flap)
+{
+	for (int flap = 0; flap < 6; flap++) {
+		fail_(3, 3);
+		t.now += 1000;
+		report_(3, 0, 9);
+		t.now += 1000;
+	}
+	/* It answers, but has not been stable for long enough. */
+	for (uint64_t chat = 0; chat < 200; chat++)
+		release_(place_(chat), atoi(t.last.upstream + 1), SCHED_DONE);
+	ck_assert_int_eq(t.out[3], 0);
+	t.now += 60000;
+	for (uint64_t chat = 1000; chat < 1200 && !t.out[3]; chat++)
+		place_(chat);
+	ck_assert_int_gt(t.out[3], 0);
+}
+END_TEST
+
+/* Work sent by others counts against the limit. */
+START_TEST(test_foreign)
+{
+	for (int e = 0; e < ENGINES; e++)
+		report_(e, 8, 1);
+	place_(1);
+	ck_assert_int_eq(t.runs, 0);
+	report_(4, 0, 1);
+	sched_tick(&t.sched, t.now += 300);
+	ck_assert_int_eq(t.runs, 1);
+	ck_assert_str_eq(t.last.upstream, "e4");
+}
+END_TEST
+
+START_TEST(test_start_id)
+{
+	fixture_put(&t.config, KIND_UPSTREAM, "e0",
+		    "{\"service\":\"svc\",\"data_centre\":\"d1\",\"address\":"
+		    "\"127.0.0.1:9\",\"slots\":8,\"floor\":1,\"ramp_s\":10}");
+	for (int e = 1; e < ENGINES; e++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "e%d", e);
+		fixture_put(&t.config, KIND_UPSTREAM, name, NULL);
+	}
+	new_view_();
+	t.now += 20000;
+	report_(0, 0, 1);
+	for (int i = 0; i < 8; i++)
+		place_((uint64_t)i);
+	ck_assert_int_eq(t.out[0], 8);
+	for (uint64_t id = 1; id <= 8; id++)
+		release_(id, 0, SCHED_DONE);
+	report_(0, 0, 2);
+	for (int i = 0; i < 8; i++)
+		place_((uint64_t)i);
+	ck_assert_int_eq(t.out[0], 1);
+	/* The ramp: never more than floor + (slots - floor) * age / 10 s. */
+	for (int tenth = 0; tenth <= 10; tenth++) {
+		sched_tick(&t.sched, t.now);
+		ck_assert_int_le(t.out[0], 1 + 7 * tenth / 10);
+		t.now += 1000;
+	}
+}
+END_TEST
+
+START_TEST(test_deadline)
+{
+	sched_request_t r;
+
+	for (int i = 0; i < 8 * ENGINES; i++)
+		place_((uint64_t)i);
+	ck_assert_int_eq(t.runs, 8 * ENGINES);
+	r = request_(1000);
+	r.deadline = t.now + 1;
+	sched_place(&t.sched, t.now, &r);
+	ck_assert_int_eq(t.last.verdict, SCHED_REFUSE);
+	ck_assert_int_eq(t.last.refusal, REFUSE_DEADLINE);
+	ck_assert_int_gt(t.last.retry_after_ms, 0);
+	r = request_(1001);
+	r.deadline = t.now + 2000;
+	sched_place(&t.sched, t.now, &r);
+	ck_assert_int_eq(t.refused, 1);
+	sched_tick(&t.sched, t.now + 2000);
+	ck_assert_int_eq(t.refused, 2);
+}
+END_TEST
+
+START_TEST(test_queue_full)
+{
+	int sent = 0;
+
+	while (!t.refused && sent < 10000) {
+		place_((uint64_t)sent);
+		sent++;
+	}
+	ck_assert_int_eq(t.last.refusal, REFUSE_OVERLOAD);
+	ck_assert_int_ge(sent, 8 * ENGINES);
+	ck_assert_int_lt(sent, 8 * ENGINES + 50 * ENGINES + 2);
+}
+END_TEST
+
+START_TEST(test_out)
+{
+	fixture_put(&t.config, KIND_DATA_CENTRE, "d2",
+		    "{\"region\":\"r\",\"state\":\"out\"}");
+	new_view_();
+	for (uint64_t chat = 0; chat < 40; chat++)
+		place_(chat);
+	for (int e = 1; e < ENGINES; e += 2)
+		ck_assert_int_eq(t.out[e], 0);
+}
+END_TEST
+
+/* Requests that wait at an upstream taken out run elsewhere. */
+START_TEST(test_out_queued)
+{
+	int before;
+
+	for (int i = 0; i < 8 * ENGINES + 10; i++)
+		place_((uint64_t)i);
+	before = t.answers;
+	fixture_put(&t.config, KIND_DATA_CENTRE, "d2",
+		    "{\"region\":\"r\",\"state\":\"out\"}");
+	new_view_();
+	for (uint64_t id = 1; id <= 8 * ENGINES; id++)
+		sched_release(&t.sched, t.now, &(sched_outcome_t){ .id = id });
+	sched_tick(&t.sched, t.now += 300);
+	ck_assert_int_eq(t.answers, before + 10);
+	ck_assert_int_eq(t.refused, 0);
+}
+END_TEST
+
+START_TEST(test_forward)
+{
+	int forwarded = 0;
+
+	nodes_("other");
+	for (uint64_t chat = 0; chat < 100; chat++) {
+		uint64_t id = place_(chat);
+
+		if (t.last.verdict == SCHED_FORWARD) {
+			ck_assert_str_eq(t.last.node, "other");
+			ck_assert_int_eq(t.last.hop, 1);
+			forwarded++;
+		} else {
+			release_(id, atoi(t.last.upstream + 1), SCHED_DONE);
+		}
+	}
+	/* Half of the engines are nearest to the other node. */
+	ck_assert_int_gt(forwarded, 20);
+	ck_assert_int_lt(forwarded, 80);
+}
+END_TEST
+
+/* The hop bound: a request handed on twice runs here or is refused. */
+START_TEST(test_hops)
+{
+	nodes_("other");
+	for (uint64_t chat = 0; chat < 100; chat++) {
+		sched_request_t r = request_(chat);
+
+		r.hop = SCHED_HOPS_MAX;
+		sched_place(&t.sched, t.now, &r);
+		ck_assert_int_ne(t.last.verdict, SCHED_FORWARD);
+		if (t.last.verdict == SCHED_RUN)
+			release_(r.id, atoi(t.last.upstream + 1), SCHED_DONE);
+	}
+}
+END_TEST
+
+START_TEST(test_avoid)
+{
+	nodes_("other");
+	for (uint64_t chat = 0; chat < 50; chat++) {
+		sched_request_t r = request_(chat);
+
+		g_strlcpy(r.avoid, "other", sizeof(r.avoid));
+		sched_place(&t.sched, t.now, &r);
+		ck_assert_int_eq(t.last.verdict, SCHED_RUN);
+		release_(r.id, atoi(t.last.upstream + 1), SCHED_DONE);
+	}
+}
+END_TEST
+
+/* An engine that lost its cache is noticed by its answers. */
+START_TEST(test_cold)
+{
+	uint64_t id = 0;
+	sched_outcome_t o = { .result = SCHED_DONE,
+			      .prompt_tokens = 100,
+			      .cached_tokens = 0,
+			      .first_token_ms = 10 };
+
+	for (int turn = 0; turn < 4; turn++) {
+		id = place_(1);
+		ck_assert(t.last.warm == (turn > 0));
+		o.id = id;
+		sched_release(&t.sched, t.now, &o);
+	}
+	place_(1);
+	ck_assert(!t.last.warm);
+}
+END_TEST
+
+START_TEST(test_pause)
+{
+	sched_pause(&t.sched, t.now + 1000);
+	place_(1);
+	ck_assert_int_eq(t.answers, 0);
+	sched_tick(&t.sched, t.now + 900);
+	ck_assert_int_eq(t.answers, 0);
+	sched_tick(&t.sched, t.now + 1000);
+	ck_assert_int_eq(t.runs, 1);
+}
+END_TEST
+
+/* Nobody is sent more than the shares of a cap allow. */
+START_TEST(test_power)
+{
+	double watts = 0;
+
+	for (int e = 0; e < ENGINES; e++) {
+		char name[16];
+		char body[256];
+
+		snprintf(name, sizeof(name), "e%d", e);
+		snprintf(body, sizeof(body),
+			 "{\"service\":\"svc\",\"data_centre\":\"d1\","
+			 "\"address\":\"127.0.0.%d:9\",\"slots\":8,"
+			 "\"floor\":8,\"ramp_s\":0,\"idle_w\":100,"
+			 "\"slot_w\":50}",
+			 e + 1);
+		fixture_put(&t.config, KIND_UPSTREAM, name, body);
+	}
+	fixture_put(&t.config, KIND_SITE, "site", "{\"power_cap_w\":3000}");
+	new_view_();
+	for (int i = 0; i < 100; i++) {
+		place_((uint64_t)i);
+		watts = 100.0 * ENGINES + 50.0 * t.runs;
+		ck_assert(watts <= 3000);
+	}
+	for (int i = 0; i < 50; i++)
+		sched_tick(&t.sched, t.now += 100);
+	watts = 100.0 * ENGINES + 50.0 * t.runs;
+	ck_assert(watts <= 3000);
+	ck_assert(watts >= 2500);
+}
+END_TEST
+
+START_TEST(test_cancel)
+{
+	uint64_t id;
+
+	for (int i = 0; i < 8 * ENGINES; i++)
+		place_((uint64_t)i);
+	id = place_(1000);
+	sched_cancel(&t.sched, t.now, id);
+	release_(1, 0, SCHED_DONE);
+	ck_assert_int_eq(t.runs, 8 * ENGINES);
+}
+END_TEST
+
+Suite *sched_suite(void)
+{
+	Suite *s = suite_create("sched");
+	TCase *tc = tcase_create("sched");
+
+	tcase_add_checked_fixture(tc, setup_, teardown_);
+	tcase_add_test(tc, test_bound);
+	tcase_add_test(tc, test_returning_chat);
+	tcase_add_test(tc, test_lost_and_back);
+	tcase_add_test(tc, test_flap);
+	tcase_add_test(tc, test_foreign);
+	tcase_add_test(tc, test_start_id);
+	tcase_add_test(tc, test_deadline);
+	tcase_add_test(tc, test_queue_full);
+	tcase_add_test(tc, test_out);
+	tcase_add_test(tc, test_out_queued);
+	tcase_add_test(tc, test_forward);
+	tcase_add_test(tc, test_hops);
+	tcase_add_test(tc, test_avoid);
+	tcase_add_test(tc, test_cold);
+	tcase_add_test(tc, test_pause);
+	tcase_add_test(tc, test_power);
+	tcase_add_test(tc, test_cancel);
+	suite_add_tcase(s, tc);
+	return s;
+}
--- /dev/null
+++ b/tests/unit/test_sse.c
@@ -0,0 +1,78 @@
+#include "suites.h"
+
+#include <kcf/sse.h>
+
+static const struct {
+	const char *stream;
+	int events;
+	int64_t last_id;
+	const char *last_data;
+} streams[] = {
+	{ "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 2, 2, "b" },
+	{ "data: a\n\n", 1, -1, "a" },
+	{ "data:a\r\nid:7\r\n\r\n", 1, 7, "a" },
+	{ ": beat\n\n", 1, -1, "" },
+	{ "id: 1\ndata: cut", 0, -1, "" },
+	{ "id: x\ndata: a\n\n", 1, -1, "a" },
+};
+
+/* Each stream is fed whole and then byte by byte. */
+static void feed_(int i, size_t step)
+{
+	str_t left = str_of(streams[i].stream);
+	sse_event_t next;
+	char *data = g_strdup("");
+	int64_t id = -1;
+	int n = 0;
+	sse_t s;
+
+	sse_init(&s);
+	while (left.len) {
+		str_t part = { left.data, MIN(step, left.len) };
+
+		ck_assert(sse_feed(&s, part));
+		left = str_skip(left, step);
+		while (sse_next(&s, &next)) {
+			id = next.id;
+			g_free(data);
+			data = str_dup(next.data);
+			n++;
+		}
+	}
+	ck_assert_int_eq(n, streams[i].events);
+	ck_assert_int_eq(id, streams[i].last_id);
+	ck_assert_str_eq(data, streams[i].last_data);
+	g_free(data);
+	sse_finish(&s);
+}
+
+START_TEST(test_streams)
+{
+	feed_(_i, 1000);
+	feed_(_i, 1);
+}
+END_TEST
+
+START_TEST(test_too_long)
+{
+	char *text = g_strnfill(SSE_EVENT_MAX + 1, 'x');
+	sse_t s;
+
+	sse_init(&s);
+	ck_assert(!sse_feed(&s, str_of(text)));
+	sse_finish(&s);
+	g_free(text);
+}
+END_TEST
+
+Suite *sse_suite(void)
+{
+	Suite *s = suite_create("sse");
+	TCase *t = tcase_create("sse");
+
+	tcase_add_loop_test(t, test_streams, 0,
+			    sizeof(streams) / sizeof(streams[0]));
+	tcase_add_test(t, test_too_long);
+	suite_add_tcase(s, t);
+	return s;
+}
