--- a/include/kcf/http_server.h
+++ b/include/kcf/http_server.h
@@ -113,6 +113,13 @@
 void http_request_set_user(http_request_t *r, void *user);
 void *http_request_user(const http_request_t *r);
 
+/*
+ * http_request_ends_with_connection - the sender never closes one direction
+ * alone, so that the end of its sending side ends the request at once, also
+ * while nothing is written. Other senders may half-close and are served on.
+ */
+void http_request_ends_with_connection(http_request_t *r);
+
 /*
  * http_reply - answers a request whole.
  * @headers: ended by an entry whose name is NULL, or NULL for none
--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -62,10 +62,12 @@
 
 /* How the state machine acts. */
 typedef struct member_ops {
-	/* Sends a message; the fields seq to from are filled in by the caller.
+	/*
+	 * Sends a message; its receiver completes it with members_fill. lean
+	 * asks for the shortest form.
 	 */
 	void (*send)(void *ctx, const char *address, unsigned int proc,
-		     peer_message_t *m);
+		     peer_message_t *m, bool lean);
 	/* A node joined, left, died or came back. */
 	void (*changed)(void *ctx, const member_t *m, member_state_t before);
 } member_ops_t;
@@ -99,6 +101,7 @@
 	member_probe_t probe;
 	unsigned int seq;
 	mstime_t next_probe;
+	mstime_t next_seed;
 	mstime_t fast_until;
 	mstime_t last_tick;
 	mstime_t last_ack;  /* last sign of life from any peer */
@@ -170,9 +173,10 @@
 /*
  * members_fill - adds sender, updates and facts to a message to be sent.
  * @updates, @facts: storage for PEER_UPDATES_MAX and PEER_FACTS_MAX entries
+ * @lean: only what is needed to find failures, as bytes are short
  */
 void members_fill(members_t *ms, peer_message_t *m, peer_update_t *updates,
-		  peer_fact_t *facts);
+		  peer_fact_t *facts, bool lean);
 
 /*
  * members_find - a member by name, or NULL.
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -237,6 +237,12 @@
 	g_ptr_array_unref(drained);
 }
 
+/* A request that an upstream has failed may go one hop further. */
+static bool may_forward_(const sched_request_t *r)
+{
+	return r->hop < SCHED_HOPS_MAX + (r->excluded > 0);
+}
+
 static slot_t *slot_of_(const sched_t *s, uint32_t key)
 {
 	return g_hash_table_lookup(s->slots, GUINT_TO_POINTER(key));
@@ -468,7 +474,7 @@
 			run_(s, now, sl, r, 0);
 		else if (sl->owned)
 			enqueue_(s, now, sl, r);
-		else if (r->hop < SCHED_HOPS_MAX)
+		else if (may_forward_(r))
 			forward_(s, sl, r, sl->key);
 		else
 			sl = NULL;
@@ -477,8 +483,9 @@
 	}
 	sl = home_of_(s, now, r);
 	if (sl && !sl->owned) {
-		if (r->hop < SCHED_HOPS_MAX) {
-			forward_(s, sl, r, 0);
+		if (may_forward_(r)) {
+			/* Who failed it here is not known there: say where to. */
+			forward_(s, sl, r, r->excluded ? sl->key : 0);
 			return;
 		}
 		sl = rank_(s, now, r, RANK_OWNED);
@@ -495,7 +502,7 @@
 {
 	if (sl->owned)
 		run_(s, now, sl, r, 0);
-	else if (r->hop < SCHED_HOPS_MAX)
+	else if (may_forward_(r))
 		forward_(s, sl, r, sl->key);
 	else
 		enqueue_(s, now, home, r);
@@ -806,7 +813,7 @@
 		return;
 	r = item->user;
 	other = rank_(s, now, r, RANK_ROOM);
-	if (!other || (!other->owned && r->hop >= SCHED_HOPS_MAX))
+	if (!other || (!other->owned && !may_forward_(r)))
 		return;
 	fairq_remove(&sl->queue, r->id);
 	if (r->sticky)
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -32,6 +32,9 @@
 	bool stream_ended;
 	bool stream_cut;
 	bool too_large;
+	bool watched; /* the end of the sender's side ends the request */
+	bool gone;
+	ev_io hangup; /* active while watched and suspended */
 };
 
 const char *const http_server_err_string[] = {
@@ -52,6 +55,8 @@
 static void on_timer_(struct ev_loop *loop, ev_timer *w, int revents);
 static void on_prepare_(struct ev_loop *loop, ev_prepare *w, int revents);
 static ssize_t on_read_(void *cls, uint64_t pos, char *buf, size_t max);
+static void on_hangup_(struct ev_loop *loop, ev_io *w, int revents);
+static void suspend_(http_request_t *r);
 static void run_(http_server_t *s);
 static void wake_(http_request_t *r);
 static int listen_(const char *address);
@@ -229,8 +234,8 @@
 
 void http_stream_write(http_request_t *r, str_t data)
 {
-	assert(r->streaming && !r->stream_ended);
-	if (!data.len)
+	assert(r->streaming);
+	if (!data.len || r->stream_ended)
 		return;
 	g_string_append_len(r->stream, data.data, (gssize)data.len);
 	wake_(r);
@@ -360,8 +365,9 @@
 	}
 	if (r->response)
 		return MHD_queue_response(c, r->status, r->response);
-	MHD_suspend_connection(c);
-	r->suspended = true;
+	if (r->gone)
+		return MHD_NO;
+	suspend_(r);
 	return MHD_YES;
 }
 
@@ -385,6 +391,8 @@
 
 static void free_request_(http_request_t *r)
 {
+	if (r->watched)
+		ev_io_stop(r->server->loop, &r->hangup);
 	if (r->response)
 		MHD_destroy_response(r->response);
 	if (r->stream)
@@ -407,8 +415,7 @@
 			return MHD_CONTENT_READER_END_WITH_ERROR;
 		if (r->stream_ended)
 			return MHD_CONTENT_READER_END_OF_STREAM;
-		MHD_suspend_connection(r->connection);
-		r->suspended = true;
+		suspend_(r);
 		return 0;
 	}
 	n = MIN(n, max);
@@ -424,12 +431,52 @@
 	return (ssize_t)n;
 }
 
+void http_request_ends_with_connection(http_request_t *r)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+		r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	r->watched = true;
+	ev_io_init(&r->hangup, on_hangup_, info->connect_fd, EV_READ);
+	r->hangup.data = r;
+}
+
+/* A suspended connection is not looked at by the daemon. */
+static void suspend_(http_request_t *r)
+{
+	MHD_suspend_connection(r->connection);
+	r->suspended = true;
+	if (r->watched)
+		ev_io_start(r->server->loop, &r->hangup);
+}
+
+static void on_hangup_(struct ev_loop *loop, ev_io *w, int revents)
+{
+	http_request_t *r = w->data;
+	char byte;
+	ssize_t n = recv(w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	(void)revents;
+	ev_io_stop(loop, w);
+	/* Bytes of a next request wait until this one is over. */
+	if (n > 0)
+		return;
+	r->gone = true;
+	if (r->streaming) {
+		r->stream_ended = true;
+		r->stream_cut = true;
+	}
+	wake_(r);
+}
+
 static void wake_(http_request_t *r)
 {
 	r->server->dirty = true;
 	if (!r->suspended)
 		return;
 	r->suspended = false;
+	if (r->watched)
+		ev_io_stop(r->server->loop, &r->hangup);
 	MHD_resume_connection(r->connection);
 }
 
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -7,8 +7,11 @@
 /* An update is sent this many times for each doubling of the fleet. */
 #define GOSSIP_FACTOR 3
 #define JOIN_PROBE_MS 250
+#define SEED_PROBE_MS 2000
 #define ANNOUNCE_PEERS 4
 #define RELAY_MS 1000
+/* News in a lean message. */
+#define LEAN_UPDATES 2
 /* Deaths within this time count towards isolation. */
 #define ISOLATION_WINDOW_MS 15000
 
@@ -192,7 +195,7 @@
 		if (!peer)
 			return;
 		ms->self->gossip_left = MAX(ms->self->gossip_left, 1);
-		ms->ops->send(ms->ctx, peer->peer, PEER_PING, &m);
+		ms->ops->send(ms->ctx, peer->peer, PEER_PING, &m, false);
 	}
 }
 
@@ -250,7 +253,7 @@
 	switch (proc) {
 	case PEER_PING:
 		reply.seq = m->seq;
-		ms->ops->send(ms->ctx, from, PEER_ACK, &reply);
+		ms->ops->send(ms->ctx, from, PEER_ACK, &reply, false);
 		break;
 	case PEER_PING_REQ: {
 		member_t *target = members_find(ms, m->target);
@@ -263,7 +266,7 @@
 		relay.origin = g_strdup(from);
 		g_array_append_val(ms->relays, relay);
 		reply.seq = relay.seq;
-		ms->ops->send(ms->ctx, target->peer, PEER_PING, &reply);
+		ms->ops->send(ms->ctx, target->peer, PEER_PING, &reply, false);
 		break;
 	}
 	case PEER_ACK:
@@ -276,7 +279,7 @@
 			if (r->seq != m->seq)
 				continue;
 			reply.seq = r->origin_seq;
-			ms->ops->send(ms->ctx, r->origin, PEER_ACK, &reply);
+			ms->ops->send(ms->ctx, r->origin, PEER_ACK, &reply, false);
 			g_free(r->origin);
 			g_array_remove_index_fast(ms->relays, i);
 			break;
@@ -302,15 +305,16 @@
 }
 
 /* News first; what room is left goes to one random member, against gaps. */
-static u_int fill_updates_(members_t *ms, peer_update_t *updates)
+static u_int fill_updates_(members_t *ms, peer_update_t *updates, bool lean)
 {
+	u_int max = lean ? LEAN_UPDATES : PEER_UPDATES_MAX - 1;
 	GHashTableIter iter;
 	gpointer value;
 	member_t *other;
 	u_int n = 0;
 
 	g_hash_table_iter_init(&iter, ms->by_name);
-	while (n < PEER_UPDATES_MAX - 1 &&
+	while (n < max &&
 	       g_hash_table_iter_next(&iter, NULL, &value)) {
 		member_t *m = value;
 
@@ -319,7 +323,7 @@
 		m->gossip_left--;
 		put_update_(&updates[n++], m);
 	}
-	other = random_peer_(ms, NULL);
+	other = lean ? NULL : random_peer_(ms, NULL);
 	if (other)
 		put_update_(&updates[n++], other);
 	return n;
@@ -346,16 +350,16 @@
 }
 
 void members_fill(members_t *ms, peer_message_t *m, peer_update_t *updates,
-		  peer_fact_t *facts)
+		  peer_fact_t *facts, bool lean)
 {
 	m->from = ms->self->name;
 	m->incarnation = ms->self->incarnation;
 	if (!m->target)
 		m->target = "";
 	m->updates.updates_val = updates;
-	m->updates.updates_len = fill_updates_(ms, updates);
+	m->updates.updates_len = fill_updates_(ms, updates, lean);
 	m->facts.facts_val = facts;
-	m->facts.facts_len = fill_facts_(ms, facts);
+	m->facts.facts_len = lean ? 0 : fill_facts_(ms, facts);
 }
 
 static member_t *member_new_(const peer_update_t *u)
@@ -590,18 +594,27 @@
 			continue;
 		/* The other side must learn who asks. */
 		ms->self->gossip_left = MAX(ms->self->gossip_left, 1);
-		ms->ops->send(ms->ctx, address, PEER_PING, &m);
+		ms->ops->send(ms->ctx, address, PEER_PING, &m, true);
 		return;
 	}
 }
 
+static mstime_t seed_interval_(const members_t *ms)
+{
+	return ms->self->state == MEMBER_JOINING ? JOIN_PROBE_MS :
+						   SEED_PROBE_MS;
+}
+
 static void start_probe_(members_t *ms, mstime_t now)
 {
 	const char *name;
 	peer_message_t m = { 0 };
 	bool fast;
 
-	probe_seed_(ms);
+	if (now >= ms->next_seed) {
+		ms->next_seed = now + seed_interval_(ms);
+		probe_seed_(ms);
+	}
 	if (ms->probe.target)
 		return;
 	name = next_target_(ms);
@@ -616,7 +629,7 @@
 		now + (fast ? MEMBER_FAST_PROBE_MS : MEMBER_PROBE_MS) - 1;
 	ms->probe.indirect_sent = false;
 	m.seq = ms->probe.seq;
-	ms->ops->send(ms->ctx, members_find(ms, name)->peer, PEER_PING, &m);
+	ms->ops->send(ms->ctx, members_find(ms, name)->peer, PEER_PING, &m, false);
 }
 
 static void send_indirect_(members_t *ms)
@@ -627,7 +640,7 @@
 				     .target = ms->probe.target };
 
 		if (peer)
-			ms->ops->send(ms->ctx, peer->peer, PEER_PING_REQ, &m);
+			ms->ops->send(ms->ctx, peer->peer, PEER_PING_REQ, &m, true);
 	}
 	ms->probe.indirect_sent = true;
 }
--- a/packages/node/control_loads.c
+++ b/packages/node/control_loads.c
@@ -7,6 +7,8 @@
 #define POLL_TIMEOUT_MS 900
 /* Request and answer of one poll with their headers, about. */
 #define POLL_BYTES 400
+/* Share of the budget that is left to probes. */
+#define BUDGET_POLL_SHARE 0.2
 
 typedef struct poll_call {
 	control_t *control;
@@ -77,7 +79,8 @@
 
 		if (g_hash_table_contains(c->polling, GUINT_TO_POINTER(u->key)))
 			continue;
-		if (!budget_take(&c->budget, now, POLL_BYTES, false)) {
+		if (!budget_has(&c->budget, now, BUDGET_POLL_SHARE) ||
+		    !budget_take(&c->budget, now, POLL_BYTES, false)) {
 			counter_add(COUNTER_CONTROL_DROPPED, 1);
 			continue;
 		}
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -10,12 +10,14 @@
 #define HOSTS_RETRY_MS 2000
 #define TENTHS_MS 100
 #define MILLI 1000.0
+/* Share of the budget that must be saved for more than probes. */
+#define BUDGET_FULL_SHARE 0.5
 /* Time without sending after this process was paused. */
 #define PAUSE_HOLD_MS 2000
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents);
 static void send_(void *ctx, const char *address, unsigned int proc,
-		  peer_message_t *m);
+		  peer_message_t *m, bool lean);
 static void changed_(void *ctx, const member_t *m, member_state_t before);
 static void on_hosts_(void *arg, const host_entry_t *hosts, size_t count);
 
@@ -79,7 +81,7 @@
 }
 
 static void send_(void *ctx, const char *address, unsigned int proc,
-		  peer_message_t *m)
+		  peer_message_t *m, bool lean)
 {
 	control_t *c = ctx;
 	peer_update_t updates[PEER_UPDATES_MAX];
@@ -93,11 +95,14 @@
 
 	if (!address_parse(address, &sa))
 		return;
+	lean = lean ||
+	       !budget_has(&c->budget, clock_now(), BUDGET_FULL_SHARE);
 	full = *m;
-	members_fill(&c->members, &full, updates, facts);
+	members_fill(&c->members, &full, updates, facts, lean);
 	full.sent = (u_quad_t)wall;
 	full.loads.loads_val = loads;
-	full.loads.loads_len = sched_fill_loads(&c->sched, clock_now(),
+	if (!lean)
+		full.loads.loads_len = sched_fill_loads(&c->sched, clock_now(),
 						(uint32_t)(wall / TENTHS_MS),
 						loads, PEER_LOADS_MAX);
 	while (datagram_encode(c->settings->peer_key, proc, &full, data,
@@ -274,5 +279,5 @@
 		return;
 	m.loans.loans_len = 1;
 	m.loans.loans_val = &wire;
-	send_(c, member->peer, PEER_LOAN, &m);
+	send_(c, member->peer, PEER_LOAN, &m, true);
 }
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -193,6 +193,9 @@
 		return;
 	}
 	x->permit = a->verdict == SCHED_RUN;
+	LOG_EVENT(LOG_DEBUG, "request.placed", F_STR("request", x->request_id),
+		  F_STR("upstream", a->upstream), F_STR("node", a->node),
+		  F_INT("hop", x->hop));
 	if (a->verdict == SCHED_RUN)
 		exchange_trace(x, "placed upstream=%s warm=%d hop=%d",
 			       a->upstream, a->warm, x->hop);
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -114,6 +114,12 @@
  */
 bool budget_take(budget_t *b, mstime_t now, int64_t bytes, bool must);
 
+/*
+ * budget_has - whether a share of what can be saved is there.
+ * @share: 0 to 1
+ */
+bool budget_has(budget_t *b, mstime_t now, double share);
+
 /* control_peers.c */
 bool peers_start(control_t *c);
 void peers_stop(control_t *c);
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -121,6 +121,8 @@
 	relay_t *r = ctx;
 
 	r->retry_budget = MIN(RETRY_SAVED_MAX, r->retry_budget + RETRY_SHARE);
+	if (http_request_header(req, HOP_HEADER).data)
+		http_request_ends_with_connection(req);
 	exchange_run(exchange_new(r, req));
 }
 
--- a/packages/node/upstream_call.c
+++ b/packages/node/upstream_call.c
@@ -10,6 +10,8 @@
 #define STREAM_LOW_BYTES (64 * 1024)
 #define ANSWER_MAX_BYTES (32 * 1024 * 1024)
 #define RETRY_AFTER_BROKEN_MS 1000
+/* Heartbeats to another node within the gap after which it gives up. */
+#define PEER_BEATS 3
 
 /* Headers that end at this node or are set by it. */
 static const char *const own_headers[] = {
@@ -475,7 +477,12 @@
 {
 	static const char beat[] = ": heartbeat\n\n";
 
-	if (now - x->wrote_at < x->relay->settings->caller_heartbeat_ms)
+	mstime_t interval = x->relay->settings->caller_heartbeat_ms;
+
+	/* Another node waits no longer than the gap: tell it in time. */
+	if (x->hop > 0)
+		interval = MIN(interval, x->gap_ms / PEER_BEATS);
+	if (now - x->wrote_at < interval)
 		return;
 	x->wrote_at = now;
 	http_stream_write(x->req, str_of(beat));
--- a/tests/runner/http_words.c
+++ b/tests/runner/http_words.c
@@ -156,35 +156,85 @@
 	lua_setfield(L, -2, "headers");
 }
 
-/* http_all({request...}) -> {result...}; all are open at the same time */
-static int http_all_(lua_State *L)
-{
-	lua_Integer n = luaL_len(L, 1);
-	batch_t batch = { ev_loop_new(EVFLAG_AUTO), (int)n };
-	word_call_t *calls = g_new0(word_call_t, (gsize)n + 1);
+/* Requests that are open at the same time, on a loop of their own. */
+typedef struct word_batch {
+	batch_t batch;
 	http_client_t client;
+	word_call_t *calls;
+	lua_Integer count;
+	GThread *thread;
+} word_batch_t;
 
-	http_client_init(&client, batch.loop);
-	for (lua_Integer i = 0; i < n; i++) {
-		calls[i].batch = &batch;
-		calls[i].body = g_string_new(NULL);
-		calls[i].headers = g_string_new(NULL);
+static word_batch_t *start_batch_(lua_State *L)
+{
+	word_batch_t *b = g_new0(word_batch_t, 1);
+
+	b->count = luaL_len(L, 1);
+	b->batch = (batch_t){ ev_loop_new(EVFLAG_AUTO), (int)b->count };
+	b->calls = g_new0(word_call_t, (gsize)b->count + 1);
+	http_client_init(&b->client, b->batch.loop);
+	for (lua_Integer i = 0; i < b->count; i++) {
+		b->calls[i].batch = &b->batch;
+		b->calls[i].body = g_string_new(NULL);
+		b->calls[i].headers = g_string_new(NULL);
 		lua_geti(L, 1, i + 1);
-		start_(L, lua_gettop(L), &client, &calls[i]);
+		start_(L, lua_gettop(L), &b->client, &b->calls[i]);
 		lua_pop(L, 1);
 	}
-	while (batch.open > 0)
-		ev_run(batch.loop, 0);
+	return b;
+}
+
+static gpointer run_batch_(gpointer data)
+{
+	word_batch_t *b = data;
+
+	while (b->batch.open > 0)
+		ev_run(b->batch.loop, 0);
+	return NULL;
+}
+
+static void push_batch_(lua_State *L, word_batch_t *b)
+{
 	lua_newtable(L);
-	for (lua_Integer i = 0; i < n; i++) {
-		push_result_(L, &calls[i]);
+	for (lua_Integer i = 0; i < b->count; i++) {
+		push_result_(L, &b->calls[i]);
 		lua_seti(L, -2, i + 1);
-		g_string_free(calls[i].body, TRUE);
-		g_string_free(calls[i].headers, TRUE);
+		g_string_free(b->calls[i].body, TRUE);
+		g_string_free(b->calls[i].headers, TRUE);
 	}
-	http_client_finish(&client);
-	ev_loop_destroy(batch.loop);
-	g_free(calls);
+	http_client_finish(&b->client);
+	ev_loop_destroy(b->batch.loop);
+	g_free(b->calls);
+	g_free(b);
+}
+
+/* http_all({request...}) -> {result...}; all are open at the same time */
+static int http_all_(lua_State *L)
+{
+	word_batch_t *b = start_batch_(L);
+
+	run_batch_(b);
+	push_batch_(L, b);
+	return 1;
+}
+
+/* http_start({request...}) -> handle; the scenario goes on meanwhile */
+static int http_start_(lua_State *L)
+{
+	word_batch_t *b = start_batch_(L);
+
+	b->thread = g_thread_new("http", run_batch_, b);
+	lua_pushlightuserdata(L, b);
+	return 1;
+}
+
+/* http_finish(handle) -> {result...} */
+static int http_finish_(lua_State *L)
+{
+	word_batch_t *b = lua_touserdata(L, 1);
+
+	g_thread_join(b->thread);
+	push_batch_(L, b);
 	return 1;
 }
 
@@ -319,6 +369,8 @@
 void http_words(lua_State *L)
 {
 	lua_register(L, "http_all", http_all_);
+	lua_register(L, "http_start", http_start_);
+	lua_register(L, "http_finish", http_finish_);
 	lua_register(L, "json_decode", json_decode_);
 	lua_register(L, "json_encode", json_encode_);
 	lua_register(L, "toml_decode", toml_decode_);
--- a/tests/runner/main.c
+++ b/tests/runner/main.c
@@ -61,6 +61,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	process_words(L);
 	http_words(L);
+	raw_words(L);
 	status = run_file_(L, words);
 	if (!status)
 		status = run_file_(L, scenario);
--- a/tests/runner/words.h
+++ b/tests/runner/words.h
@@ -11,6 +11,8 @@
 void process_words(lua_State *L);
 /* Adds http, json_encode, json_decode and sha256. */
 void http_words(lua_State *L);
+/* Adds raw_open, raw_read, raw_half_close and raw_close. */
+void raw_words(lua_State *L);
 /* Ends every process that a scenario left running. */
 void process_cleanup(void);
 
--- /dev/null
+++ b/tests/scenarios/whole_answers.lua
@@ -0,0 +1,105 @@
+-- Streams and answers come whole, byte for byte, whatever the engine does.
+local f = start_fleet {
+	edit = function(resources)
+		for _, r in ipairs(resources) do
+			if r.name == SERVICE then r.body.gap_ms = 600 end
+		end
+	end,
+}
+local n = f.nodes[1]
+local by_name = {}
+for _, e in ipairs(f.engines) do by_name[e.name] = e end
+
+local function home(chat_id)
+	local r = chat(n, { chat = chat_id, text = "first" })
+	expect(r.status == 200, "%s: %s %s", chat_id, r.status, r.body)
+	return by_name[r.headers["X-Upstream"]]
+end
+
+local function check_stream(what, req, r)
+	local other = f.engines[1]
+	expect(r.status == 200, "%s: %s %s", what, r.status, r.body)
+	expect(events(r.body) == direct(other, req).body, "%s: stream differs\n%s", what, r.body)
+end
+
+local function text_of(r) return json_decode(r.body).choices[1].message.content end
+
+for i, row in ipairs {
+	{ "silent connection", { silent_after = 5 }, { silent_after = 0 } },
+	{ "cut connection", { cut_after = 7 }, { cut_after = 0 } },
+	{ "crossed answer", { crossed = 1 }, { crossed = 0 } },
+	{ "engine that hangs", { hang = 1 }, { hang = 0 } },
+} do
+	local what, on, off = table.unpack(row)
+	local e = home("whole-" .. i)
+	fault(e, on)
+	if not on.hang then
+		local req = chat_request(n, { chat = "whole-" .. i, id = "s-" .. i, stream = true, tokens = 30, text = what })
+		local r = http(req)
+		fault(e, off)
+		check_stream(what, req, r)
+		fault(e, on)
+	end
+	if on.cut_after or on.crossed then
+		local req = chat_request(n, { chat = "whole-" .. i, id = "w-" .. i, tokens = 30, text = what })
+		local r = http(req)
+		fault(e, off)
+		expect(r.status == 200, "%s, not streamed: %s %s %s", what, r.status, r.err or "", r.body)
+		expect(text_of(r) == text_of(direct(f.engines[2], req)), "%s, not streamed: differs", what)
+	end
+	if on.hang then
+		local started = now_ms()
+		local r = chat(n, { chat = "whole-" .. i, deadline_ms = 1500 })
+		expect(r.status == 504 and problem(r).ran == "unknown", "%s: %s %s", what, r.status, r.body)
+		expect(now_ms() - started < 4000, "%s: answer held back", what)
+	end
+	fault(e, off)
+end
+
+-- The engine dies in the middle of a stream: it goes on elsewhere.
+local e = home("dying")
+local req = chat_request(n, { chat = "dying", id = "dying-1", stream = true, tokens = 100 })
+local pending = http_start { req }
+sleep_ms(400)
+kill(e)
+local r = http_finish(pending)[1]
+check_stream("killed engine", req, r)
+restart(e)
+
+-- The node dies in the middle: the caller goes on at another.
+local lost = f.nodes[2]
+req = chat_request(lost, { chat = "moving", id = "moving-1", stream = true, tokens = 100 })
+pending = http_start { req }
+sleep_ms(500)
+kill(lost)
+lost.gone = true
+r = http_finish(pending)[1]
+expect(r.err, "the killed node's stream ended as if whole")
+local have = events(r.body):match("^(.*\n\n)") or ""
+local last = tonumber(have:match(".*id: (%d+)\n")) or 0
+expect(last > 0 and last < 100, "last event %s", last)
+local rest
+wait_for("another node goes on", 10000, function()
+	rest = chat(n, { chat = "moving", id = "moving-1", stream = true, tokens = 100, last = last })
+	return rest.status == 200
+end)
+expect(have .. events(rest.body) == direct(f.engines[1], req).body, "continued stream differs")
+
+-- A slow reader gets everything.
+for _, engine in ipairs(f.engines) do fault(engine, { token_ms = 0 }) end
+local body = json_encode { model = MODEL, stream = true, max_tokens = 8000, messages = { { role = "user", content = "slow" } } }
+local head = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Request-Id: slow-1\r\nAuthorization: Bearer " ..
+	KEY .. "\r\nContent-Length: " .. #body .. "\r\n\r\n"
+local fd = raw_open(n.callers, head .. body)
+sleep_ms(3000)
+local text = raw_read(fd, 3000)
+raw_close(fd)
+expect(text:find("data: [DONE]", 1, true), "slow reader: the end is missing")
+local count = select(2, text:gsub("\ndata: ", ""))
+expect(count == 8001, "slow reader: %d events", count)
+
+local total = 0
+for _, node in ipairs(f.nodes) do
+	if not node.gone then total = total + metric(node, "kcf_crossed_answers_total") end
+end
+expect(total >= 2, "crossed answers counted: %d", total)
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -93,10 +93,10 @@
 log_retention_s = %d
 host_list = "http://%s/hosts"
 [log]
-level = "info"
+level = "%s"
 ]], n.name, n.dc, f.region, f.drain_s, n.callers, f.heartbeat_ms, f.idle_timeout_s, n.operators,
 		sha256(OPERATOR), sha256("operator-key-2"), n.peer, f.budget,
-		table.concat(seeds, ", "), n.log or f.log.address, f.retention_s, f.hosts.address)
+		table.concat(seeds, ", "), n.log or f.log.address, f.retention_s, f.hosts.address, LEVEL or "info")
 end
 
 function start_node(f, n)
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -70,6 +70,7 @@
 	json_t *switches;
 
 	(void)ctx;
+	http_request_ends_with_connection(r);
 	if (str_eq(path, str_of("/stats"))) {
 		standin_json(r, 200, ops->stats());
 	} else if (str_eq(path, str_of("/fault"))) {
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -35,7 +35,7 @@
 static const unsigned char key[DATAGRAM_KEY_BYTES] = { 1 };
 
 static void send_(void *ctx, const char *address, unsigned int proc,
-		  peer_message_t *m)
+		  peer_message_t *m, bool lean)
 {
 	net_node_t *n = ctx;
 	net_packet_t *p = g_new0(net_packet_t, 1);
@@ -43,7 +43,8 @@
 	peer_fact_t facts[PEER_FACTS_MAX];
 	peer_message_t full = *m;
 
-	members_fill(&n->members, &full, updates, facts);
+	members_fill(&n->members, &full, updates, facts,
+		     lean);
 	full.sent = (u_quad_t)net.now;
 	p->from = (int)(n - net.nodes);
 	p->to = -1;
@@ -70,7 +71,7 @@
 static void start_(int i, uint64_t incarnation)
 {
 	net_node_t *n = &net.nodes[i];
-	char name[8];
+	char name[16];
 	member_self_t self = { .name = name,
 			       .data_centre = "d",
 			       .region = "r",
@@ -148,7 +149,7 @@
 
 static member_state_t seen_(int by, int of)
 {
-	char name[8];
+	char name[16];
 	const member_t *m;
 
 	snprintf(name, sizeof(name), "n%d", of);
