Loads: fresher knowledge and a bound that allows for its age

Cause: owners judged the bound by gossip that was seconds old. Trace of every placement beside the engines' own counts: the known sum was off by a standard deviation of 6.4 requests (about 48 outstanding, 10 engines, 80 requests/s), as the age of the news predicts (6.1).

Change: owners tell their loads to up to 8 peers every 500 ms when changed and on requests and answers between nodes; the bound is taken from the sum less 1.5 standard deviations of what may have ended unheard; a chat that spills goes to the least loaded engine, not the next in rank; a target that turns out full hands on once more. Acknowledgements are lean.

Also: run-once outcomes told by another node as not known are recorded as such, not replayed; a node that does not own the target any more says so and the request is placed again; the load tool asks again and resumes streams as a caller would.

--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -19,6 +19,7 @@
 #define SCHED_HOPS_MAX 2
 #define SCHED_EXCLUDE_MAX 4
 #define SCHED_NAME_MAX 64
+#define SCHED_LOADS_MAX 256
 
 typedef struct sched_request {
 	uint64_t id;
@@ -68,6 +69,7 @@
 	int hop;
 	uint32_t target;
 	/* SCHED_REFUSE */
+	char loads[SCHED_LOADS_MAX]; /* of this node's upstreams, as text */
 	sched_refusal_t refusal;
 	mstime_t retry_after_ms;
 	mstime_t waited_ms;
@@ -190,12 +192,32 @@
 
 /*
  * sched_fill_loads - gossip of loads, owned upstreams first.
- * @stamp: wall time in tenths of a second
+ * @stamp: wall time in hundredths of a second
+ *
+ * @own_only: leave out what is only known by gossip
  *
  * Return: number of entries written, at most max.
  */
 u_int sched_fill_loads(sched_t *s, mstime_t now, uint32_t stamp,
-		       peer_load_t *loads, u_int max);
+		       peer_load_t *loads, u_int max, bool own_only);
+
+/*
+ * sched_own_load - a number that changes when a load of an owned upstream does.
+ */
+uint64_t sched_own_load(const sched_t *s, mstime_t now);
+
+/*
+ * sched_loads_text - loads of owned upstreams for a header between nodes.
+ * @stamp: wall time in hundredths of a second
+ * @out: SCHED_LOADS_MAX bytes; what does not fit is left out
+ */
+void sched_loads_text(const sched_t *s, mstime_t now, uint32_t stamp,
+		      char *out);
+
+/*
+ * sched_take_loads_text - takes such a header; malformed parts are ignored.
+ */
+void sched_take_loads_text(sched_t *s, mstime_t now, str_t text);
 
 /*
  * sched_tick - lets time pass: ramps, deadlines of waiting requests, loans.
--- a/packages/ctl/cmd_load.c
+++ b/packages/ctl/cmd_load.c
@@ -13,7 +13,11 @@
 #include <string.h>
 
 #define TURN_BYTES 256
+/* Tries of one request at other nodes when its node cannot be used. */
+#define TRIES_MAX 8
+#define TRY_AGAIN_S 0.2
 #define KEYS_MAX 64
+#define ADDRESSES_MAX 4
 
 typedef struct load_options {
 	char *model;
@@ -47,7 +51,8 @@
 	int turns;
 	int customer;
 	bool busy;
-	char *address; /* from the last answer of where */
+	char *addresses[ADDRESSES_MAX]; /* of the last answer of where */
+	int address; /* index of the one in use */
 	mstime_t valid_until;
 } chat_load_t;
 
@@ -65,6 +70,8 @@
 	int64_t sent;
 	int64_t ok;
 	int64_t once_sent;
+	int64_t again;	 /* tries at another node */
+	int64_t skipped; /* arrivals without a free chat */
 	int64_t prompt;
 	int64_t cached;
 	samples_t total_ms;
@@ -80,7 +87,11 @@
 	int64_t started_us;
 	int64_t first_us;
 	GString *tail; /* end of the body */
-	bool where;
+	char *request_id;
+	char *once_key;
+	int64_t last_id; /* of the stream's events so far */
+	int tries;
+	ev_timer again;
 	bool once;
 } shot_t;
 
@@ -96,6 +107,7 @@
 }
 
 static void send_(shot_t *s);
+static void start_shot_(shot_t *s);
 
 static char *prompt_(const load_t *l, const chat_load_t *chat)
 {
@@ -130,7 +142,10 @@
 
 	s->chat->busy = false;
 	l->open--;
+	ev_timer_stop(l->ctl->loop, &s->again);
 	g_string_free(s->tail, TRUE);
+	g_free(s->request_id);
+	g_free(s->once_key);
 	g_free(s);
 	if (!l->open && clock_now() >= l->ends)
 		ev_break(l->ctl->loop, EVBREAK_ALL);
@@ -163,6 +178,59 @@
 	return strstr(s->tail->str, "[DONE]");
 }
 
+/* The next address of the last answer; none means to ask again. */
+static void next_address_(chat_load_t *chat)
+{
+	chat->address++;
+	if (chat->address >= ADDRESSES_MAX || !chat->addresses[chat->address])
+		chat->valid_until = 0;
+}
+
+static void on_again_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	start_shot_(w->data);
+}
+
+static int64_t last_event_(const shot_t *s)
+{
+	const char *at = g_strrstr(s->tail->str, "\n\n");
+	const char *id = NULL;
+	int64_t last = s->last_id;
+
+	/* Only whole events count. */
+	if (at)
+		id = g_strrstr_len(s->tail->str, at - s->tail->str, "id: ");
+	if (id)
+		last = MAX(last, g_ascii_strtoll(id + 4, NULL, 10));
+	return last;
+}
+
+/*
+ * As a caller would: when the node is gone or not ready, or a stream broke,
+ * ask where to go and go on there. Refusals for load are not tried again.
+ */
+static bool try_again_(shot_t *s, int err, int status)
+{
+	load_t *l = s->load;
+	bool gone = err == HTTP_ECONNECT || (!err && status == 503 &&
+					     strstr(s->tail->str, "not ready"));
+	bool broke = err == HTTP_ECUT && (l->o.stream || s->once);
+
+	if (l->o.direct || s->tries >= TRIES_MAX || !(gone || broke))
+		return false;
+	s->tries++;
+	l->again++;
+	s->last_id = last_event_(s);
+	g_string_truncate(s->tail, 0);
+	next_address_(s->chat);
+	ev_timer_init(&s->again, on_again_, TRY_AGAIN_S, 0);
+	s->again.data = s;
+	ev_timer_start(l->ctl->loop, &s->again);
+	return true;
+}
+
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
 	shot_t *s = ctx;
@@ -171,6 +239,8 @@
 	double total = (double)(clock_now_us() - s->started_us) / MSEC_PER_SEC;
 	char *upstream;
 
+	if (try_again_(s, err, status))
+		return;
 	if (err || status != 200) {
 		count_refusal_(l, s, err, status);
 		finish_(s);
@@ -212,23 +282,34 @@
 
 static const http_call_ops_t shot_ops = { .data = on_data_, .done = on_done_ };
 
+static void forget_addresses_(chat_load_t *chat)
+{
+	for (int i = 0; i < ADDRESSES_MAX; i++)
+		g_clear_pointer(&chat->addresses[i], g_free);
+	chat->address = 0;
+}
+
 static void on_where_(void *ctx, http_call_t *call, int err, int status)
 {
 	shot_t *s = ctx;
 	str_t body = http_call_body(call);
 	json_t *root = NULL;
-	const char *address;
+	json_t *list;
+	json_t *v;
+	size_t i;
 
 	if (!err && status == 200)
 		root = json_loadb(body.data, body.len, 0, NULL);
-	address = json_string_value(
-		json_array_get(json_object_get(root, "addresses"), 0));
-	if (address) {
-		g_free(s->chat->address);
-		s->chat->address = g_strdup(address);
+	list = json_object_get(root, "addresses");
+	if (json_array_size(list)) {
+		forget_addresses_(s->chat);
+		json_array_foreach(list, i, v)
+			if (i < ADDRESSES_MAX)
+				s->chat->addresses[i] =
+					g_strdup(json_string_value(v));
 		s->chat->valid_until =
-			clock_now() +
-			json_integer_value(json_object_get(root, "valid_ms"));
+			clock_now() + json_integer_value(json_object_get(
+					      root, "valid_ms"));
 	}
 	json_decref(root);
 	send_(s);
@@ -250,7 +331,6 @@
 				  .headers = headers,
 				  .deadline = clock_now() + MSEC_PER_SEC };
 
-	s->where = true;
 	http_call_start(&l->ctl->http, &spec, &where_ops, s);
 	g_free(url);
 	g_free(auth);
@@ -259,9 +339,10 @@
 static void send_(shot_t *s)
 {
 	load_t *l = s->load;
-	const char *address = l->o.direct	 ? l->o.direct
-			      : s->chat->address ? s->chat->address
-						 : l->ctl->callers;
+	const char *known = s->chat->addresses[s->chat->address];
+	const char *address = l->o.direct ? l->o.direct :
+			      known	  ? known :
+					    l->ctl->callers;
 	char *url = g_strdup_printf("http://%s%s", address,
 				    s->once ? l->o.once_path
 					    : "/v1/chat/completions");
@@ -270,14 +351,16 @@
 				     l->customers[s->chat->customer].key);
 	char *chat = g_strdup_printf("X-Chat-Id: %s", s->chat->id);
 	char *deadline = g_strdup_printf("X-Deadline-Ms: %d", l->o.deadline_ms);
-	char *key = g_strdup_printf("Idempotency-Key: %lld-load-%d-%lld",
-				    (long long)(clock_wall() / MSEC_PER_SEC),
-				    l->o.seed, (long long)l->sent);
+	char *id = g_strdup_printf("X-Request-Id: %s", s->request_id);
+	char *key = g_strdup_printf("Idempotency-Key: %s", s->once_key);
+	char *last =
+		g_strdup_printf("Last-Event-ID: %lld", (long long)s->last_id);
 	const char *headers[] = { "Content-Type: application/json",
 				  auth,
 				  chat,
 				  deadline,
-				  s->once ? key : NULL,
+				  id,
+				  NULL,
 				  NULL };
 	http_call_spec_t spec = { .method = "POST",
 				  .url = url,
@@ -285,14 +368,29 @@
 				  .body = str_of(body),
 				  .deadline = MSTIME_NEVER };
 
-	s->started_us = clock_now_us();
+	if (s->once)
+		headers[5] = key;
+	else if (s->last_id)
+		headers[5] = last;
 	http_call_start(&l->ctl->http, &spec, &shot_ops, s);
 	free(body);
 	g_free(url);
 	g_free(auth);
 	g_free(chat);
 	g_free(deadline);
+	g_free(id);
 	g_free(key);
+	g_free(last);
+}
+
+static void start_shot_(shot_t *s)
+{
+	const load_t *l = s->load;
+
+	if (l->o.direct || l->o.any || clock_now() < s->chat->valid_until)
+		send_(s);
+	else
+		ask_where_(s);
 }
 
 static bool surging_(const load_t *l, int *customer, double *factor)
@@ -345,22 +443,25 @@
 	shot_t *s;
 
 	if (!chat) {
-		count_(l->reasons, "all chats busy");
+		l->skipped++;
 		return;
 	}
 	s = g_new0(shot_t, 1);
 	s->load = l;
 	s->chat = chat;
 	s->tail = g_string_new(NULL);
+	s->started_us = clock_now_us();
+	s->request_id =
+		g_strdup_printf("load-%d-%lld", l->o.seed, (long long)l->sent);
+	s->once_key = g_strdup_printf("%lld-load-%d-%lld",
+				      (long long)(clock_wall() / MSEC_PER_SEC),
+				      l->o.seed, (long long)l->sent);
 	s->once = l->o.once_path && g_rand_double(l->rand) < l->o.once_share;
 	chat->busy = true;
 	l->open++;
 	l->sent++;
 	l->once_sent += s->once;
-	if (l->o.direct || l->o.any || clock_now() < chat->valid_until)
-		send_(s);
-	else
-		ask_where_(s);
+	start_shot_(s);
 }
 
 static void on_arrival_(struct ev_loop *loop, ev_timer *w, int revents)
@@ -435,8 +536,9 @@
 					     percentiles_(&c->total_ms)));
 	}
 	return json_pack(
-		"{s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:o,s:o,s:o}", "sent",
-		(json_int_t)l->sent, "ok", (json_int_t)l->ok, "once",
+		"{s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:o,s:o,s:o}", "sent",
+		(json_int_t)l->sent, "skipped", (json_int_t)l->skipped, "again",
+		(json_int_t)l->again, "ok", (json_int_t)l->ok, "once",
 		(json_int_t)l->once_sent, "ok_per_s", (double)l->ok / seconds,
 		"total_ms", percentiles_(&l->total_ms), "first_ms",
 		percentiles_(&l->first_ms), "reuse",
--- a/packages/decide/private/slot.h
+++ b/packages/decide/private/slot.h
@@ -105,6 +105,12 @@
  */
 int slot_load(const slot_t *sl, mstime_t now);
 
+/*
+ * slot_variance - variance of the load, as it may have changed since heard:
+ * each outstanding request may have ended, and others begun.
+ */
+double slot_variance(const slot_t *sl, mstime_t now);
+
 /*
  * slot_alive - whether it is not known to be down.
  */
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -4,6 +4,7 @@
 
 #include <assert.h>
 #include <math.h>
+#include <stdio.h>
 #include <string.h>
 
 #define SPILLS_MAX 100000
@@ -19,6 +20,8 @@
 #define PREFILL_TOKENS_PER_S 8000
 /* Headroom that a lender keeps, in requests. */
 #define LEND_KEEP 1
+/* Standard deviations by which others' loads may have fallen unheard. */
+#define STALE_DEVIATIONS 1.5
 
 const char *const sched_refusal_string[] = {
 	"no upstream in service",
@@ -31,6 +34,7 @@
 typedef struct totals {
 	int out;
 	int slots;
+	double variance; /* of out, for what has changed since it was heard */
 } totals_t;
 
 static slot_t *slot_of_(const sched_t *s, uint32_t key);
@@ -39,7 +43,6 @@
 static bool excluded_(const sched_request_t *r, uint32_t key);
 static totals_t totals_(const sched_t *s, mstime_t now,
 			const service_t *service);
-static bool has_room_(const sched_t *s, mstime_t now, const slot_t *sl);
 static void run_(sched_t *s, mstime_t now, slot_t *sl, const sched_request_t *r,
 		 mstime_t waited);
 static void refuse_(sched_t *s, const sched_request_t *r, sched_refusal_t why,
@@ -280,7 +283,7 @@
 static totals_t totals_(const sched_t *s, mstime_t now,
 			const service_t *service)
 {
-	totals_t t = { 0, 0 };
+	totals_t t = { 0 };
 	GHashTableIter iter;
 	gpointer value;
 
@@ -297,45 +300,55 @@
 			continue;
 		t.out += slot_load(sl, now);
 		t.slots += sl->up->slots;
+		t.variance += slot_variance(sl, now);
 	}
 	return t;
 }
 
+/* How sure a load within the bound of the mean must be. */
+typedef enum certainty {
+	LIKELY,	 /* as far as known */
+	CERTAIN, /* also if others' loads have fallen since they were heard */
+} certainty_t;
+
 /* Largest load within load_bound times the mean, one request of slack. */
-static int bound_(const sched_t *s, mstime_t now, const slot_t *sl)
+static int bound_(const sched_t *s, mstime_t now, const slot_t *sl,
+		  certainty_t certainty)
 {
 	totals_t t = totals_(s, now, sl->up->service);
-	double mean;
+	double out = t.out + 1;
 
 	if (!t.slots)
 		return sl->up->slots;
-	mean = (double)(t.out + 1) * sl->up->slots / t.slots;
-	return (int)floor(s->view->load_bound * mean) + 1;
+	if (certainty == CERTAIN)
+		out -= MIN(out, STALE_DEVIATIONS * sqrt(t.variance));
+	return (int)floor(s->view->load_bound * out * sl->up->slots /
+			  t.slots) +
+	       1;
 }
 
-static bool has_room_(const sched_t *s, mstime_t now, const slot_t *sl)
+static bool has_room_(const sched_t *s, mstime_t now, const slot_t *sl,
+		      certainty_t certainty)
 {
 	int load = slot_load(sl, now);
 
 	if (sl->owned && (now < sl->hold_until || now < s->hold_all_until))
 		return false;
-	return load < slot_limit(sl, s, now) && load < bound_(s, now, sl);
+	return load < slot_limit(sl, s, now) &&
+	       load < bound_(s, now, sl, certainty);
 }
 
 /* Which entries a ranking may return. */
 typedef enum rank_filter {
 	RANK_ANY,
-	RANK_ROOM,    /* only those that can take one more now */
 	RANK_SETTLED, /* only those that were not away of late */
 	RANK_OWNED,
 } rank_filter_t;
 
-static bool passes_(const sched_t *s, mstime_t now, const slot_t *sl,
+static bool passes_(mstime_t now, const slot_t *sl,
 		    rank_filter_t filter)
 {
 	switch (filter) {
-	case RANK_ROOM:
-		return has_room_(s, now, sl);
 	case RANK_SETTLED:
 		return slot_weight(sl, now) == WEIGHT_SETTLED;
 	case RANK_OWNED:
@@ -369,7 +382,7 @@
 			weight = MAX(weight, 1);
 		score = rank_score(r->chat, sl->up->hash,
 				   sl->up->weight * weight / WEIGHT_FULL);
-		if (score <= best_score || !passes_(s, now, sl, filter))
+		if (score <= best_score || !passes_(now, sl, filter))
 			continue;
 		best = sl;
 		best_score = score;
@@ -390,6 +403,41 @@
 	return best;
 }
 
+/*
+ * Least loaded upstream of the region that has room; among equals the one that
+ * ranks first, so that nodes which know the same do not all choose the same.
+ */
+static slot_t *least_loaded_(const sched_t *s, mstime_t now,
+			     const sched_request_t *r, certainty_t certainty)
+{
+	GHashTableIter iter;
+	gpointer value;
+	slot_t *best = NULL;
+	double best_load = 0;
+	double best_score = 0;
+
+	g_hash_table_iter_init(&iter, s->slots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		slot_t *sl = value;
+		double load;
+		double score;
+
+		if (!fits_(s, r, sl) || !slot_alive(sl, now) ||
+		    !in_region_(s, sl) || !slot_weight(sl, now) ||
+		    !has_room_(s, now, sl, certainty))
+			continue;
+		load = (double)slot_load(sl, now) / sl->up->slots;
+		score = rank_score(r->chat, sl->up->hash, sl->up->weight);
+		if (best && (load > best_load ||
+			     (load == best_load && score <= best_score)))
+			continue;
+		best = sl;
+		best_load = load;
+		best_score = score;
+	}
+	return best;
+}
+
 static bool warm_(const slot_t *sl, mstime_t now, const sched_request_t *r)
 {
 	return r->sticky && sl->owned && lru_get(&sl->warm, now, r->chat);
@@ -436,7 +484,7 @@
 		else
 			lru_remove(s->spills, r->chat);
 	}
-	if (has_room_(s, now, prefer)) {
+	if (has_room_(s, now, prefer, CERTAIN)) {
 		if (prefer == home)
 			counter_add(COUNTER_PLACED_FIRST, 1);
 		else
@@ -449,7 +497,9 @@
 		enqueue_(s, now, prefer, r);
 		return;
 	}
-	other = rank_(s, now, r, RANK_ROOM);
+	other = least_loaded_(s, now, r, CERTAIN);
+	if (!other)
+		other = least_loaded_(s, now, r, LIKELY);
 	if (!other) {
 		enqueue_(s, now, home, r);
 		return;
@@ -460,6 +510,35 @@
 	take_or_forward_(s, now, other, home, r);
 }
 
+/*
+ * Another node has chosen this upstream by what it knew of it.
+ *
+ * Return: false when the request must be placed anew.
+ */
+static bool place_at_target_(sched_t *s, mstime_t now, slot_t *sl,
+			     const sched_request_t *r)
+{
+	slot_t *other;
+
+	if (!sl->owned) {
+		if (may_forward_(r))
+			forward_(s, sl, r, sl->key);
+		return may_forward_(r);
+	}
+	if (has_room_(s, now, sl, CERTAIN)) {
+		run_(s, now, sl, r, 0);
+		return true;
+	}
+	other = may_forward_(r) ? least_loaded_(s, now, r, CERTAIN) : NULL;
+	if (other)
+		take_or_forward_(s, now, other, sl, r);
+	else if (has_room_(s, now, sl, LIKELY))
+		run_(s, now, sl, r, 0);
+	else
+		enqueue_(s, now, sl, r);
+	return true;
+}
+
 void sched_place(sched_t *s, mstime_t now, const sched_request_t *r)
 {
 	slot_t *sl;
@@ -469,26 +548,22 @@
 		return;
 	}
 	sl = r->target ? slot_of_(s, r->target) : NULL;
-	if (sl && fits_(s, r, sl) && slot_alive(sl, now)) {
-		if (sl->owned && has_room_(s, now, sl))
-			run_(s, now, sl, r, 0);
-		else if (sl->owned)
-			enqueue_(s, now, sl, r);
-		else if (may_forward_(r))
-			forward_(s, sl, r, sl->key);
-		else
-			sl = NULL;
-		if (sl)
-			return;
-	}
+	if (sl && fits_(s, r, sl) && slot_alive(sl, now) &&
+	    place_at_target_(s, now, sl, r))
+		return;
 	sl = home_of_(s, now, r);
 	if (sl && !sl->owned) {
 		if (may_forward_(r)) {
-			/* Who failed it here is not known there: say where to. */
+			/* Who failed it here is not known there: say where to.
+			 */
 			forward_(s, sl, r, r->excluded ? sl->key : 0);
 			return;
 		}
 		sl = rank_(s, now, r, RANK_OWNED);
+		if (!sl) {
+			refuse_(s, r, REFUSE_MOVED, MOVED_RETRY_MS);
+			return;
+		}
 	}
 	if (!sl) {
 		refuse_(s, r, REFUSE_NO_UPSTREAM, NO_UPSTREAM_RETRY_MS);
@@ -591,7 +666,7 @@
 	void *user;
 
 	while (sl->up && sl->owned && sl->open && fairq_length(&sl->queue) &&
-	       has_room_(s, now, sl)) {
+	       has_room_(s, now, sl, LIKELY)) {
 		fairq_pop(&sl->queue, &id, &user);
 		run_(s, now, sl, user, 0);
 		g_free(user);
@@ -751,7 +826,7 @@
 }
 
 u_int sched_fill_loads(sched_t *s, mstime_t now, uint32_t stamp,
-		       peer_load_t *loads, u_int max)
+		       peer_load_t *loads, u_int max, bool own_only)
 {
 	GList *all = g_hash_table_get_values(s->slots);
 	guint size = g_hash_table_size(s->slots);
@@ -763,7 +838,7 @@
 		if (sl->owned && sl->up)
 			put_load_(s, now, stamp, sl, &loads[n++]);
 	}
-	for (guint i = 0; i < size && n < max; i++) {
+	for (guint i = 0; !own_only && i < size && n < max; i++) {
 		slot_t *sl = g_list_nth_data(all, s->load_cursor++ % size);
 
 		if (!sl->owned && sl->peer_heard)
@@ -773,6 +848,67 @@
 	return n;
 }
 
+uint64_t sched_own_load(const sched_t *s, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t sum = 0;
+
+	g_hash_table_iter_init(&iter, s->slots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		slot_t *sl = value;
+		peer_load_t l;
+
+		if (!sl->owned || !sl->up)
+			continue;
+		put_load_(s, now, 0, sl, &l);
+		sum += str_hash64((str_t){ (char *)&l, sizeof(l) }, 0);
+	}
+	return sum;
+}
+
+void sched_loads_text(const sched_t *s, mstime_t now, uint32_t stamp, char *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+	size_t used = 0;
+
+	out[0] = '\0';
+	g_hash_table_iter_init(&iter, s->slots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		slot_t *sl = value;
+		peer_load_t l;
+		char text[64];
+		int n;
+
+		if (!sl->owned || !sl->up)
+			continue;
+		put_load_(s, now, stamp, sl, &l);
+		n = snprintf(text, sizeof(text), "%x:%x:%x:%x:%x,", l.upstream,
+			     l.stamp, l.outstanding, l.limit, l.weight);
+		if (used + (size_t)n >= SCHED_LOADS_MAX)
+			return;
+		memcpy(out + used, text, (size_t)n + 1);
+		used += (size_t)n;
+	}
+}
+
+void sched_take_loads_text(sched_t *s, mstime_t now, str_t text)
+{
+	char *copy = str_dup(text);
+	char **parts = g_strsplit(copy, ",", -1);
+
+	for (char **p = parts; *p; p++) {
+		peer_load_t l;
+
+		if (sscanf(*p, "%x:%x:%x:%x:%x", &l.upstream, &l.stamp,
+			   &l.outstanding, &l.limit, &l.weight) == 5)
+			sched_take_load(s, now, &l);
+	}
+	g_strfreev(parts);
+	g_free(copy);
+}
+
 static void expire_waiting_(void *arg, const fairq_item_t *item)
 {
 	GArray *late = arg;
@@ -812,7 +948,7 @@
 	if (!item || now - item->queued < REPLACE_AFTER_MS)
 		return;
 	r = item->user;
-	other = rank_(s, now, r, RANK_ROOM);
+	other = least_loaded_(s, now, r, LIKELY);
 	if (!other || (!other->owned && !may_forward_(r)))
 		return;
 	fairq_remove(&sl->queue, r->id);
--- a/packages/decide/slot.c
+++ b/packages/decide/slot.c
@@ -131,6 +131,16 @@
 	return (peer_fresh_(sl, now) ? sl->peer_out : 0) + sl->handed;
 }
 
+double slot_variance(const slot_t *sl, mstime_t now)
+{
+	double age;
+
+	if (sl->owned || !sl->peer_heard)
+		return 0;
+	age = (double)(now - sl->peer_heard) / MAX(1.0, sl->duration_ms);
+	return 2 * slot_load(sl, now) * MIN(1.0, age);
+}
+
 bool slot_alive(const slot_t *sl, mstime_t now)
 {
 	if (sl->owned)
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -11,7 +11,7 @@
 #define ANNOUNCE_PEERS 4
 #define RELAY_MS 1000
 /* News in a lean message. */
-#define LEAN_UPDATES 2
+#define LEAN_UPDATES 3
 /* Deaths within this time count towards isolation. */
 #define ISOLATION_WINDOW_MS 15000
 
@@ -253,7 +253,7 @@
 	switch (proc) {
 	case PEER_PING:
 		reply.seq = m->seq;
-		ms->ops->send(ms->ctx, from, PEER_ACK, &reply, false);
+		ms->ops->send(ms->ctx, from, PEER_ACK, &reply, true);
 		break;
 	case PEER_PING_REQ: {
 		member_t *target = members_find(ms, m->target);
@@ -266,7 +266,7 @@
 		relay.origin = g_strdup(from);
 		g_array_append_val(ms->relays, relay);
 		reply.seq = relay.seq;
-		ms->ops->send(ms->ctx, target->peer, PEER_PING, &reply, false);
+		ms->ops->send(ms->ctx, target->peer, PEER_PING, &reply, true);
 		break;
 	}
 	case PEER_ACK:
@@ -279,7 +279,8 @@
 			if (r->seq != m->seq)
 				continue;
 			reply.seq = r->origin_seq;
-			ms->ops->send(ms->ctx, r->origin, PEER_ACK, &reply, false);
+			ms->ops->send(ms->ctx, r->origin, PEER_ACK, &reply,
+				      false);
 			g_free(r->origin);
 			g_array_remove_index_fast(ms->relays, i);
 			break;
@@ -314,8 +315,7 @@
 	u_int n = 0;
 
 	g_hash_table_iter_init(&iter, ms->by_name);
-	while (n < max &&
-	       g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		member_t *m = value;
 
 		if (m->gossip_left <= 0)
@@ -601,8 +601,8 @@
 
 static mstime_t seed_interval_(const members_t *ms)
 {
-	return ms->self->state == MEMBER_JOINING ? JOIN_PROBE_MS :
-						   SEED_PROBE_MS;
+	return ms->self->state == MEMBER_JOINING ? JOIN_PROBE_MS
+						 : SEED_PROBE_MS;
 }
 
 static void start_probe_(members_t *ms, mstime_t now)
@@ -629,7 +629,8 @@
 		now + (fast ? MEMBER_FAST_PROBE_MS : MEMBER_PROBE_MS) - 1;
 	ms->probe.indirect_sent = false;
 	m.seq = ms->probe.seq;
-	ms->ops->send(ms->ctx, members_find(ms, name)->peer, PEER_PING, &m, false);
+	ms->ops->send(ms->ctx, members_find(ms, name)->peer, PEER_PING, &m,
+		      false);
 }
 
 static void send_indirect_(members_t *ms)
@@ -640,7 +641,8 @@
 				     .target = ms->probe.target };
 
 		if (peer)
-			ms->ops->send(ms->ctx, peer->peer, PEER_PING_REQ, &m, true);
+			ms->ops->send(ms->ctx, peer->peer, PEER_PING_REQ, &m,
+				      true);
 	}
 	ms->probe.indirect_sent = true;
 }
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -251,6 +251,9 @@
 	case MSG_TRACE:
 		keep_trace_(c, &m->trace);
 		break;
+	case MSG_LOADS:
+		sched_take_loads_text(&c->sched, now, str_of(m->loads));
+		break;
 	case MSG_ONCE_BEGIN:
 		once_begin(c, &m->once);
 		break;
@@ -272,6 +275,9 @@
 	message_t *m = message_new(MSG_ANSWER);
 
 	m->answer = *a;
+	if (a->verdict != SCHED_REFUSE)
+		sched_loads_text(&c->sched, clock_now(), peers_stamp(),
+				 m->answer.loads);
 	relay_post(c->relay, m);
 }
 
@@ -297,8 +303,8 @@
 	if (!b->filled)
 		b->saved = budget_max_(b);
 	else
-		b->saved += (double)(b->rate * (now - b->filled)) /
-			    MSEC_PER_SEC;
+		b->saved +=
+			(double)(b->rate * (now - b->filled)) / MSEC_PER_SEC;
 	b->filled = now;
 	b->saved = MIN(b->saved, budget_max_(b));
 }
--- a/packages/node/control_config.c
+++ b/packages/node/control_config.c
@@ -8,7 +8,10 @@
 #define READ_WAIT_MS 10000
 #define READ_RETRY_MS 500
 #define CHANGE_TIMEOUT_MS 8000
-#define KEEP_INTERVAL_MS 5000
+/* Looks for old records within one retention, and bounds of the interval. */
+#define KEEP_LOOKS 10
+#define KEEP_INTERVAL_MIN_MS 200
+#define KEEP_INTERVAL_MAX_MS 60000
 /* Records are kept alive once they are this share of the retention old. */
 #define KEEP_AGE_SHARE 0.4
 #define KEEPS_AT_ONCE 20
@@ -49,13 +52,21 @@
 	}
 }
 
+static mstime_t keep_interval_(const control_t *c)
+{
+	mstime_t retention = c->settings->log_retention_s * MSEC_PER_SEC;
+
+	return CLAMP(retention / KEEP_LOOKS, KEEP_INTERVAL_MIN_MS,
+		     KEEP_INTERVAL_MAX_MS);
+}
+
 void stream_tick(control_t *c, mstime_t now)
 {
 	if (!c->log_reading && now >= c->next_read)
 		read_(c);
 	expire_changes_(c, now);
 	if (c->phase == PHASE_READY && now >= c->next_keep) {
-		c->next_keep = now + KEEP_INTERVAL_MS;
+		c->next_keep = now + keep_interval_(c);
 		keep_(c, now);
 	}
 	if (!c->log_ok && now >= c->next_catch_up) {
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -8,7 +8,12 @@
 
 #define HOSTS_INTERVAL_MS 10000
 #define HOSTS_RETRY_MS 2000
-#define TENTHS_MS 100
+#define STAMP_MS 10
+/* Own loads are told to a few peers at this interval. */
+#define LOADS_INTERVAL_MS 500
+/* Also when none has changed. */
+#define LOADS_REPEAT_MS 3000
+#define LOADS_PEERS 8
 #define MILLI 1000.0
 /* Share of the budget that must be saved for more than probes. */
 #define BUDGET_FULL_SHARE 0.5
@@ -68,6 +73,11 @@
 	g_free(c->hosts.etag);
 }
 
+uint32_t peers_stamp(void)
+{
+	return (uint32_t)(clock_wall() / STAMP_MS);
+}
+
 static bool spend_(control_t *c, size_t len)
 {
 	int64_t bytes = (int64_t)len + DATAGRAM_OVERHEAD;
@@ -80,6 +90,12 @@
 	return true;
 }
 
+/* In a small fleet every node hears the loads from their owners. */
+static bool gossips_loads_(const control_t *c)
+{
+	return c->sched.nodes->len > LOADS_PEERS + 1;
+}
+
 static void send_(void *ctx, const char *address, unsigned int proc,
 		  peer_message_t *m, bool lean)
 {
@@ -95,16 +111,15 @@
 
 	if (!address_parse(address, &sa))
 		return;
-	lean = lean ||
-	       !budget_has(&c->budget, clock_now(), BUDGET_FULL_SHARE);
+	lean = lean || !budget_has(&c->budget, clock_now(), BUDGET_FULL_SHARE);
 	full = *m;
 	members_fill(&c->members, &full, updates, facts, lean);
 	full.sent = (u_quad_t)wall;
 	full.loads.loads_val = loads;
-	if (!lean)
-		full.loads.loads_len = sched_fill_loads(&c->sched, clock_now(),
-						(uint32_t)(wall / TENTHS_MS),
-						loads, PEER_LOADS_MAX);
+	if (proc == PEER_LOADS || (!lean && gossips_loads_(c)))
+		full.loads.loads_len =
+			sched_fill_loads(&c->sched, clock_now(), peers_stamp(),
+					 loads, PEER_LOADS_MAX, lean);
 	while (datagram_encode(c->settings->peer_key, proc, &full, data,
 			       &len)) {
 		/* Too long: loads and updates come again with later ones. */
@@ -214,6 +229,36 @@
 	sched_set_nodes(&c->sched, now, nodes);
 }
 
+/* Tells own loads to a few peers, in turn, as far as the budget allows. */
+static void push_loads_(control_t *c, mstime_t now)
+{
+	GPtrArray *nodes = c->sched.nodes;
+	GPtrArray *owned;
+	guint all = nodes->len;
+	uint64_t sum;
+
+	if (now < c->next_push || all < 2)
+		return;
+	c->next_push = now + LOADS_INTERVAL_MS;
+	sum = sched_own_load(&c->sched, now);
+	if (sum == c->pushed_sum && now < c->pushed_at + LOADS_REPEAT_MS)
+		return;
+	c->pushed_sum = sum;
+	c->pushed_at = now;
+	owned = sched_owned(&c->sched);
+	for (guint i = 0; owned->len && i < MIN(all, LOADS_PEERS); i++) {
+		const sched_node_t *n = nodes->pdata[c->push_cursor++ % all];
+		const member_t *member = members_find(&c->members, n->name);
+		peer_message_t m = { .seq = ++c->members.seq };
+
+		if (!member || member == c->members.self ||
+		    !budget_has(&c->budget, now, BUDGET_FULL_SHARE))
+			continue;
+		send_(c, member->peer, PEER_LOADS, &m, true);
+	}
+	g_ptr_array_unref(owned);
+}
+
 static void check_pause_(control_t *c, mstime_t now)
 {
 	if (c->members.paused_at == c->paused_at)
@@ -229,6 +274,7 @@
 
 	members_set_applied(&c->members, c->config.applied);
 	members_tick(&c->members, now);
+	push_loads_(c, now);
 	check_pause_(c, now);
 	isolated = members_isolated(&c->members, now);
 	if (isolated != c->isolated) {
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -155,6 +155,18 @@
 	task_post(x->relay->control, m);
 }
 
+void exchange_post_loads(exchange_t *x, str_t loads)
+{
+	message_t *m;
+
+	if (!loads.len || loads.len >= SCHED_LOADS_MAX)
+		return;
+	counter_add(COUNTER_CONTROL_RECEIVED_BYTES, (int64_t)loads.len);
+	m = message_new(MSG_LOADS);
+	memcpy(m->loads, loads.data, loads.len);
+	task_post(x->relay->control, m);
+}
+
 void exchange_place(exchange_t *x)
 {
 	message_t *m = message_new(MSG_PLACE);
@@ -195,7 +207,7 @@
 	x->permit = a->verdict == SCHED_RUN;
 	LOG_EVENT(LOG_DEBUG, "request.placed", F_STR("request", x->request_id),
 		  F_STR("upstream", a->upstream), F_STR("node", a->node),
-		  F_INT("hop", x->hop));
+		  F_INT("hop", x->hop), F_INT("ms", clock_now() - x->started));
 	if (a->verdict == SCHED_RUN)
 		exchange_trace(x, "placed upstream=%s warm=%d hop=%d",
 			       a->upstream, a->warm, x->hop);
--- a/packages/node/filters.c
+++ b/packages/node/filters.c
@@ -83,6 +83,7 @@
 		return FILTER_NEXT;
 	if (!hop_parse(x->relay->settings->peer_key, x->request_id, text, &hop))
 		return bad_input_(x, 400, "hop header is not signed by a node");
+	exchange_post_loads(x, http_request_header(x->req, LOADS_HEADER));
 	x->hop = hop.count;
 	x->target = hop.target;
 	x->once_hop = hop.once;
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -63,6 +63,10 @@
 	bool roster_changed;
 	bool isolated;
 	mstime_t next_hosts;
+	mstime_t next_push;
+	guint push_cursor;
+	uint64_t pushed_sum;
+	mstime_t pushed_at;
 	host_list_client_t hosts;
 
 	/* configuration */
@@ -126,6 +130,10 @@
 void peers_tick(control_t *c, mstime_t now);
 void peers_send_loan(control_t *c, const char *node, const power_loan_t *loan);
 void peers_roster(control_t *c, mstime_t now);
+/*
+ * peers_stamp - present wall time as in load gossip.
+ */
+uint32_t peers_stamp(void);
 
 /* control_config.c */
 void stream_start(control_t *c);
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -158,6 +158,12 @@
  */
 void exchange_where(exchange_t *x, const where_reply_t *w);
 
+/*
+ * exchange_post_loads - hands loads that another node told to the control
+ * task.
+ */
+void exchange_post_loads(exchange_t *x, str_t loads);
+
 /*
  * exchange_send - starts the call to the place given.
  */
--- a/packages/node/private/hop.h
+++ b/packages/node/private/hop.h
@@ -9,6 +9,8 @@
 #include <kcf/settings.h>
 
 #define HOP_HEADER "X-Kcf-Hop"
+/* Loads of the sending node's upstreams, on requests and answers. */
+#define LOADS_HEADER "X-Kcf-Loads"
 #define HOP_TEXT_MAX 128
 
 /* What has been done about the key of a run-once request. */
--- a/packages/node/private/messages.h
+++ b/packages/node/private/messages.h
@@ -16,6 +16,7 @@
 	MSG_RELEASE,
 	MSG_WHERE,
 	MSG_TRACE,
+	MSG_LOADS,
 	MSG_ONCE_BEGIN,
 	MSG_ONCE_END,
 	/* control to relay */
@@ -116,6 +117,7 @@
 		sched_outcome_t release;
 		where_question_t where;
 		trace_t trace;
+		char loads[SCHED_LOADS_MAX];
 		once_question_t once;
 		sched_answer_t answer;
 		view_t *view;
--- a/packages/node/upstream_call.c
+++ b/packages/node/upstream_call.c
@@ -15,14 +15,23 @@
 
 /* Headers that end at this node or are set by it. */
 static const char *const own_headers[] = {
-	"host",		 "content-length",
-	"connection",	 "transfer-encoding",
-	"keep-alive",	 "te",
-	"trailer",	 "upgrade",
-	"expect",	 "proxy-connection",
-	"x-request-id",	 "x-kcf-hop",
-	"last-event-id", "x-deadline-ms",
-	"x-customer",	 NULL,
+	"host",
+	"content-length",
+	"connection",
+	"transfer-encoding",
+	"keep-alive",
+	"te",
+	"trailer",
+	"upgrade",
+	"expect",
+	"proxy-connection",
+	"x-request-id",
+	"x-kcf-hop",
+	"x-kcf-loads",
+	"last-event-id",
+	"x-deadline-ms",
+	"x-customer",
+	NULL,
 };
 
 /* Headers of an answer that reach the caller. */
@@ -37,10 +46,11 @@
 	"X-Prompt-Tokens",
 	"X-Upstream",
 	"X-Retry-After-Ms",
+	"Idempotent-Replayed",
 	NULL,
 };
 
-#define ANSWER_HEADERS_MAX (G_N_ELEMENTS(answer_headers) + 4)
+#define ANSWER_HEADERS_MAX (G_N_ELEMENTS(answer_headers) + 5)
 
 static void on_head_(void *ctx, http_call_t *call, int status);
 static void on_data_(void *ctx, http_call_t *call, str_t data);
@@ -195,6 +205,8 @@
 	out[n++] = (http_header_t){ "X-Request-Id", x->request_id };
 	if (x->placed.verdict == SCHED_RUN)
 		out[n++] = (http_header_t){ "X-Upstream", x->placed.upstream };
+	if (x->hop > 0 && x->placed.verdict == SCHED_RUN)
+		out[n++] = (http_header_t){ LOADS_HEADER, x->placed.loads };
 	out[n] = (http_header_t){ NULL, NULL };
 	return n;
 }
@@ -223,6 +235,8 @@
 		kick_(x);
 		return;
 	}
+	if (x->placed.verdict == SCHED_FORWARD)
+		exchange_post_loads(x, http_call_header(call, LOADS_HEADER));
 	x->told_prompt = number_header_(call, "X-Prompt-Tokens");
 	x->told_cached = number_header_(call, "X-Cached-Tokens");
 	x->told_start = (uint64_t)MAX(0, number_header_(call, "X-Start-Id"));
@@ -273,6 +287,35 @@
 		kick_(x);
 }
 
+/* What a problem answer of another node says of the run, RAN_YES for others. */
+static ran_t told_ran_(const exchange_t *x, int status)
+{
+	json_t *root;
+	const char *ran;
+	ran_t told = RAN_YES;
+
+	if (x->placed.verdict != SCHED_FORWARD || status < 400)
+		return RAN_YES;
+	root = json_loadb(x->body->str, x->body->len, 0, NULL);
+	ran = json_string_value(json_object_get(root, "ran"));
+	if (!g_strcmp0(ran, "no"))
+		told = RAN_NO;
+	else if (!g_strcmp0(ran, "unknown"))
+		told = RAN_UNKNOWN;
+	json_decref(root);
+	return told;
+}
+
+static void end_once_(exchange_t *x, int status, str_t body, const char *type)
+{
+	ran_t told = told_ran_(x, status);
+
+	if (told == RAN_YES)
+		exchange_once_end(x, true, status, body, type);
+	else
+		exchange_once_end(x, told == RAN_UNKNOWN, 0, STR_NONE, "");
+}
+
 static void reply_whole_(exchange_t *x, http_call_t *call, int status)
 {
 	http_header_t headers[ANSWER_HEADERS_MAX];
@@ -281,7 +324,7 @@
 
 	collect_headers_(x, call, headers);
 	if (x->once_held)
-		exchange_once_end(x, true, status, body, type);
+		end_once_(x, status, body, type);
 	http_reply(x->req, (unsigned int)status, headers, body);
 	g_free(type);
 }
@@ -297,6 +340,18 @@
 	return not_run;
 }
 
+/* Another node does not own the upstream any more; views differ for a while. */
+static bool says_moved_(const exchange_t *x)
+{
+	json_t *root = json_loadb(x->body->str, x->body->len, 0, NULL);
+	const char *title = json_string_value(json_object_get(root, "title"));
+	bool moved = x->placed.verdict == SCHED_FORWARD &&
+		     !g_strcmp0(title, sched_refusal_string[REFUSE_MOVED]);
+
+	json_decref(root);
+	return moved;
+}
+
 static bool is_refusal_(int status)
 {
 	return status == 429 || status == 503;
@@ -336,6 +391,8 @@
 		failed_(x, SCHED_BROKEN, false, http_err_string[-err]);
 	} else if (streamed) {
 		failed_(x, SCHED_BROKEN, false, "stream ended early");
+	} else if (is_refusal_(status) && says_moved_(x)) {
+		failed_(x, SCHED_CONNECT_FAILED, true, "moved");
 	} else if (is_refusal_(status)) {
 		refused_(x, call);
 	} else if (x->streaming) {
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -62,5 +62,6 @@
 		void PEER_ACK(peer_message_t) = 2;
 		void PEER_PING_REQ(peer_message_t) = 3;
 		void PEER_LOAN(peer_message_t) = 4;
+		void PEER_LOADS(peer_message_t) = 5;
 	} = 1;
 } = 0x20004b43;
--- /dev/null
+++ b/tests/scenarios/measure.lua
@@ -0,0 +1,37 @@
+-- Shared by scenarios that look at loads over time.
+
+-- Merges the engines' events; calls fn(t, engine, load, sum, arrival) after each.
+function replay(engines, fn)
+	local all = {}
+	for i, e in ipairs(engines) do
+		local before = 0
+		for _, pair in ipairs(stats(e).events) do
+			all[#all + 1] = { t = pair[1], e = i, load = pair[2], up = pair[2] > before }
+			before = pair[2]
+		end
+	end
+	table.sort(all, function(a, b) return a.t < b.t end)
+	local loads, sum = {}, 0
+	for i = 1, #engines do loads[i] = 0 end
+	for _, ev in ipairs(all) do
+		sum = sum - loads[ev.e] + ev.load
+		loads[ev.e] = ev.load
+		fn(ev.t, ev.e, ev.load, sum, ev.up)
+	end
+	return #all
+end
+
+-- Arrivals at which an engine's load was above bound x mean + slack.
+function over_bound(engines, bound, slack, active)
+	local arrivals, over, worst = 0, 0, 0
+	replay(engines, function(t, e, load, sum, up)
+		if not up then return end
+		arrivals = arrivals + 1
+		local excess = load - (bound * sum / (active or #engines) + slack)
+		if excess > 1e-9 then
+			over = over + 1
+			if excess > worst then worst = excess end
+		end
+	end)
+	return arrivals, over, worst
+end
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -43,8 +43,7 @@
 	peer_fact_t facts[PEER_FACTS_MAX];
 	peer_message_t full = *m;
 
-	members_fill(&n->members, &full, updates, facts,
-		     lean);
+	members_fill(&n->members, &full, updates, facts, lean);
 	full.sent = (u_quad_t)net.now;
 	p->from = (int)(n - net.nodes);
 	p->to = -1;
