--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -42,13 +42,16 @@
 
 void standin_json(http_request_t *r, unsigned int status, json_t *body)
 {
+	char *id = str_dup(http_request_header(r, "X-Request-Id"));
 	const http_header_t headers[] = {
 		{ "Content-Type", "application/json" },
+		{ *id ? "X-Request-Id" : NULL, id },
 		{ NULL, NULL },
 	};
 	char *text = json_dumps(body, JSON_COMPACT);
 
 	http_reply(r, status, headers, str_of(text));
+	g_free(id);
 	free(text);
 	json_decref(body);
 }
