--- /dev/null
+++ b/include/kcf/jobs.h
@@ -0,0 +1,67 @@
+/*
+ * jobs - deferred work kept in the platform's log, a state machine over its
+ * streams.
+ *
+ * A job is a request that its caller need not wait for. It stays open until a
+ * record of its answer is in the stream.
+ */
+#ifndef KCF_JOBS_H
+#define KCF_JOBS_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <kcf/clock.h>
+#include <kcf/str.h>
+
+/* Jobs are spread over this many streams. */
+#define JOB_PARTITIONS 16
+#define JOB_ID_MAX 64
+/* Longer answers are kept without their body. */
+#define JOB_ANSWER_MAX (256 * 1024)
+
+typedef struct job {
+	char *id;
+	char *customer;
+	char *method;
+	char *path; /* with query */
+	char *body;
+	char *chat;	/* X-Chat-Id, or empty */
+	char *once_key; /* Idempotency-Key, or empty */
+	bool done;
+	int status;   /* of the answer */
+	char *answer; /* body of the answer, or NULL */
+	mstime_t at;  /* wall time of the latest record that holds it */
+	mstime_t next_try;
+	bool running;
+} job_t;
+
+typedef struct job_stream {
+	GHashTable *jobs; /* id to job_t * */
+	uint64_t next;	  /* offset to be read next */
+} job_stream_t;
+
+void job_stream_init(job_stream_t *s);
+void job_stream_finish(job_stream_t *s);
+
+/*
+ * job_partition - stream that a job belongs to.
+ */
+int job_partition(const char *id);
+
+/*
+ * job_fold - takes the next record; what cannot be read is passed over.
+ */
+void job_fold(job_stream_t *s, uint64_t offset, mstime_t wall, str_t record);
+
+/*
+ * job_record, job_done_record - texts for the log, to be freed with g_free.
+ */
+char *job_record(const job_t *j);
+char *job_done_record(const job_t *j, int status, str_t answer);
+
+/*
+ * job_expire - forgets done jobs recorded before a wall time.
+ */
+void job_expire(job_stream_t *s, mstime_t before);
+
+#endif
--- a/include/kcf/view.h
+++ b/include/kcf/view.h
@@ -77,11 +77,24 @@
 	bool out;
 } host_t;
 
+/* How chats are placed; all but the first are baselines to compare with. */
+typedef enum placement {
+	PLACEMENT_BOUNDED,
+	PLACEMENT_RANDOM,
+	PLACEMENT_LEAST_LOADED,
+	PLACEMENT_HASH,
+	PLACEMENT_COUNT,
+} placement_t;
+
+/* Parallel to placement_t, as written in the Site resource. */
+extern const char *const placement_string[];
+
 typedef struct view {
 	gint refs;
 	uint64_t applied;
 	double load_bound;
 	double power_cap_w; /* 0 for none */
+	placement_t placement;
 	GPtrArray *data_centres;
 	GPtrArray *services;
 	GPtrArray *upstreams;
--- a/packages/ctl/cmd_load.c
+++ b/packages/ctl/cmd_load.c
@@ -53,6 +53,9 @@
 	bool busy;
 	char *addresses[ADDRESSES_MAX]; /* of the last answer of where */
 	int address;			/* index of the one in use */
+	char *upstream; /* that answered last */
+	int64_t start_id; /* of that upstream then */
+	int64_t prompt; /* tokens that it then held */
 	mstime_t valid_until;
 } chat_load_t;
 
@@ -74,6 +77,8 @@
 	int64_t skipped; /* arrivals without a free chat */
 	int64_t prompt;
 	int64_t cached;
+	int64_t ideal; /* cached tokens, had each chat gone to its last engine */
+	GHashTable *starts; /* upstream to its newest start id */
 	samples_t total_ms;
 	samples_t first_ms;
 	GHashTable *reasons;
@@ -171,6 +176,31 @@
 	json_decref(body);
 }
 
+/*
+ * What a router that knows every cache would have reused: all that the chat's
+ * last engine held, unless that engine has started anew since.
+ */
+static void note_ideal_(load_t *l, chat_load_t *chat, const char *upstream,
+			int64_t start_id, int64_t prompt)
+{
+	int64_t *newest = g_hash_table_lookup(l->starts, upstream);
+	const int64_t *last;
+
+	if (!newest) {
+		newest = g_new0(int64_t, 1);
+		g_hash_table_insert(l->starts, g_strdup(upstream), newest);
+	}
+	*newest = MAX(*newest, start_id);
+	last = chat->upstream ? g_hash_table_lookup(l->starts, chat->upstream) :
+				NULL;
+	if (last && *last == chat->start_id)
+		l->ideal += MIN(chat->prompt, prompt);
+	g_free(chat->upstream);
+	chat->upstream = g_strdup(upstream);
+	chat->start_id = start_id;
+	chat->prompt = prompt;
+}
+
 static bool complete_(const shot_t *s)
 {
 	if (!s->load->o.stream || s->once)
@@ -263,6 +293,8 @@
 	l->cached += number_(call, "X-Cached-Tokens");
 	upstream = str_dup(http_call_header(call, "X-Upstream"));
 	count_(l->upstreams, upstream);
+	note_ideal_(l, s->chat, upstream, number_(call, "X-Start-Id"),
+		    number_(call, "X-Prompt-Tokens"));
 	g_free(upstream);
 	s->chat->turns++;
 	finish_(s);
@@ -536,13 +568,15 @@
 					     percentiles_(&c->total_ms)));
 	}
 	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:o,s:o,s:o}", "sent",
+		"{s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:f,s:o,s:o,s:o}", "sent",
 		(json_int_t)l->sent, "skipped", (json_int_t)l->skipped, "again",
 		(json_int_t)l->again, "ok", (json_int_t)l->ok, "once",
 		(json_int_t)l->once_sent, "ok_per_s", (double)l->ok / seconds,
 		"total_ms", percentiles_(&l->total_ms), "first_ms",
 		percentiles_(&l->first_ms), "reuse",
-		l->prompt ? (double)l->cached / (double)l->prompt : 0.0, "skew",
+		l->prompt ? (double)l->cached / (double)l->prompt : 0.0,
+		"ideal_reuse",
+		l->prompt ? (double)l->ideal / (double)l->prompt : 0.0, "skew",
 		skew_(l->upstreams), "upstreams", table_(l->upstreams),
 		"refused", table_(l->reasons), "customers", customers);
 }
@@ -668,6 +702,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->upstreams =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	l->starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  g_free);
 	samples_init(&l->total_ms);
 	samples_init(&l->first_ms);
 	make_chats_(l);
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -326,6 +326,11 @@
 	       1;
 }
 
+static bool placement_bounded_(const sched_t *s)
+{
+	return s->view->placement == PLACEMENT_BOUNDED;
+}
+
 static bool has_room_(const sched_t *s, mstime_t now, const slot_t *sl,
 		      const char *customer, certainty_t certainty)
 {
@@ -334,6 +339,8 @@
 
 	if (sl->owned && (now < sl->hold_until || now < s->hold_all_until))
 		return false;
+	if (!placement_bounded_(s))
+		return load < limit;
 	return load < limit - slot_reserve(sl, now, customer, limit) &&
 	       load < bound_(s, now, sl, certainty);
 }
@@ -468,6 +475,58 @@
 	return r->prompt_tokens * MSEC_PER_SEC / PREFILL_TOKENS_PER_S;
 }
 
+/* One way of choosing an upstream for a request that comes from a caller. */
+typedef struct placement_ops {
+	/* NULL when none is in service. */
+	slot_t *(*choose)(sched_t *s, mstime_t now, const sched_request_t *r);
+} placement_ops_t;
+
+static slot_t *choose_home_(sched_t *s, mstime_t now, const sched_request_t *r)
+{
+	return home_of_(s, now, r);
+}
+
+static slot_t *choose_random_(sched_t *s, mstime_t now,
+			      const sched_request_t *r)
+{
+	sched_request_t any = *r;
+
+	any.chat = ((uint64_t)g_rand_int(s->rand) << 32) | g_rand_int(s->rand);
+	return rank_(s, now, &any, RANK_ANY);
+}
+
+static slot_t *choose_least_loaded_(sched_t *s, mstime_t now,
+				    const sched_request_t *r)
+{
+	slot_t *sl = least_loaded_(s, now, r, LIKELY);
+
+	return sl ? sl : choose_random_(s, now, r);
+}
+
+static slot_t *choose_hash_(sched_t *s, mstime_t now, const sched_request_t *r)
+{
+	return rank_(s, now, r, RANK_ANY);
+}
+
+static const placement_ops_t placements[PLACEMENT_COUNT] = {
+	[PLACEMENT_BOUNDED] = { choose_home_ },
+	[PLACEMENT_RANDOM] = { choose_random_ },
+	[PLACEMENT_LEAST_LOADED] = { choose_least_loaded_ },
+	[PLACEMENT_HASH] = { choose_hash_ },
+};
+
+/* A baseline's choice stands, whatever the load. */
+static void place_unbounded_(sched_t *s, mstime_t now, slot_t *sl,
+			     const sched_request_t *r)
+{
+	if (!sl->owned && may_forward_(r))
+		forward_(s, sl, r, sl->key);
+	else if (sl->owned && slot_load(sl, now) < slot_limit(sl, s, now))
+		run_(s, now, sl, r, 0);
+	else
+		enqueue_(s, now, sl, r);
+}
+
 static void place_at_home_(sched_t *s, mstime_t now, slot_t *home,
 			   const sched_request_t *r)
 {
@@ -524,6 +583,10 @@
 			forward_(s, sl, r, sl->key);
 		return may_forward_(r);
 	}
+	if (!placement_bounded_(s)) {
+		place_unbounded_(s, now, sl, r);
+		return true;
+	}
 	if (has_room_(s, now, sl, r->customer, CERTAIN)) {
 		run_(s, now, sl, r, 0);
 		return true;
@@ -540,6 +603,7 @@
 
 void sched_place(sched_t *s, mstime_t now, const sched_request_t *r)
 {
+	const placement_ops_t *ops;
 	slot_t *sl;
 
 	if (!s->view) {
@@ -550,7 +614,12 @@
 	if (sl && fits_(s, r, sl) && slot_alive(sl, now) &&
 	    place_at_target_(s, now, sl, r))
 		return;
-	sl = home_of_(s, now, r);
+	ops = &placements[s->view->placement];
+	sl = ops->choose(s, now, r);
+	if (sl && !placement_bounded_(s)) {
+		place_unbounded_(s, now, sl, r);
+		return;
+	}
 	if (sl && !sl->owned) {
 		if (may_forward_(r)) {
 			/* Who failed it here is not known there: say where to.
@@ -951,7 +1020,8 @@
 	sched_request_t *r;
 	slot_t *other;
 
-	if (!item || now - item->queued < REPLACE_AFTER_MS)
+	if (!item || now - item->queued < REPLACE_AFTER_MS ||
+	    !placement_bounded_(s))
 		return;
 	r = item->user;
 	other = least_loaded_(s, now, r, LIKELY);
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -90,6 +90,7 @@
 	}
 	stream_start(c);
 	once_start(c);
+	jobs_start(c);
 	ev_timer_init(&c->tick, on_tick_, TICK_S, TICK_S);
 	c->tick.data = c;
 	ev_timer_start(loop, &c->tick);
@@ -102,6 +103,7 @@
 
 	ev_timer_stop(c->task.loop, &c->tick);
 	operators_stop(c);
+	jobs_stop(c);
 	once_stop(c);
 	stream_stop(c);
 	peers_stop(c);
@@ -171,6 +173,7 @@
 	stream_tick(c, now);
 	loads_tick(c, now);
 	once_tick(c, now);
+	jobs_tick(c, now);
 	sched_tick(&c->sched, now);
 	check_ready_(c, now);
 	check_left_(c, now);
@@ -265,6 +268,12 @@
 	case MSG_ONCE_END:
 		once_end(c, &m->once);
 		break;
+	case MSG_JOB_SUBMIT:
+		jobs_submit(c, &m->job_submit);
+		break;
+	case MSG_JOB_ASK:
+		jobs_ask(c, &m->job_question);
+		break;
 	case MSG_PHASE:
 		control_leave(c);
 		break;
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -12,7 +12,7 @@
 
 static const filter_t filters[] = {
 	{ "identify", filter_identify }, { "authorise", filter_authorise },
-	{ "classify", filter_classify }, { "once", filter_once },
+	{ "classify", filter_classify }, { "defer", filter_defer }, { "once", filter_once },
 	{ "place", filter_place },
 };
 
@@ -217,6 +217,29 @@
 	exchange_send(x);
 }
 
+void exchange_job(exchange_t *x, const job_reply_t *r)
+{
+	const http_header_t headers[] = {
+		{ "Content-Type", r->status >= 400 ? "application/problem+json" :
+						     "application/json" },
+		{ "X-Request-Id", x->request_id },
+		{ r->status == 503 ? "Retry-After" : NULL, "1" },
+		{ NULL, NULL },
+	};
+	gsize len;
+	const char *data;
+
+	if (r->node[0]) {
+		x->placed = (sched_answer_t){ .verdict = SCHED_FORWARD };
+		g_strlcpy(x->placed.node, r->node, sizeof(x->placed.node));
+		exchange_send(x);
+		return;
+	}
+	data = g_bytes_get_data(r->body, &len);
+	exchange_trace(x, "job answered status=%u", r->status);
+	http_reply(x->req, r->status, headers, (str_t){ data, len });
+}
+
 static void reply_recorded_(exchange_t *x, const once_reply_t *r)
 {
 	const http_header_t headers[] = {
--- a/packages/node/filters.c
+++ b/packages/node/filters.c
@@ -1,4 +1,5 @@
 #include "private/exchange.h"
+#include "private/job_header.h"
 #include "private/once_key.h"
 
 #include <sodium.h>
@@ -9,8 +10,10 @@
 #define BYTES_PER_TOKEN 4
 #define REQUEST_ID_RANDOM_BYTES 12
 #define NOT_READY_RETRY_MS 2000
+#define JOB_ASK_TIMEOUT_MS 8000
 
 static const char chat_path[] = "/v1/chat/completions";
+static const char job_path[] = "/v1/jobs/";
 static const char service_path[] = "/v1/services/";
 
 static bool request_id_ok_(str_t id)
@@ -112,12 +115,38 @@
 		x->route = ROUTE_SERVICE;
 		if (!take_service_path_(x, path))
 			return bad_input_(x, 404, "no service in the path");
+	} else if (str_starts(path, str_of(job_path)) && get) {
+		x->route = ROUTE_JOB;
+		path = str_skip(path, strlen(job_path));
+		if (!request_id_ok_(path) || path.len >= sizeof(x->job))
+			return bad_input_(x, 404, "no such job");
+		memcpy(x->job, path.data, path.len);
 	} else {
 		return bad_input_(x, 404, "no such resource");
 	}
 	return take_hop_(x);
 }
 
+/* A node runs a job for a customer. */
+static filter_result_t authorise_job_(exchange_t *x)
+{
+	const customer_t *customer = NULL;
+
+	if (job_header_customer(x->relay->settings->peer_key, x->request_id,
+				http_request_header(x->req, JOB_HEADER),
+				x->customer, sizeof(x->customer)))
+		customer = view_find(x->relay->view, KIND_CUSTOMER,
+				     x->customer);
+	if (!customer) {
+		exchange_refuse(x, 401, "job is not signed by a node", RAN_NO,
+				COUNTER_REFUSED_AUTH, 0);
+		return FILTER_DONE;
+	}
+	x->weight = customer->weight;
+	x->job_run = true;
+	return FILTER_NEXT;
+}
+
 filter_result_t filter_authorise(exchange_t *x)
 {
 	static const str_t scheme = { "Bearer ", 7 };
@@ -131,6 +160,8 @@
 				COUNTER_REFUSED_NOT_READY, NOT_READY_RETRY_MS);
 		return FILTER_DONE;
 	}
+	if (http_request_header(x->req, JOB_HEADER).data)
+		return authorise_job_(x);
 	if (!str_starts(header, scheme)) {
 		exchange_refuse(x, 401, "a bearer key is required", RAN_NO,
 				COUNTER_REFUSED_AUTH, 0);
@@ -292,6 +323,21 @@
 	return FILTER_WAIT;
 }
 
+static filter_result_t ask_job_(exchange_t *x)
+{
+	message_t *m = message_new(MSG_JOB_ASK);
+
+	m->job_question.id = x->id;
+	m->job_question.here = x->once_hop == HOP_ONCE_HERE;
+	g_strlcpy(m->job_question.job, x->job, sizeof(m->job_question.job));
+	g_strlcpy(m->job_question.customer, x->customer,
+		  sizeof(m->job_question.customer));
+	x->deadline = clock_now() + JOB_ASK_TIMEOUT_MS;
+	x->echoes = true;
+	task_post(x->relay->control, m);
+	return FILTER_WAIT;
+}
+
 filter_result_t filter_classify(exchange_t *x)
 {
 	const service_t *service;
@@ -303,6 +349,8 @@
 		return reply_models_(x);
 	if (x->route == ROUTE_WHERE)
 		return ask_where_(x);
+	if (x->route == ROUTE_JOB)
+		return ask_job_(x);
 	if (x->route == ROUTE_CHAT) {
 		result = classify_chat_(x);
 		if (result != FILTER_NEXT)
@@ -336,6 +384,45 @@
 	return FILTER_NEXT;
 }
 
+static bool wants_defer_(const exchange_t *x)
+{
+	str_t prefer = http_request_header(x->req, "Prefer");
+
+	return str_starts(prefer, str_of("respond-async"));
+}
+
+/* Keeps a request that its caller need not wait for; see RFC 7240. */
+filter_result_t filter_defer(exchange_t *x)
+{
+	str_t path = http_request_path(x->req);
+	str_t query = http_request_query_string(x->req);
+	str_t body = http_request_body(x->req);
+	message_t *m;
+	job_submit_t *s;
+
+	if (x->job_run || x->hop > 0 || !wants_defer_(x))
+		return FILTER_NEXT;
+	if (!g_utf8_validate(body.data ? body.data : "", (gssize)body.len,
+			     NULL))
+		return bad_input_(x, 400, "body of a job must be UTF-8");
+	if (x->streamed)
+		return bad_input_(x, 400, "a job's answer is not streamed");
+	m = message_new(MSG_JOB_SUBMIT);
+	s = &m->job_submit;
+	s->id = x->id;
+	g_snprintf(s->job, sizeof(s->job), "job-%s", x->request_id);
+	g_strlcpy(s->customer, x->customer, sizeof(s->customer));
+	s->method = str_dup(http_request_method(x->req));
+	s->path = g_strdup_printf("%.*s%s%.*s", (int)path.len, path.data,
+				  query.len ? "?" : "", (int)query.len,
+				  query.len ? query.data : "");
+	s->body = str_dup(body);
+	s->chat = str_dup(http_request_header(x->req, "X-Chat-Id"));
+	s->once_key = str_dup(http_request_header(x->req, "Idempotency-Key"));
+	task_post(x->relay->control, m);
+	return FILTER_WAIT;
+}
+
 filter_result_t filter_once(exchange_t *x)
 {
 	str_t key = http_request_header(x->req, "Idempotency-Key");
--- a/packages/node/messages.c
+++ b/packages/node/messages.c
@@ -84,6 +84,17 @@
 		if (m->once_reply.body)
 			g_bytes_unref(m->once_reply.body);
 		break;
+	case MSG_JOB_SUBMIT:
+		g_free(m->job_submit.method);
+		g_free(m->job_submit.path);
+		g_free(m->job_submit.body);
+		g_free(m->job_submit.chat);
+		g_free(m->job_submit.once_key);
+		break;
+	case MSG_JOB_ANSWER:
+		if (m->job_reply.body)
+			g_bytes_unref(m->job_reply.body);
+		break;
 	default:
 		break;
 	}
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -40,6 +40,7 @@
 } watcher_t;
 
 struct once_book;
+struct job_book;
 
 typedef struct control {
 	task_t task;
@@ -91,6 +92,7 @@
 
 	/* run-once */
 	struct once_book *once;
+	struct job_book *jobs;
 
 	/* explanations */
 	GHashTable *traces; /* request id to GString * */
@@ -162,6 +164,13 @@
 void once_begin(control_t *c, const once_question_t *q);
 void once_end(control_t *c, const once_question_t *q);
 
+/* control_jobs.c */
+void jobs_start(control_t *c);
+void jobs_stop(control_t *c);
+void jobs_tick(control_t *c, mstime_t now);
+void jobs_submit(control_t *c, const job_submit_t *q);
+void jobs_ask(control_t *c, const job_question_t *q);
+
 /* operators.c */
 bool operators_start(control_t *c);
 void operators_stop(control_t *c);
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -24,6 +24,7 @@
 	ROUTE_MODELS,
 	ROUTE_CHAT,
 	ROUTE_SERVICE,
+	ROUTE_JOB,
 } route_t;
 
 typedef enum filter_result {
@@ -61,6 +62,10 @@
 	mstime_t gap_ms;
 	int64_t prompt_tokens;
 
+	/* deferred jobs */
+	char job[JOB_ID_MAX]; /* that is asked for, or that this is the run of */
+	bool job_run;
+
 	/* run-once */
 	char once_key[ONCE_KEY_MAX];
 	bool once_held;	     /* this try is the one that may run */
@@ -153,6 +158,11 @@
 void exchange_once_end(exchange_t *x, bool ran, int status, str_t body,
 		       const char *content_type);
 
+/*
+ * exchange_job - takes the answer on a deferred job.
+ */
+void exchange_job(exchange_t *x, const job_reply_t *r);
+
 /*
  * exchange_where - takes the addresses for a caller.
  */
@@ -183,6 +193,7 @@
 filter_result_t filter_identify(exchange_t *x);
 filter_result_t filter_authorise(exchange_t *x);
 filter_result_t filter_classify(exchange_t *x);
+filter_result_t filter_defer(exchange_t *x);
 filter_result_t filter_once(exchange_t *x);
 filter_result_t filter_place(exchange_t *x);
 
--- a/packages/node/private/messages.h
+++ b/packages/node/private/messages.h
@@ -6,6 +6,7 @@
 #ifndef KCF_PRIVATE_MESSAGES_H
 #define KCF_PRIVATE_MESSAGES_H
 
+#include <kcf/jobs.h>
 #include <kcf/sched.h>
 #include <kcf/view.h>
 
@@ -19,6 +20,8 @@
 	MSG_LOADS,
 	MSG_ONCE_BEGIN,
 	MSG_ONCE_END,
+	MSG_JOB_SUBMIT,
+	MSG_JOB_ASK,
 	/* control to relay */
 	MSG_ANSWER,
 	MSG_VIEW,
@@ -26,6 +29,7 @@
 	MSG_PHASE,
 	MSG_WHERE_ANSWER,
 	MSG_ONCE_ANSWER,
+	MSG_JOB_ANSWER,
 } message_type_t;
 
 /* Life of a node. */
@@ -109,6 +113,33 @@
 	mstime_t retry_after_ms;
 } once_reply_t;
 
+/* A request to be kept as a deferred job. */
+typedef struct job_submit {
+	uint64_t id;
+	char job[JOB_ID_MAX];
+	char customer[SCHED_NAME_MAX];
+	char *method;
+	char *path;
+	char *body;
+	char *chat;
+	char *once_key;
+} job_submit_t;
+
+typedef struct job_question {
+	uint64_t id;
+	char job[JOB_ID_MAX];
+	char customer[SCHED_NAME_MAX];
+	bool here; /* another node wants it answered here */
+} job_question_t;
+
+/* Either a node to ask, or an answer. */
+typedef struct job_reply {
+	uint64_t id;
+	char node[SCHED_NAME_MAX];
+	unsigned int status;
+	GBytes *body;
+} job_reply_t;
+
 typedef struct message {
 	message_type_t type;
 	union {
@@ -125,6 +156,9 @@
 		node_phase_t phase;
 		where_reply_t where_reply;
 		once_reply_t once_reply;
+		job_submit_t job_submit;
+		job_question_t job_question;
+		job_reply_t job_reply;
 	};
 } message_t;
 
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -221,6 +221,11 @@
 		else if (m->once_reply.verdict == ONCE_RUN)
 			give_back_(r, m->once_reply.key);
 		break;
+	case MSG_JOB_ANSWER:
+		x = g_hash_table_lookup(r->exchanges, &m->job_reply.id);
+		if (x)
+			exchange_job(x, &m->job_reply);
+		break;
 	case MSG_VIEW:
 		view_unref(r->view);
 		r->view = m->view;
--- a/packages/node/upstream_call.c
+++ b/packages/node/upstream_call.c
@@ -30,7 +30,7 @@
 	"x-kcf-loads",
 	"last-event-id",
 	"x-deadline-ms",
-	"x-customer",
+	"x-customer", "prefer",
 	NULL,
 };
 
@@ -46,7 +46,7 @@
 	"X-Prompt-Tokens",
 	"X-Upstream",
 	"X-Retry-After-Ms",
-	"Idempotent-Replayed",
+	"Idempotent-Replayed", "X-Start-Id",
 	NULL,
 };
 
@@ -115,7 +115,7 @@
 	char hop_text[HOP_TEXT_MAX];
 	hop_t hop = { x->placed.hop, x->placed.target, HOP_ONCE_OPEN };
 
-	if (x->once)
+	if (x->once || x->route == ROUTE_JOB)
 		hop.once = settled_(x) ? HOP_ONCE_SETTLED : HOP_ONCE_HERE;
 
 	http_request_each_header(x->req, add_header_, lines);
@@ -473,7 +473,8 @@
 static void failed_(exchange_t *x, sched_result_t result, bool unsent,
 		    const char *why)
 {
-	bool may_run_again = !x->once || (unsent && settled_(x));
+	bool may_run_again = x->route != ROUTE_JOB &&
+			     (!x->once || (unsent && settled_(x)));
 	bool in_time = clock_now() < x->deadline;
 
 	release_(x, result);
--- a/packages/state/view.c
+++ b/packages/state/view.c
@@ -12,6 +12,9 @@
 #define RAMP_DEFAULT_S 30.0
 #define CACHE_DEFAULT_TOKENS 1000000
 
+const char *const placement_string[] = { "bounded", "random", "least_loaded",
+					  "hash" };
+
 static void build_data_centre_(view_t *v, const resource_t *r);
 static void build_service_(view_t *v, const resource_t *r);
 static void build_model_(view_t *v, const resource_t *r);
@@ -251,6 +254,12 @@
 
 static void build_site_(view_t *v, const resource_t *r)
 {
+	const char *word = string_(r->body, "placement", placement_string[0]);
+
+	for (int p = 0; p < PLACEMENT_COUNT; p++) {
+		if (!strcmp(placement_string[p], word))
+			v->placement = (placement_t)p;
+	}
 	v->load_bound = number_(r->body, "load_bound", LOAD_BOUND_DEFAULT);
 	v->power_cap_w = number_(r->body, "power_cap_w", 0);
 }
