--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -49,7 +49,7 @@
 	ev_timer timer;
 	GHashTable *calls;
 	GHashTable *sockets;
-	const char *ca_file;
+	const char *ca_file; /* authority of https servers, or NULL */
 	int64_t bytes; /* sent and received by ended calls, headers counted */
 };
 
--- a/include/kcf/http_server.h
+++ b/include/kcf/http_server.h
@@ -51,16 +51,15 @@
 	const char *tls_key;
 } http_server_conf_t;
 
-struct MHD_Daemon;
-
 struct http_server {
-	struct MHD_Daemon *daemon;
+	/* The last one takes connections; others end those they have. */
+	GPtrArray *daemons; /* http_daemon_t * */
 	struct ev_loop *loop;
-	ev_io io;
 	ev_timer timer;
 	ev_prepare prepare;
 	const http_server_ops_t *ops;
 	void *ctx;
+	http_server_conf_t conf; /* without its texts */
 	size_t max_body;
 	bool dirty;
 	int listen_fd;
@@ -79,6 +78,15 @@
 		     const http_server_conf_t *conf,
 		     const http_server_ops_t *ops, void *ctx);
 
+/*
+ * http_server_set_tls - takes a new certificate and key for new connections;
+ * open ones go on with the old.
+ *
+ * Return: HTTP_SERVER_OK, or HTTP_SERVER_EDAEMON when they cannot be used;
+ * the old ones stay then.
+ */
+int http_server_set_tls(http_server_t *s, const char *cert, const char *key);
+
 /*
  * http_server_quiesce - closes the listening socket; open requests go on.
  */
--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -107,6 +107,9 @@
 	mstime_t last_ack;  /* last sign of life from any peer */
 	mstime_t paused_at; /* when a pause was last noticed, or 0 */
 	guint fact_cursor;
+	bool unknown; /* a fact named a node that is not known here */
+	mstime_t next_want;
+	bool many; /* the next message carries many members */
 	uint64_t former; /* own offset as peers remember it */
 } members_t;
 
--- a/include/kcf/settings.h
+++ b/include/kcf/settings.h
@@ -32,6 +32,7 @@
 	int64_t caller_heartbeat_ms;
 	GString *caller_tls_cert; /* file names; empty for plain TCP */
 	GString *caller_tls_key;
+	GString *tls_ca; /* that signs the nodes' certificates */
 	GString *operator_listen;
 	GString *operator_tls_cert;
 	GString *operator_tls_key;
@@ -75,6 +76,13 @@
  */
 int settings_load(settings_t *s, const char *file, GPtrArray *faults);
 
+/*
+ * settings_caller_scheme, settings_operator_scheme - "http", or "https" when
+ * the settings give a certificate.
+ */
+const char *settings_caller_scheme(const settings_t *s);
+const char *settings_operator_scheme(const settings_t *s);
+
 /*
  * settings_toml_to_json - turns any TOML text into a JSON tree.
  * @faults: receives the syntax fault, if there is one
--- a/packages/ctl/ctl.c
+++ b/packages/ctl/ctl.c
@@ -65,7 +65,9 @@
 	      void (*stream)(str_t data), ctl_reply_t *reply)
 {
 	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
-	char *url = g_strdup_printf("http://%s%s", address, path);
+	char *url = g_strdup_printf("%s%s%s",
+				    strstr(address, "://") ? "" : "http://",
+				    address, path);
 	pending_t p = { c, reply, stream };
 	http_call_spec_t spec = {
 		.method = method,
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -36,6 +36,7 @@
 static ctl_t ctl;
 static gchar *output;
 static gchar *key_file;
+static gchar *ca_file;
 
 static const GOptionEntry entries[] = {
 	{ "operators", 'o', 0, G_OPTION_ARG_STRING, &ctl.operators,
@@ -44,6 +45,8 @@
 	  "Callers' address of any node (KCF_CALLERS)", "IP:PORT" },
 	{ "key-file", 'k', 0, G_OPTION_ARG_FILENAME, &key_file,
 	  "File with the bearer key (else KCF_KEY)", "FILE" },
+	{ "ca-file", 0, 0, G_OPTION_ARG_FILENAME, &ca_file,
+	  "Authority of https addresses", "FILE" },
 	{ "reason", 'r', 0, G_OPTION_ARG_STRING, &ctl.reason,
 	  "Reason of a change, for the audit trail", "TEXT" },
 	{ "output", 0, 0, G_OPTION_ARG_STRING, &output, "table or json",
@@ -121,6 +124,7 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	ctl.loop = ev_default_loop(0);
 	http_client_init(&ctl.http, ctl.loop);
+	ctl.http.ca_file = ca_file;
 	status = cmd->run(&ctl, argc, argv);
 	http_client_finish(&ctl.http);
 	curl_global_cleanup();
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -108,8 +108,11 @@
 	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(call->easy, CURLOPT_MAXAGE_CONN, POOL_IDLE_MAX_S);
-	if (c->ca_file)
+	if (c->ca_file) {
+		/* Nodes are known by their authority, at whatever address. */
 		curl_easy_setopt(call->easy, CURLOPT_CAINFO, c->ca_file);
+		curl_easy_setopt(call->easy, CURLOPT_SSL_VERIFYHOST, 0L);
+	}
 	if (spec->fresh) {
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -65,72 +65,142 @@
 				     const char *detail);
 static bool body_missing_(const http_request_t *r);
 
-int http_server_init(http_server_t *s, struct ev_loop *loop,
-		     const http_server_conf_t *conf,
-		     const http_server_ops_t *ops, void *ctx)
+/* One libmicrohttpd daemon on the server's listening socket. */
+typedef struct http_daemon {
+	http_server_t *server;
+	struct MHD_Daemon *mhd;
+	ev_io io;
+} http_daemon_t;
+
+static void daemon_free_(gpointer p)
+{
+	http_daemon_t *d = p;
+
+	ev_io_stop(d->server->loop, &d->io);
+	MHD_stop_daemon(d->mhd);
+	g_free(d);
+}
+
+/* Adds a daemon that takes the connections from now on. */
+static int add_daemon_(http_server_t *s, const char *cert, const char *key)
 {
 	unsigned int flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
 	const union MHD_DaemonInfo *info;
+	http_daemon_t *d = g_new0(http_daemon_t, 1);
+	/* A daemon that cannot start closes the socket that it was given. */
+	int fd = dup(s->listen_fd);
 	struct MHD_OptionItem tls[] = {
-		{ MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)conf->tls_cert },
-		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)conf->tls_key },
+		{ MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)cert },
+		{ MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)key },
 		{ MHD_OPTION_END, 0, NULL },
 	};
 
+	if (cert)
+		flags |= MHD_USE_TLS;
+	else
+		tls[0].option = MHD_OPTION_END;
+	d->server = s;
+	d->mhd = MHD_start_daemon(
+		flags, 0, NULL, NULL, on_access_, s, MHD_OPTION_LISTEN_SOCKET,
+		fd, MHD_OPTION_CONNECTION_LIMIT,
+		s->conf.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
+		s->conf.idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		s->conf.max_header, MHD_OPTION_NOTIFY_COMPLETED, on_completed_,
+		s, MHD_OPTION_URI_LOG_CALLBACK, on_uri_, s, MHD_OPTION_ARRAY,
+		tls, MHD_OPTION_END);
+	if (!d->mhd) {
+		g_free(d);
+		return HTTP_SERVER_EDAEMON;
+	}
+	info = MHD_get_daemon_info(d->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+	ev_io_init(&d->io, on_io_, info->epoll_fd, EV_READ);
+	d->io.data = s;
+	ev_io_start(s->loop, &d->io);
+	g_ptr_array_add(s->daemons, d);
+	return HTTP_SERVER_OK;
+}
+
+static void quiesce_(http_daemon_t *d)
+{
+	MHD_socket fd = MHD_quiesce_daemon(d->mhd);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+int http_server_init(http_server_t *s, struct ev_loop *loop,
+		     const http_server_conf_t *conf,
+		     const http_server_ops_t *ops, void *ctx)
+{
+	int err;
+
 	assert(s && loop && conf && ops);
 	*s = (http_server_t){ .loop = loop, .ops = ops, .ctx = ctx };
+	s->conf = *conf;
+	s->conf.address = s->conf.tls_cert = s->conf.tls_key = NULL;
 	s->max_body = conf->max_body;
 	s->listen_fd = listen_(conf->address);
 	if (s->listen_fd < 0)
 		return s->listen_fd;
-	if (conf->tls_cert)
-		flags |= MHD_USE_TLS;
-	else
-		tls[0].option = MHD_OPTION_END;
-	s->daemon = MHD_start_daemon(
-		flags, 0, NULL, NULL, on_access_, s, MHD_OPTION_LISTEN_SOCKET,
-		s->listen_fd, MHD_OPTION_CONNECTION_LIMIT,
-		conf->max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-		conf->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		conf->max_header, MHD_OPTION_NOTIFY_COMPLETED, on_completed_, s,
-		MHD_OPTION_URI_LOG_CALLBACK, on_uri_, s, MHD_OPTION_ARRAY, tls,
-		MHD_OPTION_END);
-	if (!s->daemon) {
+	s->daemons = g_ptr_array_new_with_free_func(daemon_free_);
+	err = add_daemon_(s, conf->tls_cert, conf->tls_key);
+	if (err) {
 		close(s->listen_fd);
-		return HTTP_SERVER_EDAEMON;
+		g_clear_pointer(&s->daemons, g_ptr_array_unref);
+		return err;
 	}
-	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-	ev_io_init(&s->io, on_io_, info->epoll_fd, EV_READ);
 	ev_timer_init(&s->timer, on_timer_, MAX_POLL_S, MAX_POLL_S);
 	ev_prepare_init(&s->prepare, on_prepare_);
-	s->io.data = s;
 	s->timer.data = s;
 	s->prepare.data = s;
-	ev_io_start(loop, &s->io);
 	ev_timer_start(loop, &s->timer);
 	ev_prepare_start(loop, &s->prepare);
 	return HTTP_SERVER_OK;
 }
 
+int http_server_set_tls(http_server_t *s, const char *cert, const char *key)
+{
+	guint before = s->daemons->len;
+	http_daemon_t *old = s->daemons->pdata[before - 1];
+	int err = add_daemon_(s, cert, key);
+
+	if (!err)
+		quiesce_(old);
+	return err;
+}
+
+/* Ends daemons that no longer take connections and have none left. */
+static void drop_drained_(http_server_t *s)
+{
+	while (s->daemons->len > 1) {
+		http_daemon_t *d = s->daemons->pdata[0];
+		const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+			d->mhd, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+		if (info->num_connections)
+			return;
+		g_ptr_array_remove_index(s->daemons, 0);
+	}
+}
+
 void http_server_quiesce(http_server_t *s)
 {
 	if (s->listen_fd < 0)
 		return;
-	MHD_quiesce_daemon(s->daemon);
+	for (guint i = 0; i < s->daemons->len; i++)
+		quiesce_(s->daemons->pdata[i]);
 	close(s->listen_fd);
 	s->listen_fd = -1;
 }
 
 void http_server_finish(http_server_t *s)
 {
-	if (!s->daemon)
+	if (!s->daemons)
 		return;
-	ev_io_stop(s->loop, &s->io);
 	ev_timer_stop(s->loop, &s->timer);
 	ev_prepare_stop(s->loop, &s->prepare);
 	http_server_quiesce(s);
-	MHD_stop_daemon(s->daemon);
-	s->daemon = NULL;
+	g_clear_pointer(&s->daemons, g_ptr_array_unref);
 }
 
 str_t http_request_method(const http_request_t *r)
@@ -491,6 +561,7 @@
 {
 	(void)loop;
 	(void)revents;
+	drop_drained_(w->data);
 	run_(w->data);
 }
 
@@ -508,15 +579,17 @@
 
 static void run_(http_server_t *s)
 {
-	MHD_UNSIGNED_LONG_LONG wait;
+	double wait_s = MAX_POLL_S;
+
+	for (guint i = 0; i < s->daemons->len; i++) {
+		struct MHD_Daemon *mhd =
+			((http_daemon_t *)s->daemons->pdata[i])->mhd;
+		MHD_UNSIGNED_LONG_LONG wait;
 
-	MHD_run(s->daemon);
-	if (MHD_get_timeout(s->daemon, &wait) == MHD_YES) {
-		s->timer.repeat = MIN(MAX_POLL_S, (double)wait * MSEC_TO_SEC);
-		if (s->timer.repeat <= 0)
-			s->timer.repeat = MSEC_TO_SEC;
-	} else {
-		s->timer.repeat = MAX_POLL_S;
+		MHD_run(mhd);
+		if (MHD_get_timeout(mhd, &wait) == MHD_YES)
+			wait_s = MIN(wait_s, (double)wait * MSEC_TO_SEC);
 	}
+	s->timer.repeat = MAX(wait_s, MSEC_TO_SEC);
 	ev_timer_again(s->loop, &s->timer);
 }
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -12,6 +12,9 @@
 #define RELAY_MS 1000
 /* News in a lean message. */
 #define LEAN_UPDATES 3
+/* Target of a ping that asks for many members. */
+#define WANT_MEMBERS "?"
+#define WANT_INTERVAL_MS 300
 /* Deaths within this time count towards isolation. */
 #define ISOLATION_WINDOW_MS 15000
 
@@ -225,6 +228,19 @@
 	start_probe_(ms, now);
 }
 
+/* A fact named a node that is not known here: its sender knows it. */
+static void want_members_(members_t *ms, mstime_t now, const char *from)
+{
+	peer_message_t m = { .target = WANT_MEMBERS };
+
+	if (!ms->unknown || now < ms->next_want)
+		return;
+	ms->unknown = false;
+	ms->next_want = now + WANT_INTERVAL_MS;
+	m.seq = ++ms->seq;
+	ms->ops->send(ms->ctx, from, PEER_PING, &m, true);
+}
+
 void members_receive(members_t *ms, mstime_t now, const char *from,
 		     unsigned int proc, const peer_message_t *m)
 {
@@ -239,6 +255,9 @@
 		take_update_(ms, now, &m->updates.updates_val[i]);
 	take_facts_(ms, m);
 	sender = members_find(ms, m->from);
+	/* News of the sender itself has been missed. */
+	if (!sender || m->incarnation > sender->incarnation)
+		ms->unknown = true;
 	if (sender) {
 		sender->heard = now;
 		if (sender->state == MEMBER_SUSPECT &&
@@ -250,10 +269,13 @@
 			sender->gossip_left = MAX(sender->gossip_left, 1);
 	}
 	ms->last_ack = now;
+	want_members_(ms, now, from);
 	switch (proc) {
 	case PEER_PING:
 		reply.seq = m->seq;
-		ms->ops->send(ms->ctx, from, PEER_ACK, &reply, true);
+		ms->many = !strcmp(m->target, WANT_MEMBERS);
+		ms->ops->send(ms->ctx, from, PEER_ACK, &reply, !ms->many);
+		ms->many = false;
 		break;
 	case PEER_PING_REQ: {
 		member_t *target = members_find(ms, m->target);
@@ -314,6 +336,8 @@
 	member_t *other;
 	u_int n = 0;
 
+	if (ms->many)
+		put_update_(&updates[n++], ms->self);
 	g_hash_table_iter_init(&iter, ms->by_name);
 	while (n < max && g_hash_table_iter_next(&iter, NULL, &value)) {
 		member_t *m = value;
@@ -323,9 +347,15 @@
 		m->gossip_left--;
 		put_update_(&updates[n++], m);
 	}
-	other = lean ? NULL : random_peer_(ms, NULL);
-	if (other)
+	if (lean)
+		return n;
+	/* Repeats among the samples do no harm. */
+	for (max = ms->many ? PEER_UPDATES_MAX : n + 1; n < max;) {
+		other = random_peer_(ms, NULL);
+		if (!other)
+			break;
 		put_update_(&updates[n++], other);
+	}
 	return n;
 }
 
@@ -341,7 +371,7 @@
 		const member_t *m;
 
 		m = g_list_nth_data(all, (ms->fact_cursor + i) % size);
-		if (m != ms->self && m->applied && m->state != MEMBER_DEAD)
+		if (m != ms->self && m->state != MEMBER_DEAD)
 			facts[n++] = (peer_fact_t){ m->key, m->applied };
 	}
 	ms->fact_cursor += room;
@@ -478,6 +508,7 @@
 
 	for (u_int i = 0; i < m->facts.facts_len; i++) {
 		const peer_fact_t *f = &m->facts.facts_val[i];
+		bool found = false;
 
 		g_hash_table_iter_init(&iter, ms->by_name);
 		while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -485,6 +516,7 @@
 
 			if (known->key != f->node)
 				continue;
+			found = true;
 			/* Peers remember what an earlier start of this node
 			 * had. */
 			if (known == ms->self)
@@ -494,6 +526,7 @@
 					MAX(known->applied, f->applied);
 			break;
 		}
+		ms->unknown = ms->unknown || !found;
 	}
 }
 
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -82,6 +82,8 @@
 	control_t *c = ctx;
 
 	http_client_init(&c->http, loop);
+	if (c->settings->tls_ca->len)
+		c->http.ca_file = c->settings->tls_ca->str;
 	if (!peers_start(c))
 		return false;
 	if (!operators_start(c)) {
@@ -274,6 +276,9 @@
 	case MSG_JOB_ASK:
 		jobs_ask(c, &m->job_question);
 		break;
+	case MSG_TLS:
+		operators_reload_tls(c);
+		break;
 	case MSG_PHASE:
 		control_leave(c);
 		break;
--- a/packages/node/control_config.c
+++ b/packages/node/control_config.c
@@ -422,7 +422,9 @@
 		return;
 	proof = peer_proof(c->settings->peer_key, clock_wall());
 	headers[0] = proof;
-	url = g_strdup_printf("http://%s/v1/peer/config", ahead->operators);
+	url = g_strdup_printf("%s://%s/v1/peer/config",
+			      settings_operator_scheme(c->settings),
+			      ahead->operators);
 	spec.url = url;
 	http_call_start(&c->http, &spec, &snapshot_ops, c);
 	g_free(url);
--- a/packages/node/control_jobs.c
+++ b/packages/node/control_jobs.c
@@ -334,7 +334,8 @@
 {
 	control_t *c = p->control;
 	run_t *r = g_new0(run_t, 1);
-	char *url = g_strdup_printf("http://%s%s",
+	char *url = g_strdup_printf("%s://%s%s",
+				    settings_caller_scheme(c->settings),
 				    c->settings->caller_listen->str, j->path);
 	char *proof = job_header(c->settings->peer_key, j->id, j->customer);
 	char *id = g_strdup_printf("X-Request-Id: %s", j->id);
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -78,11 +78,12 @@
 	return (uint32_t)(clock_wall() / STAMP_MS);
 }
 
-static bool spend_(control_t *c, size_t len)
+/* Probes go even on credit: without them live nodes would be held dead. */
+static bool spend_(control_t *c, size_t len, bool probe)
 {
 	int64_t bytes = (int64_t)len + DATAGRAM_OVERHEAD;
 
-	if (!budget_take(&c->budget, clock_now(), bytes, false)) {
+	if (!budget_take(&c->budget, clock_now(), bytes, probe)) {
 		counter_add(COUNTER_CONTROL_DROPPED, 1);
 		return false;
 	}
@@ -130,7 +131,7 @@
 		else
 			return;
 	}
-	if (!spend_(c, len))
+	if (!spend_(c, len, proc != PEER_LOADS && proc != PEER_LOAN))
 		return;
 	sendto(c->socket, data, len, 0, (struct sockaddr *)&sa, sizeof(sa));
 }
--- a/packages/node/main.c
+++ b/packages/node/main.c
@@ -102,14 +102,16 @@
 /* Takes the settings that may change while the node runs. */
 static void on_reload_(struct ev_loop *loop, ev_signal *w, int revents)
 {
+	process_t *p = w->data;
 	settings_t fresh;
 
 	(void)loop;
-	(void)w;
 	(void)revents;
 	settings_init(&fresh);
 	if (load_settings_(&fresh)) {
 		logline_setup(fresh.name->str, fresh.log_level);
+		task_post(&p->control.task, message_new(MSG_TLS));
+		relay_post(&p->relay, message_new(MSG_TLS));
 		LOG_EVENT(LOG_NOTICE, "settings.reloaded",
 			  F_STR("file", config_file));
 	} else {
--- a/packages/node/operators.c
+++ b/packages/node/operators.c
@@ -24,11 +24,25 @@
 	bool status;
 } resource_path_t;
 
+/* Reads certificate and key; both NULL when the settings name none. */
+static bool read_tls_(const settings_t *s, char **cert, char **key)
+{
+	*cert = NULL;
+	*key = NULL;
+	if (!s->operator_tls_cert->len)
+		return true;
+	if (g_file_get_contents(s->operator_tls_cert->str, cert, NULL, NULL) &&
+	    g_file_get_contents(s->operator_tls_key->str, key, NULL, NULL))
+		return true;
+	g_clear_pointer(cert, g_free);
+	return false;
+}
+
 bool operators_start(control_t *c)
 {
 	const settings_t *s = c->settings;
-	char *cert = NULL;
-	char *key = NULL;
+	char *cert;
+	char *key;
 	http_server_conf_t conf = {
 		.address = s->operator_listen->str,
 		.max_body = OPERATOR_BODY_MAX,
@@ -36,22 +50,14 @@
 		.max_connections = OPERATOR_CONNECTIONS,
 		.idle_timeout_s = OPERATOR_IDLE_S,
 	};
-	int err;
-
-	if (s->operator_tls_cert->len &&
-	    (!g_file_get_contents(s->operator_tls_cert->str, &cert, NULL,
-				  NULL) ||
-	     !g_file_get_contents(s->operator_tls_key->str, &key, NULL,
-				  NULL))) {
-		LOG_EVENT(LOG_ERR, "operators.tls",
-			  F_STR("error", "cannot read certificate or key"));
-		g_free(cert);
-		return false;
+	int err = HTTP_SERVER_EDAEMON;
+
+	if (read_tls_(s, &cert, &key)) {
+		conf.tls_cert = cert;
+		conf.tls_key = key;
+		err = http_server_init(&c->operators, c->task.loop, &conf,
+				       &server_ops, c);
 	}
-	conf.tls_cert = cert;
-	conf.tls_key = key;
-	err = http_server_init(&c->operators, c->task.loop, &conf, &server_ops,
-			       c);
 	g_free(cert);
 	g_free(key);
 	if (err)
@@ -61,6 +67,22 @@
 	return !err;
 }
 
+void operators_reload_tls(control_t *c)
+{
+	char *cert;
+	char *key;
+	int err = HTTP_SERVER_EDAEMON;
+
+	if (!c->settings->operator_tls_cert->len)
+		return;
+	if (read_tls_(c->settings, &cert, &key))
+		err = http_server_set_tls(&c->operators, cert, key);
+	g_free(cert);
+	g_free(key);
+	LOG_EVENT(err ? LOG_ERR : LOG_NOTICE, "operators.tls",
+		  F_STR("result", http_server_err_string[-err]));
+}
+
 void operators_stop(control_t *c)
 {
 	for (guint i = 0; i < c->watchers->len; i++)
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -174,6 +174,7 @@
 /* operators.c */
 bool operators_start(control_t *c);
 void operators_stop(control_t *c);
+void operators_reload_tls(control_t *c);
 void operators_notify(control_t *c, const resource_t *r);
 void operators_problem(http_request_t *req, unsigned int status,
 		       const char *title, const char *ran, GPtrArray *faults);
--- a/packages/node/private/messages.h
+++ b/packages/node/private/messages.h
@@ -27,6 +27,7 @@
 	MSG_VIEW,
 	MSG_ROSTER,
 	MSG_PHASE,
+	MSG_TLS, /* certificates are to be read again */
 	MSG_WHERE_ANSWER,
 	MSG_ONCE_ANSWER,
 	MSG_JOB_ANSWER,
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -63,6 +63,8 @@
 {
 	const settings_t *s = r->settings;
 
+	g_clear_pointer(&r->tls_cert, g_free);
+	g_clear_pointer(&r->tls_key, g_free);
 	if (!s->caller_tls_cert->len)
 		return true;
 	return g_file_get_contents(s->caller_tls_cert->str, &r->tls_cert, NULL,
@@ -93,6 +95,8 @@
 	conf.tls_cert = r->tls_cert;
 	conf.tls_key = r->tls_key;
 	http_client_init(&r->upstreams, loop);
+	if (s->tls_ca->len)
+		r->upstreams.ca_file = s->tls_ca->str;
 	err = http_server_init(&r->callers, loop, &conf, &server_ops, r);
 	if (err) {
 		LOG_EVENT(LOG_ERR, "callers.listen",
@@ -187,6 +191,23 @@
 	LOG_EVENT(LOG_NOTICE, "relay.phase", F_INT("phase", phase));
 }
 
+/* The files may hold a newer certificate. */
+static void reload_tls_(relay_t *r)
+{
+	int err = HTTP_SERVER_OK;
+
+	if (!r->settings->caller_tls_cert->len)
+		return;
+	if (!load_tls_(r))
+		err = HTTP_SERVER_EDAEMON;
+	else
+		err = http_server_set_tls(&r->callers, r->tls_cert,
+					  r->tls_key);
+	LOG_EVENT(err ? LOG_ERR : LOG_NOTICE, "callers.tls",
+		  F_STR("cert", r->settings->caller_tls_cert->str),
+		  F_STR("result", http_server_err_string[-err]));
+}
+
 static void receive_(void *ctx, void *message)
 {
 	relay_t *r = ctx;
@@ -226,6 +247,9 @@
 		if (x)
 			exchange_job(x, &m->job_reply);
 		break;
+	case MSG_TLS:
+		reload_tls_(r);
+		break;
 	case MSG_VIEW:
 		view_unref(r->view);
 		r->view = m->view;
--- a/packages/node/upstream_call.c
+++ b/packages/node/upstream_call.c
@@ -153,7 +153,9 @@
 					       ? x->subpath_text->str
 					       : "/v1/chat/completions");
 	node = roster_find(x->relay->roster, x->placed.node);
-	return g_strdup_printf("http://%s%.*s%s%.*s", node ? node : "",
+	return g_strdup_printf("%s://%s%.*s%s%.*s",
+			       settings_caller_scheme(x->relay->settings),
+			       node ? node : "",
 			       (int)path.len, path.data, query.len ? "?" : "",
 			       (int)query.len, query.len ? query.data : "");
 }
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -45,6 +45,7 @@
 	{ "heartbeat_ms", SCHEMA_INT, .min = 100, .max = 60000 },
 	{ "tls_cert", SCHEMA_STRING, .min = 1, .max = 4096 },
 	{ "tls_key", SCHEMA_STRING, .min = 1, .max = 4096 },
+	{ "tls_ca", SCHEMA_STRING, .min = 1, .max = 4096 },
 	{ 0 },
 };
 
@@ -121,6 +122,7 @@
 	s->caller_listen = g_string_new(NULL);
 	s->caller_tls_cert = g_string_new(NULL);
 	s->caller_tls_key = g_string_new(NULL);
+	s->tls_ca = g_string_new(NULL);
 	s->operator_listen = g_string_new(NULL);
 	s->operator_tls_cert = g_string_new(NULL);
 	s->operator_tls_key = g_string_new(NULL);
@@ -141,6 +143,7 @@
 	g_string_free(s->caller_listen, TRUE);
 	g_string_free(s->caller_tls_cert, TRUE);
 	g_string_free(s->caller_tls_key, TRUE);
+	g_string_free(s->tls_ca, TRUE);
 	g_string_free(s->operator_listen, TRUE);
 	g_string_free(s->operator_tls_cert, TRUE);
 	g_string_free(s->operator_tls_key, TRUE);
@@ -181,6 +184,16 @@
 	return root;
 }
 
+const char *settings_caller_scheme(const settings_t *s)
+{
+	return s->caller_tls_cert->len ? "https" : "http";
+}
+
+const char *settings_operator_scheme(const settings_t *s)
+{
+	return s->operator_tls_cert->len ? "https" : "http";
+}
+
 int settings_parse(settings_t *s, str_t text, GPtrArray *faults)
 {
 	json_t *lines = NULL;
@@ -268,6 +281,10 @@
 	bool cert = json_object_get(table, "tls_cert");
 	bool key = json_object_get(table, "tls_key");
 
+	if (cert && !strcmp(section, "callers") &&
+	    !json_object_get(table, "tls_ca"))
+		schema_fault_add(found, section,
+				 "tls_ca is needed, for calls between nodes");
 	if (cert != key)
 		schema_fault_add(found, section,
 				 "tls_cert and tls_key go together");
@@ -337,6 +354,7 @@
 	take_int_(&s->caller_heartbeat_ms, callers, "heartbeat_ms");
 	take_string_(s->caller_tls_cert, callers, "tls_cert");
 	take_string_(s->caller_tls_key, callers, "tls_key");
+	take_string_(s->tls_ca, callers, "tls_ca");
 	take_string_(s->operator_listen, operators, "listen");
 	take_string_(s->operator_tls_cert, operators, "tls_cert");
 	take_string_(s->operator_tls_key, operators, "tls_key");
--- /dev/null
+++ b/tests/fuzz/targets.c
@@ -0,0 +1,112 @@
+#include "fuzz.h"
+
+#include "../../packages/node/private/hop.h"
+#include "../../packages/node/private/job_header.h"
+#include "../../packages/node/private/once_key.h"
+#include "../../packages/node/private/peer_proof.h"
+#include <kcf/config.h>
+#include <kcf/datagram.h>
+#include <kcf/jobs.h>
+#include <kcf/once.h>
+#include <kcf/settings.h>
+#include <kcf/sse.h>
+#include <string.h>
+
+
+static const unsigned char key[PEER_KEY_BYTES] = { 1, 2, 3 };
+
+static str_t view_(const uint8_t *data, size_t size)
+{
+	return (str_t){ (const char *)data, size };
+}
+
+/* Also the part behind the MAC, which random bytes would never reach. */
+int fuzz_datagram(const uint8_t *data, size_t size)
+{
+	peer_message_t m = { 0 };
+	unsigned int proc;
+	XDR xdrs;
+
+	if (!datagram_decode(key, view_(data, size), 0, &proc, &m))
+		datagram_free(&m);
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	memset(&m, 0, sizeof(m));
+	xdr_peer_message_t(&xdrs, &m);
+	xdr_destroy(&xdrs);
+	datagram_free(&m);
+	return 0;
+}
+
+int fuzz_settings(const uint8_t *data, size_t size)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	settings_t s;
+
+	settings_init(&s);
+	settings_parse(&s, view_(data, size), faults);
+	settings_finish(&s);
+	g_ptr_array_unref(faults);
+	return 0;
+}
+
+int fuzz_resource(const uint8_t *data, size_t size)
+{
+	json_t *body = json_loadb((const char *)data, size, 0, NULL);
+	GPtrArray *faults = schema_faults_new();
+
+	for (int k = 0; body && k < KIND_COUNT; k++)
+		schema_check(body, resource_fields((resource_kind_t)k), "",
+			     faults);
+	g_ptr_array_unref(faults);
+	json_decref(body);
+	return 0;
+}
+
+int fuzz_record(const uint8_t *data, size_t size)
+{
+	config_t c;
+	config_result_t r;
+	once_keys_t once;
+	job_stream_t jobs;
+
+	config_init(&c);
+	once_keys_init(&once);
+	job_stream_init(&jobs);
+	config_apply(&c, 1, 0, view_(data, size), &r);
+	config_result_finish(&r);
+	config_scan(&c, 1, 0, view_(data, size));
+	once_fold(&once, 1, 0, view_(data, size));
+	job_fold(&jobs, 1, 0, view_(data, size));
+	config_finish(&c);
+	once_keys_finish(&once);
+	job_stream_finish(&jobs);
+	return 0;
+}
+
+int fuzz_events(const uint8_t *data, size_t size)
+{
+	sse_event_t event;
+	sse_t s;
+
+	sse_init(&s);
+	sse_feed(&s, view_(data, size));
+	while (sse_next(&s, &event))
+		;
+	sse_finish(&s);
+	return 0;
+}
+
+int fuzz_headers(const uint8_t *data, size_t size)
+{
+	str_t text = view_(data, size);
+	once_issued_t issued;
+	char customer[64];
+	hop_t hop;
+
+	hop_parse(key, "r", text, &hop);
+	once_key_ok(text);
+	once_key_issued(key, text, &issued);
+	peer_proof_ok(key, 0, text);
+	job_header_customer(key, "j", text, customer, sizeof(customer));
+	return 0;
+}
--- a/tests/runner/http_words.c
+++ b/tests/runner/http_words.c
@@ -173,6 +173,9 @@
 	b->batch = (batch_t){ ev_loop_new(EVFLAG_AUTO), (int)b->count };
 	b->calls = g_new0(word_call_t, (gsize)b->count + 1);
 	http_client_init(&b->client, b->batch.loop);
+	lua_getglobal(L, "CA_FILE");
+	b->client.ca_file = lua_tostring(L, -1);
+	lua_pop(L, 1);
 	for (lua_Integer i = 0; i < b->count; i++) {
 		b->calls[i].batch = &b->batch;
 		b->calls[i].body = g_string_new(NULL);
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -80,6 +80,7 @@
 max_body_bytes = 1048576
 heartbeat_ms = %d
 idle_timeout_s = %d
+%s
 [operators]
 listen = "%s"
 keys = [{ operator = "ana", sha256 = "%s" }, { operator = "bruno", sha256 = "%s" }]
@@ -94,7 +95,7 @@
 host_list = "http://%s/hosts"
 [log]
 level = "%s"
-]], n.name, n.dc, f.region, f.drain_s, n.callers, f.heartbeat_ms, f.idle_timeout_s, n.operators,
+]], n.name, n.dc, f.region, f.drain_s, n.callers, f.heartbeat_ms, f.idle_timeout_s, f.tls or "", n.operators,
 		sha256(OPERATOR), sha256("operator-key-2"), n.peer, f.budget,
 		table.concat(seeds, ", "), n.log or f.log.address, f.retention_s, f.hosts.address, LEVEL or "info")
 end
@@ -127,6 +128,7 @@
 		    dcs = {}, drain_s = o.drain_s or 10, heartbeat_ms = o.heartbeat_ms or 5000,
 		    idle_timeout_s = o.idle_timeout_s or 60, budget = o.budget or 4096,
 		    retention_s = o.retention_s or 3600, dir = dir }
+	f.tls, f.scheme = o.tls, o.tls and "https" or "http"
 	if o.edit then o.edit(f.resources) end
 	f.log = start_standin("log", "log", address(9, 1, 9100), o.log)
 	f.hosts = start_standin("hosts", "hosts", address(9, 1, 9200))
@@ -150,7 +152,7 @@
 	end
 	for i = 1, o.nodes or 7 do
 		local dc = f.dcs[(i - 1) % #f.dcs + 1]
-		f.nodes[i] = { name = string.format("%s-n%d", dc, i), dc = dc, callers = address(1, i, 8080),
+		f.nodes[i] = { scheme = f.scheme, name = string.format("%s-n%d", dc, i), dc = dc, callers = address(1, i, 8080),
 			       operators = address(1, i, 8081), peer = address(1, i, 7946) }
 	end
 	wait_for("log answers", 10000, function() return answers(f.log.address, "/stats") end)
@@ -259,7 +261,7 @@
 	local h = { Authorization = "Bearer " .. (o.key or KEY), ["Content-Type"] = "application/json",
 		    ["X-Request-Id"] = o.id, ["X-Chat-Id"] = o.chat, ["X-Deadline-Ms"] = o.deadline_ms and tostring(o.deadline_ms),
 		    ["Last-Event-ID"] = o.last and tostring(o.last), Priority = o.priority }
-	return { method = "POST", url = "http://" .. n.callers .. "/v1/chat/completions", body = body, headers = h,
+	return { method = "POST", url = (n.scheme or "http") .. "://" .. n.callers .. "/v1/chat/completions", body = body, headers = h,
 		 timeout_ms = o.timeout_ms }
 end
 
@@ -268,7 +270,7 @@
 -- Plain service call.
 function call_request(n, service, method, path, o)
 	o = o or {}
-	return { method = method, url = "http://" .. n.callers .. "/v1/services/" .. service .. path, body = o.body,
+	return { method = method, url = (n.scheme or "http") .. "://" .. n.callers .. "/v1/services/" .. service .. path, body = o.body,
 		 headers = { Authorization = "Bearer " .. (o.key or KEY), ["Idempotency-Key"] = o.once,
 			     ["X-Request-Id"] = o.id, ["X-Deadline-Ms"] = o.deadline_ms and tostring(o.deadline_ms) },
 		 timeout_ms = o.timeout_ms }
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -35,7 +35,7 @@
 		  PLATFORM,
 	  SETTINGS_EFAULTS, 2, NULL },
 	{ HEAD "tls_cert = \"a.pem\"\n" OPERATORS PEERS PLATFORM,
-	  SETTINGS_EFAULTS, 1, "line 5: callers: tls_cert and tls_key" },
+	  SETTINGS_EFAULTS, 2, "line 5: callers: tls_ca is needed" },
 	{ "[node]\nname = \"No\"\ndata_centre = \"d\"\nregion = \"r\"\n"
 	  "[callers]\nlisten = \"host:1\"\n" OPERATORS PEERS PLATFORM,
 	  SETTINGS_EFAULTS, 2, NULL },
