Cached prefixes move off an engine that leaves by plan

Cause: a planned leave made all chats of an engine cold, though engines can export and import KV cache.

Change: the owner walks the warm chats, most recent first, and has each exported to the engine that ranks next, 50 a second and 8 at a time. Ruled out: moving all at once (the network of the engine is the callers' too); moving on the first request (the caller waits for it).

--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -109,12 +109,21 @@
 	uint64_t hash;
 } sched_node_t;
 
+/* A chat whose cached prefix should move before its upstream is gone. */
+typedef struct sched_move {
+	uint64_t chat;
+	char from[SCHED_NAME_MAX]; /* addresses */
+	char to[SCHED_NAME_MAX];
+} sched_move_t;
+
 typedef struct sched_ops {
 	void (*answer)(void *ctx, const sched_answer_t *a);
 	/* Sends a loan to the owner of the borrowing upstream. */
 	void (*lend)(void *ctx, const char *node, const power_loan_t *loan);
 	/* An upstream's health changed. */
 	void (*health)(void *ctx, const char *upstream, const char *what);
+	/* An owned upstream leaves by plan; called for each warm chat. */
+	void (*move)(void *ctx, const sched_move_t *m);
 } sched_ops_t;
 
 typedef struct sched {
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -37,6 +37,16 @@
 	double variance; /* of out, for what has changed since it was heard */
 } totals_t;
 
+/* Which entries a ranking may return. */
+typedef enum rank_filter {
+	RANK_ANY,
+	RANK_SETTLED, /* only those that were not away of late */
+	RANK_OWNED,
+} rank_filter_t;
+
+static slot_t *rank_(const sched_t *s, mstime_t now, const sched_request_t *r,
+		     rank_filter_t filter);
+static void move_chats_(sched_t *s, mstime_t now, const slot_t *sl);
 static slot_t *slot_of_(const sched_t *s, uint32_t key);
 static bool fits_(const sched_t *s, const sched_request_t *r, const slot_t *sl);
 static bool in_region_(const sched_t *s, const slot_t *sl);
@@ -164,6 +174,7 @@
 void sched_set_view(sched_t *s, mstime_t now, view_t *view)
 {
 	bool first = !s->view;
+	GPtrArray *left = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -192,6 +203,8 @@
 					&sl->limit, now,
 					(mstime_t)(u->ramp_s * MSEC_PER_SEC));
 		}
+		if (sl->owned && sl->open && !open)
+			g_ptr_array_add(left, sl);
 		sl->up = u;
 		sl->open = open;
 		if (sl->owned) {
@@ -202,6 +215,9 @@
 	view_unref(s->view);
 	s->view = view;
 	refresh_ownership_(s, now);
+	for (guint i = 0; i < left->len; i++)
+		move_chats_(s, now, left->pdata[i]);
+	g_ptr_array_unref(left);
 }
 
 void sched_set_nodes(sched_t *s, mstime_t now, GPtrArray *nodes)
@@ -211,6 +227,27 @@
 	refresh_ownership_(s, now);
 }
 
+/* Most recently used chats first, to where each ranks next. */
+static void move_chats_(sched_t *s, mstime_t now, const slot_t *sl)
+{
+	sched_request_t r = { .sticky = true };
+
+	g_strlcpy(r.service, sl->up->service->name, sizeof(r.service));
+	for (const GList *l = sl->warm.order.head; l; l = l->next) {
+		const lru_entry_t *e = l->data;
+		sched_move_t m = { .chat = e->key };
+		const slot_t *to;
+
+		r.chat = e->key;
+		to = rank_(s, now, &r, RANK_ANY);
+		if (!to || to == sl)
+			return;
+		g_strlcpy(m.from, sl->up->address, sizeof(m.from));
+		g_strlcpy(m.to, to->up->address, sizeof(m.to));
+		s->ops->move(s->ctx, &m);
+	}
+}
+
 static void refresh_ownership_(sched_t *s, mstime_t now)
 {
 	GHashTableIter iter;
@@ -345,12 +382,6 @@
 	       load < bound_(s, now, sl, certainty);
 }
 
-/* Which entries a ranking may return. */
-typedef enum rank_filter {
-	RANK_ANY,
-	RANK_SETTLED, /* only those that were not away of late */
-	RANK_OWNED,
-} rank_filter_t;
 
 static bool passes_(mstime_t now, const slot_t *sl, rank_filter_t filter)
 {
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -20,10 +20,11 @@
 static void answer_(void *ctx, const sched_answer_t *a);
 static void lend_(void *ctx, const char *node, const power_loan_t *loan);
 static void health_(void *ctx, const char *upstream, const char *what);
+static void move_(void *ctx, const sched_move_t *m);
 static void set_phase_(control_t *c, node_phase_t phase);
 
 static const task_ops_t task_ops = { start_, receive_, stop_ };
-static const sched_ops_t sched_ops = { answer_, lend_, health_ };
+static const sched_ops_t sched_ops = { answer_, lend_, health_, move_ };
 
 void control_init(control_t *c, const settings_t *settings,
 		  uint64_t incarnation, void (*stopped)(void *arg), void *arg)
@@ -40,6 +41,7 @@
 	c->polling = g_hash_table_new(NULL, NULL);
 	c->traces = g_hash_table_new(g_str_hash, g_str_equal);
 	c->trace_order = g_queue_new();
+	c->moves = g_queue_new();
 	config_init(&c->config);
 	sched_init(&c->sched, settings->name->str, settings->data_centre->str,
 		   settings->region->str, (guint32)incarnation, &sched_ops, c);
@@ -75,6 +77,7 @@
 	g_hash_table_destroy(c->polling);
 	g_hash_table_destroy(c->traces);
 	g_queue_free_full(c->trace_order, free_trace_);
+	g_queue_free_full(c->moves, g_free);
 }
 
 static bool start_(void *ctx, struct ev_loop *loop)
@@ -176,6 +179,7 @@
 	loads_tick(c, now);
 	once_tick(c, now);
 	jobs_tick(c, now);
+	moves_tick(c, now);
 	sched_tick(&c->sched, now);
 	check_ready_(c, now);
 	check_left_(c, now);
@@ -340,6 +344,11 @@
 	b->saved = MIN(b->saved, budget_max_(b));
 }
 
+static void move_(void *ctx, const sched_move_t *m)
+{
+	moves_add(ctx, m);
+}
+
 bool budget_has(budget_t *b, mstime_t now, double share)
 {
 	budget_fill_(b, now);
--- /dev/null
+++ b/packages/node/control_moves.c
@@ -0,0 +1,117 @@
+/*
+ * Moves cached prefixes of chats off an upstream that leaves by plan: export
+ * at the old engine, import at the one that ranks next, at a limited rate.
+ */
+#include "private/control.h"
+
+#include <kcf/logline.h>
+#include <stdio.h>
+
+/* Moves a second, and at a time, of one node. */
+#define MOVES_PER_S 50
+#define MOVES_OPEN_MAX 8
+#define MOVES_WAITING_MAX 20000
+#define MOVE_TIMEOUT_MS 5000
+
+typedef struct moving {
+	control_t *control;
+	sched_move_t move;
+} moving_t;
+
+static void import_(moving_t *m, int64_t tokens);
+
+void moves_add(control_t *c, const sched_move_t *m)
+{
+	if (g_queue_get_length(c->moves) < MOVES_WAITING_MAX)
+		g_queue_push_tail(c->moves, g_memdup2(m, sizeof(*m)));
+}
+
+static void end_(moving_t *m)
+{
+	m->control->moving--;
+	g_free(m);
+}
+
+static void on_exported_(void *ctx, http_call_t *call, int err, int status)
+{
+	moving_t *m = ctx;
+	str_t body = http_call_body(call);
+	json_t *root = NULL;
+	json_int_t tokens = 0;
+
+	if (!err && status == 200)
+		root = json_loadb(body.data, body.len, 0, NULL);
+	if (json_unpack(root, "{s:I}", "tokens", &tokens) == 0 && tokens > 0)
+		import_(m, tokens);
+	else
+		end_(m);
+	json_decref(root);
+}
+
+static void on_imported_(void *ctx, http_call_t *call, int err, int status)
+{
+	(void)call;
+	if (err || status != 200)
+		LOG_EVENT(LOG_INFO, "move.failed", F_INT("status", status));
+	end_(ctx);
+}
+
+static const http_call_ops_t export_ops = { .done = on_exported_ };
+static const http_call_ops_t import_ops = { .done = on_imported_ };
+
+static void post_(moving_t *m, const char *address, const char *path,
+		  json_t *body, const http_call_ops_t *ops)
+{
+	char *url = g_strdup_printf("http://%s%s", address, path);
+	char *text = json_dumps(body, JSON_COMPACT);
+	http_call_spec_t spec = { .method = "POST",
+				  .url = url,
+				  .body = str_of(text),
+				  .deadline = clock_now() + MOVE_TIMEOUT_MS };
+
+	http_call_start(&m->control->http, &spec, ops, m);
+	free(text);
+	json_decref(body);
+	g_free(url);
+}
+
+static void import_(moving_t *m, int64_t tokens)
+{
+	char chat[24];
+
+	snprintf(chat, sizeof(chat), "%016lx", (unsigned long)m->move.chat);
+	post_(m, m->move.to, "/kv/import",
+	      json_pack("{s:s,s:s,s:I}", "chat", chat, "from", m->move.from,
+			"tokens", (json_int_t)tokens),
+	      &import_ops);
+}
+
+static void start_(control_t *c, const sched_move_t *move)
+{
+	moving_t *m = g_new0(moving_t, 1);
+	char chat[24];
+
+	m->control = c;
+	m->move = *move;
+	c->moving++;
+	snprintf(chat, sizeof(chat), "%016lx", (unsigned long)move->chat);
+	post_(m, move->from, "/kv/export",
+	      json_pack("{s:s,s:s}", "chat", chat, "to", move->to),
+	      &export_ops);
+}
+
+void moves_tick(control_t *c, mstime_t now)
+{
+	c->moves_saved += (double)(MOVES_PER_S * (now - c->moves_filled)) /
+			  MSEC_PER_SEC;
+	c->moves_saved = MIN(c->moves_saved, MOVES_OPEN_MAX);
+	c->moves_filled = now;
+	while (c->moves_saved >= 1 && c->moving < MOVES_OPEN_MAX &&
+	       !g_queue_is_empty(c->moves)) {
+		sched_move_t *move = g_queue_pop_head(c->moves);
+
+		c->moves_saved -= 1;
+		start_(c, move);
+		g_free(move);
+	}
+}
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -94,6 +94,12 @@
 	struct once_book *once;
 	struct job_book *jobs;
 
+	/* cached prefixes on the move */
+	GQueue *moves; /* sched_move_t * */
+	int moving;
+	double moves_saved; /* that may be started now */
+	mstime_t moves_filled;
+
 	/* explanations */
 	GHashTable *traces; /* request id to GString * */
 	GQueue *trace_order;
@@ -171,6 +177,10 @@
 void jobs_submit(control_t *c, const job_submit_t *q);
 void jobs_ask(control_t *c, const job_question_t *q);
 
+/* control_moves.c */
+void moves_add(control_t *c, const sched_move_t *m);
+void moves_tick(control_t *c, mstime_t now);
+
 /* operators.c */
 bool operators_start(control_t *c);
 void operators_stop(control_t *c);
--- a/packages/node/upstream_call.c
+++ b/packages/node/upstream_call.c
@@ -30,7 +30,7 @@
 	"x-kcf-loads",
 	"last-event-id",
 	"x-deadline-ms",
-	"x-customer", "prefer",
+	"x-customer", "x-chat-key", "prefer",
 	NULL,
 };
 
@@ -122,6 +122,10 @@
 	g_ptr_array_add(lines,
 			g_strdup_printf("X-Request-Id: %s", x->request_id));
 	g_ptr_array_add(lines, g_strdup_printf("X-Customer: %s", x->customer));
+	if (x->sticky)
+		g_ptr_array_add(lines,
+				g_strdup_printf("X-Chat-Key: %016lx",
+						(unsigned long)x->chat));
 	g_ptr_array_add(
 		lines, g_strdup_printf("X-Deadline-Ms: %lld",
 				       (long long)(x->deadline - clock_now())));
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -42,6 +42,7 @@
 	int64_t requests;
 	int64_t finished;
 	int64_t cancelled;
+	int64_t imports; /* of KV cache */
 	int64_t prompt;
 	int64_t cached;
 	mstime_t last_new;
@@ -235,13 +236,52 @@
 		finish_whole_(j);
 }
 
+/* The node's key of a chat, which KV export and import use as well. */
+static uint64_t cache_key_(const http_request_t *r)
+{
+	char *text = str_dup(http_request_header(r, "X-Chat-Key"));
+	uint64_t key = g_ascii_strtoull(text, NULL, 16);
+
+	if (!*text)
+		key = str_hash64(http_request_header(r, "X-Chat-Id"), 0);
+	g_free(text);
+	return key;
+}
+
+/* POST /kv/export {chat} tells what is held; POST /kv/import {chat, tokens}. */
+static bool serve_kv_(http_request_t *r)
+{
+	str_t path = http_request_path(r);
+	str_t body = http_request_body(r);
+	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0,
+				  NULL);
+	const char *chat = json_string_value(json_object_get(root, "chat"));
+	uint64_t key = chat ? g_ascii_strtoull(chat, NULL, 16) : 0;
+	const lru_entry_t *hit = lru_get(&e.cache, clock_now(), key);
+	bool served = true;
+
+	if (str_eq(path, str_of("/kv/export"))) {
+		standin_json(r, hit ? 200 : 404,
+			     json_pack("{s:I}", "tokens",
+				       (json_int_t)(hit ? hit->weight : 0)));
+	} else if (str_eq(path, str_of("/kv/import"))) {
+		lru_put(&e.cache, clock_now(), key, 0,
+			json_integer_value(json_object_get(root, "tokens")));
+		e.imports++;
+		standin_json(r, 200, json_object());
+	} else {
+		served = false;
+	}
+	json_decref(root);
+	return served;
+}
+
 static void start_job_(http_request_t *r, json_t *root)
 {
 	job_t *j = g_new0(job_t, 1);
 	str_t body = http_request_body(r);
 	str_t chat = http_request_header(r, "X-Chat-Id");
-	str_t customer = http_request_header(r, "X-Customer");
-	uint64_t key = str_hash64(chat, str_hash64(customer, 0));
+	uint64_t key = cache_key_(r);
 	const lru_entry_t *hit;
 	int64_t last = 0;
 	int64_t arrival[2];
@@ -306,6 +346,8 @@
 				       "start_id", (json_int_t)e.start_id));
 		return;
 	}
+	if (serve_kv_(r))
+		return;
 	if (fault.refuse) {
 		standin_json(
 			r, 503,
@@ -374,8 +416,8 @@
 static json_t *stats_(void)
 {
 	return json_pack(
-		"{s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "name",
-		e.o.name, "outstanding", e.outstanding, "peak", e.peak,
+		"{s:s,s:I,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "name",
+		e.o.name, "imports", (json_int_t)e.imports, "outstanding", e.outstanding, "peak", e.peak,
 		"requests", (json_int_t)e.requests, "finished",
 		(json_int_t)e.finished, "cancelled", (json_int_t)e.cancelled,
 		"prompt_tokens", (json_int_t)e.prompt, "cached_tokens",
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -18,6 +18,7 @@
 	int runs;
 	int refused;
 	int loans;
+	int moves;
 	int out[ENGINES];
 	uint64_t next_id;
 	mstime_t now;
@@ -50,7 +51,14 @@
 	(void)what;
 }
 
-static const sched_ops_t ops = { answer_, lend_, health_ };
+static void move_(void *ctx, const sched_move_t *m)
+{
+	(void)ctx;
+	ck_assert_str_ne(m->from, m->to);
+	t.moves++;
+}
+
+static const sched_ops_t ops = { answer_, lend_, health_, move_ };
 
 static void nodes_(const char *other)
 {
@@ -339,6 +347,28 @@
 }
 END_TEST
 
+/* Warm chats of a leaving engine are to be moved, each once. */
+START_TEST(test_moves)
+{
+	int on_e0 = 0;
+
+	for (uint64_t chat = 0; chat < 100; chat++) {
+		uint64_t id = place_(chat);
+		int engine = atoi(t.last.upstream + 1);
+
+		on_e0 += engine == 0;
+		release_(id, engine, SCHED_DONE);
+	}
+	fixture_put(&t.config, KIND_UPSTREAM, "e0",
+		    "{\"service\":\"svc\",\"data_centre\":\"d1\",\"address\":"
+		    "\"127.0.0.1:9\",\"slots\":8,\"ramp_s\":0,\"state\":"
+		    "\"leaving\",\"cache_tokens\":10000}");
+	new_view_();
+	ck_assert_int_gt(on_e0, 0);
+	ck_assert_int_eq(t.moves, on_e0);
+}
+END_TEST
+
 /* Requests that wait at an upstream taken out run elsewhere. */
 START_TEST(test_out_queued)
 {
@@ -504,6 +534,7 @@
 	tcase_add_test(tc, test_queue_full);
 	tcase_add_test(tc, test_out);
 	tcase_add_test(tc, test_out_queued);
+	tcase_add_test(tc, test_moves);
 	tcase_add_test(tc, test_forward);
 	tcase_add_test(tc, test_hops);
 	tcase_add_test(tc, test_avoid);
