Orders to engines under fencing numbers, in turn at the weight store

Cause: a new version in a Model resource has to reach engines exactly in order, also those that ignore fencing numbers, and loads must not exceed the weight store's rate.

Ruled out: spacing by each node's own share of the rate (shares of a few loads a second among many nodes come to less than one load).

--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -253,6 +253,11 @@
  */
 GPtrArray *sched_owned(const sched_t *s);
 
+/*
+ * sched_upstream - upstream of a key, or NULL.
+ */
+const upstream_t *sched_upstream(const sched_t *s, uint32_t key);
+
 /*
  * sched_idle - whether an owned upstream has no work and is healthy.
  */
--- a/include/kcf/view.h
+++ b/include/kcf/view.h
@@ -95,6 +95,7 @@
 	double load_bound;
 	double power_cap_w; /* 0 for none */
 	placement_t placement;
+	double weight_loads_per_s; /* of the weight store; 0 for no limit */
 	GPtrArray *data_centres;
 	GPtrArray *services;
 	GPtrArray *upstreams;
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -1124,6 +1124,13 @@
 	return list;
 }
 
+const upstream_t *sched_upstream(const sched_t *s, uint32_t key)
+{
+	const slot_t *sl = slot_of_(s, key);
+
+	return sl ? sl->up : NULL;
+}
+
 bool sched_idle(const sched_t *s, const upstream_t *u)
 {
 	const slot_t *sl = slot_of_(s, u->key);
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -96,6 +96,7 @@
 	stream_start(c);
 	once_start(c);
 	jobs_start(c);
+	orders_start(c);
 	ev_timer_init(&c->tick, on_tick_, TICK_S, TICK_S);
 	c->tick.data = c;
 	ev_timer_start(loop, &c->tick);
@@ -108,6 +109,7 @@
 
 	ev_timer_stop(c->task.loop, &c->tick);
 	operators_stop(c);
+	orders_stop(c);
 	jobs_stop(c);
 	once_stop(c);
 	stream_stop(c);
@@ -180,6 +182,7 @@
 	once_tick(c, now);
 	jobs_tick(c, now);
 	moves_tick(c, now);
+	orders_tick(c, now);
 	sched_tick(&c->sched, now);
 	check_ready_(c, now);
 	check_left_(c, now);
--- a/packages/node/control_loads.c
+++ b/packages/node/control_loads.c
@@ -24,12 +24,16 @@
 	json_int_t outstanding = 0;
 	json_int_t start_id = 0;
 	sched_report_t r = { .key = key };
+	const upstream_t *u;
 
 	r.ok = json_unpack(root, "{s:I,s:I}", "outstanding", &outstanding,
 			   "start_id", &start_id) == 0;
 	r.outstanding = (int)CLAMP(outstanding, 0, G_MAXINT);
 	r.start_id = (uint64_t)start_id;
 	sched_take_report(&c->sched, clock_now(), &r);
+	u = sched_upstream(&c->sched, key);
+	if (u)
+		orders_take_report(c, u, json_object_get(root, "models"));
 	json_decref(root);
 }
 
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -41,6 +41,7 @@
 
 struct once_book;
 struct job_book;
+struct order_desk;
 
 typedef struct control {
 	task_t task;
@@ -93,6 +94,7 @@
 	/* run-once */
 	struct once_book *once;
 	struct job_book *jobs;
+	struct order_desk *orders;
 
 	/* cached prefixes on the move */
 	GQueue *moves; /* sched_move_t * */
@@ -177,6 +179,17 @@
 void jobs_submit(control_t *c, const job_submit_t *q);
 void jobs_ask(control_t *c, const job_question_t *q);
 
+/* control_orders.c */
+void orders_start(control_t *c);
+void orders_stop(control_t *c);
+void orders_tick(control_t *c, mstime_t now);
+/*
+ * orders_take_report - compares an engine's model versions with those wanted.
+ * @models: object of model to version, or NULL
+ */
+void orders_take_report(control_t *c, const upstream_t *u,
+			const json_t *models);
+
 /* control_moves.c */
 void moves_add(control_t *c, const sched_move_t *m);
 void moves_tick(control_t *c, mstime_t now);
--- a/packages/state/resource.c
+++ b/packages/state/resource.c
@@ -20,6 +20,7 @@
 	{ "load_bound", SCHEMA_REAL, .min = 1, .max = 100 },
 	{ "power_cap_w", SCHEMA_REAL, .min = 0, .max = WATTS_MAX },
 	{ "placement", SCHEMA_CHOICE, .choices = placements },
+	{ "weight_loads_per_s", SCHEMA_REAL, .min = 0.001, .max = 1e6 },
 	{ 0 },
 };
 
--- a/packages/state/view.c
+++ b/packages/state/view.c
@@ -262,6 +262,7 @@
 	}
 	v->load_bound = number_(r->body, "load_bound", LOAD_BOUND_DEFAULT);
 	v->power_cap_w = number_(r->body, "power_cap_w", 0);
+	v->weight_loads_per_s = number_(r->body, "weight_loads_per_s", 0);
 }
 
 static void build_data_centre_(view_t *v, const resource_t *r)
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -43,6 +43,9 @@
 	int64_t finished;
 	int64_t cancelled;
 	int64_t imports; /* of KV cache */
+	json_t *models;	 /* versions */
+	json_t *orders;	 /* taken, in order */
+	int64_t fence;	 /* highest seen */
 	int64_t prompt;
 	int64_t cached;
 	mstime_t last_new;
@@ -62,6 +65,7 @@
 	int crossed;	  /* answers carry another request's id */
 	int hang;	  /* requests get no answer at all */
 	int down;	  /* load reports fail too */
+	int ignore_fences;
 } fault;
 
 static void on_token_(struct ev_loop *loop, ev_timer *w, int revents);
@@ -99,6 +103,8 @@
 	e.events = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	e.arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	e.jobs = g_ptr_array_new();
+	e.models = json_object();
+	e.orders = json_array();
 	start_anew_();
 	ev_timer_init(&e.sampler, on_sample_, SAMPLE_S, SAMPLE_S);
 	ev_timer_start(loop, &e.sampler);
@@ -248,6 +254,32 @@
 	return key;
 }
 
+/* POST /orders {order, model, version, fence} */
+static void serve_order_(http_request_t *r)
+{
+	str_t body = http_request_body(r);
+	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0,
+				  NULL);
+	json_int_t fence = json_integer_value(json_object_get(root, "fence"));
+	const char *model = json_string_value(json_object_get(root, "model"));
+	json_t *version = json_object_get(root, "version");
+
+	if (!model || !version) {
+		standin_json(r, 400, json_object());
+	} else if (fence < e.fence && !fault.ignore_fences) {
+		standin_json(r, 409, json_object());
+	} else {
+		e.fence = MAX(e.fence, fence);
+		json_object_set(e.models, model, version);
+		json_array_append_new(
+			e.orders, json_pack("{s:I,s:I,s:O}", "at",
+					    (json_int_t)clock_wall(), "fence",
+					    fence, "version", version));
+		standin_json(r, 200, json_object());
+	}
+	json_decref(root);
+}
+
 /* POST /kv/export {chat} tells what is held; POST /kv/import {chat, tokens}. */
 static bool serve_kv_(http_request_t *r)
 {
@@ -341,9 +373,14 @@
 			return;
 		}
 		standin_json(r, 200,
-			     json_pack("{s:i,s:I}", "outstanding",
+			     json_pack("{s:i,s:I,s:O}", "outstanding",
 				       e.o.lag_ms ? seen : e.outstanding,
-				       "start_id", (json_int_t)e.start_id));
+				       "start_id", (json_int_t)e.start_id,
+				       "models", e.models));
+		return;
+	}
+	if (str_eq(path, str_of("/orders"))) {
+		serve_order_(r);
 		return;
 	}
 	if (serve_kv_(r))
@@ -385,6 +422,9 @@
 	standin_switch(s, "crossed", &fault.crossed);
 	standin_switch(s, "hang", &fault.hang);
 	standin_switch(s, "down", &fault.down);
+	standin_switch(s, "ignore_fences", &fault.ignore_fences);
+	if (json_is_object(json_object_get(s, "models")))
+		json_object_update(e.models, json_object_get(s, "models"));
 	standin_switch(s, "token_ms", &e.o.token_ms);
 	standin_switch(s, "restart", &restart);
 	standin_switch(s, "reset", &reset);
@@ -416,8 +456,9 @@
 static json_t *stats_(void)
 {
 	return json_pack(
-		"{s:s,s:I,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "name",
-		e.o.name, "imports", (json_int_t)e.imports, "outstanding", e.outstanding, "peak", e.peak,
+		"{s:s,s:I,s:O,s:O,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "name",
+		e.o.name, "imports", (json_int_t)e.imports, "models", e.models, "orders", e.orders,
+		"outstanding", e.outstanding, "peak", e.peak,
 		"requests", (json_int_t)e.requests, "finished",
 		(json_int_t)e.finished, "cancelled", (json_int_t)e.cancelled,
 		"prompt_tokens", (json_int_t)e.prompt, "cached_tokens",
