One signature, one bearer hash, one choice of a node, one JSON text

Cause: signatures were written four times, bearer hashes and the choice of a node for a partition twice, rendering three times. A key given out by a node with a long name did not fit its buffer; the test now tries the longest name.

--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -109,7 +109,7 @@
 	guint fact_cursor;
 	bool unknown; /* a fact named a node that is not known here */
 	mstime_t next_want;
-	bool many; /* the next message carries many members */
+	bool many;	 /* the next message carries many members */
 	uint64_t former; /* own offset as peers remember it */
 } members_t;
 
--- a/include/kcf/orders.h
+++ b/include/kcf/orders.h
@@ -21,9 +21,9 @@
 typedef struct order_claim {
 	char *upstream;
 	char *try_id;
-	uint64_t offset;	/* fencing number */
-	mstime_t turn;		/* wall time of its turn at the weight store */
-	mstime_t expires;	/* wall time */
+	uint64_t offset;	 /* fencing number */
+	mstime_t turn;		 /* wall time of its turn at the weight store */
+	mstime_t expires;	 /* wall time */
 	mstime_t former_expires; /* of the claim before; 0 for none */
 } order_claim_t;
 
--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -248,6 +248,12 @@
  */
 const char *sched_owner_among(const GPtrArray *nodes, const upstream_t *u);
 
+/*
+ * sched_node_for - node that a number falls to, the same in equal views; NULL
+ * without nodes.
+ */
+const char *sched_node_for(const sched_t *s, uint64_t number);
+
 /*
  * sched_owned - upstreams owned by this node; the array is the caller's.
  */
--- a/packages/ctl/cmd_load.c
+++ b/packages/ctl/cmd_load.c
@@ -53,9 +53,9 @@
 	bool busy;
 	char *addresses[ADDRESSES_MAX]; /* of the last answer of where */
 	int address;			/* index of the one in use */
-	char *upstream; /* that answered last */
-	int64_t start_id; /* of that upstream then */
-	int64_t prompt; /* tokens that it then held */
+	char *upstream;			/* that answered last */
+	int64_t start_id;		/* of that upstream then */
+	int64_t prompt;			/* tokens that it then held */
 	mstime_t valid_until;
 } chat_load_t;
 
@@ -77,7 +77,8 @@
 	int64_t skipped; /* arrivals without a free chat */
 	int64_t prompt;
 	int64_t cached;
-	int64_t ideal; /* cached tokens, had each chat gone to its last engine */
+	int64_t ideal; /* cached tokens, had each chat gone to its last engine
+			*/
 	GHashTable *starts; /* upstream to its newest start id */
 	samples_t total_ms;
 	samples_t first_ms;
@@ -191,8 +192,8 @@
 		g_hash_table_insert(l->starts, g_strdup(upstream), newest);
 	}
 	*newest = MAX(*newest, start_id);
-	last = chat->upstream ? g_hash_table_lookup(l->starts, chat->upstream) :
-				NULL;
+	last = chat->upstream ? g_hash_table_lookup(l->starts, chat->upstream)
+			      : NULL;
 	if (last && *last == chat->start_id)
 		l->ideal += MIN(chat->prompt, prompt);
 	g_free(chat->upstream);
@@ -568,9 +569,9 @@
 					     percentiles_(&c->total_ms)));
 	}
 	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:f,s:o,s:o,s:o}", "sent",
-		(json_int_t)l->sent, "skipped", (json_int_t)l->skipped, "again",
-		(json_int_t)l->again, "ok", (json_int_t)l->ok, "once",
+		"{s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:f,s:o,s:o,s:o}",
+		"sent", (json_int_t)l->sent, "skipped", (json_int_t)l->skipped,
+		"again", (json_int_t)l->again, "ok", (json_int_t)l->ok, "once",
 		(json_int_t)l->once_sent, "ok_per_s", (double)l->ok / seconds,
 		"total_ms", percentiles_(&l->total_ms), "first_ms",
 		percentiles_(&l->first_ms), "reuse",
@@ -702,8 +703,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->upstreams =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	l->starts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  g_free);
+	l->starts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	samples_init(&l->total_ms);
 	samples_init(&l->first_ms);
 	make_chats_(l);
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -171,6 +171,23 @@
 	return sched_owner_among(s->nodes, u);
 }
 
+const char *sched_node_for(const sched_t *s, uint64_t number)
+{
+	const sched_node_t *best = NULL;
+	double best_score = 0;
+
+	for (guint i = 0; i < s->nodes->len; i++) {
+		const sched_node_t *n = s->nodes->pdata[i];
+		double score = rank_score(number, n->hash, 1);
+
+		if (score > best_score) {
+			best = n;
+			best_score = score;
+		}
+	}
+	return best ? best->name : NULL;
+}
+
 void sched_set_view(sched_t *s, mstime_t now, view_t *view)
 {
 	bool first = !s->view;
@@ -382,7 +399,6 @@
 	       load < bound_(s, now, sl, certainty);
 }
 
-
 static bool passes_(mstime_t now, const slot_t *sl, rank_filter_t filter)
 {
 	switch (filter) {
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -102,12 +102,12 @@
 	d->server = s;
 	d->mhd = MHD_start_daemon(
 		flags, 0, NULL, NULL, on_access_, s, MHD_OPTION_LISTEN_SOCKET,
-		fd, MHD_OPTION_CONNECTION_LIMIT,
-		s->conf.max_connections, MHD_OPTION_CONNECTION_TIMEOUT,
-		s->conf.idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		s->conf.max_header, MHD_OPTION_NOTIFY_COMPLETED, on_completed_,
-		s, MHD_OPTION_URI_LOG_CALLBACK, on_uri_, s, MHD_OPTION_ARRAY,
-		tls, MHD_OPTION_END);
+		fd, MHD_OPTION_CONNECTION_LIMIT, s->conf.max_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT, s->conf.idle_timeout_s,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, s->conf.max_header,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed_, s,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri_, s, MHD_OPTION_ARRAY, tls,
+		MHD_OPTION_END);
 	if (!d->mhd) {
 		g_free(d);
 		return HTTP_SERVER_EDAEMON;
--- a/packages/node/control_jobs.c
+++ b/packages/node/control_jobs.c
@@ -8,7 +8,6 @@
 
 #include <kcf/jobs.h>
 #include <kcf/logline.h>
-#include <kcf/rank.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -87,20 +86,7 @@
 
 static const char *holder_(const control_t *c, int partition)
 {
-	const char *best = NULL;
-	double best_score = 0;
-
-	for (guint i = 0; i < c->sched.nodes->len; i++) {
-		const sched_node_t *n = c->sched.nodes->pdata[i];
-		double score = rank_score(RANK_BASE + (uint64_t)partition,
-					  n->hash, 1);
-
-		if (score > best_score) {
-			best = n->name;
-			best_score = score;
-		}
-	}
-	return best;
+	return sched_node_for(&c->sched, RANK_BASE + (uint64_t)partition);
 }
 
 static void reply_(control_t *c, uint64_t id, unsigned int status,
@@ -149,8 +135,8 @@
 	control_t *c = s->control;
 	job_part_t *p = &c->jobs->parts[job_partition(s->job)];
 
-	c->log.ops->append(&c->log, p->stream, str_of(s->record),
-			   on_submitted_, s);
+	c->log.ops->append(&c->log, p->stream, str_of(s->record), on_submitted_,
+			   s);
 }
 
 void jobs_submit(control_t *c, const job_submit_t *q)
@@ -186,14 +172,14 @@
 		return;
 	}
 	o = json_pack("{s:s,s:s}", "job", j->id, "state",
-		      j->done	 ? "done" :
-		      j->running ? "running" :
-				   "waiting");
+		      j->done	   ? "done"
+		      : j->running ? "running"
+				   : "waiting");
 	if (j->done) {
 		json_object_set_new(o, "status", json_integer(j->status));
 		json_object_set_new(o, "answer",
-				    j->answer ? json_string(j->answer) :
-						json_null());
+				    j->answer ? json_string(j->answer)
+					      : json_null());
 	}
 	text = json_dumps(o, JSON_COMPACT);
 	reply_(c, q->id, 200, text);
@@ -208,12 +194,10 @@
 	const char *holder = holder_(c, partition);
 	message_t *m;
 
-	if (!q->here && holder &&
-	    strcmp(holder, c->settings->name->str) != 0) {
+	if (!q->here && holder && strcmp(holder, c->settings->name->str) != 0) {
 		m = message_new(MSG_JOB_ANSWER);
 		m->job_reply.id = q->id;
-		g_strlcpy(m->job_reply.node, holder,
-			  sizeof(m->job_reply.node));
+		g_strlcpy(m->job_reply.node, holder, sizeof(m->job_reply.node));
 		relay_post(c->relay, m);
 		return;
 	}
@@ -274,7 +258,8 @@
 		return;
 	j = g_hash_table_lookup(d->part->jobs.jobs, d->job);
 	if (err && j && !j->done) {
-		/* Only the record is missing; tried again with the next tick. */
+		/* Only the record is missing; tried again with the next tick.
+		 */
 		j->running = false;
 		j->next_try = clock_now() + RETRY_MS;
 	} else if (j) {
--- a/packages/node/control_moves.c
+++ b/packages/node/control_moves.c
@@ -102,8 +102,8 @@
 
 void moves_tick(control_t *c, mstime_t now)
 {
-	c->moves_saved += (double)(MOVES_PER_S * (now - c->moves_filled)) /
-			  MSEC_PER_SEC;
+	c->moves_saved +=
+		(double)(MOVES_PER_S * (now - c->moves_filled)) / MSEC_PER_SEC;
 	c->moves_saved = MIN(c->moves_saved, MOVES_OPEN_MAX);
 	c->moves_filled = now;
 	while (c->moves_saved >= 1 && c->moving < MOVES_OPEN_MAX &&
--- a/packages/node/control_once.c
+++ b/packages/node/control_once.c
@@ -3,7 +3,6 @@
 
 #include <kcf/logline.h>
 #include <kcf/once.h>
-#include <kcf/rank.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -151,19 +150,7 @@
 /* Node that settles the keys of a partition. */
 static const char *settler_(const control_t *c, int partition)
 {
-	const char *best = NULL;
-	double best_score = 0;
-
-	for (guint i = 0; i < c->sched.nodes->len; i++) {
-		const sched_node_t *n = c->sched.nodes->pdata[i];
-		double score = rank_score((uint64_t)partition, n->hash, 1);
-
-		if (score > best_score) {
-			best = n->name;
-			best_score = score;
-		}
-	}
-	return best;
+	return sched_node_for(&c->sched, (uint64_t)partition);
 }
 
 static once_try_t *start_try_(control_t *c, const char *key, const char *try_id)
--- a/packages/node/control_orders.c
+++ b/packages/node/control_orders.c
@@ -50,8 +50,8 @@
 {
 	c->orders = g_new0(order_desk_t, 1);
 	order_book_init(&c->orders->book);
-	c->orders->needs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-						 g_free);
+	c->orders->needs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 }
 
 void orders_stop(control_t *c)
@@ -70,8 +70,8 @@
 
 	for (guint i = 0; i < v->models->len; i++) {
 		const model_t *m = v->models->pdata[i];
-		const char *has = json_string_value(
-			json_object_get(models, m->name));
+		const char *has =
+			json_string_value(json_object_get(models, m->name));
 
 		if (has && m->model_version[0] && m->service == u->service &&
 		    upstream_serves(u, m) && strcmp(has, m->model_version))
@@ -80,8 +80,7 @@
 	return NULL;
 }
 
-void orders_take_report(control_t *c, const upstream_t *u,
-			const json_t *models)
+void orders_take_report(control_t *c, const upstream_t *u, const json_t *models)
 {
 	order_need_t *n = g_hash_table_lookup(c->orders->needs, u->name);
 	const model_t *m = outdated_(c, u, models);
@@ -267,8 +266,8 @@
 	g_hash_table_iter_init(&iter, c->orders->needs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		order_need_t *n = value;
-		const upstream_t *u = view_find(c->sched.view, KIND_UPSTREAM,
-						n->upstream);
+		const upstream_t *u =
+			view_find(c->sched.view, KIND_UPSTREAM, n->upstream);
 		const char *owner = u ? sched_owner(&c->sched, u) : NULL;
 
 		if (!owner || strcmp(owner, c->settings->name->str) != 0) {
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -12,8 +12,8 @@
 
 static const filter_t filters[] = {
 	{ "identify", filter_identify }, { "authorise", filter_authorise },
-	{ "classify", filter_classify }, { "defer", filter_defer }, { "once", filter_once },
-	{ "place", filter_place },
+	{ "classify", filter_classify }, { "defer", filter_defer },
+	{ "once", filter_once },	 { "place", filter_place },
 };
 
 static const char *const ran_string[] = { "no", "unknown", "yes" };
@@ -220,8 +220,8 @@
 void exchange_job(exchange_t *x, const job_reply_t *r)
 {
 	const http_header_t headers[] = {
-		{ "Content-Type", r->status >= 400 ? "application/problem+json" :
-						     "application/json" },
+		{ "Content-Type", r->status >= 400 ? "application/problem+json"
+						   : "application/json" },
 		{ "X-Request-Id", x->request_id },
 		{ r->status == 503 ? "Retry-After" : NULL, "1" },
 		{ NULL, NULL },
--- a/packages/node/filters.c
+++ b/packages/node/filters.c
@@ -1,6 +1,7 @@
 #include "private/exchange.h"
 #include "private/job_header.h"
 #include "private/once_key.h"
+#include "private/signature.h"
 
 #include <sodium.h>
 #include <string.h>
@@ -135,8 +136,8 @@
 	if (job_header_customer(x->relay->settings->peer_key, x->request_id,
 				http_request_header(x->req, JOB_HEADER),
 				x->customer, sizeof(x->customer)))
-		customer = view_find(x->relay->view, KIND_CUSTOMER,
-				     x->customer);
+		customer =
+			view_find(x->relay->view, KIND_CUSTOMER, x->customer);
 	if (!customer) {
 		exchange_refuse(x, 401, "job is not signed by a node", RAN_NO,
 				COUNTER_REFUSED_AUTH, 0);
@@ -149,10 +150,7 @@
 
 filter_result_t filter_authorise(exchange_t *x)
 {
-	static const str_t scheme = { "Bearer ", 7 };
-	str_t header = http_request_header(x->req, "Authorization");
-	unsigned char digest[crypto_hash_sha256_BYTES];
-	char hex[2 * crypto_hash_sha256_BYTES + 1];
+	char hash[BEARER_HEX];
 	const customer_t *customer;
 
 	if (x->relay->phase == PHASE_JOINING) {
@@ -162,16 +160,12 @@
 	}
 	if (http_request_header(x->req, JOB_HEADER).data)
 		return authorise_job_(x);
-	if (!str_starts(header, scheme)) {
+	if (!bearer_hash(x->req, hash)) {
 		exchange_refuse(x, 401, "a bearer key is required", RAN_NO,
 				COUNTER_REFUSED_AUTH, 0);
 		return FILTER_DONE;
 	}
-	header = str_skip(header, scheme.len);
-	crypto_hash_sha256(digest, (const unsigned char *)header.data,
-			   header.len);
-	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
-	customer = view_customer_of(x->relay->view, hex);
+	customer = view_customer_of(x->relay->view, hash);
 	if (!customer) {
 		exchange_refuse(x, 401, "unknown key", RAN_NO,
 				COUNTER_REFUSED_AUTH, 0);
--- a/packages/node/hop.c
+++ b/packages/node/hop.c
@@ -1,33 +1,20 @@
 #include "private/hop.h"
+#include "private/signature.h"
 
-#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
-#define MAC_BYTES 16
-#define HEX_BYTES (2 * MAC_BYTES + 1)
-
-static void sign_(const unsigned char *key, const char *request_id,
-		  const hop_t *h, char *hex)
-{
-	unsigned char mac[MAC_BYTES];
-	char *text = g_strdup_printf("hop %d %08x %d %s", h->count, h->target,
-				     h->once, request_id);
-
-	crypto_generichash(mac, sizeof(mac), (unsigned char *)text,
-			   strlen(text), key, PEER_KEY_BYTES);
-	sodium_bin2hex(hex, HEX_BYTES, mac, sizeof(mac));
-	g_free(text);
-}
-
 void hop_format(const unsigned char *key, const char *request_id,
 		const hop_t *h, char *out)
 {
-	char hex[HEX_BYTES];
+	char hex[SIGNATURE_HEX];
+	char *text = g_strdup_printf("hop %d %08x %d %s", h->count, h->target,
+				     h->once, request_id);
 
-	sign_(key, request_id, h, hex);
+	signature_hex(key, text, hex);
 	snprintf(out, HOP_TEXT_MAX, "%d.%08x.%d.%s", h->count, h->target,
 		 h->once, hex);
+	g_free(text);
 }
 
 bool hop_parse(const unsigned char *key, const char *request_id, str_t text,
@@ -48,6 +35,5 @@
 		return false;
 	h->once = (hop_once_t)once;
 	hop_format(key, request_id, h, expected);
-	return strlen(expected) == text.len &&
-	       !sodium_memcmp(expected, copy, text.len);
+	return signature_same(expected, text);
 }
--- a/packages/node/job_header.c
+++ b/packages/node/job_header.c
@@ -1,22 +1,16 @@
 #include "private/job_header.h"
+#include "private/signature.h"
 
-#include <kcf/settings.h>
-#include <sodium.h>
 #include <string.h>
 
-#define MAC_BYTES 16
-
 static char *value_(const unsigned char *key, const char *job,
 		    const char *customer)
 {
-	unsigned char mac[MAC_BYTES];
-	char hex[2 * MAC_BYTES + 1];
+	char hex[SIGNATURE_HEX];
 	char *text = g_strdup_printf("job %s %s", job, customer);
 	char *value;
 
-	crypto_generichash(mac, sizeof(mac), (unsigned char *)text,
-			   strlen(text), key, PEER_KEY_BYTES);
-	sodium_bin2hex(hex, sizeof(hex), mac, sizeof(mac));
+	signature_hex(key, text, hex);
 	value = g_strdup_printf("%s:%s", customer, hex);
 	g_free(text);
 	return value;
@@ -32,8 +26,8 @@
 	return line;
 }
 
-bool job_header_customer(const unsigned char *key, const char *job,
-			 str_t value, char *out, size_t size)
+bool job_header_customer(const unsigned char *key, const char *job, str_t value,
+			 char *out, size_t size)
 {
 	const char *colon =
 		value.len ? memchr(value.data, ':', value.len) : NULL;
@@ -45,8 +39,7 @@
 	memcpy(out, value.data, (size_t)(colon - value.data));
 	out[colon - value.data] = '\0';
 	expected = value_(key, job, out);
-	ok = strlen(expected) == value.len &&
-	     !sodium_memcmp(expected, value.data, value.len);
+	ok = signature_same(expected, value);
 	g_free(expected);
 	return ok;
 }
--- a/packages/node/once_key.c
+++ b/packages/node/once_key.c
@@ -1,13 +1,13 @@
 #include "private/once_key.h"
+#include "private/signature.h"
 
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
-#define KEY_MAX 100
+#define KEY_MAX 160
 #define TIME_DIGITS 10
 #define NONCE_BYTES 8
-#define MAC_BYTES 8
 #define PREFIX "kcf."
 
 static bool chars_ok_(str_t key)
@@ -57,21 +57,12 @@
 	return str_of(slash ? slash + 1 : scoped);
 }
 
-static void sign_(const unsigned char *peer_key, const char *text, char *hex)
-{
-	unsigned char mac[crypto_generichash_BYTES_MIN];
-
-	crypto_generichash(mac, sizeof(mac), (const unsigned char *)text,
-			   strlen(text), peer_key, PEER_KEY_BYTES);
-	sodium_bin2hex(hex, 2 * MAC_BYTES + 1, mac, MAC_BYTES);
-}
-
 void once_key_issue(const unsigned char *peer_key, const char *node,
 		    uint64_t incarnation, mstime_t wall, char *out)
 {
 	unsigned char nonce[NONCE_BYTES];
 	char nonce_hex[2 * NONCE_BYTES + 1];
-	char mac_hex[2 * MAC_BYTES + 1];
+	char mac_hex[SIGNATURE_HEX];
 	char text[ONCE_ISSUED_MAX];
 
 	randombytes_buf(nonce, sizeof(nonce));
@@ -79,8 +70,8 @@
 	snprintf(text, sizeof(text), "%s:%lx:%lld:%s", node,
 		 (unsigned long)incarnation, (long long)(wall / MSEC_PER_SEC),
 		 nonce_hex);
-	sign_(peer_key, text, mac_hex);
-	snprintf(out, ONCE_ISSUED_MAX, PREFIX "%.110s:%s", text, mac_hex);
+	signature_hex(peer_key, text, mac_hex);
+	g_snprintf(out, ONCE_ISSUED_MAX, PREFIX "%s:%s", text, mac_hex);
 }
 
 bool once_key_issued(const unsigned char *peer_key, str_t key,
@@ -88,7 +79,7 @@
 {
 	char *copy;
 	char *mac;
-	char expected[2 * MAC_BYTES + 1];
+	char expected[SIGNATURE_HEX];
 	unsigned long incarnation;
 	long long at;
 	bool ok;
@@ -102,9 +93,8 @@
 		return false;
 	}
 	*mac++ = '\0';
-	sign_(peer_key, copy, expected);
-	ok = strlen(mac) == 2 * MAC_BYTES &&
-	     !sodium_memcmp(mac, expected, 2 * MAC_BYTES) &&
+	signature_hex(peer_key, copy, expected);
+	ok = signature_same(expected, str_of(mac)) &&
 	     sscanf(copy, "%63[^:]:%lx:%lld:", out->node, &incarnation, &at) ==
 		     3;
 	if (ok) {
--- a/packages/node/operators.c
+++ b/packages/node/operators.c
@@ -1,5 +1,6 @@
 #include "private/control.h"
 #include "private/peer_proof.h"
+#include "private/signature.h"
 
 #include <kcf/logline.h>
 #include <sodium.h>
@@ -135,20 +136,13 @@
 /* Name of the operator that holds the bearer key, or NULL. */
 static const char *operator_of_(const control_t *c, const http_request_t *req)
 {
-	static const str_t scheme = { "Bearer ", 7 };
-	str_t header = http_request_header(req, "Authorization");
-	unsigned char digest[crypto_hash_sha256_BYTES];
-	char hex[2 * crypto_hash_sha256_BYTES + 1];
+	char hash[BEARER_HEX];
 
-	if (!str_starts(header, scheme))
+	if (!bearer_hash(req, hash))
 		return NULL;
-	header = str_skip(header, scheme.len);
-	crypto_hash_sha256(digest, (const unsigned char *)header.data,
-			   header.len);
-	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
 	for (guint i = 0; i < c->settings->operator_hashes->len; i++) {
-		if (!sodium_memcmp(hex, c->settings->operator_hashes->pdata[i],
-				   sizeof(hex)))
+		if (signature_same(c->settings->operator_hashes->pdata[i],
+				   str_of(hash)))
 			return c->settings->operator_names->pdata[i];
 	}
 	return NULL;
--- a/packages/node/peer_proof.c
+++ b/packages/node/peer_proof.c
@@ -1,23 +1,18 @@
 #include "private/peer_proof.h"
+#include "private/signature.h"
 
-#include <kcf/settings.h>
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define MAC_BYTES 16
 #define AGE_MAX_MS 60000
 
 static char *value_(const unsigned char *key, mstime_t wall)
 {
-	char hex[2 * MAC_BYTES + 1];
-	unsigned char mac[MAC_BYTES];
+	char hex[SIGNATURE_HEX];
 	char *text = g_strdup_printf("peer %" G_GINT64_FORMAT, wall);
 	char *value;
 
-	crypto_generichash(mac, sizeof(mac), (unsigned char *)text,
-			   strlen(text), key, PEER_KEY_BYTES);
-	sodium_bin2hex(hex, sizeof(hex), mac, sizeof(mac));
+	signature_hex(key, text, hex);
 	value = g_strdup_printf("%" G_GINT64_FORMAT ".%s", wall, hex);
 	g_free(text);
 	return value;
@@ -35,8 +30,8 @@
 bool peer_proof_ok(const unsigned char *key, mstime_t wall, str_t value)
 {
 	const char *dot = value.len ? memchr(value.data, '.', value.len) : NULL;
-	int64_t at;
 	char *expected;
+	int64_t at;
 	bool ok;
 
 	if (!dot ||
@@ -45,8 +40,7 @@
 	if (llabs(wall - at) > AGE_MAX_MS)
 		return false;
 	expected = value_(key, at);
-	ok = strlen(expected) == value.len &&
-	     !sodium_memcmp(expected, value.data, value.len);
+	ok = signature_same(expected, value);
 	g_free(expected);
 	return ok;
 }
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -63,7 +63,8 @@
 	int64_t prompt_tokens;
 
 	/* deferred jobs */
-	char job[JOB_ID_MAX]; /* that is asked for, or that this is the run of */
+	char job[JOB_ID_MAX]; /* that is asked for, or that this is the run of
+			       */
 	bool job_run;
 
 	/* run-once */
--- a/packages/node/private/job_header.h
+++ b/packages/node/private/job_header.h
@@ -21,7 +21,7 @@
  *
  * Return: false when it is malformed or not signed with the key.
  */
-bool job_header_customer(const unsigned char *key, const char *job,
-			 str_t value, char *out, size_t size);
+bool job_header_customer(const unsigned char *key, const char *job, str_t value,
+			 char *out, size_t size);
 
 #endif
--- a/packages/node/private/messages.h
+++ b/packages/node/private/messages.h
@@ -61,7 +61,7 @@
 #define WHERE_ADDRESSES_MAX 4
 #define ADDRESS_MAX 32
 #define TRACE_ID_MAX 64
-#define ONCE_KEY_MAX 128
+#define ONCE_KEY_MAX 320
 
 typedef struct where_question {
 	uint64_t id;
--- /dev/null
+++ b/packages/node/private/signature.h
@@ -0,0 +1,35 @@
+/*
+ * signature - short keyed signatures between nodes, and hashes of bearer keys.
+ */
+#ifndef KCF_PRIVATE_SIGNATURE_H
+#define KCF_PRIVATE_SIGNATURE_H
+
+#include <kcf/http_server.h>
+#include <kcf/settings.h>
+
+/* Hexadecimal digits of a signature and the closing zero. */
+#define SIGNATURE_HEX 33
+/* Hexadecimal digits of a SHA-256 and the closing zero. */
+#define BEARER_HEX 65
+
+/*
+ * signature_hex - signs a text with the peers' key.
+ * @out: SIGNATURE_HEX bytes
+ */
+void signature_hex(const unsigned char *peer_key, const char *text, char *out);
+
+/*
+ * signature_same - compares a received text with the one expected, in a time
+ * that does not depend on where they differ.
+ */
+bool signature_same(const char *expected, str_t received);
+
+/*
+ * bearer_hash - SHA-256 of the bearer key of a request, in hexadecimal.
+ * @out: BEARER_HEX bytes
+ *
+ * Return: false when the request carries no bearer key.
+ */
+bool bearer_hash(const http_request_t *req, char *out);
+
+#endif
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -201,8 +201,7 @@
 	if (!load_tls_(r))
 		err = HTTP_SERVER_EDAEMON;
 	else
-		err = http_server_set_tls(&r->callers, r->tls_cert,
-					  r->tls_key);
+		err = http_server_set_tls(&r->callers, r->tls_cert, r->tls_key);
 	LOG_EVENT(err ? LOG_ERR : LOG_NOTICE, "callers.tls",
 		  F_STR("cert", r->settings->caller_tls_cert->str),
 		  F_STR("result", http_server_err_string[-err]));
--- a/packages/node/upstream_call.c
+++ b/packages/node/upstream_call.c
@@ -30,7 +30,9 @@
 	"x-kcf-loads",
 	"last-event-id",
 	"x-deadline-ms",
-	"x-customer", "x-chat-key", "prefer",
+	"x-customer",
+	"x-chat-key",
+	"prefer",
 	NULL,
 };
 
@@ -46,7 +48,8 @@
 	"X-Prompt-Tokens",
 	"X-Upstream",
 	"X-Retry-After-Ms",
-	"Idempotent-Replayed", "X-Start-Id",
+	"Idempotent-Replayed",
+	"X-Start-Id",
 	NULL,
 };
 
@@ -123,9 +126,8 @@
 			g_strdup_printf("X-Request-Id: %s", x->request_id));
 	g_ptr_array_add(lines, g_strdup_printf("X-Customer: %s", x->customer));
 	if (x->sticky)
-		g_ptr_array_add(lines,
-				g_strdup_printf("X-Chat-Key: %016lx",
-						(unsigned long)x->chat));
+		g_ptr_array_add(lines, g_strdup_printf("X-Chat-Key: %016lx",
+						       (unsigned long)x->chat));
 	g_ptr_array_add(
 		lines, g_strdup_printf("X-Deadline-Ms: %lld",
 				       (long long)(x->deadline - clock_now())));
@@ -159,9 +161,9 @@
 	node = roster_find(x->relay->roster, x->placed.node);
 	return g_strdup_printf("%s://%s%.*s%s%.*s",
 			       settings_caller_scheme(x->relay->settings),
-			       node ? node : "",
-			       (int)path.len, path.data, query.len ? "?" : "",
-			       (int)query.len, query.len ? query.data : "");
+			       node ? node : "", (int)path.len, path.data,
+			       query.len ? "?" : "", (int)query.len,
+			       query.len ? query.data : "");
 }
 
 void exchange_send(exchange_t *x)
@@ -479,8 +481,8 @@
 static void failed_(exchange_t *x, sched_result_t result, bool unsent,
 		    const char *why)
 {
-	bool may_run_again = x->route != ROUTE_JOB &&
-			     (!x->once || (unsent && settled_(x)));
+	bool may_run_again =
+		x->route != ROUTE_JOB && (!x->once || (unsent && settled_(x)));
 	bool in_time = clock_now() < x->deadline;
 
 	release_(x, result);
--- a/packages/state/config.c
+++ b/packages/state/config.c
@@ -1,4 +1,5 @@
 #include <kcf/config.h>
+#include <kcf/json_text.h>
 
 #include <assert.h>
 #include <string.h>
@@ -61,16 +62,6 @@
 	g_queue_free_full(c->audit, audit_free_);
 }
 
-static char *render_(json_t *root)
-{
-	char *text = json_dumps(root, JSON_COMPACT);
-	char *copy = g_strdup(text);
-
-	free(text);
-	json_decref(root);
-	return copy;
-}
-
 static void set_body_(json_t *root, const json_t *body)
 {
 	if (body)
@@ -88,7 +79,7 @@
 		p->operator_name, "reason", p->reason, "at", (json_int_t)p->at);
 
 	set_body_(root, p->body);
-	return render_(root);
+	return json_text(root);
 }
 
 static json_t *part_(const config_t *c, const char *id, int part, int of)
@@ -114,7 +105,7 @@
 
 		for (size_t j = from; j < MIN(n, from + PART_RESOURCES); j++)
 			json_array_append(target, json_array_get(list, j));
-		g_ptr_array_add(out, render_(part));
+		g_ptr_array_add(out, json_text(part));
 	}
 	json_decref(all);
 	return out;
--- a/packages/state/jobs.c
+++ b/packages/state/jobs.c
@@ -1,4 +1,5 @@
 #include <kcf/jobs.h>
+#include <kcf/json_text.h>
 
 #include <assert.h>
 #include <string.h>
@@ -24,8 +25,8 @@
 {
 	assert(s);
 	s->next = 1;
-	s->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					job_free_);
+	s->jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free_);
 }
 
 void job_stream_finish(job_stream_t *s)
@@ -38,23 +39,13 @@
 	return (int)(str_hash64(str_of(id), 0) % JOB_PARTITIONS);
 }
 
-static char *render_(json_t *root)
-{
-	char *text = json_dumps(root, JSON_COMPACT);
-	char *copy = g_strdup(text);
-
-	free(text);
-	json_decref(root);
-	return copy;
-}
-
 char *job_record(const job_t *j)
 {
-	return render_(json_pack(
-		"{s:i,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s}", "v", RECORD_FORMAT,
-		"type", "job", "id", j->id, "customer", j->customer, "method",
-		j->method, "path", j->path, "body", j->body, "chat", j->chat,
-		"once_key", j->once_key));
+	return json_text(json_pack("{s:i,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s}", "v",
+				   RECORD_FORMAT, "type", "job", "id", j->id,
+				   "customer", j->customer, "method", j->method,
+				   "path", j->path, "body", j->body, "chat",
+				   j->chat, "once_key", j->once_key));
 }
 
 char *job_done_record(const job_t *j, int status, str_t answer)
@@ -67,7 +58,7 @@
 		json_object_set_new(o, "answer",
 				    json_stringn(answer.data ? answer.data : "",
 						 answer.len));
-	return render_(o);
+	return json_text(o);
 }
 
 static job_t *new_job_(const json_t *o, const char *id, const char *customer)
@@ -79,9 +70,9 @@
 	const char *once_key;
 	job_t *j;
 
-	if (json_unpack((json_t *)o, "{s:s,s:s,s:s,s:s,s:s}", "method",
-			&method, "path", &path, "body", &body, "chat", &chat,
-			"once_key", &once_key) != 0)
+	if (json_unpack((json_t *)o, "{s:s,s:s,s:s,s:s,s:s}", "method", &method,
+			"path", &path, "body", &body, "chat", &chat, "once_key",
+			&once_key) != 0)
 		return NULL;
 	j = g_new0(job_t, 1);
 	j->id = g_strdup(id);
@@ -106,8 +97,7 @@
 
 static void end_(job_t *j, const json_t *o)
 {
-	const char *answer =
-		json_string_value(json_object_get(o, "answer"));
+	const char *answer = json_string_value(json_object_get(o, "answer"));
 
 	if (j->done)
 		return;
@@ -135,8 +125,8 @@
 	}
 	j = g_hash_table_lookup(s->jobs, id);
 	if (!j) {
-		j = strcmp(type, "done") ? new_job_(o, id, customer) :
-					   new_done_(id, customer);
+		j = strcmp(type, "done") ? new_job_(o, id, customer)
+					 : new_done_(id, customer);
 		if (j)
 			g_hash_table_insert(s->jobs, j->id, j);
 	}
--- a/packages/state/orders.c
+++ b/packages/state/orders.c
@@ -1,3 +1,4 @@
+#include <kcf/json_text.h>
 #include <kcf/orders.h>
 
 #include <assert.h>
@@ -30,15 +31,9 @@
 
 char *order_record(const char *upstream, const char *try_id, mstime_t gap_ms)
 {
-	json_t *o = json_pack("{s:i,s:s,s:s,s:s,s:I}", "v", RECORD_FORMAT,
-			      "type", "claim", "upstream", upstream, "try",
-			      try_id, "gap_ms", (json_int_t)gap_ms);
-	char *text = json_dumps(o, JSON_COMPACT);
-	char *copy = g_strdup(text);
-
-	free(text);
-	json_decref(o);
-	return copy;
+	return json_text(json_pack("{s:i,s:s,s:s,s:s,s:I}", "v", RECORD_FORMAT,
+				   "type", "claim", "upstream", upstream, "try",
+				   try_id, "gap_ms", (json_int_t)gap_ms));
 }
 
 void order_fold(order_book_t *b, uint64_t offset, mstime_t wall, str_t record)
--- a/packages/state/view.c
+++ b/packages/state/view.c
@@ -13,7 +13,7 @@
 #define CACHE_DEFAULT_TOKENS 1000000
 
 const char *const placement_string[] = { "bounded", "random", "least_loaded",
-					  "hash" };
+					 "hash" };
 
 static void build_data_centre_(view_t *v, const resource_t *r);
 static void build_service_(view_t *v, const resource_t *r);
--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -26,8 +26,8 @@
 static void mutate_(GRand *rand, GByteArray *input)
 {
 	guint at = input->len ? (guint)g_rand_int_range(rand, 0,
-							(gint32)input->len) :
-				0;
+							(gint32)input->len)
+			      : 0;
 	guint8 byte = (guint8)g_rand_int_range(rand, 0, 256);
 
 	switch (input->len ? g_rand_int_range(rand, 0, 5) : 0) {
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -12,7 +12,6 @@
 #include <kcf/sse.h>
 #include <string.h>
 
-
 static const unsigned char key[PEER_KEY_BYTES] = { 1, 2, 3 };
 
 static str_t view_(const uint8_t *data, size_t size)
--- a/tests/scenarios/measure_all.lua
+++ b/tests/scenarios/measure_all.lua
@@ -1,7 +1,7 @@
 -- Figures for docs/MEASUREMENTS.md; not a test. Prints Markdown.
 dofile(scenarios .. "/measure.lua")
-local out = {}
-local function row(fmt, ...) out[#out + 1] = string.format(fmt, ...) end
+
+local function row(fmt, ...) print(string.format(fmt, ...)); io.stdout:flush() end
 
 local function finish(f)
 	for _, p in ipairs(f.nodes) do if not p.gone then kill(p) end end
@@ -130,4 +130,4 @@
 	change(fleet.nodes[1], "DataCentre", "baires-2", { state = "in" })
 end)
 
-print(table.concat(out, "\n"))
+
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -258,8 +258,8 @@
 static void serve_order_(http_request_t *r)
 {
 	str_t body = http_request_body(r);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0,
-				  NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	json_int_t fence = json_integer_value(json_object_get(root, "fence"));
 	const char *model = json_string_value(json_object_get(root, "model"));
 	json_t *version = json_object_get(root, "version");
@@ -285,8 +285,8 @@
 {
 	str_t path = http_request_path(r);
 	str_t body = http_request_body(r);
-	json_t *root = json_loadb(body.data ? body.data : "", body.len, 0,
-				  NULL);
+	json_t *root =
+		json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	const char *chat = json_string_value(json_object_get(root, "chat"));
 	uint64_t key = chat ? g_ascii_strtoull(chat, NULL, 16) : 0;
 	const lru_entry_t *hit = lru_get(&e.cache, clock_now(), key);
@@ -456,10 +456,10 @@
 static json_t *stats_(void)
 {
 	return json_pack(
-		"{s:s,s:I,s:O,s:O,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "name",
-		e.o.name, "imports", (json_int_t)e.imports, "models", e.models, "orders", e.orders,
-		"outstanding", e.outstanding, "peak", e.peak,
-		"requests", (json_int_t)e.requests, "finished",
+		"{s:s,s:I,s:O,s:O,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}",
+		"name", e.o.name, "imports", (json_int_t)e.imports, "models",
+		e.models, "orders", e.orders, "outstanding", e.outstanding,
+		"peak", e.peak, "requests", (json_int_t)e.requests, "finished",
 		(json_int_t)e.finished, "cancelled", (json_int_t)e.cancelled,
 		"prompt_tokens", (json_int_t)e.prompt, "cached_tokens",
 		(json_int_t)e.cached, "last_new", (json_int_t)e.last_new,
--- a/tests/unit/test_keys.c
+++ b/tests/unit/test_keys.c
@@ -94,6 +94,14 @@
 	ck_assert_uint_eq(got.incarnation, 0x123456);
 	ck_assert_int_eq(got.at_s, 1796342000);
 	ck_assert(!once_key_issued(other, str_of(text), &got));
+	/* The longest name fits as well. */
+	once_key_issue(key,
+		       "a23456789012345678901234567890123456789012345678901234"
+		       "567890123",
+		       UINT32_MAX, 1796342000000, text);
+	ck_assert(once_key_ok(str_of(text)));
+	ck_assert(once_key_issued(key, str_of(text), &got));
+	once_key_issue(key, "baires-1-a", 0x123456, 1796342000000, text);
 	ck_assert(!once_key_issued(key, str_of("1796342000-a"), &got));
 	ck_assert(once_key_scope("c", "s", str_of("1796342000-a"), scoped,
 				 sizeof(scoped)));
