--- /dev/null
+++ b/packages/decide/private/gossip.h
@@ -0,0 +1,15 @@
+/*
+ * gossip - loads of upstreams as nodes tell them to each other.
+ */
+#ifndef KCF_PRIVATE_GOSSIP_H
+#define KCF_PRIVATE_GOSSIP_H
+
+#include "slot.h"
+
+/*
+ * gossip_entry - what this node tells of one upstream.
+ */
+void gossip_entry(const sched_t *s, mstime_t now, uint32_t stamp, slot_t *sl,
+		  peer_load_t *l);
+
+#endif
