--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -6,7 +6,7 @@
 #include <assert.h>
 #include <string.h>
 
-#define SPILLS_MAX 300000
+#define SPILLS_MAX 100000
 #define SPILL_IDLE_MS (3600 * MSEC_PER_SEC)
 #define WINDOW_MS 2000
 #define LEND_INTERVAL_MS 1000
--- a/packages/state/config.c
+++ b/packages/state/config.c
@@ -6,7 +6,7 @@
 
 /* Proposal ids remembered against repeated appends. */
 #define SEEN_MAX 8192
-#define AUDIT_MAX 10000
+#define AUDIT_MAX 4000
 #define RECORD_FORMAT 1
 #define ID_MAX 63
 /* Resources in one part of a snapshot; keeps records small. */
