--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -72,7 +72,6 @@
 	char loads[SCHED_LOADS_MAX]; /* of this node's upstreams, as text */
 	sched_refusal_t refusal;
 	mstime_t retry_after_ms;
-	mstime_t waited_ms;
 } sched_answer_t;
 
 typedef enum sched_result {
--- a/packages/decide/place.c
+++ b/packages/decide/place.c
@@ -11,8 +11,8 @@
 /* Places off its home that are remembered of a chat. */
 #define SPILLS_PER_CHAT 3
 
-static void run_(sched_t *s, mstime_t now, slot_t *sl, const sched_request_t *r,
-		 mstime_t waited);
+static void run_(sched_t *s, mstime_t now, slot_t *sl,
+		 const sched_request_t *r);
 static void refuse_(sched_t *s, const sched_request_t *r, sched_refusal_t why,
 		    mstime_t retry_ms);
 static void forward_(sched_t *s, slot_t *sl, const sched_request_t *r,
@@ -41,7 +41,7 @@
 	if (!sl->owned && may_forward_(r))
 		forward_(s, sl, r, sl->key);
 	else if (sl->owned && slot_load(sl, now) < slot_limit(sl, s, now))
-		run_(s, now, sl, r, 0);
+		run_(s, now, sl, r);
 	else
 		enqueue_(s, now, sl, r);
 }
@@ -174,7 +174,7 @@
 		return true;
 	}
 	if (choose_has_room(s, now, sl, r->customer, CERTAIN)) {
-		run_(s, now, sl, r, 0);
+		run_(s, now, sl, r);
 		return true;
 	}
 	other = may_forward_(r) ? choose_least_loaded(s, now, r, CERTAIN)
@@ -182,7 +182,7 @@
 	if (other)
 		take_or_forward_(s, now, other, sl, r);
 	else if (choose_has_room(s, now, sl, r->customer, LIKELY))
-		run_(s, now, sl, r, 0);
+		run_(s, now, sl, r);
 	else
 		enqueue_(s, now, sl, r);
 	return true;
@@ -229,15 +229,14 @@
 			     const sched_request_t *r)
 {
 	if (sl->owned)
-		run_(s, now, sl, r, 0);
+		run_(s, now, sl, r);
 	else if (may_forward_(r))
 		forward_(s, sl, r, sl->key);
 	else
 		enqueue_(s, now, home, r);
 }
 
-static void run_(sched_t *s, mstime_t now, slot_t *sl, const sched_request_t *r,
-		 mstime_t waited)
+static void run_(sched_t *s, mstime_t now, slot_t *sl, const sched_request_t *r)
 {
 	permit_t *p = g_new0(permit_t, 1);
 	tenant_t *tenant;
@@ -266,7 +265,6 @@
 	a.key = sl->key;
 	a.hop = r->hop;
 	a.warm = p->warm;
-	a.waited_ms = waited;
 	s->ops->answer(s->ctx, &a);
 }
 
@@ -330,7 +328,7 @@
 	       choose_has_room(s, now, sl, fairq_peek(&sl->queue)->customer,
 			       LIKELY)) {
 		fairq_pop(&sl->queue, &id, &user);
-		run_(s, now, sl, user, 0);
+		run_(s, now, sl, user);
 		g_free(user);
 	}
 }
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -4,7 +4,6 @@
 #include <assert.h>
 #include <microhttpd.h>
 #include <string.h>
-#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -29,7 +29,6 @@
 	resource_kind_t kind;
 	char *name;
 	bool deletes;
-	bool appended; /* the log took it, or may have */
 	mstime_t deadline;
 } pending_change_t;
 
