--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -359,11 +359,11 @@
 	return n;
 }
 
-static u_int fill_facts_(members_t *ms, peer_fact_t *facts)
+static u_int fill_facts_(members_t *ms, peer_fact_t *facts, bool lean)
 {
 	GList *all = g_hash_table_get_values(ms->by_name);
 	guint size = g_hash_table_size(ms->by_name);
-	guint room = MIN(size, PEER_FACTS_MAX / 2);
+	guint room = lean ? 0 : MIN(size, PEER_FACTS_MAX / 2);
 	u_int n = 0;
 
 	facts[n++] = (peer_fact_t){ ms->self->key, ms->self->applied };
@@ -389,7 +389,7 @@
 	m->updates.updates_val = updates;
 	m->updates.updates_len = fill_updates_(ms, updates, lean);
 	m->facts.facts_val = facts;
-	m->facts.facts_len = lean ? 0 : fill_facts_(ms, facts);
+	m->facts.facts_len = fill_facts_(ms, facts, lean);
 }
 
 static member_t *member_new_(const peer_update_t *u)
