A new owner waits for a report before it sends

Change: an upstream that another node owned before is held until the first report tells what runs there, 2.5 s at most. Unit test_takeover brings it about. Ruled out: a lower floor (one request would still be too many).

--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -332,6 +332,7 @@
 	/* The report lags; what was sent of late explains a part of it. */
 	sl->foreign =
 		MAX(0, r->outstanding - MAX(sl->out_max, sl->out_max_last));
+	sl->hold_until = now;
 	s->epoch++;
 	place_pump(s, now, sl);
 }
--- a/packages/decide/slot.c
+++ b/packages/decide/slot.c
@@ -16,6 +16,8 @@
 /* Ramp of a new owner over an upstream that was known to be at full weight. */
 #define TAKEOVER_RAMP_MS 2000
 #define PEER_STALE_MS 15000
+/* A new owner waits at most this long for a report. */
+#define TAKEOVER_REPORT_MS 2500
 /* A customer counts as active for this long after a request. */
 #define TENANT_ACTIVE_MS 30000
 /* Part of the limit that a dominant customer leaves to the others. */
@@ -69,7 +71,8 @@
 	sl->foreign = 0;
 	sl->start_id = 0;
 	sl->stable_at = now;
-	sl->hold_until = now;
+	/* A former owner's work may go on there: the first report tells. */
+	sl->hold_until = sl->peer_heard ? now + TAKEOVER_REPORT_MS : now;
 	limit_init(&sl->limit, sl->up->slots, sl->up->floor, now,
 		   known_warm ? MIN(ramp_ms_(sl), TAKEOVER_RAMP_MS)
 			      : ramp_ms_(sl));
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -410,6 +410,35 @@
 }
 END_TEST
 
+/* After another owner, nothing is sent before a report has told what runs. */
+START_TEST(test_takeover)
+{
+	char name[16];
+
+	nodes_("other");
+	for (int e = 0; e < ENGINES; e++) {
+		peer_load_t l = { .stamp = 1, .limit = 8, .weight = 1002 };
+
+		snprintf(name, sizeof(name), "e%d", e);
+		l.upstream = (uint32_t)str_hash64(str_of(name), 0);
+		sched_take_load(&t.sched, t.now, &l);
+	}
+	nodes_(NULL);
+	for (int e = 1; e < ENGINES; e += 2)
+		ck_assert_int_eq(t.out[e], 0);
+	for (uint64_t chat = 0; chat < 40; chat++)
+		place_(chat);
+	for (int e = 1; e < ENGINES; e += 2)
+		ck_assert_int_eq(t.out[e], 0);
+	for (int e = 0; e < ENGINES; e++)
+		report_(e, 0, 1);
+	sched_tick(&t.sched, t.now += 300);
+	for (uint64_t chat = 100; chat < 140; chat++)
+		place_(chat);
+	ck_assert_int_gt(t.out[1] + t.out[3] + t.out[5], 0);
+}
+END_TEST
+
 /* The hop bound: a request handed on twice runs here or is refused. */
 START_TEST(test_hops)
 {
@@ -536,6 +565,7 @@
 	tcase_add_test(tc, test_out_queued);
 	tcase_add_test(tc, test_moves);
 	tcase_add_test(tc, test_forward);
+	tcase_add_test(tc, test_takeover);
 	tcase_add_test(tc, test_hops);
 	tcase_add_test(tc, test_avoid);
 	tcase_add_test(tc, test_cold);
