One reader of problem answers from upstreams and nodes

Cause: the body of a problem answer was parsed in three functions of the same file, each for one member. problem_says_ serves all three; behaviour as before.

--- a/packages/node/upstream_call.c
+++ b/packages/node/upstream_call.c
@@ -306,23 +306,28 @@
 		kick_(x);
 }
 
+/* Whether a member of a problem answer has a value. */
+static bool problem_says_(const exchange_t *x, const char *member,
+			  const char *value)
+{
+	json_t *root = json_loadb(x->body->str, x->body->len, 0, NULL);
+	const char *text = json_string_value(json_object_get(root, member));
+	bool same = !g_strcmp0(text, value);
+
+	json_decref(root);
+	return same;
+}
+
 /* What a problem answer of another node says of the run, RAN_YES for others. */
 static ran_t told_ran_(const exchange_t *x, int status)
 {
-	json_t *root;
-	const char *ran;
-	ran_t told = RAN_YES;
-
 	if (x->placed.verdict != SCHED_FORWARD || status < 400)
 		return RAN_YES;
-	root = json_loadb(x->body->str, x->body->len, 0, NULL);
-	ran = json_string_value(json_object_get(root, "ran"));
-	if (!g_strcmp0(ran, "no"))
-		told = RAN_NO;
-	else if (!g_strcmp0(ran, "unknown"))
-		told = RAN_UNKNOWN;
-	json_decref(root);
-	return told;
+	if (problem_says_(x, "ran", "no"))
+		return RAN_NO;
+	if (problem_says_(x, "ran", "unknown"))
+		return RAN_UNKNOWN;
+	return RAN_YES;
 }
 
 static void end_once_(exchange_t *x, int status, str_t body, const char *type)
@@ -351,24 +356,14 @@
 /* An upstream's own statement that it has not run the request. */
 static bool says_not_run_(const exchange_t *x)
 {
-	json_t *root = json_loadb(x->body->str, x->body->len, 0, NULL);
-	const char *ran = json_string_value(json_object_get(root, "ran"));
-	bool not_run = !g_strcmp0(ran, "no");
-
-	json_decref(root);
-	return not_run;
+	return problem_says_(x, "ran", "no");
 }
 
 /* Another node does not own the upstream any more; views differ for a while. */
 static bool says_moved_(const exchange_t *x)
 {
-	json_t *root = json_loadb(x->body->str, x->body->len, 0, NULL);
-	const char *title = json_string_value(json_object_get(root, "title"));
-	bool moved = x->placed.verdict == SCHED_FORWARD &&
-		     !g_strcmp0(title, sched_refusal_string[REFUSE_MOVED]);
-
-	json_decref(root);
-	return moved;
+	return x->placed.verdict == SCHED_FORWARD &&
+	       problem_says_(x, "title", sched_refusal_string[REFUSE_MOVED]);
 }
 
 static bool is_refusal_(int status)
