--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -16,11 +16,17 @@
 	HTTP_ETIMEOUT = -2, /* may have been sent */
 	HTTP_ECUT = -3,	    /* may have been sent; broke before the end */
 	HTTP_EURL = -4,	    /* nothing was sent */
+	HTTP_EREFUSED = -5, /* nothing was sent; nobody listens there */
 } http_err_t;
 
 /* Parallel to http_err_t, indexed by the negated error. */
 extern const char *const http_err_string[];
 
+/*
+ * http_unsent - whether an error shows that nothing was sent.
+ */
+bool http_unsent(int err);
+
 typedef struct http_client http_client_t;
 typedef struct http_call http_call_t;
 
--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -38,6 +38,8 @@
 #define MEMBER_SILENCE_MS 2500
 /* Time in which a suspected node may refute. */
 #define MEMBER_SUSPECT_MS 2500
+/* The same for a node whose host has refused a connection. */
+#define MEMBER_DOUBT_MS 800
 /* A tick that comes later than this means the process was paused. */
 #define MEMBER_PAUSE_MS 2000
 /* Dead nodes are remembered, so that late news of them is not believed. */
@@ -159,6 +161,12 @@
 void members_receive(members_t *ms, mstime_t now, const char *from,
 		     unsigned int proc, const peer_message_t *m);
 
+/*
+ * members_doubt - a node's host has refused a connection, so that its process
+ * is likely gone: it is suspected, and asked, without waiting for its turn.
+ */
+void members_doubt(members_t *ms, mstime_t now, const char *name);
+
 /*
  * members_set_state - moves this node itself to joining, live or leaving.
  */
--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -53,8 +53,15 @@
 	SCHED_REFUSAL_COUNT,
 } sched_refusal_t;
 
-/* Parallel to sched_refusal_t. */
+/* Parallel to sched_refusal_t: for people, and for programs. */
 extern const char *const sched_refusal_string[];
+extern const char *const sched_refusal_reason[];
+
+/*
+ * sched_refusal_reason_of - the constant of a reason read from a message, or
+ * NULL when there is none of that name.
+ */
+const char *sched_refusal_reason_of(const char *text);
 
 typedef struct sched_answer {
 	uint64_t id;
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -15,6 +15,7 @@
 	[COUNTER_RESUMED] = "kcf_streams_resumed_total",
 	[COUNTER_CROSSED] = "kcf_crossed_answers_total",
 	[COUNTER_RETRIES] = "kcf_retries_total",
+	[COUNTER_OWNER_WAITS] = "kcf_owner_waits_total",
 	[COUNTER_REFUSED_INPUT] = "kcf_refusals_total{reason=\"input\"}",
 	[COUNTER_REFUSED_AUTH] = "kcf_refusals_total{reason=\"auth\"}",
 	[COUNTER_REFUSED_LOAD] = "kcf_refusals_total{reason=\"load\"}",
--- a/packages/ctl/cmd_load.c
+++ b/packages/ctl/cmd_load.c
@@ -271,7 +271,7 @@
 static bool try_again_(shot_t *s, int err, int status)
 {
 	load_t *l = s->load;
-	bool gone = err == HTTP_ECONNECT || (!err && status == 503 &&
+	bool gone = http_unsent(err) || (!err && status == 503 &&
 					     strstr(s->tail->str, "not ready"));
 	bool broke = err == HTTP_ECUT && (l->o.stream || s->once);
 
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -19,6 +19,22 @@
 	"upstream is changing hands",
 };
 
+const char *const sched_refusal_reason[] = {
+	"no_upstream",
+	"queue_full",
+	"deadline",
+	"moved",
+};
+
+const char *sched_refusal_reason_of(const char *text)
+{
+	for (int i = 0; i < SCHED_REFUSAL_COUNT; i++) {
+		if (!strcmp(sched_refusal_reason[i], text))
+			return sched_refusal_reason[i];
+	}
+	return NULL;
+}
+
 static void move_chats_(sched_t *s, mstime_t now, const slot_t *sl);
 static void refresh_ownership_(sched_t *s, mstime_t now);
 
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <string.h>
 
 #define MSEC_TO_SEC 0.001
@@ -28,8 +29,14 @@
 	"timed out",
 	"connection broke",
 	"unusable address",
+	"connection refused",
 };
 
+bool http_unsent(int err)
+{
+	return err == HTTP_ECONNECT || err == HTTP_EURL || err == HTTP_EREFUSED;
+}
+
 static int on_socket_(CURL *easy, curl_socket_t fd, int what, void *userp,
 		      void *socketp);
 static int on_multi_timer_(CURLM *multi, long timeout_ms, void *userp);
@@ -286,11 +293,14 @@
 static int err_of_(http_call_t *call, CURLcode code)
 {
 	long request_size = 0;
+	long os_errno = 0;
 
 	switch (code) {
 	case CURLE_OK:
 		return HTTP_OK;
 	case CURLE_COULDNT_CONNECT:
+		curl_easy_getinfo(call->easy, CURLINFO_OS_ERRNO, &os_errno);
+		return os_errno == ECONNREFUSED ? HTTP_EREFUSED : HTTP_ECONNECT;
 	case CURLE_COULDNT_RESOLVE_HOST:
 		return HTTP_ECONNECT;
 	case CURLE_URL_MALFORMAT:
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -180,6 +180,18 @@
 	ms->self->applied = MAX(ms->self->applied, applied);
 }
 
+void members_doubt(members_t *ms, mstime_t now, const char *name)
+{
+	member_t *m = members_find(ms, name);
+	peer_message_t ping = { .seq = ++ms->seq, .target = "" };
+
+	if (!m || m == ms->self || m->state != MEMBER_LIVE)
+		return;
+	set_state_(ms, now, m, MEMBER_SUSPECT);
+	m->expires = now + MEMBER_DOUBT_MS;
+	ms->ops->send(ms->ctx, m->peer, PEER_PING, &ping, true);
+}
+
 void members_set_state(members_t *ms, mstime_t now, member_state_t state)
 {
 	if (ms->self->state == state)
--- /dev/null
+++ b/packages/node/answer.c
@@ -0,0 +1,415 @@
+/*
+ * Takes what an upstream or another node answers to one attempt.
+ */
+#include "private/exchange.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Buffered bytes at which reading from the upstream stops and goes on. */
+#define STREAM_HIGH_BYTES (256 * 1024)
+#define STREAM_LOW_BYTES (64 * 1024)
+#define ANSWER_MAX_BYTES (32 * 1024 * 1024)
+/* Heartbeats to another node within the gap after which it gives up. */
+#define PEER_BEATS 3
+#define RETRY_AFTER_REFUSED_MS 1000
+#define PROBLEM_TEXT_MAX 96
+
+/* Headers of an answer that reach the caller. */
+static const char *const answer_headers[] = {
+	"Content-Type",
+	"Location",
+	"ETag",
+	"Last-Modified",
+	"Cache-Control",
+	"Retry-After",
+	"X-Cached-Tokens",
+	"X-Prompt-Tokens",
+	"X-Upstream",
+	"X-Retry-After-Ms",
+	"Idempotent-Replayed",
+	"X-Start-Id",
+	NULL,
+};
+
+#define ANSWER_HEADERS_MAX (G_N_ELEMENTS(answer_headers) + 5)
+
+static void on_head_(void *ctx, http_call_t *call, int status);
+static void on_data_(void *ctx, http_call_t *call, str_t data);
+static void on_done_(void *ctx, http_call_t *call, int err, int status);
+static void on_kick_(struct ev_loop *loop, ev_timer *w, int revents);
+static void crossed_(exchange_t *x);
+static void finish_stream_(exchange_t *x);
+static void kick_(exchange_t *x);
+
+const http_call_ops_t exchange_call_ops = { on_head_, on_data_, on_done_ };
+
+static bool is_stream_(http_call_t *call)
+{
+	return str_starts(http_call_header(call, "Content-Type"),
+			  str_of("text/event-stream"));
+}
+
+static int64_t number_header_(http_call_t *call, const char *name)
+{
+	int64_t v;
+
+	return str_to_int(http_call_header(call, name), &v) ? v : -1;
+}
+
+static size_t collect_headers_(exchange_t *x, http_call_t *call,
+			       http_header_t *out)
+{
+	size_t n = 0;
+
+	for (const char *const *name = answer_headers; *name; name++) {
+		str_t value = http_call_header(call, *name);
+
+		if (value.data)
+			out[n++] = (http_header_t){ *name, value.data };
+	}
+	out[n++] = (http_header_t){ "X-Request-Id", x->request_id };
+	if (x->placed.verdict == SCHED_RUN)
+		out[n++] = (http_header_t){ "X-Upstream", x->placed.upstream };
+	if (x->placed.verdict == SCHED_RUN && x->placed.loads[0])
+		out[n++] = (http_header_t){ LOADS_HEADER, x->placed.loads };
+	out[n] = (http_header_t){ NULL, NULL };
+	return n;
+}
+
+static void begin_stream_(exchange_t *x, http_call_t *call)
+{
+	http_header_t headers[ANSWER_HEADERS_MAX];
+
+	if (x->streaming)
+		return;
+	collect_headers_(x, call, headers);
+	x->streaming = true;
+	x->wrote_at = clock_now();
+	http_stream_begin(x->req, 200, headers);
+}
+
+static void on_head_(void *ctx, http_call_t *call, int status)
+{
+	exchange_t *x = ctx;
+	str_t echo = http_call_header(call, "X-Request-Id");
+
+	x->heard_at = clock_now();
+	if (x->echoes && !str_eq(echo, str_of(x->request_id))) {
+		x->crossed = true;
+		kick_(x);
+		return;
+	}
+	if (x->placed.verdict == SCHED_FORWARD)
+		exchange_post_loads(x, http_call_header(call, LOADS_HEADER));
+	x->told_prompt = number_header_(call, "X-Prompt-Tokens");
+	x->told_cached = number_header_(call, "X-Cached-Tokens");
+	x->told_start = (uint64_t)MAX(0, number_header_(call, "X-Start-Id"));
+	if (status == 200 && is_stream_(call))
+		begin_stream_(x, call);
+}
+
+static void take_event_(exchange_t *x, const sse_event_t *e)
+{
+	if (e->comment || x->finished)
+		return;
+	if (e->id >= 0) {
+		/* A resumed stream may begin before what was sent already. */
+		if (e->id <= x->last_id)
+			return;
+		x->last_id = e->id;
+	}
+	if (x->first_token_ms < 0)
+		x->first_token_ms = x->heard_at - x->sent_at;
+	if (str_eq(e->data, str_of("[DONE]")))
+		x->finished = true;
+	http_stream_write(x->req, e->raw);
+	x->wrote_at = x->heard_at;
+}
+
+static void on_data_(void *ctx, http_call_t *call, str_t data)
+{
+	exchange_t *x = ctx;
+	sse_event_t event;
+
+	x->heard_at = clock_now();
+	if (x->crossed)
+		return;
+	if (!x->streaming || !is_stream_(call)) {
+		if (x->body->len + data.len <= ANSWER_MAX_BYTES)
+			g_string_append_len(x->body, data.data,
+					    (gssize)data.len);
+		return;
+	}
+	if (!sse_feed(&x->events, data)) {
+		x->crossed = true;
+		kick_(x);
+		return;
+	}
+	while (sse_next(&x->events, &event))
+		take_event_(x, &event);
+	if (http_stream_pending(x->req) > STREAM_HIGH_BYTES)
+		kick_(x);
+}
+
+/* The problem that another node or an upstream has answered with. */
+typedef struct problem {
+	char title[PROBLEM_TEXT_MAX];
+	char reason[PROBLEM_TEXT_MAX];
+	ran_t ran; /* RAN_YES when it says nothing of it */
+} problem_t;
+
+static void problem_text_(const json_t *root, const char *member, char *out)
+{
+	const char *text = json_string_value(json_object_get(root, member));
+
+	g_strlcpy(out, text ? text : "", PROBLEM_TEXT_MAX);
+}
+
+static problem_t problem_(const exchange_t *x)
+{
+	json_t *root = json_loadb(x->body->str, x->body->len, 0, NULL);
+	problem_t p = { .ran = RAN_YES };
+	char ran[PROBLEM_TEXT_MAX];
+
+	problem_text_(root, "title", p.title);
+	problem_text_(root, "reason", p.reason);
+	problem_text_(root, "ran", ran);
+	if (!strcmp(ran, "no"))
+		p.ran = RAN_NO;
+	else if (!strcmp(ran, "unknown"))
+		p.ran = RAN_UNKNOWN;
+	json_decref(root);
+	return p;
+}
+
+/* What a problem answer of another node says of the run, RAN_YES for others. */
+static ran_t told_ran_(const exchange_t *x, int status)
+{
+	if (x->placed.verdict != SCHED_FORWARD || status < 400)
+		return RAN_YES;
+	return problem_(x).ran;
+}
+
+static void end_once_(exchange_t *x, int status, str_t body, const char *type)
+{
+	ran_t told = told_ran_(x, status);
+
+	if (told == RAN_YES)
+		exchange_once_end(x, true, status, body, type);
+	else
+		exchange_once_end(x, told == RAN_UNKNOWN, 0, STR_NONE, "");
+}
+
+static void reply_whole_(exchange_t *x, http_call_t *call, int status)
+{
+	http_header_t headers[ANSWER_HEADERS_MAX];
+	str_t body = { x->body->str, x->body->len };
+	char *type = str_dup(http_call_header(call, "Content-Type"));
+
+	collect_headers_(x, call, headers);
+	if (x->once_held)
+		end_once_(x, status, body, type);
+	http_reply(x->req, (unsigned int)status, headers, body);
+	g_free(type);
+}
+
+static bool is_refusal_(int status)
+{
+	return status == 429 || status == 503;
+}
+
+static mstime_t told_retry_ms_(http_call_t *call)
+{
+	int64_t s = number_header_(call, "Retry-After");
+	int64_t ms = number_header_(call, "X-Retry-After-Ms");
+
+	if (ms < 0)
+		ms = MAX(0, s) * MSEC_PER_SEC;
+	return ms ? ms : RETRY_AFTER_REFUSED_MS;
+}
+
+/* A refusal for load is final; no other upstream is burdened with it. */
+static void refused_(exchange_t *x, http_call_t *call, const problem_t *p)
+{
+	bool by_node = x->placed.verdict == SCHED_FORWARD;
+
+	if (p->ran == RAN_NO)
+		x->sent = x->sent_before;
+	exchange_release(x, SCHED_UPSTREAM_REFUSED);
+	if (by_node)
+		x->reason = sched_refusal_reason_of(p->reason);
+	exchange_refuse(x, 503,
+			by_node && p->title[0] ? p->title
+					       : "upstream refused for load",
+			x->sent ? RAN_UNKNOWN : RAN_NO,
+			COUNTER_REFUSED_UPSTREAM, told_retry_ms_(call));
+}
+
+/* Another node does not own the upstream any more; views differ for a while. */
+static bool moved_(const exchange_t *x, const problem_t *p)
+{
+	return x->placed.verdict == SCHED_FORWARD && p->ran == RAN_NO &&
+	       !strcmp(p->reason, sched_refusal_reason[REFUSE_MOVED]);
+}
+
+static void take_refusal_(exchange_t *x, http_call_t *call)
+{
+	problem_t p = problem_(x);
+
+	if (moved_(x, &p))
+		exchange_failed(x, FAILURE_MOVED);
+	else
+		refused_(x, call, &p);
+}
+
+/* Lets the fleet look at a node whose host says that nobody listens. */
+static void doubt_node_(exchange_t *x)
+{
+	message_t *m;
+
+	if (x->placed.verdict != SCHED_FORWARD)
+		return;
+	m = message_new(MSG_NODE_REFUSED);
+	g_strlcpy(m->node, x->placed.node, sizeof(m->node));
+	task_post(x->relay->control, m);
+}
+
+static void broken_(exchange_t *x, int err)
+{
+	if (err == HTTP_EREFUSED)
+		doubt_node_(x);
+	if (http_unsent(err))
+		exchange_failed(x, FAILURE_CONNECT);
+	else
+		exchange_failed(x, err == HTTP_ETIMEOUT ? FAILURE_TIMEOUT
+							: FAILURE_CUT);
+}
+
+static void on_done_(void *ctx, http_call_t *call, int err, int status)
+{
+	exchange_t *x = ctx;
+	bool streamed = x->streaming && is_stream_(call);
+
+	x->call = NULL;
+	ev_timer_stop(x->relay->task.loop, &x->kick);
+	if (x->crossed) {
+		crossed_(x);
+	} else if (streamed && x->finished) {
+		finish_stream_(x);
+	} else if (err != HTTP_OK) {
+		broken_(x, err);
+	} else if (streamed) {
+		exchange_failed(x, FAILURE_EARLY_END);
+	} else if (is_refusal_(status)) {
+		take_refusal_(x, call);
+	} else if (x->streaming) {
+		/* A stream that has begun cannot become another answer. */
+		exchange_failed(x, FAILURE_RESUME);
+	} else {
+		exchange_release(x, SCHED_DONE);
+		exchange_trace(x, "answered status=%d bytes=%zu", status,
+			       x->body->len);
+		reply_whole_(x, call, status);
+	}
+}
+
+static void crossed_(exchange_t *x)
+{
+	counter_add(COUNTER_CROSSED, 1);
+	exchange_failed(x, FAILURE_CROSSED);
+}
+
+static void finish_stream_(exchange_t *x)
+{
+	exchange_release(x, SCHED_DONE);
+	exchange_trace(x, "stream ended last=%lld", (long long)x->last_id);
+	http_stream_end(x->req, true);
+}
+
+void exchange_abort(exchange_t *x, sched_result_t result)
+{
+	ev_timer_stop(x->relay->task.loop, &x->kick);
+	ev_timer_stop(x->relay->task.loop, &x->again);
+	if (x->call) {
+		http_call_cancel(x->call);
+		x->call = NULL;
+	}
+	exchange_release(x, result);
+}
+
+/* libcurl forbids ending a call inside its own functions. */
+static void kick_(exchange_t *x)
+{
+	if (ev_is_active(&x->kick))
+		return;
+	ev_timer_init(&x->kick, on_kick_, 0, 0);
+	x->kick.data = x;
+	ev_timer_start(x->relay->task.loop, &x->kick);
+}
+
+static void on_kick_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	exchange_t *x = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (!x->call)
+		return;
+	if (x->crossed) {
+		http_call_cancel(x->call);
+		x->call = NULL;
+		crossed_(x);
+		return;
+	}
+	if (http_stream_pending(x->req) > STREAM_HIGH_BYTES) {
+		x->paused = true;
+		http_call_pause(x->call, true);
+	}
+}
+
+static void heartbeat_(exchange_t *x, mstime_t now)
+{
+	static const char beat[] = ": heartbeat\n\n";
+
+	mstime_t interval = x->relay->settings->caller_heartbeat_ms;
+
+	/* Another node waits no longer than the gap: tell it in time. */
+	if (x->hop > 0)
+		interval = MIN(interval, x->gap_ms / PEER_BEATS);
+	if (now - x->wrote_at < interval)
+		return;
+	x->wrote_at = now;
+	http_stream_write(x->req, str_of(beat));
+}
+
+void exchange_sweep(exchange_t *x, mstime_t now)
+{
+	if (x->paused && x->call &&
+	    http_stream_pending(x->req) < STREAM_LOW_BYTES) {
+		x->paused = false;
+		x->heard_at = now;
+		http_call_pause(x->call, false);
+	}
+	if (x->streaming && !x->finished)
+		heartbeat_(x, now);
+	if (!x->call || x->paused || !x->streaming || x->finished)
+		return;
+	if (now - x->heard_at <= x->gap_ms)
+		return;
+	/* Silence: the connection may be dead while the engine is not. */
+	http_call_cancel(x->call);
+	x->call = NULL;
+	exchange_failed(x, FAILURE_SILENT);
+}
+
+void exchange_check_node(exchange_t *x)
+{
+	if (!x->call || x->once || x->route == ROUTE_JOB ||
+	    x->placed.verdict != SCHED_FORWARD ||
+	    roster_alive(x->relay->roster, x->placed.node))
+		return;
+	http_call_cancel(x->call);
+	x->call = NULL;
+	exchange_failed(x, FAILURE_NODE);
+}
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -283,6 +283,9 @@
 	case MSG_JOB_ASK:
 		jobs_ask(c, &m->job_question);
 		break;
+	case MSG_NODE_REFUSED:
+		members_doubt(&c->members, now, m->node);
+		break;
 	case MSG_TLS:
 		operators_reload_tls(c);
 		break;
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -217,7 +217,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const member_t *member = value;
 
-		roster_add(roster, member->name, member->callers);
+		roster_add(roster, member->name, member->callers,
+			   member->state != MEMBER_DEAD);
 		if (members_usable(member))
 			g_ptr_array_add(nodes,
 					sched_node_new(member->name,
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -36,6 +36,7 @@
 	x->trace = g_string_new(NULL);
 	sse_init(&x->events);
 	ev_init(&x->kick, NULL);
+	ev_init(&x->again, NULL);
 	http_request_set_user(req, x);
 	g_hash_table_insert(relay->exchanges, &x->id, x);
 	counter_add(COUNTER_REQUESTS, 1);
@@ -94,8 +95,11 @@
 	json_t *body = json_pack("{s:s,s:i,s:s,s:s,s:s}", "type", "about:blank",
 				 "status", (int)status, "title", title, "ran",
 				 ran_string[ran], "request_id", x->request_id);
-	char *text = json_dumps(body, JSON_COMPACT);
+	char *text;
 
+	if (x->reason)
+		json_object_set_new(body, "reason", json_string(x->reason));
+	text = json_dumps(body, JSON_COMPACT);
 	snprintf(retry, sizeof(retry), "%lld",
 		 (long long)((retry_ms + MSEC_PER_SEC - 1) / MSEC_PER_SEC));
 	snprintf(retry_exact, sizeof(retry_exact), "%lld", (long long)retry_ms);
@@ -191,17 +195,36 @@
 	task_post(x->relay->control, m);
 }
 
+/* Whether the refusal may be due to a node that is gone but not yet missed. */
+static bool owner_missing_(const exchange_t *x, const sched_answer_t *a)
+{
+	return a->refusal == REFUSE_MOVED ||
+	       (a->refusal == REFUSE_NO_UPSTREAM && x->avoid[0]);
+}
+
+static void take_refusal_(exchange_t *x, const sched_answer_t *a)
+{
+	sched_refusal_t why = a->refusal;
+
+	if (owner_missing_(x, a)) {
+		if (exchange_wait_owner(x))
+			return;
+		why = REFUSE_MOVED;
+	}
+	x->reason = sched_refusal_reason[why];
+	exchange_refuse(x, 503, sched_refusal_string[why],
+			x->sent ? RAN_UNKNOWN : RAN_NO,
+			a->refusal == REFUSE_DEADLINE ? COUNTER_REFUSED_DEADLINE
+						      : COUNTER_REFUSED_LOAD,
+			MAX(1, a->retry_after_ms));
+}
+
 void exchange_placed(exchange_t *x, const sched_answer_t *a)
 {
 	x->placing = false;
 	x->placed = *a;
 	if (a->verdict == SCHED_REFUSE) {
-		exchange_refuse(x, 503, sched_refusal_string[a->refusal],
-				x->once && x->sent ? RAN_UNKNOWN : RAN_NO,
-				a->refusal == REFUSE_DEADLINE
-					? COUNTER_REFUSED_DEADLINE
-					: COUNTER_REFUSED_LOAD,
-				MAX(1, a->retry_after_ms));
+		take_refusal_(x, a);
 		return;
 	}
 	x->permit = a->verdict == SCHED_RUN;
--- a/packages/node/messages.c
+++ b/packages/node/messages.c
@@ -20,26 +20,41 @@
 	return r;
 }
 
-void roster_add(roster_t *r, const char *name, const char *callers)
+void roster_add(roster_t *r, const char *name, const char *callers, bool alive)
 {
 	roster_entry_t *e = g_new0(roster_entry_t, 1);
 
 	e->name = g_strdup(name);
 	e->callers = g_strdup(callers);
+	e->alive = alive;
 	g_ptr_array_add(r->entries, e);
 }
 
-const char *roster_find(const roster_t *r, const char *name)
+static const roster_entry_t *entry_(const roster_t *r, const char *name)
 {
 	for (guint i = 0; r && i < r->entries->len; i++) {
 		const roster_entry_t *e = r->entries->pdata[i];
 
 		if (!strcmp(e->name, name))
-			return e->callers;
+			return e;
 	}
 	return NULL;
 }
 
+const char *roster_find(const roster_t *r, const char *name)
+{
+	const roster_entry_t *e = entry_(r, name);
+
+	return e ? e->callers : NULL;
+}
+
+bool roster_alive(const roster_t *r, const char *name)
+{
+	const roster_entry_t *e = entry_(r, name);
+
+	return e && e->alive;
+}
+
 roster_t *roster_ref(roster_t *r)
 {
 	g_atomic_int_inc(&r->refs);
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -33,6 +33,22 @@
 	FILTER_DONE, /* the request has its answer */
 } filter_result_t;
 
+/* Why an attempt has failed. */
+typedef enum failure {
+	FAILURE_CONNECT, /* nothing was sent */
+	FAILURE_MOVED,	 /* the other node does not own the upstream */
+	FAILURE_NODE,	 /* the other node is dead */
+	FAILURE_CROSSED,
+	FAILURE_SILENT,
+	FAILURE_TIMEOUT,
+	FAILURE_CUT,
+	FAILURE_EARLY_END,
+	FAILURE_RESUME,
+} failure_t;
+
+/* Parallel to failure_t. */
+extern const char *const failure_string[];
+
 typedef struct exchange {
 	uint64_t id;
 	relay_t *relay;
@@ -79,8 +95,12 @@
 	int excluded;
 	char avoid[SCHED_NAME_MAX];
 	sched_answer_t placed;
-	bool placing; /* a question is open at the control task */
-	bool permit;  /* the control task counts it as running */
+	bool placing;	    /* a question is open at the control task */
+	bool permit;	    /* the control task counts it as running */
+	int nodes_tried;    /* that could not be reached */
+	mstime_t owner_by;  /* end of waiting for an owner; 0 before */
+	ev_timer again;	    /* while it waits for an owner */
+	const char *reason; /* of a refusal, for programs; NULL for none */
 
 	/* send and relay */
 	http_call_t *call;
@@ -90,7 +110,8 @@
 	bool finished;	/* the last event was seen */
 	bool crossed;	/* the answer belongs to another request */
 	bool paused;
-	bool sent; /* bytes may have reached an upstream at some time */
+	bool sent;	  /* bytes may have reached an upstream at some time */
+	bool sent_before; /* the same before this attempt */
 	int64_t last_id;
 	int attempts;
 	mstime_t started;
@@ -185,6 +206,41 @@
  */
 void exchange_abort(exchange_t *x, sched_result_t result);
 
+/* What a call to an upstream or another node tells the exchange. */
+extern const http_call_ops_t exchange_call_ops;
+
+/*
+ * exchange_settled - whether this node may let a run-once request run.
+ */
+bool exchange_settled(const exchange_t *x);
+
+/*
+ * exchange_release - gives the permit back, if there is one.
+ */
+void exchange_release(exchange_t *x, sched_result_t result);
+
+/*
+ * exchange_failed - an attempt has failed. What may run again is placed again;
+ * a stream goes on from the last event that the caller has. Else the request
+ * gets its final answer.
+ */
+void exchange_failed(exchange_t *x, failure_t why);
+
+/*
+ * exchange_wait_owner - lets a request of which nothing was sent wait until
+ * the nodes agree who owns the upstreams. Only the caller's first node waits,
+ * so that waits do not add up along the hops.
+ *
+ * Return: false when it must not wait, or has waited for long enough.
+ */
+bool exchange_wait_owner(exchange_t *x);
+
+/*
+ * exchange_check_node - a new roster is in force: fails an attempt at a node
+ * that is dead.
+ */
+void exchange_check_node(exchange_t *x);
+
 /*
  * exchange_sweep - looks at silence, deadlines and heartbeats.
  */
--- a/packages/node/private/messages.h
+++ b/packages/node/private/messages.h
@@ -22,6 +22,7 @@
 	MSG_ONCE_END,
 	MSG_JOB_SUBMIT,
 	MSG_JOB_ASK,
+	MSG_NODE_REFUSED, /* a node's host refused a connection */
 	/* control to relay */
 	MSG_ANSWER,
 	MSG_VIEW,
@@ -44,6 +45,7 @@
 typedef struct roster_entry {
 	char *name;
 	char *callers;
+	bool alive; /* not held dead */
 } roster_entry_t;
 
 typedef struct roster {
@@ -52,8 +54,9 @@
 } roster_t;
 
 roster_t *roster_new(void);
-void roster_add(roster_t *r, const char *name, const char *callers);
+void roster_add(roster_t *r, const char *name, const char *callers, bool alive);
 const char *roster_find(const roster_t *r, const char *name);
+bool roster_alive(const roster_t *r, const char *name);
 roster_t *roster_ref(roster_t *r);
 void roster_unref(roster_t *r);
 
@@ -160,6 +163,7 @@
 		job_submit_t job_submit;
 		job_question_t job_question;
 		job_reply_t job_reply;
+		char node[SCHED_NAME_MAX];
 	};
 } message_t;
 
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -207,6 +207,16 @@
 		  F_STR("result", http_server_err_string[-err]));
 }
 
+/* Requests that wait for a node which is dead go elsewhere. */
+static void check_nodes_(relay_t *r)
+{
+	GList *all = g_hash_table_get_values(r->exchanges);
+
+	for (GList *l = all; l; l = l->next)
+		exchange_check_node(l->data);
+	g_list_free(all);
+}
+
 static void receive_(void *ctx, void *message)
 {
 	relay_t *r = ctx;
@@ -258,6 +268,7 @@
 		roster_unref(r->roster);
 		r->roster = m->roster;
 		m->roster = NULL;
+		check_nodes_(r);
 		break;
 	case MSG_PHASE:
 		set_phase_(r, m->phase);
--- a/packages/platform/log_http.c
+++ b/packages/platform/log_http.c
@@ -25,7 +25,7 @@
 
 static int append_err_(int err, int status)
 {
-	if (err == HTTP_ECONNECT || err == HTTP_EURL)
+	if (http_unsent(err))
 		return LOG_EREFUSED;
 	if (err != HTTP_OK)
 		return LOG_EUNKNOWN;
