--- a/include/kcf/limit.h
+++ b/include/kcf/limit.h
@@ -23,6 +23,7 @@
 typedef struct limit {
 	int slots; /* hard limit */
 	int floor; /* at the start of the ramp */
+	int base;  /* where the ramp starts, if above the floor */
 	mstime_t ramp_start;
 	mstime_t ramp_end;
 	double adaptive;   /* lowered by events, raised by successes */
@@ -41,6 +42,13 @@
  */
 void limit_restart(limit_t *l, mstime_t now, mstime_t ramp_ms);
 
+/*
+ * limit_resume - the upstream is known to bear some work: a ramp that starts
+ * above the floor.
+ * @borne: requests that it has now
+ */
+void limit_resume(limit_t *l, mstime_t now, mstime_t ramp_ms, int borne);
+
 /*
  * limit_resize - takes changed settings without a new ramp.
  */
--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -154,6 +154,14 @@
  */
 void members_tick(members_t *ms, mstime_t now);
 
+/*
+ * members_check_pause - notices that the process stood still since the last
+ * tick, before anything is decided on what was known then.
+ *
+ * Return: true when it did; members_tick calls this too.
+ */
+bool members_check_pause(members_t *ms, mstime_t now);
+
 /*
  * members_receive - takes a message.
  * @from: address that it came from
--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -17,6 +17,8 @@
 
 /* A request is handed on by at most this many nodes. */
 #define SCHED_HOPS_MAX 2
+/* Interval of sched_pump. */
+#define SCHED_PUMP_MS 20
 #define SCHED_EXCLUDE_MAX 4
 #define SCHED_NAME_MAX 64
 #define SCHED_LOADS_MAX 256
@@ -65,6 +67,7 @@
 
 typedef struct sched_answer {
 	uint64_t id;
+	mstime_t at; /* when it was decided; set by who passes it on */
 	sched_verdict_t verdict;
 	/* SCHED_RUN */
 	char upstream[SCHED_NAME_MAX];
@@ -113,6 +116,7 @@
 	char *data_centre;
 	char *region;
 	uint64_t hash;
+	bool out; /* the configuration keeps work off it */
 } sched_node_t;
 
 /* A chat whose cached prefix should move before its upstream is gone. */
@@ -140,9 +144,13 @@
 	char *region;
 	view_t *view;
 	GPtrArray *nodes;    /* sched_node_t * */
+	GPtrArray *rivals;   /* those of nodes that own upstreams of services
+				which this node owns others of */
+	guint owned;	     /* number of upstreams owned */
 	GHashTable *slots;   /* key to slot_t * */
 	GHashTable *permits; /* request id to permit_t * */
-	lru_t *spills;	     /* chats placed off their first engine */
+	GQueue *recent;	     /* requests on their way to upstreams */
+	lru_t *places;	     /* where chats were sent at other nodes */
 	power_book_t power;
 	mstime_t next_window;
 	mstime_t next_lend;
@@ -240,6 +248,14 @@
  */
 void sched_tick(sched_t *s, mstime_t now);
 
+/*
+ * sched_pump - starts waiting requests as others reach their upstreams; to be
+ * called every SCHED_PUMP_MS while requests wait.
+ *
+ * Return: true while any waits.
+ */
+bool sched_pump(sched_t *s, mstime_t now);
+
 /*
  * sched_pause - sends nothing until a time, since leases may have lapsed.
  */
@@ -250,11 +266,6 @@
  */
 const char *sched_owner(const sched_t *s, const upstream_t *u);
 
-/*
- * sched_owner_among - the same for any list of nodes.
- */
-const char *sched_owner_among(const GPtrArray *nodes, const upstream_t *u);
-
 /*
  * sched_node_for - node that a number falls to, the same in equal views; NULL
  * without nodes.
@@ -276,6 +287,12 @@
  */
 bool sched_idle(const sched_t *s, const upstream_t *u);
 
+/*
+ * sched_unreported - whether an owned upstream has not told its load to this
+ * node yet.
+ */
+bool sched_unreported(const sched_t *s, const upstream_t *u);
+
 /*
  * sched_where - node to which a caller is best sent for a chat, or NULL.
  * @chat: 0 for no chat
--- a/include/kcf/view.h
+++ b/include/kcf/view.h
@@ -41,8 +41,10 @@
 
 typedef struct upstream {
 	char *name;
-	uint32_t key;  /* short hash, as in load reports between nodes */
-	uint64_t hash; /* for ranking */
+	uint32_t key;	/* short hash, as in load reports between nodes */
+	uint64_t hash;	/* for ranking */
+	uint64_t group; /* upstreams of one group have one owner */
+	bool regional;	/* the group spans the data centres of its region */
 	char *address;
 	const service_t *service;
 	const data_centre_t *data_centre;
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -27,6 +27,7 @@
 	[COUNTER_CACHED_TOKENS] = "kcf_cached_tokens_total",
 	[COUNTER_PROMPT_TOKENS] = "kcf_prompt_tokens_total",
 	[COUNTER_PLACED_FIRST] = "kcf_placed_total{rank=\"first\"}",
+	[COUNTER_PLACED_WARM] = "kcf_placed_total{rank=\"warm\"}",
 	[COUNTER_PLACED_SPILL] = "kcf_placed_total{rank=\"spill\"}",
 	[COUNTER_QUEUED] = "kcf_queued_total",
 	[COUNTER_CONFIG_APPLIED] = "kcf_config_applied_total",
--- a/packages/ctl/cmd_load.c
+++ b/packages/ctl/cmd_load.c
@@ -83,6 +83,8 @@
 	GHashTable *starts; /* upstream to its newest start id */
 	samples_t total_ms;
 	samples_t first_ms;
+	char *slowest; /* request id of the slowest answer */
+	double slowest_ms;
 	GHashTable *reasons;
 	GHashTable *upstreams;
 	ev_timer arrival;
@@ -195,6 +197,11 @@
 	c->ok++;
 	samples_add(&l->total_ms, total);
 	samples_add(&c->total_ms, total);
+	if (total > l->slowest_ms) {
+		l->slowest_ms = total;
+		g_free(l->slowest);
+		l->slowest = g_strdup(s->request_id);
+	}
 	if (s->first_us)
 		samples_add(&l->first_ms,
 			    (double)(s->first_us - s->started_us) /
@@ -272,7 +279,7 @@
 {
 	load_t *l = s->load;
 	bool gone = http_unsent(err) || (!err && status == 503 &&
-					     strstr(s->tail->str, "not ready"));
+					 strstr(s->tail->str, "not ready"));
 	bool broke = err == HTTP_ECUT && (l->o.stream || s->once);
 
 	if (l->o.direct || s->tries >= TRIES_MAX || !(gone || broke))
@@ -571,32 +578,50 @@
 		   : 0;
 }
 
-static json_t *report_(load_t *l)
+static json_t *customers_(load_t *l)
 {
-	json_t *customers = json_array();
-	double seconds = (double)l->o.duration_ms / MSEC_PER_SEC;
+	json_t *list = json_array();
 
 	for (int i = 0; i < l->customer_count; i++) {
 		customer_load_t *c = &l->customers[i];
 
 		json_array_append_new(
-			customers, json_pack("{s:i,s:I,s:I,s:o}", "customer", i,
-					     "ok", (json_int_t)c->ok, "refused",
-					     (json_int_t)c->refused, "total_ms",
-					     percentiles_(&c->total_ms)));
+			list, json_pack("{s:i,s:I,s:I,s:o}", "customer", i,
+					"ok", (json_int_t)c->ok, "refused",
+					(json_int_t)c->refused, "total_ms",
+					percentiles_(&c->total_ms)));
 	}
-	return json_pack(
-		"{s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:f,s:f,s:f,s:o,s:o,s:o}",
-		"sent", (json_int_t)l->sent, "skipped", (json_int_t)l->skipped,
-		"again", (json_int_t)l->again, "ok", (json_int_t)l->ok, "once",
-		(json_int_t)l->once_sent, "ok_per_s", (double)l->ok / seconds,
-		"total_ms", percentiles_(&l->total_ms), "first_ms",
-		percentiles_(&l->first_ms), "reuse",
-		l->prompt ? (double)l->cached / (double)l->prompt : 0.0,
-		"ideal_reuse",
-		l->prompt ? (double)l->ideal / (double)l->prompt : 0.0, "skew",
-		skew_(l->upstreams), "upstreams", table_(l->upstreams),
-		"refused", table_(l->reasons), "customers", customers);
+	return list;
+}
+
+static json_t *counts_report_(const load_t *l)
+{
+	double seconds = (double)l->o.duration_ms / MSEC_PER_SEC;
+
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:f}", "sent",
+			 (json_int_t)l->sent, "skipped", (json_int_t)l->skipped,
+			 "again", (json_int_t)l->again, "ok", (json_int_t)l->ok,
+			 "once", (json_int_t)l->once_sent, "ok_per_s",
+			 (double)l->ok / seconds);
+}
+
+static json_t *report_(load_t *l)
+{
+	json_t *o = counts_report_(l);
+	double prompt = (double)MAX(1, l->prompt);
+
+	json_object_set_new(o, "total_ms", percentiles_(&l->total_ms));
+	json_object_set_new(o, "first_ms", percentiles_(&l->first_ms));
+	json_object_set_new(o, "slowest",
+			    json_string(l->slowest ? l->slowest : ""));
+	json_object_set_new(o, "reuse", json_real((double)l->cached / prompt));
+	json_object_set_new(o, "ideal_reuse",
+			    json_real((double)l->ideal / prompt));
+	json_object_set_new(o, "skew", json_real(skew_(l->upstreams)));
+	json_object_set_new(o, "upstreams", table_(l->upstreams));
+	json_object_set_new(o, "refused", table_(l->reasons));
+	json_object_set_new(o, "customers", customers_(l));
+	return o;
 }
 
 static bool take_customers_(load_t *l)
--- a/packages/decide/choose.c
+++ b/packages/decide/choose.c
@@ -6,6 +6,8 @@
 
 /* Standard deviations by which others' loads may have fallen unheard. */
 #define STALE_DEVIATIONS 1.5
+/* The same for own requests that have ended at the upstream, but not here. */
+#define ENDED_DEVIATIONS 3
 
 slot_t *choose_slot(const sched_t *s, uint32_t key)
 {
@@ -21,13 +23,13 @@
 	return false;
 }
 
-bool choose_fits(const sched_t *s, const sched_request_t *r, const slot_t *sl)
+bool choose_fits(const sched_request_t *r, const slot_t *sl)
 {
 	if (!sl->up || !sl->open || excluded_(r, sl->key))
 		return false;
 	if (strcmp(sl->up->service->name, r->service) != 0)
 		return false;
-	if (r->avoid[0] && !g_strcmp0(sched_owner(s, sl->up), r->avoid))
+	if (r->avoid[0] && sl->owner && !strcmp(sl->owner->name, r->avoid))
 		return false;
 	return !r->model[0] || upstream_serves(sl->up, r->model);
 }
@@ -55,9 +57,10 @@
 			continue;
 		if (!sl->open && !slot_load(sl, now))
 			continue;
-		t.out += slot_load(sl, now);
+		t.out += slot_load_there(sl, now);
 		t.slots += sl->up->slots;
 		t.variance += slot_variance(sl, now);
+		t.ended += slot_ended(sl);
 	}
 	return t;
 }
@@ -77,18 +80,23 @@
 	return c->totals;
 }
 
-/* Largest load within load_bound times the mean, one request of slack. */
+/*
+ * Largest load within load_bound times the mean, one request of slack. The
+ * mean is taken as it is at the upstreams: without requests that have not
+ * arrived there yet, or may have ended there already.
+ */
 static int bound_(const sched_t *s, mstime_t now, const slot_t *sl,
 		  certainty_t certainty)
 {
 	totals_t t = cached_totals_(s, now, sl->up->service);
-	double out = t.out + 1;
+	double out = t.out + 1 - ENDED_DEVIATIONS * sqrt(t.ended);
 
 	if (!t.slots)
 		return sl->up->slots;
 	if (certainty == CERTAIN)
-		out -= MIN(out, STALE_DEVIATIONS * sqrt(t.variance));
-	return (int)floor(s->view->load_bound * out * sl->up->slots / t.slots) +
+		out -= STALE_DEVIATIONS * sqrt(t.variance);
+	return (int)floor(s->view->load_bound * MAX(0, out) * sl->up->slots /
+			  t.slots) +
 	       1;
 }
 
@@ -138,7 +146,7 @@
 		uint32_t weight;
 		double score;
 
-		if (!choose_fits(s, r, sl) || !slot_alive(sl, now))
+		if (!choose_fits(r, sl) || !slot_alive(sl, now))
 			continue;
 		if (near && !in_region_(s, sl))
 			continue;
@@ -187,7 +195,7 @@
 		double load;
 		double score;
 
-		if (!choose_fits(s, r, sl) || !slot_alive(sl, now) ||
+		if (!choose_fits(r, sl) || !slot_alive(sl, now) ||
 		    !in_region_(s, sl) || !slot_weight(sl, now) ||
 		    !choose_has_room(s, now, sl, r->customer, certainty))
 			continue;
--- a/packages/decide/gossip.c
+++ b/packages/decide/gossip.c
@@ -35,7 +35,7 @@
 	l->stamp = stamp;
 	l->outstanding = (u_int)slot_load(sl, now);
 	l->limit = (u_int)slot_limit(sl, s, now);
-	l->weight = slot_weight(sl, now);
+	l->weight = slot_weight(sl, now) | slot_start_tag(sl->start_id);
 	if (fairq_length(&sl->queue) && l->outstanding >= l->limit &&
 	    limit_now(&sl->limit, now) > (int)l->limit)
 		l->weight |= WEIGHT_SHORT_OF_POWER;
--- a/packages/decide/lend.c
+++ b/packages/decide/lend.c
@@ -77,8 +77,8 @@
 	if (borrower->owned)
 		power_borrow(&s->power, now, loan.donor, loan.borrower,
 			     loan.watts, loan.expires);
-	else
-		s->ops->lend(s->ctx, sched_owner(s, borrower->up), &loan);
+	else if (borrower->owner)
+		s->ops->lend(s->ctx, borrower->owner->name, &loan);
 }
 
 void lend_spare(sched_t *s, mstime_t now)
--- a/packages/decide/limit.c
+++ b/packages/decide/limit.c
@@ -18,12 +18,20 @@
 
 void limit_restart(limit_t *l, mstime_t now, mstime_t ramp_ms)
 {
+	l->base = l->floor;
 	l->ramp_start = now;
 	l->ramp_end = now + ramp_ms;
 	l->adaptive = l->slots;
 	l->next_cut = now;
 }
 
+void limit_resume(limit_t *l, mstime_t now, mstime_t ramp_ms, int borne)
+{
+	assert(borne >= 0);
+	limit_restart(l, now, ramp_ms);
+	l->base = MIN(l->slots, l->floor + borne);
+}
+
 void limit_resize(limit_t *l, int slots, int floor)
 {
 	/* A limit that was never cut follows the new size at once. */
@@ -31,6 +39,7 @@
 		l->adaptive = slots;
 	l->slots = slots;
 	l->floor = MIN(floor, slots);
+	l->base = CLAMP(l->base, l->floor, slots);
 }
 
 static void cut_(limit_t *l, mstime_t now, double factor)
@@ -66,8 +75,8 @@
 	int ramp = l->slots;
 
 	if (limit_ramping(l, now))
-		ramp = l->floor +
-		       (int)((l->slots - l->floor) * (now - l->ramp_start) /
+		ramp = l->base +
+		       (int)((l->slots - l->base) * (now - l->ramp_start) /
 			     (l->ramp_end - l->ramp_start));
 	return MAX(1, MIN(ramp, (int)l->adaptive));
 }
--- a/packages/decide/place.c
+++ b/packages/decide/place.c
@@ -1,4 +1,5 @@
 #include "private/place.h"
+#include "private/warm.h"
 
 #include <assert.h>
 #include <kcf/counter.h>
@@ -8,8 +9,6 @@
 #define REPLACE_AFTER_MS 250
 #define NO_UPSTREAM_RETRY_MS 2000
 #define MOVED_RETRY_MS 500
-/* Places off its home that are remembered of a chat. */
-#define SPILLS_PER_CHAT 3
 
 static void run_(sched_t *s, mstime_t now, slot_t *sl,
 		 const sched_request_t *r);
@@ -28,12 +27,6 @@
 	return r->hop < SCHED_HOPS_MAX + (r->excluded > 0);
 }
 
-static mstime_t recompute_ms_(const slot_t *sl, const sched_request_t *r)
-{
-	return (mstime_t)((double)(r->prompt_tokens * MSEC_PER_SEC) /
-			  sl->prefill_tps);
-}
-
 /* A baseline's choice stands, whatever the load. */
 static void place_unbounded_(sched_t *s, mstime_t now, slot_t *sl,
 			     const sched_request_t *r)
@@ -46,110 +39,32 @@
 		enqueue_(s, now, sl, r);
 }
 
-/* Key under which the n-th place of a chat off its home is remembered. */
-static uint64_t spill_key_(const sched_request_t *r, int n)
-{
-	return str_hash64((str_t){ (const char *)&r->chat, sizeof(r->chat) },
-			  (uint64_t)n + 1);
-}
-
-static slot_t *spill_(sched_t *s, mstime_t now, const sched_request_t *r, int n)
-{
-	const lru_entry_t *e = lru_get(s->spills, now, spill_key_(r, n));
-	slot_t *sl = e ? choose_slot(s, e->value) : NULL;
-
-	if (sl && choose_fits(s, r, sl) && slot_alive(sl, now))
-		return sl;
-	if (e)
-		lru_remove(s->spills, spill_key_(r, n));
-	return NULL;
-}
-
-/* Remembers where a chat went off its home; the oldest place gives way. */
-static void remember_spill_(sched_t *s, mstime_t now, const sched_request_t *r,
-			    const slot_t *sl)
-{
-	mstime_t oldest = MSTIME_NEVER;
-	int at = 0;
-
-	if (!r->sticky)
-		return;
-	for (int n = 0; n < SPILLS_PER_CHAT; n++) {
-		const lru_entry_t *e =
-			lru_get(s->spills, now, spill_key_(r, n));
-		mstime_t touched = e ? e->touched : 0;
-
-		if (e && e->value == sl->key) {
-			at = n;
-			break;
-		}
-		if (touched < oldest) {
-			oldest = touched;
-			at = n;
-		}
-	}
-	lru_put(s->spills, now, spill_key_(r, at), sl->key, 1);
-}
-
-static void take_less_loaded_(const sched_t *s, mstime_t now,
-			      const sched_request_t *r, slot_t *sl,
-			      slot_t **best)
-{
-	if (!choose_has_room(s, now, sl, r->customer, CERTAIN))
-		return;
-	if (!*best || slot_load(sl, now) < slot_load(*best, now))
-		*best = sl;
-}
-
-/*
- * Where the chat is believed warm, the least loaded with room; its home while
- * it is warm nowhere. NULL when none of these has room.
- */
-static slot_t *warm_place_(sched_t *s, mstime_t now, slot_t *home,
-			   const sched_request_t *r)
-{
-	slot_t *best = NULL;
-	bool spilled = false;
-
-	for (int n = 0; r->sticky && n < SPILLS_PER_CHAT; n++) {
-		slot_t *sl = spill_(s, now, r, n);
-
-		if (!sl)
-			continue;
-		spilled = true;
-		take_less_loaded_(s, now, r, sl, &best);
-	}
-	if (!spilled || choose_warm(home, now, r))
-		take_less_loaded_(s, now, r, home, &best);
-	return best;
-}
-
 static void place_at_home_(sched_t *s, mstime_t now, slot_t *home,
 			   const sched_request_t *r)
 {
-	slot_t *sl = warm_place_(s, now, home, r);
-
-	if (sl) {
-		if (sl == home)
-			counter_add(COUNTER_PLACED_FIRST, 1);
-		else
-			remember_spill_(s, now, r, sl);
-		take_or_forward_(s, now, sl, home, r);
+	slot_t *warm = warm_with_room(s, now, home, r);
+	slot_t *sl;
+
+	if (warm) {
+		counter_add(warm == home ? COUNTER_PLACED_FIRST
+					 : COUNTER_PLACED_WARM,
+			    1);
+		take_or_forward_(s, now, warm, home, r);
 		return;
 	}
-	if (choose_warm(home, now, r) &&
-	    slot_wait(home, s, now, r->customer) <= recompute_ms_(home, r)) {
-		enqueue_(s, now, home, r);
+	warm = warm_soonest(s, now, r);
+	if (warm &&
+	    slot_wait(warm, s, now, r->customer) <= warm_worth_ms(warm, r)) {
+		enqueue_(s, now, warm, r);
 		return;
 	}
 	sl = choose_least_loaded(s, now, r, CERTAIN);
 	if (!sl)
 		sl = choose_least_loaded(s, now, r, LIKELY);
 	if (!sl) {
-		enqueue_(s, now, home, r);
+		enqueue_(s, now, warm ? warm : home, r);
 		return;
 	}
-	remember_spill_(s, now, r, sl);
 	counter_add(COUNTER_PLACED_SPILL, 1);
 	take_or_forward_(s, now, sl, home, r);
 }
@@ -192,12 +107,13 @@
 {
 	slot_t *sl;
 
+	place_arrivals(s, now);
 	if (!s->view) {
 		refuse_(s, r, REFUSE_NO_UPSTREAM, NO_UPSTREAM_RETRY_MS);
 		return;
 	}
 	sl = r->target ? choose_slot(s, r->target) : NULL;
-	if (sl && choose_fits(s, r, sl) && slot_alive(sl, now) &&
+	if (sl && choose_fits(r, sl) && slot_alive(sl, now) &&
 	    place_at_target_(s, now, sl, r))
 		return;
 	sl = choose_first(s, now, r);
@@ -228,12 +144,44 @@
 static void take_or_forward_(sched_t *s, mstime_t now, slot_t *sl, slot_t *home,
 			     const sched_request_t *r)
 {
-	if (sl->owned)
+	if (sl->owned) {
 		run_(s, now, sl, r);
-	else if (may_forward_(r))
+	} else if (may_forward_(r)) {
+		warm_remember(s, now, r, sl);
 		forward_(s, sl, r, sl->key);
-	else
+	} else {
 		enqueue_(s, now, home, r);
+	}
+}
+
+/* A request on its way to an upstream. */
+typedef struct recent {
+	uint32_t key;
+	mstime_t arrives;
+} recent_t;
+
+static void note_recent_(sched_t *s, mstime_t now, slot_t *sl)
+{
+	recent_t *sent = g_new0(recent_t, 1);
+
+	sent->key = sl->key;
+	sent->arrives = now + SLOT_ARRIVAL_MS;
+	sl->recent++;
+	g_queue_push_tail(s->recent, sent);
+}
+
+void place_arrivals(sched_t *s, mstime_t now)
+{
+	recent_t *sent;
+
+	while ((sent = g_queue_peek_head(s->recent)) && sent->arrives <= now) {
+		slot_t *sl = choose_slot(s, sent->key);
+
+		if (sl && sl->recent > 0)
+			sl->recent--;
+		s->epoch++;
+		g_free(g_queue_pop_head(s->recent));
+	}
 }
 
 static void run_(sched_t *s, mstime_t now, slot_t *sl, const sched_request_t *r)
@@ -256,6 +204,7 @@
 	tenant->out++;
 	tenant->seen = now;
 	sl->out++;
+	note_recent_(s, now, sl);
 	s->epoch++;
 	sl->out_max = MAX(sl->out_max, sl->out);
 	if (r->sticky)
@@ -286,9 +235,8 @@
 			     .verdict = SCHED_FORWARD,
 			     .hop = r->hop + 1,
 			     .target = target };
-	const char *owner = sched_owner(s, sl->up);
 
-	if (!owner || !strcmp(owner, s->self)) {
+	if (!sl->owner || !strcmp(sl->owner->name, s->self)) {
 		refuse_(s, r, REFUSE_MOVED, MOVED_RETRY_MS);
 		return;
 	}
@@ -296,7 +244,7 @@
 		sl->handed++;
 		s->epoch++;
 	}
-	g_strlcpy(a.node, owner, sizeof(a.node));
+	g_strlcpy(a.node, sl->owner->name, sizeof(a.node));
 	s->ops->answer(s->ctx, &a);
 }
 
@@ -310,7 +258,8 @@
 		refuse_(s, r, REFUSE_OVERLOAD, wait);
 		return;
 	}
-	if (r->deadline != MSTIME_NEVER && now + wait > r->deadline) {
+	if (r->deadline != MSTIME_NEVER &&
+	    now + slot_wait_least(sl, s, now, r->customer) > r->deadline) {
 		refuse_(s, r, REFUSE_DEADLINE, wait);
 		return;
 	}
@@ -397,6 +346,14 @@
 	g_array_unref(ids);
 }
 
+static mstime_t patience_ms_(const slot_t *sl, mstime_t now,
+			     const sched_request_t *r)
+{
+	if (!choose_warm(sl, now, r))
+		return REPLACE_AFTER_MS;
+	return MAX(REPLACE_AFTER_MS, warm_worth_ms(sl, r));
+}
+
 /* Moves the next request that has waited long to an upstream with room. */
 static void replace_waiting_(sched_t *s, mstime_t now, slot_t *sl)
 {
@@ -404,15 +361,15 @@
 	sched_request_t *r;
 	slot_t *other;
 
-	if (!item || now - item->queued < REPLACE_AFTER_MS ||
-	    !choose_bounded(s))
+	if (!item || !choose_bounded(s))
 		return;
 	r = item->user;
+	if (now - item->queued < patience_ms_(sl, now, r))
+		return;
 	other = choose_least_loaded(s, now, r, LIKELY);
 	if (!other || (!other->owned && !may_forward_(r)))
 		return;
 	fairq_remove(&sl->queue, r->id);
-	remember_spill_(s, now, r, other);
 	take_or_forward_(s, now, other, sl, r);
 	g_free(r);
 }
--- a/packages/decide/private/choose.h
+++ b/packages/decide/private/choose.h
@@ -21,9 +21,10 @@
 
 /* Load of all upstreams that could take a request. */
 typedef struct totals {
-	int out;
+	double out; /* expected there now */
 	int slots;
 	double variance; /* of out, for what has changed since it was heard */
+	double ended;	 /* own requests that are taken to have ended there */
 } totals_t;
 
 /* The last sum, and what it was made of. */
@@ -42,7 +43,7 @@
 /*
  * choose_fits - whether configuration lets an upstream take a request.
  */
-bool choose_fits(const sched_t *s, const sched_request_t *r, const slot_t *sl);
+bool choose_fits(const sched_request_t *r, const slot_t *sl);
 
 /*
  * choose_bounded - whether the load bound is in force, which baselines lack.
--- a/packages/decide/private/place.h
+++ b/packages/decide/private/place.h
@@ -6,6 +6,11 @@
 
 #include "choose.h"
 
+/*
+ * place_arrivals - counts requests as arrived whose time on the way is over.
+ */
+void place_arrivals(sched_t *s, mstime_t now);
+
 /*
  * place_pump - starts waiting requests of an upstream while it has room.
  */
--- a/packages/decide/private/slot.h
+++ b/packages/decide/private/slot.h
@@ -18,6 +18,12 @@
 /* Flag beside the weight: requests wait only for want of power. */
 #define WEIGHT_SHORT_OF_POWER 0x10000u
 #define WEIGHT_MASK 0xffffu
+/* Above it, a part of the hash of the upstream's start id. */
+#define WEIGHT_START_SHIFT 17
+
+/* Times in which a request reaches its upstream, and its end is heard here. */
+#define SLOT_ARRIVAL_MS 20
+#define SLOT_END_MS 10
 
 /* One customer at one upstream. */
 typedef struct tenant {
@@ -27,24 +33,29 @@
 
 typedef struct slot {
 	uint32_t key;
-	const upstream_t *up; /* NULL once it left the configuration */
+	const upstream_t *up;	   /* NULL once it left the configuration */
+	const sched_node_t *owner; /* NULL without nodes */
 	bool owned;
 	bool open; /* by configuration, at the last view */
 	mstime_t owned_since;
 
 	/* Known as the owner. */
 	limit_t limit;
-	int out;	  /* requests sent from here and not ended */
-	int out_max;	  /* highest out in this window of time */
-	int out_max_last; /* and in the window before */
-	int foreign;	  /* outstanding there but not sent from here */
+	int out;	     /* requests sent from here and not ended */
+	int recent;	     /* requests sent within SLOT_ARRIVAL_MS */
+	int out_max;	     /* highest out in this window of time */
+	int out_max_last;    /* and in the window before */
+	int foreign;	     /* outstanding there but not sent from here */
+	mstime_t foreign_at; /* when that was reported */
 	uint64_t start_id;
 	int failures; /* in a row */
 	bool down;
 	int flaps;
 	mstime_t stable_at; /* from when its weight may grow */
 	mstime_t hold_until;
-	bool returned;	    /* had been away while others took its chats */
+	bool taken_over; /* no report has come since another node's time */
+	uint32_t former; /* what its former owner last told, as peer_weight */
+	bool returned;	 /* had been away while others took its chats */
 	double prefill_tps; /* moving average of prompt tokens a second */
 	double duration_ms; /* moving average of a request */
 	int misses;	    /* chats in a row that should have been warm */
@@ -81,6 +92,19 @@
  */
 void slot_acquire(slot_t *sl, mstime_t now);
 
+/*
+ * slot_confirm - the first report to a new owner: an upstream that has not
+ * started anew since its former owner held it at full weight goes on from the
+ * work that it has.
+ * @outstanding: as reported
+ */
+void slot_confirm(slot_t *sl, mstime_t now, uint64_t start_id, int outstanding);
+
+/*
+ * slot_start_tag - mark of a start id beside the weight in gossip.
+ */
+uint32_t slot_start_tag(uint64_t start_id);
+
 /*
  * slot_lose - this node is no longer the owner; the queue is emptied by the
  * caller.
@@ -114,6 +138,23 @@
  */
 int slot_load(const slot_t *sl, mstime_t now);
 
+/*
+ * slot_load_there - the same as far as it is outstanding at the upstream by
+ * now: without what may not have arrived, or is expected to have ended.
+ */
+double slot_load_there(const slot_t *sl, mstime_t now);
+
+/*
+ * slot_unarrived - requests sent from here that may not have arrived yet.
+ */
+int slot_unarrived(const slot_t *sl);
+
+/*
+ * slot_ended - mean number of requests sent from here that have ended at the
+ * upstream without this being known here.
+ */
+double slot_ended(const slot_t *sl);
+
 /*
  * slot_variance - variance of the load, as it may have changed since heard:
  * each outstanding request may have ended, and others begun.
@@ -155,6 +196,17 @@
 mstime_t slot_wait(const slot_t *sl, const sched_t *s, mstime_t now,
 		   const char *customer);
 
+/*
+ * slot_wait_least - the same if all of the limit were used at once.
+ */
+mstime_t slot_wait_least(const slot_t *sl, const sched_t *s, mstime_t now,
+			 const char *customer);
+
+/*
+ * slot_prefill_ms - time in which the upstream computes a prefix, as learnt.
+ */
+mstime_t slot_prefill_ms(const slot_t *sl, int64_t tokens);
+
 /*
  * slot_note_prefill - learns how fast the upstream computes prefixes.
  */
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -1,13 +1,13 @@
 #include "private/lend.h"
+#include "private/owner.h"
 #include "private/place.h"
 #include <kcf/counter.h>
-#include <kcf/rank.h>
 
 #include <assert.h>
 #include <string.h>
 
-#define SPILLS_MAX 100000
-#define SPILL_IDLE_MS (3600 * MSEC_PER_SEC)
+#define PLACES_MAX 100000
+#define PLACE_IDLE_MS (3600 * MSEC_PER_SEC)
 #define WINDOW_MS 2000
 #define LEND_INTERVAL_MS 1000
 #define DURATION_SMOOTHING 0.2
@@ -37,6 +37,7 @@
 
 static void move_chats_(sched_t *s, mstime_t now, const slot_t *sl);
 static void refresh_ownership_(sched_t *s, mstime_t now);
+static void find_rivals_(sched_t *s);
 
 void sched_init(sched_t *s, const char *self, const char *data_centre,
 		const char *region, guint32 seed, const sched_ops_t *ops,
@@ -49,12 +50,14 @@
 	s->region = g_strdup(region);
 	s->rand = g_rand_new_with_seed(seed);
 	s->nodes = g_ptr_array_new_with_free_func(sched_node_free);
+	s->recent = g_queue_new();
+	s->rivals = g_ptr_array_new();
 	s->slots = g_hash_table_new_full(NULL, NULL, NULL, slot_free);
 	s->permits = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					   g_free);
 	s->cache = g_new0(choose_cache_t, 1);
-	s->spills = g_new0(lru_t, 1);
-	lru_init(s->spills, SPILLS_MAX, SPILL_IDLE_MS);
+	s->places = g_new0(lru_t, 1);
+	lru_init(s->places, PLACES_MAX, PLACE_IDLE_MS);
 	power_book_init(&s->power);
 }
 
@@ -74,10 +77,12 @@
 	}
 	g_hash_table_destroy(s->slots);
 	g_hash_table_destroy(s->permits);
-	lru_finish(s->spills);
-	g_free(s->spills);
+	lru_finish(s->places);
+	g_free(s->places);
 	g_free(s->cache);
 	power_book_finish(&s->power);
+	g_queue_free_full(s->recent, g_free);
+	g_ptr_array_unref(s->rivals);
 	g_ptr_array_unref(s->nodes);
 	view_unref(s->view);
 	g_rand_free(s->rand);
@@ -108,55 +113,18 @@
 	g_free(n);
 }
 
-/* Nodes near an upstream come first: its data centre, its region, any. */
-static int nearness_(const sched_node_t *n, const upstream_t *u)
-{
-	if (!strcmp(n->data_centre, u->data_centre->name))
-		return 2;
-	return !strcmp(n->region, u->data_centre->region);
-}
-
-const char *sched_owner_among(const GPtrArray *nodes, const upstream_t *u)
-{
-	const sched_node_t *best = NULL;
-	double best_score = 0;
-
-	for (guint i = 0; i < nodes->len; i++) {
-		const sched_node_t *n = nodes->pdata[i];
-		double score = rank_score(u->hash, n->hash, 1);
-		int near = nearness_(n, u);
-		int best_near = best ? nearness_(best, u) : -1;
-
-		if (near < best_near)
-			continue;
-		if (near > best_near || score > best_score) {
-			best = n;
-			best_score = score;
-		}
-	}
-	return best ? best->name : NULL;
-}
-
 const char *sched_owner(const sched_t *s, const upstream_t *u)
 {
-	return sched_owner_among(s->nodes, u);
+	const sched_node_t *n = owner_of(s->nodes, u);
+
+	return n ? n->name : NULL;
 }
 
 const char *sched_node_for(const sched_t *s, uint64_t number)
 {
-	const sched_node_t *best = NULL;
-	double best_score = 0;
+	const sched_node_t *n = owner_of_number(s->nodes, number);
 
-	for (guint i = 0; i < s->nodes->len; i++) {
-		const sched_node_t *n = s->nodes->pdata[i];
-		double score = rank_score(number, n->hash, 1);
-
-		if (score > best_score) {
-			best = n;
-			best_score = score;
-		}
-	}
-	return best ? best->name : NULL;
+	return n ? n->name : NULL;
 }
 
 void sched_set_view(sched_t *s, mstime_t now, view_t *view)
@@ -243,12 +211,16 @@
 	GPtrArray *drained = g_ptr_array_new();
 
 	s->epoch++;
+	s->owned = 0;
+	owner_mark_out(s->nodes, s->view);
 	g_hash_table_iter_init(&iter, s->slots);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		slot_t *sl = value;
-		const char *owner = sl->up ? sched_owner(s, sl->up) : NULL;
-		bool owned = owner && !strcmp(owner, s->self);
+		bool owned;
 
+		sl->owner = sl->up ? owner_of(s->nodes, sl->up) : NULL;
+		owned = sl->owner && !strcmp(sl->owner->name, s->self);
+		s->owned += owned;
 		if (!sl->up && !sl->out && !fairq_length(&sl->queue)) {
 			g_hash_table_iter_remove(&iter);
 			continue;
@@ -260,6 +232,7 @@
 		if (!owned || !sl->open)
 			g_ptr_array_add(drained, sl);
 	}
+	find_rivals_(s);
 	/* Placing again may touch any slot, so it waits for the sweep's end. */
 	for (guint i = 0; i < drained->len; i++)
 		place_again(s, now, drained->pdata[i]);
@@ -304,7 +277,8 @@
 			slot_note_cache(sl, now, p, o);
 			slot_note_prefill(sl, o);
 		}
-		if (o->result == SCHED_DONE)
+		/* A pause of this process tells nothing of the upstream. */
+		if (o->result == SCHED_DONE && p->started >= s->hold_all_until)
 			sl->duration_ms +=
 				DURATION_SMOOTHING *
 				((double)(now - p->started) - sl->duration_ms);
@@ -345,9 +319,11 @@
 		slot_restarted(sl, now);
 	}
 	sl->start_id = r->start_id;
+	slot_confirm(sl, now, r->start_id, r->outstanding);
 	/* The report lags; what was sent of late explains a part of it. */
 	sl->foreign =
 		MAX(0, r->outstanding - MAX(sl->out_max, sl->out_max_last));
+	sl->foreign_at = now;
 	sl->hold_until = now;
 	s->epoch++;
 	place_pump(s, now, sl);
@@ -357,8 +333,8 @@
 {
 	GList *all = g_hash_table_get_values(s->slots);
 	guint waiting = 0;
-	guint owned = 0;
 
+	place_arrivals(s, now);
 	for (GList *l = all; l; l = l->next) {
 		slot_t *sl = l->data;
 
@@ -366,14 +342,13 @@
 			slot_window(sl);
 		place_tick(s, now, sl);
 		waiting += fairq_length(&sl->queue);
-		owned += sl->owned && sl->up;
 	}
 	if (now >= s->next_window)
 		s->next_window = now + WINDOW_MS;
 	g_list_free(all);
 	counter_set(GAUGE_QUEUE_LENGTH, waiting);
-	counter_set(GAUGE_OWNED_UPSTREAMS, owned);
-	lru_expire(s->spills, now);
+	counter_set(GAUGE_OWNED_UPSTREAMS, s->owned);
+	lru_expire(s->places, now);
 	power_expire(&s->power, now);
 	if (s->view && now >= s->next_lend) {
 		s->next_lend = now + LEND_INTERVAL_MS;
@@ -381,6 +356,25 @@
 	}
 }
 
+bool sched_pump(sched_t *s, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool waiting = false;
+
+	place_arrivals(s, now);
+	g_hash_table_iter_init(&iter, s->slots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		slot_t *sl = value;
+
+		if (!fairq_length(&sl->queue))
+			continue;
+		place_pump(s, now, sl);
+		waiting = waiting || fairq_length(&sl->queue);
+	}
+	return waiting;
+}
+
 void sched_pause(sched_t *s, mstime_t until)
 {
 	s->hold_all_until = MAX(s->hold_all_until, until);
@@ -402,6 +396,46 @@
 	return list;
 }
 
+/* Whether two upstreams count towards the same mean. */
+static bool same_mean_(const slot_t *a, const slot_t *b)
+{
+	return a->up->service == b->up->service &&
+	       !strcmp(a->up->data_centre->region, b->up->data_centre->region);
+}
+
+static bool rival_(const sched_t *s, const slot_t *other)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!other->up || other->owned || !other->owner)
+		return false;
+	g_hash_table_iter_init(&iter, s->slots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const slot_t *sl = value;
+
+		if (sl->owned && sl->up && same_mean_(sl, other))
+			return true;
+	}
+	return false;
+}
+
+static void find_rivals_(sched_t *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_ptr_array_set_size(s->rivals, 0);
+	g_hash_table_iter_init(&iter, s->slots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const slot_t *sl = value;
+
+		if (rival_(s, sl) &&
+		    !g_ptr_array_find(s->rivals, sl->owner, NULL))
+			g_ptr_array_add(s->rivals, (gpointer)sl->owner);
+	}
+}
+
 const upstream_t *sched_upstream(const sched_t *s, uint32_t key)
 {
 	const slot_t *sl = choose_slot(s, key);
@@ -416,6 +450,13 @@
 	return sl && !sl->out && !sl->foreign && !sl->failures && sl->start_id;
 }
 
+bool sched_unreported(const sched_t *s, const upstream_t *u)
+{
+	const slot_t *sl = choose_slot(s, u->key);
+
+	return sl && sl->owned && !sl->start_id && !sl->failures;
+}
+
 const char *sched_where(sched_t *s, mstime_t now, const char *service,
 			uint64_t chat)
 {
@@ -429,7 +470,7 @@
 			 g_rand_int(s->rand);
 	g_strlcpy(r.service, service, sizeof(r.service));
 	sl = choose_home(s, now, &r);
-	return sl ? sched_owner(s, sl->up) : NULL;
+	return sl && sl->owner ? sl->owner->name : NULL;
 }
 
 json_t *sched_status(const sched_t *s, mstime_t now)
@@ -441,7 +482,6 @@
 	g_hash_table_iter_init(&iter, s->slots);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const slot_t *sl = value;
-		const char *owner = sl->up ? sched_owner(s, sl->up) : NULL;
 
 		if (!sl->up)
 			continue;
@@ -450,7 +490,7 @@
 			json_pack("{s:s,s:s,s:s,s:b,s:i,s:i,s:i,s:i,s:i}",
 				  "upstream", sl->up->name, "service",
 				  sl->up->service->name, "owner",
-				  owner ? owner : "", "alive",
+				  sl->owner ? sl->owner->name : "", "alive",
 				  slot_alive(sl, now), "outstanding",
 				  slot_load(sl, now), "foreign", sl->foreign,
 				  "limit", slot_limit(sl, s, now), "weight",
--- a/packages/decide/slot.c
+++ b/packages/decide/slot.c
@@ -61,9 +61,6 @@
 
 void slot_acquire(slot_t *sl, mstime_t now)
 {
-	bool known_warm = peer_fresh_(sl, now) &&
-			  (sl->peer_weight & WEIGHT_MASK) >= WEIGHT_FULL;
-
 	sl->owned = true;
 	sl->owned_since = now;
 	sl->failures = 0;
@@ -72,13 +69,34 @@
 	sl->start_id = 0;
 	sl->stable_at = now;
 	/* A former owner's work may go on there: the first report tells. */
-	sl->hold_until = sl->peer_heard ? now + TAKEOVER_REPORT_MS : now;
-	limit_init(&sl->limit, sl->up->slots, sl->up->floor, now,
-		   known_warm ? MIN(ramp_ms_(sl), TAKEOVER_RAMP_MS)
-			      : ramp_ms_(sl));
+	sl->taken_over = sl->peer_heard != 0;
+	sl->former = peer_fresh_(sl, now) ? sl->peer_weight : 0;
+	sl->hold_until = sl->taken_over ? now + TAKEOVER_REPORT_MS : now;
+	limit_init(&sl->limit, sl->up->slots, sl->up->floor, now, ramp_ms_(sl));
 	lru_set_max(&sl->warm, sl->up->cache_tokens);
 }
 
+uint32_t slot_start_tag(uint64_t start_id)
+{
+	uint64_t hash = str_hash64(
+		(str_t){ (const char *)&start_id, sizeof(start_id) }, 0);
+
+	return (uint32_t)hash << WEIGHT_START_SHIFT;
+}
+
+void slot_confirm(slot_t *sl, mstime_t now, uint64_t start_id, int outstanding)
+{
+	uint32_t tag = sl->former & ~((1u << WEIGHT_START_SHIFT) - 1);
+
+	if (!sl->taken_over)
+		return;
+	sl->taken_over = false;
+	if ((sl->former & WEIGHT_MASK) >= WEIGHT_FULL &&
+	    tag == slot_start_tag(start_id))
+		limit_resume(&sl->limit, now,
+			     MIN(ramp_ms_(sl), TAKEOVER_RAMP_MS), outstanding);
+}
+
 void slot_lose(slot_t *sl)
 {
 	sl->owned = false;
@@ -146,14 +164,37 @@
 	return (peer_fresh_(sl, now) ? sl->peer_out : 0) + sl->handed;
 }
 
-double slot_variance(const slot_t *sl, mstime_t now)
+int slot_unarrived(const slot_t *sl)
+{
+	return MIN(sl->recent, sl->out);
+}
+
+/* Share of requests that have ended within a time. */
+static double share_ended_(const slot_t *sl, mstime_t ms)
+{
+	return MIN(1.0, (double)ms / MAX(1.0, sl->duration_ms));
+}
+
+double slot_ended(const slot_t *sl)
+{
+	return (sl->out - slot_unarrived(sl)) * share_ended_(sl, SLOT_END_MS);
+}
+
+double slot_load_there(const slot_t *sl, mstime_t now)
 {
-	double age;
+	if (!sl->owned)
+		return slot_load(sl, now);
+	return sl->out - slot_unarrived(sl) - slot_ended(sl) +
+	       sl->foreign * (1 - share_ended_(sl, now - sl->foreign_at));
+}
 
-	if (sl->owned || !sl->peer_heard)
+double slot_variance(const slot_t *sl, mstime_t now)
+{
+	if (sl->owned)
+		return sl->foreign * share_ended_(sl, now - sl->foreign_at);
+	if (!sl->peer_heard)
 		return 0;
-	age = (double)(now - sl->peer_heard) / MAX(1.0, sl->duration_ms);
-	return 2 * slot_load(sl, now) * MIN(1.0, age);
+	return 2 * slot_load(sl, now) * share_ended_(sl, now - sl->peer_heard);
 }
 
 bool slot_alive(const slot_t *sl, mstime_t now)
@@ -227,13 +268,33 @@
 	sl->out_max = sl->out;
 }
 
+/*
+ * Time until a new request starts when so many run at a time: the first of
+ * them ends after a part of its duration, then one follows the other.
+ */
+static mstime_t wait_(const slot_t *sl, const char *customer, int lanes)
+{
+	guint ahead = fairq_ahead(&sl->queue, customer);
+	double n = MAX(1, lanes);
+
+	return (mstime_t)(sl->duration_ms * (1 / (n + 1) + ahead / n));
+}
+
 mstime_t slot_wait(const slot_t *sl, const sched_t *s, mstime_t now,
 		   const char *customer)
 {
-	guint ahead = fairq_ahead(&sl->queue, customer);
-	int lanes = MAX(1, MIN(slot_limit(sl, s, now), MAX(1, sl->out)));
+	return wait_(sl, customer, MIN(slot_limit(sl, s, now), sl->out));
+}
 
-	return (mstime_t)((ahead + 1) * sl->duration_ms / lanes);
+mstime_t slot_wait_least(const slot_t *sl, const sched_t *s, mstime_t now,
+			 const char *customer)
+{
+	return wait_(sl, customer, slot_limit(sl, s, now));
+}
+
+mstime_t slot_prefill_ms(const slot_t *sl, int64_t tokens)
+{
+	return (mstime_t)((double)(tokens * MSEC_PER_SEC) / sl->prefill_tps);
 }
 
 void slot_note_prefill(slot_t *sl, const sched_outcome_t *o)
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -223,13 +223,20 @@
 	return MEMBER_PROBE_MS;
 }
 
+bool members_check_pause(members_t *ms, mstime_t now)
+{
+	if (now - ms->last_tick <= MEMBER_PAUSE_MS)
+		return false;
+	/* Probes that were open during the pause prove nothing. */
+	g_clear_pointer(&ms->probe.target, g_free);
+	ms->paused_at = now;
+	ms->last_tick = now;
+	return true;
+}
+
 void members_tick(members_t *ms, mstime_t now)
 {
-	if (now - ms->last_tick > MEMBER_PAUSE_MS) {
-		/* Probes that were open during the pause prove nothing. */
-		g_clear_pointer(&ms->probe.target, g_free);
-		ms->paused_at = now;
-	}
+	members_check_pause(ms, now);
 	ms->last_tick = now;
 	ms->self->heard = now;
 	check_probe_(ms, now);
--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -249,18 +249,22 @@
 /* Another node does not own the upstream any more; views differ for a while. */
 static bool moved_(const exchange_t *x, const problem_t *p)
 {
-	return x->placed.verdict == SCHED_FORWARD && p->ran == RAN_NO &&
-	       !strcmp(p->reason, sched_refusal_reason[REFUSE_MOVED]);
+	if (x->placed.verdict != SCHED_FORWARD)
+		return false;
+	return !strcmp(p->reason, sched_refusal_reason[REFUSE_MOVED]) ||
+	       !strcmp(p->reason, refusal_not_ready);
 }
 
 static void take_refusal_(exchange_t *x, http_call_t *call)
 {
 	problem_t p = problem_(x);
 
-	if (moved_(x, &p))
+	if (!moved_(x, &p))
+		refused_(x, call, &p);
+	else if (p.ran == RAN_NO)
 		exchange_failed(x, FAILURE_MOVED);
 	else
-		refused_(x, call, &p);
+		exchange_failed(x, FAILURE_CUT);
 }
 
 /* Lets the fleet look at a node whose host says that nobody listens. */
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define TICK_S 0.1
+#define PUMP_S ((double)SCHED_PUMP_MS / MSEC_PER_SEC)
 #define TRACES_MAX 10000
 /* After the last open request, addresses handed out must have run out too. */
 #define LEAVE_GRACE_MS 1500
@@ -17,11 +18,11 @@
 static void receive_(void *ctx, void *message);
 static void stop_(void *ctx);
 static void on_tick_(struct ev_loop *loop, ev_timer *w, int revents);
+static void on_pump_(struct ev_loop *loop, ev_timer *w, int revents);
 static void answer_(void *ctx, const sched_answer_t *a);
 static void lend_(void *ctx, const char *node, const power_loan_t *loan);
 static void health_(void *ctx, const char *upstream, const char *what);
 static void move_(void *ctx, const sched_move_t *m);
-static void set_phase_(control_t *c, node_phase_t phase);
 
 static const task_ops_t task_ops = { start_, receive_, stop_ };
 static const sched_ops_t sched_ops = { answer_, lend_, health_, move_ };
@@ -100,6 +101,8 @@
 	ev_timer_init(&c->tick, on_tick_, TICK_S, TICK_S);
 	c->tick.data = c;
 	ev_timer_start(loop, &c->tick);
+	ev_timer_init(&c->pump, on_pump_, PUMP_S, PUMP_S);
+	c->pump.data = c;
 	return true;
 }
 
@@ -108,6 +111,7 @@
 	control_t *c = ctx;
 
 	ev_timer_stop(c->task.loop, &c->tick);
+	ev_timer_stop(c->task.loop, &c->pump);
 	operators_stop(c);
 	orders_stop(c);
 	jobs_stop(c);
@@ -117,6 +121,22 @@
 	http_client_finish(&c->http);
 }
 
+static void set_phase_(control_t *c, node_phase_t phase)
+{
+	message_t *m = message_new(MSG_PHASE);
+
+	c->phase = phase;
+	m->phase = phase;
+	relay_post(c->relay, m);
+}
+
+static void tell_state_(control_t *c, mstime_t now, member_state_t state)
+{
+	members_set_state(&c->members, now, state);
+	members_announce(&c->members, now);
+	peers_roster(c, now);
+}
+
 void control_leave(control_t *c)
 {
 	mstime_t now = clock_now();
@@ -127,30 +147,27 @@
 		  F_INT("drain_s", c->settings->drain_s));
 	c->leave_at = now + c->settings->drain_s * MSEC_PER_SEC;
 	set_phase_(c, PHASE_LEAVING);
-	members_set_state(&c->members, now, MEMBER_LEAVING);
-	members_announce(&c->members, now);
-	peers_roster(c, now);
+	tell_state_(c, now, MEMBER_LEAVING);
 }
 
-static void set_phase_(control_t *c, node_phase_t phase)
+void control_rejoin(control_t *c, mstime_t until)
 {
-	message_t *m = message_new(MSG_PHASE);
-
-	c->phase = phase;
-	m->phase = phase;
-	relay_post(c->relay, m);
+	if (c->phase != PHASE_READY)
+		return;
+	c->ready_at = until;
+	set_phase_(c, PHASE_JOINING);
+	tell_state_(c, clock_now(), MEMBER_JOINING);
 }
 
 static void check_ready_(control_t *c, mstime_t now)
 {
-	if (c->phase != PHASE_JOINING || !stream_caught_up(c))
+	if (c->phase != PHASE_JOINING || now < c->ready_at ||
+	    !stream_caught_up(c))
 		return;
 	LOG_EVENT(LOG_NOTICE, "node.ready",
 		  F_INT("applied", (int64_t)c->config.applied));
 	set_phase_(c, PHASE_READY);
-	members_set_state(&c->members, now, MEMBER_LIVE);
-	members_announce(&c->members, now);
-	peers_roster(c, now);
+	tell_state_(c, now, MEMBER_LIVE);
 }
 
 static void check_left_(control_t *c, mstime_t now)
@@ -188,6 +205,22 @@
 	check_left_(c, now);
 }
 
+static void on_pump_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	control_t *c = w->data;
+
+	(void)revents;
+	if (!sched_pump(&c->sched, clock_now()))
+		ev_timer_stop(loop, w);
+}
+
+static void place_(control_t *c, const sched_request_t *r)
+{
+	sched_place(&c->sched, clock_now(), r);
+	/* It may wait. */
+	ev_timer_start(c->task.loop, &c->pump);
+}
+
 /* Whether callers may be sent to a node. */
 static const char *given_address_(const control_t *c, const char *name)
 {
@@ -252,9 +285,10 @@
 	message_t *m = message;
 	mstime_t now = clock_now();
 
+	peers_check_pause(c, now);
 	switch (m->type) {
 	case MSG_PLACE:
-		sched_place(&c->sched, now, &m->place);
+		place_(c, &m->place);
 		break;
 	case MSG_CANCEL:
 		sched_cancel(&c->sched, now, m->cancel);
@@ -317,6 +351,7 @@
 	message_t *m = message_new(MSG_ANSWER);
 
 	m->answer = *a;
+	m->answer.at = clock_now();
 	if (a->verdict != SCHED_REFUSE)
 		add_loads_(c, &m->answer);
 	relay_post(c->relay, m);
--- a/packages/node/control_loads.c
+++ b/packages/node/control_loads.c
@@ -72,9 +72,27 @@
 	g_free(url);
 }
 
+/* An upstream that no report has told of yet holds requests back. */
+static bool may_poll_(control_t *c, mstime_t now, const upstream_t *u)
+{
+	bool urgent = sched_unreported(&c->sched, u);
+
+	if (g_hash_table_contains(c->polling, GUINT_TO_POINTER(u->key)))
+		return false;
+	if (!urgent && c->load_rounds % IDLE_POLLS && sched_idle(&c->sched, u))
+		return false;
+	if ((urgent || budget_has(&c->budget, now, BUDGET_POLL_SHARE)) &&
+	    budget_take(&c->budget, now, POLL_BYTES, urgent))
+		return true;
+	counter_add(COUNTER_CONTROL_DROPPED, 1);
+	return false;
+}
+
+/* All in turn: where the budget ends, the next round goes on. */
 void loads_tick(control_t *c, mstime_t now)
 {
 	GPtrArray *owned;
+	guint first = c->poll_cursor;
 
 	if (now < c->next_loads)
 		return;
@@ -82,17 +100,12 @@
 	c->load_rounds++;
 	owned = sched_owned(&c->sched);
 	for (guint i = 0; i < owned->len; i++) {
-		const upstream_t *u = owned->pdata[i];
+		guint at = (first + i) % owned->len;
+		const upstream_t *u = owned->pdata[at];
 
-		if (g_hash_table_contains(c->polling, GUINT_TO_POINTER(u->key)))
-			continue;
-		if (c->load_rounds % IDLE_POLLS && sched_idle(&c->sched, u))
-			continue;
-		if (!budget_has(&c->budget, now, BUDGET_POLL_SHARE) ||
-		    !budget_take(&c->budget, now, POLL_BYTES, false)) {
-			counter_add(COUNTER_CONTROL_DROPPED, 1);
+		if (!may_poll_(c, now, u))
 			continue;
-		}
+		c->poll_cursor = at + 1;
 		counter_add(COUNTER_CONTROL_SENT_BYTES, POLL_BYTES);
 		poll_(c, u, now);
 	}
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -9,9 +9,9 @@
 #define HOSTS_INTERVAL_MS 10000
 #define HOSTS_RETRY_MS 2000
 #define STAMP_MS 10
-/* Own loads are told to a few peers at this interval. */
-#define LOADS_INTERVAL_MS 500
-/* Also when none has changed. */
+/* Between two messages that tell own loads to nodes of the same service. */
+#define LOADS_SPACING_MS 84
+/* Own loads are told to other nodes at this interval. */
 #define LOADS_REPEAT_MS 3000
 #define LOADS_PEERS 8
 #define MILLI 1000.0
@@ -156,6 +156,7 @@
 	mstime_t now = clock_now();
 	int err;
 
+	peers_check_pause(c, now);
 	counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
 		    (int64_t)data.len + DATAGRAM_OVERHEAD);
 	err = datagram_decode(c->settings->peer_key, data, clock_wall(), &proc,
@@ -229,26 +230,16 @@
 	m->roster = roster;
 	relay_post(c->relay, m);
 	sched_set_nodes(&c->sched, now, nodes);
+	/* Upstreams that were taken over are asked at once. */
+	c->next_loads = now;
 }
 
-/* Tells own loads to a few peers, in turn, as far as the budget allows. */
-static void push_loads_(control_t *c, mstime_t now)
+/* Tells own loads to some of a list of nodes, in turn. */
+static void tell_loads_(control_t *c, mstime_t now, const GPtrArray *nodes)
 {
-	GPtrArray *nodes = c->sched.nodes;
-	GPtrArray *owned;
 	guint all = nodes->len;
-	uint64_t sum;
 
-	if (now < c->next_push || all < 2)
-		return;
-	c->next_push = now + LOADS_INTERVAL_MS;
-	sum = sched_own_load(&c->sched, now);
-	if (sum == c->pushed_sum && now < c->pushed_at + LOADS_REPEAT_MS)
-		return;
-	c->pushed_sum = sum;
-	c->pushed_at = now;
-	owned = sched_owned(&c->sched);
-	for (guint i = 0; owned->len && i < MIN(all, LOADS_PEERS); i++) {
+	for (guint i = 0; i < MIN(all, LOADS_PEERS); i++) {
 		const sched_node_t *n = nodes->pdata[c->push_cursor++ % all];
 		const member_t *member = members_find(&c->members, n->name);
 		peer_message_t m = { .seq = ++c->members.seq };
@@ -258,26 +249,53 @@
 			continue;
 		send_(c, member->peer, PEER_LOADS, &m, true);
 	}
-	g_ptr_array_unref(owned);
 }
 
-static void check_pause_(control_t *c, mstime_t now)
+/*
+ * Tells own loads: often to the nodes whose upstreams count towards the same
+ * mean, now and then to others, as far as the budget allows.
+ */
+static void push_loads_(control_t *c, mstime_t now)
+{
+	const GPtrArray *rivals = c->sched.rivals;
+	uint64_t sum;
+
+	if (now >= c->next_push) {
+		c->next_push =
+			now + LOADS_SPACING_MS * MIN(rivals->len, LOADS_PEERS);
+		sum = sched_own_load(&c->sched, now);
+		if (sum != c->pushed_sum)
+			tell_loads_(c, now, rivals);
+		c->pushed_sum = sum;
+	}
+	if (now >= c->next_push_all) {
+		c->next_push_all = now + LOADS_REPEAT_MS;
+		if (c->sched.owned)
+			tell_loads_(c, now, c->sched.nodes);
+	}
+}
+
+/*
+ * Others may have taken over during the pause. The node joins anew: it sends
+ * nothing and owns nothing until all have heard of it.
+ */
+void peers_check_pause(control_t *c, mstime_t now)
 {
-	if (c->members.paused_at == c->paused_at)
+	if (!members_check_pause(&c->members, now))
 		return;
-	c->paused_at = c->members.paused_at;
 	LOG_EVENT(LOG_WARNING, "node.paused", F_INT("hold_ms", PAUSE_HOLD_MS));
 	sched_pause(&c->sched, now + PAUSE_HOLD_MS);
+	control_rejoin(c, now + PAUSE_HOLD_MS);
 }
 
 void peers_tick(control_t *c, mstime_t now)
 {
 	bool isolated;
 
+	peers_check_pause(c, now);
 	members_set_applied(&c->members, c->config.applied);
 	members_tick(&c->members, now);
 	push_loads_(c, now);
-	check_pause_(c, now);
 	isolated = members_isolated(&c->members, now);
 	if (isolated != c->isolated) {
 		c->isolated = isolated;
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -5,6 +5,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/* A place is used only if it was decided this short a time ago. */
+#define ANSWER_AGE_MAX_MS 1000
+
 typedef struct filter {
 	const char *name;
 	filter_result_t (*run)(exchange_t *x);
@@ -16,6 +19,8 @@
 	{ "once", filter_once },	 { "place", filter_place },
 };
 
+const char refusal_not_ready[] = "not_ready";
+
 static const char *const ran_string[] = { "no", "unknown", "yes" };
 
 static void post_trace_(exchange_t *x, bool whole);
@@ -228,6 +233,12 @@
 		return;
 	}
 	x->permit = a->verdict == SCHED_RUN;
+	if (clock_now() - a->at > ANSWER_AGE_MAX_MS) {
+		/* Decided before a pause; the upstream may have a new owner. */
+		exchange_release(x, SCHED_ABANDONED);
+		exchange_place(x);
+		return;
+	}
 	LOG_EVENT(LOG_DEBUG, "request.placed", F_STR("request", x->request_id),
 		  F_STR("upstream", a->upstream), F_STR("node", a->node),
 		  F_INT("hop", x->hop), F_INT("ms", clock_now() - x->started));
--- a/packages/node/filters.c
+++ b/packages/node/filters.c
@@ -154,6 +154,7 @@
 	const customer_t *customer;
 
 	if (x->relay->phase == PHASE_JOINING) {
+		x->reason = refusal_not_ready;
 		exchange_refuse(x, 503, "node is not ready", RAN_NO,
 				COUNTER_REFUSED_NOT_READY, NOT_READY_RETRY_MS);
 		return FILTER_DONE;
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -49,12 +49,14 @@
 	uint64_t incarnation;
 	node_phase_t phase;
 	mstime_t leave_at; /* end of a graceful stop, or 0 */
+	mstime_t ready_at; /* earliest time of being ready */
 	void (*stopped)(void *arg);
 	void *stopped_arg;
 
 	http_client_t http;
 	http_server_t operators;
 	ev_timer tick;
+	ev_timer pump; /* while requests wait */
 
 	/* peers */
 	int socket;
@@ -66,8 +68,8 @@
 	mstime_t next_hosts;
 	mstime_t next_push;
 	guint push_cursor;
+	mstime_t next_push_all;
 	uint64_t pushed_sum;
-	mstime_t pushed_at;
 	host_list_client_t hosts;
 
 	/* configuration */
@@ -87,8 +89,8 @@
 	sched_t sched;
 	mstime_t next_loads;
 	guint load_rounds;
+	guint poll_cursor;
 	GHashTable *polling; /* keys of upstreams whose report is awaited */
-	mstime_t paused_at;
 
 	/* run-once */
 	struct once_book *once;
@@ -116,6 +118,11 @@
 void control_stop(control_t *c);
 void control_finish(control_t *c);
 
+/*
+ * control_rejoin - makes a ready node a joining one until a time.
+ */
+void control_rejoin(control_t *c, mstime_t until);
+
 /*
  * control_leave - begins a graceful stop; to be posted through the task.
  */
@@ -141,6 +148,11 @@
 void peers_tick(control_t *c, mstime_t now);
 void peers_send_loan(control_t *c, const char *node, const power_loan_t *loan);
 void peers_roster(control_t *c, mstime_t now);
+/*
+ * peers_check_pause - joins anew when the process stood still; to be called
+ * before anything is decided.
+ */
+void peers_check_pause(control_t *c, mstime_t now);
 /*
  * peers_stamp - present wall time as in load gossip.
  */
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -33,6 +33,9 @@
 	FILTER_DONE, /* the request has its answer */
 } filter_result_t;
 
+/* Reason of a refusal by a node that is not ready. */
+extern const char refusal_not_ready[];
+
 /* Why an attempt has failed. */
 typedef enum failure {
 	FAILURE_CONNECT, /* nothing was sent */
@@ -114,6 +117,7 @@
 	bool sent_before; /* the same before this attempt */
 	int64_t last_id;
 	int attempts;
+	int retries; /* after attempts that may have reached an upstream */
 	mstime_t started;
 	mstime_t sent_at;
 	mstime_t heard_at; /* last byte from upstream */
--- a/packages/node/retry.c
+++ b/packages/node/retry.c
@@ -6,7 +6,7 @@
 #include <kcf/logline.h>
 #include <string.h>
 
-#define ATTEMPTS_MAX 6
+#define RETRIES_MAX 5
 #define RETRY_AFTER_BROKEN_MS 1000
 /* After a node was lost, its upstreams have another owner within this time. */
 #define OWNER_WAIT_MS 8000
@@ -82,7 +82,7 @@
 /* Retries come out of a budget, a share of the requests. */
 static bool take_retry_(exchange_t *x)
 {
-	if (x->attempts >= ATTEMPTS_MAX || x->relay->retry_budget < 1)
+	if (x->relay->retry_budget < 1)
 		return false;
 	x->relay->retry_budget -= 1;
 	return true;
@@ -131,16 +131,28 @@
 	return true;
 }
 
+/*
+ * A lost node's work at upstreams ends with it, so that going on elsewhere
+ * adds none; the budget is for upstreams that fail.
+ */
 static bool again_(exchange_t *x, failure_t why)
 {
-	if (x->placed.verdict == SCHED_FORWARD && unsent_(why))
+	bool at_node = x->placed.verdict == SCHED_FORWARD;
+
+	if (at_node && unsent_(why))
 		return at_other_owner_(x, why);
-	if (!take_retry_(x))
+	if (x->retries >= RETRIES_MAX)
 		return false;
+	x->retries++;
 	counter_add(COUNTER_RETRIES, 1);
 	if (x->streaming)
 		counter_add(COUNTER_RESUMED, 1);
-	if (why == FAILURE_CONNECT || x->attempts > 1)
+	if (at_node && why != FAILURE_NODE && exchange_wait_owner(x))
+		return true;
+	/* A node that is held dead is not chosen again. */
+	if (why != FAILURE_NODE && !take_retry_(x))
+		return false;
+	if (why == FAILURE_CONNECT || x->retries > 1)
 		exclude_(x);
 	x->target = 0;
 	exchange_place(x);
--- /dev/null
+++ b/packages/state/group.c
@@ -0,0 +1,74 @@
+#include "private/group.h"
+
+#include <kcf/rank.h>
+
+static char *region_(const upstream_t *u)
+{
+	return g_strdup_printf("region/%s/%s", u->data_centre->region,
+			       u->service->name);
+}
+
+static char *data_centre_(const upstream_t *u)
+{
+	return g_strdup_printf("data centre/%s/%s", u->data_centre->name,
+			       u->service->name);
+}
+
+/* Takes over the area's name. */
+static void add_slots_(GHashTable *sums, char *area, int slots)
+{
+	int sum = GPOINTER_TO_INT(g_hash_table_lookup(sums, area));
+
+	g_hash_table_replace(sums, area, GINT_TO_POINTER(sum + slots));
+}
+
+/* Part of its area that an upstream falls to; few move when parts change. */
+static uint64_t part_(const upstream_t *u, int parts)
+{
+	double best_score = 0;
+	uint64_t best = 0;
+
+	for (uint64_t i = 1; i <= (uint64_t)parts; i++) {
+		double score = rank_score(u->hash, i, 1);
+
+		if (score > best_score) {
+			best_score = score;
+			best = i;
+		}
+	}
+	return best;
+}
+
+static void group_(upstream_t *u, GHashTable *sums)
+{
+	char *area = region_(u);
+	int slots = GPOINTER_TO_INT(g_hash_table_lookup(sums, area));
+	uint64_t part = 0;
+
+	u->regional = slots <= GROUP_SLOTS_MAX;
+	if (!u->regional) {
+		g_free(area);
+		area = data_centre_(u);
+		slots = GPOINTER_TO_INT(g_hash_table_lookup(sums, area));
+		part = part_(u,
+			     (slots + GROUP_SLOTS_MAX - 1) / GROUP_SLOTS_MAX);
+	}
+	u->group = str_hash64(str_of(area), part);
+	g_free(area);
+}
+
+void group_upstreams(GPtrArray *upstreams)
+{
+	GHashTable *sums =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		const upstream_t *u = upstreams->pdata[i];
+
+		add_slots_(sums, region_(u), u->slots);
+		add_slots_(sums, data_centre_(u), u->slots);
+	}
+	for (guint i = 0; i < upstreams->len; i++)
+		group_(upstreams->pdata[i], sums);
+	g_hash_table_destroy(sums);
+}
--- a/packages/state/view.c
+++ b/packages/state/view.c
@@ -1,3 +1,5 @@
+#include "private/group.h"
+
 #include <kcf/view.h>
 
 #include <assert.h>
@@ -168,6 +170,7 @@
 			builders[i].build(v, list->pdata[j]);
 		g_ptr_array_unref(list);
 	}
+	group_upstreams(v->upstreams);
 	return v;
 }
 
--- a/tests/scenarios/bound.lua
+++ b/tests/scenarios/bound.lua
@@ -2,18 +2,18 @@
 -- while engines come and go, one customer surges, and owners die or freeze.
 dofile(scenarios .. "/measure.lua")
 local f = start_fleet { engine = { token_ms = 20 } }
-local n = f.nodes[1]
 local keys = "key-ribera=4,key-delta-norte=3,key-puerto-sur=3,key-broker-1=1"
 
 local function reset() for _, e in ipairs(f.engines) do fault(e, { reset = 1 }) end end
 
 local function check(what, o, during)
 	reset()
-	local load = start_load(n, { model = MODEL, service = SERVICE, keys = keys, rate = o.rate or 80, duration_ms = 9000,
+	local owner = owner_of(f, SERVICE)
+	local load = start_load(other_than(f, owner), { model = MODEL, service = SERVICE, keys = keys, rate = o.rate or 80, duration_ms = 9000,
 				     chats = 600, max_tokens = 30, stream = true, surge = o.surge, seed = o.seed or 1 })
 	if during then
 		sleep_ms(2500)
-		during()
+		during(owner)
 	end
 	local report = finish_load(load)
 	local arrivals, over, worst = over_bound(f.engines, 1.25, 1, o.active)
@@ -31,14 +31,18 @@
 
 expect_bound("steady", {})
 expect_bound("surge", { surge = "0:6:2500:6000" })
-expect_bound("owner killed", { seed = 2 }, function() kill(f.nodes[4]) end)
-start_node(f, f.nodes[4])
+local killed
+expect_bound("owner killed", { seed = 2 }, function(owner)
+	killed = owner
+	kill(owner)
+end)
+start_node(f, killed)
 wait_ready(f)
 sleep_ms(3000)
-expect_bound("owner frozen", { seed = 3 }, function()
-	freeze(f.nodes[5])
+expect_bound("owner frozen", { seed = 3 }, function(owner)
+	freeze(owner)
 	sleep_ms(3500)
-	thaw(f.nodes[5])
+	thaw(owner)
 end)
 sleep_ms(4000)
 expect_bound("engine lost and back", { seed = 4, active = 9 }, function()
--- a/tests/scenarios/measure.lua
+++ b/tests/scenarios/measure.lua
@@ -4,9 +4,10 @@
 function replay(engines, fn)
 	local all = {}
 	for i, e in ipairs(engines) do
-		local before = 0
+		local before
+		-- The first event is the state at the reset, not an arrival.
 		for _, pair in ipairs(stats(e).events) do
-			all[#all + 1] = { t = pair[1], e = i, load = pair[2], up = pair[2] > before }
+			all[#all + 1] = { t = pair[1], e = i, load = pair[2], up = before and pair[2] > before }
 			before = pair[2]
 		end
 	end
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -327,6 +327,32 @@
 	return report
 end
 
+-- The node that owns most of a service's upstreams.
+function owner_of(f, service)
+	local count, most, asked = {}, nil, f.nodes[1]
+	for _, n in ipairs(f.nodes) do
+		if not n.gone then asked = n end
+	end
+	for _, u in ipairs(operator(asked, "GET", "/v1/upstreams").json.items) do
+		if u.service == service then
+			count[u.owner] = (count[u.owner] or 0) + 1
+			if not most or count[u.owner] > count[most] then most = u.owner end
+		end
+	end
+	for _, n in ipairs(f.nodes) do
+		if n.name == most then return n end
+	end
+end
+
+-- A node that is none of these, to enter at.
+function other_than(f, ...)
+	local out = {}
+	for _, n in ipairs({ ... }) do out[n] = true end
+	for _, n in ipairs(f.nodes) do
+		if not out[n] and not n.gone then return n end
+	end
+end
+
 function refusals(report)
 	local n, text = 0, ""
 	for k, v in pairs(report.refused) do
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -54,7 +54,7 @@
 	int samples[SAMPLES];
 	int sample;
 	ev_timer sampler;
-	GArray *events;	  /* pairs of time and outstanding */
+	GArray *events;	  /* pairs of time and outstanding, from the start */
 	GArray *arrivals; /* age at arrival and outstanding after it */
 	GPtrArray *jobs;
 } e;
@@ -106,6 +106,7 @@
 	e.jobs = g_ptr_array_new();
 	e.models = json_object();
 	e.orders = json_array();
+	mark_();
 	start_anew_();
 	ev_timer_init(&e.sampler, on_sample_, SAMPLE_S, SAMPLE_S);
 	ev_timer_start(loop, &e.sampler);
@@ -439,6 +440,7 @@
 	if (reset) {
 		e.peak = e.outstanding;
 		g_array_set_size(e.events, 0);
+		mark_();
 		e.prompt = 0;
 		e.cached = 0;
 		e.requests = 0;
--- a/tests/unit/fixture.c
+++ b/tests/unit/fixture.c
@@ -27,11 +27,22 @@
 	json_decref(json);
 }
 
-void fixture_fleet(config_t *c, int upstreams)
+void fixture_engine(config_t *c, int i, int slots, int ramp_s)
 {
 	char name[16];
 	char body[256];
 
+	snprintf(name, sizeof(name), "e%d", i);
+	snprintf(body, sizeof(body),
+		 "{\"service\":\"svc\",\"data_centre\":\"d%d\","
+		 "\"address\":\"127.0.0.%d:9\",\"slots\":%d,"
+		 "\"floor\":1,\"ramp_s\":%d,\"cache_tokens\":10000}",
+		 i % 2 + 1, i + 1, slots, ramp_s);
+	fixture_put(c, KIND_UPSTREAM, name, body);
+}
+
+void fixture_fleet(config_t *c, int upstreams)
+{
 	fixture_put(c, KIND_DATA_CENTRE, "d1", "{\"region\":\"r\"}");
 	fixture_put(c, KIND_DATA_CENTRE, "d2", "{\"region\":\"r\"}");
 	fixture_put(c, KIND_SERVICE, "svc",
@@ -42,15 +53,8 @@
 		    "\"/r/*\"}]}");
 	fixture_put(c, KIND_MODEL, "m",
 		    "{\"service\":\"svc\",\"adapters\":[\"a\"]}");
-	for (int i = 0; i < upstreams; i++) {
-		snprintf(name, sizeof(name), "e%d", i);
-		snprintf(body, sizeof(body),
-			 "{\"service\":\"svc\",\"data_centre\":\"d%d\","
-			 "\"address\":\"127.0.0.%d:9\",\"slots\":8,"
-			 "\"floor\":1,\"ramp_s\":0,\"cache_tokens\":10000}",
-			 i % 2 + 1, i + 1);
-		fixture_put(c, KIND_UPSTREAM, name, body);
-	}
+	for (int i = 0; i < upstreams; i++)
+		fixture_engine(c, i, 8, 0);
 	fixture_put(c, KIND_CUSTOMER, "c",
 		    "{\"keys\":[\"2c70e12b7a0646f92279f427c7b38e7334d8e5389cff1"
 		    "67a1dc30e73f826b683\"],\"services\":[\"svc\"]}");
--- a/tests/unit/test_member.c
+++ b/tests/unit/test_member.c
@@ -182,6 +182,33 @@
 }
 END_TEST
 
+/* A refused connection shortens the suspicion of a node that is gone. */
+START_TEST(test_doubt_dead)
+{
+	net.nodes[3].up = false;
+	for (int i = 0; i < NODES; i++)
+		members_doubt(&net.nodes[i].members, net.now, "n3");
+	expect_all_(3, MEMBER_SUSPECT);
+	run_(MEMBER_DOUBT_MS + 2 * STEP_MS);
+	expect_all_(3, MEMBER_DEAD);
+}
+END_TEST
+
+/* A node that is doubted wrongly answers, and is never held dead. */
+START_TEST(test_doubt_live)
+{
+	members_doubt(&net.nodes[0].members, net.now, "n3");
+	members_doubt(&net.nodes[0].members, net.now, "n0");
+	members_doubt(&net.nodes[0].members, net.now, "nobody");
+	for (int step = 0; step < 100; step++) {
+		run_(STEP_MS);
+		for (int i = 0; i < NODES; i++)
+			ck_assert_int_ne(seen_(i, 3), MEMBER_DEAD);
+	}
+	expect_all_(3, MEMBER_LIVE);
+}
+END_TEST
+
 START_TEST(test_restart)
 {
 	net.nodes[3].up = false;
@@ -282,6 +309,8 @@
 	tcase_add_checked_fixture(t, setup_, teardown_);
 	tcase_add_test(t, test_join);
 	tcase_add_test(t, test_death);
+	tcase_add_test(t, test_doubt_dead);
+	tcase_add_test(t, test_doubt_live);
 	tcase_add_test(t, test_restart);
 	tcase_add_test(t, test_leave);
 	tcase_add_test(t, test_freeze);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -8,6 +8,8 @@
 
 #define ENGINES 10
 #define CHATS 400
+/* A request has reached its engine within this time. */
+#define ARRIVAL_MS 20
 
 /* One node, or two that know each other, without sockets. */
 static struct {
@@ -120,6 +122,23 @@
 	return r.id;
 }
 
+/* Places requests one after the other, each arrived before the next. */
+static void fill_(uint64_t first_chat, int count)
+{
+	for (int i = 0; i < count; i++) {
+		place_(first_chat + (uint64_t)i);
+		t.now += ARRIVAL_MS;
+	}
+}
+
+/* Makes the service too large for one owner. */
+static void widen_(void)
+{
+	for (int e = 0; e < ENGINES; e++)
+		fixture_engine(&t.config, e, 100, 0);
+	new_view_();
+}
+
 static void release_(uint64_t id, int engine, sched_result_t result)
 {
 	sched_outcome_t o = { .id = id,
@@ -164,6 +183,7 @@
 		int sum = 0;
 
 		place_((uint64_t)(i % 40));
+		t.now += ARRIVAL_MS;
 		for (int e = 0; e < ENGINES; e++) {
 			max = MAX(max, t.out[e]);
 			sum += t.out[e];
@@ -281,8 +301,7 @@
 	new_view_();
 	t.now += 20000;
 	report_(0, 0, 1);
-	for (int i = 0; i < 8; i++)
-		place_((uint64_t)i);
+	fill_(0, 8);
 	ck_assert_int_eq(t.out[0], 8);
 	for (uint64_t id = 1; id <= 8; id++)
 		release_(id, 0, SCHED_DONE);
@@ -303,8 +322,7 @@
 {
 	sched_request_t r;
 
-	for (int i = 0; i < 8 * ENGINES; i++)
-		place_((uint64_t)i);
+	fill_(0, 8 * ENGINES);
 	ck_assert_int_eq(t.runs, 8 * ENGINES);
 	r = request_(1000);
 	r.deadline = t.now + 1;
@@ -374,8 +392,7 @@
 {
 	int before;
 
-	for (int i = 0; i < 8 * ENGINES + 10; i++)
-		place_((uint64_t)i);
+	fill_(0, 8 * ENGINES + 10);
 	before = t.answers;
 	fixture_put(&t.config, KIND_DATA_CENTRE, "d2",
 		    "{\"region\":\"r\",\"state\":\"out\"}");
@@ -392,6 +409,7 @@
 {
 	int forwarded = 0;
 
+	widen_();
 	nodes_("other");
 	for (uint64_t chat = 0; chat < 100; chat++) {
 		uint64_t id = place_(chat);
@@ -410,6 +428,153 @@
 }
 END_TEST
 
+/* A small service has one owner, whatever the data centres. */
+START_TEST(test_one_owner)
+{
+	int forwarded = 0;
+
+	nodes_("other");
+	for (uint64_t chat = 0; chat < 50; chat++) {
+		uint64_t id = place_(chat);
+
+		if (t.last.verdict == SCHED_FORWARD)
+			forwarded++;
+		else
+			release_(id, atoi(t.last.upstream + 1), SCHED_DONE);
+	}
+	ck_assert(forwarded == 0 || forwarded == 50);
+}
+END_TEST
+
+/* Nodes of a data centre that is out own nothing while there are others. */
+START_TEST(test_out_owner)
+{
+	char dc[16];
+
+	nodes_("other");
+	snprintf(dc, sizeof(dc), "d%d", _i + 1);
+	fixture_put(&t.config, KIND_DATA_CENTRE, dc,
+		    "{\"region\":\"r\",\"state\":\"out\"}");
+	new_view_();
+	place_(1);
+	ck_assert_int_eq(t.last.verdict, _i ? SCHED_RUN : SCHED_FORWARD);
+}
+END_TEST
+
+/* Requests on their way do not count: a burst starts little by little. */
+START_TEST(test_burst)
+{
+	for (uint64_t chat = 0; chat < 60; chat++)
+		place_(chat);
+	for (int e = 0; e < ENGINES; e++)
+		ck_assert_int_le(t.out[e], 1);
+	for (int step = 0; step < 30; step++) {
+		int before = t.runs;
+
+		t.now += ARRIVAL_MS;
+		sched_pump(&t.sched, t.now);
+		/* Waiting requests look for another engine at each tick. */
+		if (step % 5 == 4)
+			sched_tick(&t.sched, t.now);
+		for (int e = 0; e < ENGINES; e++)
+			ck_assert_int_le(t.out[e],
+					 (int)(1.25 * (before + 1) / ENGINES) +
+						 1);
+	}
+	ck_assert_int_eq(t.runs, 60);
+	ck_assert(!sched_pump(&t.sched, t.now));
+}
+END_TEST
+
+/* What others had running there is expected to end; the mean falls with it. */
+START_TEST(test_foreign_ends)
+{
+	for (int e = 0; e < ENGINES; e++)
+		report_(e, 5, 1);
+	t.now += 60000;
+	for (int e = 1; e < ENGINES; e++)
+		report_(e, 0, 1);
+	for (uint64_t chat = 0; chat < 40; chat++)
+		place_(chat);
+	for (int e = 1; e < ENGINES; e++)
+		ck_assert_int_le(t.out[e], 1);
+}
+END_TEST
+
+/* The only warm engine is at its bound: worth a wait, or not. */
+static const struct {
+	int64_t prompt_tokens;
+	bool waits;
+} waits[] = {
+	{ 20, false },
+	{ 100000, true },
+};
+
+START_TEST(test_warm_wait)
+{
+	sched_request_t r = request_(1);
+	int home;
+
+	r.prompt_tokens = 2;
+	sched_place(&t.sched, t.now, &r);
+	home = atoi(t.last.upstream + 1);
+	t.now += ARRIVAL_MS;
+	r = request_(1);
+	r.prompt_tokens = waits[_i].prompt_tokens;
+	t.answers = 0;
+	sched_place(&t.sched, t.now, &r);
+	ck_assert(t.answers == !waits[_i].waits);
+	ck_assert_int_eq(t.out[home], 1);
+}
+END_TEST
+
+/*
+ * Taken over: an engine that has not started anew goes on from the work it
+ * has; one that has started anew in between begins at its floor.
+ */
+static const struct {
+	uint64_t start_id;
+	int outstanding;
+	int most;
+} takeovers[] = {
+	{ 7, 4, 5 },
+	{ 8, 4, 4 },
+	{ 8, 0, 1 },
+};
+
+START_TEST(test_confirm)
+{
+	/* The mark of start 7 as another node would send it. */
+	peer_load_t mark[ENGINES];
+
+	fixture_put(&t.config, KIND_SITE, "site", "{\"load_bound\":100}");
+	new_view_();
+	for (int e = 0; e < ENGINES; e++)
+		report_(e, 0, 7);
+	ck_assert_int_eq(
+		sched_fill_loads(&t.sched, t.now, 1, mark, ENGINES, true),
+		ENGINES);
+	sched_finish(&t.sched);
+	sched_init(&t.sched, "self", "d1", "r", 7, &ops, NULL);
+	for (int e = 0; e < ENGINES; e++)
+		fixture_engine(&t.config, e, 8, 10);
+	new_view_();
+	for (int e = 0; e < ENGINES; e++)
+		sched_take_load(&t.sched, t.now, &mark[e]);
+	nodes_(NULL);
+	t.now += 1000;
+	for (int e = 0; e < ENGINES; e++)
+		report_(e, takeovers[_i].outstanding, takeovers[_i].start_id);
+	for (int i = 0; i < 400; i++)
+		place_((uint64_t)i);
+	for (int e = 0; e < ENGINES; e++)
+		ck_assert_int_le(t.out[e] + takeovers[_i].outstanding,
+				 takeovers[_i].most);
+	ck_assert_int_eq(t.out[0] + takeovers[_i].outstanding,
+			 takeovers[_i].most);
+}
+END_TEST
+
 /* After another owner, nothing is sent before a report has told what runs. */
 START_TEST(test_takeover)
 {
@@ -457,6 +622,7 @@
 
 START_TEST(test_avoid)
 {
+	widen_();
 	nodes_("other");
 	for (uint64_t chat = 0; chat < 50; chat++) {
 		sched_request_t r = request_(chat);
@@ -538,8 +704,7 @@
 {
 	uint64_t id;
 
-	for (int i = 0; i < 8 * ENGINES; i++)
-		place_((uint64_t)i);
+	fill_(0, 8 * ENGINES);
 	id = place_(1000);
 	sched_cancel(&t.sched, t.now, id);
 	release_(1, 0, SCHED_DONE);
@@ -565,6 +730,12 @@
 	tcase_add_test(tc, test_out_queued);
 	tcase_add_test(tc, test_moves);
 	tcase_add_test(tc, test_forward);
+	tcase_add_test(tc, test_one_owner);
+	tcase_add_loop_test(tc, test_out_owner, 0, 2);
+	tcase_add_test(tc, test_burst);
+	tcase_add_test(tc, test_foreign_ends);
+	tcase_add_loop_test(tc, test_warm_wait, 0, G_N_ELEMENTS(waits));
+	tcase_add_loop_test(tc, test_confirm, 0, G_N_ELEMENTS(takeovers));
 	tcase_add_test(tc, test_takeover);
 	tcase_add_test(tc, test_hops);
 	tcase_add_test(tc, test_avoid);
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -60,6 +60,87 @@
 }
 END_TEST
 
+/* Services as they fit one owner, and the number of groups they make. */
+static const struct {
+	int engines;
+	int slots;
+	bool regional;
+	guint fewest;
+	guint most;
+} groups[] = {
+	{ 1, 8, true, 1, 1 },	  { 10, 8, true, 1, 1 },
+	{ 16, 16, true, 1, 1 },	  { 17, 16, false, 2, 2 },
+	{ 40, 64, false, 4, 10 }, { 2, 1000, false, 2, 2 },
+};
+
+static GHashTable *groups_of_(const view_t *v)
+{
+	GHashTable *of = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (guint i = 0; i < v->upstreams->len; i++) {
+		upstream_t *u = v->upstreams->pdata[i];
+
+		g_hash_table_insert(of, u->name, u);
+	}
+	return of;
+}
+
+START_TEST(test_groups)
+{
+	GHashTable *distinct = g_hash_table_new(g_int64_hash, g_int64_equal);
+	config_t c;
+	view_t *v;
+
+	config_init(&c);
+	fixture_fleet(&c, 0);
+	for (int i = 0; i < groups[_i].engines; i++)
+		fixture_engine(&c, i, groups[_i].slots, 0);
+	v = view_new(&c);
+	for (guint i = 0; i < v->upstreams->len; i++) {
+		upstream_t *u = v->upstreams->pdata[i];
+
+		ck_assert(u->regional == groups[_i].regional);
+		g_hash_table_add(distinct, &u->group);
+	}
+	ck_assert_uint_ge(g_hash_table_size(distinct), groups[_i].fewest);
+	ck_assert_uint_le(g_hash_table_size(distinct), groups[_i].most);
+	g_hash_table_destroy(distinct);
+	view_unref(v);
+	config_finish(&c);
+}
+END_TEST
+
+/* One engine more moves few others to another group. */
+START_TEST(test_groups_stay)
+{
+	config_t c;
+	view_t *before;
+	view_t *after;
+	GHashTable *of;
+	guint moved = 0;
+
+	config_init(&c);
+	fixture_fleet(&c, 0);
+	for (int i = 0; i < 40; i++)
+		fixture_engine(&c, i, 64, 0);
+	before = view_new(&c);
+	fixture_engine(&c, 40, 64, 0);
+	after = view_new(&c);
+	of = groups_of_(after);
+	for (guint i = 0; i < before->upstreams->len; i++) {
+		const upstream_t *u = before->upstreams->pdata[i];
+		const upstream_t *now = g_hash_table_lookup(of, u->name);
+
+		moved += u->group != now->group;
+	}
+	ck_assert_uint_le(moved, 10);
+	g_hash_table_destroy(of);
+	view_unref(before);
+	view_unref(after);
+	config_finish(&c);
+}
+END_TEST
+
 Suite *view_suite(void)
 {
 	Suite *s = suite_create("view");
@@ -67,6 +148,8 @@
 
 	tcase_add_loop_test(t, test_once, 0, G_N_ELEMENTS(calls));
 	tcase_add_test(t, test_fleet);
+	tcase_add_loop_test(t, test_groups, 0, G_N_ELEMENTS(groups));
+	tcase_add_test(t, test_groups_stay);
 	suite_add_tcase(s, t);
 	return s;
 }
