--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -144,6 +144,7 @@
 	char *region;
 	view_t *view;
 	GPtrArray *nodes;    /* sched_node_t * */
+	GHashTable *numbers; /* sched_node_for: number to sched_node_t * */
 	GPtrArray *rivals;   /* those of nodes that own upstreams of services
 				which this node owns others of */
 	guint owned;	     /* number of upstreams owned */
@@ -268,7 +269,7 @@
 
 /*
  * sched_node_for - node that a number falls to, the same in equal views; NULL
- * without nodes.
+ * without nodes. Answers are kept until the nodes change.
  */
 const char *sched_node_for(const sched_t *s, uint64_t number);
 
--- a/packages/ctl/cmd_load.c
+++ b/packages/ctl/cmd_load.c
@@ -4,10 +4,8 @@
  * Requests arrive at random times at a given rate, whatever the answers take,
  * so that slow answers are not hidden by fewer requests.
  */
-#include "private/ctl.h"
-#include "private/samples.h"
+#include "private/load.h"
 
-#include <ev.h>
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
@@ -16,80 +14,6 @@
 /* Tries of one request at other nodes when its node cannot be used. */
 #define TRIES_MAX 8
 #define TRY_AGAIN_S 0.2
-#define KEYS_MAX 64
-#define ADDRESSES_MAX 4
-
-typedef struct load_options {
-	char *model;
-	char *service;
-	char *keys;  /* comma-separated key[=share] */
-	char *surge; /* key index:factor:from_ms:to_ms */
-	char *direct;
-	char *once_path;
-	double rate;
-	double once_share;
-	int duration_ms;
-	int warmup_ms; /* answers before this do not count */
-	int chats;
-	int prompt_bytes;
-	int max_tokens;
-	int deadline_ms;
-	int seed;
-	gboolean stream;
-	gboolean any; /* use any node, without asking where */
-} load_options_t;
-
-typedef struct customer_load {
-	char *key;
-	double share;
-	samples_t total_ms;
-	int64_t ok;
-	int64_t refused;
-} customer_load_t;
-
-typedef struct chat_load {
-	char *id;
-	int turns;
-	int customer;
-	bool busy;
-	char *addresses[ADDRESSES_MAX]; /* of the last answer of where */
-	int address;			/* index of the one in use */
-	char *upstream;			/* that answered last */
-	int64_t start_id;		/* of that upstream then */
-	int64_t prompt;			/* tokens that it then held */
-	mstime_t valid_until;
-} chat_load_t;
-
-typedef struct load {
-	ctl_t *ctl;
-	load_options_t o;
-	GRand *rand;
-	customer_load_t customers[KEYS_MAX];
-	int customer_count;
-	double share_sum;
-	chat_load_t *chats;
-	mstime_t started;
-	mstime_t ends;
-	int open;
-	int64_t sent;
-	int64_t ok;
-	int64_t once_sent;
-	int64_t again;	 /* tries at another node */
-	int64_t skipped; /* arrivals without a free chat */
-	int64_t prompt;
-	int64_t cached;
-	int64_t ideal; /* cached tokens, had each chat gone to its last engine
-			*/
-	GHashTable *starts; /* upstream to its newest start id */
-	samples_t total_ms;
-	samples_t first_ms;
-	char *slowest; /* request id of the slowest answer */
-	double slowest_ms;
-	GHashTable *reasons;
-	GHashTable *upstreams;
-	ev_timer arrival;
-} load_t;
-
 typedef struct shot {
 	load_t *load;
 	chat_load_t *chat;
@@ -295,6 +219,17 @@
 	return true;
 }
 
+static void note_point_(load_t *l, double total_ms, bool ok)
+{
+	load_point_t point = {
+		.at_s = (double)(clock_now() - l->started) / MSEC_PER_SEC,
+		.total_ms = total_ms,
+		.ok = ok,
+	};
+
+	g_array_append_val(l->timeline, point);
+}
+
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
 	shot_t *s = ctx;
@@ -304,6 +239,7 @@
 
 	if (try_again_(s, err, status))
 		return;
+	note_point_(l, total, !err && status == 200 && complete_(s));
 	if (err || status != 200) {
 		count_refusal_(l, s, err, status);
 		finish_(s);
@@ -542,113 +478,6 @@
 	ev_timer_start(loop, w);
 }
 
-static json_t *table_(GHashTable *table)
-{
-	json_t *o = json_object();
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, table);
-	while (g_hash_table_iter_next(&iter, &key, &value))
-		json_object_set_new(o, key, json_integer(*(int64_t *)value));
-	return o;
-}
-
-static json_t *percentiles_(samples_t *s)
-{
-	return json_pack("{s:f,s:f,s:f,s:f,s:f}", "p50", samples_at(s, 0.5),
-			 "p90", samples_at(s, 0.9), "p95", samples_at(s, 0.95),
-			 "p99", samples_at(s, 0.99), "max", samples_at(s, 1.0));
-}
-
-static double skew_(GHashTable *upstreams)
-{
-	GHashTableIter iter;
-	gpointer value;
-	int64_t max = 0;
-	int64_t sum = 0;
-
-	g_hash_table_iter_init(&iter, upstreams);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		max = MAX(max, *(int64_t *)value);
-		sum += *(int64_t *)value;
-	}
-	return sum ? (double)max * g_hash_table_size(upstreams) / (double)sum
-		   : 0;
-}
-
-static json_t *customers_(load_t *l)
-{
-	json_t *list = json_array();
-
-	for (int i = 0; i < l->customer_count; i++) {
-		customer_load_t *c = &l->customers[i];
-
-		json_array_append_new(
-			list, json_pack("{s:i,s:I,s:I,s:o}", "customer", i,
-					"ok", (json_int_t)c->ok, "refused",
-					(json_int_t)c->refused, "total_ms",
-					percentiles_(&c->total_ms)));
-	}
-	return list;
-}
-
-static json_t *counts_report_(const load_t *l)
-{
-	double seconds = (double)l->o.duration_ms / MSEC_PER_SEC;
-
-	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:f}", "sent",
-			 (json_int_t)l->sent, "skipped", (json_int_t)l->skipped,
-			 "again", (json_int_t)l->again, "ok", (json_int_t)l->ok,
-			 "once", (json_int_t)l->once_sent, "ok_per_s",
-			 (double)l->ok / seconds);
-}
-
-static json_t *report_(load_t *l)
-{
-	json_t *o = counts_report_(l);
-	double prompt = (double)MAX(1, l->prompt);
-
-	json_object_set_new(o, "total_ms", percentiles_(&l->total_ms));
-	json_object_set_new(o, "first_ms", percentiles_(&l->first_ms));
-	json_object_set_new(o, "slowest",
-			    json_string(l->slowest ? l->slowest : ""));
-	json_object_set_new(o, "reuse", json_real((double)l->cached / prompt));
-	json_object_set_new(o, "ideal_reuse",
-			    json_real((double)l->ideal / prompt));
-	json_object_set_new(o, "skew", json_real(skew_(l->upstreams)));
-	json_object_set_new(o, "upstreams", table_(l->upstreams));
-	json_object_set_new(o, "refused", table_(l->reasons));
-	json_object_set_new(o, "customers", customers_(l));
-	return o;
-}
-
-static bool take_customers_(load_t *l)
-{
-	char **list = g_strsplit(l->o.keys     ? l->o.keys
-				 : l->ctl->key ? l->ctl->key
-					       : "",
-				 ",", KEYS_MAX);
-
-	for (char **k = list; *k && l->customer_count < KEYS_MAX; k++) {
-		customer_load_t *c = &l->customers[l->customer_count];
-		char *eq = strchr(*k, '=');
-
-		c->share = eq ? g_ascii_strtod(eq + 1, NULL) : 1;
-		if (eq)
-			*eq = '\0';
-		if (!**k || c->share <= 0)
-			continue;
-		c->key = g_strdup(*k);
-		samples_init(&c->total_ms);
-		l->share_sum += c->share;
-		l->customer_count++;
-	}
-	g_strfreev(list);
-	return l->customer_count > 0;
-}
-
 static void make_chats_(load_t *l)
 {
 	int per;
@@ -662,72 +491,6 @@
 	}
 }
 
-static bool parse_(load_options_t *o, int argc, char **argv)
-{
-	const GOptionEntry entries[] = {
-		{ "model", 0, 0, G_OPTION_ARG_STRING, &o->model, "Model",
-		  "NAME" },
-		{ "service", 0, 0, G_OPTION_ARG_STRING, &o->service,
-		  "Service of the model", "NAME" },
-		{ "keys", 0, 0, G_OPTION_ARG_STRING, &o->keys,
-		  "Customers' keys with their shares", "KEY[=SHARE],..." },
-		{ "surge", 0, 0, G_OPTION_ARG_STRING, &o->surge,
-		  "One customer sends more for a while",
-		  "CUSTOMER:FACTOR:FROM_MS:TO_MS" },
-		{ "direct", 0, 0, G_OPTION_ARG_STRING, &o->direct,
-		  "Send to this address alone", "IP:PORT" },
-		{ "any", 0, 0, G_OPTION_ARG_NONE, &o->any,
-		  "Use the given node without asking where", NULL },
-		{ "rate", 0, 0, G_OPTION_ARG_DOUBLE, &o->rate,
-		  "Requests a second", "N" },
-		{ "duration-ms", 0, 0, G_OPTION_ARG_INT, &o->duration_ms,
-		  "Time of arrivals", "MS" },
-		{ "warmup-ms", 0, 0, G_OPTION_ARG_INT, &o->warmup_ms,
-		  "Answers before this do not count", "MS" },
-		{ "chats", 0, 0, G_OPTION_ARG_INT, &o->chats,
-		  "Chats that return", "N" },
-		{ "prompt-bytes", 0, 0, G_OPTION_ARG_INT, &o->prompt_bytes,
-		  "First prompt of a chat", "N" },
-		{ "max-tokens", 0, 0, G_OPTION_ARG_INT, &o->max_tokens,
-		  "Tokens of an answer", "N" },
-		{ "deadline-ms", 0, 0, G_OPTION_ARG_INT, &o->deadline_ms,
-		  "Deadline of a request", "MS" },
-		{ "seed", 0, 0, G_OPTION_ARG_INT, &o->seed,
-		  "Of arrivals and chats", "N" },
-		{ "stream", 0, 0, G_OPTION_ARG_NONE, &o->stream,
-		  "Ask for streams", NULL },
-		{ "once-share", 0, 0, G_OPTION_ARG_DOUBLE, &o->once_share,
-		  "Share of run-once calls", "0..1" },
-		{ "once-path", 0, 0, G_OPTION_ARG_STRING, &o->once_path,
-		  "Path of run-once calls", "PATH" },
-		{ 0 },
-	};
-	GOptionContext *context = g_option_context_new("load");
-	GError *error = NULL;
-	/* GLib expects the program's name first. */
-	char **args = g_new0(char *, (gsize)argc + 2);
-	int n = argc + 1;
-	bool ok;
-
-	args[0] = "load";
-	for (int i = 0; i < argc; i++)
-		args[i + 1] = argv[i];
-	g_option_context_add_main_entries(context, entries, NULL);
-	ok = g_option_context_parse(context, &n, &args, &error);
-	if (!ok) {
-		fprintf(stderr, "kcfctl: %s\n", error->message);
-		g_error_free(error);
-	} else if (n > 1 || !o->model || !o->service || o->rate <= 0 ||
-		   o->duration_ms <= 0) {
-		fprintf(stderr, "usage: kcfctl load --model M --service S "
-				"--rate N --duration-ms N [...]\n");
-		ok = false;
-	}
-	g_option_context_free(context);
-	g_free(args);
-	return ok;
-}
-
 ctl_exit_t cmd_load(ctl_t *c, int argc, char **argv)
 {
 	load_t *l = g_new0(load_t, 1);
@@ -740,7 +503,8 @@
 				 .max_tokens = 16,
 				 .deadline_ms = 60000,
 				 .seed = 1 };
-	if (!parse_(&l->o, argc, argv) || !take_customers_(l))
+	if (!load_options_parse(&l->o, argc, argv) ||
+	    !load_options_customers(l))
 		return CTL_USAGE;
 	l->rand = g_rand_new_with_seed((guint32)l->o.seed);
 	l->reasons =
@@ -749,6 +513,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	l->starts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	l->timeline = g_array_new(FALSE, FALSE, sizeof(load_point_t));
 	samples_init(&l->total_ms);
 	samples_init(&l->first_ms);
 	make_chats_(l);
@@ -758,10 +523,12 @@
 	l->arrival.data = l;
 	ev_timer_start(c->loop, &l->arrival);
 	ev_run(c->loop, 0);
-	report = report_(l);
+	report = load_report(l);
 	text = json_dumps(report, c->json ? JSON_COMPACT : JSON_INDENT(2));
 	printf("%s\n", text);
 	free(text);
 	json_decref(report);
+	if (l->o.plot && !load_plot(l, l->o.plot))
+		return CTL_FAILED;
 	return CTL_FINE;
 }
--- a/packages/ctl/private/samples.h
+++ b/packages/ctl/private/samples.h
@@ -11,6 +11,7 @@
 } samples_t;
 
 void samples_init(samples_t *s);
+void samples_finish(samples_t *s);
 void samples_add(samples_t *s, double value);
 
 /*
--- a/packages/ctl/samples.c
+++ b/packages/ctl/samples.c
@@ -7,6 +7,11 @@
 	s->values = g_array_new(FALSE, FALSE, sizeof(double));
 }
 
+void samples_finish(samples_t *s)
+{
+	g_array_unref(s->values);
+}
+
 void samples_add(samples_t *s, double value)
 {
 	g_array_append_val(s->values, value);
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -38,6 +38,7 @@
 static void move_chats_(sched_t *s, mstime_t now, const slot_t *sl);
 static void refresh_ownership_(sched_t *s, mstime_t now);
 static void find_rivals_(sched_t *s);
+static GPtrArray *owned_slots_(const sched_t *s);
 
 void sched_init(sched_t *s, const char *self, const char *data_centre,
 		const char *region, guint32 seed, const sched_ops_t *ops,
@@ -51,6 +52,8 @@
 	s->rand = g_rand_new_with_seed(seed);
 	s->nodes = g_ptr_array_new_with_free_func(sched_node_free);
 	s->recent = g_queue_new();
+	s->numbers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
 	s->rivals = g_ptr_array_new();
 	s->slots = g_hash_table_new_full(NULL, NULL, NULL, slot_free);
 	s->permits = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -82,6 +85,7 @@
 	g_free(s->cache);
 	power_book_finish(&s->power);
 	g_queue_free_full(s->recent, g_free);
+	g_hash_table_destroy(s->numbers);
 	g_ptr_array_unref(s->rivals);
 	g_ptr_array_unref(s->nodes);
 	view_unref(s->view);
@@ -122,9 +126,17 @@
 
 const char *sched_node_for(const sched_t *s, uint64_t number)
 {
-	const sched_node_t *n = owner_of_number(s->nodes, number);
-
-	return n ? n->name : NULL;
+	const sched_node_t *n = g_hash_table_lookup(s->numbers, &number);
+
+	if (!n) {
+		n = owner_of_number(s->nodes, number);
+		if (!n)
+			return NULL;
+		g_hash_table_insert(s->numbers,
+				    g_memdup2(&number, sizeof(number)),
+				    (gpointer)n);
+	}
+	return n->name;
 }
 
 void sched_set_view(sched_t *s, mstime_t now, view_t *view)
@@ -178,6 +190,7 @@
 
 void sched_set_nodes(sched_t *s, mstime_t now, GPtrArray *nodes)
 {
+	g_hash_table_remove_all(s->numbers);
 	g_ptr_array_unref(s->nodes);
 	s->nodes = nodes;
 	refresh_ownership_(s, now);
@@ -382,17 +395,10 @@
 
 GPtrArray *sched_owned(const sched_t *s)
 {
-	GPtrArray *list = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, s->slots);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const slot_t *sl = value;
+	GPtrArray *list = owned_slots_(s);
 
-		if (sl->owned && sl->up)
-			g_ptr_array_add(list, (gpointer)sl->up);
-	}
+	for (guint i = 0; i < list->len; i++)
+		list->pdata[i] = (gpointer)((slot_t *)list->pdata[i])->up;
 	return list;
 }
 
@@ -403,25 +409,36 @@
 	       !strcmp(a->up->data_centre->region, b->up->data_centre->region);
 }
 
-static bool rival_(const sched_t *s, const slot_t *other)
+static bool rival_(const slot_t *other, const GPtrArray *owned)
 {
+	if (!other->up || other->owned || !other->owner)
+		return false;
+	for (guint i = 0; i < owned->len; i++) {
+		if (same_mean_(owned->pdata[i], other))
+			return true;
+	}
+	return false;
+}
+
+static GPtrArray *owned_slots_(const sched_t *s)
+{
+	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!other->up || other->owned || !other->owner)
-		return false;
 	g_hash_table_iter_init(&iter, s->slots);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const slot_t *sl = value;
 
-		if (sl->owned && sl->up && same_mean_(sl, other))
-			return true;
+		if (sl->owned && sl->up)
+			g_ptr_array_add(list, value);
 	}
-	return false;
+	return list;
 }
 
 static void find_rivals_(sched_t *s)
 {
+	GPtrArray *owned = owned_slots_(s);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -430,10 +447,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const slot_t *sl = value;
 
-		if (rival_(s, sl) &&
+		if (rival_(sl, owned) &&
 		    !g_ptr_array_find(s->rivals, sl->owner, NULL))
 			g_ptr_array_add(s->rivals, (gpointer)sl->owner);
 	}
+	g_ptr_array_unref(owned);
 }
 
 const upstream_t *sched_upstream(const sched_t *s, uint32_t key)
