--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -409,7 +409,10 @@
 
 void exchange_check_node(exchange_t *x)
 {
-	if (!x->call || x->once || x->route == ROUTE_JOB ||
+	bool settled = x->once && exchange_settled(x);
+
+	/* A call that may run at most once may still be answered. */
+	if (!x->call || settled || x->route == ROUTE_JOB ||
 	    x->placed.verdict != SCHED_FORWARD ||
 	    roster_alive(x->relay->roster, x->placed.node))
 		return;
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -60,6 +60,14 @@
 	}
 }
 
+void exchange_settle_again(exchange_t *x)
+{
+	x->filter = 0;
+	while (filters[x->filter].run != filter_once)
+		x->filter++;
+	exchange_run(x);
+}
+
 void exchange_gone(exchange_t *x, bool whole)
 {
 	message_t *m;
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -178,6 +178,11 @@
  */
 void exchange_once(exchange_t *x, const once_reply_t *r);
 
+/*
+ * exchange_settle_again - asks once more who settles the run-once key.
+ */
+void exchange_settle_again(exchange_t *x);
+
 /*
  * exchange_once_end - tells the control task how a run-once try ended.
  */
--- a/packages/node/retry.c
+++ b/packages/node/retry.c
@@ -62,11 +62,21 @@
 	return why == FAILURE_CONNECT || why == FAILURE_MOVED;
 }
 
+/* Whether the attempt went to the node that settles a run-once key. */
+static bool at_settler_(const exchange_t *x)
+{
+	return x->once && !exchange_settled(x);
+}
+
+/*
+ * A settler may be asked again, whatever became of it: the log's order decides
+ * which try of a key runs. What is settled runs again only if it was not sent.
+ */
 static bool may_run_again_(const exchange_t *x, failure_t why)
 {
 	if (x->route == ROUTE_JOB || clock_now() >= x->deadline)
 		return false;
-	return !x->once || (unsent_(why) && exchange_settled(x));
+	return !x->once || at_settler_(x) || unsent_(why);
 }
 
 static void exclude_(exchange_t *x)
@@ -112,9 +122,14 @@
 
 static void on_again_(struct ev_loop *loop, ev_timer *w, int revents)
 {
+	exchange_t *x = w->data;
+
 	(void)loop;
 	(void)revents;
-	exchange_place(w->data);
+	if (at_settler_(x))
+		exchange_settle_again(x);
+	else
+		exchange_place(x);
 }
 
 /*
@@ -123,7 +138,8 @@
  */
 static bool at_other_owner_(exchange_t *x, failure_t why)
 {
-	if (why == FAILURE_MOVED || ++x->nodes_tried > NODE_TRIES_MAX)
+	if (why == FAILURE_MOVED || at_settler_(x) ||
+	    ++x->nodes_tried > NODE_TRIES_MAX)
 		return exchange_wait_owner(x);
 	exclude_(x);
 	x->target = 0;
@@ -147,6 +163,8 @@
 	counter_add(COUNTER_RETRIES, 1);
 	if (x->streaming)
 		counter_add(COUNTER_RESUMED, 1);
+	if (at_settler_(x))
+		return exchange_wait_owner(x);
 	if (at_node && why != FAILURE_NODE && exchange_wait_owner(x))
 		return true;
 	/* A node that is held dead is not chosen again. */
