A death is announced, and the oldest requests go elsewhere first

The trace of the slowest: 5.4 s until the node was held dead everywhere, then up to 2 s in the next owner's queue, since 200 requests were placed again in the order of a hash table.

Ruled out: a shorter suspicion (a busy node would be held dead), a steeper ramp of the new owner (it protects the engines while there may be two).

--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -105,6 +105,7 @@
 	unsigned int seq;
 	mstime_t next_probe;
 	mstime_t next_seed;
+	mstime_t next_announce;
 	mstime_t fast_until;
 	mstime_t last_tick;
 	mstime_t last_ack;  /* last sign of life from any peer */
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -18,6 +18,8 @@
 /* Time for an answer to such a ping, and for any before the peer is left. */
 #define WANT_ANSWER_MS 300
 #define WANT_SILENCE_MS 1000
+/* Deaths are announced no more often than this. */
+#define ANNOUNCE_INTERVAL_MS 1000
 /* Deaths within this time count towards isolation. */
 #define ISOLATION_WINDOW_MS 15000
 
@@ -812,21 +814,34 @@
 	g_clear_pointer(&ms->probe.target, g_free);
 }
 
+static void announce_death_(members_t *ms, mstime_t now)
+{
+	if (now < ms->next_announce)
+		return;
+	ms->next_announce = now + ANNOUNCE_INTERVAL_MS;
+	members_announce(ms, now);
+}
+
 static void expire_(members_t *ms, mstime_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
+	bool died = false;
 
 	g_hash_table_iter_init(&iter, ms->by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		member_t *m = value;
 
-		if (m->state == MEMBER_SUSPECT && now >= m->expires)
+		if (m->state == MEMBER_SUSPECT && now >= m->expires) {
 			set_state_(ms, now, m, MEMBER_DEAD);
+			died = true;
+		}
 		if (m->state == MEMBER_DEAD && m != ms->self &&
 		    now - m->since > MEMBER_FORGET_MS)
 			g_hash_table_iter_remove(&iter);
 	}
+	if (died)
+		announce_death_(ms, now);
 	for (guint i = 0; i < ms->relays->len;) {
 		member_relay_t *r =
 			&g_array_index(ms->relays, member_relay_t, i);
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -207,11 +207,21 @@
 		  F_STR("result", http_server_err_string[-err]));
 }
 
-/* Requests that wait for a node which is dead go elsewhere. */
+static gint by_age_(gconstpointer a, gconstpointer b)
+{
+	const exchange_t *xa = a;
+	const exchange_t *xb = b;
+
+	return (xa->id > xb->id) - (xa->id < xb->id);
+}
+
+/* Requests that wait for a node which is dead go elsewhere, the oldest first.
+ */
 static void check_nodes_(relay_t *r)
 {
 	GList *all = g_hash_table_get_values(r->exchanges);
 
+	all = g_list_sort(all, by_age_);
 	for (GList *l = all; l; l = l->next)
 		exchange_check_node(l->data);
 	g_list_free(all);
