--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -3,7 +3,7 @@
  *
  * Each target is an LLVMFuzzerTestOneInput by another name, so that one
  * program can drive all with seeded mutations in CI; a build with
- * -DKCF_FUZZ=ON links each with libFuzzer instead.
+ * -DKCF_FUZZ=ON by clang links each with libFuzzer as well.
  */
 #ifndef KCF_FUZZ_H
 #define KCF_FUZZ_H
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -53,8 +53,11 @@
 		 pid = spawn(argv, dir .. "/" .. name .. ".log") }
 end
 
+local function operators_url(n) return (n.operator_scheme or "http") .. "://" .. n.operators end
+
 local function answers(addr, path)
-	local r = http { url = "http://" .. addr .. path, timeout_ms = 1000 }
+	local url = addr:find("://", 1, true) and addr or "http://" .. addr
+	local r = http { url = url .. path, timeout_ms = 1000 }
 	return r.status == 200 and r or nil
 end
 
@@ -84,6 +87,7 @@
 [operators]
 listen = "%s"
 keys = [{ operator = "ana", sha256 = "%s" }, { operator = "bruno", sha256 = "%s" }]
+%s
 [peers]
 listen = "%s"
 key = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
@@ -96,7 +100,7 @@
 [log]
 level = "%s"
 ]], n.name, n.dc, f.region, f.drain_s, n.callers, f.heartbeat_ms, f.idle_timeout_s, f.tls or "", n.operators,
-		sha256(OPERATOR), sha256("operator-key-2"), n.peer, f.budget,
+		sha256(OPERATOR), sha256("operator-key-2"), f.operators_tls or "", n.peer, f.budget,
 		table.concat(seeds, ", "), n.log or f.log.address, f.retention_s, f.hosts.address, LEVEL or "info")
 end
 
@@ -106,7 +110,7 @@
 	n.pid = spawn({ bin .. "/kingcupforkd", "--config", dir .. "/" .. n.name .. ".toml" }, n.logfile)
 end
 
-function ready(n) return answers(n.operators, "/readyz") end
+function ready(n) return answers(operators_url(n), "/readyz") end
 
 function wait_ready(f, ms)
 	for _, n in ipairs(f.nodes) do
@@ -129,6 +133,7 @@
 		    idle_timeout_s = o.idle_timeout_s or 60, budget = o.budget or 4096,
 		    retention_s = o.retention_s or 3600, dir = dir }
 	f.tls, f.scheme = o.tls, o.tls and "https" or "http"
+	f.operators_tls = o.operators_tls
 	if o.edit then o.edit(f.resources) end
 	f.log = start_standin("log", "log", address(9, 1, 9100), o.log)
 	f.hosts = start_standin("hosts", "hosts", address(9, 1, 9200))
@@ -152,7 +157,7 @@
 	end
 	for i = 1, o.nodes or 7 do
 		local dc = f.dcs[(i - 1) % #f.dcs + 1]
-		f.nodes[i] = { scheme = f.scheme, name = string.format("%s-n%d", dc, i), dc = dc, callers = address(1, i, 8080),
+		f.nodes[i] = { scheme = f.scheme, operator_scheme = o.operators_tls and "https", name = string.format("%s-n%d", dc, i), dc = dc, callers = address(1, i, 8080),
 			       operators = address(1, i, 8081), peer = address(1, i, 7946) }
 	end
 	wait_for("log answers", 10000, function() return answers(f.log.address, "/stats") end)
@@ -189,7 +194,7 @@
 function operator(n, method, path, body, headers, key)
 	local h = { Authorization = "Bearer " .. (key or OPERATOR) }
 	for k, v in pairs(headers or {}) do h[k] = v end
-	local r = http { method = method, url = "http://" .. n.operators .. path, headers = h,
+	local r = http { method = method, url = operators_url(n) .. path, headers = h,
 			 body = body and json_encode(body), timeout_ms = 15000 }
 	r.json = json_decode(r.body)
 	return r
@@ -222,7 +227,7 @@
 end
 
 function metric(n, name)
-	local r = answers(n.operators, "/metrics")
+	local r = answers(operators_url(n), "/metrics")
 	if not r then return nil end
 	for line in r.body:gmatch("[^\n]+") do
 		local k, v = line:match("^(%S+) (%S+)$")
