Scheduler: one function an upstream, an end and a failure

Cause: sched_set_view and sched_release had grown to 50 lines each, and the failure of an upstream was handled in two places.

--- a/packages/decide/private/slot.h
+++ b/packages/decide/private/slot.h
@@ -207,6 +207,11 @@
  */
 mstime_t slot_prefill_ms(const slot_t *sl, int64_t tokens);
 
+/*
+ * slot_note_duration - learns how long a request takes.
+ */
+void slot_note_duration(slot_t *sl, mstime_t ms);
+
 /*
  * slot_note_prefill - learns how fast the upstream computes prefixes.
  */
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -10,7 +10,6 @@
 #define PLACE_IDLE_MS (3600 * MSEC_PER_SEC)
 #define WINDOW_MS 2000
 #define LEND_INTERVAL_MS 1000
-#define DURATION_SMOOTHING 0.2
 
 const char *const sched_refusal_string[] = {
 	"no upstream in service",
@@ -139,10 +138,55 @@
 	return n->name;
 }
 
+static slot_t *add_slot_(sched_t *s, mstime_t now, const upstream_t *u)
+{
+	slot_t *sl = slot_new(u->key);
+
+	/* Of those that are there from the start, no chat is elsewhere. */
+	sl->returned = s->view != NULL;
+	sl->stable_at = now;
+	g_hash_table_insert(s->slots, GUINT_TO_POINTER(u->key), sl);
+	return sl;
+}
+
+/* Back in service: its chats return little by little. */
+static void reopen_(slot_t *sl, mstime_t now, const upstream_t *u)
+{
+	sl->returned = true;
+	sl->stable_at = now;
+	if (sl->owned)
+		limit_restart(&sl->limit, now,
+			      (mstime_t)(u->ramp_s * MSEC_PER_SEC));
+}
+
+/*
+ * Takes one upstream of a new picture.
+ *
+ * Return: its entry when it is owned and goes out of service, else NULL.
+ */
+static slot_t *take_upstream_(sched_t *s, mstime_t now, const upstream_t *u)
+{
+	slot_t *sl = choose_slot(s, u->key);
+	bool open = upstream_open(u);
+	bool closes;
+
+	if (!sl)
+		sl = add_slot_(s, now, u);
+	else if (open && !sl->open)
+		reopen_(sl, now, u);
+	closes = sl->owned && sl->open && !open;
+	sl->up = u;
+	sl->open = open;
+	if (sl->owned) {
+		limit_resize(&sl->limit, u->slots, u->floor);
+		lru_set_max(&sl->warm, u->cache_tokens);
+	}
+	return closes ? sl : NULL;
+}
+
 void sched_set_view(sched_t *s, mstime_t now, view_t *view)
 {
-	bool first = !s->view;
-	GPtrArray *left = g_ptr_array_new();
+	GPtrArray *closing = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -151,41 +195,17 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((slot_t *)value)->up = NULL;
 	for (guint i = 0; i < view->upstreams->len; i++) {
-		const upstream_t *u = view->upstreams->pdata[i];
-		slot_t *sl = choose_slot(s, u->key);
-		bool open = upstream_open(u);
-
-		if (!sl) {
-			sl = slot_new(u->key);
-			sl->returned = !first;
-			sl->stable_at = now;
-			g_hash_table_insert(s->slots, GUINT_TO_POINTER(u->key),
-					    sl);
-		} else if (open && !sl->open) {
-			/* Back in service: its chats return little by little.
-			 */
-			sl->returned = true;
-			sl->stable_at = now;
-			if (sl->owned)
-				limit_restart(
-					&sl->limit, now,
-					(mstime_t)(u->ramp_s * MSEC_PER_SEC));
-		}
-		if (sl->owned && sl->open && !open)
-			g_ptr_array_add(left, sl);
-		sl->up = u;
-		sl->open = open;
-		if (sl->owned) {
-			limit_resize(&sl->limit, u->slots, u->floor);
-			lru_set_max(&sl->warm, u->cache_tokens);
-		}
+		slot_t *sl = take_upstream_(s, now, view->upstreams->pdata[i]);
+
+		if (sl)
+			g_ptr_array_add(closing, sl);
 	}
 	view_unref(s->view);
 	s->view = view;
 	refresh_ownership_(s, now);
-	for (guint i = 0; i < left->len; i++)
-		move_chats_(s, now, left->pdata[i]);
-	g_ptr_array_unref(left);
+	for (guint i = 0; i < closing->len; i++)
+		move_chats_(s, now, closing->pdata[i]);
+	g_ptr_array_unref(closing);
 }
 
 void sched_set_nodes(sched_t *s, mstime_t now, GPtrArray *nodes)
@@ -273,6 +293,28 @@
 	}
 }
 
+/* One more sign that an upstream cannot be reached; its queue goes elsewhere.
+ */
+static void fail_slot_(sched_t *s, mstime_t now, slot_t *sl)
+{
+	if (!slot_failed(sl, now))
+		return;
+	s->ops->health(s->ctx, sl->up ? sl->up->name : "", "down");
+	place_again(s, now, sl);
+}
+
+static void learn_(slot_t *sl, mstime_t now, const permit_t *p,
+		   const sched_outcome_t *o)
+{
+	if (o->result == SCHED_CONNECT_FAILED)
+		lru_remove(&sl->warm, p->chat);
+	if (!sl->owned)
+		return;
+	note_limit_(sl, now, o);
+	slot_note_cache(sl, now, p, o);
+	slot_note_prefill(sl, o);
+}
+
 void sched_release(sched_t *s, mstime_t now, const sched_outcome_t *o)
 {
 	permit_t *p = g_hash_table_lookup(s->permits, &o->id);
@@ -282,32 +324,20 @@
 		return;
 	s->epoch++;
 	sl = choose_slot(s, p->key);
-	if (sl) {
-		sl->out--;
-		slot_tenant(sl, p->customer)->out--;
-		if (sl->owned) {
-			note_limit_(sl, now, o);
-			slot_note_cache(sl, now, p, o);
-			slot_note_prefill(sl, o);
-		}
-		/* A pause of this process tells nothing of the upstream. */
-		if (o->result == SCHED_DONE && p->started >= s->hold_all_until)
-			sl->duration_ms +=
-				DURATION_SMOOTHING *
-				((double)(now - p->started) - sl->duration_ms);
-		if (o->result == SCHED_CONNECT_FAILED) {
-			lru_remove(&sl->warm, p->chat);
-			if (sl->owned && slot_failed(sl, now)) {
-				s->ops->health(s->ctx,
-					       sl->up ? sl->up->name : "",
-					       "down");
-				place_again(s, now, sl);
-			}
-		}
+	if (!sl) {
+		g_hash_table_remove(s->permits, &o->id);
+		return;
 	}
+	sl->out--;
+	slot_tenant(sl, p->customer)->out--;
+	learn_(sl, now, p, o);
+	/* A pause of this process tells nothing of the upstream. */
+	if (o->result == SCHED_DONE && p->started >= s->hold_all_until)
+		slot_note_duration(sl, now - p->started);
 	g_hash_table_remove(s->permits, &o->id);
-	if (sl)
-		place_pump(s, now, sl);
+	if (sl->owned && o->result == SCHED_CONNECT_FAILED)
+		fail_slot_(s, now, sl);
+	place_pump(s, now, sl);
 }
 
 void sched_take_report(sched_t *s, mstime_t now, const sched_report_t *r)
@@ -318,10 +348,7 @@
 		return;
 	s->epoch++;
 	if (!r->ok) {
-		if (slot_failed(sl, now)) {
-			s->ops->health(s->ctx, sl->up->name, "down");
-			place_again(s, now, sl);
-		}
+		fail_slot_(s, now, sl);
 		return;
 	}
 	if (sl->down)
--- a/packages/decide/slot.c
+++ b/packages/decide/slot.c
@@ -3,6 +3,7 @@
 #define WARM_IDLE_MS (6 * 3600 * MSEC_PER_SEC)
 #define DURATION_START_MS 500.0
 #define PREFILL_START_TPS 8000.0
+#define DURATION_SMOOTHING 0.2
 #define PREFILL_SMOOTHING 0.1
 /* Prompts below this say more of the queue than of the prefill. */
 #define PREFILL_TOKENS_MIN 256
@@ -297,6 +298,11 @@
 	return (mstime_t)((double)(tokens * MSEC_PER_SEC) / sl->prefill_tps);
 }
 
+void slot_note_duration(slot_t *sl, mstime_t ms)
+{
+	sl->duration_ms += DURATION_SMOOTHING * ((double)ms - sl->duration_ms);
+}
+
 void slot_note_prefill(slot_t *sl, const sched_outcome_t *o)
 {
 	int64_t tokens = o->prompt_tokens - MAX(0, o->cached_tokens);
