--- a/packages/decide/place.c
+++ b/packages/decide/place.c
@@ -42,7 +42,8 @@
 static void place_at_home_(sched_t *s, mstime_t now, slot_t *home,
 			   const sched_request_t *r)
 {
-	slot_t *warm = warm_with_room(s, now, home, r);
+	slot_t *soonest = NULL;
+	slot_t *warm = warm_with_room(s, now, home, r, &soonest);
 	slot_t *sl;
 
 	if (warm) {
@@ -52,17 +53,16 @@
 		take_or_forward_(s, now, warm, home, r);
 		return;
 	}
-	warm = warm_soonest(s, now, r);
-	if (warm &&
-	    slot_wait(warm, s, now, r->customer) <= warm_worth_ms(warm, r)) {
-		enqueue_(s, now, warm, r);
+	if (soonest && slot_wait(soonest, s, now, r->customer) <=
+			       warm_worth_ms(soonest, r)) {
+		enqueue_(s, now, soonest, r);
 		return;
 	}
 	sl = choose_least_loaded(s, now, r, CERTAIN);
 	if (!sl)
 		sl = choose_least_loaded(s, now, r, LIKELY);
 	if (!sl) {
-		enqueue_(s, now, warm ? warm : home, r);
+		enqueue_(s, now, soonest ? soonest : home, r);
 		return;
 	}
 	counter_add(COUNTER_PLACED_SPILL, 1);
--- a/packages/decide/private/slot.h
+++ b/packages/decide/private/slot.h
@@ -144,11 +144,6 @@
  */
 double slot_load_there(const slot_t *sl, mstime_t now);
 
-/*
- * slot_unarrived - requests sent from here that may not have arrived yet.
- */
-int slot_unarrived(const slot_t *sl);
-
 /*
  * slot_ended - mean number of requests sent from here that have ended at the
  * upstream without this being known here.
--- a/packages/decide/private/warm.h
+++ b/packages/decide/private/warm.h
@@ -11,16 +11,14 @@
 
 /*
  * warm_with_room - where the chat is warm and one more request has room; its
- * home while it is warm nowhere. NULL when none of these has room.
+ * home while it is warm nowhere.
+ * @soonest: receives, when none of these has room, the owned upstream where the
+ *           chat is warm and would start first, or NULL
+ *
+ * Return: NULL when none has room.
  */
 slot_t *warm_with_room(sched_t *s, mstime_t now, slot_t *home,
-		       const sched_request_t *r);
-
-/*
- * warm_soonest - owned upstream where the chat is warm and would start first,
- * or NULL.
- */
-slot_t *warm_soonest(sched_t *s, mstime_t now, const sched_request_t *r);
+		       const sched_request_t *r, slot_t **soonest);
 
 /*
  * warm_worth_ms - time that a warm cache is worth waiting for.
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -118,9 +118,9 @@
 
 const char *sched_owner(const sched_t *s, const upstream_t *u)
 {
-	const sched_node_t *n = owner_of(s->nodes, u);
+	const slot_t *sl = choose_slot(s, u->key);
 
-	return n ? n->name : NULL;
+	return sl && sl->owner ? sl->owner->name : NULL;
 }
 
 const char *sched_node_for(const sched_t *s, uint64_t number)
--- a/packages/decide/slot.c
+++ b/packages/decide/slot.c
@@ -165,7 +165,8 @@
 	return (peer_fresh_(sl, now) ? sl->peer_out : 0) + sl->handed;
 }
 
-int slot_unarrived(const slot_t *sl)
+/* Requests sent from here that may not have arrived yet. */
+static int unarrived_(const slot_t *sl)
 {
 	return MIN(sl->recent, sl->out);
 }
@@ -178,14 +179,14 @@
 
 double slot_ended(const slot_t *sl)
 {
-	return (sl->out - slot_unarrived(sl)) * share_ended_(sl, SLOT_END_MS);
+	return (sl->out - unarrived_(sl)) * share_ended_(sl, SLOT_END_MS);
 }
 
 double slot_load_there(const slot_t *sl, mstime_t now)
 {
 	if (!sl->owned)
 		return slot_load(sl, now);
-	return sl->out - slot_unarrived(sl) - slot_ended(sl) +
+	return sl->out - unarrived_(sl) - slot_ended(sl) +
 	       sl->foreign * (1 - share_ended_(sl, now - sl->foreign_at));
 }
 
--- a/packages/decide/warm.c
+++ b/packages/decide/warm.c
@@ -117,27 +117,8 @@
 	return best;
 }
 
-slot_t *warm_with_room(sched_t *s, mstime_t now, slot_t *home,
-		       const sched_request_t *r)
-{
-	bool home_has_room = has_room_(s, now, home, r);
-	int64_t most;
-	bool known;
-	slot_t *sl = warmest_(s, now, r, &most);
-
-	if (sl && home_has_room &&
-	    (double)held_(home, now, r) >= HOME_SHARE * (double)most)
-		return home;
-	if (sl)
-		return sl;
-	known = warm_soonest(s, now, r) != NULL;
-	sl = remembered_(s, now, r, &known);
-	if (sl)
-		return sl;
-	return !known && home_has_room ? home : NULL;
-}
-
-slot_t *warm_soonest(sched_t *s, mstime_t now, const sched_request_t *r)
+/* Owned upstream where the chat is warm and would start first, or NULL. */
+static slot_t *soonest_(sched_t *s, mstime_t now, const sched_request_t *r)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -161,6 +142,27 @@
 	return best;
 }
 
+slot_t *warm_with_room(sched_t *s, mstime_t now, slot_t *home,
+		       const sched_request_t *r, slot_t **soonest)
+{
+	bool home_has_room = has_room_(s, now, home, r);
+	int64_t most;
+	bool known;
+	slot_t *sl = warmest_(s, now, r, &most);
+
+	if (sl && home_has_room &&
+	    (double)held_(home, now, r) >= HOME_SHARE * (double)most)
+		return home;
+	if (sl)
+		return sl;
+	*soonest = soonest_(s, now, r);
+	known = *soonest != NULL;
+	sl = remembered_(s, now, r, &known);
+	if (sl)
+		return sl;
+	return !known && home_has_room ? home : NULL;
+}
+
 mstime_t warm_worth_ms(const slot_t *sl, const sched_request_t *r)
 {
 	return PREFILL_COST * slot_prefill_ms(sl, r->prompt_tokens);
--- a/packages/node/retry.c
+++ b/packages/node/retry.c
@@ -179,8 +179,7 @@
 
 static void give_up_(exchange_t *x, failure_t why)
 {
-	bool provable = !x->once || exchange_settled(x);
-	ran_t ran = provable && !x->sent ? RAN_NO : RAN_UNKNOWN;
+	ran_t ran = at_settler_(x) || x->sent ? RAN_UNKNOWN : RAN_NO;
 
 	if (clock_now() >= x->deadline) {
 		exchange_refuse(x, 504, "deadline has passed", ran,
