--- /dev/null
+++ b/include/kcf/balance.h
@@ -0,0 +1,180 @@
+/*
+ * balance - chooses the upstream of each request that a node sends directly.
+ *
+ * Every node computes its choice from the same entries, so that requests with
+ * the same prompt reach the same warm cache from any node. What other nodes
+ * have sent is known only through the load that upstreams report with their
+ * answers. Pure logic: no socket, no clock.
+ */
+#ifndef KCF_BALANCE_H
+#define KCF_BALANCE_H
+
+#include <glib.h>
+#include <kcf/clock.h>
+#include <kcf/str.h>
+
+#define BALANCE_EXCLUDE_MAX 8
+
+/* What is published of one upstream. */
+typedef struct balance_spec {
+	const char *id;
+	const char *service;
+	const char *address; /* ip:port */
+	const char *data_centre;
+	uint64_t start; /* differs for each start of the process */
+	int slots;	/* requests that it runs at a time */
+	bool leaving;
+	mstime_t cold_until; /* 0 when it is not cold */
+} balance_spec_t;
+
+typedef struct balance_upstream {
+	uint64_t number; /* never used twice in a process */
+	char *id;
+	char *service;
+	char *address;
+	char *data_centre;
+	uint64_t start;
+	uint64_t hash;
+	int slots;
+	bool leaving;
+	bool removed;
+	mstime_t cold_until;
+	mstime_t shunned_until; /* not used before, whatever its entry says */
+	mstime_t trial_at;	/* next request while it is held unsound */
+	double permits;		/* requests that it may get now while cold */
+	mstime_t permits_at;
+	int mine;	 /* outstanding requests of this node */
+	int foreign;	 /* of others, at the last report */
+	mstime_t told_at; /* of the last report, or 0 */
+	double failures; /* moving share of failed requests, 0 to 1 */
+	double latency_ms; /* moving mean, 0 before the first answer */
+	int samples;
+	mstime_t idle_max_ms; /* it closes idle connections after this */
+} balance_upstream_t;
+
+/* Limits that hold for all upstreams of a service. */
+typedef struct balance_service {
+	double cold_per_s; /* requests a second of a cold upstream, 0: any */
+} balance_service_t;
+
+typedef struct balance {
+	GHashTable *by_id; /* char * to balance_upstream_t * */
+	GHashTable *services; /* char * to balance_service_t * */
+	GHashTable *out; /* data centres that get no work */
+	char *data_centre; /* of this node */
+	int nodes;	   /* that share limits */
+	uint64_t numbers;  /* given out */
+	GRand *rand;
+} balance_t;
+
+typedef struct balance_ask {
+	const char *service;
+	uint64_t affinity; /* hash of the shared prompt, 0 for none */
+	uint64_t exclude[BALANCE_EXCLUDE_MAX]; /* numbers of upstreams */
+	int excluded;
+} balance_ask_t;
+
+typedef enum balance_reason {
+	BALANCE_FIRST,	   /* first in the order of the affinity */
+	BALANCE_SPILL,	   /* a later one; those before bear too much */
+	BALANCE_LEAST,	   /* least loaded */
+	BALANCE_TRIAL,	   /* held unsound, asked whether it recovered */
+	BALANCE_NONE,	   /* no upstream is in service */
+	BALANCE_FULL,	   /* all have more than they bear */
+	BALANCE_COLD,	   /* only cold ones are left, and none bears more */
+	BALANCE_REASON_COUNT,
+} balance_reason_t;
+
+/* Parallel to balance_reason_t. */
+extern const char *const balance_reason_string[];
+
+typedef struct balance_pick {
+	balance_upstream_t *upstream; /* NULL when there is none */
+	balance_reason_t reason;
+	mstime_t retry_ms; /* for refusals: when a place is likely */
+	int load;	   /* believed outstanding requests there */
+	double mean;	   /* of the service */
+	mstime_t load_age_ms; /* of the last report, -1 for none */
+} balance_pick_t;
+
+typedef enum balance_outcome {
+	BALANCE_OK,
+	BALANCE_FAILED,
+	BALANCE_ABANDONED, /* says nothing about the upstream */
+	BALANCE_SHED,	   /* refused for load, not run */
+} balance_outcome_t;
+
+/*
+ * balance_init - an empty set.
+ * @data_centre: of this node, copied
+ * @seed: of the random choices
+ */
+void balance_init(balance_t *b, const char *data_centre, guint32 seed);
+void balance_finish(balance_t *b);
+
+/*
+ * balance_put - takes the entry of an upstream; a new start forgets what was
+ * known of the old one.
+ *
+ * Return: true when the entry changed more than its heartbeat.
+ */
+bool balance_put(balance_t *b, const balance_spec_t *spec, mstime_t now);
+
+/*
+ * balance_remove - forgets an upstream.
+ *
+ * Return: false when there was none.
+ */
+bool balance_remove(balance_t *b, const char *id);
+
+/*
+ * balance_set_service - takes the limits of a service.
+ */
+void balance_set_service(balance_t *b, const char *service,
+			 const balance_service_t *limits);
+
+/*
+ * balance_set_out - takes a data centre out, or back in. Its upstreams start
+ * slowly when it returns.
+ */
+void balance_set_out(balance_t *b, const char *data_centre, bool out,
+		     mstime_t now);
+
+/*
+ * balance_choose - chooses an upstream; the choice is counted as outstanding
+ * until balance_done.
+ */
+balance_pick_t balance_choose(balance_t *b, const balance_ask_t *ask,
+			      mstime_t now);
+
+/*
+ * balance_done - a request has ended at an upstream.
+ * @latency_ms: until the first byte, or -1
+ */
+void balance_done(balance_upstream_t *u, balance_outcome_t outcome,
+		  mstime_t latency_ms, mstime_t now);
+
+/*
+ * balance_overdue - a request has no answer though it should; it stays
+ * outstanding.
+ */
+void balance_overdue(balance_upstream_t *u, mstime_t now);
+
+/*
+ * balance_shun - another process has the address, or none.
+ */
+void balance_shun(balance_upstream_t *u, mstime_t until);
+
+/*
+ * balance_report - an upstream's own count of outstanding requests, that of
+ * the answer included.
+ */
+void balance_report(balance_upstream_t *u, int outstanding, int slots,
+		    mstime_t now);
+
+/*
+ * balance_latency - mean time to the first byte in a service, 0 if unknown.
+ */
+double balance_latency(const balance_t *b, const char *service);
+
+#endif
--- /dev/null
+++ b/include/kcf/feed.h
@@ -0,0 +1,74 @@
+/*
+ * feed - keyed records that the platform publishes for the fleet.
+ *
+ * A feed holds the newest record of each key and a history of some length.
+ * Offsets grow with each record; a reader applies a record only if it knows
+ * none of the same key with the same or a higher offset, so that late and
+ * stale answers never take it back.
+ */
+#ifndef KCF_FEED_H
+#define KCF_FEED_H
+
+#include <kcf/http_client.h>
+
+typedef enum feed {
+	FEED_OPERATORS, /* configuration and data centres taken out */
+	FEED_UPSTREAMS, /* upstreams as they describe themselves */
+	FEED_NODES,	/* where nodes of this fleet can be asked */
+	FEED_COUNT,
+} feed_t;
+
+/* Parallel to feed_t. */
+extern const char *const feed_string[];
+
+typedef enum feed_err {
+	FEED_OK = 0,
+	FEED_EDOWN = -1,    /* no answer, or a refusal */
+	FEED_EBAD = -2,	    /* the answer could not be understood */
+	FEED_EEXPIRED = -3, /* the history asked for is gone */
+	FEED_EREFUSED = -4, /* the record was not taken */
+} feed_err_t;
+
+/* Parallel to feed_err_t, indexed by the negated error. */
+extern const char *const feed_err_string[];
+
+typedef struct feed_record {
+	str_t key;
+	str_t data;
+	uint64_t offset;
+	bool removed; /* the key is dropped */
+} feed_record_t;
+
+typedef struct feed_batch {
+	const feed_record_t *records;
+	size_t count;
+	uint64_t next; /* offset after the last record of the feed */
+	bool more;     /* further keys follow the last one */
+} feed_batch_t;
+
+/* batch is NULL unless err is FEED_OK. */
+typedef void (*feed_fn)(void *arg, int err, const feed_batch_t *batch);
+
+typedef struct feed_client feed_client_t;
+
+typedef struct feed_client_ops {
+	/* Newest record of each key after a key, NULL for the first page. */
+	http_call_t *(*newest)(feed_client_t *c, feed_t feed, const char *after,
+			       mstime_t deadline, feed_fn fn, void *arg);
+	/* Records from an offset on; waits for one until wait_ms. */
+	http_call_t *(*read)(feed_client_t *c, feed_t feed, uint64_t from,
+			     mstime_t wait_ms, mstime_t deadline, feed_fn fn,
+			     void *arg);
+	/* Publishes a record of this fleet. */
+	http_call_t *(*put)(feed_client_t *c, feed_t feed, str_t key,
+			    str_t data, mstime_t deadline, feed_fn fn,
+			    void *arg);
+} feed_client_ops_t;
+
+struct feed_client {
+	const feed_client_ops_t *ops;
+	http_client_t *http;
+	const char *address; /* ip:port */
+};
+
+#endif
--- /dev/null
+++ b/include/kcf/gateway.h
@@ -0,0 +1,58 @@
+/*
+ * gateway - a node that sends callers' requests straight to upstreams.
+ *
+ * One libev loop owns every socket and all state. Configuration and upstreams
+ * come from the platform's feeds, or from other nodes while the platform does
+ * not answer; requests, answers and feeds are read through a speech.
+ */
+#ifndef KCF_GATEWAY_H
+#define KCF_GATEWAY_H
+
+#include <kcf/retry_budget.h>
+#include <kcf/settings.h>
+#include <kcf/speech.h>
+
+/* Settings of a gateway; the texts belong to json. */
+typedef struct gateway_conf {
+	json_t *json;
+	const char *name;
+	const char *data_centre;
+	const char *region;
+	const char *callers;   /* ip:port of each interface */
+	const char *readiness;
+	const char *directory;
+	const char *admin;
+	const char *metrics;
+	const char *peers;
+	const char *store;
+	unsigned char peer_key[PEER_KEY_BYTES];
+	GPtrArray *seeds; /* char *, ip:port of other nodes' datagrams */
+	mstime_t stop_within_ms; /* from SIGTERM to the end at the latest */
+	mstime_t directory_ttl_max_ms;
+	retry_budget_conf_t retries;
+	int log_level;
+	int64_t max_body;   /* bytes */
+	int64_t max_header; /* bytes */
+	int64_t max_connections;
+} gateway_conf_t;
+
+/*
+ * gateway_conf_load - reads and checks a settings file.
+ * @faults: receives one text a fault
+ *
+ * Return: SETTINGS_OK or a negative settings_err_t.
+ */
+int gateway_conf_load(gateway_conf_t *c, const char *file, GPtrArray *faults);
+void gateway_conf_finish(gateway_conf_t *c);
+
+/*
+ * gateway_serve - serves until the process is told to stop.
+ * @file: settings file, read again on SIGHUP
+ *
+ * Return: true after a graceful stop, false when it could not start.
+ */
+bool gateway_serve(gateway_conf_t *conf, const char *file,
+		   const speech_ops_t *speech,
+		   const feed_client_ops_t *feed_ops);
+
+#endif
--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -47,6 +47,11 @@
 	str_t body;
 	mstime_t deadline; /* MSTIME_NEVER for none */
 	bool fresh;	   /* a connection of its own, never reused */
+	bool bare;	   /* only the given headers, and Host */
+	bool single;	   /* never sent again on another connection */
+	const char *target; /* request target as sent, or NULL for the URL's */
+	mstime_t connect_max_ms; /* 0 for the default */
+	mstime_t idle_max_ms; /* of a pooled connection; 0 for the default */
 } http_call_spec_t;
 
 struct http_client {
@@ -98,6 +103,24 @@
  */
 str_t http_call_header(http_call_t *call, const char *name);
 
+/*
+ * http_call_each_header - calls fn for each header of the answer.
+ */
+void http_call_each_header(http_call_t *call,
+			   void (*fn)(void *arg, const char *name,
+				      const char *value),
+			   void *arg);
+
+/*
+ * http_call_sent - whether any byte of the request may have left.
+ */
+bool http_call_sent(const http_call_t *call);
+
+/*
+ * http_call_connected - whether the call made a connection of its own.
+ */
+bool http_call_connected(const http_call_t *call);
+
 /*
  * http_call_body - the collected body, for calls without a data function.
  */
--- a/include/kcf/http_server.h
+++ b/include/kcf/http_server.h
@@ -104,6 +104,11 @@
 str_t http_request_query(const http_request_t *r, const char *name);
 str_t http_request_body(const http_request_t *r);
 
+/*
+ * http_request_target - path and query byte for byte as sent.
+ */
+str_t http_request_target(const http_request_t *r);
+
 /*
  * http_request_query_string - the query part as sent, without question mark.
  */
--- a/include/kcf/logline.h
+++ b/include/kcf/logline.h
@@ -1,7 +1,8 @@
 /*
- * logline - log lines on standard error, one line of key=value pairs an event.
+ * logline - log lines, one line of key=value pairs an event.
  *
- * Each line begins with the syslog severity in angle brackets, so that a
+ * Lines go to standard error, or to standard output after logline_to_stdout.
+ * On standard error each line begins with the syslog severity in angle brackets, so that a
  * supervisor can file it. Values that hold blanks, quotes or control
  * characters are quoted and escaped.
  */
@@ -52,6 +53,19 @@
  */
 void logline_setup(const char *node, int level);
 
+/*
+ * logline_to_stdout - sends lines to standard output through a bounded
+ * buffer, without severities. Lines that find it full are counted, and the
+ * count is told once there is room.
+ */
+void logline_to_stdout(void);
+
+/*
+ * logline_flush - writes what the buffer holds, as far as standard output
+ * takes it without waiting.
+ */
+void logline_flush(void);
+
 /*
  * logline_level - severity named by a settings word.
  * @word: "error", "warning", "notice", "info" or "debug"
@@ -69,7 +83,7 @@
 		    const log_field_t *fields);
 
 /*
- * logline_write - renders a line and writes it to standard error.
+ * logline_write - renders a line and writes it.
  */
 void logline_write(int level, const char *event, const log_field_t *fields);
 
--- a/include/kcf/settings.h
+++ b/include/kcf/settings.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <kcf/schema.h>
 #include <kcf/str.h>
 
 typedef enum settings_err {
@@ -83,6 +84,20 @@
 const char *settings_caller_scheme(const settings_t *s);
 const char *settings_operator_scheme(const settings_t *s);
 
+/* Looks for faults that no table of fields describes. */
+typedef void (*settings_check_fn)(const json_t *root, GPtrArray *found);
+
+/*
+ * settings_check - reads a TOML text and checks it against a table of fields.
+ * @more:   further checks, or NULL
+ * @faults: receives one text a fault, as in settings_parse
+ * @err:    receives SETTINGS_OK or a negative settings_err_t
+ *
+ * Return: a new reference, or NULL when there is a fault.
+ */
+json_t *settings_check(str_t text, const schema_field_t *fields,
+		       settings_check_fn more, GPtrArray *faults, int *err);
+
 /*
  * settings_toml_to_json - turns any TOML text into a JSON tree.
  * @faults: receives the syntax fault, if there is one
--- a/packages/base/logline.c
+++ b/packages/base/logline.c
@@ -1,14 +1,19 @@
 #include <kcf/clock.h>
 #include <kcf/logline.h>
 
+#include <fcntl.h>
 #include <string.h>
 #include <unistd.h>
 
 #define NODE_NAME_MAX 64
+/* Lines that wait for standard output. */
+#define BUFFER_MAX_BYTES (256 * 1024)
 
 static struct {
 	char node[NODE_NAME_MAX];
 	int level;
+	GString *buffer;    /* of standard output, or NULL */
+	int64_t suppressed; /* lines that found the buffer full */
 } setup = { "-", LOG_INFO };
 
 static void append_value_(GString *out, str_t v);
@@ -38,12 +43,46 @@
 	return -1;
 }
 
+void logline_to_stdout(void)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	if (!setup.buffer)
+		setup.buffer = g_string_new(NULL);
+}
+
+static void tell_suppressed_(void)
+{
+	const log_field_t fields[] = { F_INT("lines", setup.suppressed),
+				       { 0 } };
+
+	setup.suppressed = 0;
+	logline_write(LOG_WARNING, "log.suppressed", fields);
+}
+
+void logline_flush(void)
+{
+	ssize_t n;
+
+	if (!setup.buffer || !setup.buffer->len)
+		return;
+	n = write(STDOUT_FILENO, setup.buffer->str, setup.buffer->len);
+	if (n <= 0)
+		return;
+	g_string_erase(setup.buffer, 0, n);
+	if (setup.suppressed && !setup.buffer->len)
+		tell_suppressed_();
+}
+
 void logline_format(GString *out, int level, const char *event,
 		    const log_field_t *fields)
 {
-	g_string_append_printf(out,
-			       "<%d>ts=%" G_GINT64_FORMAT " node=%s event=%s",
-			       level, clock_wall(), setup.node, event);
+	if (!setup.buffer)
+		g_string_append_printf(out, "<%d>", level);
+	g_string_append_printf(out, "ts=%" G_GINT64_FORMAT " node=%s event=%s",
+			       clock_wall(), setup.node, event);
 	for (const log_field_t *f = fields; f->type != LOG_FIELD_END; f++) {
 		g_string_append_printf(out, " %s=", f->key);
 		if (f->type == LOG_FIELD_STR)
@@ -64,6 +103,13 @@
 
 	if (level > setup.level)
 		return;
+	if (setup.buffer) {
+		if (setup.buffer->len < BUFFER_MAX_BYTES)
+			logline_format(setup.buffer, level, event, fields);
+		else
+			setup.suppressed++;
+		return;
+	}
 	line = g_string_sized_new(256);
 	logline_format(line, level, event, fields);
 	/* A full or closed standard error must not stop the service. */
--- /dev/null
+++ b/packages/decide/balance.c
@@ -0,0 +1,509 @@
+#include <kcf/balance.h>
+#include <kcf/rank.h>
+
+#include <assert.h>
+#include <string.h>
+
+/* A report counts as present for this long; requests last about a second. */
+#define REPORT_VALID_MS 1500
+/*
+ * An upstream above this share of the mean, plus the slack, is passed over.
+ * The users' bound is twice the mean plus three, at any one moment.
+ */
+#define LOAD_BOUND 1.4
+#define LOAD_SLACK 1.5
+/* Outstanding requests per slot above which a request would not start soon. */
+#define FULL_FACTOR 3
+/* Weight of one outcome in the moving shares. */
+#define OUTCOME_WEIGHT 0.15
+#define LATENCY_WEIGHT 0.15
+/* Below this many outcomes nothing is said of an upstream. */
+#define SAMPLES_MIN 4
+/* An upstream is unsound from this share of failures on, */
+#define UNSOUND_FAILURES 0.25
+/* if that is also this many times the mean of the others; */
+#define UNSOUND_FACTOR 2.0
+/* or if its answers take this many times as long as those of the others. */
+#define UNSOUND_LATENCY 3.0
+#define UNSOUND_LATENCY_MIN_MS 60
+/* Interval of requests to an unsound upstream, to see whether it recovered. */
+#define TRIAL_INTERVAL_MS 700
+/* Share of a cold upstream's rate that is used; the rest is for stale views. */
+#define COLD_SHARE 0.9
+/* Time of slow start after a data centre was taken back in. */
+#define RETURN_RAMP_MS 3000
+#define RETRY_NONE_MS 300
+#define RETRY_FULL_MS 250
+#define RETRY_COLD_MS 150
+
+const char *const balance_reason_string[] = {
+	"first", "spill", "least", "trial", "no upstream", "full", "cold",
+};
+
+static void release_(gpointer p);
+static bool in_service_(const balance_t *b, const balance_upstream_t *u,
+			const balance_ask_t *ask, mstime_t now);
+
+void balance_init(balance_t *b, const char *data_centre, guint32 seed)
+{
+	assert(b && data_centre);
+	*b = (balance_t){ .nodes = 1 };
+	b->data_centre = g_strdup(data_centre);
+	b->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 release_);
+	b->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->rand = g_rand_new_with_seed(seed);
+}
+
+void balance_finish(balance_t *b)
+{
+	g_hash_table_destroy(b->by_id);
+	g_hash_table_destroy(b->services);
+	g_hash_table_destroy(b->out);
+	g_free(b->data_centre);
+	g_rand_free(b->rand);
+}
+
+static void free_if_unused_(balance_upstream_t *u)
+{
+	if (!u->removed || u->mine)
+		return;
+	g_free(u->id);
+	g_free(u->service);
+	g_free(u->address);
+	g_free(u->data_centre);
+	g_free(u);
+}
+
+static void release_(gpointer p)
+{
+	balance_upstream_t *u = p;
+
+	u->removed = true;
+	free_if_unused_(u);
+}
+
+static bool same_(const balance_upstream_t *u, const balance_spec_t *spec)
+{
+	return u->start == spec->start && u->leaving == spec->leaving &&
+	       u->slots == spec->slots && !strcmp(u->address, spec->address) &&
+	       !strcmp(u->service, spec->service) &&
+	       !strcmp(u->data_centre, spec->data_centre);
+}
+
+static void set_cold_(balance_upstream_t *u, mstime_t until, mstime_t now)
+{
+	if (until <= now)
+		return;
+	if (u->cold_until <= now) {
+		u->permits = 0;
+		u->permits_at = now;
+	}
+	u->cold_until = MAX(u->cold_until, until);
+}
+
+bool balance_put(balance_t *b, const balance_spec_t *spec, mstime_t now)
+{
+	balance_upstream_t *u = g_hash_table_lookup(b->by_id, spec->id);
+	bool changed = !u || !same_(u, spec);
+
+	assert(spec->slots > 0);
+	if (u && (u->start != spec->start ||
+		  strcmp(u->service, spec->service) != 0 ||
+		  strcmp(u->address, spec->address) != 0 ||
+		  strcmp(u->data_centre, spec->data_centre) != 0)) {
+		balance_remove(b, spec->id);
+		u = NULL;
+	}
+	if (!u) {
+		u = g_new0(balance_upstream_t, 1);
+		u->number = ++b->numbers;
+		u->id = g_strdup(spec->id);
+		u->service = g_strdup(spec->service);
+		u->address = g_strdup(spec->address);
+		u->data_centre = g_strdup(spec->data_centre);
+		u->start = spec->start;
+		u->hash = str_hash64(str_of(spec->id), 0);
+		g_hash_table_insert(b->by_id, u->id, u);
+	}
+	u->slots = spec->slots;
+	u->leaving = spec->leaving;
+	set_cold_(u, spec->cold_until, now);
+	return changed;
+}
+
+bool balance_remove(balance_t *b, const char *id)
+{
+	return g_hash_table_remove(b->by_id, id);
+}
+
+void balance_set_service(balance_t *b, const char *service,
+			 const balance_service_t *limits)
+{
+	balance_service_t *s = g_new(balance_service_t, 1);
+
+	*s = *limits;
+	g_hash_table_replace(b->services, g_strdup(service), s);
+}
+
+void balance_set_out(balance_t *b, const char *data_centre, bool out,
+		     mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (out) {
+		g_hash_table_add(b->out, g_strdup(data_centre));
+		return;
+	}
+	if (!g_hash_table_remove(b->out, data_centre))
+		return;
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		balance_upstream_t *u = value;
+
+		if (!strcmp(u->data_centre, data_centre))
+			set_cold_(u, now + RETURN_RAMP_MS, now);
+	}
+}
+
+static bool excluded_(const balance_ask_t *ask, const balance_upstream_t *u)
+{
+	for (int i = 0; i < ask->excluded; i++) {
+		if (ask->exclude[i] == u->number)
+			return true;
+	}
+	return false;
+}
+
+static bool in_service_(const balance_t *b, const balance_upstream_t *u,
+			const balance_ask_t *ask, mstime_t now)
+{
+	return !u->leaving && now >= u->shunned_until &&
+	       !strcmp(u->service, ask->service) &&
+	       !g_hash_table_contains(b->out, u->data_centre) &&
+	       !excluded_(ask, u);
+}
+
+/* What is known of the upstreams that a request may go to. */
+typedef struct candidates {
+	balance_upstream_t **list;
+	int *loads; /* parallel to list */
+	guint count;
+	double mean;	 /* load */
+	double failures; /* mean share */
+	double latency;	 /* mean, of those that have one */
+} candidates_t;
+
+static bool told_(const balance_upstream_t *u, mstime_t now)
+{
+	return u->told_at && now - u->told_at < REPORT_VALID_MS;
+}
+
+/* Work of other nodes at upstreams without a report is taken as the mean. */
+static double mean_foreign_(const candidates_t *c, mstime_t now)
+{
+	double sum = 0;
+	int n = 0;
+
+	for (guint i = 0; i < c->count; i++) {
+		if (!told_(c->list[i], now))
+			continue;
+		sum += c->list[i]->foreign;
+		n++;
+	}
+	return n ? sum / n : 0;
+}
+
+static void gather_(const balance_t *b, const balance_ask_t *ask, mstime_t now,
+		    candidates_t *c)
+{
+	guint size = g_hash_table_size(b->by_id);
+	GHashTableIter iter;
+	gpointer value;
+	double foreign;
+	int timed = 0;
+
+	*c = (candidates_t){ .list = g_new(balance_upstream_t *, size + 1),
+			     .loads = g_new(int, size + 1) };
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (in_service_(b, value, ask, now))
+			c->list[c->count++] = value;
+	}
+	foreign = mean_foreign_(c, now);
+	for (guint i = 0; i < c->count; i++) {
+		const balance_upstream_t *u = c->list[i];
+
+		c->loads[i] = u->mine + (told_(u, now) ? u->foreign
+						       : (int)(foreign + 0.5));
+		c->mean += c->loads[i];
+		c->failures += u->failures;
+		if (u->latency_ms > 0) {
+			c->latency += u->latency_ms;
+			timed++;
+		}
+	}
+	if (c->count) {
+		c->mean /= c->count;
+		c->failures /= c->count;
+	}
+	if (timed)
+		c->latency /= timed;
+}
+
+static void drop_(candidates_t *c)
+{
+	g_free(c->list);
+	g_free(c->loads);
+}
+
+/* Failures that all upstreams share say nothing about one of them. */
+static bool unsound_(const candidates_t *c, const balance_upstream_t *u)
+{
+	double others = c->failures;
+	double latency = c->latency;
+
+	if (u->samples < SAMPLES_MIN || c->count < 2)
+		return false;
+	others = (others * c->count - u->failures) / (c->count - 1);
+	if (u->failures > UNSOUND_FAILURES &&
+	    u->failures > UNSOUND_FACTOR * others)
+		return true;
+	latency = (latency * c->count - u->latency_ms) / (c->count - 1);
+	return u->latency_ms > UNSOUND_LATENCY_MIN_MS && latency > 0 &&
+	       u->latency_ms > UNSOUND_LATENCY * latency;
+}
+
+static double cold_rate_(const balance_t *b, const balance_upstream_t *u)
+{
+	const balance_service_t *s =
+		g_hash_table_lookup(b->services, u->service);
+
+	return s ? s->cold_per_s * COLD_SHARE / MAX(1, b->nodes) : 0;
+}
+
+static bool cold_(const balance_t *b, const balance_upstream_t *u, mstime_t now)
+{
+	return now < u->cold_until && cold_rate_(b, u) > 0;
+}
+
+/* Tokens of this node's share; at most one is saved up. */
+static bool bears_(const balance_t *b, balance_upstream_t *u, mstime_t now)
+{
+	if (!cold_(b, u, now))
+		return true;
+	u->permits += (double)(now - u->permits_at) * cold_rate_(b, u) /
+		      MSEC_PER_SEC;
+	u->permits = MIN(u->permits, 1.0);
+	u->permits_at = now;
+	return u->permits >= 1.0;
+}
+
+typedef struct choice {
+	int at; /* -1 for none */
+	double key;
+	double score;
+} choice_t;
+
+/* Load per slot; the own data centre and a random part decide between equals.
+ */
+static double pressure_(balance_t *b, const candidates_t *c, guint i)
+{
+	const balance_upstream_t *u = c->list[i];
+	double near = strcmp(u->data_centre, b->data_centre) ? 0.5 : 0;
+
+	return (c->loads[i] + near + g_rand_double(b->rand)) / u->slots;
+}
+
+static void consider_least_(choice_t *best, int at, double key)
+{
+	if (best->at >= 0 && best->key <= key)
+		return;
+	best->at = at;
+	best->key = key;
+}
+
+static void consider_first_(choice_t *best, int at, double score)
+{
+	if (best->at >= 0 && best->score >= score)
+		return;
+	best->at = at;
+	best->score = score;
+}
+
+/* An unsound upstream that is to be asked again. */
+static int trial_(const candidates_t *c, mstime_t now)
+{
+	for (guint i = 0; i < c->count; i++) {
+		balance_upstream_t *u = c->list[i];
+
+		if (!unsound_(c, u) || now < u->trial_at || u->mine)
+			continue;
+		u->trial_at = now + TRIAL_INTERVAL_MS;
+		return (int)i;
+	}
+	return -1;
+}
+
+typedef struct survey {
+	choice_t home;	/* first of the affinity's order, loaded or not */
+	choice_t first; /* first of it that bears more */
+	choice_t least;
+	choice_t last; /* least loaded, unsound ones included */
+	bool cold;     /* one was left out because it is cold */
+	bool full;
+} survey_t;
+
+static void survey_(balance_t *b, const balance_ask_t *ask,
+		    const candidates_t *c, mstime_t now, survey_t *s)
+{
+	double bound = c->mean * LOAD_BOUND + LOAD_SLACK;
+
+	*s = (survey_t){ { -1 }, { -1 }, { -1 }, { -1 } };
+	for (guint i = 0; i < c->count; i++) {
+		balance_upstream_t *u = c->list[i];
+		double score = rank_score(ask->affinity, u->hash, 1);
+		double key = pressure_(b, c, i);
+
+		consider_first_(&s->home, (int)i, score);
+		if (c->loads[i] >= u->slots * FULL_FACTOR) {
+			s->full = true;
+			continue;
+		}
+		if (!bears_(b, u, now)) {
+			s->cold = true;
+			continue;
+		}
+		consider_least_(&s->last, (int)i, key);
+		if (unsound_(c, u))
+			continue;
+		consider_least_(&s->least, (int)i, key);
+		if (c->loads[i] + 1 <= bound)
+			consider_first_(&s->first, (int)i, score);
+	}
+}
+
+static balance_pick_t refuse_(const survey_t *s)
+{
+	if (s->cold)
+		return (balance_pick_t){ .reason = BALANCE_COLD,
+					 .retry_ms = RETRY_COLD_MS };
+	if (s->full)
+		return (balance_pick_t){ .reason = BALANCE_FULL,
+					 .retry_ms = RETRY_FULL_MS };
+	return (balance_pick_t){ .reason = BALANCE_NONE,
+				 .retry_ms = RETRY_NONE_MS };
+}
+
+static int decide_(const balance_ask_t *ask, const candidates_t *c,
+		   const survey_t *s, mstime_t now, balance_reason_t *reason)
+{
+	int trial = ask->excluded ? -1 : trial_(c, now);
+
+	if (trial >= 0 && s->last.at >= 0) {
+		*reason = BALANCE_TRIAL;
+		return trial;
+	}
+	if (ask->affinity && s->first.at >= 0) {
+		*reason = s->first.at == s->home.at ? BALANCE_FIRST
+						    : BALANCE_SPILL;
+		return s->first.at;
+	}
+	*reason = BALANCE_LEAST;
+	return s->least.at >= 0 ? s->least.at : s->last.at;
+}
+
+balance_pick_t balance_choose(balance_t *b, const balance_ask_t *ask,
+			      mstime_t now)
+{
+	balance_pick_t pick = { 0 };
+	candidates_t c;
+	survey_t s;
+	int at;
+
+	assert(b && ask && ask->service);
+	gather_(b, ask, now, &c);
+	survey_(b, ask, &c, now, &s);
+	at = decide_(ask, &c, &s, now, &pick.reason);
+	if (at < 0) {
+		pick = refuse_(&s);
+	} else {
+		pick.upstream = c.list[at];
+		pick.load = c.loads[at];
+		pick.load_age_ms = pick.upstream->told_at
+					   ? now - pick.upstream->told_at
+					   : -1;
+		pick.upstream->mine++;
+		if (cold_(b, pick.upstream, now))
+			pick.upstream->permits -= 1;
+	}
+	pick.mean = c.mean;
+	drop_(&c);
+	return pick;
+}
+
+static void note_(balance_upstream_t *u, bool failed)
+{
+	u->failures += OUTCOME_WEIGHT * ((failed ? 1.0 : 0.0) - u->failures);
+	u->samples++;
+}
+
+void balance_done(balance_upstream_t *u, balance_outcome_t outcome,
+		  mstime_t latency_ms, mstime_t now)
+{
+	(void)now;
+	assert(u->mine > 0);
+	u->mine--;
+	if (outcome == BALANCE_OK || outcome == BALANCE_FAILED)
+		note_(u, outcome == BALANCE_FAILED);
+	if (outcome == BALANCE_SHED)
+		note_(u, true);
+	if (latency_ms >= 0 && u->latency_ms > 0)
+		u->latency_ms +=
+			LATENCY_WEIGHT * ((double)latency_ms - u->latency_ms);
+	else if (latency_ms >= 0)
+		u->latency_ms = (double)MAX(1, latency_ms);
+	free_if_unused_(u);
+}
+
+void balance_overdue(balance_upstream_t *u, mstime_t now)
+{
+	(void)now;
+	note_(u, true);
+}
+
+void balance_shun(balance_upstream_t *u, mstime_t until)
+{
+	u->shunned_until = MAX(u->shunned_until, until);
+}
+
+void balance_report(balance_upstream_t *u, int outstanding, int slots,
+		    mstime_t now)
+{
+	u->foreign = MAX(0, outstanding - u->mine);
+	u->told_at = now;
+	if (slots > 0)
+		u->slots = slots;
+}
+
+double balance_latency(const balance_t *b, const char *service)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		if (u->latency_ms <= 0 || strcmp(u->service, service) != 0)
+			continue;
+		sum += u->latency_ms;
+		n++;
+	}
+	return n ? sum / n : 0;
+}
--- /dev/null
+++ b/packages/gateway/admin.c
@@ -0,0 +1,91 @@
+#include "private/gateway.h"
+
+#include <string.h>
+
+static void reply_metrics_(http_request_t *req)
+{
+	static const http_header_t headers[] = {
+		{ "Content-Type", "text/plain; version=0.0.4" }, { NULL, NULL }
+	};
+	GString *text = g_string_new(NULL);
+
+	counter_render(text);
+	http_reply(req, 200, headers, (str_t){ text->str, text->len });
+	g_string_free(text, TRUE);
+}
+
+void gateway_reply_json(http_request_t *req, unsigned int status,
+			const char *text)
+{
+	static const http_header_t headers[] = {
+		{ "Content-Type", "application/json" }, { NULL, NULL }
+	};
+
+	http_reply(req, status, headers, str_of(text));
+}
+
+static json_t *upstream_(const balance_upstream_t *u, mstime_t now)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:b,s:i,s:i,s:I,s:f,s:f,s:I}", "id",
+			 u->id, "service", u->service, "address", u->address,
+			 "data_centre", u->data_centre, "leaving", u->leaving,
+			 "mine", u->mine, "foreign", u->foreign, "load_age_ms",
+			 (json_int_t)(u->told_at ? now - u->told_at : -1),
+			 "failures", u->failures, "latency_ms", u->latency_ms,
+			 "cold_ms", (json_int_t)MAX(0, u->cold_until - now));
+}
+
+static void reply_status_(gateway_t *g, http_request_t *req)
+{
+	json_t *list = json_array();
+	mstime_t now = clock_now();
+	GHashTableIter iter;
+	gpointer value;
+	json_t *root;
+	char *text;
+
+	g_hash_table_iter_init(&iter, g->balance.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(list, upstream_(value, now));
+	root = json_pack("{s:s,s:s,s:I,s:o}", "node", g->conf->name, "phase",
+			 phase_string[g->phase], "config",
+			 g->table ? (json_int_t)g->table->version : -1,
+			 "upstreams", list);
+	text = json_dumps(root, JSON_COMPACT);
+	gateway_reply_json(req, 200, text);
+	free(text);
+	json_decref(root);
+}
+
+static void on_admin_(void *ctx, http_request_t *req)
+{
+	gateway_t *g = ctx;
+	str_t path = http_request_path(req);
+
+	if (str_eq(path, str_of("/v1/feeds")))
+		mirror_reply(g, req);
+	else if (str_eq(path, str_of("/v1/status")))
+		reply_status_(g, req);
+	else if (str_eq(path, str_of("/metrics")))
+		reply_metrics_(req);
+	else if (str_eq(path, str_of("/healthz")))
+		gateway_reply_json(req, 200, "{}");
+	else
+		gateway_reply_json(req, 404, "{\"error\":\"no such path\"}");
+}
+
+static void on_metrics_(void *ctx, http_request_t *req)
+{
+	(void)ctx;
+	reply_metrics_(req);
+}
+
+static void on_closed_(void *ctx, http_request_t *req, bool whole)
+{
+	(void)ctx;
+	(void)req;
+	(void)whole;
+}
+
+const http_server_ops_t admin_server_ops = { on_admin_, on_closed_ };
+const http_server_ops_t metrics_server_ops = { on_metrics_, on_closed_ };
--- /dev/null
+++ b/packages/gateway/conf.c
@@ -0,0 +1,191 @@
+#include <kcf/gateway.h>
+
+#include <kcf/address.h>
+#include <kcf/logline.h>
+#include <string.h>
+
+/* Between the last answer and the end by force. */
+#define STOP_MARGIN_MS 800
+/* What callers may keep of a directory answer where nothing is told. */
+#define DIRECTORY_TTL_MAX_DEFAULT_MS 5000
+/* A request's headers need room beside the answer's in the same block. */
+#define MAX_HEADER_DEFAULT (32 * 1024)
+#define MAX_BODY_DEFAULT (4 * 1024 * 1024)
+/* Descriptors that are left for files, pools of upstreams and peers. */
+#define DESCRIPTORS_ASIDE 1200
+#define DESCRIPTORS_DEFAULT 4096
+
+static const char *const levels[] = { "error", "warning", "notice",
+				      "info",  "debug",	  NULL };
+
+static const schema_field_t node_fields[] = {
+	{ "name", SCHEMA_STRING, .required = true, .min = 1, .max = 63 },
+	{ "data_centre", SCHEMA_STRING, .required = true, .min = 1, .max = 63 },
+	{ "region", SCHEMA_STRING, .required = true, .min = 1, .max = 63 },
+	{ "stop_s", SCHEMA_REAL, .min = 1, .max = 3600 },
+	{ "max_descriptors", SCHEMA_INT, .min = 1500, .max = 1e7 },
+	{ 0 },
+};
+
+static const schema_field_t listen_fields[] = {
+	{ "callers", SCHEMA_ADDRESS, .required = true },
+	{ "readiness", SCHEMA_ADDRESS, .required = true },
+	{ "directory", SCHEMA_ADDRESS, .required = true },
+	{ "admin", SCHEMA_ADDRESS, .required = true },
+	{ "metrics", SCHEMA_ADDRESS },
+	{ "peers", SCHEMA_ADDRESS, .required = true },
+	{ 0 },
+};
+
+static const schema_field_t peer_fields[] = {
+	{ "key", SCHEMA_HEX, .required = true, .min = PEER_KEY_BYTES,
+	  .max = PEER_KEY_BYTES },
+	{ "seeds", SCHEMA_STRINGS, .min = 0, .max = 64 },
+	{ 0 },
+};
+
+static const schema_field_t store_fields[] = {
+	{ "address", SCHEMA_ADDRESS, .required = true },
+	{ 0 },
+};
+
+static const schema_field_t directory_fields[] = {
+	{ "ttl_max_s", SCHEMA_REAL, .min = 0.5, .max = 3600 },
+	{ 0 },
+};
+
+static const schema_field_t retry_fields[] = {
+	{ "ratio", SCHEMA_REAL, .required = true, .min = 0, .max = 10 },
+	{ "burst", SCHEMA_REAL, .required = true, .min = 0, .max = 1e6 },
+	{ "window_s", SCHEMA_REAL, .required = true, .min = 0.1, .max = 3600 },
+	{ 0 },
+};
+
+static const schema_field_t log_fields[] = {
+	{ "level", SCHEMA_CHOICE, .choices = levels },
+	{ 0 },
+};
+
+static const schema_field_t fields[] = {
+	{ "node", SCHEMA_OBJECT, .required = true, .sub = node_fields },
+	{ "listen", SCHEMA_OBJECT, .required = true, .sub = listen_fields },
+	{ "peers", SCHEMA_OBJECT, .required = true, .sub = peer_fields },
+	{ "store", SCHEMA_OBJECT, .required = true, .sub = store_fields },
+	{ "directory", SCHEMA_OBJECT, .sub = directory_fields },
+	{ "retries", SCHEMA_OBJECT, .required = true, .sub = retry_fields },
+	{ "log", SCHEMA_OBJECT, .sub = log_fields },
+	{ 0 },
+};
+
+static const char *text_(const json_t *table, const char *name)
+{
+	return json_string_value(json_object_get(table, name));
+}
+
+static double real_(const json_t *table, const char *name, double fallback)
+{
+	const json_t *v = json_object_get(table, name);
+
+	return v ? json_number_value(v) : fallback;
+}
+
+static mstime_t span_(const json_t *table, const char *name, mstime_t fallback)
+{
+	return (mstime_t)(real_(table, name, (double)fallback / MSEC_PER_SEC) *
+			  MSEC_PER_SEC);
+}
+
+static void take_key_(unsigned char *out, const char *hex)
+{
+	for (int i = 0; i < PEER_KEY_BYTES; i++)
+		out[i] = (unsigned char)(g_ascii_xdigit_value(hex[2 * i]) * 16 +
+					 g_ascii_xdigit_value(hex[2 * i + 1]));
+}
+
+/* Seeds are hosts; all nodes use the same port for datagrams. */
+static void take_seeds_(gateway_conf_t *c, const json_t *seeds)
+{
+	struct sockaddr_in own;
+	struct sockaddr_in seed;
+	char address[ADDRESS_TEXT_MAX];
+	size_t i;
+	json_t *v;
+
+	address_parse(c->peers, &own);
+	json_array_foreach ((json_t *)seeds, i, v) {
+		if (!address_parse(json_string_value(v), &seed))
+			continue;
+		seed.sin_port = own.sin_port;
+		address_format(&seed, address);
+		g_ptr_array_add(c->seeds, g_strdup(address));
+	}
+}
+
+static void take_listen_(gateway_conf_t *c, const json_t *listen)
+{
+	c->callers = text_(listen, "callers");
+	c->readiness = text_(listen, "readiness");
+	c->directory = text_(listen, "directory");
+	c->admin = text_(listen, "admin");
+	c->metrics = text_(listen, "metrics");
+	c->peers = text_(listen, "peers");
+}
+
+static void take_(gateway_conf_t *c, json_t *root)
+{
+	const json_t *node = json_object_get(root, "node");
+	const json_t *peers = json_object_get(root, "peers");
+	const json_t *retries = json_object_get(root, "retries");
+	const char *level = text_(json_object_get(root, "log"), "level");
+
+	c->json = root;
+	c->name = text_(node, "name");
+	c->data_centre = text_(node, "data_centre");
+	c->region = text_(node, "region");
+	c->stop_within_ms = span_(node, "stop_s", 8 * MSEC_PER_SEC) -
+			    STOP_MARGIN_MS;
+	c->max_connections = (int64_t)real_(node, "max_descriptors",
+					    DESCRIPTORS_DEFAULT) -
+			     DESCRIPTORS_ASIDE;
+	take_listen_(c, json_object_get(root, "listen"));
+	c->store = text_(json_object_get(root, "store"), "address");
+	take_key_(c->peer_key, text_(peers, "key"));
+	take_seeds_(c, json_object_get(peers, "seeds"));
+	c->directory_ttl_max_ms =
+		span_(json_object_get(root, "directory"), "ttl_max_s",
+		      DIRECTORY_TTL_MAX_DEFAULT_MS);
+	c->retries.ratio = real_(retries, "ratio", 0);
+	c->retries.burst = real_(retries, "burst", 0);
+	c->retries.window_ms = span_(retries, "window_s", MSEC_PER_SEC);
+	c->max_body = MAX_BODY_DEFAULT;
+	c->max_header = MAX_HEADER_DEFAULT;
+	c->log_level = level ? logline_level(level) : LOG_INFO;
+}
+
+int gateway_conf_load(gateway_conf_t *c, const char *file, GPtrArray *faults)
+{
+	GError *error = NULL;
+	json_t *root;
+	gchar *text;
+	gsize len;
+	int err;
+
+	*c = (gateway_conf_t){ 0 };
+	c->seeds = g_ptr_array_new_with_free_func(g_free);
+	if (!g_file_get_contents(file, &text, &len, &error)) {
+		g_ptr_array_add(faults, g_strdup(error->message));
+		g_error_free(error);
+		return SETTINGS_EREAD;
+	}
+	root = settings_check((str_t){ text, len }, fields, NULL, faults, &err);
+	g_free(text);
+	if (root)
+		take_(c, root);
+	return err;
+}
+
+void gateway_conf_finish(gateway_conf_t *c)
+{
+	json_decref(c->json);
+	g_clear_pointer(&c->seeds, g_ptr_array_unref);
+}
--- /dev/null
+++ b/packages/gateway/feeds.c
@@ -0,0 +1,443 @@
+#include "private/gateway.h"
+
+#include <kcf/logline.h>
+#include <string.h>
+
+/* A read of operators' records waits for news this long. */
+#define OPERATORS_WAIT_MS 1000
+/* Upstreams write more than once a second; draining must be seen in two. */
+#define UPSTREAMS_INTERVAL_MS 700
+/* Nodes find each other by gossip; the feed serves those that know none. */
+#define NODES_INTERVAL_MS 15000
+#define NODES_ALONE_INTERVAL_MS 1000
+#define RETRY_MS 250
+/* Longest time for an answer, beside the wait that was asked for. */
+#define ANSWER_MAX_MS 900
+/* A platform that was silent for longer than this had an outage. */
+#define OUTAGE_MIN_MS 2200
+/* Entries that lapsed in an outage are back within two seconds of its end. */
+#define LAPSE_HOLD_MS 2200
+
+const char *const feed_string[] = { "operators", "upstreams", "nodes" };
+
+const char *const feed_err_string[] = {
+	"ok", "no answer", "answer not understood", "history expired",
+	"not taken",
+};
+
+static void ask_(feed_state_t *s, mstime_t now);
+
+static void entry_free_(gpointer p)
+{
+	feed_entry_t *e = p;
+
+	g_free(e->key);
+	if (e->data)
+		g_bytes_unref(e->data);
+	g_free(e);
+}
+
+void feeds_init(gateway_t *g)
+{
+	for (int i = 0; i < FEED_COUNT; i++) {
+		feed_state_t *s = &g->states[i];
+
+		*s = (feed_state_t){ .gateway = g, .feed = (feed_t)i };
+		s->entries = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   NULL, entry_free_);
+		s->heard_at = clock_now();
+	}
+}
+
+void feeds_finish(gateway_t *g)
+{
+	for (int i = 0; i < FEED_COUNT; i++) {
+		g_hash_table_destroy(g->states[i].entries);
+		g_free(g->states[i].pass_after);
+	}
+}
+
+static void take_table_(gateway_t *g, route_table_t *table, uint64_t offset,
+			mstime_t now)
+{
+	if (g->table && table->version <= g->table->version) {
+		LOG_EVENT(LOG_INFO, "config.older",
+			  F_INT("version", (int64_t)table->version),
+			  F_INT("in_force", (int64_t)g->table->version));
+		route_table_unref(table);
+		return;
+	}
+	LOG_EVENT(LOG_NOTICE, "config.in_force",
+		  F_INT("version", (int64_t)table->version),
+		  F_INT("offset", (int64_t)offset),
+		  F_INT("routes", table->routes->len),
+		  F_INT("keys", g_hash_table_size(table->customers)));
+	route_table_unref(g->table);
+	table->since = now;
+	g->table = table;
+	counter_add(COUNTER_CONFIG_APPLIED, 1);
+	counter_set(GAUGE_APPLIED_OFFSET, (int64_t)offset);
+	for (guint i = 0; i < table->services->len; i++) {
+		const routing_service_t *service = table->services->pdata[i];
+		balance_service_t limits = { service->cold_per_s };
+
+		balance_set_service(&g->balance, service->name, &limits);
+	}
+}
+
+static void take_operators_(gateway_t *g, const feed_record_t *r, mstime_t now)
+{
+	operator_change_t change;
+
+	g->speech->operator_change(r, &change);
+	switch (change.kind) {
+	case CHANGE_NONE:
+		break;
+	case CHANGE_BAD:
+		counter_add(COUNTER_CONFIG_REJECTED, 1);
+		LOG_EVENT(LOG_WARNING, "config.unreadable",
+			  F_VIEW("key", r->key), F_STR("error", change.error),
+			  F_INT("offset", (int64_t)r->offset));
+		break;
+	case CHANGE_TABLE:
+		take_table_(g, change.table, r->offset, now);
+		break;
+	case CHANGE_DATA_CENTRE:
+		LOG_EVENT(LOG_NOTICE, "data_centre.out",
+			  F_STR("data_centre", change.data_centre),
+			  F_INT("out", change.out),
+			  F_INT("offset", (int64_t)r->offset));
+		balance_set_out(&g->balance, change.data_centre, change.out,
+				now);
+		break;
+	}
+}
+
+static void forget_upstream_(gateway_t *g, const char *id, const char *why)
+{
+	if (balance_remove(&g->balance, id))
+		LOG_EVENT(LOG_NOTICE, "upstream.gone", F_STR("upstream", id),
+			  F_STR("why", why));
+}
+
+static void take_upstream_(gateway_t *g, const char *id,
+			   const feed_record_t *r, mstime_t now)
+{
+	json_t *holder = NULL;
+	balance_spec_t spec;
+
+	if (!g->speech->upstream_entry(r, now, &spec, &holder)) {
+		LOG_EVENT(LOG_WARNING, "upstream.unreadable",
+			  F_STR("upstream", id),
+			  F_INT("offset", (int64_t)r->offset));
+		forget_upstream_(g, id, "entry unreadable");
+	} else {
+		spec.id = id;
+		if (balance_put(&g->balance, &spec, now))
+			LOG_EVENT(LOG_NOTICE, "upstream.entry",
+				  F_STR("upstream", id),
+				  F_STR("service", spec.service),
+				  F_STR("address", spec.address),
+				  F_STR("data_centre", spec.data_centre),
+				  F_INT("leaving", spec.leaving),
+				  F_INT("cold_ms",
+					MAX(0, spec.cold_until - now)),
+				  F_INT("start", (int64_t)spec.start),
+				  F_INT("offset", (int64_t)r->offset));
+	}
+	json_decref(holder);
+}
+
+static void take_seeds_(gateway_t *g)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	members_clear_seeds(&g->members);
+	for (guint i = 0; i < g->conf->seeds->len; i++)
+		members_add_seed(&g->members, g->conf->seeds->pdata[i]);
+	g_hash_table_iter_init(&iter, g->states[FEED_NODES].entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const feed_entry_t *e = value;
+		gsize len = 0;
+		const char *data = e->data ? g_bytes_get_data(e->data, &len)
+					   : NULL;
+		char *address = g_strndup(data ? data : "", len);
+
+		if (len && len < MEMBER_ADDRESS_MAX &&
+		    strcmp(address, g->conf->peers) != 0)
+			members_add_seed(&g->members, address);
+		g_free(address);
+	}
+}
+
+static void act_(feed_state_t *s, const feed_entry_t *e,
+		 const feed_record_t *r, mstime_t now)
+{
+	gateway_t *g = s->gateway;
+
+	switch (s->feed) {
+	case FEED_OPERATORS:
+		take_operators_(g, r, now);
+		break;
+	case FEED_UPSTREAMS:
+		if (!r->removed)
+			take_upstream_(g, e->key, r, now);
+		else if (now >= s->hold_until)
+			forget_upstream_(g, e->key, "entry removed");
+		break;
+	case FEED_NODES:
+	default:
+		break;
+	}
+}
+
+void feeds_take(feed_state_t *s, const feed_record_t *r, mstime_t now)
+{
+	char *key = str_dup(r->key);
+	feed_entry_t *e = g_hash_table_lookup(s->entries, key);
+
+	if (e)
+		e->seen = true;
+	if (e && e->offset >= r->offset) {
+		g_free(key);
+		return;
+	}
+	if (!e) {
+		e = g_new0(feed_entry_t, 1);
+		e->key = g_strdup(key);
+		e->seen = true;
+		g_hash_table_insert(s->entries, e->key, e);
+	}
+	g_free(key);
+	e->offset = r->offset;
+	g_clear_pointer(&e->data, g_bytes_unref);
+	if (!r->removed)
+		e->data = g_bytes_new(r->data.data, r->data.len);
+	act_(s, e, r, now);
+}
+
+void feeds_current(feed_state_t *s, mstime_t at, uint64_t next)
+{
+	s->next = MAX(s->next, next);
+	s->current_at = MAX(s->current_at, at);
+	if (!s->loaded)
+		LOG_EVENT(LOG_NOTICE, "feed.loaded",
+			  F_STR("feed", feed_string[s->feed]),
+			  F_INT("next", (int64_t)s->next),
+			  F_INT("keys", g_hash_table_size(s->entries)));
+	s->loaded = true;
+}
+
+/* Keys that a whole pass did not show are dropped. */
+static void drop_unseen_(feed_state_t *s, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		feed_entry_t *e = value;
+		feed_record_t r = { .key = str_of(e->key), .removed = true };
+
+		if (e->seen || !e->data || e->offset >= s->pass_end)
+			continue;
+		r.offset = s->pass_end - 1;
+		e->offset = r.offset;
+		g_clear_pointer(&e->data, g_bytes_unref);
+		act_(s, e, &r, now);
+	}
+}
+
+static void begin_pass_(feed_state_t *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	s->passing = true;
+	s->pass_end = 0;
+	g_clear_pointer(&s->pass_after, g_free);
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((feed_entry_t *)value)->seen = false;
+}
+
+static void note_heard_(feed_state_t *s, mstime_t now)
+{
+	if (now - s->heard_at > OUTAGE_MIN_MS)
+		s->hold_until = now + LAPSE_HOLD_MS;
+	s->heard_at = now;
+	if (!s->down)
+		return;
+	s->down = false;
+	LOG_EVENT(LOG_NOTICE, "platform.regained",
+		  F_STR("feed", feed_string[s->feed]));
+}
+
+static void failed_(feed_state_t *s, int err, mstime_t now)
+{
+	s->next_at = now + RETRY_MS;
+	counter_add(COUNTER_LOG_ERRORS, 1);
+	if (s->down)
+		return;
+	s->down = true;
+	LOG_EVENT(LOG_WARNING, "platform.lost",
+		  F_STR("feed", feed_string[s->feed]),
+		  F_STR("error", feed_err_string[-err]),
+		  F_INT("known_to", (int64_t)s->next),
+		  F_INT("age_ms", s->current_at ? now - s->current_at : -1));
+}
+
+static mstime_t interval_(const feed_state_t *s)
+{
+	switch (s->feed) {
+	case FEED_OPERATORS:
+		return 0;
+	case FEED_UPSTREAMS:
+		return UPSTREAMS_INTERVAL_MS;
+	case FEED_NODES:
+	default:
+		return gateway_peers_count(s->gateway) > 1
+			       ? NODES_INTERVAL_MS
+			       : NODES_ALONE_INTERVAL_MS;
+	}
+}
+
+static void on_newest_(void *arg, int err, const feed_batch_t *batch)
+{
+	feed_state_t *s = arg;
+	mstime_t now = clock_now();
+
+	s->call = NULL;
+	if (err) {
+		s->passing = false;
+		failed_(s, err, now);
+		return;
+	}
+	note_heard_(s, now);
+	if (!s->pass_after)
+		s->pass_end = batch->next;
+	for (size_t i = 0; i < batch->count; i++)
+		feeds_take(s, &batch->records[i], now);
+	g_clear_pointer(&s->pass_after, g_free);
+	if (batch->more && batch->count) {
+		s->pass_after = str_dup(batch->records[batch->count - 1].key);
+		s->next_at = now;
+		return;
+	}
+	s->passing = false;
+	/* An answer older than what is known says nothing of removals. */
+	if (s->pass_end >= s->next) {
+		drop_unseen_(s, now);
+		feeds_current(s, s->asked_at, s->pass_end);
+	}
+	s->next_at = s->pass_end >= s->next ? now : now + RETRY_MS;
+	if (s->feed == FEED_NODES)
+		take_seeds_(s->gateway);
+}
+
+static void on_read_(void *arg, int err, const feed_batch_t *batch)
+{
+	feed_state_t *s = arg;
+	mstime_t now = clock_now();
+
+	s->call = NULL;
+	if (err == FEED_EEXPIRED) {
+		note_heard_(s, now);
+		LOG_EVENT(LOG_NOTICE, "feed.expired",
+			  F_STR("feed", feed_string[s->feed]),
+			  F_INT("next", (int64_t)s->next));
+		begin_pass_(s);
+		s->next_at = now;
+		return;
+	}
+	if (err) {
+		failed_(s, err, now);
+		return;
+	}
+	note_heard_(s, now);
+	for (size_t i = 0; i < batch->count; i++)
+		feeds_take(s, &batch->records[i], now);
+	s->next_at = MAX(s->asked_at + interval_(s), now);
+	if (batch->next < s->next) {
+		/* The answer is older than what is known. */
+		s->next_at = now + RETRY_MS;
+		return;
+	}
+	feeds_current(s, batch->count ? s->asked_at : now, batch->next);
+	if (s->feed == FEED_NODES && batch->count)
+		take_seeds_(s->gateway);
+}
+
+static void ask_(feed_state_t *s, mstime_t now)
+{
+	feed_client_t *c = &s->gateway->feeds;
+	mstime_t wait = s->feed == FEED_OPERATORS ? OPERATORS_WAIT_MS : 0;
+
+	s->asked_at = now;
+	if (!s->loaded && !s->passing)
+		begin_pass_(s);
+	if (s->passing)
+		s->call = c->ops->newest(c, s->feed, s->pass_after,
+					 now + ANSWER_MAX_MS, on_newest_, s);
+	else
+		s->call = c->ops->read(c, s->feed, s->next, wait,
+				       now + wait + ANSWER_MAX_MS, on_read_,
+				       s);
+}
+
+/* Removals that were held, and that nothing has taken back. */
+static void end_hold_(feed_state_t *s, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!s->hold_until || now < s->hold_until)
+		return;
+	s->hold_until = 0;
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const feed_entry_t *e = value;
+
+		if (!e->data)
+			forget_upstream_(s->gateway, e->key, "entry lapsed");
+	}
+}
+
+void feeds_tick(gateway_t *g, mstime_t now)
+{
+	for (int i = 0; i < FEED_COUNT; i++) {
+		feed_state_t *s = &g->states[i];
+
+		if (s->feed == FEED_UPSTREAMS)
+			end_hold_(s, now);
+		if (!s->call && now >= s->next_at)
+			ask_(s, now);
+	}
+}
+
+static void on_published_(void *arg, int err, const feed_batch_t *batch)
+{
+	gateway_t *g = arg;
+
+	(void)batch;
+	if (err) {
+		g->publish_at = clock_now() + NODES_ALONE_INTERVAL_MS;
+		LOG_EVENT(LOG_WARNING, "node.unpublished",
+			  F_STR("error", feed_err_string[-err]));
+	}
+}
+
+void feeds_publish(gateway_t *g, mstime_t now)
+{
+	char *key;
+
+	if (now < g->publish_at)
+		return;
+	g->publish_at = MSTIME_NEVER;
+	key = g_strdup_printf("node/%s", g->conf->name);
+	g->feeds.ops->put(&g->feeds, FEED_NODES, str_of(key),
+			  str_of(g->conf->peers), now + ANSWER_MAX_MS,
+			  on_published_, g);
+	g_free(key);
+}
--- /dev/null
+++ b/packages/gateway/gateway.c
@@ -0,0 +1,346 @@
+#include "private/gateway.h"
+
+#include <kcf/logline.h>
+#include <string.h>
+
+#define TICK_S 0.1
+/* A tick that comes later than this means that the process stood still. */
+#define PAUSE_MS 1000
+/* Callers keep a directory answer for this long. */
+#define DIRECTORY_TTL_MS 2000
+/* After SIGTERM: callers still come until their answers have lapsed. */
+#define STOP_QUIET_MS 1200
+#define STOP_MIN_MS 3000
+/* From then on new requests could not end in time. */
+#define STOP_REFUSE_MS 4500
+#define FLUSH_INTERVAL_MS 50
+#define ADMIN_CONNECTIONS 64
+#define SIDE_CONNECTIONS 512
+#define SIDE_IDLE_S 30
+/* Longer than the idle limit of any caller. */
+#define CALLER_IDLE_S 60
+#define SIDE_MAX_BODY 4096
+
+const char *const phase_string[] = { "starting", "ready", "stopping" };
+
+static void on_ready_(void *ctx, http_request_t *req);
+static void on_directory_(void *ctx, http_request_t *req);
+static void on_side_closed_(void *ctx, http_request_t *req, bool whole);
+
+static const http_server_ops_t ready_ops = { on_ready_, on_side_closed_ };
+static const http_server_ops_t directory_ops = { on_directory_,
+						 on_side_closed_ };
+
+static bool known_since_(const feed_state_t *s, mstime_t since)
+{
+	return s->loaded && s->current_at >= since;
+}
+
+bool gateway_informed(const gateway_t *g)
+{
+	return g->table && known_since_(&g->states[FEED_OPERATORS], g->woke_at) &&
+	       known_since_(&g->states[FEED_UPSTREAMS], g->woke_at);
+}
+
+bool gateway_ready(const gateway_t *g)
+{
+	return g->phase == GATEWAY_READY && gateway_informed(g);
+}
+
+bool gateway_refusing(const gateway_t *g)
+{
+	return g->phase == GATEWAY_STOPPING &&
+	       clock_now() - g->stop_at > STOP_REFUSE_MS;
+}
+
+static void on_ready_(void *ctx, http_request_t *req)
+{
+	const gateway_t *g = ctx;
+
+	if (!g->speech->asks_ready(req))
+		gateway_reply_json(req, 404, "{\"error\":\"no such path\"}");
+	else if (gateway_ready(g))
+		gateway_reply_json(req, 200, "{}");
+	else
+		gateway_reply_json(req, 503, "{\"error\":\"not ready\"}");
+}
+
+static void on_directory_(void *ctx, http_request_t *req)
+{
+	const gateway_t *g = ctx;
+	GPtrArray *list;
+	char *text;
+
+	if (!g->speech->asks_directory(req)) {
+		gateway_reply_json(req, 404, "{\"error\":\"no such path\"}");
+		return;
+	}
+	list = gateway_peers_usable(g);
+	if (list->len) {
+		text = g->speech->directory(list,
+					    MIN(DIRECTORY_TTL_MS,
+						g->conf->directory_ttl_max_ms));
+		gateway_reply_json(req, 200, text);
+		free(text);
+	} else {
+		gateway_reply_json(req, 503, "{\"error\":\"no node is ready\"}");
+	}
+	g_ptr_array_unref(list);
+}
+
+static void on_side_closed_(void *ctx, http_request_t *req, bool whole)
+{
+	(void)ctx;
+	(void)req;
+	(void)whole;
+}
+
+/* What was decided on before a pause may have changed since. */
+static void check_pause_(gateway_t *g, mstime_t now)
+{
+	mstime_t gap = g->ticked_at ? now - g->ticked_at : 0;
+
+	g->ticked_at = now;
+	if (gap < PAUSE_MS)
+		return;
+	g->woke_at = now;
+	for (int i = 0; i < FEED_COUNT; i++) {
+		feed_state_t *s = &g->states[i];
+
+		/* Silence of this process is no outage of the platform. */
+		s->heard_at = MAX(s->heard_at, now - gap);
+		if (s->call) {
+			http_call_cancel(s->call);
+			s->call = NULL;
+		}
+		s->next_at = now;
+	}
+	LOG_EVENT(LOG_WARNING, "node.paused", F_INT("ms", gap));
+}
+
+static void check_phase_(gateway_t *g)
+{
+	if (g->phase != GATEWAY_STARTING || !gateway_informed(g))
+		return;
+	g->phase = GATEWAY_READY;
+	LOG_EVENT(LOG_NOTICE, "node.ready",
+		  F_INT("config", (int64_t)g->table->version),
+		  F_INT("ms", clock_now() - g->started_at));
+}
+
+static bool drained_(const gateway_t *g, mstime_t now)
+{
+	mstime_t since = now - g->stop_at;
+
+	if (since >= g->conf->stop_within_ms)
+		return true;
+	return since >= STOP_MIN_MS && !g_hash_table_size(g->forwards) &&
+	       now - g->last_request_at >= STOP_QUIET_MS;
+}
+
+static void on_tick_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	gateway_t *g = w->data;
+	mstime_t now = clock_now();
+
+	(void)revents;
+	check_pause_(g, now);
+	feeds_tick(g, now);
+	feeds_publish(g, now);
+	mirror_tick(g, now);
+	check_phase_(g);
+	gateway_peers_tick(g, now);
+	forwards_tick(g, now);
+	if (g->phase == GATEWAY_STOPPING && drained_(g, now))
+		ev_break(loop, EVBREAK_ALL);
+}
+
+static void on_flush_(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+	gateway_t *g = w->data;
+	mstime_t now = clock_now();
+
+	(void)loop;
+	(void)revents;
+	if (now - g->flushed_at < FLUSH_INTERVAL_MS)
+		return;
+	g->flushed_at = now;
+	logline_flush();
+}
+
+static void on_terminate_(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	gateway_t *g = w->data;
+
+	(void)loop;
+	(void)revents;
+	if (g->phase == GATEWAY_STOPPING)
+		return;
+	g->phase = GATEWAY_STOPPING;
+	g->stop_at = clock_now();
+	LOG_EVENT(LOG_NOTICE, "node.stopping",
+		  F_INT("open", g_hash_table_size(g->forwards)),
+		  F_INT("within_ms", g->conf->stop_within_ms));
+	gateway_peers_tick(g, g->stop_at);
+}
+
+/* Addresses and shares stay as they were at the start. */
+static void on_reload_(struct ev_loop *loop, ev_signal *w, int revents)
+{
+	gateway_t *g = w->data;
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	gateway_conf_t fresh;
+	int err;
+
+	(void)loop;
+	(void)revents;
+	err = gateway_conf_load(&fresh, g->conf_file, faults);
+	if (err) {
+		for (guint i = 0; i < faults->len; i++)
+			LOG_EVENT(LOG_ERR, "settings.rejected",
+				  F_STR("fault", faults->pdata[i]));
+	} else {
+		logline_setup(g->conf->name, fresh.log_level);
+		g->conf->log_level = fresh.log_level;
+		g->conf->retries = fresh.retries;
+		LOG_EVENT(LOG_NOTICE, "settings.reloaded",
+			  F_STR("file", g->conf_file));
+	}
+	gateway_conf_finish(&fresh);
+	g_ptr_array_unref(faults);
+}
+
+typedef struct listener {
+	http_server_t *server;
+	const char *address;
+	const http_server_ops_t *ops;
+	const char *name;
+} listener_t;
+
+static bool listen_(gateway_t *g)
+{
+	const gateway_conf_t *c = g->conf;
+	listener_t listeners[] = {
+		{ &g->callers, c->callers, &forward_server_ops, "callers" },
+		{ &g->readiness, c->readiness, &ready_ops, "readiness" },
+		{ &g->directory, c->directory, &directory_ops, "directory" },
+		{ &g->admin, c->admin, &admin_server_ops, "admin" },
+		{ &g->metrics, c->metrics, &metrics_server_ops, "metrics" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
+		const listener_t *l = &listeners[i];
+		bool callers = l->server == &g->callers;
+		http_server_conf_t conf = {
+			.address = l->address,
+			.max_body = callers ? (size_t)c->max_body
+					    : SIDE_MAX_BODY,
+			.max_header = (size_t)c->max_header,
+			.max_connections =
+				callers ? (unsigned int)c->max_connections
+					: SIDE_CONNECTIONS,
+			.idle_timeout_s = callers ? CALLER_IDLE_S
+						  : SIDE_IDLE_S,
+		};
+		int err;
+
+		if (!l->address)
+			continue;
+		err = http_server_init(l->server, g->loop, &conf, l->ops, g);
+		if (!err)
+			continue;
+		LOG_EVENT(LOG_ERR, "node.listen", F_STR("interface", l->name),
+			  F_STR("address", l->address),
+			  F_STR("error", http_server_err_string[-err]));
+		return false;
+	}
+	return true;
+}
+
+static void init_(gateway_t *g)
+{
+	g->loop = ev_default_loop(EVFLAG_AUTO);
+	g->started_at = clock_now();
+	/* Later than any earlier start of the same name on any host. */
+	g->incarnation = (uint64_t)clock_wall();
+	g->rand = g_rand_new();
+	g->forwards = g_hash_table_new(NULL, NULL);
+	g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					   g_free);
+	balance_init(&g->balance, g->conf->data_centre, g_rand_int(g->rand));
+	http_client_init(&g->upstreams, g->loop);
+	http_client_init(&g->store, g->loop);
+	g->feeds.http = &g->store;
+	g->feeds.address = g->conf->store;
+	feeds_init(g);
+}
+
+static void finish_(gateway_t *g)
+{
+	http_server_finish(&g->callers);
+	http_server_finish(&g->readiness);
+	http_server_finish(&g->directory);
+	http_server_finish(&g->admin);
+	http_server_finish(&g->metrics);
+	http_client_finish(&g->upstreams);
+	http_client_finish(&g->store);
+	feeds_finish(g);
+	balance_finish(&g->balance);
+	route_table_unref(g->table);
+	g_hash_table_destroy(g->budgets);
+	g_hash_table_destroy(g->forwards);
+	g_rand_free(g->rand);
+}
+
+static void watch_signal_(gateway_t *g, ev_signal *w, int number,
+			  void (*fn)(struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init(w, fn, number);
+	w->data = g;
+	ev_signal_start(g->loop, w);
+}
+
+static void run_(gateway_t *g)
+{
+	watch_signal_(g, &g->terminate, SIGTERM, on_terminate_);
+	watch_signal_(g, &g->interrupt, SIGINT, on_terminate_);
+	watch_signal_(g, &g->reload, SIGHUP, on_reload_);
+	ev_timer_init(&g->tick, on_tick_, 0, TICK_S);
+	g->tick.data = g;
+	ev_timer_start(g->loop, &g->tick);
+	ev_prepare_init(&g->flush, on_flush_);
+	g->flush.data = g;
+	ev_prepare_start(g->loop, &g->flush);
+	LOG_EVENT(LOG_NOTICE, "node.start", F_STR("callers", g->conf->callers),
+		  F_STR("directory", g->conf->directory),
+		  F_STR("admin", g->conf->admin),
+		  F_STR("peers", g->conf->peers),
+		  F_STR("store", g->conf->store));
+	ev_run(g->loop, 0);
+	LOG_EVENT(LOG_NOTICE, "node.stop",
+		  F_INT("open", g_hash_table_size(g->forwards)),
+		  F_INT("ms", clock_now() - g->stop_at));
+}
+
+bool gateway_serve(gateway_conf_t *conf, const char *file,
+		   const speech_ops_t *speech,
+		   const feed_client_ops_t *feed_ops)
+{
+	gateway_t g = { .conf = conf,
+			.conf_file = file,
+			.speech = speech,
+			.feeds.ops = feed_ops };
+	bool ok;
+
+	logline_setup(conf->name, conf->log_level);
+	logline_to_stdout();
+	init_(&g);
+	ok = listen_(&g) && gateway_peers_start(&g);
+	if (ok) {
+		run_(&g);
+		gateway_peers_stop(&g);
+	}
+	finish_(&g);
+	logline_flush();
+	return ok;
+}
--- /dev/null
+++ b/packages/gateway/peers.c
@@ -0,0 +1,215 @@
+#include "private/gateway.h"
+
+#include <errno.h>
+#include <kcf/address.h>
+#include <kcf/logline.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Until the fleet is known, limits are shared among as many as may be there. */
+#define COUNT_UNSURE_MS 4000
+/* Bytes a second for membership: the users' bound on control traffic. */
+#define BUDGET_BYTES_PER_S 4096
+/* Share of the budget that must be saved for more than probes. */
+#define BUDGET_FULL_SHARE 0.5
+
+static void on_readable_(struct ev_loop *loop, ev_io *w, int revents);
+static void send_(void *ctx, const char *address, unsigned int proc,
+		  peer_message_t *m, bool lean);
+static void changed_(void *ctx, const member_t *m, member_state_t before);
+
+static const member_ops_t member_ops = { send_, changed_ };
+
+bool gateway_peers_start(gateway_t *g)
+{
+	const gateway_conf_t *c = g->conf;
+	member_self_t self = {
+		.name = c->name,
+		.data_centre = c->data_centre,
+		.region = c->region,
+		.peer = c->peers,
+		.callers = c->callers,
+		.operators = c->admin,
+		.incarnation = g->incarnation,
+	};
+	struct sockaddr_in sa;
+
+	address_parse(c->peers, &sa);
+	g->socket =
+		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (g->socket < 0 ||
+	    bind(g->socket, (struct sockaddr *)&sa, sizeof(sa))) {
+		LOG_EVENT(LOG_ERR, "peers.listen", F_STR("address", c->peers),
+			  F_STR("error", g_strerror(errno)));
+		if (g->socket >= 0)
+			close(g->socket);
+		return false;
+	}
+	ev_io_init(&g->socket_io, on_readable_, g->socket, EV_READ);
+	g->socket_io.data = g;
+	ev_io_start(g->loop, &g->socket_io);
+	g->budget.rate = BUDGET_BYTES_PER_S;
+	members_init(&g->members, &self, (guint32)g->incarnation, &member_ops,
+		     g, clock_now());
+	for (guint i = 0; i < c->seeds->len; i++)
+		members_add_seed(&g->members, c->seeds->pdata[i]);
+	return true;
+}
+
+void gateway_peers_stop(gateway_t *g)
+{
+	ev_io_stop(g->loop, &g->socket_io);
+	close(g->socket);
+	members_finish(&g->members);
+}
+
+static void send_(void *ctx, const char *address, unsigned int proc,
+		  peer_message_t *m, bool lean)
+{
+	gateway_t *g = ctx;
+	peer_update_t updates[PEER_UPDATES_MAX];
+	peer_fact_t facts[PEER_FACTS_MAX];
+	unsigned char data[DATAGRAM_MAX];
+	peer_message_t full = *m;
+	struct sockaddr_in sa;
+	mstime_t now = clock_now();
+	size_t len;
+
+	if (!address_parse(address, &sa))
+		return;
+	lean = lean || !budget_has(&g->budget, now, BUDGET_FULL_SHARE);
+	members_fill(&g->members, &full, updates, facts, lean);
+	full.sent = (u_quad_t)clock_wall();
+	while (datagram_encode(g->conf->peer_key, proc, &full, data, &len)) {
+		/* Too long: updates come again with later messages. */
+		if (!full.updates.updates_len)
+			return;
+		full.updates.updates_len /= 2;
+	}
+	budget_take(&g->budget, now, (int64_t)len + DATAGRAM_OVERHEAD, true);
+	counter_add(COUNTER_CONTROL_SENT_BYTES,
+		    (int64_t)len + DATAGRAM_OVERHEAD);
+	/* A datagram that cannot be sent is like one that was lost. */
+	if (sendto(g->socket, data, len, 0, (struct sockaddr *)&sa,
+		   sizeof(sa)) < 0)
+		counter_add(COUNTER_CONTROL_DROPPED, 1);
+}
+
+static void take_(gateway_t *g, str_t data, const char *from)
+{
+	peer_message_t m = { 0 };
+	unsigned int proc;
+	int err;
+
+	counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
+		    (int64_t)data.len + DATAGRAM_OVERHEAD);
+	err = datagram_decode(g->conf->peer_key, data, clock_wall(), &proc, &m);
+	if (err) {
+		counter_add(COUNTER_MAC_REJECTED, 1);
+		LOG_EVENT(LOG_INFO, "datagram.rejected", F_STR("from", from),
+			  F_STR("error", datagram_err_string[-err]));
+		return;
+	}
+	members_receive(&g->members, clock_now(), from, proc, &m);
+	datagram_free(&m);
+}
+
+static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
+{
+	gateway_t *g = w->data;
+	char data[DATAGRAM_MAX + 1];
+	char from[ADDRESS_TEXT_MAX];
+	struct sockaddr_in sa;
+	socklen_t sa_len = sizeof(sa);
+	ssize_t n;
+
+	(void)loop;
+	(void)revents;
+	while ((n = recvfrom(g->socket, data, sizeof(data), 0,
+			     (struct sockaddr *)&sa, &sa_len)) >= 0) {
+		address_format(&sa, from);
+		take_(g, (str_t){ data, (size_t)n }, from);
+		sa_len = sizeof(sa);
+	}
+}
+
+static void changed_(void *ctx, const member_t *m, member_state_t before)
+{
+	(void)ctx;
+	LOG_EVENT(LOG_NOTICE, "member.changed", F_STR("member", m->name),
+		  F_STR("state", member_state_string[m->state]),
+		  F_STR("before", member_state_string[before]),
+		  F_INT("incarnation", (int64_t)m->incarnation));
+}
+
+static member_state_t own_state_(const gateway_t *g)
+{
+	if (g->phase == GATEWAY_STOPPING)
+		return MEMBER_LEAVING;
+	return gateway_ready(g) ? MEMBER_LIVE : MEMBER_JOINING;
+}
+
+void gateway_peers_tick(gateway_t *g, mstime_t now)
+{
+	member_state_t state = own_state_(g);
+
+	if (g->members.self->state != state) {
+		members_set_state(&g->members, now, state);
+		members_announce(&g->members, now);
+	}
+	members_set_applied(&g->members, g->table ? g->table->version : 0);
+	members_tick(&g->members, now);
+	counter_set(GAUGE_MEMBERS_LIVE,
+		    members_count(&g->members, MEMBER_LIVE));
+}
+
+GPtrArray *gateway_peers_usable(const gateway_t *g)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (m->state == MEMBER_LIVE && m != g->members.self)
+			g_ptr_array_add(list, m->callers);
+	}
+	if (gateway_ready(g))
+		g_ptr_array_add(list, g->members.self->callers);
+	return list;
+}
+
+const member_t *gateway_peers_any(gateway_t *g)
+{
+	const member_t *found = NULL;
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, g->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (m == g->members.self || m->state == MEMBER_DEAD ||
+		    m->state == MEMBER_SUSPECT)
+			continue;
+		/* Each of those seen so far is kept with the same chance. */
+		if (!g_rand_int_range(g->rand, 0, ++n))
+			found = m;
+	}
+	return found;
+}
+
+int gateway_peers_count(const gateway_t *g)
+{
+	int known = (int)g_hash_table_size(g->members.by_name);
+	int dead = (int)members_count(&g->members, MEMBER_DEAD);
+	int count = MAX(1, known - dead);
+
+	if (clock_now() - g->started_at < COUNT_UNSURE_MS)
+		count = MAX(count, (int)g->conf->seeds->len + 1);
+	return count;
+}
--- /dev/null
+++ b/packages/gateway/private/forward.h
@@ -0,0 +1,133 @@
+/*
+ * forward - one request from its caller to its final answer.
+ */
+#ifndef KCF_PRIVATE_FORWARD_H
+#define KCF_PRIVATE_FORWARD_H
+
+#include "gateway.h"
+#include <kcf/sse.h>
+
+/* Upstreams that one request is tried at, whatever its route allows. */
+#define FORWARD_TRIED_MAX BALANCE_EXCLUDE_MAX
+
+/* Why a sending of a request failed. */
+typedef enum fault {
+	FAULT_CONNECT,	/* nothing was sent */
+	FAULT_SHED,	/* refused, not run */
+	FAULT_START,	/* another process has the address, not run */
+	FAULT_CUT,	/* the connection broke */
+	FAULT_TIMEOUT,	/* no answer in time */
+	FAULT_CROSSED,	/* answer of another request, or none at all */
+	FAULT_ERROR,	/* the upstream failed it */
+	FAULT_RESUME,	/* the stream could not go on */
+} fault_t;
+
+/* Parallel to fault_t. */
+extern const char *const fault_string[];
+
+typedef struct forward {
+	gateway_t *gateway;
+	http_request_t *req;
+	inbound_t in;
+	route_table_t *table;
+	const routing_route_t *route;
+	const routing_customer_t *customer; /* NULL on open routes */
+	const char *service;
+	mstime_t received;
+	mstime_t deadline; /* of the final answer */
+
+	/* upstreams */
+	uint64_t tried[FORWARD_TRIED_MAX]; /* numbers */
+	int tries;
+	int arrivals; /* upstreams that may have got it */
+	bool may_have_run;
+	balance_pick_t pick;
+	char upstream[64]; /* the last one it was sent to, for the log */
+
+	/* the present sending */
+	balance_upstream_t *at; /* counted as outstanding there, or NULL */
+	http_call_t *call;
+	mstime_t sent_at;
+	mstime_t first_at; /* first byte of the answer, 0 before */
+	upstream_answer_t answer;
+	bool overdue;
+	bool broken; /* to be ended outside of the client's functions */
+	GString *body;
+	sse_t events;
+
+	/* the answer */
+	bool begun; /* a stream to the caller */
+	bool done;
+	bool paused;
+	int64_t last_event; /* that the caller has, -1 for none */
+	unsigned int status;
+	const char *outcome; /* for the log */
+
+	ev_timer end;  /* at the deadline */
+	ev_timer kick; /* ends a broken call */
+	ev_timer late; /* when an answer is overdue */
+} forward_t;
+
+/* forward.c */
+
+/*
+ * forward_failed - a sending has failed; sends again or ends the request.
+ */
+void forward_failed(forward_t *f, fault_t why);
+
+/*
+ * forward_note_fault - the present upstream has failed the request.
+ */
+void forward_note_fault(forward_t *f, fault_t why);
+
+/*
+ * forward_again - sends the request once more, if it may be.
+ *
+ * Return: false when it may not, or when no upstream takes it.
+ */
+bool forward_again(forward_t *f, fault_t why);
+
+/*
+ * forward_may_repeat - whether the request may run again and is allowed
+ * another upstream; the retry budget is not asked.
+ */
+bool forward_may_repeat(const forward_t *f);
+
+/*
+ * forward_refuse - ends a request with an answer of this node's own.
+ * @retry_ms: when the caller may come back, 0 to say nothing
+ */
+void forward_refuse(forward_t *f, unsigned int status, const char *why,
+		    counter_t counter, mstime_t retry_ms);
+
+/*
+ * forward_release - the upstream has no more to do with the request.
+ */
+void forward_release(forward_t *f, balance_outcome_t outcome);
+
+/*
+ * forward_ended - the request has its final answer.
+ */
+void forward_ended(forward_t *f, unsigned int status, const char *outcome);
+
+/* send.c */
+
+/*
+ * forward_send - sends the request to its present upstream.
+ */
+void forward_send(forward_t *f);
+
+/*
+ * forward_cancel - ends the present sending.
+ */
+void forward_cancel(forward_t *f, balance_outcome_t outcome);
+
+/* answer.c */
+extern const http_call_ops_t forward_call_ops;
+
+/*
+ * forward_resume_reading - goes on with an answer that waited for its caller.
+ */
+void forward_resume_reading(forward_t *f);
+
+#endif
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -3,7 +3,10 @@
 #include <assert.h>
 #include <curl/curl.h>
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define MSEC_TO_SEC 0.001
 #define CONNECT_TIMEOUT_MS 1000L
@@ -11,6 +14,12 @@
 #define POOL_IDLE_MAX_S 20L
 #define POOL_CONNECTIONS 1024L
 #define COLLECT_MAX_BYTES (16 * 1024 * 1024)
+/* Data unacknowledged for so long shows a connection that has gone silent. */
+#define UNACKED_MAX_MS 1500
+/* Probes of a connection on which nothing is in flight. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
 
 struct http_call {
 	http_client_t *client;
@@ -21,6 +30,8 @@
 	void *ctx;
 	bool paused;
 	bool head_seen;
+	bool single;
+	int sends; /* connections on which the request was begun */
 };
 
 const char *const http_err_string[] = {
@@ -42,6 +53,9 @@
 static int on_multi_timer_(CURLM *multi, long timeout_ms, void *userp);
 static void on_io_(struct ev_loop *loop, ev_io *w, int revents);
 static void on_timer_(struct ev_loop *loop, ev_timer *w, int revents);
+static int on_send_(void *userp, char *remote_ip, char *local_ip,
+		    int remote_port, int local_port);
+static int on_open_(void *userp, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header_(char *data, size_t size, size_t n, void *userp);
 static size_t on_body_(char *data, size_t size, size_t n, void *userp);
 static void reap_(http_client_t *c);
@@ -86,6 +100,35 @@
 	g_hash_table_destroy(c->sockets);
 }
 
+static bool has_header_(const http_call_spec_t *spec, const char *name)
+{
+	size_t len = strlen(name);
+
+	for (const char *const *h = spec->headers; h && *h; h++) {
+		if (!g_ascii_strncasecmp(*h, name, len) && (*h)[len] == ':')
+			return true;
+	}
+	return false;
+}
+
+/* A name without a value keeps libcurl from adding the header. */
+static void omit_default_headers_(http_call_t *call,
+				  const http_call_spec_t *spec)
+{
+	static const char *const defaults[] = { "Accept", "Content-Type",
+						"User-Agent" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(defaults); i++) {
+		char *line;
+
+		if (has_header_(spec, defaults[i]))
+			continue;
+		line = g_strconcat(defaults[i], ":", NULL);
+		call->headers = curl_slist_append(call->headers, line);
+		g_free(line);
+	}
+}
+
 http_call_t *http_call_start(http_client_t *c, const http_call_spec_t *spec,
 			     const http_call_ops_t *ops, void *ctx)
 {
@@ -101,6 +144,15 @@
 	for (const char *const *h = spec->headers; h && *h; h++)
 		call->headers = curl_slist_append(call->headers, *h);
 	call->headers = curl_slist_append(call->headers, "Expect:");
+	call->single = spec->single;
+	if (spec->bare)
+		omit_default_headers_(call, spec);
+	if (spec->target)
+		curl_easy_setopt(call->easy, CURLOPT_REQUEST_TARGET,
+				 spec->target);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, on_send_);
+	curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(call->easy, CURLOPT_SOCKOPTFUNCTION, on_open_);
 	curl_easy_setopt(call->easy, CURLOPT_URL, spec->url);
 	curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
@@ -113,8 +165,12 @@
 	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_body_);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
-			 CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(call->easy, CURLOPT_MAXAGE_CONN, POOL_IDLE_MAX_S);
+			 spec->connect_max_ms ? (long)spec->connect_max_ms :
+						CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(call->easy, CURLOPT_MAXAGE_CONN,
+			 spec->idle_max_ms ?
+				 (long)(spec->idle_max_ms / MSEC_PER_SEC) :
+				 POOL_IDLE_MAX_S);
 	if (c->ca_file) {
 		/* Nodes are known by their authority, at whatever address. */
 		curl_easy_setopt(call->easy, CURLOPT_CAINFO, c->ca_file);
@@ -157,6 +213,30 @@
 	return str_of(h->value);
 }
 
+void http_call_each_header(http_call_t *call,
+			   void (*fn)(void *arg, const char *name,
+				      const char *value),
+			   void *arg)
+{
+	struct curl_header *h = NULL;
+
+	while ((h = curl_easy_nextheader(call->easy, CURLH_HEADER, -1, h)))
+		fn(arg, h->name, h->value);
+}
+
+bool http_call_sent(const http_call_t *call)
+{
+	return call->sends > 0;
+}
+
+bool http_call_connected(const http_call_t *call)
+{
+	long connects = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
 str_t http_call_body(const http_call_t *call)
 {
 	return (str_t){ (const char *)call->body->data, call->body->len };
@@ -215,6 +295,47 @@
 	return 0;
 }
 
+/*
+ * Runs before each write of the request. libcurl writes it again by itself
+ * when a reused connection ends without an answer, though it may have run.
+ */
+static int on_send_(void *userp, char *remote_ip, char *local_ip,
+		    int remote_port, int local_port)
+{
+	http_call_t *call = userp;
+
+	(void)remote_ip;
+	(void)local_ip;
+	(void)remote_port;
+	(void)local_port;
+	if (call->sends && call->single)
+		return CURL_PREREQFUNC_ABORT;
+	call->sends++;
+	return CURL_PREREQFUNC_OK;
+}
+
+static int on_open_(void *userp, curl_socket_t fd, curlsocktype purpose)
+{
+	static const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {
+		{ IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MAX_MS },
+		{ SOL_SOCKET, SO_KEEPALIVE, 1 },
+		{ IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
+		{ IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S },
+		{ IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES },
+	};
+
+	(void)userp;
+	(void)purpose;
+	for (size_t i = 0; i < G_N_ELEMENTS(options); i++)
+		setsockopt(fd, options[i].level, options[i].name,
+			   &options[i].value, sizeof(options[i].value));
+	return CURL_SOCKOPT_OK;
+}
+
 static int on_multi_timer_(CURLM *multi, long timeout_ms, void *userp)
 {
 	http_client_t *c = userp;
@@ -292,9 +413,12 @@
 
 static int err_of_(http_call_t *call, CURLcode code)
 {
-	long request_size = 0;
 	long os_errno = 0;
 
+	/* Bytes that are no answer are reported like an unknown protocol. */
+	if (code != CURLE_OK && call->sends)
+		return code == CURLE_OPERATION_TIMEDOUT ? HTTP_ETIMEOUT :
+							  HTTP_ECUT;
 	switch (code) {
 	case CURLE_OK:
 		return HTTP_OK;
@@ -306,13 +430,8 @@
 	case CURLE_URL_MALFORMAT:
 	case CURLE_UNSUPPORTED_PROTOCOL:
 		return HTTP_EURL;
-	case CURLE_OPERATION_TIMEDOUT:
-		/* A reused connection has no connect time; look at bytes. */
-		curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE,
-				  &request_size);
-		return request_size ? HTTP_ETIMEOUT : HTTP_ECONNECT;
 	default:
-		return HTTP_ECUT;
+		return HTTP_ECONNECT;
 	}
 }
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -2,7 +2,9 @@
 #include <kcf/http_server.h>
 
 #include <assert.h>
+#include <errno.h>
 #include <microhttpd.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,13 +14,16 @@
 #define MSEC_TO_SEC 0.001
 /* Upper bound between two looks at the daemon's own time-outs. */
 #define MAX_POLL_S 1.0
+/* Data unacknowledged for so long shows a connection that has gone silent. */
+#define UNACKED_MAX_MS 5000
 
 struct http_request {
 	http_server_t *server;
 	struct MHD_Connection *connection;
 	char *method;
 	char *path;
-	char *query;
+	char *target; /* path and query as sent */
+	const char *query; /* within target, or NULL */
 	GByteArray *body;
 	struct MHD_Response *response;
 	unsigned int status;
@@ -105,7 +110,8 @@
 		MHD_OPTION_CONNECTION_TIMEOUT, s->conf.idle_timeout_s,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, s->conf.max_header,
 		MHD_OPTION_NOTIFY_COMPLETED, on_completed_, s,
-		MHD_OPTION_URI_LOG_CALLBACK, on_uri_, s, MHD_OPTION_ARRAY, tls,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri_, s,
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY, tls,
 		MHD_OPTION_END);
 	if (!d->mhd) {
 		g_free(d);
@@ -212,6 +218,11 @@
 	return str_of(r->path);
 }
 
+str_t http_request_target(const http_request_t *r)
+{
+	return str_of(r->target);
+}
+
 str_t http_request_query_string(const http_request_t *r)
 {
 	return str_of(r->query);
@@ -327,6 +338,7 @@
 {
 	struct sockaddr_in sa;
 	int one = 1;
+	int unacked_ms = UNACKED_MAX_MS;
 	int fd;
 
 	if (!address_parse(address, &sa))
@@ -335,6 +347,10 @@
 	if (fd < 0)
 		return HTTP_SERVER_ELISTEN;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	/* Accepted connections inherit these. */
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+		   sizeof(unacked_ms));
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
 	    listen(fd, LISTEN_BACKLOG)) {
 		close(fd);
@@ -348,11 +364,13 @@
 {
 	http_server_t *s = cls;
 	http_request_t *r = g_new0(http_request_t, 1);
-	const char *mark = strchr(uri, '?');
+	const char *mark;
 
 	r->server = s;
 	r->connection = c;
-	r->query = mark ? g_strdup(mark + 1) : NULL;
+	r->target = g_strdup(uri);
+	mark = strchr(r->target, '?');
+	r->query = mark ? mark + 1 : NULL;
 	r->body = g_byte_array_new();
 	s->open++;
 	return r;
@@ -377,6 +395,37 @@
 	return ret;
 }
 
+typedef struct framing {
+	int lengths;
+	int encodings;
+	bool bad;
+} framing_t;
+
+static enum MHD_Result note_framing_(void *cls, enum MHD_ValueKind kind,
+				     const char *key, const char *value)
+{
+	framing_t *f = cls;
+
+	(void)kind;
+	if (!g_ascii_strcasecmp(key, "Content-Length"))
+		f->lengths++;
+	if (g_ascii_strcasecmp(key, "Transfer-Encoding") != 0)
+		return MHD_YES;
+	f->encodings++;
+	f->bad = f->bad || g_ascii_strcasecmp(value, "chunked") != 0;
+	return MHD_YES;
+}
+
+/* Two readers could disagree on where such a request ends. */
+static bool framing_ambiguous_(const http_request_t *r)
+{
+	framing_t f = { 0 };
+
+	MHD_get_connection_values(r->connection, MHD_HEADER_KIND, note_framing_,
+				  &f);
+	return f.bad || f.lengths + f.encodings > 1;
+}
+
 /* Whether a method that carries a body came without a length of any kind. */
 static bool body_missing_(const http_request_t *r)
 {
@@ -393,6 +442,9 @@
 
 	r->method = g_strdup(method);
 	r->path = g_strdup(url);
+	if (framing_ambiguous_(r))
+		return refuse_early_(r, MHD_HTTP_BAD_REQUEST,
+				     "length of the body is ambiguous");
 	if (body_missing_(r))
 		return refuse_early_(r, MHD_HTTP_LENGTH_REQUIRED,
 				     "a body needs Content-Length");
@@ -469,7 +521,7 @@
 	g_byte_array_unref(r->body);
 	g_free(r->method);
 	g_free(r->path);
-	g_free(r->query);
+	g_free(r->target);
 	g_free(r);
 }
 
@@ -530,6 +582,10 @@
 	/* Bytes of a next request wait until this one is over. */
 	if (n > 0)
 		return;
+	if (n < 0 && errno == EAGAIN) {
+		ev_io_start(loop, w);
+		return;
+	}
 	r->gone = true;
 	if (r->streaming) {
 		r->stream_ended = true;
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -8,7 +8,6 @@
 #define TRACES_MAX 10000
 /* After the last open request, addresses handed out must have run out too. */
 #define LEAVE_GRACE_MS 1500
-#define BUDGET_SAVED_S 1
 /* What is saved may be spent above the rate: leave room for it. */
 #define BUDGET_USED_SHARE 0.85
 /* Share of the budget kept from loads told on requests. */
@@ -369,38 +368,7 @@
 		  F_STR("state", what));
 }
 
-static double budget_max_(const budget_t *b)
-{
-	return (double)b->rate * BUDGET_SAVED_S;
-}
-
-static void budget_fill_(budget_t *b, mstime_t now)
-{
-	if (!b->filled)
-		b->saved = budget_max_(b);
-	else
-		b->saved +=
-			(double)(b->rate * (now - b->filled)) / MSEC_PER_SEC;
-	b->filled = now;
-	b->saved = MIN(b->saved, budget_max_(b));
-}
-
 static void move_(void *ctx, const sched_move_t *m)
 {
 	moves_add(ctx, m);
 }
-
-bool budget_has(budget_t *b, mstime_t now, double share)
-{
-	budget_fill_(b, now);
-	return b->saved >= budget_max_(b) * share;
-}
-
-bool budget_take(budget_t *b, mstime_t now, int64_t bytes, bool must)
-{
-	budget_fill_(b, now);
-	if (b->saved < (double)bytes && !must)
-		return false;
-	b->saved -= (double)bytes;
-	return true;
-}
--- a/packages/node/main.c
+++ b/packages/node/main.c
@@ -4,7 +4,10 @@
 #include "private/control.h"
 #include "private/relay.h"
 
+#include "../../platform/platform_speech.h"
+
 #include <curl/curl.h>
+#include <kcf/gateway.h>
 #include <kcf/logline.h>
 #include <signal.h>
 #include <sodium.h>
@@ -25,12 +28,15 @@
 } process_t;
 
 static gchar *config_file;
+static gchar *gateway_file;
 static gboolean check_only;
 static gboolean show_version;
 
 static const GOptionEntry options[] = {
 	{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &config_file,
 	  "Settings of this node", "FILE" },
+	{ "gateway", 'g', 0, G_OPTION_ARG_FILENAME, &gateway_file,
+	  "Settings of a node on the users' platform", "FILE" },
 	{ "check", 0, 0, G_OPTION_ARG_NONE, &check_only,
 	  "Check the settings and exit", NULL },
 	{ "version", 0, 0, G_OPTION_ARG_NONE, &show_version,
@@ -53,8 +59,9 @@
 		fprintf(stderr, "kingcupforkd: unexpected argument: %s\n",
 			argv[1]);
 		ok = false;
-	} else if (!config_file && !show_version) {
-		fprintf(stderr, "kingcupforkd: --config is required\n");
+	} else if (!config_file == !gateway_file && !show_version) {
+		fprintf(stderr, "kingcupforkd: --config or --gateway is "
+				"required, and not both\n");
 		ok = false;
 	}
 	g_option_context_free(context);
@@ -163,6 +170,28 @@
 	return EXIT_FINE;
 }
 
+static int serve_gateway_(void)
+{
+	GPtrArray *faults = g_ptr_array_new_with_free_func(g_free);
+	gateway_conf_t conf;
+	int status = EXIT_FINE;
+
+	if (gateway_conf_load(&conf, gateway_file, faults)) {
+		for (guint i = 0; i < faults->len; i++)
+			fprintf(stderr, "%s: %s\n", gateway_file,
+				(char *)faults->pdata[i]);
+		status = EXIT_USAGE;
+	} else if (check_only) {
+		printf("%s: fine\n", gateway_file);
+	} else if (!gateway_serve(&conf, gateway_file, &platform_speech,
+				  &platform_feed_ops)) {
+		status = EXIT_FAILED;
+	}
+	gateway_conf_finish(&conf);
+	g_ptr_array_unref(faults);
+	return status;
+}
+
 int main(int argc, char **argv)
 {
 	process_t *p;
@@ -177,6 +206,11 @@
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 || curl_global_init(CURL_GLOBAL_DEFAULT) != 0)
 		return EXIT_FAILED;
+	if (gateway_file) {
+		status = serve_gateway_();
+		curl_global_cleanup();
+		return status;
+	}
 	p = g_new0(process_t, 1);
 	settings_init(&p->settings);
 	if (!load_settings_(&p->settings)) {
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -6,6 +6,7 @@
 
 #include "messages.h"
 #include "relay.h"
+#include <kcf/byte_budget.h>
 #include <kcf/config.h>
 #include <kcf/counter.h>
 #include <kcf/http_client.h>
@@ -15,13 +16,6 @@
 #include <kcf/settings.h>
 #include <kcf/task.h>
 
-/* Bucket of bytes that control traffic may take. */
-typedef struct budget {
-	int64_t rate; /* bytes a second */
-	double saved;
-	mstime_t filled;
-} budget_t;
-
 /* A change that an operator waits for. */
 typedef struct pending_change {
 	char id[64];
@@ -128,20 +122,6 @@
  */
 void control_leave(control_t *c);
 
-/*
- * budget_take - asks to spend bytes of control traffic.
- * @must: spend even what is not saved; it is then missing later
- *
- * Return: false when the budget does not allow it.
- */
-bool budget_take(budget_t *b, mstime_t now, int64_t bytes, bool must);
-
-/*
- * budget_has - whether a share of what can be saved is there.
- * @share: 0 to 1
- */
-bool budget_has(budget_t *b, mstime_t now, double share);
-
 /* control_peers.c */
 bool peers_start(control_t *c);
 void peers_stop(control_t *c);
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -194,27 +194,44 @@
 	return s->operator_tls_cert->len ? "https" : "http";
 }
 
-int settings_parse(settings_t *s, str_t text, GPtrArray *faults)
+json_t *settings_check(str_t text, const schema_field_t *fields,
+		       settings_check_fn more, GPtrArray *faults, int *err)
 {
 	json_t *lines = NULL;
 	json_t *root = parse_(text, &lines, faults);
 	GPtrArray *found;
-	int err = SETTINGS_OK;
 
+	*err = root ? SETTINGS_OK : SETTINGS_ESYNTAX;
 	if (!root)
-		return SETTINGS_ESYNTAX;
+		return NULL;
 	found = schema_faults_new();
-	schema_check(root, top_fields, "", found);
-	check_tls_pair_(root, "callers", found);
-	check_tls_pair_(root, "operators", found);
+	schema_check(root, fields, "", found);
+	if (more)
+		more(root, found);
 	if (found->len) {
 		report_(faults, found, lines);
-		err = SETTINGS_EFAULTS;
-	} else {
-		take_(s, root);
+		*err = SETTINGS_EFAULTS;
+		json_decref(root);
+		root = NULL;
 	}
 	g_ptr_array_unref(found);
 	json_decref(lines);
+	return root;
+}
+
+static void check_tls_(const json_t *root, GPtrArray *found)
+{
+	check_tls_pair_(root, "callers", found);
+	check_tls_pair_(root, "operators", found);
+}
+
+int settings_parse(settings_t *s, str_t text, GPtrArray *faults)
+{
+	int err;
+	json_t *root = settings_check(text, top_fields, check_tls_, faults, &err);
+
+	if (root)
+		take_(s, root);
 	json_decref(root);
 	return err;
 }
