Prompts stay where they are warm, and are copied where they are not

Prompts spilled at 1.4 times the mean and moved when upstreams were added.

The upstream that holds a prompt is remembered; it is left only near the users' load bound, and then the next one copies the cached parts.

Only removals of a quarter of the upstreams are held now, and holding one is logged.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -2,7 +2,8 @@
  * balance - chooses the upstream of each request that a node sends directly.
  *
  * Every node computes its choice from the same entries, so that requests with
- * the same prompt reach the same warm cache from any node. What other nodes
+ * the same prompt reach the same warm cache from any node. A prompt stays where
+ * it is warm when upstreams are added. What other nodes
  * have sent is known only through the load that upstreams report with their
  * answers. Pure logic: no socket, no clock.
  */
@@ -60,6 +61,8 @@
 typedef struct balance {
 	GHashTable *by_id; /* char * to balance_upstream_t * */
 	GHashTable *services; /* char * to balance_service_t * */
+	GHashTable *homes; /* affinity to balance_home_t * */
+	mstime_t swept_at; /* homes */
 	GHashTable *out; /* data centres that get no work */
 	char *data_centre; /* of this node */
 	int nodes;	   /* that share limits */
@@ -67,6 +70,12 @@
 	GRand *rand;
 } balance_t;
 
+/* Where prompts with the same shared parts were last sent. */
+typedef struct balance_home {
+	uint64_t number; /* of the upstream */
+	mstime_t used_at;
+} balance_home_t;
+
 typedef struct balance_ask {
 	const char *service;
 	uint64_t affinity; /* hash of the shared prompt, 0 for none */
@@ -91,6 +100,8 @@
 typedef struct balance_pick {
 	balance_upstream_t *upstream; /* NULL when there is none */
 	balance_reason_t reason;
+	/* Likely holds the prompt that the upstream lacks, or NULL. */
+	const balance_upstream_t *warm;
 	mstime_t retry_ms; /* for refusals: when a place is likely */
 	int load;	   /* believed outstanding requests there */
 	double mean;	   /* of the service */
--- a/include/kcf/speech.h
+++ b/include/kcf/speech.h
@@ -36,6 +36,7 @@
 typedef struct outbound {
 	const char *upstream; /* id of the only one that may run it */
 	const char *customer; /* NULL for none */
+	const char *warm; /* ip:port of an upstream that may hold the prompt */
 	mstime_t left_ms;
 	int urgency;	    /* 0 is first, -1 not told */
 	int64_t last_event; /* after which a stream goes on, -1 for none */
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -2,16 +2,21 @@
 #include <kcf/rank.h>
 
 #include <assert.h>
+#include <math.h>
 #include <string.h>
 
 /* A report counts as present for this long; requests last about a second. */
 #define REPORT_VALID_MS 1500
 /*
- * An upstream above this share of the mean, plus the slack, is passed over.
- * The users' bound is twice the mean plus three, at any one moment.
+ * A prompt leaves its warm upstream only above this share of the mean, plus the
+ * slack: to read it again elsewhere costs more than a wait. The users' bound is
+ * twice the mean plus three; the rest is for what reports do not show yet.
  */
-#define LOAD_BOUND 1.4
+#define LOAD_BOUND 1.6
 #define LOAD_SLACK 1.5
+/* An engine keeps a prompt that nobody asks for about this long. */
+#define HOME_IDLE_MS 30000
+#define HOME_SWEEP_MS 5000
 /* Outstanding requests per slot above which a request would not start soon. */
 #define FULL_FACTOR 3
 /* Weight of one outcome in the moving shares. */
@@ -54,6 +59,8 @@
 	b->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->homes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 g_free);
 	b->rand = g_rand_new_with_seed(seed);
 }
 
@@ -62,6 +69,7 @@
 	g_hash_table_destroy(b->by_id);
 	g_hash_table_destroy(b->services);
 	g_hash_table_destroy(b->out);
+	g_hash_table_destroy(b->homes);
 	g_free(b->data_centre);
 	g_rand_free(b->rand);
 }
@@ -192,7 +200,7 @@
 	balance_upstream_t **list;
 	int *loads; /* parallel to list */
 	guint count;
-	double mean;	 /* load */
+	double mean;	 /* load of all of the service, in use or not */
 	double failures; /* mean share */
 	double latency;	 /* mean, of those that have one */
 } candidates_t;
@@ -225,13 +233,22 @@
 	gpointer value;
 	double foreign;
 	int timed = 0;
+	int all = 0;
 
 	*c = (candidates_t){ .list = g_new(balance_upstream_t *, size + 1),
 			     .loads = g_new(int, size + 1) };
 	g_hash_table_iter_init(&iter, b->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (in_service_(b, value, ask, now))
+		const balance_upstream_t *u = value;
+
+		if (in_service_(b, u, ask, now)) {
 			c->list[c->count++] = value;
+		} else if (!strcmp(u->service, ask->service)) {
+			c->mean += u->mine + (told_(u, now) ? u->foreign : 0);
+		} else {
+			continue;
+		}
+		all++;
 	}
 	foreign = mean_foreign_(c, now);
 	for (guint i = 0; i < c->count; i++) {
@@ -247,7 +264,7 @@
 		}
 	}
 	if (c->count) {
-		c->mean /= c->count;
+		c->mean /= all;
 		c->failures /= c->count;
 	}
 	if (timed)
@@ -348,8 +365,48 @@
 	return -1;
 }
 
+static gboolean idle_(gpointer key, gpointer value, gpointer arg)
+{
+	const balance_home_t *home = value;
+	const mstime_t *now = arg;
+
+	(void)key;
+	return *now - home->used_at > HOME_IDLE_MS;
+}
+
+/* Number of the upstream that holds a prompt, 0 for none. */
+static uint64_t home_(balance_t *b, uint64_t affinity, mstime_t now)
+{
+	const balance_home_t *home;
+
+	if (now - b->swept_at > HOME_SWEEP_MS) {
+		b->swept_at = now;
+		g_hash_table_foreach_remove(b->homes, idle_, &now);
+	}
+	home = g_hash_table_lookup(b->homes, &affinity);
+	return home ? home->number : 0;
+}
+
+static void set_home_(balance_t *b, uint64_t affinity, uint64_t number,
+		      mstime_t now)
+{
+	balance_home_t *home = g_hash_table_lookup(b->homes, &affinity);
+
+	if (!home) {
+		uint64_t *key = g_new(uint64_t, 1);
+
+		*key = affinity;
+		home = g_new0(balance_home_t, 1);
+		g_hash_table_insert(b->homes, key, home);
+	}
+	home->number = number;
+	home->used_at = now;
+}
+
 typedef struct survey {
+	uint64_t home_number; /* upstream that holds the prompt, 0: unknown */
 	choice_t home;	/* first of the affinity's order, loaded or not */
+	choice_t next;	/* the one after it */
 	choice_t first; /* first of it that bears more */
 	choice_t least;
 	choice_t last; /* least loaded, unsound ones included */
@@ -357,18 +414,36 @@
 	bool full;
 } survey_t;
 
+static void rank_(survey_t *s, int at, double score)
+{
+	if (s->home.at >= 0 && s->home.score >= score) {
+		consider_first_(&s->next, at, score);
+		return;
+	}
+	s->next = s->home;
+	consider_first_(&s->home, at, score);
+}
+
 static void survey_(balance_t *b, const balance_ask_t *ask,
 		    const candidates_t *c, mstime_t now, survey_t *s)
 {
 	double bound = c->mean * LOAD_BOUND + LOAD_SLACK;
-
-	*s = (survey_t){ { -1 }, { -1 }, { -1 }, { -1 } };
+	uint64_t home = ask->affinity ? home_(b, ask->affinity, now) : 0;
+
+	*s = (survey_t){ .home_number = home,
+			 .home = { -1 },
+			 .next = { -1 },
+			 .first = { -1 },
+			 .least = { -1 },
+			 .last = { -1 } };
 	for (guint i = 0; i < c->count; i++) {
 		balance_upstream_t *u = c->list[i];
-		double score = rank_score(ask->affinity, u->hash, 1);
+		double score = u->number == home
+				       ? HUGE_VAL
+				       : rank_score(ask->affinity, u->hash, 1);
 		double key = pressure_(b, c, i);
 
-		consider_first_(&s->home, (int)i, score);
+		rank_(s, (int)i, score);
 		if (c->loads[i] >= u->slots * FULL_FACTOR) {
 			s->full = true;
 			continue;
@@ -416,6 +491,30 @@
 	return s->least.at >= 0 ? s->least.at : s->last.at;
 }
 
+/* A prompt that is in no cache yet is looked for in vain, at little cost. */
+static const balance_upstream_t *warm_(const balance_t *b,
+				       const candidates_t *c, const survey_t *s,
+				       const balance_upstream_t *chosen)
+{
+	const choice_t *other = &s->home;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (s->home_number == chosen->number)
+		return NULL;
+	/* The one that holds it may be leaving, and no candidate any more. */
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (s->home_number && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		if (u->number == s->home_number)
+			return u;
+	}
+	if (other->at >= 0 && c->list[other->at] == chosen)
+		other = &s->next;
+	return other->at >= 0 ? c->list[other->at] : NULL;
+}
+
 balance_pick_t balance_choose(balance_t *b, const balance_ask_t *ask,
 			      mstime_t now)
 {
@@ -437,6 +536,11 @@
 					   ? now - pick.upstream->told_at
 					   : -1;
 		pick.upstream->mine++;
+		if (ask->affinity)
+			pick.warm = warm_(b, &c, &s, pick.upstream);
+		/* The place of one that was passed over is kept. */
+		if (ask->affinity && pick.reason == BALANCE_FIRST)
+			set_home_(b, ask->affinity, pick.upstream->number, now);
 		if (cold_(b, pick.upstream, now))
 			pick.upstream->permits -= 1;
 	}
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -17,6 +17,9 @@
 #define OUTAGE_MIN_MS 2200
 /* Entries that lapsed in an outage are back within two seconds of its end. */
 #define LAPSE_HOLD_MS 2200
+/* A lapse takes many entries at once; fewer than this share have really left.
+ */
+#define LAPSE_SHARE 0.25
 
 const char *const feed_string[] = { "operators", "upstreams", "nodes" };
 
@@ -171,6 +174,19 @@
 	}
 }
 
+/* Whether a removal may be a lapse that is soon taken back. */
+static bool held_(feed_state_t *s, const char *id, mstime_t now)
+{
+	guint known = g_hash_table_size(s->gateway->balance.by_id);
+
+	if (now >= s->hold_until || ++s->removals < known * LAPSE_SHARE)
+		return false;
+	LOG_EVENT(LOG_NOTICE, "upstream.held", F_STR("upstream", id),
+		  F_INT("removals", s->removals),
+		  F_INT("for_ms", s->hold_until - now));
+	return true;
+}
+
 static void act_(feed_state_t *s, const feed_entry_t *e,
 		 const feed_record_t *r, mstime_t now)
 {
@@ -183,7 +199,7 @@
 	case FEED_UPSTREAMS:
 		if (!r->removed)
 			take_upstream_(g, e->key, r, now);
-		else if (now >= s->hold_until)
+		else if (!held_(s, e->key, now))
 			forget_upstream_(g, e->key, "entry removed");
 		break;
 	case FEED_NODES:
@@ -264,8 +280,10 @@
 
 static void note_heard_(feed_state_t *s, mstime_t now)
 {
-	if (now - s->heard_at > OUTAGE_MIN_MS)
+	if (now - s->heard_at > OUTAGE_MIN_MS) {
 		s->hold_until = now + LAPSE_HOLD_MS;
+		s->removals = 0;
+	}
 	s->heard_at = now;
 	if (!s->down)
 		return;
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -47,6 +47,7 @@
 	bool down; /* the platform does not answer */
 	/* removals that may only be lapses of an outage */
 	mstime_t hold_until;
+	int removals; /* since the outage ended */
 } feed_state_t;
 
 typedef enum phase {
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -73,6 +73,8 @@
 	outbound_t out = {
 		.upstream = f->at->id,
 		.customer = f->customer ? f->customer->name : NULL,
+		.warm = f->in.generation && f->pick.warm ? f->pick.warm->address
+							 : NULL,
 		.left_ms = MAX(1, f->deadline - now),
 		.urgency = urgency_(f),
 		.last_event = f->last_event,
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -8,7 +8,8 @@
 	const char *name;
 	Suite *(*make)(void);
 } suites[] = {
-	{ "config", config_suite },	{ "datagram", datagram_suite },
+	{ "balance", balance_suite },	{ "platform", platform_suite },
+	{ "routing", routing_suite },	{ "config", config_suite },	{ "datagram", datagram_suite },
 	{ "fairq", fairq_suite },	{ "hop", hop_suite },
 	{ "limit", limit_suite },	{ "logline", logline_suite },
 	{ "lru", lru_suite },		{ "member", member_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -6,6 +6,7 @@
 
 #include <check.h>
 
+Suite *balance_suite(void);
 Suite *config_suite(void);
 Suite *datagram_suite(void);
 Suite *fairq_suite(void);
@@ -16,8 +17,10 @@
 Suite *member_suite(void);
 Suite *once_suite(void);
 Suite *once_key_suite(void);
+Suite *platform_suite(void);
 Suite *power_suite(void);
 Suite *rank_suite(void);
+Suite *routing_suite(void);
 Suite *schema_suite(void);
 Suite *sched_suite(void);
 Suite *settings_suite(void);
--- /dev/null
+++ b/tests/unit/test_balance.c
@@ -0,0 +1,327 @@
+#include "suites.h"
+
+#include <kcf/balance.h>
+
+#define NOW 1000000
+#define SERVICE "engines"
+
+static balance_t b;
+
+static void setup_(void)
+{
+	balance_init(&b, "dc-a", 1);
+}
+
+static void finish_(void)
+{
+	balance_finish(&b);
+}
+
+static void put_(int i, const char *data_centre, mstime_t now)
+{
+	char id[16];
+	char address[24];
+	balance_spec_t spec = { .id = id,
+				.service = SERVICE,
+				.address = address,
+				.data_centre = data_centre,
+				.slots = 8 };
+
+	g_snprintf(id, sizeof(id), "u-%d", i);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d", 9000 + i);
+	balance_put(&b, &spec, now);
+}
+
+static void put_many_(int n)
+{
+	for (int i = 0; i < n; i++)
+		put_(i, "dc-a", NOW);
+}
+
+static balance_pick_t choose_(uint64_t affinity, mstime_t now)
+{
+	balance_ask_t ask = { .service = SERVICE, .affinity = affinity };
+
+	return balance_choose(&b, &ask, now);
+}
+
+START_TEST(test_nothing_in_service)
+{
+	balance_pick_t p = choose_(0, NOW);
+
+	ck_assert_ptr_null(p.upstream);
+	ck_assert_int_eq(p.reason, BALANCE_NONE);
+	ck_assert_int_gt(p.retry_ms, 0);
+}
+END_TEST
+
+/* Load: the same prompts again and again, few at a time. */
+START_TEST(test_prompt_stays_warm)
+{
+	put_many_(9);
+	for (uint64_t prompt = 1; prompt < 40; prompt++) {
+		balance_pick_t first = choose_(prompt, NOW);
+
+		balance_done(first.upstream, BALANCE_OK, 10, NOW);
+		for (int i = 0; i < 5; i++) {
+			balance_pick_t again = choose_(prompt, NOW + i);
+
+			ck_assert_ptr_eq(again.upstream, first.upstream);
+			balance_done(again.upstream, BALANCE_OK, 10, NOW);
+		}
+	}
+}
+END_TEST
+
+/* Load: prompts return while empty upstreams are added. */
+START_TEST(test_prompt_stays_when_upstreams_are_added)
+{
+	balance_upstream_t *before[40];
+
+	put_many_(9);
+	for (uint64_t prompt = 1; prompt < 40; prompt++) {
+		before[prompt] = choose_(prompt, NOW).upstream;
+		balance_done(before[prompt], BALANCE_OK, 10, NOW);
+	}
+	for (int i = 9; i < 18; i++)
+		put_(i, "dc-a", NOW);
+	for (uint64_t prompt = 1; prompt < 40; prompt++) {
+		balance_pick_t p = choose_(prompt, NOW + 1000);
+
+		ck_assert_ptr_eq(p.upstream, before[prompt]);
+		balance_done(p.upstream, BALANCE_OK, 10, NOW);
+	}
+}
+END_TEST
+
+/* Load: one prompt gets all the traffic, and nothing ends. */
+START_TEST(test_hot_prompt_spills_within_bound)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	put_many_(9);
+	for (int i = 0; i < 90; i++) {
+		balance_pick_t p = choose_(7, NOW);
+
+		ck_assert_ptr_nonnull(p.upstream);
+		if (p.reason == BALANCE_SPILL)
+			ck_assert_ptr_nonnull(p.warm);
+	}
+	g_hash_table_iter_init(&iter, b.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		ck_assert_int_le(((balance_upstream_t *)value)->mine,
+				 2 * 90 / 9 + 3);
+}
+END_TEST
+
+/* Load: hot prompts while a data centre is out; its upstreams count as idle. */
+START_TEST(test_bound_counts_upstreams_that_are_out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	for (int i = 0; i < 12; i++)
+		put_(i, i < 4 ? "dc-b" : "dc-a", NOW);
+	balance_set_out(&b, "dc-b", true, NOW);
+	for (int i = 0; i < 48; i++)
+		ck_assert_ptr_nonnull(choose_((uint64_t)i % 3 + 1, NOW).upstream);
+	g_hash_table_iter_init(&iter, b.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		ck_assert_int_le(((balance_upstream_t *)value)->mine,
+				 2 * 48 / 12 + 3);
+}
+END_TEST
+
+START_TEST(test_same_order_on_every_node)
+{
+	balance_t other;
+	balance_ask_t ask = { .service = SERVICE };
+
+	put_many_(9);
+	balance_init(&other, "dc-b", 2);
+	for (int i = 8; i >= 0; i--) {
+		char id[16];
+		balance_spec_t spec = { .id = id,
+					.service = SERVICE,
+					.address = "127.0.0.1:1",
+					.data_centre = "dc-a",
+					.slots = 8 };
+
+		g_snprintf(id, sizeof(id), "u-%d", i);
+		balance_put(&other, &spec, NOW);
+	}
+	for (uint64_t prompt = 1; prompt < 40; prompt++) {
+		balance_pick_t p = choose_(prompt, NOW);
+		balance_pick_t q;
+
+		ask.affinity = prompt;
+		q = balance_choose(&other, &ask, NOW);
+		ck_assert_str_eq(p.upstream->id, q.upstream->id);
+		balance_done(p.upstream, BALANCE_OK, 1, NOW);
+		balance_done(q.upstream, BALANCE_OK, 1, NOW);
+	}
+	balance_finish(&other);
+}
+END_TEST
+
+static const struct {
+	int nodes;
+	double per_s;
+	int most; /* in one second, all nodes together */
+} cold_cases[] = {
+	{ 1, 23, 39 },
+	{ 7, 23, 39 },
+	{ 3, 10, 20 },
+};
+
+/* Load: far more than a cold upstream bears, at every node. */
+START_TEST(test_cold_upstream_bears_little)
+{
+	balance_service_t limits = { cold_cases[_i].per_s };
+	balance_spec_t spec = { .id = "cold",
+				.service = SERVICE,
+				.address = "127.0.0.1:1",
+				.data_centre = "dc-a",
+				.slots = 500,
+				.cold_until = NOW + 10000 };
+	int sent = 0;
+
+	balance_set_service(&b, SERVICE, &limits);
+	b.nodes = cold_cases[_i].nodes;
+	balance_put(&b, &spec, NOW);
+	for (mstime_t now = NOW + 3000; now < NOW + 4000; now++) {
+		balance_pick_t p = choose_(0, now);
+
+		if (p.upstream)
+			sent++;
+		else
+			ck_assert_int_eq(p.reason, BALANCE_COLD);
+	}
+	ck_assert_int_ge(sent, 1);
+	ck_assert_int_le(sent * cold_cases[_i].nodes, cold_cases[_i].most);
+}
+END_TEST
+
+START_TEST(test_out_and_leaving)
+{
+	balance_spec_t spec = { .id = "u-0",
+				.service = SERVICE,
+				.address = "127.0.0.1:9000",
+				.data_centre = "dc-a",
+				.slots = 8,
+				.leaving = true };
+
+	put_(0, "dc-a", NOW);
+	put_(1, "dc-b", NOW);
+	balance_set_out(&b, "dc-b", true, NOW);
+	ck_assert_str_eq(choose_(0, NOW).upstream->id, "u-0");
+	ck_assert(balance_put(&b, &spec, NOW));
+	ck_assert_ptr_null(choose_(0, NOW).upstream);
+	balance_set_out(&b, "dc-b", false, NOW);
+	ck_assert_str_eq(choose_(0, NOW).upstream->id, "u-1");
+}
+END_TEST
+
+/* Load: one upstream fails what it gets, the others do not. */
+START_TEST(test_unsound_upstream_is_left_and_tried)
+{
+	int bad = 0;
+	int late = 0;
+
+	put_many_(4);
+	for (int i = 0; i < 400; i++) {
+		balance_pick_t p = choose_(0, NOW + i * 10);
+		bool fails = !strcmp(p.upstream->id, "u-2");
+
+		bad += fails;
+		late += fails && i >= 200;
+		balance_done(p.upstream,
+			     fails ? BALANCE_FAILED : BALANCE_OK, 10,
+			     NOW + i * 10);
+	}
+	ck_assert_int_gt(bad, 0);
+	ck_assert_int_ge(late, 1);
+	/* One request in 700 ms. */
+	ck_assert_int_le(late, 4);
+}
+END_TEST
+
+START_TEST(test_all_unsound_is_nobody)
+{
+	put_many_(4);
+	for (int i = 0; i < 100; i++) {
+		balance_pick_t p = choose_(0, NOW + i);
+
+		ck_assert_ptr_nonnull(p.upstream);
+		balance_done(p.upstream, BALANCE_FAILED, 10, NOW + i);
+	}
+}
+END_TEST
+
+START_TEST(test_full)
+{
+	put_many_(1);
+	for (int i = 0; i < 24; i++)
+		ck_assert_ptr_nonnull(choose_(0, NOW).upstream);
+	ck_assert_int_eq(choose_(0, NOW).reason, BALANCE_FULL);
+}
+END_TEST
+
+/* An entry that goes away must not take memory that is still in use. */
+START_TEST(test_removed_while_in_use)
+{
+	balance_pick_t p;
+
+	put_many_(1);
+	p = choose_(0, NOW);
+	ck_assert(balance_remove(&b, "u-0"));
+	ck_assert(!balance_remove(&b, "u-0"));
+	ck_assert_str_eq(p.upstream->id, "u-0");
+	balance_done(p.upstream, BALANCE_OK, 10, NOW);
+}
+END_TEST
+
+/* Another start under the same id knows nothing of the one before. */
+START_TEST(test_new_start_is_another_upstream)
+{
+	balance_spec_t spec = { .id = "u-0",
+				.service = SERVICE,
+				.address = "127.0.0.1:9000",
+				.data_centre = "dc-a",
+				.start = 1,
+				.slots = 8 };
+	uint64_t number;
+
+	balance_put(&b, &spec, NOW);
+	number = choose_(0, NOW).upstream->number;
+	ck_assert(!balance_put(&b, &spec, NOW));
+	spec.start = 2;
+	ck_assert(balance_put(&b, &spec, NOW));
+	ck_assert_uint_ne(choose_(0, NOW).upstream->number, number);
+}
+END_TEST
+
+Suite *balance_suite(void)
+{
+	Suite *s = suite_create("balance");
+	TCase *c = tcase_create("balance");
+
+	tcase_add_checked_fixture(c, setup_, finish_);
+	tcase_add_test(c, test_nothing_in_service);
+	tcase_add_test(c, test_prompt_stays_warm);
+	tcase_add_test(c, test_prompt_stays_when_upstreams_are_added);
+	tcase_add_test(c, test_hot_prompt_spills_within_bound);
+	tcase_add_test(c, test_bound_counts_upstreams_that_are_out);
+	tcase_add_test(c, test_same_order_on_every_node);
+	tcase_add_loop_test(c, test_cold_upstream_bears_little, 0,
+			    G_N_ELEMENTS(cold_cases));
+	tcase_add_test(c, test_out_and_leaving);
+	tcase_add_test(c, test_unsound_upstream_is_left_and_tried);
+	tcase_add_test(c, test_all_unsound_is_nobody);
+	tcase_add_test(c, test_full);
+	tcase_add_test(c, test_removed_while_in_use);
+	tcase_add_test(c, test_new_start_is_another_upstream);
+	suite_add_tcase(s, c);
+	return s;
+}
