A stopping node takes only what it can end

A stream came 4.3 s after SIGTERM, ran 2.9 s and was cut as the process ended. New requests were taken for 4.5 s whatever their length.

Later than 2.8 s after SIGTERM a request is taken only if its deadline lies before the end of the process; else it is refused at once and the caller goes to another node.

--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -7,6 +7,8 @@
 #define SEND_MIN_MS 15
 /* When callers may come back to a node that is starting or has just woken. */
 #define RETRY_STARTING_MS 400
+/* Other nodes can be asked at once. */
+#define RETRY_STOPPING_MS 20
 /* And after a failure that another upstream may not share. */
 #define RETRY_FAILED_MS 200
 /* Upstreams held to be unreachable are not tried for this long. */
@@ -344,7 +346,7 @@
 {
 	gateway_t *g = f->gateway;
 
-	if (!gateway_informed(g) || gateway_refusing(g)) {
+	if (!gateway_informed(g)) {
 		forward_refuse(f, 503, "node is not ready",
 			       COUNTER_REFUSED_NOT_READY, RETRY_STARTING_MS);
 		return;
@@ -354,6 +356,11 @@
 		return;
 	f->last_event = f->in.last_event;
 	arm_end_(f, f->received);
+	if (!gateway_takes(g, f->deadline)) {
+		forward_refuse(f, 503, "node is stopping",
+			       COUNTER_REFUSED_NOT_READY, RETRY_STOPPING_MS);
+		return;
+	}
 	retry_budget_request(budget_(f), &g->conf->retries, f->received);
 	if (place_(f))
 		return;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -11,8 +11,11 @@
 /* After SIGTERM: callers still come until their answers have lapsed. */
 #define STOP_QUIET_MS 1200
 #define STOP_MIN_MS 3000
-/* From then on new requests could not end in time. */
-#define STOP_REFUSE_MS 4500
+/*
+ * What comes later than this after SIGTERM is taken only if it ends before the
+ * process does, at the latest. Callers know of the stop by then.
+ */
+#define STOP_TAKE_MS 2800
 #define FLUSH_INTERVAL_MS 50
 #define ADMIN_CONNECTIONS 64
 #define SIDE_CONNECTIONS 512
@@ -48,10 +51,12 @@
 	return g->phase == GATEWAY_READY && gateway_informed(g);
 }
 
-bool gateway_refusing(const gateway_t *g)
+bool gateway_takes(const gateway_t *g, mstime_t deadline)
 {
-	return g->phase == GATEWAY_STOPPING &&
-	       clock_now() - g->stop_at > STOP_REFUSE_MS;
+	if (g->phase != GATEWAY_STOPPING ||
+	    clock_now() - g->stop_at <= STOP_TAKE_MS)
+		return true;
+	return deadline < g->stop_at + g->conf->stop_within_ms;
 }
 
 static void on_ready_(void *ctx, http_request_t *req)
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -106,8 +106,8 @@
 /* Whether what is known may be acted on. */
 bool gateway_informed(const gateway_t *g);
 bool gateway_ready(const gateway_t *g);
-/* Whether the node stops so soon that new requests could not end. */
-bool gateway_refusing(const gateway_t *g);
+/* Whether a request that ends by a deadline can end before the node stops. */
+bool gateway_takes(const gateway_t *g, mstime_t deadline);
 
 /* feeds.c */
 void feeds_init(gateway_t *g);
