Nodes tell each other of loads; few read the platform for all

Reports of load go round by datagrams (32 entries in 300 ms, within the bytes for control). A prompt leaves its upstream at a load that a hash of the prompt decides, so that few leave at a time, the same ones at every node. Two nodes and one more for 16 read the platform; the others ask them for what changed and read themselves when they hear nothing for 1.4 s.

Ruled out: asking runners for reports (each call is priced as a probe).

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -3,9 +3,9 @@
  *
  * Every node computes its choice from the same entries, so that requests with
  * the same prompt reach the same warm cache from any node. A prompt stays where
- * it is warm when upstreams are added. What other nodes
- * have sent is known only through the load that upstreams report with their
- * answers. Pure logic: no socket, no clock.
+ * it is warm when upstreams are added. What other nodes have sent is known
+ * through the load that upstreams report with their answers; nodes tell each
+ * other of these reports. Pure logic: no socket, no clock.
  */
 #ifndef KCF_BALANCE_H
 #define KCF_BALANCE_H
@@ -36,6 +36,7 @@
 	char *data_centre;
 	uint64_t start;
 	uint64_t hash;
+	uint32_t key; /* short name of this start between nodes */
 	int slots;
 	bool leaving;
 	bool removed;
@@ -53,6 +54,13 @@
 	mstime_t idle_max_ms; /* it closes idle connections after this */
 } balance_upstream_t;
 
+/* What one node tells another of an upstream's load. */
+typedef struct balance_load {
+	uint32_t key;	 /* of the upstream */
+	int outstanding; /* requests there, of all nodes */
+	mstime_t age_ms; /* of the report it comes from */
+} balance_load_t;
+
 /* Limits that hold for all upstreams of a service. */
 typedef struct balance_service {
 	double cold_per_s; /* requests a second of a cold upstream, 0: any */
@@ -60,6 +68,8 @@
 
 typedef struct balance {
 	GHashTable *by_id;    /* char * to balance_upstream_t * */
+	GHashTable *by_key; /* uint32_t to balance_upstream_t * */
+	guint load_cursor; /* where balance_fill_loads goes on */
 	GHashTable *services; /* char * to balance_service_t * */
 	GHashTable *homes;    /* affinity to balance_home_t * */
 	mstime_t swept_at;    /* homes */
@@ -183,6 +193,22 @@
 void balance_report(balance_upstream_t *u, int outstanding, int slots,
 		    mstime_t now);
 
+/*
+ * balance_fill_loads - what to tell another node: the highest loads first,
+ * then others by turns.
+ * @max: entries that out has room for
+ *
+ * Return: number of entries written.
+ */
+u_int balance_fill_loads(balance_t *b, mstime_t now, balance_load_t *out,
+			 u_int max);
+
+/*
+ * balance_take_load - takes what another node tells, if it is newer than what
+ * is known.
+ */
+void balance_take_load(balance_t *b, const balance_load_t *load, mstime_t now);
+
 /*
  * balance_latency - mean time to the first byte in a service, 0 if unknown.
  */
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -6,14 +6,18 @@
 #include <string.h>
 
 /* A report counts as present for this long; requests last about a second. */
-#define REPORT_VALID_MS 1500
+#define REPORT_VALID_MS 2000
 /*
- * A prompt leaves its warm upstream only above this share of the mean, plus the
- * slack: to read it again elsewhere costs more than a wait. The users' bound is
- * twice the mean plus three; the rest is for what reports do not show yet.
+ * A prompt leaves its warm upstream at a load between these two, so many times
+ * the mean and some more; which one, a hash of the prompt decides. Thus a few
+ * prompts leave an upstream that has too much, the same ones at every node. The
+ * users' bound is twice the mean plus three; what is left of it is for changes
+ * that reports do not show yet.
  */
-#define LOAD_BOUND 1.6
-#define LOAD_SLACK 1.5
+#define LEAVE_FIRST_FACTOR 1.25
+#define LEAVE_FIRST_SLACK 1.0
+#define LEAVE_LAST_FACTOR 1.7
+#define LEAVE_LAST_SLACK 1.5
 /* An engine keeps a prompt that nobody asks for about this long. */
 #define HOME_IDLE_MS 30000
 #define HOME_SWEEP_MS 5000
@@ -37,6 +41,8 @@
 #define COLD_SHARE 0.9
 /* Time of slow start after a data centre was taken back in. */
 #define RETURN_RAMP_MS 3000
+/* Turns the upper 53 bits of a hash into a number below 1. */
+#define HASH_UNIT (1.0 / 9007199254740992.0)
 #define RETRY_NONE_MS 300
 #define RETRY_FULL_MS 250
 #define RETRY_COLD_MS 150
@@ -56,6 +62,7 @@
 	b->data_centre = g_strdup(data_centre);
 	b->by_id =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, release_);
+	b->by_key = g_hash_table_new(NULL, NULL);
 	b->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->out = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -66,6 +73,7 @@
 
 void balance_finish(balance_t *b)
 {
+	g_hash_table_destroy(b->by_key);
 	g_hash_table_destroy(b->by_id);
 	g_hash_table_destroy(b->services);
 	g_hash_table_destroy(b->out);
@@ -115,7 +123,8 @@
 bool balance_put(balance_t *b, const balance_spec_t *spec, mstime_t now)
 {
 	balance_upstream_t *u = g_hash_table_lookup(b->by_id, spec->id);
-	bool changed = !u || !same_(u, spec);
+	bool changed = !u || !same_(u, spec) ||
+		       (spec->cold_until > now && u->cold_until <= now);
 
 	assert(spec->slots > 0);
 	if (u && (u->start != spec->start ||
@@ -134,7 +143,9 @@
 		u->data_centre = g_strdup(spec->data_centre);
 		u->start = spec->start;
 		u->hash = str_hash64(str_of(spec->id), 0);
+		u->key = (uint32_t)str_hash64(str_of(spec->id), spec->start);
 		g_hash_table_insert(b->by_id, u->id, u);
+		g_hash_table_insert(b->by_key, GUINT_TO_POINTER(u->key), u);
 	}
 	u->slots = spec->slots;
 	u->leaving = spec->leaving;
@@ -144,6 +155,11 @@
 
 bool balance_remove(balance_t *b, const char *id)
 {
+	const balance_upstream_t *u = g_hash_table_lookup(b->by_id, id);
+
+	if (!u)
+		return false;
+	g_hash_table_remove(b->by_key, GUINT_TO_POINTER(u->key));
 	return g_hash_table_remove(b->by_id, id);
 }
 
@@ -424,10 +440,21 @@
 	consider_first_(&s->home, at, score);
 }
 
+/* Load above which a prompt is not sent to an upstream. */
+static double bound_(const candidates_t *c, const balance_upstream_t *u,
+		     uint64_t affinity)
+{
+	double first = c->mean * LEAVE_FIRST_FACTOR + LEAVE_FIRST_SLACK;
+	double last = c->mean * LEAVE_LAST_FACTOR + LEAVE_LAST_SLACK;
+	uint64_t hash = str_hash64(
+		(str_t){ (const char *)&affinity, sizeof(affinity) }, u->hash);
+
+	return first + (last - first) * (double)(hash >> 11) * HASH_UNIT;
+}
+
 static void survey_(balance_t *b, const balance_ask_t *ask,
 		    const candidates_t *c, mstime_t now, survey_t *s)
 {
-	double bound = c->mean * LOAD_BOUND + LOAD_SLACK;
 	uint64_t home = ask->affinity ? home_(b, ask->affinity, now) : 0;
 
 	*s = (survey_t){ .home_number = home,
@@ -456,7 +483,7 @@
 		if (unsound_(c, u))
 			continue;
 		consider_least_(&s->least, (int)i, key);
-		if (c->loads[i] + 1 <= bound)
+		if (c->loads[i] + 1 <= bound_(c, u, ask->affinity))
 			consider_first_(&s->first, (int)i, score);
 	}
 }
@@ -593,6 +620,62 @@
 		u->slots = slots;
 }
 
+static gint by_load_(gconstpointer a, gconstpointer b)
+{
+	const balance_upstream_t *ua = *(balance_upstream_t *const *)a;
+	const balance_upstream_t *ub = *(balance_upstream_t *const *)b;
+	int la = ua->foreign + ua->mine;
+	int lb = ub->foreign + ub->mine;
+
+	return (lb > la) - (lb < la);
+}
+
+static GPtrArray *reported_(const balance_t *b, mstime_t now)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (told_(value, now))
+			g_ptr_array_add(list, value);
+	}
+	g_ptr_array_sort(list, by_load_);
+	return list;
+}
+
+u_int balance_fill_loads(balance_t *b, mstime_t now, balance_load_t *out,
+			 u_int max)
+{
+	GPtrArray *list = reported_(b, now);
+	guint top = MIN(list->len, max / 2);
+	guint count = MIN(list->len, max);
+
+	for (guint i = 0; i < count; i++) {
+		guint at = i < top ? i
+				   : top + b->load_cursor++ % (list->len - top);
+		const balance_upstream_t *u = list->pdata[at];
+
+		out[i] = (balance_load_t){ u->key, u->foreign + u->mine,
+					   now - u->told_at };
+	}
+	g_ptr_array_unref(list);
+	return count;
+}
+
+void balance_take_load(balance_t *b, const balance_load_t *load, mstime_t now)
+{
+	balance_upstream_t *u = g_hash_table_lookup(
+		b->by_key, GUINT_TO_POINTER(load->key));
+	mstime_t at = now - load->age_ms;
+
+	if (!u || load->age_ms < 0 || at <= u->told_at)
+		return;
+	u->foreign = MAX(0, load->outstanding - u->mine);
+	u->told_at = at;
+}
+
 double balance_latency(const balance_t *b, const char *service)
 {
 	GHashTableIter iter;
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -4,7 +4,12 @@
 #include <string.h>
 
 /* A read of operators' records waits for news this long. */
-#define OPERATORS_WAIT_MS 1000
+#define OPERATORS_WAIT_MS 800
+/* Nodes that read the platform for all: so many, and one for this many nodes. */
+#define READERS_MIN 2
+#define READER_NODES 16
+/* What others have not told for so long a node reads itself. */
+#define OWN_READ_MS 1400
 /* Upstreams write more than once a second; draining must be seen in two. */
 #define UPSTREAMS_INTERVAL_MS 700
 /* Nodes find each other by gossip; the feed serves those that know none. */
@@ -123,11 +128,13 @@
 			  F_STR("why", why));
 }
 
-static void take_upstream_(gateway_t *g, const char *id, const feed_record_t *r,
+/* False when the record is a mere heartbeat. */
+static bool take_upstream_(gateway_t *g, const char *id, const feed_record_t *r,
 			   mstime_t now)
 {
 	json_t *holder = NULL;
 	balance_spec_t spec;
+	bool changed = true;
 
 	if (!g->speech->upstream_entry(r, now, &spec, &holder)) {
 		LOG_EVENT(LOG_WARNING, "upstream.unreadable",
@@ -136,7 +143,8 @@
 		forget_upstream_(g, id, "entry unreadable");
 	} else {
 		spec.id = id;
-		if (balance_put(&g->balance, &spec, now))
+		changed = balance_put(&g->balance, &spec, now);
+		if (changed)
 			LOG_EVENT(
 				LOG_NOTICE, "upstream.entry",
 				F_STR("upstream", id),
@@ -149,6 +157,7 @@
 				F_INT("offset", (int64_t)r->offset));
 	}
 	json_decref(holder);
+	return changed;
 }
 
 static void take_seeds_(gateway_t *g)
@@ -187,20 +196,31 @@
 	return true;
 }
 
-static void act_(feed_state_t *s, const feed_entry_t *e, const feed_record_t *r,
+/* False when the record is a mere heartbeat. */
+static bool act_on_upstream_(feed_state_t *s, const feed_entry_t *e,
+			     const feed_record_t *r, mstime_t now)
+{
+	if (!r->removed)
+		return take_upstream_(s->gateway, e->key, r, now);
+	if (!held_(s, e->key, now))
+		forget_upstream_(s->gateway, e->key, "entry removed");
+	return true;
+}
+
+static void act_(feed_state_t *s, feed_entry_t *e, const feed_record_t *r,
 		 mstime_t now)
 {
 	gateway_t *g = s->gateway;
+	uint64_t changed = e->changed;
 
+	e->changed = r->offset;
 	switch (s->feed) {
 	case FEED_OPERATORS:
 		take_operators_(g, r, now);
 		break;
 	case FEED_UPSTREAMS:
-		if (!r->removed)
-			take_upstream_(g, e->key, r, now);
-		else if (!held_(s, e->key, now))
-			forget_upstream_(g, e->key, "entry removed");
+		if (!act_on_upstream_(s, e, r, now))
+			e->changed = changed;
 		break;
 	case FEED_NODES:
 	default:
@@ -421,14 +441,48 @@
 	}
 }
 
+guint feeds_readers(const gateway_t *g)
+{
+	return READERS_MIN +
+	       members_count(&g->members, MEMBER_LIVE) / READER_NODES;
+}
+
+bool feeds_reader(const gateway_t *g)
+{
+	const member_t *self = g->members.self;
+	guint before = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		before += m->state == MEMBER_LIVE && m->key < self->key;
+	}
+	return self->state != MEMBER_LIVE || before < feeds_readers(g);
+}
+
+/* The few that read do so for all; the others when they hear nothing. */
+static bool due_(const feed_state_t *s, bool reader, mstime_t now)
+{
+	if (s->call || now < s->next_at)
+		return false;
+	if (reader || s->feed == FEED_NODES || !s->loaded || s->passing)
+		return true;
+	return now - s->current_at > OWN_READ_MS;
+}
+
 void feeds_tick(gateway_t *g, mstime_t now)
 {
+	bool reader = feeds_reader(g);
+
 	for (int i = 0; i < FEED_COUNT; i++) {
 		feed_state_t *s = &g->states[i];
 
 		if (s->feed == FEED_UPSTREAMS)
 			end_hold_(s, now);
-		if (!s->call && now >= s->next_at)
+		if (due_(s, reader, now))
 			ask_(s, now);
 	}
 }
--- a/packages/gateway/mirror.c
+++ b/packages/gateway/mirror.c
@@ -6,9 +6,9 @@
 #include <kcf/logline.h>
 #include <string.h>
 
-/* What is older than this is asked of another node as well. */
+/* What is older than this a reader asks of another node as well. */
 #define STALE_MS 1500
-#define INTERVAL_MS 400
+#define INTERVAL_MS 450
 #define ANSWER_MAX_MS 500
 
 static const char path[] = "/v1/feeds";
@@ -43,7 +43,7 @@
 		const feed_entry_t *e = value;
 		json_t *entry;
 
-		if (e->offset < from)
+		if (e->changed < from)
 			continue;
 		entry = entry_(e);
 		if (entry)
@@ -113,6 +113,7 @@
 
 	g->mirror_call = NULL;
 	if (err || status != 200) {
+		g->mirror_turn++;
 		LOG_EVENT(LOG_INFO, "mirror.failed",
 			  F_STR("error", http_err_string[-err]),
 			  F_INT("status", status));
@@ -133,6 +134,15 @@
 	return !s->loaded || now - s->current_at > STALE_MS;
 }
 
+/* Each node has a reader that it asks first, so that all are asked alike. */
+static const member_t *source_(gateway_t *g, bool stale)
+{
+	guint turn = g->members.self->key + g->mirror_turn;
+
+	return stale ? gateway_peers_any(g)
+		     : gateway_peers_nth(g, turn % feeds_readers(g));
+}
+
 void mirror_tick(gateway_t *g, mstime_t now)
 {
 	const feed_state_t *operators = &g->states[FEED_OPERATORS];
@@ -143,11 +153,13 @@
 				  .bare = true };
 	char *url;
 
+	bool stale = stale_(operators, now) || stale_(upstreams, now);
+
 	if (g->mirror_call || now < g->mirror_next_at ||
-	    (!stale_(operators, now) && !stale_(upstreams, now)))
+	    (!stale && feeds_reader(g)))
 		return;
 	g->mirror_next_at = now + INTERVAL_MS;
-	peer = gateway_peers_any(g);
+	peer = source_(g, stale);
 	if (!peer)
 		return;
 	url = g_strdup_printf("http://%s%s?operators=%" G_GUINT64_FORMAT
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -13,6 +13,9 @@
 #define BUDGET_BYTES_PER_S 4096
 /* Share of the budget that must be saved for more than probes. */
 #define BUDGET_FULL_SHARE 0.5
+/* Loads are told to one other node at a time, this often. */
+#define LOADS_INTERVAL_MS 300
+#define LOADS_MAX 32
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents);
 static void send_(void *ctx, const char *address, unsigned int proc,
@@ -96,6 +99,47 @@
 		counter_add(COUNTER_CONTROL_DROPPED, 1);
 }
 
+static void take_loads_(gateway_t *g, const peer_message_t *m)
+{
+	mstime_t now = clock_now();
+
+	for (u_int i = 0; i < m->loads.loads_len; i++) {
+		const peer_load_t *l = &m->loads.loads_val[i];
+		balance_load_t load = { l->upstream, (int)l->outstanding,
+					(mstime_t)l->stamp };
+
+		balance_take_load(&g->balance, &load, now);
+	}
+}
+
+static void tell_loads_(gateway_t *g, mstime_t now)
+{
+	balance_load_t loads[LOADS_MAX];
+	peer_load_t wire[LOADS_MAX];
+	peer_message_t m = { .seq = ++g->members.seq };
+	const member_t *to = gateway_peers_any(g);
+
+	if (now < g->loads_at)
+		return;
+	g->loads_at = now + LOADS_INTERVAL_MS;
+	if (!to || !budget_has(&g->budget, now, BUDGET_FULL_SHARE))
+		return;
+	m.loads.loads_len = balance_fill_loads(&g->balance, now, loads,
+					       LOADS_MAX);
+	if (!m.loads.loads_len)
+		return;
+	for (u_int i = 0; i < m.loads.loads_len; i++) {
+		/* An age needs no clocks that agree. */
+		wire[i] = (peer_load_t){
+			.upstream = loads[i].key,
+			.outstanding = (u_int)loads[i].outstanding,
+			.stamp = (u_int)loads[i].age_ms,
+		};
+	}
+	m.loads.loads_val = wire;
+	send_(g, to->peer, PEER_LOADS, &m, true);
+}
+
 static void take_(gateway_t *g, str_t data, const char *from)
 {
 	peer_message_t m = { 0 };
@@ -111,6 +155,7 @@
 			  F_STR("error", datagram_err_string[-err]));
 		return;
 	}
+	take_loads_(g, &m);
 	members_receive(&g->members, clock_now(), from, proc, &m);
 	datagram_free(&m);
 }
@@ -160,6 +205,7 @@
 	}
 	members_set_applied(&g->members, g->table ? g->table->version : 0);
 	members_tick(&g->members, now);
+	tell_loads_(g, now);
 	counter_set(GAUGE_MEMBERS_LIVE,
 		    members_count(&g->members, MEMBER_LIVE));
 }
@@ -203,6 +249,35 @@
 	return found;
 }
 
+static gint by_key_(gconstpointer a, gconstpointer b)
+{
+	const member_t *ma = *(member_t *const *)a;
+	const member_t *mb = *(member_t *const *)b;
+
+	return (ma->key > mb->key) - (ma->key < mb->key);
+}
+
+const member_t *gateway_peers_nth(gateway_t *g, guint n)
+{
+	GPtrArray *list = g_ptr_array_new();
+	const member_t *found = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+
+		if (m->state == MEMBER_LIVE && m != g->members.self)
+			g_ptr_array_add(list, value);
+	}
+	g_ptr_array_sort(list, by_key_);
+	if (list->len)
+		found = list->pdata[n % list->len];
+	g_ptr_array_unref(list);
+	return found;
+}
+
 int gateway_peers_count(const gateway_t *g)
 {
 	int known = (int)g_hash_table_size(g->members.by_name);
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -25,6 +25,8 @@
 	char *key;
 	GBytes *data; /* NULL once the key is dropped */
 	uint64_t offset;
+	uint64_t changed; /* offset of the last record that changed more than
+			     a heartbeat */
 	bool seen; /* in the pass over all keys that is under way */
 } feed_entry_t;
 
@@ -76,10 +78,12 @@
 	http_call_t *mirror_call;
 	mstime_t mirror_asked_at;
 	mstime_t mirror_next_at;
+	guint mirror_turn; /* which of the readers is asked */
 	members_t members;
 	budget_t budget;
 	int socket;
 	ev_io socket_io;
+	mstime_t loads_at; /* when loads are told next */
 	uint64_t incarnation;
 	balance_t balance;
 	route_table_t *table; /* NULL before the first */
@@ -113,6 +117,10 @@
 void feeds_init(gateway_t *g);
 void feeds_finish(gateway_t *g);
 void feeds_tick(gateway_t *g, mstime_t now);
+/* Number of nodes that read the platform for all: those of the lowest keys. */
+guint feeds_readers(const gateway_t *g);
+/* Whether this node is one of them. */
+bool feeds_reader(const gateway_t *g);
 /*
  * feeds_take - applies a record unless a newer one of its key is known.
  */
@@ -143,6 +151,8 @@
 GPtrArray *gateway_peers_usable(const gateway_t *g);
 /* A node that can be asked, or NULL. */
 const member_t *gateway_peers_any(gateway_t *g);
+/* The live node with the n-th lowest key, counted over and over, or NULL. */
+const member_t *gateway_peers_nth(gateway_t *g, guint n);
 /* Number of nodes that share limits, this one included. */
 int gateway_peers_count(const gateway_t *g);
 
