--- /dev/null
+++ b/tests/scenarios/gateway_faults.lua
@@ -0,0 +1,136 @@
+-- What runners do wrong, and what callers and other runners see of it.
+dofile(scenarios .. "/gateway_words.lua")
+local f = start_site { engine = { gap_ms = 20, events = 8 } }
+local g = f.gateways[1]
+local counters, engines = { f["counter-1"], f["counter-2"] }, { f["engine-1"], f["engine-2"], f["engine-3"] }
+
+local function everywhere(list, mode, count)
+	for _, r in ipairs(list) do set_fault(r, mode, count) end
+end
+
+-- Pools hold connections that were used before: a library may send again on
+-- another one by itself when one of these ends without an answer.
+local function warm_pools()
+	for _ = 1, 6 do
+		expect(send(g, "/safe/w").status == 200, "not served while calm")
+		expect(send(g, "/stream/w").status == 200, "no stream while calm")
+	end
+end
+
+-- fault at all runners, path, statuses that are true, most runs
+for _, c in ipairs {
+	{ "shed", "/hold/", { [503] = true }, 0 },
+	{ "shed", "/safe/", { [503] = true }, 0 },
+	{ "other", "/hold/", { [503] = true }, 0 },
+	{ "busy", "/hold/", { [502] = true }, 1 },
+	{ "error", "/hold/", { [500] = true }, 1 },
+	{ "error", "/safe/", { [500] = true }, 2 },
+	{ "close", "/hold/", { [502] = true }, 1 },
+	{ "reset", "/hold/", { [502] = true }, 1 },
+	{ "cut", "/hold/", { [502] = true }, 1 },
+	{ "garbage", "/hold/", { [502] = true }, 1 },
+	{ "crossed", "/hold/", { [502] = true }, 1 },
+	{ "unsigned", "/hold/", { [502] = true }, 1 },
+	{ "encoded", "/hold/", { [502] = true }, 1 },
+	{ "unframed_reset", "/hold/", { [502] = true }, 1 },
+	{ "unframed", "/hold/", { [200] = true }, 1 },
+	{ "extra", "/hold/", { [200] = true }, 1 },
+	{ "extra_late", "/hold/", { [200] = true }, 1 },
+	{ "hang", "/hold/", { [504] = true }, 1 },
+	{ "close", "/safe/", { [502] = true }, 2 },
+	{ "garbage", "/safe/", { [502] = true }, 2 },
+	{ "close", "/once/stream/", { [502] = true }, 1 },
+	{ "shed", "/once/stream/", { [503] = true }, 0 },
+} do
+	local mode, path, allowed, most = table.unpack(c)
+	local list = path:find("stream") and engines or counters
+	warm_pools()
+	everywhere(list, mode, -1)
+	local id = fresh_id()
+	local r = send(g, path .. mode, { id = id, left = mode == "hang" and 600 or 2500 })
+	everywhere(list, "", 0)
+	expect(allowed[r.status], "%s on %s: status %s %s", mode, path, r.status, r.body)
+	expect(runs_of(f, id) <= most, "%s on %s: ran %d times", mode, path, runs_of(f, id))
+	if r.status == 200 then
+		expect(json_decode(r.body).id == id, "%s on %s: answer of another request: %s", mode, path, r.body)
+	end
+	-- What was left on a connection must not become the next answer.
+	for _ = 1, 4 do
+		local next_id = fresh_id()
+		local after = send(g, path .. "after", { id = next_id })
+		expect(after.status == 200, "after %s on %s: status %s", mode, path, after.status)
+		if not path:find("stream") then
+			expect(json_decode(after.body).id == next_id, "after %s: answer of another request", mode)
+		end
+	end
+end
+
+-- One fault of one runner is not seen by callers of what may run again.
+for _, mode in ipairs { "shed", "other", "error", "close", "reset", "cut", "garbage", "crossed", "unsigned" } do
+	warm_pools()
+	set_fault(counters[1], mode, 1)
+	for _ = 1, 4 do
+		local r = send(g, "/safe/" .. mode)
+		expect(r.status == 200, "%s at one runner was seen: %s %s", mode, r.status, r.body)
+	end
+	set_fault(counters[1], "", 0)
+end
+
+-- A stream that breaks goes on elsewhere where it may, and is cut where not.
+for _, mode in ipairs { "cut", "reset" } do
+	everywhere(engines, mode, 0)
+	local id = fresh_id()
+	local expected = ""
+	for i = 1, 8 do expected = expected .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
+	for _, e in ipairs(engines) do set_fault(e, mode, 1) end
+	local r = send(g, "/stream/" .. mode, { id = id })
+	everywhere(engines, "", 0)
+	-- The second attempt breaks too: two are allowed. What came is in order.
+	expect(expected:sub(1, #r.body) == r.body, "%s: pieces out of order: %q", mode, r.body)
+	expect(r.err, "%s: a cut stream looked whole", mode)
+	expect(runs_of(f, id) <= 2, "%s: %d runs", mode, runs_of(f, id))
+	id = fresh_id()
+	r = send(g, "/once/stream/" .. mode, { id = id })
+	expect(r.status == 200 and not r.err, "a stream after the fault: %s", r.status)
+end
+local broken = f.runners[1]
+for _ = 1, 12 do
+	local id = fresh_id()
+	local expected = ""
+	for i = 1, 8 do expected = expected .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
+	set_fault(broken, "reset", 1)
+	local r = send(g, "/stream/one", { id = id })
+	expect(r.status == 200 and not r.err and r.body == expected, "resumed stream: %s %s %q", r.status, r.err, r.body)
+	expect(runs_of(f, id) <= 2, "%d runs", runs_of(f, id))
+end
+set_fault(broken, "", 0)
+
+-- A caller that leaves ends the work, also before the first byte.
+everywhere(counters, "hang", 1)
+local before = 0
+for _, r in ipairs(counters) do before = before + seen(r).aborted end
+send(g, "/safe/leave", { timeout_ms = 100 })
+wait_for("the runner is told", 1500, function()
+	local n = 0
+	for _, r in ipairs(counters) do n = n + seen(r).aborted end
+	return n > before
+end)
+everywhere(counters, "", 0)
+
+-- A runner that is killed: the next requests go elsewhere at once.
+kill(counters[1])
+counters[1].gone = true
+for _ = 1, 10 do
+	local r = send(g, "/safe/gone")
+	expect(r.status == 200 and r.ms < 1000, "with a runner gone: %s after %d ms", r.status, r.ms)
+	r = send(g, "/hold/gone")
+	expect(r.status == 200, "a hold with a runner gone: %s", r.status)
+end
+
+-- With none left the refusal comes at once, is true, and says when to return.
+store_drop(f, "keyed.servers", "counter-1")
+store_drop(f, "keyed.servers", "counter-2")
+sleep_ms(2200)
+local r = send(g, "/hold/none")
+local after = r.headers["Retry-After"] or r.headers["retry-after"]
+expect(r.status == 503 and r.ms < 300 and after, "none left: %s after %d ms, retry %s", r.status, r.ms, after)
--- /dev/null
+++ b/tests/scenarios/gateway_stop.lua
@@ -0,0 +1,59 @@
+-- Planned stops and pauses under load: nothing is lost, and no node acts on
+-- what it knew before a pause.
+dofile(scenarios .. "/gateway_words.lua")
+local f = start_site { engine = { gap_ms = 100, events = 12 } }
+local leaving, other = f.gateways[2], f.gateways[1]
+
+-- Streams that run, and requests on connections that stay open.
+local open = {}
+for i = 1, 8 do open[i] = ask(leaving, i % 2 == 0 and "/stream/s" or "/once/stream/s", { left = 8000 }) end
+local handle = http_start(open)
+sleep_ms(300)
+stop(leaving)
+wait_for("the stop is told", 1000, function() return not is_ready(leaving) end)
+wait_for("the directory leaves it out", 1500, function() return #(lookup(other) or {}) == 2 end)
+-- Callers with an older answer still come.
+for _ = 1, 5 do
+	local r = send(leaving, "/safe/late")
+	expect(r.status == 200, "a late caller got %s", r.status)
+	sleep_ms(200)
+end
+for _, r in ipairs(http_finish(handle)) do
+	expect(r.status == 200 and not r.err, "a stream was lost: %s %s", r.status, r.err)
+end
+-- What could not end in time is refused as not run, at once.
+sleep_ms(1800)
+local late = fresh_id()
+local r = send(leaving, "/once/stream/late", { id = late, left = 8000 })
+if r.status ~= 0 then
+	expect(r.status == 503 and r.ms < 300, "long after SIGTERM: %s after %d ms", r.status, r.ms)
+	expect(runs_of(f, late) == 0, "a refused request ran")
+end
+local status = wait_exit(leaving, 9000)
+expect(status == 0, "exit status %s", status)
+expect(log_of(leaving):find("event=node.stopping") and log_of(leaving):find("event=node.stop "), "stop is not in the log")
+
+-- SIGHUP drops nothing.
+kill_process(other.pid, SIGHUP)
+expect(send(other, "/safe/hup").status == 200, "not served after SIGHUP")
+wait_for("reload is told", 1000, function() return log_of(other):find("event=settings.reloaded") end)
+
+-- A node that stood still sends nothing by its old knowledge.
+local frozen = f.gateways[3]
+freeze(frozen)
+sleep_ms(500)
+configure(f, 7, { route("/new/", "idempotent", "counter") })
+store_drop(f, "keyed.servers", "counter-1")
+sleep_ms(2500)
+local before = #seen(f["counter-1"]).arrivals
+local waiting = {}
+for i = 1, 10 do waiting[i] = ask(frozen, i % 2 == 0 and "/safe/old" or "/new/x", { timeout_ms = 3000 }) end
+handle = http_start(waiting)
+sleep_ms(300)
+thaw(frozen)
+for i, answer in ipairs(http_finish(handle)) do
+	expect(i % 2 == 1 or answer.status == 404 or answer.status == 503, "an old route after a pause: %s", answer.status)
+end
+expect(#seen(f["counter-1"]).arrivals == before, "a runner that had left got work after a pause")
+wait_for("it serves again", 3000, function() return is_ready(frozen) and send(frozen, "/new/y").status == 200 end)
+expect(log_of(frozen):find("event=node.paused"), "pause is not in the log")
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -3,6 +3,7 @@
 
 local work = os.getenv("KCF_WORK") or "/tmp"
 local dir = string.format("%s/kcf-%s-%d", work, net, now_ms())
+work_dir = dir
 os.execute("mkdir -p " .. dir)
 
 SIGTERM, SIGKILL, SIGSTOP, SIGCONT, SIGHUP = 15, 9, 19, 18, 1
--- a/tests/standin/main.c
+++ b/tests/standin/main.c
@@ -20,7 +20,7 @@
 
 static const GOptionEntry entries[] = {
 	{ "mode", 0, 0, G_OPTION_ARG_STRING, &mode,
-	  "engine, service, log, hosts or weights", "MODE" },
+	  "engine, service, log, hosts, weights or store", "MODE" },
 	{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_address, "Address",
 	  "IP:PORT" },
 	{ "name", 0, 0, G_OPTION_ARG_STRING, &name, "Name", "NAME" },
@@ -106,7 +106,7 @@
 {
 	static const standin_ops_t *const all[] = { &engine_ops, &service_ops,
 						    &log_ops, &hosts_ops,
-						    &weights_ops };
+						    &weights_ops, &store_ops };
 	GOptionContext *context = g_option_context_new(NULL);
 	struct ev_loop *loop = ev_default_loop(0);
 	http_server_t server;
--- /dev/null
+++ b/tests/standin/runner.c
@@ -0,0 +1,473 @@
+/*
+ * runner - an upstream of the users' platform, with the faults of real ones.
+ *
+ * It writes its answers byte by byte on a socket, a thread a connection, since
+ * no HTTP library gives wrong answers on purpose. It counts how often each
+ * request ran. Faults come with POST /fault {"mode": ..., "count": N}; a
+ * count of -1 lasts until the next one.
+ */
+#include <glib.h>
+#include <jansson.h>
+#include <kcf/address.h>
+#include <kcf/clock.h>
+#include <kcf/str.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define HEAD_MAX 65536
+#define BACKLOG 256
+#define LATE_MS 60
+
+typedef struct request {
+	GString *head;
+	GString *body;
+	char *method;
+	char *target;
+	char *id;
+	int64_t last_event;
+	bool stream;
+} request_t;
+
+static struct {
+	GMutex lock;
+	json_t *runs; /* request id to number of runs */
+	json_t *arrivals; /* what was seen of each request */
+	int running;
+	int most;
+	int aborted; /* callers that closed before the end */
+	int connections;
+	char mode[32];
+	int count;
+} state;
+
+static gchar *listen_address;
+static gchar *own_id;
+static gint events = 5;
+static gint gap_ms = 10;
+static gint delay_ms = 5;
+static gint slots = 8;
+
+static const GOptionEntry entries[] = {
+	{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_address, "Address",
+	  "IP:PORT" },
+	{ "id", 0, 0, G_OPTION_ARG_STRING, &own_id, "Id of this start", "ID" },
+	{ "events", 0, 0, G_OPTION_ARG_INT, &events, "Events of a stream",
+	  "N" },
+	{ "gap-ms", 0, 0, G_OPTION_ARG_INT, &gap_ms, "Between events", "MS" },
+	{ "delay-ms", 0, 0, G_OPTION_ARG_INT, &delay_ms, "Time of a call",
+	  "MS" },
+	{ "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Told to callers", "N" },
+	{ 0 },
+};
+
+static void request_clear_(request_t *r)
+{
+	g_string_free(r->head, TRUE);
+	g_string_free(r->body, TRUE);
+	g_free(r->method);
+	g_free(r->target);
+	g_free(r->id);
+}
+
+/* Value of a header, to be freed; empty when absent. */
+static char *header_(const request_t *r, const char *name)
+{
+	char *mark = g_strdup_printf("\r\n%s: ", name);
+	char *at = strcasestr(r->head->str, mark);
+	size_t skip = strlen(mark);
+
+	g_free(mark);
+	if (!at)
+		return g_strdup("");
+	at += skip;
+	return g_strndup(at, strcspn(at, "\r"));
+}
+
+static bool fill_(int fd, GString *in)
+{
+	char data[4096];
+	ssize_t n = recv(fd, data, sizeof(data), 0);
+
+	if (n <= 0)
+		return false;
+	g_string_append_len(in, data, n);
+	return true;
+}
+
+static void parse_(request_t *r)
+{
+	char **words = g_strsplit(r->head->str, " ", 3);
+	char *last = header_(r, "Last-Event-Id");
+
+	r->method = g_strdup(words[0]);
+	r->target = g_strdup(words[1] ? words[1] : "");
+	r->id = header_(r, "Attempt-Id");
+	r->last_event = *last ? g_ascii_strtoll(last, NULL, 10) : 0;
+	r->stream = strstr(r->target, "/stream/") != NULL;
+	g_free(last);
+	g_strfreev(words);
+}
+
+/* Reads one request; in keeps what follows it. */
+static bool read_request_(int fd, GString *in, request_t *r)
+{
+	char *end;
+	char *length;
+	size_t want;
+
+	while (!(end = strstr(in->str, "\r\n\r\n"))) {
+		if (in->len > HEAD_MAX || !fill_(fd, in))
+			return false;
+	}
+	*r = (request_t){ .head = g_string_new_len(in->str,
+						   end + 2 - in->str) };
+	g_string_erase(in, 0, end + 4 - in->str);
+	parse_(r);
+	length = header_(r, "Content-Length");
+	want = (size_t)g_ascii_strtoull(length, NULL, 10);
+	g_free(length);
+	r->body = g_string_new(NULL);
+	while (in->len < want) {
+		if (!fill_(fd, in))
+			return false;
+	}
+	g_string_append_len(r->body, in->str, (gssize)want);
+	g_string_erase(in, 0, (gssize)want);
+	return true;
+}
+
+static bool send_(int fd, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
+
+static bool send_(int fd, const char *fmt, ...)
+{
+	va_list args;
+	char *text;
+	size_t len;
+	bool ok;
+
+	va_start(args, fmt);
+	text = g_strdup_vprintf(fmt, args);
+	va_end(args);
+	len = strlen(text);
+	ok = send(fd, text, len, MSG_NOSIGNAL) == (ssize_t)len;
+	g_free(text);
+	return ok;
+}
+
+static void send_json_(int fd, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	send_(fd, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+	      strlen(text), text);
+	free(text);
+	json_decref(body);
+}
+
+static void set_fault_(const request_t *r)
+{
+	json_t *f = json_loadb(r->body->str, r->body->len, 0, NULL);
+	const char *mode = json_string_value(json_object_get(f, "mode"));
+
+	g_mutex_lock(&state.lock);
+	g_strlcpy(state.mode, mode ? mode : "", sizeof(state.mode));
+	state.count = (int)json_integer_value(json_object_get(f, "count"));
+	g_mutex_unlock(&state.lock);
+	json_decref(f);
+}
+
+static json_t *stats_(void)
+{
+	json_t *o;
+
+	g_mutex_lock(&state.lock);
+	o = json_pack("{s:O,s:O,s:i,s:i,s:i,s:i}", "runs", state.runs,
+		      "arrivals", state.arrivals, "running", state.running,
+		      "most", state.most, "aborted", state.aborted,
+		      "connections", state.connections);
+	o = json_deep_copy(o);
+	g_mutex_unlock(&state.lock);
+	return o;
+}
+
+/* The fault for this request, to be freed. */
+static char *take_fault_(void)
+{
+	char *mode = g_strdup("");
+
+	g_mutex_lock(&state.lock);
+	if (state.count) {
+		g_free(mode);
+		mode = g_strdup(state.mode);
+		if (state.count > 0)
+			state.count--;
+	}
+	g_mutex_unlock(&state.lock);
+	return mode;
+}
+
+static void note_arrival_(const request_t *r)
+{
+	static const char *const names[] = { "Tenant", "X-Api-Key",
+					     "Target-Instance", "Deadline-Ms",
+					     "Last-Event-Id", "Kv-From",
+					     "Cache-Retention", "Pin-Ms",
+					     "Kv-Replica", "X-Own", "X-Hop",
+					     "Request-Priority", "Kv-Fetch" };
+	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:s%}", "id", r->id, "method",
+			      r->method, "target", r->target, "at",
+			      (json_int_t)clock_now(), "body", r->body->str,
+			      r->body->len);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		char *v = header_(r, names[i]);
+
+		if (*v)
+			json_object_set_new(o, names[i], json_string(v));
+		g_free(v);
+	}
+	g_mutex_lock(&state.lock);
+	json_array_append_new(state.arrivals, o);
+	g_mutex_unlock(&state.lock);
+}
+
+static void begin_run_(const request_t *r)
+{
+	json_int_t n;
+
+	g_mutex_lock(&state.lock);
+	n = json_integer_value(json_object_get(state.runs, r->id));
+	json_object_set_new(state.runs, r->id, json_integer(n + 1));
+	state.running++;
+	state.most = MAX(state.most, state.running);
+	g_mutex_unlock(&state.lock);
+}
+
+static void end_run_(bool aborted)
+{
+	g_mutex_lock(&state.lock);
+	state.running--;
+	state.aborted += aborted;
+	g_mutex_unlock(&state.lock);
+}
+
+/* Waits; false when the caller closes meanwhile. */
+static bool pause_(int fd, int ms)
+{
+	struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+
+	return poll(&p, 1, ms) == 0;
+}
+
+static void head_(int fd, const request_t *r, int status, const char *mode)
+{
+	send_(fd, "HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\n", status,
+	      strcmp(mode, "crossed") ? r->id : "another");
+	if (strcmp(mode, "unsigned") != 0)
+		send_(fd, "Response-Signature: sig-%s-%s\r\n", own_id, r->id);
+	if (!strcmp(mode, "encoded"))
+		send_(fd, "Content-Encoding: gzip\r\n");
+	send_(fd, "Server-Load: %d,0,%d\r\nKeep-Alive: timeout=5\r\n",
+	      state.running, slots);
+}
+
+static void reset_(int fd)
+{
+	struct linger now = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+/* The whole plain answer; false when the connection must end. */
+static bool plain_(int fd, const request_t *r, const char *mode)
+{
+	char *body = g_strdup_printf("{\"from\":\"%s\",\"id\":\"%s\"}", own_id,
+				     r->id);
+	int status = !strcmp(mode, "error") ? 500 : 200;
+	bool framed = strncmp(mode, "unframed", 8) != 0;
+	size_t len = strlen(body);
+
+	if (!strcmp(mode, "busy"))
+		status = 503;
+	head_(fd, r, status, mode);
+	if (framed)
+		send_(fd, "Content-Length: %zu\r\n", len);
+	if (!strcmp(mode, "cut") || !strcmp(mode, "unframed_reset"))
+		len /= 2;
+	send_(fd, "\r\n%.*s", (int)len, body);
+	if (!strcmp(mode, "extra_late"))
+		pause_(fd, LATE_MS);
+	if (!strncmp(mode, "extra", 5)) {
+		head_(fd, r, 200, "crossed");
+		send_(fd, "Content-Length: 5\r\n\r\nextra");
+	}
+	if (!strcmp(mode, "unframed_reset")) {
+		pause_(fd, LATE_MS);
+		reset_(fd);
+	}
+	g_free(body);
+	return framed && strcmp(mode, "cut") != 0;
+}
+
+static bool chunk_(int fd, const char *text)
+{
+	return send_(fd, "%zx\r\n%s\r\n", strlen(text), text);
+}
+
+static bool stream_(int fd, const request_t *r, const char *mode)
+{
+	head_(fd, r, 200, mode);
+	send_(fd, "Content-Type: text/event-stream\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n");
+	for (int64_t i = r->last_event + 1; i <= events; i++) {
+		char *event = g_strdup_printf(
+			"id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT
+			"\n\n",
+			i, r->id, i);
+
+		if (i > events / 2 && !strcmp(mode, "cut"))
+			event[strlen(event) / 2] = '\0';
+		if (!chunk_(fd, event) || !pause_(fd, gap_ms)) {
+			g_free(event);
+			return false;
+		}
+		g_free(event);
+		if (i > events / 2 &&
+		    (!strcmp(mode, "cut") || !strcmp(mode, "reset"))) {
+			if (*mode == 'r')
+				reset_(fd);
+			return false;
+		}
+	}
+	return send_(fd, "0\r\n\r\n");
+}
+
+static void refuse_(int fd, int status)
+{
+	send_(fd, "HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\n"
+		  "Content-Length: 0\r\n\r\n",
+	      status);
+}
+
+static bool run_(int fd, const request_t *r, const char *mode)
+{
+	bool kept;
+
+	begin_run_(r);
+	if (!strcmp(mode, "hang")) {
+		end_run_(!pause_(fd, -1));
+		return false;
+	}
+	if (!pause_(fd, delay_ms)) {
+		end_run_(true);
+		return false;
+	}
+	if (!strcmp(mode, "close") || (!strcmp(mode, "reset") && !r->stream)) {
+		if (*mode == 'r')
+			reset_(fd);
+		end_run_(false);
+		return false;
+	}
+	if (!strcmp(mode, "garbage")) {
+		send_(fd, "\x16\x03\x01 no answer at all\r\n\r\n");
+		end_run_(false);
+		return false;
+	}
+	kept = r->stream && strcmp(mode, "error") != 0 ? stream_(fd, r, mode)
+						       : plain_(fd, r, mode);
+	end_run_(r->stream && !kept && !*mode);
+	return kept;
+}
+
+static bool serve_(int fd, const request_t *r)
+{
+	char *target = header_(r, "Target-Instance");
+	bool other = *target && strcmp(target, own_id) != 0;
+	char *mode;
+	bool kept = true;
+
+	g_free(target);
+	if (!strcmp(r->target, "/stats")) {
+		send_json_(fd, stats_());
+		return true;
+	}
+	if (!strcmp(r->target, "/fault")) {
+		set_fault_(r);
+		send_json_(fd, json_object());
+		return true;
+	}
+	note_arrival_(r);
+	mode = take_fault_();
+	if (other || !strcmp(mode, "other"))
+		refuse_(fd, 421);
+	else if (!strcmp(mode, "shed"))
+		refuse_(fd, 503);
+	else
+		kept = run_(fd, r, mode);
+	g_free(mode);
+	return kept;
+}
+
+static gpointer connection_(gpointer data)
+{
+	int fd = GPOINTER_TO_INT(data);
+	GString *in = g_string_new(NULL);
+	request_t r;
+	bool kept = true;
+
+	while (kept && read_request_(fd, in, &r)) {
+		kept = serve_(fd, &r);
+		request_clear_(&r);
+	}
+	g_string_free(in, TRUE);
+	close(fd);
+	return NULL;
+}
+
+static int listen_(void)
+{
+	struct sockaddr_in sa;
+	int one = 1;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (!address_parse(listen_address, &sa))
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
+	    listen(fd, BACKLOG))
+		return -1;
+	return fd;
+}
+
+int main(int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new(NULL);
+	int fd;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
+	    !listen_address || !own_id)
+		return 2;
+	g_option_context_free(context);
+	signal(SIGPIPE, SIG_IGN);
+	state.runs = json_object();
+	state.arrivals = json_array();
+	fd = listen_();
+	if (fd < 0)
+		return 1;
+	for (;;) {
+		int peer = accept(fd, NULL, NULL);
+
+		if (peer < 0)
+			continue;
+		g_mutex_lock(&state.lock);
+		state.connections++;
+		g_mutex_unlock(&state.lock);
+		g_thread_unref(g_thread_new("connection", connection_,
+					    GINT_TO_POINTER(peer)));
+	}
+}
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -39,6 +39,7 @@
 extern const standin_ops_t log_ops;
 extern const standin_ops_t hosts_ops;
 extern const standin_ops_t weights_ops;
+extern const standin_ops_t store_ops;
 
 void standin_json(http_request_t *r, unsigned int status, json_t *body);
 /* Integer or boolean switch, as a number; keeps the value when absent. */
