--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -2,7 +2,24 @@
 
 #include <string.h>
 
-static void reply_metrics_(http_request_t *req)
+static void render_latencies_(const gateway_t *g, GString *text)
+{
+	g_string_append(text, "# TYPE kcf_latency_ms histogram\n");
+	for (int i = 0; i < ROUTE_KIND_COUNT; i++) {
+		char labels[64];
+
+		g_snprintf(labels, sizeof(labels),
+			   "kind=\"%s\",until=\"first_byte\"",
+			   route_kind_string[i]);
+		latency_render(&g->first_byte[i], "kcf_latency_ms", labels,
+			       text);
+		g_snprintf(labels, sizeof(labels), "kind=\"%s\",until=\"end\"",
+			   route_kind_string[i]);
+		latency_render(&g->whole[i], "kcf_latency_ms", labels, text);
+	}
+}
+
+static void reply_metrics_(const gateway_t *g, http_request_t *req)
 {
 	static const http_header_t headers[] = {
 		{ "Content-Type", "text/plain; version=0.0.4" }, { NULL, NULL }
@@ -10,6 +27,7 @@
 	GString *text = g_string_new(NULL);
 
 	counter_render(text);
+	render_latencies_(g, text);
 	http_reply(req, 200, headers, (str_t){ text->str, text->len });
 	g_string_free(text, TRUE);
 }
@@ -67,7 +85,7 @@
 	else if (str_eq(path, str_of("/v1/status")))
 		reply_status_(g, req);
 	else if (str_eq(path, str_of("/metrics")))
-		reply_metrics_(req);
+		reply_metrics_(g, req);
 	else if (str_eq(path, str_of("/healthz")))
 		gateway_reply_json(req, 200, "{}");
 	else
@@ -76,8 +94,7 @@
 
 static void on_metrics_(void *ctx, http_request_t *req)
 {
-	(void)ctx;
-	reply_metrics_(req);
+	reply_metrics_(ctx, req);
 }
 
 static void on_closed_(void *ctx, http_request_t *req, bool whole)
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -295,7 +295,7 @@
 	}
 }
 
-static void begin_pass_(feed_state_t *s)
+void feeds_begin_pass(feed_state_t *s)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -308,6 +308,15 @@
 		((feed_entry_t *)value)->seen = false;
 }
 
+void feeds_end_pass(feed_state_t *s, uint64_t end, mstime_t at, mstime_t now)
+{
+	s->passing = false;
+	s->pass_end = end;
+	drop_unseen_(s, now);
+	s->complete_from = MAX(s->complete_from, end);
+	feeds_current(s, at, end);
+}
+
 static void note_heard_(feed_state_t *s, mstime_t now)
 {
 	if (now - s->heard_at > OUTAGE_MIN_MS) {
@@ -374,12 +383,12 @@
 		return;
 	}
 	s->passing = false;
+	s->next_at = now + RETRY_MS;
 	/* An answer older than what is known says nothing of removals. */
 	if (s->pass_end >= s->next) {
-		drop_unseen_(s, now);
-		feeds_current(s, s->asked_at, s->pass_end);
+		feeds_end_pass(s, s->pass_end, s->asked_at, now);
+		s->next_at = now;
 	}
-	s->next_at = s->pass_end >= s->next ? now : now + RETRY_MS;
 	if (s->feed == FEED_NODES)
 		take_seeds_(s->gateway);
 }
@@ -395,7 +404,7 @@
 		LOG_EVENT(LOG_NOTICE, "feed.expired",
 			  F_STR("feed", feed_string[s->feed]),
 			  F_INT("next", (int64_t)s->next));
-		begin_pass_(s);
+		feeds_begin_pass(s);
 		s->next_at = now;
 		return;
 	}
@@ -424,7 +433,7 @@
 
 	s->asked_at = now;
 	if (!s->loaded && !s->passing)
-		begin_pass_(s);
+		feeds_begin_pass(s);
 	if (s->passing)
 		s->call = c->ops->newest(c, s->feed, s->pass_after,
 					 now + ANSWER_MAX_MS, on_newest_, s);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -89,6 +89,14 @@
 	f->done = true;
 	f->status = status;
 	f->outcome = outcome;
+	if (f->first_at && f->route) {
+		gateway_t *g = f->gateway;
+
+		latency_add(&g->first_byte[f->route->kind],
+			    f->first_at - f->received);
+		latency_add(&g->whole[f->route->kind],
+			    clock_now() - f->received);
+	}
 	ev_timer_stop(f->gateway->loop, &f->end);
 	ev_timer_stop(f->gateway->loop, &f->late);
 	log_end_(f, status);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -273,6 +273,10 @@
 	g->forwards = g_hash_table_new(NULL, NULL);
 	g->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (int i = 0; i < ROUTE_KIND_COUNT; i++) {
+		latency_init(&g->first_byte[i]);
+		latency_init(&g->whole[i]);
+	}
 	balance_init(&g->balance, g->conf->data_centre, g_rand_int(g->rand));
 	http_client_init(&g->upstreams, g->loop);
 	http_client_init(&g->store, g->loop);
@@ -291,6 +295,10 @@
 	http_client_finish(&g->upstreams);
 	http_client_finish(&g->store);
 	feeds_finish(g);
+	for (int i = 0; i < ROUTE_KIND_COUNT; i++) {
+		latency_finish(&g->first_byte[i]);
+		latency_finish(&g->whole[i]);
+	}
 	balance_finish(&g->balance);
 	route_table_unref(g->table);
 	g_hash_table_destroy(g->budgets);
--- a/packages/gateway/mirror.c
+++ b/packages/gateway/mirror.c
@@ -34,6 +34,8 @@
 {
 	/* What may be a lapse of an outage is not told as a removal. */
 	bool settled = s->loaded && now >= s->hold_until;
+	/* Who lacks removals that this node does not know gets all there is. */
+	bool whole = from < s->complete_from;
 	json_t *list = json_array();
 	GHashTableIter iter;
 	gpointer value;
@@ -43,15 +45,15 @@
 		const feed_entry_t *e = value;
 		json_t *entry;
 
-		if (e->changed < from)
+		if (whole ? !e->data : e->changed < from)
 			continue;
 		entry = entry_(e);
 		if (entry)
 			json_array_append_new(list, entry);
 	}
-	return json_pack("{s:I,s:I,s:b,s:o}", "next", (json_int_t)s->next,
+	return json_pack("{s:I,s:I,s:b,s:b,s:o}", "next", (json_int_t)s->next,
 			 "age_ms", (json_int_t)(now - s->current_at), "loaded",
-			 settled, "entries", list);
+			 settled, "whole", whole, "entries", list);
 }
 
 void mirror_reply(gateway_t *g, http_request_t *req)
@@ -81,9 +83,13 @@
 	json_int_t age = json_integer_value(json_object_get(feed, "age_ms"));
 	size_t i;
 	json_t *entry;
+	bool whole = json_is_true(json_object_get(feed, "whole"));
 
-	if (!json_is_true(json_object_get(feed, "loaded")))
+	if (!json_is_true(json_object_get(feed, "loaded")) ||
+	    (uint64_t)next < s->next || (whole && s->passing))
 		return;
+	if (whole)
+		feeds_begin_pass(s);
 	json_array_foreach (json_object_get(feed, "entries"), i, entry) {
 		const json_t *data = json_object_get(entry, "data");
 		const json_t *key = json_object_get(entry, "key");
@@ -100,8 +106,11 @@
 		if (r.key.len)
 			feeds_take(s, &r, now);
 	}
-	if ((uint64_t)next >= s->next)
-		feeds_current(s, asked_at - MAX(0, age), (uint64_t)next);
+	asked_at -= MAX(0, age);
+	if (whole)
+		feeds_end_pass(s, (uint64_t)next, asked_at, now);
+	else
+		feeds_current(s, asked_at, (uint64_t)next);
 }
 
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -16,6 +16,7 @@
 #include <kcf/byte_budget.h>
 #include <kcf/counter.h>
 #include <kcf/gateway.h>
+#include <kcf/latency.h>
 #include <kcf/member.h>
 
 typedef struct gateway gateway_t;
@@ -34,10 +35,11 @@
 typedef struct feed_state {
 	gateway_t *gateway;
 	feed_t feed;
-	GHashTable *entries; /* char * to feed_entry_t * */
-	uint64_t next;	     /* first offset that is not known */
-	bool loaded;	     /* all keys have been read once */
-	mstime_t current_at; /* all that was written before is known */
+	GHashTable *entries;	/* char * to feed_entry_t * */
+	uint64_t next;		/* first offset that is not known */
+	uint64_t complete_from; /* removals before are not known one by one */
+	bool loaded;		/* all keys have been read once */
+	mstime_t current_at;	/* all that was written before is known */
 	/* reading from the platform */
 	http_call_t *call;
 	mstime_t asked_at;
@@ -87,7 +89,9 @@
 	uint64_t incarnation;
 	balance_t balance;
 	route_table_t *table; /* NULL before the first */
-	GHashTable *budgets;  /* service to retry_budget_t * */
+	latency_t first_byte[ROUTE_KIND_COUNT];
+	latency_t whole[ROUTE_KIND_COUNT]; /* answered requests */
+	GHashTable *budgets;		   /* service to retry_budget_t * */
 	GRand *rand;
 	GHashTable *forwards; /* forward_t * */
 	phase_t phase;
@@ -129,6 +133,14 @@
  * feeds_current - all that a feed held at a time is known.
  */
 void feeds_current(feed_state_t *s, mstime_t at, uint64_t next);
+/*
+ * feeds_begin_pass, feeds_end_pass - all keys are read anew; those that were
+ * not taken in between are gone.
+ * @end: of the feed as the pass began
+ * @at: when the pass began
+ */
+void feeds_begin_pass(feed_state_t *s);
+void feeds_end_pass(feed_state_t *s, uint64_t end, mstime_t at, mstime_t now);
 /*
  * feeds_publish - tells other nodes where this one is.
  */
--- a/tests/runner/http_words.c
+++ b/tests/runner/http_words.c
@@ -107,6 +107,9 @@
 
 	lua_getfield(L, at, "timeout_ms");
 	timeout = luaL_optinteger(L, -1, TIMEOUT_DEFAULT_MS);
+	lua_getfield(L, at, "keep");
+	spec.fresh = !lua_toboolean(L, -1);
+	lua_pop(L, 1);
 	lua_getfield(L, at, "body");
 	body = lua_isnil(L, -1) ? NULL : lua_tolstring(L, -1, &len);
 	spec.method = field_(L, at, "method", "GET");
@@ -159,29 +162,63 @@
 /* Requests that are open at the same time, on a loop of their own. */
 typedef struct word_batch {
 	batch_t batch;
-	http_client_t client;
+	http_client_t *client; /* its own, or the kept one */
+	http_client_t own;
 	word_call_t *calls;
 	lua_Integer count;
 	GThread *thread;
 } word_batch_t;
 
+/*
+ * Requests with keep = true share connections, also from batch to batch; only
+ * one batch of these may be open at a time.
+ */
+static struct {
+	struct ev_loop *loop;
+	http_client_t client;
+} kept;
+
+static bool keeps_(lua_State *L)
+{
+	bool keep;
+
+	if (lua_geti(L, 1, 1) != LUA_TTABLE) {
+		lua_pop(L, 1);
+		return false;
+	}
+	lua_getfield(L, -1, "keep");
+	keep = lua_toboolean(L, -1);
+	lua_pop(L, 2);
+	if (keep && !kept.loop) {
+		kept.loop = ev_loop_new(EVFLAG_AUTO);
+		http_client_init(&kept.client, kept.loop);
+	}
+	return keep;
+}
+
 static word_batch_t *start_batch_(lua_State *L)
 {
 	word_batch_t *b = g_new0(word_batch_t, 1);
 
 	b->count = luaL_len(L, 1);
-	b->batch = (batch_t){ ev_loop_new(EVFLAG_AUTO), (int)b->count };
 	b->calls = g_new0(word_call_t, (gsize)b->count + 1);
-	http_client_init(&b->client, b->batch.loop);
+	if (keeps_(L)) {
+		b->batch = (batch_t){ kept.loop, (int)b->count };
+		b->client = &kept.client;
+	} else {
+		b->batch = (batch_t){ ev_loop_new(EVFLAG_AUTO), (int)b->count };
+		b->client = &b->own;
+		http_client_init(b->client, b->batch.loop);
+	}
 	lua_getglobal(L, "CA_FILE");
-	b->client.ca_file = lua_tostring(L, -1);
+	b->client->ca_file = lua_tostring(L, -1);
 	lua_pop(L, 1);
 	for (lua_Integer i = 0; i < b->count; i++) {
 		b->calls[i].batch = &b->batch;
 		b->calls[i].body = g_string_new(NULL);
 		b->calls[i].headers = g_string_new(NULL);
 		lua_geti(L, 1, i + 1);
-		start_(L, lua_gettop(L), &b->client, &b->calls[i]);
+		start_(L, lua_gettop(L), b->client, &b->calls[i]);
 		lua_pop(L, 1);
 	}
 	return b;
@@ -205,8 +242,10 @@
 		g_string_free(b->calls[i].body, TRUE);
 		g_string_free(b->calls[i].headers, TRUE);
 	}
-	http_client_finish(&b->client);
-	ev_loop_destroy(b->batch.loop);
+	if (b->client == &b->own) {
+		http_client_finish(b->client);
+		ev_loop_destroy(b->batch.loop);
+	}
 	g_free(b->calls);
 	g_free(b);
 }
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -8,17 +8,18 @@
 	const char *name;
 	Suite *(*make)(void);
 } suites[] = {
-	{ "feeds", feeds_suite },	{ "balance", balance_suite },
-	{ "platform", platform_suite }, { "routing", routing_suite },
-	{ "config", config_suite },	{ "datagram", datagram_suite },
-	{ "fairq", fairq_suite },	{ "hop", hop_suite },
-	{ "limit", limit_suite },	{ "logline", logline_suite },
-	{ "lru", lru_suite },		{ "member", member_suite },
-	{ "once", once_suite },		{ "once_key", once_key_suite },
-	{ "power", power_suite },	{ "rank", rank_suite },
-	{ "schema", schema_suite },	{ "sched", sched_suite },
-	{ "settings", settings_suite }, { "sse", sse_suite },
-	{ "str", str_suite },		{ "view", view_suite },
+	{ "feeds", feeds_suite },	{ "latency", latency_suite },
+	{ "balance", balance_suite },	{ "platform", platform_suite },
+	{ "routing", routing_suite },	{ "config", config_suite },
+	{ "datagram", datagram_suite }, { "fairq", fairq_suite },
+	{ "hop", hop_suite },		{ "limit", limit_suite },
+	{ "logline", logline_suite },	{ "lru", lru_suite },
+	{ "member", member_suite },	{ "once", once_suite },
+	{ "once_key", once_key_suite }, { "power", power_suite },
+	{ "rank", rank_suite },		{ "schema", schema_suite },
+	{ "sched", sched_suite },	{ "settings", settings_suite },
+	{ "sse", sse_suite },		{ "str", str_suite },
+	{ "view", view_suite },
 };
 
 /* usage: kcf-unit SUITE */
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -12,6 +12,7 @@
 Suite *fairq_suite(void);
 Suite *feeds_suite(void);
 Suite *hop_suite(void);
+Suite *latency_suite(void);
 Suite *limit_suite(void);
 Suite *logline_suite(void);
 Suite *lru_suite(void);
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -193,6 +193,47 @@
 }
 END_TEST
 
+/*
+ * trouble-2 --seed 720569245954 on nautica-ruteo: a node that has just started
+ * reads the newest record of each key, and knows of no removal before. It told
+ * another node of what came after that one's offset, the removal left out.
+ */
+START_TEST(test_removals_before_a_start_are_told)
+{
+	feed_state_t *s = &one.states[FEED_UPSTREAMS];
+
+	fill_(&two);
+	/* u-0 was removed at offset 8, before this pass over all keys. */
+	feeds_begin_pass(s);
+	for (int i = 1; i < UPSTREAMS; i++)
+		put_(&one, i, (uint64_t)i);
+	feeds_end_pass(s, 9, NOW, NOW);
+	mirror_(&one, &two);
+	ck_assert(two.states[FEED_UPSTREAMS].next <= 8 || !knows_(&two, "u-0"));
+	ck_assert(knows_(&two, "u-1"));
+}
+END_TEST
+
+/* The same with a node in between that never knew the key. */
+START_TEST(test_removals_are_told_further)
+{
+	gateway_t three;
+	feed_state_t *s = &one.states[FEED_UPSTREAMS];
+
+	init_(&three);
+	fill_(&three);
+	feeds_begin_pass(s);
+	for (int i = 1; i < UPSTREAMS; i++)
+		put_(&one, i, (uint64_t)i);
+	feeds_end_pass(s, 9, NOW, NOW);
+	mirror_(&one, &two);
+	mirror_(&two, &three);
+	ck_assert(three.states[FEED_UPSTREAMS].next <= 8 ||
+		  !knows_(&three, "u-0"));
+	finish_(&three);
+}
+END_TEST
+
 Suite *feeds_suite(void)
 {
 	Suite *s = suite_create("feeds");
@@ -206,6 +247,8 @@
 	tcase_add_test(c, test_single_removal_after_outage);
 	tcase_add_test(c, test_lapse_is_held);
 	tcase_add_test(c, test_held_removals_are_not_skipped_by_others);
+	tcase_add_test(c, test_removals_before_a_start_are_told);
+	tcase_add_test(c, test_removals_are_told_further);
 	suite_add_tcase(s, c);
 	return s;
 }
