--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 #define TICK_S 0.1
-/* A tick that comes later than this means that the process stood still. */
+/* An iteration of the loop that comes later means that the process stood still.
+ */
 #define PAUSE_MS 1000
 /* Callers keep a directory answer for this long. */
 #define DIRECTORY_TTL_MS 2000
@@ -105,9 +106,9 @@
 /* What was decided on before a pause may have changed since. */
 static void check_pause_(gateway_t *g, mstime_t now)
 {
-	mstime_t gap = g->ticked_at ? now - g->ticked_at : 0;
+	mstime_t gap = g->looked_at ? now - g->looked_at : 0;
 
-	g->ticked_at = now;
+	g->looked_at = now;
 	if (gap < PAUSE_MS)
 		return;
 	g->woke_at = now;
@@ -151,7 +152,6 @@
 	mstime_t now = clock_now();
 
 	(void)revents;
-	check_pause_(g, now);
 	feeds_tick(g, now);
 	feeds_publish(g, now);
 	mirror_tick(g, now);
@@ -162,6 +162,14 @@
 		ev_break(loop, EVBREAK_ALL);
 }
 
+/* Runs before any request of the iteration is looked at. */
+static void on_iteration_(struct ev_loop *loop, ev_check *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	check_pause_(w->data, clock_now());
+}
+
 static void on_flush_(struct ev_loop *loop, ev_prepare *w, int revents)
 {
 	gateway_t *g = w->data;
@@ -322,6 +330,10 @@
 	ev_timer_init(&g->tick, on_tick_, 0, TICK_S);
 	g->tick.data = g;
 	ev_timer_start(g->loop, &g->tick);
+	ev_check_init(&g->iteration, on_iteration_);
+	ev_set_priority(&g->iteration, EV_MAXPRI);
+	g->iteration.data = g;
+	ev_check_start(g->loop, &g->iteration);
 	ev_prepare_init(&g->flush, on_flush_);
 	g->flush.data = g;
 	ev_prepare_start(g->loop, &g->flush);
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -99,10 +99,11 @@
 	mstime_t stop_at;    /* when SIGTERM came */
 	mstime_t publish_at; /* when to tell the platform of this node */
 	mstime_t last_request_at;
-	mstime_t ticked_at;
-	mstime_t woke_at; /* what was known before must be read again */
+	mstime_t looked_at; /* present time of the last iteration */
+	mstime_t woke_at;   /* what was known before must be read again */
 	bool ok;
 	ev_timer tick;
+	ev_check iteration;
 	ev_prepare flush;
 	ev_signal terminate;
 	ev_signal interrupt;
--- a/tests/scenarios/gateway_stop.lua
+++ b/tests/scenarios/gateway_stop.lua
@@ -60,3 +60,25 @@
 expect(#seen(f["counter-1"]).arrivals == before, "a runner that had left got work after a pause")
 wait_for("it serves again", 3000, function() return is_ready(frozen) and send(frozen, "/new/y").status == 200 end)
 expect(log_of(frozen):find("event=node.paused"), "pause is not in the log")
+
+-- Whatever comes first after a pause, requests wait in its sockets by then.
+local flips = { { "/one/", "/two/" }, { "/two/", "/one/" } }
+for round = 1, 6 do
+	local new, old = table.unpack(flips[round % 2 + 1])
+	freeze(frozen)
+	sleep_ms(300)
+	configure(f, 10 + round, { route(new, "idempotent", "counter") })
+	sleep_ms(1200)
+	waiting = {}
+	for i = 1, 12 do waiting[i] = ask(frozen, (i % 2 == 0 and old or new) .. "x", { timeout_ms = 3000 }) end
+	handle = http_start(waiting)
+	sleep_ms(200)
+	thaw(frozen)
+	for i, answer in ipairs(http_finish(handle)) do
+		if i % 2 == 0 then
+			expect(answer.status ~= 200, "round %d: the old route was served after a pause", round)
+		else
+			expect(answer.status ~= 404, "round %d: the new route was refused after a pause", round)
+		end
+	end
+end
