--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -101,6 +101,7 @@
 	out:write(settings(f, g))
 	out:close()
 	g.out = f.dir .. "/" .. g.name .. ".out"
+	g.started = now_ms()
 	g.pid = spawn({ bin .. "/kingcupforkd", "--gateway", path }, f.dir .. "/" .. g.name .. ".err", g.out)
 end
 
