--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -650,11 +650,11 @@
 {
 	GPtrArray *list = reported_(b, now);
 	guint top = MIN(list->len, max / 2);
+	guint rest = MAX(1, list->len - top);
 	guint count = MIN(list->len, max);
 
 	for (guint i = 0; i < count; i++) {
-		guint at = i < top ? i
-				   : top + b->load_cursor++ % (list->len - top);
+		guint at = i < top ? i : top + b->load_cursor++ % rest;
 		const balance_upstream_t *u = list->pdata[at];
 
 		out[i] = (balance_load_t){ u->key, u->foreign + u->mine,
--- a/tests/soak/soak.lua
+++ b/tests/soak/soak.lua
@@ -238,6 +238,7 @@
 end
 configure(f, version + 1)
 wait_for("seed " .. seed .. ": service after the faults", 12000, function()
+	check_processes()
 	for _, g in ipairs(f.gateways) do
 		if not is_ready(g) then return false end
 		for _, path in ipairs(paths) do
