--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -21,6 +21,7 @@
 	{ "datagram", fuzz_datagram }, { "settings", fuzz_settings },
 	{ "resource", fuzz_resource }, { "record", fuzz_record },
 	{ "events", fuzz_events },     { "headers", fuzz_headers },
+	{ "platform", fuzz_platform },
 };
 
 static void mutate_(GRand *rand, GByteArray *input)
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -17,5 +17,6 @@
 int fuzz_record(const uint8_t *data, size_t size);
 int fuzz_events(const uint8_t *data, size_t size);
 int fuzz_headers(const uint8_t *data, size_t size);
+int fuzz_platform(const uint8_t *data, size_t size);
 
 #endif
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -1,12 +1,15 @@
 #include "fuzz.h"
 
+#include "../../packages/gateway/private/gateway.h"
 #include "../../packages/node/private/hop.h"
 #include "../../packages/node/private/job_header.h"
 #include "../../packages/node/private/once_key.h"
 #include "../../packages/node/private/peer_proof.h"
+#include "../../platform/platform_speech.h"
 #include <kcf/config.h>
 #include <kcf/datagram.h>
 #include <kcf/jobs.h>
+#include <kcf/logline.h>
 #include <kcf/once.h>
 #include <kcf/settings.h>
 #include <kcf/sse.h>
@@ -109,3 +112,39 @@
 	job_header_customer(key, "j", text, customer, sizeof(customer));
 	return 0;
 }
+
+static void fuzz_feeds_(gateway_t *g, str_t text)
+{
+	feed_record_t config = { .key = str_of("config"),
+				 .data = text,
+				 .offset = 1 };
+	feed_record_t upstream = { .key = str_of("u"),
+				   .data = text,
+				   .offset = 1 };
+	json_t *mirror = json_loadb(text.data, text.len, 0, NULL);
+
+	feeds_take(&g->states[FEED_OPERATORS], &config, 1);
+	feeds_take(&g->states[FEED_UPSTREAMS], &upstream, 1);
+	if (mirror)
+		mirror_take(&g->states[FEED_UPSTREAMS], mirror, 1, 1);
+	json_decref(mirror);
+}
+
+/* Records and answers of the platform, and what other nodes tell of them. */
+int fuzz_platform(const uint8_t *data, size_t size)
+{
+	GArray *records = g_array_new(FALSE, TRUE, sizeof(feed_record_t));
+	gateway_t g = { .speech = &platform_speech };
+	uint64_t next;
+
+	logline_setup("fuzz", LOG_EMERG);
+	balance_init(&g.balance, "dc", 1);
+	feeds_init(&g);
+	platform_read_records(view_(data, size), 0, records, &next);
+	fuzz_feeds_(&g, view_(data, size));
+	feeds_finish(&g);
+	balance_finish(&g.balance);
+	route_table_unref(g.table);
+	g_array_unref(records);
+	return 0;
+}
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -146,6 +146,54 @@
 }
 END_TEST
 
+#define ENDS(end) "\0\0\0\0\0\0\0" end "\0\0\0\0\0\0\0\0"
+#define BYTES(text)                                                            \
+	{                                                                      \
+		text, sizeof(text) - 1                                         \
+	}
+
+static const struct {
+	str_t body;
+	uint64_t from;
+	int err;
+	guint records;
+	uint64_t next;
+	bool removed; /* the last record */
+} logs[] = {
+	{ BYTES(ENDS("\5") "\0\0\0\3\1kv"), 4, FEED_OK, 1, 5, false },
+	{ BYTES(ENDS("\5") "\0\0\0\2\1k"), 4, FEED_OK, 1, 5, true },
+	{ BYTES(ENDS("\6") "\0\0\0\3\1kv\0\0\0\2\1k"), 4, FEED_OK, 2, 6, true },
+	/* no news; a log that ends before what is known */
+	{ BYTES(ENDS("\4")), 4, FEED_OK, 0, 4, false },
+	{ BYTES(ENDS("\3")), 4, FEED_OK, 0, 3, false },
+	/* records without a key count, but say nothing */
+	{ BYTES(ENDS("\6") "\0\0\0\0\0\0\0\3\1kv"), 4, FEED_OK, 1, 6, false },
+	{ BYTES(ENDS("\5") "\0\0\0\2\7k"), 4, FEED_OK, 0, 5, false },
+	/* a record that was cut is read again */
+	{ BYTES(ENDS("\5") "\0\0\0\x09\1kv"), 4, FEED_OK, 0, 4, false },
+	{ BYTES(ENDS("\5") "\0\0"), 4, FEED_OK, 0, 4, false },
+	{ BYTES("short"), 4, FEED_EBAD, 0, 0, false },
+};
+
+START_TEST(test_log_records)
+{
+	GArray *records = g_array_new(FALSE, TRUE, sizeof(feed_record_t));
+	uint64_t next = 0;
+
+	ck_assert_int_eq(platform_read_records(logs[_i].body, logs[_i].from,
+					       records, &next),
+			 logs[_i].err);
+	ck_assert_uint_eq(records->len, logs[_i].records);
+	ck_assert_uint_eq(next, logs[_i].next);
+	if (records->len)
+		ck_assert_int_eq(
+			g_array_index(records, feed_record_t, records->len - 1)
+				.removed,
+			logs[_i].removed);
+	g_array_unref(records);
+}
+END_TEST
+
 Suite *platform_suite(void)
 {
 	Suite *s = suite_create("platform");
@@ -154,6 +202,7 @@
 	tcase_add_loop_test(c, test_upstream_entry, 0, G_N_ELEMENTS(entries));
 	tcase_add_test(c, test_manifest);
 	tcase_add_loop_test(c, test_operator_change, 0, G_N_ELEMENTS(changes));
+	tcase_add_loop_test(c, test_log_records, 0, G_N_ELEMENTS(logs));
 	suite_add_tcase(s, c);
 	return s;
 }
