A pass over all keys goes on where it failed

Pages have 2.5 s, a pass goes on at the key that it has come to, and retries are spread. Another node's whole answer ends a pass.

Cancelled calls free what belongs to them (dropped).

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -38,6 +38,8 @@
 	void (*data)(void *ctx, http_call_t *call, str_t data);
 	/* The call is over, freed after this; status is 0 without a head. */
 	void (*done)(void *ctx, http_call_t *call, int err, int status);
+	/* The call was cancelled; no other function is called any more. */
+	void (*dropped)(void *ctx);
 } http_call_ops_t;
 
 typedef struct http_call_spec {
@@ -90,7 +92,7 @@
 
 /*
  * http_call_cancel - closes a call's connection and frees the call; its
- * done function is not called. Not allowed inside the call's own functions
+ * done function is not called, but its dropped function is. Not allowed inside the call's own functions
  * head and data.
  */
 void http_call_cancel(http_call_t *call);
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -17,8 +17,13 @@
 #define NODES_INTERVAL_MS 15000
 #define NODES_ALONE_INTERVAL_MS 1000
 #define RETRY_MS 250
+/* Nodes that start together do not come again together. */
+#define RETRY_SPREAD_MS 250
 /* Longest time for an answer, beside the wait that was asked for. */
 #define ANSWER_MAX_MS 900
+/* A page of all keys is large; many nodes that start together wait for theirs.
+ */
+#define PAGE_MAX_MS 2500
 /* A platform that was silent for longer than this had an outage. */
 #define OUTAGE_MIN_MS 2200
 /* Entries that lapsed in an outage are back within two seconds of its end. */
@@ -308,6 +313,17 @@
 		((feed_entry_t *)value)->seen = false;
 }
 
+void feeds_drop_pass(feed_state_t *s)
+{
+	if (!s->passing)
+		return;
+	if (s->call)
+		http_call_cancel(s->call);
+	s->call = NULL;
+	s->passing = false;
+	g_clear_pointer(&s->pass_after, g_free);
+}
+
 void feeds_end_pass(feed_state_t *s, uint64_t end, mstime_t at, mstime_t now)
 {
 	s->passing = false;
@@ -333,7 +349,8 @@
 
 static void failed_(feed_state_t *s, int err, mstime_t now)
 {
-	s->next_at = now + RETRY_MS;
+	s->next_at = now + RETRY_MS +
+		     g_rand_int_range(s->gateway->rand, 0, RETRY_SPREAD_MS);
 	counter_add(COUNTER_LOG_ERRORS, 1);
 	if (s->down)
 		return;
@@ -366,8 +383,8 @@
 	mstime_t now = clock_now();
 
 	s->call = NULL;
+	/* The pass goes on at the key that it has come to. */
 	if (err) {
-		s->passing = false;
 		failed_(s, err, now);
 		return;
 	}
@@ -436,7 +453,7 @@
 		feeds_begin_pass(s);
 	if (s->passing)
 		s->call = c->ops->newest(c, s->feed, s->pass_after,
-					 now + ANSWER_MAX_MS, on_newest_, s);
+					 now + PAGE_MAX_MS, on_newest_, s);
 	else
 		s->call = c->ops->read(c, s->feed, s->next, wait,
 				       now + wait + ANSWER_MAX_MS, on_read_, s);
--- a/packages/gateway/mirror.c
+++ b/packages/gateway/mirror.c
@@ -86,10 +86,12 @@
 	bool whole = json_is_true(json_object_get(feed, "whole"));
 
 	if (!json_is_true(json_object_get(feed, "loaded")) ||
-	    (uint64_t)next < s->next || (whole && s->passing))
+	    (uint64_t)next < s->next)
 		return;
-	if (whole)
+	if (whole) {
+		feeds_drop_pass(s);
 		feeds_begin_pass(s);
+	}
 	json_array_foreach (json_object_get(feed, "entries"), i, entry) {
 		const json_t *data = json_object_get(entry, "data");
 		const json_t *key = json_object_get(entry, "key");
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -142,6 +142,11 @@
  */
 void feeds_begin_pass(feed_state_t *s);
 void feeds_end_pass(feed_state_t *s, uint64_t end, mstime_t at, mstime_t now);
+/*
+ * feeds_drop_pass - ends a pass over the platform's keys that is under way, as
+ * another source has all of them.
+ */
+void feeds_drop_pass(feed_state_t *s);
 /*
  * feeds_publish - tells other nodes where this one is.
  */
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -208,6 +208,8 @@
 void http_call_cancel(http_call_t *call)
 {
 	curl_multi_remove_handle(call->client->multi, call->easy);
+	if (call->ops->dropped)
+		call->ops->dropped(call->ctx);
 	free_call_(call);
 }
 
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -143,6 +143,22 @@
 }
 END_TEST
 
+/* The platform does not answer a node that has just started. */
+START_TEST(test_mirror_ends_a_pass)
+{
+	feed_state_t *s = &two.states[FEED_UPSTREAMS];
+
+	feeds_begin_pass(&one.states[FEED_UPSTREAMS]);
+	fill_(&one);
+	feeds_end_pass(&one.states[FEED_UPSTREAMS], UPSTREAMS, NOW, NOW);
+	feeds_begin_pass(s);
+	mirror_(&one, &two);
+	ck_assert(s->loaded);
+	ck_assert(!s->passing);
+	ck_assert(knows_(&two, "u-0"));
+}
+END_TEST
+
 START_TEST(test_mirror_of_nothing)
 {
 	mirror_(&one, &two);
@@ -243,6 +259,7 @@
 	tcase_add_test(c, test_late_records_change_nothing);
 	tcase_add_test(c, test_older_configuration_changes_nothing);
 	tcase_add_test(c, test_mirror_of_all);
+	tcase_add_test(c, test_mirror_ends_a_pass);
 	tcase_add_test(c, test_mirror_of_nothing);
 	tcase_add_test(c, test_single_removal_after_outage);
 	tcase_add_test(c, test_lapse_is_held);
