--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -92,8 +92,8 @@
 
 /*
  * http_call_cancel - closes a call's connection and frees the call; its
- * done function is not called, but its dropped function is. Not allowed inside the call's own functions
- * head and data.
+ * done function is not called, but its dropped function is. Not allowed inside
+ * the call's own functions head and data.
  */
 void http_call_cancel(http_call_t *call);
 
