--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -120,11 +120,6 @@
  */
 bool http_call_sent(const http_call_t *call);
 
-/*
- * http_call_connected - whether the call made a connection of its own.
- */
-bool http_call_connected(const http_call_t *call);
-
 /*
  * http_call_body - the collected body, for calls without a data function.
  */
--- a/include/kcf/route_table.h
+++ b/include/kcf/route_table.h
@@ -32,7 +32,6 @@
 	route_kind_t kind;
 	mstime_t timeout_ms;   /* longest time until the final answer */
 	mstime_t objective_ms; /* latency objective */
-	mstime_t event_gap_ms; /* longest pause between events, 0 for none */
 	int priority;	       /* 0 is first */
 	int attempts;	       /* upstreams that one request may be sent to */
 	bool open;	       /* needs no key */
@@ -43,8 +42,7 @@
 
 typedef struct routing_service {
 	char *name;
-	double cold_per_s;   /* requests a second that a cold upstream bears */
-	int max_connections; /* of one upstream, from all nodes; 0: no limit */
+	double cold_per_s; /* requests a second that a cold upstream bears */
 } routing_service_t;
 
 typedef struct routing_customer {
@@ -54,7 +52,6 @@
 
 typedef struct route_table {
 	uint64_t version;
-	mstime_t since;	       /* when it came into force here */
 	bool keyed;	       /* customers are known by their keys */
 	GPtrArray *routes;     /* routing_route_t * */
 	GPtrArray *services;   /* routing_service_t * */
@@ -85,7 +82,7 @@
  * route_table_add_service - adds the limits of a service.
  */
 void route_table_add_service(route_table_t *t, const char *name,
-			     double cold_per_s, int max_connections);
+			     double cold_per_s);
 
 /*
  * route_table_match - the route of a host and path: that with the longest
--- a/include/kcf/speech.h
+++ b/include/kcf/speech.h
@@ -27,10 +27,7 @@
 	bool generation;    /* asks for a model */
 	uint64_t
 		affinity; /* hash of the prompt parts that others share, or 0 */
-	int64_t prompt_tokens;
-	int64_t shared_tokens;
-	int64_t output_tokens; /* at most */
-	bool sound;	       /* headers are well formed */
+	bool sound;	  /* headers are well formed */
 } inbound_t;
 
 /* What the gateway adds to a request that it sends. */
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -1,59 +1,17 @@
-#include <kcf/balance.h>
-#include <kcf/rank.h>
+#include "private/balance.h"
 
 #include <assert.h>
-#include <math.h>
 #include <string.h>
 
 /* A report counts as present for this long; requests last about a second. */
 #define REPORT_VALID_MS 2000
-/*
- * A prompt leaves its warm upstream at a load between these two, so many times
- * the mean and some more; which one, a hash of the prompt decides. Thus a few
- * prompts leave an upstream that has too much, the same ones at every node. The
- * users' bound is twice the mean plus three; what is left of it is for changes
- * that reports do not show yet.
- */
-#define LEAVE_FIRST_FACTOR 1.25
-#define LEAVE_FIRST_SLACK 2.0
-#define LEAVE_LAST_FACTOR 1.6
-#define LEAVE_LAST_SLACK 2.5
-/* An engine keeps a prompt that nobody asks for about this long. */
-#define HOME_IDLE_MS 30000
-#define HOME_SWEEP_MS 5000
-/* Outstanding requests per slot above which a request would not start soon. */
-#define FULL_FACTOR 3
 /* Weight of one outcome in the moving shares. */
 #define OUTCOME_WEIGHT 0.15
 #define LATENCY_WEIGHT 0.15
-/* Below this many outcomes nothing is said of an upstream. */
-#define SAMPLES_MIN 4
-/* An upstream is unsound from this share of failures on, */
-#define UNSOUND_FAILURES 0.25
-/* if that is also this many times the mean of the others; */
-#define UNSOUND_FACTOR 2.0
-/* or if its answers take this many times as long as those of the others. */
-#define UNSOUND_LATENCY 3.0
-#define UNSOUND_LATENCY_MIN_MS 60
-/* Interval of requests to an unsound upstream, to see whether it recovered. */
-#define TRIAL_INTERVAL_MS 700
-/* Share of a cold upstream's rate that is used; the rest is for stale views. */
-#define COLD_SHARE 0.9
 /* Time of slow start after a data centre was taken back in. */
 #define RETURN_RAMP_MS 3000
-/* Turns the upper 53 bits of a hash into a number below 1. */
-#define HASH_UNIT (1.0 / 9007199254740992.0)
-#define RETRY_NONE_MS 300
-#define RETRY_FULL_MS 250
-#define RETRY_COLD_MS 150
-
-const char *const balance_reason_string[] = {
-	"first", "spill", "least", "trial", "no upstream", "full", "cold",
-};
 
 static void release_(gpointer p);
-static bool in_service_(const balance_t *b, const balance_upstream_t *u,
-			const balance_ask_t *ask, mstime_t now);
 
 void balance_init(balance_t *b, const char *data_centre, guint32 seed)
 {
@@ -82,7 +40,7 @@
 	g_rand_free(b->rand);
 }
 
-static void free_if_unused_(balance_upstream_t *u)
+void balance_free_if_unused(balance_upstream_t *u)
 {
 	if (!u->removed || u->mine)
 		return;
@@ -98,7 +56,7 @@
 	balance_upstream_t *u = p;
 
 	u->removed = true;
-	free_if_unused_(u);
+	balance_free_if_unused(u);
 }
 
 static bool same_(const balance_upstream_t *u, const balance_spec_t *spec)
@@ -193,389 +151,11 @@
 	}
 }
 
-static bool excluded_(const balance_ask_t *ask, const balance_upstream_t *u)
-{
-	for (int i = 0; i < ask->excluded; i++) {
-		if (ask->exclude[i] == u->number)
-			return true;
-	}
-	return false;
-}
-
-static bool in_service_(const balance_t *b, const balance_upstream_t *u,
-			const balance_ask_t *ask, mstime_t now)
-{
-	return !u->leaving && now >= u->shunned_until &&
-	       !strcmp(u->service, ask->service) &&
-	       !g_hash_table_contains(b->out, u->data_centre) &&
-	       !excluded_(ask, u);
-}
-
-/* What is known of the upstreams that a request may go to. */
-typedef struct candidates {
-	balance_upstream_t **list;
-	int *loads; /* parallel to list */
-	guint count;
-	double mean;	 /* load of all of the service, in use or not */
-	double failures; /* mean share */
-	double latency;	 /* mean, of those that have one */
-} candidates_t;
-
-static bool told_(const balance_upstream_t *u, mstime_t now)
+bool balance_told(const balance_upstream_t *u, mstime_t now)
 {
 	return u->told_at && now - u->told_at < REPORT_VALID_MS;
 }
 
-/* Work of other nodes at upstreams without a report is taken as the mean. */
-static double mean_foreign_(const candidates_t *c, mstime_t now)
-{
-	double sum = 0;
-	int n = 0;
-
-	for (guint i = 0; i < c->count; i++) {
-		if (!told_(c->list[i], now))
-			continue;
-		sum += c->list[i]->foreign;
-		n++;
-	}
-	return n ? sum / n : 0;
-}
-
-static void gather_(const balance_t *b, const balance_ask_t *ask, mstime_t now,
-		    candidates_t *c)
-{
-	guint size = g_hash_table_size(b->by_id);
-	GHashTableIter iter;
-	gpointer value;
-	double foreign;
-	int timed = 0;
-	int all = 0;
-
-	*c = (candidates_t){ .list = g_new(balance_upstream_t *, size + 1),
-			     .loads = g_new(int, size + 1) };
-	g_hash_table_iter_init(&iter, b->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const balance_upstream_t *u = value;
-
-		if (in_service_(b, u, ask, now)) {
-			c->list[c->count++] = value;
-		} else if (!strcmp(u->service, ask->service)) {
-			c->mean += u->mine + (told_(u, now) ? u->foreign : 0);
-		} else {
-			continue;
-		}
-		all++;
-	}
-	foreign = mean_foreign_(c, now);
-	for (guint i = 0; i < c->count; i++) {
-		const balance_upstream_t *u = c->list[i];
-
-		c->loads[i] = u->mine + (told_(u, now) ? u->foreign
-						       : (int)(foreign + 0.5));
-		c->mean += c->loads[i];
-		c->failures += u->failures;
-		if (u->latency_ms > 0) {
-			c->latency += u->latency_ms;
-			timed++;
-		}
-	}
-	if (c->count) {
-		c->mean /= all;
-		c->failures /= c->count;
-	}
-	if (timed)
-		c->latency /= timed;
-}
-
-static void drop_(candidates_t *c)
-{
-	g_free(c->list);
-	g_free(c->loads);
-}
-
-/* Failures that all upstreams share say nothing about one of them. */
-static bool unsound_(const candidates_t *c, const balance_upstream_t *u)
-{
-	double others = c->failures;
-	double latency = c->latency;
-
-	if (u->samples < SAMPLES_MIN || c->count < 2)
-		return false;
-	others = (others * c->count - u->failures) / (c->count - 1);
-	if (u->failures > UNSOUND_FAILURES &&
-	    u->failures > UNSOUND_FACTOR * others)
-		return true;
-	latency = (latency * c->count - u->latency_ms) / (c->count - 1);
-	return u->latency_ms > UNSOUND_LATENCY_MIN_MS && latency > 0 &&
-	       u->latency_ms > UNSOUND_LATENCY * latency;
-}
-
-static double cold_rate_(const balance_t *b, const balance_upstream_t *u)
-{
-	const balance_service_t *s =
-		g_hash_table_lookup(b->services, u->service);
-
-	return s ? s->cold_per_s * COLD_SHARE / MAX(1, b->nodes) : 0;
-}
-
-static bool cold_(const balance_t *b, const balance_upstream_t *u, mstime_t now)
-{
-	return now < u->cold_until && cold_rate_(b, u) > 0;
-}
-
-/* Tokens of this node's share; at most one is saved up. */
-static bool bears_(const balance_t *b, balance_upstream_t *u, mstime_t now)
-{
-	if (!cold_(b, u, now))
-		return true;
-	u->permits +=
-		(double)(now - u->permits_at) * cold_rate_(b, u) / MSEC_PER_SEC;
-	u->permits = MIN(u->permits, 1.0);
-	u->permits_at = now;
-	return u->permits >= 1.0;
-}
-
-typedef struct choice {
-	int at; /* -1 for none */
-	double key;
-	double score;
-} choice_t;
-
-/* Load per slot; the own data centre and a random part decide between equals.
- */
-static double pressure_(balance_t *b, const candidates_t *c, guint i)
-{
-	const balance_upstream_t *u = c->list[i];
-	double near = strcmp(u->data_centre, b->data_centre) ? 0.5 : 0;
-
-	return (c->loads[i] + near + g_rand_double(b->rand)) / u->slots;
-}
-
-static void consider_least_(choice_t *best, int at, double key)
-{
-	if (best->at >= 0 && best->key <= key)
-		return;
-	best->at = at;
-	best->key = key;
-}
-
-static void consider_first_(choice_t *best, int at, double score)
-{
-	if (best->at >= 0 && best->score >= score)
-		return;
-	best->at = at;
-	best->score = score;
-}
-
-/* An unsound upstream that is to be asked again. */
-static int trial_(const candidates_t *c, mstime_t now)
-{
-	for (guint i = 0; i < c->count; i++) {
-		balance_upstream_t *u = c->list[i];
-
-		if (!unsound_(c, u) || now < u->trial_at || u->mine)
-			continue;
-		u->trial_at = now + TRIAL_INTERVAL_MS;
-		return (int)i;
-	}
-	return -1;
-}
-
-static gboolean idle_(gpointer key, gpointer value, gpointer arg)
-{
-	const balance_home_t *home = value;
-	const mstime_t *now = arg;
-
-	(void)key;
-	return *now - home->used_at > HOME_IDLE_MS;
-}
-
-/* Number of the upstream that holds a prompt, 0 for none. */
-static uint64_t home_(balance_t *b, uint64_t affinity, mstime_t now)
-{
-	const balance_home_t *home;
-
-	if (now - b->swept_at > HOME_SWEEP_MS) {
-		b->swept_at = now;
-		g_hash_table_foreach_remove(b->homes, idle_, &now);
-	}
-	home = g_hash_table_lookup(b->homes, &affinity);
-	return home ? home->number : 0;
-}
-
-static void set_home_(balance_t *b, uint64_t affinity, uint64_t number,
-		      mstime_t now)
-{
-	balance_home_t *home = g_hash_table_lookup(b->homes, &affinity);
-
-	if (!home) {
-		uint64_t *key = g_new(uint64_t, 1);
-
-		*key = affinity;
-		home = g_new0(balance_home_t, 1);
-		g_hash_table_insert(b->homes, key, home);
-	}
-	home->number = number;
-	home->used_at = now;
-}
-
-typedef struct survey {
-	uint64_t home_number; /* upstream that holds the prompt, 0: unknown */
-	choice_t home;	      /* first of the affinity's order, loaded or not */
-	choice_t next;	      /* the one after it */
-	choice_t first;	      /* first of it that bears more */
-	choice_t least;
-	choice_t last; /* least loaded, unsound ones included */
-	bool cold;     /* one was left out because it is cold */
-	bool full;
-} survey_t;
-
-static void rank_(survey_t *s, int at, double score)
-{
-	if (s->home.at >= 0 && s->home.score >= score) {
-		consider_first_(&s->next, at, score);
-		return;
-	}
-	s->next = s->home;
-	consider_first_(&s->home, at, score);
-}
-
-/* Load above which a prompt is not sent to an upstream. */
-static double bound_(const candidates_t *c, const balance_upstream_t *u,
-		     uint64_t affinity)
-{
-	double first = c->mean * LEAVE_FIRST_FACTOR + LEAVE_FIRST_SLACK;
-	double last = c->mean * LEAVE_LAST_FACTOR + LEAVE_LAST_SLACK;
-	uint64_t hash = str_hash64(
-		(str_t){ (const char *)&affinity, sizeof(affinity) }, u->hash);
-
-	return first + (last - first) * (double)(hash >> 11) * HASH_UNIT;
-}
-
-static void survey_(balance_t *b, const balance_ask_t *ask,
-		    const candidates_t *c, mstime_t now, survey_t *s)
-{
-	uint64_t home = ask->affinity ? home_(b, ask->affinity, now) : 0;
-
-	*s = (survey_t){ .home_number = home,
-			 .home = { -1 },
-			 .next = { -1 },
-			 .first = { -1 },
-			 .least = { -1 },
-			 .last = { -1 } };
-	for (guint i = 0; i < c->count; i++) {
-		balance_upstream_t *u = c->list[i];
-		double score = u->number == home
-				       ? HUGE_VAL
-				       : rank_score(ask->affinity, u->hash, 1);
-		double key = pressure_(b, c, i);
-
-		rank_(s, (int)i, score);
-		if (c->loads[i] >= u->slots * FULL_FACTOR) {
-			s->full = true;
-			continue;
-		}
-		if (!bears_(b, u, now)) {
-			s->cold = true;
-			continue;
-		}
-		consider_least_(&s->last, (int)i, key);
-		if (unsound_(c, u))
-			continue;
-		consider_least_(&s->least, (int)i, key);
-		if (c->loads[i] + 1 <= bound_(c, u, ask->affinity))
-			consider_first_(&s->first, (int)i, score);
-	}
-}
-
-static balance_pick_t refuse_(const survey_t *s)
-{
-	if (s->cold)
-		return (balance_pick_t){ .reason = BALANCE_COLD,
-					 .retry_ms = RETRY_COLD_MS };
-	if (s->full)
-		return (balance_pick_t){ .reason = BALANCE_FULL,
-					 .retry_ms = RETRY_FULL_MS };
-	return (balance_pick_t){ .reason = BALANCE_NONE,
-				 .retry_ms = RETRY_NONE_MS };
-}
-
-static int decide_(const balance_ask_t *ask, const candidates_t *c,
-		   const survey_t *s, mstime_t now, balance_reason_t *reason)
-{
-	int trial = ask->excluded ? -1 : trial_(c, now);
-
-	if (trial >= 0 && s->last.at >= 0) {
-		*reason = BALANCE_TRIAL;
-		return trial;
-	}
-	if (ask->affinity && s->first.at >= 0) {
-		*reason = s->first.at == s->home.at ? BALANCE_FIRST
-						    : BALANCE_SPILL;
-		return s->first.at;
-	}
-	*reason = BALANCE_LEAST;
-	return s->least.at >= 0 ? s->least.at : s->last.at;
-}
-
-/* A prompt that is in no cache yet is looked for in vain, at little cost. */
-static const balance_upstream_t *warm_(const balance_t *b,
-				       const candidates_t *c, const survey_t *s,
-				       const balance_upstream_t *chosen)
-{
-	const choice_t *other = &s->home;
-	GHashTableIter iter;
-	gpointer value;
-
-	if (s->home_number == chosen->number)
-		return NULL;
-	/* The one that holds it may be leaving, and no candidate any more. */
-	g_hash_table_iter_init(&iter, b->by_id);
-	while (s->home_number && g_hash_table_iter_next(&iter, NULL, &value)) {
-		const balance_upstream_t *u = value;
-
-		if (u->number == s->home_number)
-			return u;
-	}
-	if (other->at >= 0 && c->list[other->at] == chosen)
-		other = &s->next;
-	return other->at >= 0 ? c->list[other->at] : NULL;
-}
-
-balance_pick_t balance_choose(balance_t *b, const balance_ask_t *ask,
-			      mstime_t now)
-{
-	balance_pick_t pick = { 0 };
-	candidates_t c;
-	survey_t s;
-	int at;
-
-	assert(b && ask && ask->service);
-	gather_(b, ask, now, &c);
-	survey_(b, ask, &c, now, &s);
-	at = decide_(ask, &c, &s, now, &pick.reason);
-	if (at < 0) {
-		pick = refuse_(&s);
-	} else {
-		pick.upstream = c.list[at];
-		pick.load = c.loads[at];
-		pick.load_age_ms = pick.upstream->told_at
-					   ? now - pick.upstream->told_at
-					   : -1;
-		pick.upstream->mine++;
-		if (ask->affinity)
-			pick.warm = warm_(b, &c, &s, pick.upstream);
-		/* The place of one that was passed over is kept. */
-		if (ask->affinity && pick.reason == BALANCE_FIRST)
-			set_home_(b, ask->affinity, pick.upstream->number, now);
-		if (cold_(b, pick.upstream, now))
-			pick.upstream->permits -= 1;
-	}
-	pick.mean = c.mean;
-	drop_(&c);
-	return pick;
-}
-
 static void note_(balance_upstream_t *u, bool failed)
 {
 	u->failures += OUTCOME_WEIGHT * ((failed ? 1.0 : 0.0) - u->failures);
@@ -597,7 +177,7 @@
 			LATENCY_WEIGHT * ((double)latency_ms - u->latency_ms);
 	else if (latency_ms >= 0)
 		u->latency_ms = (double)MAX(1, latency_ms);
-	free_if_unused_(u);
+	balance_free_if_unused(u);
 }
 
 void balance_overdue(balance_upstream_t *u, mstime_t now)
@@ -620,62 +200,6 @@
 		u->slots = slots;
 }
 
-static gint by_load_(gconstpointer a, gconstpointer b)
-{
-	const balance_upstream_t *ua = *(balance_upstream_t *const *)a;
-	const balance_upstream_t *ub = *(balance_upstream_t *const *)b;
-	int la = ua->foreign + ua->mine;
-	int lb = ub->foreign + ub->mine;
-
-	return (lb > la) - (lb < la);
-}
-
-static GPtrArray *reported_(const balance_t *b, mstime_t now)
-{
-	GPtrArray *list = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, b->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (told_(value, now))
-			g_ptr_array_add(list, value);
-	}
-	g_ptr_array_sort(list, by_load_);
-	return list;
-}
-
-u_int balance_fill_loads(balance_t *b, mstime_t now, balance_load_t *out,
-			 u_int max)
-{
-	GPtrArray *list = reported_(b, now);
-	guint top = MIN(list->len, max / 2);
-	guint rest = MAX(1, list->len - top);
-	guint count = MIN(list->len, max);
-
-	for (guint i = 0; i < count; i++) {
-		guint at = i < top ? i : top + b->load_cursor++ % rest;
-		const balance_upstream_t *u = list->pdata[at];
-
-		out[i] = (balance_load_t){ u->key, u->foreign + u->mine,
-					   now - u->told_at };
-	}
-	g_ptr_array_unref(list);
-	return count;
-}
-
-void balance_take_load(balance_t *b, const balance_load_t *load, mstime_t now)
-{
-	balance_upstream_t *u =
-		g_hash_table_lookup(b->by_key, GUINT_TO_POINTER(load->key));
-	mstime_t at = now - load->age_ms;
-
-	if (!u || load->age_ms < 0 || at <= u->told_at)
-		return;
-	u->foreign = MAX(0, load->outstanding - u->mine);
-	u->told_at = at;
-}
-
 double balance_latency(const balance_t *b, const char *service)
 {
 	GHashTableIter iter;
--- /dev/null
+++ b/packages/decide/balance_loads.c
@@ -0,0 +1,60 @@
+/*
+ * Loads of upstreams as nodes tell them to each other.
+ */
+#include "private/balance.h"
+
+static gint by_load_(gconstpointer a, gconstpointer b)
+{
+	const balance_upstream_t *ua = *(balance_upstream_t *const *)a;
+	const balance_upstream_t *ub = *(balance_upstream_t *const *)b;
+	int la = ua->foreign + ua->mine;
+	int lb = ub->foreign + ub->mine;
+
+	return (lb > la) - (lb < la);
+}
+
+static GPtrArray *reported_(const balance_t *b, mstime_t now)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (balance_told(value, now))
+			g_ptr_array_add(list, value);
+	}
+	g_ptr_array_sort(list, by_load_);
+	return list;
+}
+
+u_int balance_fill_loads(balance_t *b, mstime_t now, balance_load_t *out,
+			 u_int max)
+{
+	GPtrArray *list = reported_(b, now);
+	guint top = MIN(list->len, max / 2);
+	guint rest = MAX(1, list->len - top);
+	guint count = MIN(list->len, max);
+
+	for (guint i = 0; i < count; i++) {
+		guint at = i < top ? i : top + b->load_cursor++ % rest;
+		const balance_upstream_t *u = list->pdata[at];
+
+		out[i] = (balance_load_t){ u->key, u->foreign + u->mine,
+					   now - u->told_at };
+	}
+	g_ptr_array_unref(list);
+	return count;
+}
+
+void balance_take_load(balance_t *b, const balance_load_t *load, mstime_t now)
+{
+	balance_upstream_t *u =
+		g_hash_table_lookup(b->by_key, GUINT_TO_POINTER(load->key));
+	mstime_t at = now - load->age_ms;
+
+	if (!u || load->age_ms < 0 || at <= u->told_at)
+		return;
+	u->foreign = MAX(0, load->outstanding - u->mine);
+	u->told_at = at;
+}
--- a/packages/decide/route_table.c
+++ b/packages/decide/route_table.c
@@ -148,13 +148,12 @@
 }
 
 void route_table_add_service(route_table_t *t, const char *name,
-			     double cold_per_s, int max_connections)
+			     double cold_per_s)
 {
 	routing_service_t *s = g_new0(routing_service_t, 1);
 
 	s->name = g_strdup(name);
 	s->cold_per_s = cold_per_s;
-	s->max_connections = max_connections;
 	g_ptr_array_add(t->services, s);
 }
 
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -72,8 +72,7 @@
 }
 
 /* False for one that is not newer than what is in force. */
-static bool take_table_(gateway_t *g, route_table_t *table, uint64_t offset,
-			mstime_t now)
+static bool take_table_(gateway_t *g, route_table_t *table, uint64_t offset)
 {
 	if (g->table && table->version <= g->table->version) {
 		LOG_EVENT(LOG_INFO, "config.older",
@@ -88,7 +87,6 @@
 		  F_INT("routes", table->routes->len),
 		  F_INT("keys", g_hash_table_size(table->customers)));
 	route_table_unref(g->table);
-	table->since = now;
 	g->table = table;
 	counter_add(COUNTER_CONFIG_APPLIED, 1);
 	counter_set(GAUGE_APPLIED_OFFSET, (int64_t)offset);
@@ -117,7 +115,7 @@
 			  F_INT("offset", (int64_t)r->offset));
 		return false;
 	case CHANGE_TABLE:
-		return take_table_(g, change.table, r->offset, now);
+		return take_table_(g, change.table, r->offset);
 	case CHANGE_DATA_CENTRE:
 		LOG_EVENT(LOG_NOTICE, "data_centre.out",
 			  F_STR("data_centre", change.data_centre),
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -87,7 +87,6 @@
 void forward_ended(forward_t *f, unsigned int status, const char *outcome)
 {
 	f->done = true;
-	f->status = status;
 	f->outcome = outcome;
 	if (f->first_at && f->route) {
 		gateway_t *g = f->gateway;
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <kcf/address.h>
 #include <kcf/logline.h>
+#include <kcf/peer_socket.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -36,17 +37,11 @@
 		.operators = c->admin,
 		.incarnation = g->incarnation,
 	};
-	struct sockaddr_in sa;
 
-	address_parse(c->peers, &sa);
-	g->socket =
-		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (g->socket < 0 ||
-	    bind(g->socket, (struct sockaddr *)&sa, sizeof(sa))) {
+	g->socket = peer_socket_open(c->peers);
+	if (g->socket < 0) {
 		LOG_EVENT(LOG_ERR, "peers.listen", F_STR("address", c->peers),
 			  F_STR("error", g_strerror(errno)));
-		if (g->socket >= 0)
-			close(g->socket);
 		return false;
 	}
 	ev_io_init(&g->socket_io, on_readable_, g->socket, EV_READ);
@@ -140,8 +135,9 @@
 	send_(g, to->peer, PEER_LOADS, &m, true);
 }
 
-static void take_(gateway_t *g, str_t data, const char *from)
+static void take_(void *ctx, str_t data, const char *from)
 {
+	gateway_t *g = ctx;
 	peer_message_t m = { 0 };
 	unsigned int proc;
 	int err;
@@ -163,20 +159,10 @@
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
 	gateway_t *g = w->data;
-	char data[DATAGRAM_MAX + 1];
-	char from[ADDRESS_TEXT_MAX];
-	struct sockaddr_in sa;
-	socklen_t sa_len = sizeof(sa);
-	ssize_t n;
 
 	(void)loop;
 	(void)revents;
-	while ((n = recvfrom(g->socket, data, sizeof(data), 0,
-			     (struct sockaddr *)&sa, &sa_len)) >= 0) {
-		address_format(&sa, from);
-		take_(g, (str_t){ data, (size_t)n }, from);
-		sa_len = sizeof(sa);
-	}
+	peer_socket_receive(g->socket, take_, g);
 }
 
 static void changed_(void *ctx, const member_t *m, member_state_t before)
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -50,7 +50,6 @@
 	mstime_t sent_at;
 	mstime_t first_at; /* first byte of the answer, 0 before */
 	upstream_answer_t answer;
-	bool overdue;
 	bool broken; /* to be ended outside of the client's functions */
 	GString *body;
 	sse_t events;
@@ -59,8 +58,7 @@
 	bool begun; /* a stream to the caller */
 	bool done;
 	bool paused;
-	int64_t last_event; /* that the caller has, -1 for none */
-	unsigned int status;
+	int64_t last_event;  /* that the caller has, -1 for none */
 	const char *outcome; /* for the log */
 
 	ev_timer end;  /* at the deadline */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -101,7 +101,6 @@
 	mstime_t last_request_at;
 	mstime_t looked_at; /* present time of the last iteration */
 	mstime_t woke_at;   /* what was known before must be read again */
-	bool ok;
 	ev_timer tick;
 	ev_check iteration;
 	ev_prepare flush;
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -96,7 +96,6 @@
 	f->arrivals++;
 	f->sent_at = now;
 	f->first_at = 0;
-	f->overdue = false;
 	f->broken = false;
 	f->answer = (upstream_answer_t){ 0 };
 	g_string_truncate(f->body, 0);
@@ -139,7 +138,6 @@
 	(void)revents;
 	if (!f->call || f->first_at || !f->at)
 		return;
-	f->overdue = true;
 	balance_overdue(f->at, clock_now());
 	if (!others_faster_(f) || !forward_may_repeat(f))
 		return;
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -246,14 +246,6 @@
 	return call->sends > 0;
 }
 
-bool http_call_connected(const http_call_t *call)
-{
-	long connects = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &connects);
-	return connects > 0;
-}
-
 str_t http_call_body(const http_call_t *call)
 {
 	return (str_t){ (const char *)call->body->data, call->body->len };
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -2,6 +2,7 @@
 
 #include <kcf/address.h>
 #include <kcf/logline.h>
+#include <kcf/peer_socket.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,7 +32,6 @@
 bool peers_start(control_t *c)
 {
 	const settings_t *s = c->settings;
-	struct sockaddr_in sa;
 	member_self_t self = {
 		.name = s->name->str,
 		.data_centre = s->data_centre->str,
@@ -42,11 +42,8 @@
 		.incarnation = c->incarnation,
 	};
 
-	address_parse(s->peer_listen->str, &sa);
-	c->socket =
-		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (c->socket < 0 ||
-	    bind(c->socket, (struct sockaddr *)&sa, sizeof(sa))) {
+	c->socket = peer_socket_open(s->peer_listen->str);
+	if (c->socket < 0) {
 		LOG_EVENT(LOG_ERR, "peers.listen",
 			  F_STR("address", s->peer_listen->str),
 			  F_STR("error", g_strerror(errno)));
@@ -149,8 +146,9 @@
 	}
 }
 
-static void take_datagram_(control_t *c, str_t data, const char *from)
+static void take_datagram_(void *ctx, str_t data, const char *from)
 {
+	control_t *c = ctx;
 	peer_message_t m = { 0 };
 	unsigned int proc;
 	mstime_t now = clock_now();
@@ -177,20 +175,10 @@
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
 	control_t *c = w->data;
-	char data[DATAGRAM_MAX + 1];
-	char from[ADDRESS_TEXT_MAX];
-	struct sockaddr_in sa;
-	socklen_t sa_len = sizeof(sa);
-	ssize_t n;
 
 	(void)loop;
 	(void)revents;
-	while ((n = recvfrom(c->socket, data, sizeof(data), 0,
-			     (struct sockaddr *)&sa, &sa_len)) >= 0) {
-		address_format(&sa, from);
-		take_datagram_(c, (str_t){ data, (size_t)n }, from);
-		sa_len = sizeof(sa);
-	}
+	peer_socket_receive(c->socket, take_datagram_, c);
 }
 
 static void changed_(void *ctx, const member_t *m, member_state_t before)
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -98,7 +98,6 @@
 	ck_assert_int_eq(route->kind, ROUTE_KIND_STREAM);
 	ck_assert_int_eq(route->timeout_ms, 8000);
 	ck_assert_int_eq(route->objective_ms, 600);
-	ck_assert_int_eq(route->event_gap_ms, 300);
 	ck_assert_int_eq(route->attempts, 2);
 	ck_assert(route->affinity && route->resumable && !route->open);
 	ck_assert_uint_eq(route->targets->len, 2);
