--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -131,6 +131,10 @@
  * @seed: of the random choices
  */
 void balance_init(balance_t *b, const char *data_centre, guint32 seed);
+
+/*
+ * balance_finish - releases the set; none of its upstreams may be used after.
+ */
 void balance_finish(balance_t *b);
 
 /*
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -31,6 +31,13 @@
 
 void balance_finish(balance_t *b)
 {
+	GHashTableIter iter;
+	gpointer value;
+
+	/* Nobody is left to tell how these ended. */
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((balance_upstream_t *)value)->mine = 0;
 	g_hash_table_destroy(b->by_key);
 	g_hash_table_destroy(b->by_id);
 	g_hash_table_destroy(b->services);
