--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -291,14 +291,18 @@
 				.data_centre = "dc-a",
 				.start = 1,
 				.slots = 8 };
+	balance_pick_t old;
 	uint64_t number;
 
 	balance_put(&b, &spec, NOW);
-	number = choose_(0, NOW).upstream->number;
+	old = choose_(0, NOW);
+	number = old.upstream->number;
 	ck_assert(!balance_put(&b, &spec, NOW));
 	spec.start = 2;
 	ck_assert(balance_put(&b, &spec, NOW));
 	ck_assert_uint_ne(choose_(0, NOW).upstream->number, number);
+	/* What ran at the old start still ends there. */
+	balance_done(old.upstream, BALANCE_OK, 10, NOW);
 }
 END_TEST
 
