Read once more: one key reader, one closed function, loads gathered when due

settings_read_key stood in settings.c and conf.c; the function for servers that keep nothing with a request stood in gateway.c and admin.c; the timer that leaves libcurl's functions was set in two places of answer.c. A forward declaration was dead. No change of behaviour.

Unit suites 23 of 23, gateway_path, _faults, _stop, _input, linter and formatter on the changed files.

--- a/include/kcf/settings.h
+++ b/include/kcf/settings.h
@@ -84,6 +84,13 @@
 const char *settings_caller_scheme(const settings_t *s);
 const char *settings_operator_scheme(const settings_t *s);
 
+/*
+ * settings_read_key - reads a key of peers from its hexadecimal digits.
+ * @out: PEER_KEY_BYTES bytes
+ * @hex: checked, two digits a byte
+ */
+void settings_read_key(unsigned char *out, const char *hex);
+
 /* Looks for faults that no table of fields describes. */
 typedef void (*settings_check_fn)(const json_t *root, GPtrArray *found);
 
--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -97,12 +97,12 @@
 	reply_metrics_(ctx, req);
 }
 
-static void on_closed_(void *ctx, http_request_t *req, bool whole)
+void gateway_closed(void *ctx, http_request_t *req, bool whole)
 {
 	(void)ctx;
 	(void)req;
 	(void)whole;
 }
 
-const http_server_ops_t admin_server_ops = { on_admin_, on_closed_ };
-const http_server_ops_t metrics_server_ops = { on_metrics_, on_closed_ };
+const http_server_ops_t admin_server_ops = { on_admin_, gateway_closed };
+const http_server_ops_t metrics_server_ops = { on_metrics_, gateway_closed };
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -49,10 +49,9 @@
 	headers[l.count] = (http_header_t){ NULL, NULL };
 }
 
-/* libcurl forbids ending a call inside its own functions. */
-static void break_(forward_t *f)
+/* libcurl forbids ending or pausing a call inside its own functions. */
+static void kick_(forward_t *f)
 {
-	f->broken = true;
 	if (ev_is_active(&f->kick))
 		return;
 	ev_timer_init(&f->kick, on_kick_, 0, 0);
@@ -60,6 +59,12 @@
 	ev_timer_start(f->gateway->loop, &f->kick);
 }
 
+static void break_(forward_t *f)
+{
+	f->broken = true;
+	kick_(f);
+}
+
 static void on_kick_(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	forward_t *f = w->data;
@@ -178,12 +183,8 @@
 	}
 	while (sse_next(&f->events, &event))
 		take_event_(f, call, &event);
-	if (f->begun && http_stream_pending(f->req) > STREAM_HIGH_BYTES &&
-	    !ev_is_active(&f->kick)) {
-		ev_timer_init(&f->kick, on_kick_, 0, 0);
-		f->kick.data = f;
-		ev_timer_start(f->gateway->loop, &f->kick);
-	}
+	if (f->begun && http_stream_pending(f->req) > STREAM_HIGH_BYTES)
+		kick_(f);
 }
 
 /*
--- a/packages/gateway/conf.c
+++ b/packages/gateway/conf.c
@@ -95,13 +95,6 @@
 			  MSEC_PER_SEC);
 }
 
-static void take_key_(unsigned char *out, const char *hex)
-{
-	for (int i = 0; i < PEER_KEY_BYTES; i++)
-		out[i] = (unsigned char)(g_ascii_xdigit_value(hex[2 * i]) * 16 +
-					 g_ascii_xdigit_value(hex[2 * i + 1]));
-}
-
 /* Seeds are hosts; all nodes use the same port for datagrams. */
 static void take_seeds_(gateway_conf_t *c, const json_t *seeds)
 {
@@ -149,7 +142,7 @@
 		DESCRIPTORS_ASIDE;
 	take_listen_(c, json_object_get(root, "listen"));
 	c->store = text_(json_object_get(root, "store"), "address");
-	take_key_(c->peer_key, text_(peers, "key"));
+	settings_read_key(c->peer_key, text_(peers, "key"));
 	take_seeds_(c, json_object_get(peers, "seeds"));
 	c->directory_ttl_max_ms =
 		span_(json_object_get(root, "directory"), "ttl_max_s",
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -39,8 +39,6 @@
 	"not taken",
 };
 
-static void ask_(feed_state_t *s, mstime_t now);
-
 static void entry_free_(gpointer p)
 {
 	feed_entry_t *e = p;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -29,11 +29,10 @@
 
 static void on_ready_(void *ctx, http_request_t *req);
 static void on_directory_(void *ctx, http_request_t *req);
-static void on_side_closed_(void *ctx, http_request_t *req, bool whole);
 
-static const http_server_ops_t ready_ops = { on_ready_, on_side_closed_ };
+static const http_server_ops_t ready_ops = { on_ready_, gateway_closed };
 static const http_server_ops_t directory_ops = { on_directory_,
-						 on_side_closed_ };
+						 gateway_closed };
 
 static bool known_since_(const feed_state_t *s, mstime_t since)
 {
@@ -96,13 +95,6 @@
 	g_ptr_array_unref(list);
 }
 
-static void on_side_closed_(void *ctx, http_request_t *req, bool whole)
-{
-	(void)ctx;
-	(void)req;
-	(void)whole;
-}
-
 /* What was decided on before a pause may have changed since. */
 static void check_pause_(gateway_t *g, mstime_t now)
 {
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -112,11 +112,12 @@
 	balance_load_t loads[LOADS_MAX];
 	peer_load_t wire[LOADS_MAX];
 	peer_message_t m = { .seq = ++g->members.seq };
-	const member_t *to = gateway_peers_any(g);
+	const member_t *to;
 
 	if (now < g->loads_at)
 		return;
 	g->loads_at = now + LOADS_INTERVAL_MS;
+	to = gateway_peers_any(g);
 	if (!to || !budget_has(&g->budget, now, BUDGET_FULL_SHARE))
 		return;
 	m.loads.loads_len =
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -181,6 +181,9 @@
 extern const http_server_ops_t forward_server_ops;
 void forwards_tick(gateway_t *g, mstime_t now);
 
+/* A call that is no caller's request is over; nothing was kept with it. */
+void gateway_closed(void *ctx, http_request_t *req, bool whole);
+
 /* Answers a call that is no caller's request. */
 void gateway_reply_json(http_request_t *req, unsigned int status,
 			const char *text);
--- a/packages/settings/settings.c
+++ b/packages/settings/settings.c
@@ -324,7 +324,7 @@
 		*out = json_integer_value(v);
 }
 
-static void take_key_(unsigned char *out, const char *hex)
+void settings_read_key(unsigned char *out, const char *hex)
 {
 	for (int i = 0; i < PEER_KEY_BYTES; i++)
 		out[i] = (unsigned char)(g_ascii_xdigit_value(hex[2 * i]) * 16 +
@@ -378,8 +378,8 @@
 	take_string_(s->operator_tls_key, operators, "tls_key");
 	take_operators_(s, json_object_get(operators, "keys"));
 	take_string_(s->peer_listen, peers, "listen");
-	take_key_(s->peer_key,
-		  json_string_value(json_object_get(peers, "key")));
+	settings_read_key(s->peer_key,
+			  json_string_value(json_object_get(peers, "key")));
 	take_int_(&s->peer_budget, peers, "budget_bytes_per_s");
 	g_ptr_array_set_size(s->peer_seeds, 0);
 	json_array_foreach (json_object_get(peers, "seeds"), i, seed)
