Loads told by others fade to the mean; an old report is set against its own time

Two faults: (1) a report told by another node was compared with what this node has outstanding now, so what was sent since the report was hidden in it; (2) an old high or low load was taken as present by all nodes together, which then left or filled the same upstream at once.

Found with a model of the served systems (packages/model: engines with slots and caches, clumps of callers, nodes that tell loads late; seeded, simulated time).

Change: a report fades towards the mean of the told loads at 1 s, the time a request is taken to last; own outstanding requests are remembered in steps of 64 ms and a told load is set against those of its own time.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -15,6 +15,8 @@
 #include <kcf/str.h>
 
 #define BALANCE_EXCLUDE_MAX 8
+/* Each node tells the loads that it knows to one other node this often. */
+#define BALANCE_TELL_MS 300
 
 /* What is published of one upstream. */
 typedef struct balance_spec {
@@ -28,6 +30,15 @@
 	mstime_t cold_until; /* 0 when it is not cold */
 } balance_spec_t;
 
+/* Outstanding requests of this node at the end of a step of time. */
+typedef struct balance_past {
+	mstime_t step;
+	int mine;
+} balance_past_t;
+
+/* Steps that are remembered, one entry each; more than a report is valid. */
+#define BALANCE_PAST_STEPS 32
+
 typedef struct balance_upstream {
 	uint64_t number; /* never used twice in a process */
 	char *id;
@@ -45,7 +56,8 @@
 	mstime_t trial_at;	/* next request while it is held unsound */
 	double permits;		/* requests that it may get now while cold */
 	mstime_t permits_at;
-	int mine;	   /* outstanding requests of this node */
+	int mine; /* outstanding requests of this node */
+	balance_past_t past[BALANCE_PAST_STEPS]; /* of mine, by step */
 	int foreign;	   /* of others, at the last report */
 	mstime_t told_at;  /* of the last report, or 0 */
 	double failures;   /* moving share of failed requests, 0 to 1 */
@@ -183,7 +195,7 @@
  * balance_overdue - a request has no answer though it should; it stays
  * outstanding.
  */
-void balance_overdue(balance_upstream_t *u, mstime_t now);
+void balance_overdue(balance_upstream_t *u);
 
 /*
  * balance_shun - another process has the address, or none.
@@ -209,7 +221,8 @@
 
 /*
  * balance_take_load - takes what another node tells, if it is newer than what
- * is known.
+ * is known. It is compared with what this node had there at the time of the
+ * report, not now.
  */
 void balance_take_load(balance_t *b, const balance_load_t *load, mstime_t now);
 
--- /dev/null
+++ b/include/kcf/served_model.h
@@ -0,0 +1,71 @@
+/*
+ * served_model - a model of the served systems: engines with batches and
+ * caches, callers that come in clumps, and nodes that know loads late.
+ *
+ * The nodes' choices are those of the product (balance), or a baseline. Time is
+ * simulated: the same settings and seed give the same result.
+ */
+#ifndef KCF_SERVED_MODEL_H
+#define KCF_SERVED_MODEL_H
+
+#include <glib.h>
+#include <kcf/clock.h>
+#include <stdbool.h>
+
+typedef enum served_policy {
+	SERVED_BOUNDED, /* the product: warm first, within the load bound */
+	SERVED_LEAST,	/* the product without affinity: least loaded */
+	SERVED_HASH,	/* by the prompt alone */
+	SERVED_RANDOM,
+	SERVED_POLICY_COUNT,
+} served_policy_t;
+
+/* Parallel to served_policy_t. */
+extern const char *const served_policy_string[];
+
+typedef struct served_conf {
+	served_policy_t policy;
+	guint32 seed;
+	mstime_t length_ms; /* of the arrivals */
+	int nodes;
+	int engines;
+	int data_centres;  /* engines and nodes are spread over them in turn */
+	int slots;	   /* requests that an engine runs at a time */
+	int cache_prompts; /* prompts that an engine keeps */
+	int prompts;	   /* different ones */
+	double skew;	   /* exponent of their popularity, 0: all alike */
+	double per_s;	   /* arrivals */
+	double clump;	   /* mean number that arrives at a node together */
+	double warm_ms;	   /* until the first token, prompt in the cache */
+	double cold_ms;	   /* the same, prompt not in the cache */
+	double work_ms;	   /* mean from the first token to the last */
+	double spread;	   /* deviation of the logarithm of work_ms */
+	mstime_t tell_ms;  /* each node tells its loads to one other */
+	mstime_t out_at;   /* the first data centre is taken out, */
+	mstime_t back_at;  /* and back in; equal for never */
+	mstime_t add_at;   /* empty engines are added */
+	int added;
+} served_conf_t;
+
+typedef struct served_result {
+	int arrivals;
+	int refused;
+	int warm;	     /* served from a cache */
+	int over;	     /* met an engine above the users' bound */
+	double over_worst;   /* largest share of them in five seconds */
+	int peak;	     /* highest load of an engine */
+	double first_p50_ms; /* until the first token */
+	double first_p95_ms;
+} served_result_t;
+
+/*
+ * served_conf_init - a service as the users' smaller deployments have it.
+ */
+void served_conf_init(served_conf_t *conf);
+
+/*
+ * served_run - plays the arrivals and waits for the last answer.
+ */
+void served_run(const served_conf_t *conf, served_result_t *result);
+
+#endif
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -172,9 +172,8 @@
 void balance_done(balance_upstream_t *u, balance_outcome_t outcome,
 		  mstime_t latency_ms, mstime_t now)
 {
-	(void)now;
 	assert(u->mine > 0);
-	u->mine--;
+	balance_add_mine(u, -1, now);
 	if (outcome == BALANCE_OK || outcome == BALANCE_FAILED)
 		note_(u, outcome == BALANCE_FAILED);
 	if (outcome == BALANCE_SHED)
@@ -187,9 +186,8 @@
 	balance_free_if_unused(u);
 }
 
-void balance_overdue(balance_upstream_t *u, mstime_t now)
+void balance_overdue(balance_upstream_t *u)
 {
-	(void)now;
 	note_(u, true);
 }
 
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -20,6 +20,10 @@
 #define LEAVE_FIRST_SLACK 2.0
 #define LEAVE_LAST_FACTOR 1.6
 #define LEAVE_LAST_SLACK 2.5
+/* The work that a report tells of ends at this pace; requests last about a
+ * second.
+ */
+#define REPORT_FADES_MS 1000.0
 /* An engine keeps a prompt that nobody asks for about this long. */
 #define HOME_IDLE_MS 30000
 #define HOME_SWEEP_MS 5000
@@ -94,6 +98,48 @@
 	return n ? sum / n : 0;
 }
 
+/* Part of the work told in a report that is still there, as far as known. */
+static double left_(const balance_upstream_t *u, mstime_t now)
+{
+	if (!balance_told(u, now))
+		return 0;
+	return exp(-(double)(now - u->told_at) / REPORT_FADES_MS);
+}
+
+/*
+ * What a report told of ends, and other work comes: the older the report, the
+ * more the mean says of the present.
+ */
+static int load_(const balance_upstream_t *u, double mean_foreign, mstime_t now)
+{
+	double foreign =
+		mean_foreign + left_(u, now) * (u->foreign - mean_foreign);
+
+	return u->mine + (int)(foreign + 0.5);
+}
+
+static void average_(candidates_t *c, int all)
+{
+	int timed = 0;
+
+	for (guint i = 0; i < c->count; i++) {
+		const balance_upstream_t *u = c->list[i];
+
+		c->mean += c->loads[i];
+		c->failures += u->failures;
+		if (u->latency_ms > 0) {
+			c->latency += u->latency_ms;
+			timed++;
+		}
+	}
+	if (c->count) {
+		c->mean /= all;
+		c->failures /= c->count;
+	}
+	if (timed)
+		c->latency /= timed;
+}
+
 static void gather_(const balance_t *b, const balance_ask_t *ask, mstime_t now,
 		    candidates_t *c)
 {
@@ -101,7 +147,6 @@
 	GHashTableIter iter;
 	gpointer value;
 	double foreign;
-	int timed = 0;
 	int all = 0;
 
 	*c = (candidates_t){ .list = g_new(balance_upstream_t *, size + 1),
@@ -110,36 +155,18 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const balance_upstream_t *u = value;
 
-		if (in_service_(b, u, ask, now)) {
+		if (in_service_(b, u, ask, now))
 			c->list[c->count++] = value;
-		} else if (!strcmp(u->service, ask->service)) {
-			c->mean += u->mine +
-				   (balance_told(u, now) ? u->foreign : 0);
-		} else {
+		else if (!strcmp(u->service, ask->service))
+			c->mean += u->mine + left_(u, now) * u->foreign;
+		else
 			continue;
-		}
 		all++;
 	}
 	foreign = mean_foreign_(c, now);
-	for (guint i = 0; i < c->count; i++) {
-		const balance_upstream_t *u = c->list[i];
-
-		c->loads[i] =
-			u->mine + (balance_told(u, now) ? u->foreign
-							: (int)(foreign + 0.5));
-		c->mean += c->loads[i];
-		c->failures += u->failures;
-		if (u->latency_ms > 0) {
-			c->latency += u->latency_ms;
-			timed++;
-		}
-	}
-	if (c->count) {
-		c->mean /= all;
-		c->failures /= c->count;
-	}
-	if (timed)
-		c->latency /= timed;
+	for (guint i = 0; i < c->count; i++)
+		c->loads[i] = load_(c->list[i], foreign, now);
+	average_(c, all);
 }
 
 static void drop_(candidates_t *c)
@@ -417,7 +444,7 @@
 		pick.load_age_ms = pick.upstream->told_at
 					   ? now - pick.upstream->told_at
 					   : -1;
-		pick.upstream->mine++;
+		balance_add_mine(pick.upstream, 1, now);
 		if (ask->affinity)
 			pick.warm = warm_(b, &c, &s, pick.upstream);
 		/* The place of one that was passed over is kept. */
--- a/packages/decide/balance_loads.c
+++ b/packages/decide/balance_loads.c
@@ -3,6 +3,32 @@
  */
 #include "private/balance.h"
 
+/* Together the steps reach as far back as a report is valid. */
+#define PAST_STEP_MS 64
+
+void balance_add_mine(balance_upstream_t *u, int change, mstime_t now)
+{
+	mstime_t step = now / PAST_STEP_MS;
+
+	u->mine += change;
+	u->past[step % BALANCE_PAST_STEPS] = (balance_past_t){ step, u->mine };
+}
+
+/* Outstanding requests of this node at a past time. */
+static int mine_at_(const balance_upstream_t *u, mstime_t at)
+{
+	const balance_past_t *found = NULL;
+
+	for (int i = 0; i < BALANCE_PAST_STEPS; i++) {
+		const balance_past_t *p = &u->past[i];
+
+		if (p->step <= at / PAST_STEP_MS &&
+		    (!found || p->step > found->step))
+			found = p;
+	}
+	return found ? found->mine : 0;
+}
+
 static gint by_load_(gconstpointer a, gconstpointer b)
 {
 	const balance_upstream_t *ua = *(balance_upstream_t *const *)a;
@@ -55,6 +81,6 @@
 
 	if (!u || load->age_ms < 0 || at <= u->told_at)
 		return;
-	u->foreign = MAX(0, load->outstanding - u->mine);
+	u->foreign = MAX(0, load->outstanding - mine_at_(u, at));
 	u->told_at = at;
 }
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -11,6 +11,11 @@
  */
 bool balance_told(const balance_upstream_t *u, mstime_t now);
 
+/*
+ * balance_add_mine - counts requests of this node that start (1) or end (-1).
+ */
+void balance_add_mine(balance_upstream_t *u, int change, mstime_t now);
+
 /*
  * balance_free_if_unused - frees an upstream that was removed, once nothing is
  * outstanding there.
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -138,7 +138,7 @@
 	(void)revents;
 	if (!f->call || f->first_at || !f->at)
 		return;
-	balance_overdue(f->at, clock_now());
+	balance_overdue(f->at);
 	if (!others_faster_(f) || !forward_may_repeat(f))
 		return;
 	http_call_cancel(f->call);
--- /dev/null
+++ b/packages/model/served_engine.c
@@ -0,0 +1,54 @@
+#include "private/served_engine.h"
+
+#include <assert.h>
+
+/* Nothing leaves the cache for its age alone. */
+#define CACHE_IDLE_MS (24 * 3600 * MSEC_PER_SEC)
+
+void served_engine_init(served_engine_t *e, int data_centre, int slots,
+			int prompts)
+{
+	assert(e && slots > 0);
+	*e = (served_engine_t){ .data_centre = data_centre, .slots = slots };
+	g_queue_init(&e->waiting);
+	lru_init(&e->cache, prompts, CACHE_IDLE_MS);
+}
+
+void served_engine_finish(served_engine_t *e)
+{
+	g_queue_clear(&e->waiting);
+	lru_finish(&e->cache);
+}
+
+int served_engine_load(const served_engine_t *e)
+{
+	return e->running + (int)e->waiting.length;
+}
+
+static void start_(served_engine_t *e, served_request_t *r, mstime_t now)
+{
+	e->running++;
+	r->warm = lru_get(&e->cache, now, r->prompt) != NULL;
+	lru_put(&e->cache, now, r->prompt, 0, 1);
+}
+
+bool served_engine_take(served_engine_t *e, served_request_t *r, mstime_t now)
+{
+	if (e->running >= e->slots) {
+		g_queue_push_tail(&e->waiting, r);
+		return false;
+	}
+	start_(e, r, now);
+	return true;
+}
+
+served_request_t *served_engine_end(served_engine_t *e, mstime_t now)
+{
+	served_request_t *next = g_queue_pop_head(&e->waiting);
+
+	assert(e->running > 0);
+	e->running--;
+	if (next)
+		start_(e, next, now);
+	return next;
+}
--- /dev/null
+++ b/packages/model/served_model.c
@@ -0,0 +1,462 @@
+#include "private/served_engine.h"
+
+#include <assert.h>
+#include <gsl/gsl_histogram.h>
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <kcf/rank.h>
+#include <kcf/served_model.h>
+#include <math.h>
+#include <stdlib.h>
+
+#define SERVICE "engines"
+/* The users' rule: twice the mean and three more, counted over five seconds. */
+#define RULE_FACTOR 2.0
+#define RULE_SLACK 3.0
+#define RULE_WINDOW_MS 5000
+#define RULE_OVER_MIN 20
+/* What a node tells at a time, as on the wire. */
+#define LOADS_MAX 32
+/* Requests of a clump come within this time. */
+#define CLUMP_MS 20
+/* Of the histogram of times to the first token; longer ones count as this. */
+#define FIRST_MAX_MS 20000
+#define FIRST_BUCKET_MS 5
+
+const char *const served_policy_string[] = {
+	"bounded",
+	"least-loaded",
+	"hash",
+	"random",
+};
+
+typedef enum event_kind {
+	EVENT_CLUMP,  /* the next callers decide to come */
+	EVENT_ARRIVE, /* a request reaches a node */
+	EVENT_FIRST,  /* its first token comes back */
+	EVENT_END,
+	EVENT_TELL, /* a node tells another its loads */
+	EVENT_OUT,
+	EVENT_BACK,
+	EVENT_ADD,
+} event_kind_t;
+
+typedef struct event {
+	mstime_t at;
+	uint64_t order; /* of equal times */
+	event_kind_t kind;
+	int node;
+	served_request_t *request;
+} event_t;
+
+typedef struct model {
+	const served_conf_t *conf;
+	served_result_t *result;
+	gsl_rng *rng;
+	gsl_ran_discrete_t *prompts;
+	gsl_histogram *first;
+	GSequence *events; /* event_t *, the next one first */
+	uint64_t order;
+	balance_t *nodes;
+	served_engine_t *engines;
+	int engine_count;
+	mstime_t now;
+	mstime_t window_ends;
+	int window_arrivals;
+	int window_over;
+} model_t;
+
+void served_conf_init(served_conf_t *conf)
+{
+	assert(conf);
+	*conf = (served_conf_t){
+		.length_ms = 30 * MSEC_PER_SEC,
+		.nodes = 7,
+		.engines = 9,
+		.data_centres = 3,
+		.slots = 64,
+		.cache_prompts = 60,
+		.prompts = 220,
+		.skew = 0.3,
+		.per_s = 100,
+		.clump = 3,
+		.warm_ms = 60,
+		.cold_ms = 110,
+		.work_ms = 450,
+		.spread = 0.9,
+		.tell_ms = BALANCE_TELL_MS,
+	};
+}
+
+static gint by_time_(gconstpointer a, gconstpointer b, gpointer arg)
+{
+	const event_t *ea = a;
+	const event_t *eb = b;
+
+	(void)arg;
+	if (ea->at != eb->at)
+		return ea->at < eb->at ? -1 : 1;
+	return (ea->order > eb->order) - (ea->order < eb->order);
+}
+
+static void plan_(model_t *m, mstime_t at, event_kind_t kind, int node,
+		  served_request_t *r)
+{
+	event_t *e = g_new(event_t, 1);
+
+	*e = (event_t){ at, m->order++, kind, node, r };
+	g_sequence_insert_sorted(m->events, e, by_time_, NULL);
+}
+
+static void put_engine_(model_t *m, int i)
+{
+	char id[16];
+	char address[24];
+	char data_centre[16];
+	balance_spec_t spec = { .id = id,
+				.service = SERVICE,
+				.address = address,
+				.data_centre = data_centre,
+				.slots = m->conf->slots };
+	int dc = i % m->conf->data_centres;
+
+	served_engine_init(&m->engines[i], dc, m->conf->slots,
+			   m->conf->cache_prompts);
+	g_snprintf(id, sizeof(id), "u-%d", i);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d", 1 + i);
+	g_snprintf(data_centre, sizeof(data_centre), "dc-%d", dc);
+	for (int n = 0; n < m->conf->nodes; n++)
+		balance_put(&m->nodes[n], &spec, m->now);
+}
+
+static int engine_of_(const balance_upstream_t *u)
+{
+	return atoi(u->id + strlen("u-"));
+}
+
+static double mean_(const model_t *m)
+{
+	double sum = 0;
+
+	for (int i = 0; i < m->engine_count; i++)
+		sum += served_engine_load(&m->engines[i]);
+	return sum / m->engine_count;
+}
+
+static void close_window_(model_t *m)
+{
+	served_result_t *r = m->result;
+
+	if (m->window_over >= RULE_OVER_MIN)
+		r->over_worst = MAX(r->over_worst, (double)m->window_over /
+							   m->window_arrivals);
+	m->window_arrivals = 0;
+	m->window_over = 0;
+	m->window_ends += RULE_WINDOW_MS;
+}
+
+static void judge_(model_t *m, const served_engine_t *e)
+{
+	int load = served_engine_load(e);
+
+	while (m->now >= m->window_ends)
+		close_window_(m);
+	m->window_arrivals++;
+	m->result->peak = MAX(m->result->peak, load);
+	if (load <= RULE_FACTOR * mean_(m) + RULE_SLACK)
+		return;
+	m->window_over++;
+	m->result->over++;
+}
+
+static void run_(model_t *m, served_request_t *r)
+{
+	double first = r->warm ? m->conf->warm_ms : m->conf->cold_ms;
+	mstime_t at = m->now + (mstime_t)first;
+
+	m->result->warm += r->warm;
+	plan_(m, at, EVENT_FIRST, r->node, r);
+	plan_(m, at + (mstime_t)r->work_ms + 1, EVENT_END, r->node, r);
+}
+
+static bool out_(const model_t *m, int engine)
+{
+	return m->engines[engine].data_centre == 0 &&
+	       m->now >= m->conf->out_at && m->now < m->conf->back_at;
+}
+
+/* Each returns the number of an engine, or -1. */
+static int by_balance_(model_t *m, served_request_t *r, uint64_t affinity)
+{
+	balance_ask_t ask = { .service = SERVICE, .affinity = affinity };
+	balance_pick_t pick = balance_choose(&m->nodes[r->node], &ask, m->now);
+
+	r->at = pick.upstream;
+	return pick.upstream ? engine_of_(pick.upstream) : -1;
+}
+
+static int by_bound_(model_t *m, served_request_t *r)
+{
+	return by_balance_(m, r, r->prompt);
+}
+
+static int by_load_(model_t *m, served_request_t *r)
+{
+	return by_balance_(m, r, 0);
+}
+
+static int by_hash_(model_t *m, served_request_t *r)
+{
+	double best_score = 0;
+	int best = -1;
+
+	for (int i = 0; i < m->engine_count; i++) {
+		double score = rank_score(r->prompt, (uint64_t)i + 1, 1);
+
+		if (out_(m, i) || score <= best_score)
+			continue;
+		best = i;
+		best_score = score;
+	}
+	return best;
+}
+
+static int by_chance_(model_t *m, served_request_t *r)
+{
+	int i;
+
+	(void)r;
+	do {
+		i = (int)gsl_rng_uniform_int(m->rng, (gulong)m->engine_count);
+	} while (out_(m, i));
+	return i;
+}
+
+typedef int (*policy_fn)(model_t *m, served_request_t *r);
+
+static const policy_fn policies[SERVED_POLICY_COUNT] = {
+	[SERVED_BOUNDED] = by_bound_,
+	[SERVED_LEAST] = by_load_,
+	[SERVED_HASH] = by_hash_,
+	[SERVED_RANDOM] = by_chance_,
+};
+
+static void on_clump_(model_t *m)
+{
+	const served_conf_t *c = m->conf;
+	int node = (int)gsl_rng_uniform_int(m->rng, (gulong)c->nodes);
+	guint n = gsl_ran_geometric(m->rng, 1 / c->clump);
+	double gap_s = gsl_ran_exponential(m->rng, c->clump / c->per_s);
+
+	for (guint i = 0; i < n; i++) {
+		mstime_t later =
+			(mstime_t)gsl_rng_uniform_int(m->rng, CLUMP_MS);
+
+		plan_(m, m->now + later, EVENT_ARRIVE, node, NULL);
+	}
+	if (m->now < c->length_ms)
+		plan_(m, m->now + 1 + (mstime_t)(gap_s * MSEC_PER_SEC),
+		      EVENT_CLUMP, 0, NULL);
+}
+
+static void on_arrive_(model_t *m, int node)
+{
+	const served_conf_t *c = m->conf;
+	served_request_t *r = g_new0(served_request_t, 1);
+	double log_mean = log(c->work_ms) - c->spread * c->spread / 2;
+	served_engine_t *e;
+
+	r->node = node;
+	r->came = m->now;
+	r->prompt = gsl_ran_discrete(m->rng, m->prompts) + 1;
+	r->work_ms = gsl_ran_lognormal(m->rng, log_mean, c->spread);
+	m->result->arrivals++;
+	r->engine = policies[c->policy](m, r);
+	if (r->engine < 0) {
+		m->result->refused++;
+		g_free(r);
+		return;
+	}
+	e = &m->engines[r->engine];
+	if (served_engine_take(e, r, m->now))
+		run_(m, r);
+	judge_(m, e);
+}
+
+static void on_first_(model_t *m, served_request_t *r)
+{
+	const served_engine_t *e = &m->engines[r->engine];
+	double ms = (double)(m->now - r->came);
+
+	gsl_histogram_increment(m->first, MIN(ms, FIRST_MAX_MS - 1));
+	if (r->at)
+		balance_report(r->at, served_engine_load(e), 0, m->now);
+}
+
+static void on_end_(model_t *m, served_request_t *r)
+{
+	served_request_t *next =
+		served_engine_end(&m->engines[r->engine], m->now);
+
+	if (r->at)
+		balance_done(r->at, BALANCE_OK, -1, m->now);
+	g_free(r);
+	if (next)
+		run_(m, next);
+}
+
+static void on_tell_(model_t *m, int node)
+{
+	balance_load_t loads[LOADS_MAX];
+	int hop = 1 + (int)gsl_rng_uniform_int(
+			      m->rng, (gulong)MAX(1, m->conf->nodes - 1));
+	balance_t *to = &m->nodes[(node + hop) % m->conf->nodes];
+	u_int n = balance_fill_loads(&m->nodes[node], m->now, loads, LOADS_MAX);
+
+	for (u_int i = 0; i < n; i++)
+		balance_take_load(to, &loads[i], m->now);
+	if (m->now < m->conf->length_ms)
+		plan_(m, m->now + m->conf->tell_ms, EVENT_TELL, node, NULL);
+}
+
+static void set_out_(model_t *m, bool out)
+{
+	for (int n = 0; n < m->conf->nodes; n++)
+		balance_set_out(&m->nodes[n], "dc-0", out, m->now);
+}
+
+static void add_engines_(model_t *m)
+{
+	for (int i = 0; i < m->conf->added; i++)
+		put_engine_(m, m->engine_count++);
+}
+
+static void play_(model_t *m, const event_t *e)
+{
+	m->now = e->at;
+	switch (e->kind) {
+	case EVENT_CLUMP:
+		on_clump_(m);
+		break;
+	case EVENT_ARRIVE:
+		on_arrive_(m, e->node);
+		break;
+	case EVENT_FIRST:
+		on_first_(m, e->request);
+		break;
+	case EVENT_END:
+		on_end_(m, e->request);
+		break;
+	case EVENT_TELL:
+		on_tell_(m, e->node);
+		break;
+	case EVENT_OUT:
+	case EVENT_BACK:
+		set_out_(m, e->kind == EVENT_OUT);
+		break;
+	case EVENT_ADD:
+		add_engines_(m);
+		break;
+	}
+}
+
+static void set_prompts_(model_t *m)
+{
+	int n = m->conf->prompts;
+	double *weights = g_new(double, n);
+
+	for (int i = 0; i < n; i++)
+		weights[i] = pow(i + 1, -m->conf->skew);
+	m->prompts = gsl_ran_discrete_preproc((size_t)n, weights);
+	g_free(weights);
+}
+
+static void init_(model_t *m, const served_conf_t *c, served_result_t *result)
+{
+	*result = (served_result_t){ 0 };
+	*m = (model_t){ .conf = c, .result = result, .now = 1 };
+	m->rng = gsl_rng_alloc(gsl_rng_mt19937);
+	gsl_rng_set(m->rng, c->seed);
+	set_prompts_(m);
+	m->first = gsl_histogram_alloc(FIRST_MAX_MS / FIRST_BUCKET_MS);
+	gsl_histogram_set_ranges_uniform(m->first, 0, FIRST_MAX_MS);
+	m->events = g_sequence_new(g_free);
+	m->nodes = g_new0(balance_t, c->nodes);
+	m->engines = g_new0(served_engine_t, c->engines + c->added);
+	m->window_ends = RULE_WINDOW_MS;
+	for (int n = 0; n < c->nodes; n++) {
+		char data_centre[16];
+
+		g_snprintf(data_centre, sizeof(data_centre), "dc-%d",
+			   n % c->data_centres);
+		balance_init(&m->nodes[n], data_centre,
+			     c->seed + 1 + (guint32)n);
+		m->nodes[n].nodes = c->nodes;
+	}
+	for (int i = 0; i < c->engines; i++)
+		put_engine_(m, m->engine_count++);
+}
+
+static void plan_all_(model_t *m)
+{
+	const served_conf_t *c = m->conf;
+
+	plan_(m, m->now, EVENT_CLUMP, 0, NULL);
+	for (int n = 0; n < c->nodes; n++)
+		plan_(m, m->now + c->tell_ms * n / c->nodes, EVENT_TELL, n,
+		      NULL);
+	if (c->back_at > c->out_at) {
+		plan_(m, c->out_at, EVENT_OUT, 0, NULL);
+		plan_(m, c->back_at, EVENT_BACK, 0, NULL);
+	}
+	if (c->added)
+		plan_(m, c->add_at, EVENT_ADD, 0, NULL);
+}
+
+static double quantile_(const gsl_histogram *h, double share)
+{
+	double wanted = gsl_histogram_sum(h) * share;
+	double below = 0;
+
+	for (size_t i = 0; i < gsl_histogram_bins(h); i++) {
+		below += gsl_histogram_get(h, i);
+		if (below >= wanted)
+			return (double)(i + 1) * FIRST_BUCKET_MS;
+	}
+	return FIRST_MAX_MS;
+}
+
+static void finish_(model_t *m)
+{
+	close_window_(m);
+	m->result->first_p50_ms = quantile_(m->first, 0.5);
+	m->result->first_p95_ms = quantile_(m->first, 0.95);
+	for (int n = 0; n < m->conf->nodes; n++)
+		balance_finish(&m->nodes[n]);
+	for (int i = 0; i < m->engine_count; i++)
+		served_engine_finish(&m->engines[i]);
+	g_free(m->nodes);
+	g_free(m->engines);
+	g_sequence_free(m->events);
+	gsl_histogram_free(m->first);
+	gsl_ran_discrete_free(m->prompts);
+	gsl_rng_free(m->rng);
+}
+
+void served_run(const served_conf_t *conf, served_result_t *result)
+{
+	model_t m;
+
+	assert(conf && result && conf->nodes > 0 && conf->engines > 0);
+	assert(conf->policy < SERVED_POLICY_COUNT);
+	init_(&m, conf, result);
+	plan_all_(&m);
+	while (!g_sequence_is_empty(m.events)) {
+		GSequenceIter *first = g_sequence_get_begin_iter(m.events);
+		event_t e = *(event_t *)g_sequence_get(first);
+
+		g_sequence_remove(first);
+		play_(&m, &e);
+	}
+	finish_(&m);
+}
--- a/tests/scenarios/measure.lua
+++ b/tests/scenarios/measure.lua
@@ -22,15 +22,20 @@
 	return #all
 end
 
--- Arrivals at which an engine's load was above bound x mean + slack.
+-- Arrivals at which an engine's load was above bound x mean + slack; each is
+-- printed with its time, so that it can be set beside the fault of that moment.
 function over_bound(engines, bound, slack, active)
 	local arrivals, over, worst = 0, 0, 0
+	local first
 	replay(engines, function(t, e, load, sum, up)
+		first = first or t
 		if not up then return end
 		arrivals = arrivals + 1
 		local excess = load - (bound * sum / (active or #engines) + slack)
 		if excess > 1e-9 then
 			over = over + 1
+			say("over the bound at %.0f (%.0f ms after the first event): engine %s, load %d of %d in all", t, t - first,
+			    engines[e].name, load, sum)
 			if excess > worst then worst = excess end
 		end
 	end)
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -17,9 +17,9 @@
 	{ "member", member_suite },	{ "once", once_suite },
 	{ "once_key", once_key_suite }, { "power", power_suite },
 	{ "rank", rank_suite },		{ "schema", schema_suite },
-	{ "sched", sched_suite },	{ "settings", settings_suite },
-	{ "sse", sse_suite },		{ "str", str_suite },
-	{ "view", view_suite },
+	{ "sched", sched_suite },	{ "served_model", served_model_suite },
+	{ "settings", settings_suite }, { "sse", sse_suite },
+	{ "str", str_suite },		{ "view", view_suite },
 };
 
 /* usage: kcf-unit SUITE */
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -134,6 +134,45 @@
 }
 END_TEST
 
+/* Load: requests go out after the report that another node tells of. */
+START_TEST(test_old_report_lacks_what_was_sent_since)
+{
+	balance_load_t load = { .outstanding = 6, .age_ms = 400 };
+	balance_pick_t p = { 0 };
+
+	put_many_(1);
+	for (int i = 0; i < 2; i++)
+		p = choose_(0, NOW);
+	for (int i = 0; i < 3; i++)
+		p = choose_(0, NOW + 700);
+	load.key = p.upstream->key;
+	balance_take_load(&b, &load, NOW + 1000);
+	/* Two of the six are this node's; three more came after the report. */
+	ck_assert_int_eq(p.upstream->foreign, 4);
+	p = choose_(0, NOW + 1000);
+	ck_assert_int_eq(p.load, 9);
+}
+END_TEST
+
+/* Load: requests have ended since the report. */
+START_TEST(test_old_report_still_has_what_has_ended_since)
+{
+	balance_load_t load = { .outstanding = 6, .age_ms = 400 };
+	balance_pick_t p = { 0 };
+
+	put_many_(1);
+	for (int i = 0; i < 3; i++)
+		p = choose_(0, NOW);
+	balance_done(p.upstream, BALANCE_OK, 10, NOW + 800);
+	balance_done(p.upstream, BALANCE_OK, 10, NOW + 900);
+	load.key = p.upstream->key;
+	balance_take_load(&b, &load, NOW + 1000);
+	ck_assert_int_eq(p.upstream->foreign, 3);
+	p = choose_(0, NOW + 1000);
+	ck_assert_int_eq(p.load, 4);
+}
+END_TEST
+
 START_TEST(test_same_order_on_every_node)
 {
 	balance_t other;
@@ -317,6 +356,8 @@
 	tcase_add_test(c, test_prompt_stays_when_upstreams_are_added);
 	tcase_add_test(c, test_hot_prompt_spills_within_bound);
 	tcase_add_test(c, test_bound_counts_upstreams_that_are_out);
+	tcase_add_test(c, test_old_report_lacks_what_was_sent_since);
+	tcase_add_test(c, test_old_report_still_has_what_has_ended_since);
 	tcase_add_test(c, test_same_order_on_every_node);
 	tcase_add_loop_test(c, test_cold_upstream_bears_little, 0,
 			    G_N_ELEMENTS(cold_cases));
--- /dev/null
+++ b/tests/unit/test_served_model.c
@@ -0,0 +1,120 @@
+#include "suites.h"
+
+#include <kcf/served_model.h>
+#include <string.h>
+
+/* The users' rule: at most this share of requests in five seconds. */
+#define RULE_SHARE 0.03
+#define SEEDS 40
+
+typedef struct rule_case {
+	const char *load;
+	double per_s;
+	mstime_t out_at;
+	mstime_t back_at;
+	mstime_t add_at;
+	int added;
+} rule_case_t;
+
+static const rule_case_t rule_cases[] = {
+	{ "steady", 100, 0, 0, 0, 0 },
+	{ "a data centre is out", 100, 1000, 25000, 0, 0 },
+	{ "a data centre is out, many callers", 200, 1000, 25000, 0, 0 },
+	{ "empty engines are added", 100, 0, 0, 2000, 5 },
+	{ "many empty engines are added", 200, 0, 0, 2000, 9 },
+};
+
+/* Load: clumps of callers at nodes that know the engines' loads late. */
+START_TEST(test_few_meet_an_engine_above_the_rule)
+{
+	const rule_case_t *k = &rule_cases[_i];
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		served_conf_t conf;
+		served_result_t r;
+
+		served_conf_init(&conf);
+		conf.seed = seed;
+		conf.per_s = k->per_s;
+		conf.out_at = k->out_at;
+		conf.back_at = k->back_at;
+		conf.add_at = k->add_at;
+		conf.added = k->added;
+		served_run(&conf, &r);
+		ck_assert_int_gt(r.arrivals, 0);
+		ck_assert_int_eq(r.refused, 0);
+		ck_assert_msg(r.over_worst <= RULE_SHARE,
+			      "%s, seed %u: %.3f of five seconds", k->load,
+			      seed, r.over_worst);
+	}
+}
+END_TEST
+
+START_TEST(test_same_seed_same_result)
+{
+	served_conf_t conf;
+	served_result_t a;
+	served_result_t b;
+
+	served_conf_init(&conf);
+	conf.seed = 7;
+	served_run(&conf, &a);
+	served_run(&conf, &b);
+	ck_assert_int_eq(memcmp(&a, &b, sizeof(a)), 0);
+	conf.seed = 8;
+	served_run(&conf, &b);
+	ck_assert_int_ne(a.arrivals, b.arrivals);
+}
+END_TEST
+
+/* Load: the same prompts come again and again. */
+START_TEST(test_prompts_find_warm_caches)
+{
+	served_conf_t conf;
+	served_result_t ours;
+	served_result_t other;
+
+	served_conf_init(&conf);
+	conf.seed = 1;
+	served_run(&conf, &ours);
+	for (int i = SERVED_LEAST; i < SERVED_POLICY_COUNT; i++) {
+		if (i == SERVED_HASH)
+			continue;
+		conf.policy = (served_policy_t)i;
+		served_run(&conf, &other);
+		ck_assert_int_gt(ours.warm, other.warm);
+		ck_assert(ours.first_p50_ms < other.first_p50_ms);
+	}
+}
+END_TEST
+
+/* Load: more than the engines can take; an engine's slots hold. */
+START_TEST(test_overload_waits_before_the_slots)
+{
+	served_conf_t conf;
+	served_result_t r;
+
+	served_conf_init(&conf);
+	conf.seed = 1;
+	conf.slots = 4;
+	conf.length_ms = 5000;
+	served_run(&conf, &r);
+	ck_assert_int_gt(r.refused, 0);
+	ck_assert(r.first_p95_ms > conf.cold_ms);
+}
+END_TEST
+
+Suite *served_model_suite(void)
+{
+	Suite *s = suite_create("served_model");
+	TCase *c = tcase_create("model");
+
+	tcase_set_timeout(c, 60);
+	tcase_add_loop_test(c, test_few_meet_an_engine_above_the_rule, 0,
+			    G_N_ELEMENTS(rule_cases));
+	tcase_add_test(c, test_same_seed_same_result);
+	tcase_add_test(c, test_prompts_find_warm_caches);
+	tcase_add_test(c, test_overload_waits_before_the_slots);
+	suite_add_tcase(s, c);
+	return s;
+}
