A request counts as arrived at its upstream after 60 ms, not 20

On a machine that is busy the path takes longer, and after a takeover or a pause many are under way at once: the mean is then too high by those.

--- a/packages/decide/private/slot.h
+++ b/packages/decide/private/slot.h
@@ -22,7 +22,7 @@
 #define WEIGHT_START_SHIFT 17
 
 /* Times in which a request reaches its upstream, and its end is heard here. */
-#define SLOT_ARRIVAL_MS 20
+#define SLOT_ARRIVAL_MS 60
 #define SLOT_END_MS 10
 
 /* One customer at one upstream. */
