--- a/include/kcf/served_model.h
+++ b/include/kcf/served_model.h
@@ -58,6 +58,13 @@
 	double first_p95_ms;
 } served_result_t;
 
+/* What arrived within one second. */
+typedef struct served_second {
+	int arrivals;
+	int warm; /* of those, served from a cache */
+	int peak; /* highest load that one met */
+} served_second_t;
+
 /*
  * served_conf_init - a service as the users' smaller deployments have it.
  */
@@ -65,7 +72,9 @@
 
 /*
  * served_run - plays the arrivals and waits for the last answer.
+ * @seconds: of served_second_t, gets one entry a second, or NULL
  */
-void served_run(const served_conf_t *conf, served_result_t *result);
+void served_run(const served_conf_t *conf, served_result_t *result,
+		GArray *seconds);
 
 #endif
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -31,6 +31,8 @@
 	{ "where", cmd_where, false, true, "which address to use" },
 	{ "send", cmd_send, false, true, "send one chat request" },
 	{ "load", cmd_load, false, true, "drive a workload and report" },
+	{ "experiment", cmd_experiment, false, false,
+	  "policies side by side in the model" },
 };
 
 static ctl_t ctl;
@@ -59,9 +61,9 @@
 	GString *text = g_string_new("Commands:\n");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		g_string_append_printf(text, "  %-10s %s\n", commands[i].name,
+		g_string_append_printf(text, "  %-11s %s\n", commands[i].name,
 				       commands[i].help);
-	g_string_append(text, "  version    print the version\n");
+	g_string_append(text, "  version     print the version\n");
 	return g_string_free(text, FALSE);
 }
 
--- a/packages/model/served_model.c
+++ b/packages/model/served_model.c
@@ -52,7 +52,9 @@
 typedef struct model {
 	const served_conf_t *conf;
 	served_result_t *result;
+	GArray *seconds;
 	gsl_rng *rng;
+	gsl_rng *chance; /* of policies; arrivals stay the same */
 	gsl_ran_discrete_t *prompts;
 	gsl_histogram *first;
 	GSequence *events; /* event_t *, the next one first */
@@ -155,10 +157,27 @@
 	m->window_ends += RULE_WINDOW_MS;
 }
 
+/* Where what came at a time is counted; NULL when nobody asks. */
+static served_second_t *second_(const model_t *m, mstime_t came)
+{
+	guint i = (guint)(came / MSEC_PER_SEC);
+
+	if (!m->seconds)
+		return NULL;
+	if (m->seconds->len <= i)
+		g_array_set_size(m->seconds, i + 1);
+	return &g_array_index(m->seconds, served_second_t, i);
+}
+
 static void judge_(model_t *m, const served_engine_t *e)
 {
+	served_second_t *second = second_(m, m->now);
 	int load = served_engine_load(e);
 
+	if (second) {
+		second->arrivals++;
+		second->peak = MAX(second->peak, load);
+	}
 	while (m->now >= m->window_ends)
 		close_window_(m);
 	m->window_arrivals++;
@@ -173,7 +192,10 @@
 {
 	double first = r->warm ? m->conf->warm_ms : m->conf->cold_ms;
 	mstime_t at = m->now + (mstime_t)first;
+	served_second_t *second = second_(m, r->came);
 
+	if (second)
+		second->warm += r->warm;
 	m->result->warm += r->warm;
 	plan_(m, at, EVENT_FIRST, r->node, r);
 	plan_(m, at + (mstime_t)r->work_ms + 1, EVENT_END, r->node, r);
@@ -227,7 +249,8 @@
 
 	(void)r;
 	do {
-		i = (int)gsl_rng_uniform_int(m->rng, (gulong)m->engine_count);
+		i = (int)gsl_rng_uniform_int(m->chance,
+					     (gulong)m->engine_count);
 	} while (out_(m, i));
 	return i;
 }
@@ -371,12 +394,17 @@
 	g_free(weights);
 }
 
-static void init_(model_t *m, const served_conf_t *c, served_result_t *result)
+static void init_(model_t *m, const served_conf_t *c, served_result_t *result,
+		  GArray *seconds)
 {
 	*result = (served_result_t){ 0 };
-	*m = (model_t){ .conf = c, .result = result, .now = 1 };
+	*m = (model_t){
+		.conf = c, .result = result, .seconds = seconds, .now = 1
+	};
 	m->rng = gsl_rng_alloc(gsl_rng_mt19937);
 	gsl_rng_set(m->rng, c->seed);
+	m->chance = gsl_rng_alloc(gsl_rng_mt19937);
+	gsl_rng_set(m->chance, c->seed);
 	set_prompts_(m);
 	m->first = gsl_histogram_alloc(FIRST_MAX_MS / FIRST_BUCKET_MS);
 	gsl_histogram_set_ranges_uniform(m->first, 0, FIRST_MAX_MS);
@@ -440,16 +468,18 @@
 	g_sequence_free(m->events);
 	gsl_histogram_free(m->first);
 	gsl_ran_discrete_free(m->prompts);
+	gsl_rng_free(m->chance);
 	gsl_rng_free(m->rng);
 }
 
-void served_run(const served_conf_t *conf, served_result_t *result)
+void served_run(const served_conf_t *conf, served_result_t *result,
+		GArray *seconds)
 {
 	model_t m;
 
 	assert(conf && result && conf->nodes > 0 && conf->engines > 0);
 	assert(conf->policy < SERVED_POLICY_COUNT);
-	init_(&m, conf, result);
+	init_(&m, conf, result, seconds);
 	plan_all_(&m);
 	while (!g_sequence_is_empty(m.events)) {
 		GSequenceIter *first = g_sequence_get_begin_iter(m.events);
--- a/tests/unit/test_served_model.c
+++ b/tests/unit/test_served_model.c
@@ -40,7 +40,7 @@
 		conf.back_at = k->back_at;
 		conf.add_at = k->add_at;
 		conf.added = k->added;
-		served_run(&conf, &r);
+		served_run(&conf, &r, NULL);
 		ck_assert_int_gt(r.arrivals, 0);
 		ck_assert_int_eq(r.refused, 0);
 		ck_assert_msg(r.over_worst <= RULE_SHARE,
@@ -58,15 +58,43 @@
 
 	served_conf_init(&conf);
 	conf.seed = 7;
-	served_run(&conf, &a);
-	served_run(&conf, &b);
+	served_run(&conf, &a, NULL);
+	served_run(&conf, &b, NULL);
 	ck_assert_int_eq(memcmp(&a, &b, sizeof(a)), 0);
 	conf.seed = 8;
-	served_run(&conf, &b);
+	served_run(&conf, &b, NULL);
 	ck_assert_int_ne(a.arrivals, b.arrivals);
 }
 END_TEST
 
+START_TEST(test_seconds_add_up)
+{
+	GArray *seconds = g_array_new(FALSE, TRUE, sizeof(served_second_t));
+	served_conf_t conf;
+	served_result_t r;
+	int arrivals = 0;
+	int warm = 0;
+	int peak = 0;
+
+	served_conf_init(&conf);
+	conf.seed = 3;
+	conf.length_ms = 5000;
+	served_run(&conf, &r, seconds);
+	for (guint i = 0; i < seconds->len; i++) {
+		const served_second_t *s =
+			&g_array_index(seconds, served_second_t, i);
+
+		arrivals += s->arrivals;
+		warm += s->warm;
+		peak = MAX(peak, s->peak);
+	}
+	ck_assert_int_eq(arrivals, r.arrivals - r.refused);
+	ck_assert_int_eq(warm, r.warm);
+	ck_assert_int_eq(peak, r.peak);
+	g_array_unref(seconds);
+}
+END_TEST
+
 /* Load: the same prompts come again and again. */
 START_TEST(test_prompts_find_warm_caches)
 {
@@ -76,12 +104,12 @@
 
 	served_conf_init(&conf);
 	conf.seed = 1;
-	served_run(&conf, &ours);
+	served_run(&conf, &ours, NULL);
 	for (int i = SERVED_LEAST; i < SERVED_POLICY_COUNT; i++) {
 		if (i == SERVED_HASH)
 			continue;
 		conf.policy = (served_policy_t)i;
-		served_run(&conf, &other);
+		served_run(&conf, &other, NULL);
 		ck_assert_int_gt(ours.warm, other.warm);
 		ck_assert(ours.first_p50_ms < other.first_p50_ms);
 	}
@@ -98,7 +126,7 @@
 	conf.seed = 1;
 	conf.slots = 4;
 	conf.length_ms = 5000;
-	served_run(&conf, &r);
+	served_run(&conf, &r, NULL);
 	ck_assert_int_gt(r.refused, 0);
 	ck_assert(r.first_p95_ms > conf.cold_ms);
 }
@@ -113,6 +141,7 @@
 	tcase_add_loop_test(c, test_few_meet_an_engine_above_the_rule, 0,
 			    G_N_ELEMENTS(rule_cases));
 	tcase_add_test(c, test_same_seed_same_result);
+	tcase_add_test(c, test_seconds_add_up);
 	tcase_add_test(c, test_prompts_find_warm_caches);
 	tcase_add_test(c, test_overload_waits_before_the_slots);
 	suite_add_tcase(s, c);
