A trial of an unsound upstream keeps to its cold rate and to its places

Test: 5 trials in 2.9 s where 0.5 a second were allowed; an upstream with five times its slots got one. Found beside it: upstreams without a report were taken as loaded like the mean of those with one, so that one full upstream had every request refused though nothing was known of the others. Work that is only supposed fills nothing now. Three tests, failing before.

--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -249,20 +249,6 @@
 	best->score = score;
 }
 
-/* An unsound upstream that is to be asked again. */
-static int trial_(const candidates_t *c, mstime_t now)
-{
-	for (guint i = 0; i < c->count; i++) {
-		balance_upstream_t *u = c->list[i];
-
-		if (!unsound_(c, u) || now < u->trial_at || u->mine)
-			continue;
-		u->trial_at = now + TRIAL_INTERVAL_MS;
-		return (int)i;
-	}
-	return -1;
-}
-
 static gboolean idle_(gpointer key, gpointer value, gpointer arg)
 {
 	const balance_home_t *home = value;
@@ -308,6 +294,7 @@
 	choice_t first;	      /* first of it that bears more */
 	choice_t least;
 	choice_t last; /* least loaded, unsound ones included */
+	int trial;     /* unsound one that is to be asked again, or -1 */
 	bool cold;     /* one was left out because it is cold */
 	bool full;
 } survey_t;
@@ -334,6 +321,14 @@
 	return first + (last - first) * (double)(hash >> 11) * HASH_UNIT;
 }
 
+/* Work that is only supposed fills nothing. */
+static bool full_(const balance_upstream_t *u, int load, mstime_t now)
+{
+	int known = balance_told(u, now) ? load : u->mine;
+
+	return known >= u->slots * FULL_FACTOR;
+}
+
 static void survey_(balance_t *b, const balance_ask_t *ask,
 		    const candidates_t *c, mstime_t now, survey_t *s)
 {
@@ -344,7 +339,8 @@
 			 .next = { -1 },
 			 .first = { -1 },
 			 .least = { -1 },
-			 .last = { -1 } };
+			 .last = { -1 },
+			 .trial = -1 };
 	for (guint i = 0; i < c->count; i++) {
 		balance_upstream_t *u = c->list[i];
 		double score = u->number == home
@@ -353,7 +349,7 @@
 		double key = pressure_(b, c, i);
 
 		rank_(s, (int)i, score);
-		if (c->loads[i] >= u->slots * FULL_FACTOR) {
+		if (full_(u, c->loads[i], now)) {
 			s->full = true;
 			continue;
 		}
@@ -362,8 +358,11 @@
 			continue;
 		}
 		consider_least_(&s->last, (int)i, key);
-		if (unsound_(c, u))
+		if (unsound_(c, u)) {
+			if (now >= u->trial_at && !u->mine)
+				s->trial = (int)i;
 			continue;
+		}
 		consider_least_(&s->least, (int)i, key);
 		if (c->loads[i] + 1 <= bound_(c, u, ask->affinity))
 			consider_first_(&s->first, (int)i, score);
@@ -385,11 +384,10 @@
 static int decide_(const balance_ask_t *ask, const candidates_t *c,
 		   const survey_t *s, mstime_t now, balance_reason_t *reason)
 {
-	int trial = ask->excluded ? -1 : trial_(c, now);
-
-	if (trial >= 0 && s->last.at >= 0) {
+	if (s->trial >= 0 && !ask->excluded) {
+		c->list[s->trial]->trial_at = now + TRIAL_INTERVAL_MS;
 		*reason = BALANCE_TRIAL;
-		return trial;
+		return s->trial;
 	}
 	if (ask->affinity && s->first.at >= 0) {
 		*reason = s->first.at == s->home.at ? BALANCE_FIRST
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -286,6 +286,85 @@
 }
 END_TEST
 
+/* Makes an upstream unsound. */
+static balance_upstream_t *spoil_(const char *id)
+{
+	balance_upstream_t *u = g_hash_table_lookup(b.by_id, id);
+
+	ck_assert_ptr_nonnull(u);
+	for (int i = 0; i < 8; i++)
+		balance_overdue(u);
+	return u;
+}
+
+/* Load: an unsound upstream comes back with its data centre, cold. */
+START_TEST(test_trial_keeps_to_cold_rate)
+{
+	balance_service_t limits = { 0.5 };
+	const balance_upstream_t *bad;
+	int tried = 0;
+
+	balance_set_service(&b, SERVICE, &limits);
+	for (int i = 0; i < 4; i++)
+		put_(i, i == 2 ? "dc-b" : "dc-a", NOW);
+	bad = spoil_("u-2");
+	balance_set_out(&b, "dc-b", true, NOW);
+	balance_set_out(&b, "dc-b", false, NOW);
+	for (mstime_t now = NOW; now < NOW + 2900; now += 10) {
+		balance_pick_t p = choose_(0, now);
+		bool fails = p.upstream == bad;
+
+		tried += fails;
+		balance_done(p.upstream, fails ? BALANCE_FAILED : BALANCE_OK,
+			     10, now);
+	}
+	ck_assert_int_ge(tried, 1);
+	/* 0.5 a second, one saved up. */
+	ck_assert_int_le(tried, 2);
+}
+END_TEST
+
+/* Load: an unsound upstream has all that it can take, of other nodes. */
+START_TEST(test_full_upstream_gets_no_trial)
+{
+	balance_upstream_t *bad;
+
+	put_many_(4);
+	bad = spoil_("u-2");
+	for (int i = 0; i < 4; i++) {
+		balance_pick_t p = choose_(0, NOW);
+
+		balance_report(p.upstream, 1, 0, NOW);
+		balance_done(p.upstream, BALANCE_FAILED, 10, NOW);
+	}
+	balance_report(bad, 40, 0, NOW + 700);
+	for (int i = 0; i < 50; i++) {
+		balance_pick_t p = choose_(0, NOW + 700 + i);
+
+		ck_assert_ptr_ne(p.upstream, bad);
+		balance_done(p.upstream, BALANCE_OK, 10, NOW + 700 + i);
+	}
+}
+END_TEST
+
+/* Load: the only upstream that anything is known of has all it can take. */
+START_TEST(test_unknown_load_refuses_nothing)
+{
+	balance_upstream_t *full;
+
+	put_many_(4);
+	full = g_hash_table_lookup(b.by_id, "u-2");
+	balance_report(full, 24, 0, NOW);
+	for (int i = 0; i < 50; i++) {
+		balance_pick_t p = choose_(0, NOW);
+
+		ck_assert_ptr_nonnull(p.upstream);
+		ck_assert_ptr_ne(p.upstream, full);
+		balance_done(p.upstream, BALANCE_OK, 10, NOW);
+	}
+}
+END_TEST
+
 START_TEST(test_all_unsound_is_nobody)
 {
 	put_many_(4);
@@ -363,6 +442,9 @@
 			    G_N_ELEMENTS(cold_cases));
 	tcase_add_test(c, test_out_and_leaving);
 	tcase_add_test(c, test_unsound_upstream_is_left_and_tried);
+	tcase_add_test(c, test_trial_keeps_to_cold_rate);
+	tcase_add_test(c, test_full_upstream_gets_no_trial);
+	tcase_add_test(c, test_unknown_load_refuses_nothing);
 	tcase_add_test(c, test_all_unsound_is_nobody);
 	tcase_add_test(c, test_full);
 	tcase_add_test(c, test_removed_while_in_use);
