Placement as a setting of gateways; one type for both kinds of nodes

Baselines could only be chosen for nodes with owners. placement_t has a header of its own now (base), its words are written once (were twice), and gateways take it from [placement] choice; the model plays the product's own baselines in place of its copies. gateway_conf has a test file (there was none): settings, defaults, faults.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 #include <kcf/clock.h>
+#include <kcf/placement.h>
 #include <kcf/str.h>
 
 #define BALANCE_EXCLUDE_MAX 8
@@ -87,8 +88,9 @@
 	mstime_t swept_at;    /* homes */
 	GHashTable *out;      /* data centres that get no work */
 	char *data_centre;    /* of this node */
-	int nodes;	      /* that share limits */
-	uint64_t numbers;     /* given out */
+	placement_t placement;
+	int nodes;	  /* that share limits */
+	uint64_t numbers; /* given out */
 	GRand *rand;
 } balance_t;
 
@@ -106,13 +108,14 @@
 } balance_ask_t;
 
 typedef enum balance_reason {
-	BALANCE_FIRST, /* first in the order of the affinity */
-	BALANCE_SPILL, /* a later one; those before bear too much */
-	BALANCE_LEAST, /* least loaded */
-	BALANCE_TRIAL, /* held unsound, asked whether it recovered */
-	BALANCE_NONE,  /* no upstream is in service */
-	BALANCE_FULL,  /* all have more than they bear */
-	BALANCE_COLD,  /* only cold ones are left, and none bears more */
+	BALANCE_FIRST,	  /* first in the order of the affinity */
+	BALANCE_SPILL,	  /* a later one; those before bear too much */
+	BALANCE_LEAST,	  /* least loaded */
+	BALANCE_TRIAL,	  /* held unsound, asked whether it recovered */
+	BALANCE_BASELINE, /* by a placement to compare with */
+	BALANCE_NONE,	  /* no upstream is in service */
+	BALANCE_FULL,	  /* all have more than they bear */
+	BALANCE_COLD,	  /* only cold ones are left, and none bears more */
 	BALANCE_REASON_COUNT,
 } balance_reason_t;
 
--- a/include/kcf/gateway.h
+++ b/include/kcf/gateway.h
@@ -8,6 +8,7 @@
 #ifndef KCF_GATEWAY_H
 #define KCF_GATEWAY_H
 
+#include <kcf/placement.h>
 #include <kcf/retry_budget.h>
 #include <kcf/settings.h>
 #include <kcf/speech.h>
@@ -30,6 +31,7 @@
 	mstime_t stop_within_ms; /* from SIGTERM to the end at the latest */
 	mstime_t directory_ttl_max_ms;
 	retry_budget_conf_t retries;
+	placement_t placement;
 	int log_level;
 	int64_t max_body;   /* bytes */
 	int64_t max_header; /* bytes */
--- a/include/kcf/served_model.h
+++ b/include/kcf/served_model.h
@@ -2,29 +2,19 @@
  * served_model - a model of the served systems: engines with batches and
  * caches, callers that come in clumps, and nodes that know loads late.
  *
- * The nodes' choices are those of the product (balance), or a baseline. Time is
- * simulated: the same settings and seed give the same result.
+ * The nodes' choices are those of the product (balance). Time is simulated: the
+ * same settings and seed give the same result.
  */
 #ifndef KCF_SERVED_MODEL_H
 #define KCF_SERVED_MODEL_H
 
 #include <glib.h>
 #include <kcf/clock.h>
+#include <kcf/placement.h>
 #include <stdbool.h>
 
-typedef enum served_policy {
-	SERVED_BOUNDED, /* the product: warm first, within the load bound */
-	SERVED_LEAST,	/* the product without affinity: least loaded */
-	SERVED_HASH,	/* by the prompt alone */
-	SERVED_RANDOM,
-	SERVED_POLICY_COUNT,
-} served_policy_t;
-
-/* Parallel to served_policy_t. */
-extern const char *const served_policy_string[];
-
 typedef struct served_conf {
-	served_policy_t policy;
+	placement_t placement;
 	guint32 seed;
 	mstime_t length_ms; /* of the arrivals */
 	int nodes;
--- a/include/kcf/view.h
+++ b/include/kcf/view.h
@@ -6,6 +6,7 @@
 #ifndef KCF_VIEW_H
 #define KCF_VIEW_H
 
+#include <kcf/placement.h>
 #include <kcf/config.h>
 #include <kcf/str.h>
 
@@ -79,18 +80,6 @@
 	bool out;
 } host_t;
 
-/* How chats are placed; all but the first are baselines to compare with. */
-typedef enum placement {
-	PLACEMENT_BOUNDED,
-	PLACEMENT_RANDOM,
-	PLACEMENT_LEAST_LOADED,
-	PLACEMENT_HASH,
-	PLACEMENT_COUNT,
-} placement_t;
-
-/* Parallel to placement_t, as written in the Site resource. */
-extern const char *const placement_string[];
-
 typedef struct view {
 	gint refs;
 	uint64_t applied;
--- a/packages/ctl/cmd_experiment.c
+++ b/packages/ctl/cmd_experiment.c
@@ -1,5 +1,5 @@
 /*
- * Policies of placement side by side in the model of the served systems.
+ * Placements side by side in the model of the served systems.
  */
 #include "private/ctl.h"
 #include "private/plot.h"
@@ -23,8 +23,8 @@
 	char *plot;
 } experiment_t;
 
-/* Sums over the seeds of one policy. */
-typedef struct policy_sum {
+/* Sums over the seeds of one placement. */
+typedef struct placement_sum {
 	int arrivals;
 	int refused;
 	int warm;
@@ -33,14 +33,14 @@
 	int peak;
 	double first_p50_ms; /* of all seeds together */
 	double first_p95_ms;
-} policy_sum_t;
+} placement_sum_t;
 
 static bool parse_(experiment_t *x, int argc, char **argv)
 {
 	served_conf_t *c = &x->conf;
 	const GOptionEntry entries[] = {
 		{ "seeds", 0, 0, G_OPTION_ARG_INT, &x->seeds,
-		  "Plays a policy, seeds 1 to N (20)", "N" },
+		  "Plays a placement, seeds 1 to N (20)", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &x->length_s,
 		  "Time of arrivals (30)", "S" },
 		{ "rate", 0, 0, G_OPTION_ARG_DOUBLE, &c->per_s,
@@ -133,7 +133,7 @@
 	c->add_at = (mstime_t)(x->add_s * MSEC_PER_SEC);
 }
 
-static void add_(policy_sum_t *sum, const served_result_t *r)
+static void add_(placement_sum_t *sum, const served_result_t *r)
 {
 	sum->arrivals += r->arrivals;
 	sum->refused += r->refused;
@@ -145,13 +145,13 @@
 	sum->first_p95_ms += r->first_p95_ms;
 }
 
-static policy_sum_t play_(const experiment_t *x, served_policy_t policy,
-			  GArray *seconds)
+static placement_sum_t play_(const experiment_t *x, placement_t placement,
+			     GArray *seconds)
 {
 	served_conf_t conf = x->conf;
-	policy_sum_t sum = { 0 };
+	placement_sum_t sum = { 0 };
 
-	conf.policy = policy;
+	conf.placement = placement;
 	for (int seed = 1; seed <= x->seeds; seed++) {
 		served_result_t r;
 
@@ -169,34 +169,35 @@
 	return whole ? (double)part / whole : 0;
 }
 
-static void print_table_(const experiment_t *x, const policy_sum_t *sums)
+static void print_table_(const experiment_t *x, const placement_sum_t *sums)
 {
-	printf("%-13s %9s %8s %6s %8s %8s %5s %7s %7s\n", "policy", "arrivals",
-	       "refused", "warm", "over", "broken", "peak", "p50 ms", "p95 ms");
-	for (int i = 0; i < SERVED_POLICY_COUNT; i++) {
-		const policy_sum_t *s = &sums[i];
+	printf("%-13s %9s %8s %6s %8s %8s %5s %7s %7s\n", "placement",
+	       "arrivals", "refused", "warm", "over", "broken", "peak",
+	       "p50 ms", "p95 ms");
+	for (int i = 0; i < PLACEMENT_COUNT; i++) {
+		const placement_sum_t *s = &sums[i];
 
 		printf("%-13s %9d %8d %6.3f %8.4f %4d/%-3d %5d %7.0f %7.0f\n",
-		       served_policy_string[i], s->arrivals, s->refused,
+		       placement_string[i], s->arrivals, s->refused,
 		       share_(s->warm, s->arrivals),
 		       share_(s->over, s->arrivals), s->broken, x->seeds,
 		       s->peak, s->first_p50_ms, s->first_p95_ms);
 	}
 }
 
-static void print_json_(const experiment_t *x, const policy_sum_t *sums)
+static void print_json_(const experiment_t *x, const placement_sum_t *sums)
 {
 	json_t *items = json_array();
 	json_t *report;
 	char *text;
 
-	for (int i = 0; i < SERVED_POLICY_COUNT; i++) {
-		const policy_sum_t *s = &sums[i];
+	for (int i = 0; i < PLACEMENT_COUNT; i++) {
+		const placement_sum_t *s = &sums[i];
 
 		json_array_append_new(
 			items,
 			json_pack("{s:s,s:i,s:i,s:f,s:f,s:i,s:i,s:f,s:f}",
-				  "policy", served_policy_string[i], "arrivals",
+				  "placement", placement_string[i], "arrivals",
 				  s->arrivals, "refused", s->refused, "warm",
 				  share_(s->warm, s->arrivals), "over",
 				  share_(s->over, s->arrivals), "broken_seeds",
@@ -204,14 +205,14 @@
 				  s->first_p50_ms, "first_p95_ms",
 				  s->first_p95_ms));
 	}
-	report = json_pack("{s:i,s:o}", "seeds", x->seeds, "policies", items);
+	report = json_pack("{s:i,s:o}", "seeds", x->seeds, "placements", items);
 	text = json_dumps(report, JSON_INDENT(2));
 	puts(text);
 	free(text);
 	json_decref(report);
 }
 
-/* Values of one policy for the picture, one a second. */
+/* Values of one placement for the picture, one a second. */
 typedef struct line_values {
 	double *peak;
 	double *warm;
@@ -234,24 +235,24 @@
 static ctl_exit_t draw_(const char *path, GArray *const *seconds)
 {
 	plot_chart_t charts[] = {
-		{ "highest load that a request met", SERVED_POLICY_COUNT },
-		{ "share of warm prompts", SERVED_POLICY_COUNT },
+		{ "highest load that a request met", PLACEMENT_COUNT },
+		{ "share of warm prompts", PLACEMENT_COUNT },
 	};
-	line_values_t values[SERVED_POLICY_COUNT];
+	line_values_t values[PLACEMENT_COUNT];
 	size_t count = G_MAXSIZE;
 	int err;
 
-	for (int i = 0; i < SERVED_POLICY_COUNT; i++)
+	for (int i = 0; i < PLACEMENT_COUNT; i++)
 		count = MIN(count, seconds[i]->len);
-	for (int i = 0; i < SERVED_POLICY_COUNT; i++) {
-		const char *name = served_policy_string[i];
+	for (int i = 0; i < PLACEMENT_COUNT; i++) {
+		const char *name = placement_string[i];
 
 		values[i] = values_(seconds[i], count);
 		charts[0].lines[i] = (plot_line_t){ name, values[i].peak };
 		charts[1].lines[i] = (plot_line_t){ name, values[i].warm };
 	}
 	err = plot_write(path, charts, G_N_ELEMENTS(charts), count, 1.0);
-	for (int i = 0; i < SERVED_POLICY_COUNT; i++) {
+	for (int i = 0; i < PLACEMENT_COUNT; i++) {
 		g_free(values[i].peak);
 		g_free(values[i].warm);
 	}
@@ -263,13 +264,13 @@
 
 static ctl_exit_t run_(const ctl_t *c, const experiment_t *x)
 {
-	GArray *seconds[SERVED_POLICY_COUNT];
-	policy_sum_t sums[SERVED_POLICY_COUNT];
+	GArray *seconds[PLACEMENT_COUNT];
+	placement_sum_t sums[PLACEMENT_COUNT];
 	ctl_exit_t status = CTL_FINE;
 
-	for (int i = 0; i < SERVED_POLICY_COUNT; i++) {
+	for (int i = 0; i < PLACEMENT_COUNT; i++) {
 		seconds[i] = g_array_new(FALSE, TRUE, sizeof(served_second_t));
-		sums[i] = play_(x, (served_policy_t)i, seconds[i]);
+		sums[i] = play_(x, (placement_t)i, seconds[i]);
 	}
 	if (c->json)
 		print_json_(x, sums);
@@ -277,7 +278,7 @@
 		print_table_(x, sums);
 	if (x->plot)
 		status = draw_(x->plot, seconds);
-	for (int i = 0; i < SERVED_POLICY_COUNT; i++)
+	for (int i = 0; i < PLACEMENT_COUNT; i++)
 		g_array_unref(seconds[i]);
 	return status;
 }
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -32,7 +32,7 @@
 	{ "send", cmd_send, false, true, "send one chat request" },
 	{ "load", cmd_load, false, true, "drive a workload and report" },
 	{ "experiment", cmd_experiment, false, false,
-	  "policies side by side in the model" },
+	  "placements side by side in the model" },
 };
 
 static ctl_t ctl;
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -52,7 +52,8 @@
 #define RETRY_COLD_MS 150
 
 const char *const balance_reason_string[] = {
-	"first", "spill", "least", "trial", "no upstream", "full", "cold",
+	"first",    "spill",	   "least", "trial",
+	"baseline", "no upstream", "full",  "cold",
 };
 
 static bool excluded_(const balance_ask_t *ask, const balance_upstream_t *u)
@@ -295,7 +296,9 @@
 	choice_t least;
 	choice_t last; /* least loaded, unsound ones included */
 	int trial;     /* unsound one that is to be asked again, or -1 */
-	bool cold;     /* one was left out because it is cold */
+	int *able;     /* all that bear one more request */
+	guint able_count;
+	bool cold; /* one was left out because it is cold */
 	bool full;
 } survey_t;
 
@@ -340,7 +343,8 @@
 			 .first = { -1 },
 			 .least = { -1 },
 			 .last = { -1 },
-			 .trial = -1 };
+			 .trial = -1,
+			 .able = g_new(int, c->count + 1) };
 	for (guint i = 0; i < c->count; i++) {
 		balance_upstream_t *u = c->list[i];
 		double score = u->number == home
@@ -357,6 +361,7 @@
 			s->cold = true;
 			continue;
 		}
+		s->able[s->able_count++] = (int)i;
 		consider_least_(&s->last, (int)i, key);
 		if (unsound_(c, u)) {
 			if (now >= u->trial_at && !u->mine)
@@ -381,14 +386,12 @@
 				 .retry_ms = RETRY_NONE_MS };
 }
 
-static int decide_(const balance_ask_t *ask, const candidates_t *c,
-		   const survey_t *s, mstime_t now, balance_reason_t *reason)
+static int by_bound_(balance_t *b, const balance_ask_t *ask,
+		     const candidates_t *c, const survey_t *s,
+		     balance_reason_t *reason)
 {
-	if (s->trial >= 0 && !ask->excluded) {
-		c->list[s->trial]->trial_at = now + TRIAL_INTERVAL_MS;
-		*reason = BALANCE_TRIAL;
-		return s->trial;
-	}
+	(void)b;
+	(void)c;
 	if (ask->affinity && s->first.at >= 0) {
 		*reason = s->first.at == s->home.at ? BALANCE_FIRST
 						    : BALANCE_SPILL;
@@ -398,6 +401,73 @@
 	return s->least.at >= 0 ? s->least.at : s->last.at;
 }
 
+static int by_load_(balance_t *b, const balance_ask_t *ask,
+		    const candidates_t *c, const survey_t *s,
+		    balance_reason_t *reason)
+{
+	(void)b;
+	(void)ask;
+	(void)c;
+	*reason = BALANCE_BASELINE;
+	return s->last.at;
+}
+
+static int by_chance_(balance_t *b, const balance_ask_t *ask,
+		      const candidates_t *c, const survey_t *s,
+		      balance_reason_t *reason)
+{
+	(void)ask;
+	(void)c;
+	*reason = BALANCE_BASELINE;
+	if (!s->able_count)
+		return -1;
+	return s->able[g_rand_int_range(b->rand, 0, (gint32)s->able_count)];
+}
+
+static int by_hash_(balance_t *b, const balance_ask_t *ask,
+		    const candidates_t *c, const survey_t *s,
+		    balance_reason_t *reason)
+{
+	choice_t best = { -1 };
+
+	if (!ask->affinity)
+		return by_chance_(b, ask, c, s, reason);
+	*reason = BALANCE_BASELINE;
+	for (guint i = 0; i < s->able_count; i++) {
+		const balance_upstream_t *u = c->list[s->able[i]];
+
+		consider_first_(&best, s->able[i],
+				rank_score(ask->affinity, u->hash, 1));
+	}
+	return best.at;
+}
+
+/* Returns the place in the list of candidates, or -1 for none. */
+typedef int (*placement_fn)(balance_t *b, const balance_ask_t *ask,
+			    const candidates_t *c, const survey_t *s,
+			    balance_reason_t *reason);
+
+static const placement_fn placements[PLACEMENT_COUNT] = {
+	[PLACEMENT_BOUNDED] = by_bound_,
+	[PLACEMENT_RANDOM] = by_chance_,
+	[PLACEMENT_LEAST_LOADED] = by_load_,
+	[PLACEMENT_HASH] = by_hash_,
+};
+
+static int decide_(balance_t *b, const balance_ask_t *ask,
+		   const candidates_t *c, const survey_t *s, mstime_t now,
+		   balance_reason_t *reason)
+{
+	bool trial = s->trial >= 0 && !ask->excluded &&
+		     b->placement == PLACEMENT_BOUNDED;
+
+	if (!trial)
+		return placements[b->placement](b, ask, c, s, reason);
+	c->list[s->trial]->trial_at = now + TRIAL_INTERVAL_MS;
+	*reason = BALANCE_TRIAL;
+	return s->trial;
+}
+
 /* A prompt that is in no cache yet is looked for in vain, at little cost. */
 static const balance_upstream_t *warm_(const balance_t *b,
 				       const candidates_t *c, const survey_t *s,
@@ -433,7 +503,7 @@
 	assert(b && ask && ask->service);
 	gather_(b, ask, now, &c);
 	survey_(b, ask, &c, now, &s);
-	at = decide_(ask, &c, &s, now, &pick.reason);
+	at = decide_(b, ask, &c, &s, now, &pick.reason);
 	if (at < 0) {
 		pick = refuse_(&s);
 	} else {
@@ -452,6 +522,7 @@
 			pick.upstream->permits -= 1;
 	}
 	pick.mean = c.mean;
+	g_free(s.able);
 	drop_(&c);
 	return pick;
 }
--- a/packages/gateway/conf.c
+++ b/packages/gateway/conf.c
@@ -61,6 +61,11 @@
 	{ 0 },
 };
 
+static const schema_field_t placement_fields[] = {
+	{ "choice", SCHEMA_CHOICE, .choices = placement_string },
+	{ 0 },
+};
+
 static const schema_field_t log_fields[] = {
 	{ "level", SCHEMA_CHOICE, .choices = levels },
 	{ 0 },
@@ -73,6 +78,7 @@
 	{ "store", SCHEMA_OBJECT, .required = true, .sub = store_fields },
 	{ "directory", SCHEMA_OBJECT, .sub = directory_fields },
 	{ "retries", SCHEMA_OBJECT, .required = true, .sub = retry_fields },
+	{ "placement", SCHEMA_OBJECT, .sub = placement_fields },
 	{ "log", SCHEMA_OBJECT, .sub = log_fields },
 	{ 0 },
 };
@@ -129,6 +135,7 @@
 	const json_t *node = json_object_get(root, "node");
 	const json_t *peers = json_object_get(root, "peers");
 	const json_t *retries = json_object_get(root, "retries");
+	const json_t *placement = json_object_get(root, "placement");
 	const char *level = text_(json_object_get(root, "log"), "level");
 
 	c->json = root;
@@ -150,6 +157,7 @@
 	c->retries.ratio = real_(retries, "ratio", 0);
 	c->retries.burst = real_(retries, "burst", 0);
 	c->retries.window_ms = span_(retries, "window_s", MSEC_PER_SEC);
+	c->placement = placement_of(text_(placement, "choice"));
 	c->max_body = MAX_BODY_DEFAULT;
 	c->max_header = MAX_HEADER_DEFAULT;
 	c->log_level = level ? logline_level(level) : LOG_INFO;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -210,6 +210,8 @@
 		logline_setup(g->conf->name, fresh.log_level);
 		g->conf->log_level = fresh.log_level;
 		g->conf->retries = fresh.retries;
+		g->conf->placement = fresh.placement;
+		g->balance.placement = fresh.placement;
 		LOG_EVENT(LOG_NOTICE, "settings.reloaded",
 			  F_STR("file", g->conf_file));
 	}
@@ -278,6 +280,7 @@
 		latency_init(&g->whole[i]);
 	}
 	balance_init(&g->balance, g->conf->data_centre, g_rand_int(g->rand));
+	g->balance.placement = g->conf->placement;
 	http_client_init(&g->upstreams, g->loop);
 	http_client_init(&g->store, g->loop);
 	g->feeds.http = &g->store;
--- a/packages/model/private/served_engine.h
+++ b/packages/model/private/served_engine.h
@@ -14,7 +14,7 @@
 	mstime_t came;
 	double work_ms;
 	bool warm;
-	balance_upstream_t *at; /* as the node knows it, or NULL */
+	balance_upstream_t *at; /* as the node knows it */
 } served_request_t;
 
 typedef struct served_engine {
--- a/packages/model/served_model.c
+++ b/packages/model/served_model.c
@@ -4,7 +4,6 @@
 #include <gsl/gsl_histogram.h>
 #include <gsl/gsl_randist.h>
 #include <gsl/gsl_rng.h>
-#include <kcf/rank.h>
 #include <kcf/served_model.h>
 #include <math.h>
 #include <stdlib.h>
@@ -23,13 +22,6 @@
 #define FIRST_MAX_MS 20000
 #define FIRST_BUCKET_MS 5
 
-const char *const served_policy_string[] = {
-	"bounded",
-	"least-loaded",
-	"hash",
-	"random",
-};
-
 typedef enum event_kind {
 	EVENT_CLUMP,  /* the next callers decide to come */
 	EVENT_ARRIVE, /* a request reaches a node */
@@ -54,7 +46,6 @@
 	served_result_t *result;
 	GArray *seconds;
 	gsl_rng *rng;
-	gsl_rng *chance; /* of policies; arrivals stay the same */
 	gsl_ran_discrete_t *prompts;
 	gsl_histogram *first;
 	GSequence *events; /* event_t *, the next one first */
@@ -201,69 +192,16 @@
 	plan_(m, at + (mstime_t)r->work_ms + 1, EVENT_END, r->node, r);
 }
 
-static bool out_(const model_t *m, int engine)
-{
-	return m->engines[engine].data_centre == 0 &&
-	       m->now >= m->conf->out_at && m->now < m->conf->back_at;
-}
-
-/* Each returns the number of an engine, or -1. */
-static int by_balance_(model_t *m, served_request_t *r, uint64_t affinity)
+/* Number of the engine that the request's node chooses, or -1. */
+static int choose_(model_t *m, served_request_t *r)
 {
-	balance_ask_t ask = { .service = SERVICE, .affinity = affinity };
+	balance_ask_t ask = { .service = SERVICE, .affinity = r->prompt };
 	balance_pick_t pick = balance_choose(&m->nodes[r->node], &ask, m->now);
 
 	r->at = pick.upstream;
 	return pick.upstream ? engine_of_(pick.upstream) : -1;
 }
 
-static int by_bound_(model_t *m, served_request_t *r)
-{
-	return by_balance_(m, r, r->prompt);
-}
-
-static int by_load_(model_t *m, served_request_t *r)
-{
-	return by_balance_(m, r, 0);
-}
-
-static int by_hash_(model_t *m, served_request_t *r)
-{
-	double best_score = 0;
-	int best = -1;
-
-	for (int i = 0; i < m->engine_count; i++) {
-		double score = rank_score(r->prompt, (uint64_t)i + 1, 1);
-
-		if (out_(m, i) || score <= best_score)
-			continue;
-		best = i;
-		best_score = score;
-	}
-	return best;
-}
-
-static int by_chance_(model_t *m, served_request_t *r)
-{
-	int i;
-
-	(void)r;
-	do {
-		i = (int)gsl_rng_uniform_int(m->chance,
-					     (gulong)m->engine_count);
-	} while (out_(m, i));
-	return i;
-}
-
-typedef int (*policy_fn)(model_t *m, served_request_t *r);
-
-static const policy_fn policies[SERVED_POLICY_COUNT] = {
-	[SERVED_BOUNDED] = by_bound_,
-	[SERVED_LEAST] = by_load_,
-	[SERVED_HASH] = by_hash_,
-	[SERVED_RANDOM] = by_chance_,
-};
-
 static void on_clump_(model_t *m)
 {
 	const served_conf_t *c = m->conf;
@@ -294,7 +232,7 @@
 	r->prompt = gsl_ran_discrete(m->rng, m->prompts) + 1;
 	r->work_ms = gsl_ran_lognormal(m->rng, log_mean, c->spread);
 	m->result->arrivals++;
-	r->engine = policies[c->policy](m, r);
+	r->engine = choose_(m, r);
 	if (r->engine < 0) {
 		m->result->refused++;
 		g_free(r);
@@ -312,8 +250,7 @@
 	double ms = (double)(m->now - r->came);
 
 	gsl_histogram_increment(m->first, MIN(ms, FIRST_MAX_MS - 1));
-	if (r->at)
-		balance_report(r->at, served_engine_load(e), 0, m->now);
+	balance_report(r->at, served_engine_load(e), 0, m->now);
 }
 
 static void on_end_(model_t *m, served_request_t *r)
@@ -321,8 +258,7 @@
 	served_request_t *next =
 		served_engine_end(&m->engines[r->engine], m->now);
 
-	if (r->at)
-		balance_done(r->at, BALANCE_OK, -1, m->now);
+	balance_done(r->at, BALANCE_OK, -1, m->now);
 	g_free(r);
 	if (next)
 		run_(m, next);
@@ -403,8 +339,6 @@
 	};
 	m->rng = gsl_rng_alloc(gsl_rng_mt19937);
 	gsl_rng_set(m->rng, c->seed);
-	m->chance = gsl_rng_alloc(gsl_rng_mt19937);
-	gsl_rng_set(m->chance, c->seed);
 	set_prompts_(m);
 	m->first = gsl_histogram_alloc(FIRST_MAX_MS / FIRST_BUCKET_MS);
 	gsl_histogram_set_ranges_uniform(m->first, 0, FIRST_MAX_MS);
@@ -420,6 +354,7 @@
 		balance_init(&m->nodes[n], data_centre,
 			     c->seed + 1 + (guint32)n);
 		m->nodes[n].nodes = c->nodes;
+		m->nodes[n].placement = c->placement;
 	}
 	for (int i = 0; i < c->engines; i++)
 		put_engine_(m, m->engine_count++);
@@ -468,7 +403,6 @@
 	g_sequence_free(m->events);
 	gsl_histogram_free(m->first);
 	gsl_ran_discrete_free(m->prompts);
-	gsl_rng_free(m->chance);
 	gsl_rng_free(m->rng);
 }
 
@@ -478,7 +412,7 @@
 	model_t m;
 
 	assert(conf && result && conf->nodes > 0 && conf->engines > 0);
-	assert(conf->policy < SERVED_POLICY_COUNT);
+	assert(conf->placement < PLACEMENT_COUNT);
 	init_(&m, conf, result, seconds);
 	plan_all_(&m);
 	while (!g_sequence_is_empty(m.events)) {
--- a/packages/state/resource.c
+++ b/packages/state/resource.c
@@ -1,3 +1,4 @@
+#include <kcf/placement.h>
 #include <kcf/resource.h>
 
 #include <assert.h>
@@ -11,15 +12,13 @@
 };
 
 static const char *const in_out[] = { "in", "out", NULL };
-static const char *const placements[] = { "bounded", "random", "least_loaded",
-					  "hash", NULL };
 static const char *const in_leaving[] = { "in", "leaving", NULL };
 static const char *const service_types[] = { "model", "plain", NULL };
 
 static const schema_field_t site_fields[] = {
 	{ "load_bound", SCHEMA_REAL, .min = 1, .max = 100 },
 	{ "power_cap_w", SCHEMA_REAL, .min = 0, .max = WATTS_MAX },
-	{ "placement", SCHEMA_CHOICE, .choices = placements },
+	{ "placement", SCHEMA_CHOICE, .choices = placement_string },
 	{ "weight_loads_per_s", SCHEMA_REAL, .min = 0.001, .max = 1e6 },
 	{ 0 },
 };
--- a/packages/state/view.c
+++ b/packages/state/view.c
@@ -14,9 +14,6 @@
 #define RAMP_DEFAULT_S 30.0
 #define CACHE_DEFAULT_TOKENS 1000000
 
-const char *const placement_string[] = { "bounded", "random", "least_loaded",
-					 "hash" };
-
 static void build_data_centre_(view_t *v, const resource_t *r);
 static void build_service_(view_t *v, const resource_t *r);
 static void build_model_(view_t *v, const resource_t *r);
@@ -255,12 +252,7 @@
 
 static void build_site_(view_t *v, const resource_t *r)
 {
-	const char *word = string_(r->body, "placement", placement_string[0]);
-
-	for (int p = 0; p < PLACEMENT_COUNT; p++) {
-		if (!strcmp(placement_string[p], word))
-			v->placement = (placement_t)p;
-	}
+	v->placement = placement_of(string_(r->body, "placement", NULL));
 	v->load_bound = number_(r->body, "load_bound", LOAD_BOUND_DEFAULT);
 	v->power_cap_w = number_(r->body, "power_cap_w", 0);
 	v->weight_loads_per_s = number_(r->body, "weight_loads_per_s", 0);
--- a/tests/scenarios/experiment.lua
+++ b/tests/scenarios/experiment.lua
@@ -13,13 +13,13 @@
 expect(out == again, "two reports of the same settings differ")
 
 local by_name = {}
-for _, p in ipairs(json_decode(out).policies) do by_name[p.policy] = p end
-for _, name in ipairs { "bounded", "least-loaded", "hash", "random" } do
+for _, p in ipairs(json_decode(out).placements) do by_name[p.placement] = p end
+for _, name in ipairs { "bounded", "least_loaded", "hash", "random" } do
 	local p = by_name[name]
 	expect(p and p.arrivals == by_name.bounded.arrivals, "%s did not get the same arrivals: %s", name, out)
 end
 expect(by_name.bounded.broken_seeds == 0, "the product breaks the users' rule: %s", out)
-expect(by_name.bounded.warm > by_name["least-loaded"].warm, "affinity gains nothing: %s", out)
+expect(by_name.bounded.warm > by_name["least_loaded"].warm, "affinity gains nothing: %s", out)
 
 for _, row in ipairs {
 	{ { "--seeds", "0" }, 2 },
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -377,6 +377,52 @@
 }
 END_TEST
 
+/* Load: one prompt, nothing ends; slots are 8, full is 24. */
+static const struct {
+	placement_t placement;
+	int count;
+	int least; /* outstanding at any upstream, lowest and */
+	int most;  /* highest */
+} baselines[] = {
+	{ PLACEMENT_BOUNDED, 40, 0, 2 * 10 + 3 },
+	{ PLACEMENT_LEAST_LOADED, 40, 9, 11 },
+	{ PLACEMENT_RANDOM, 40, 1, 24 },
+	{ PLACEMENT_HASH, 24, 0, 24 },
+	/* Admission holds for baselines as well. */
+	{ PLACEMENT_HASH, 40, 0, 24 },
+	{ PLACEMENT_RANDOM, 96, 24, 24 },
+};
+
+START_TEST(test_baselines)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int least = G_MAXINT;
+	int most = 0;
+
+	put_many_(4);
+	b.placement = baselines[_i].placement;
+	for (int i = 0; i < baselines[_i].count; i++) {
+		balance_pick_t p = choose_(7, NOW);
+
+		ck_assert_ptr_nonnull(p.upstream);
+		if (b.placement != PLACEMENT_BOUNDED)
+			ck_assert_int_eq(p.reason, BALANCE_BASELINE);
+	}
+	g_hash_table_iter_init(&iter, b.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		least = MIN(least, u->mine);
+		most = MAX(most, u->mine);
+	}
+	ck_assert_int_ge(least, baselines[_i].least);
+	ck_assert_int_le(most, baselines[_i].most);
+	if (b.placement == PLACEMENT_HASH)
+		ck_assert_int_eq(most, 24);
+}
+END_TEST
+
 START_TEST(test_full)
 {
 	put_many_(1);
@@ -446,6 +492,7 @@
 	tcase_add_test(c, test_full_upstream_gets_no_trial);
 	tcase_add_test(c, test_unknown_load_refuses_nothing);
 	tcase_add_test(c, test_all_unsound_is_nobody);
+	tcase_add_loop_test(c, test_baselines, 0, G_N_ELEMENTS(baselines));
 	tcase_add_test(c, test_full);
 	tcase_add_test(c, test_removed_while_in_use);
 	tcase_add_test(c, test_new_start_is_another_upstream);
--- /dev/null
+++ b/tests/unit/test_gateway_conf.c
@@ -0,0 +1,125 @@
+#include "suites.h"
+
+#include <kcf/gateway.h>
+#include <kcf/logline.h>
+#include <string.h>
+#include <unistd.h>
+
+#define NODE "[node]\nname = \"n\"\ndata_centre = \"d\"\nregion = \"r\"\n"
+#define LISTEN                                                                 \
+	"[listen]\ncallers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\n"   \
+	"directory = \"127.0.0.1:3\"\nadmin = \"127.0.0.1:4\"\n"               \
+	"peers = \"127.0.0.1:5\"\n"
+#define KEY "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+#define PEERS "[peers]\nkey = \"" KEY "\"\nseeds = [\"127.0.0.2:9\"]\n"
+#define STORE "[store]\naddress = \"127.0.0.1:6\"\n"
+#define RETRIES "[retries]\nratio = 0.2\nburst = 5\nwindow_s = 10\n"
+#define WHOLE NODE LISTEN PEERS STORE RETRIES
+
+static char file[] = "/tmp/kcf-conf-XXXXXX";
+static GPtrArray *faults;
+static gateway_conf_t conf;
+
+static void setup_(void)
+{
+	int fd;
+
+	memcpy(file + strlen(file) - 6, "XXXXXX", 6);
+	fd = mkstemp(file);
+	ck_assert_int_ge(fd, 0);
+	close(fd);
+	faults = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void finish_(void)
+{
+	gateway_conf_finish(&conf);
+	g_ptr_array_unref(faults);
+	unlink(file);
+}
+
+static int load_(const char *text)
+{
+	ck_assert(g_file_set_contents(file, text, -1, NULL));
+	return gateway_conf_load(&conf, file, faults);
+}
+
+static const struct {
+	const char *text;
+	placement_t placement;
+} placements[] = {
+	{ WHOLE, PLACEMENT_BOUNDED },
+	{ WHOLE "[placement]\n", PLACEMENT_BOUNDED },
+	{ WHOLE "[placement]\nchoice = \"bounded\"\n", PLACEMENT_BOUNDED },
+	{ WHOLE "[placement]\nchoice = \"random\"\n", PLACEMENT_RANDOM },
+	{ WHOLE "[placement]\nchoice = \"least_loaded\"\n",
+	  PLACEMENT_LEAST_LOADED },
+	{ WHOLE "[placement]\nchoice = \"hash\"\n", PLACEMENT_HASH },
+};
+
+START_TEST(test_placement)
+{
+	ck_assert_int_eq(load_(placements[_i].text), SETTINGS_OK);
+	ck_assert_int_eq(conf.placement, placements[_i].placement);
+}
+END_TEST
+
+START_TEST(test_whole)
+{
+	ck_assert_int_eq(load_(WHOLE "[log]\nlevel = \"debug\"\n"),
+			 SETTINGS_OK);
+	ck_assert_str_eq(conf.name, "n");
+	ck_assert_str_eq(conf.callers, "127.0.0.1:1");
+	ck_assert_ptr_null(conf.metrics);
+	ck_assert_uint_eq(conf.seeds->len, 1);
+	/* All nodes use the same port for datagrams. */
+	ck_assert_str_eq(conf.seeds->pdata[0], "127.0.0.2:5");
+	ck_assert_int_eq(conf.retries.window_ms, 10000);
+	ck_assert_int_eq(conf.log_level, LOG_DEBUG);
+}
+END_TEST
+
+static const char *const faulty[] = {
+	"",
+	"[node",
+	LISTEN PEERS STORE RETRIES,
+	NODE PEERS STORE RETRIES,
+	NODE LISTEN STORE RETRIES,
+	NODE LISTEN PEERS RETRIES,
+	NODE LISTEN PEERS STORE,
+	WHOLE "[placement]\nchoice = \"nearest\"\n",
+	WHOLE "[placement]\nchoice = 1\n",
+	WHOLE "[log]\nlevel = \"loud\"\n",
+	WHOLE "[unknown]\nword = 1\n",
+	NODE LISTEN "[peers]\nkey = \"00\"\n" STORE RETRIES,
+	NODE LISTEN PEERS "[store]\naddress = \"host\"\n" RETRIES,
+};
+
+START_TEST(test_faults_are_told)
+{
+	ck_assert_int_lt(load_(faulty[_i]), 0);
+	ck_assert_uint_ge(faults->len, 1);
+}
+END_TEST
+
+START_TEST(test_file_that_is_not_there)
+{
+	ck_assert_int_eq(gateway_conf_load(&conf, "/nowhere/x.toml", faults),
+			 SETTINGS_EREAD);
+	ck_assert_uint_eq(faults->len, 1);
+}
+END_TEST
+
+Suite *gateway_conf_suite(void)
+{
+	Suite *s = suite_create("gateway_conf");
+	TCase *c = tcase_create("conf");
+
+	tcase_add_checked_fixture(c, setup_, finish_);
+	tcase_add_loop_test(c, test_placement, 0, G_N_ELEMENTS(placements));
+	tcase_add_test(c, test_whole);
+	tcase_add_loop_test(c, test_faults_are_told, 0, G_N_ELEMENTS(faulty));
+	tcase_add_test(c, test_file_that_is_not_there);
+	suite_add_tcase(s, c);
+	return s;
+}
--- a/tests/unit/test_served_model.c
+++ b/tests/unit/test_served_model.c
@@ -109,10 +109,10 @@
 	served_conf_init(&conf);
 	conf.seed = 1;
 	served_run(&conf, &ours, NULL);
-	for (int i = SERVED_LEAST; i < SERVED_POLICY_COUNT; i++) {
-		if (i == SERVED_HASH)
+	for (int i = PLACEMENT_RANDOM; i < PLACEMENT_COUNT; i++) {
+		if (i == PLACEMENT_HASH)
 			continue;
-		conf.policy = (served_policy_t)i;
+		conf.placement = (placement_t)i;
 		served_run(&conf, &other, NULL);
 		ck_assert_int_gt(ours.warm, other.warm);
 		ck_assert(ours.first_p50_ms < other.first_p50_ms);
