--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -177,3 +177,27 @@
 end
 
 function log_of(g) return text_of(g.out) end
+
+-- Starts callers in the background; finish_callers gives their report.
+function start_callers(f, o)
+	local argv = { bin .. "/kcf-caller" }
+	for k, v in pairs(o) do
+		argv[#argv + 1] = "--" .. k:gsub("_", "-")
+		argv[#argv + 1] = tostring(v)
+	end
+	f.callers = (f.callers or 0) + 1
+	local p = { name = "callers", path = f.dir .. "/callers-" .. f.callers }
+	p.pid = spawn(argv, p.path .. ".err", p.path .. ".out")
+	return p
+end
+
+function finish_callers(p)
+	expect(wait_exit(p, 120000) == 0, "callers: %s", text_of(p.path .. ".err"))
+	return json_decode(text_of(p.path .. ".out"))
+end
+
+function callers_of(f)
+	local list = {}
+	for _, g in ipairs(f.gateways) do list[#list + 1] = g.callers end
+	return table.concat(list, ",")
+end
--- a/tests/scenarios/measure.lua
+++ b/tests/scenarios/measure.lua
@@ -41,3 +41,20 @@
 	end)
 	return arrivals, over, worst
 end
+
+-- Memory of a process, MB.
+function rss_mb(p)
+	for line in io.lines("/proc/" .. p.pid .. "/status") do
+		local kb = line:match("VmRSS:%s+(%d+)")
+		if kb then return tonumber(kb) / 1024 end
+	end
+end
+
+-- Processor time of a process so far, ms.
+function cpu_ms(p)
+	local file = io.open("/proc/" .. p.pid .. "/stat")
+	local fields = {}
+	for word in file:read("a"):gsub("%b()", "x"):gmatch("%S+") do fields[#fields + 1] = word end
+	file:close()
+	return (tonumber(fields[14]) + tonumber(fields[15])) * 10
+end
--- a/tests/scenarios/measure_all.lua
+++ b/tests/scenarios/measure_all.lua
@@ -10,21 +10,6 @@
 	kill(f.hosts)
 end
 
-local function rss(p)
-	for line in io.lines("/proc/" .. p.pid .. "/status") do
-		local kb = line:match("VmRSS:%s+(%d+)")
-		if kb then return tonumber(kb) / 1024 end
-	end
-end
-
-local function cpu_ms(p)
-	local file = io.open("/proc/" .. p.pid .. "/stat")
-	local fields = {}
-	for word in file:read("a"):gsub("%b()", "x"):gmatch("%S+") do fields[#fields + 1] = word end
-	file:close()
-	return (tonumber(fields[14]) + tonumber(fields[15])) * 10
-end
-
 local function load(f, o)
 	o.model, o.service, o.keys = MODEL, SERVICE, o.keys or KEY
 	return start_load(o.at or f.nodes[1], o)
@@ -59,13 +44,13 @@
 	local spent = cpu_ms(f.nodes[1]) - before
 	row("| %d | %.1f | %.3f |", rate, spent / 40, spent / (4 * rate))
 end
-row("\nMemory of the node after this: %.1f MB.\n", rss(f.nodes[1]))
+row("\nMemory of the node after this: %.1f MB.\n", rss_mb(f.nodes[1]))
 
 for _, e in ipairs(f.engines) do fault(e, { token_ms = 1000 }) end
-local before = rss(f.nodes[1])
+local before = rss_mb(f.nodes[1])
 local p = load(f, { any = true, rate = 600, duration_ms = 6000, chats = 8000, max_tokens = 12, stream = true, seed = 9 })
 sleep_ms(7000)
-local open, memory = metric(f.nodes[1], "kcf_open_requests"), rss(f.nodes[1])
+local open, memory = metric(f.nodes[1], "kcf_open_requests"), rss_mb(f.nodes[1])
 local r = finish_load(p)
 row("Open streams in one node: %d at a time (%d of %d whole in the end), %.1f MB; %.1f KB a stream.\n", open, r.ok, r.sent, memory, (memory - before) * 1024 / open)
 finish(f)
@@ -86,7 +71,7 @@
 	for i, n in ipairs(f.nodes) do
 		bytes = math.max(bytes, (metric(n, "kcf_control_sent_bytes_total") - b[i]) / 10)
 		cpu = math.max(cpu, (cpu_ms(n) - c[i]) / 100)
-		mb = math.max(mb, rss(n))
+		mb = math.max(mb, rss_mb(n))
 	end
 	local last = f.nodes[#f.nodes]
 	kill(last)
