Closing a socket costs one lookup; one condition for what is left of a request's attempts

forget_socket_ walked all connections at each close; forward_may_repeat and allowed_again_ had three conditions in common.

--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -152,13 +152,20 @@
 	return f->route->kind == ROUTE_KIND_IDEMPOTENT;
 }
 
-bool forward_may_repeat(const forward_t *f)
+/* Whether the route, the list of tried upstreams and the time leave one more.
+ */
+static bool attempt_left_(const forward_t *f)
 {
-	return repeatable_(f) && f->tries < FORWARD_TRIED_MAX &&
+	return f->tries < FORWARD_TRIED_MAX &&
 	       f->arrivals < f->route->attempts &&
 	       f->deadline - clock_now() >= SEND_MIN_MS;
 }
 
+bool forward_may_repeat(const forward_t *f)
+{
+	return repeatable_(f) && attempt_left_(f);
+}
+
 static retry_budget_t *budget_(forward_t *f)
 {
 	GHashTable *budgets = f->gateway->budgets;
@@ -220,9 +227,7 @@
 
 	if (!certainly_not_run_(why) && !repeatable_(f))
 		return false;
-	if (f->tries >= FORWARD_TRIED_MAX ||
-	    f->arrivals >= f->route->attempts ||
-	    f->deadline - clock_now() < SEND_MIN_MS || !gateway_informed(g))
+	if (!attempt_left_(f) || !gateway_informed(g))
 		return false;
 	if (why == FAULT_CONNECT && !f->arrivals)
 		return true;
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -327,18 +327,25 @@
 		     ntohs(local.sin_port));
 }
 
+static gboolean is_socket_(gpointer ends, gpointer value, gpointer fd)
+{
+	(void)ends;
+	return value == fd;
+}
+
+/* Before the socket is closed, since its ends are asked for. */
 static void forget_socket_(http_client_t *c, int fd)
 {
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
+	gpointer value = GINT_TO_POINTER(fd);
+	uint64_t ends = ends_of_(fd);
 
-	g_hash_table_remove(c->opened, GINT_TO_POINTER(fd));
-	g_hash_table_iter_init(&iter, c->connected);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		if (GPOINTER_TO_INT(value) == fd)
-			g_hash_table_iter_remove(&iter);
-	}
+	if (g_hash_table_remove(c->opened, value))
+		return;
+	if (g_hash_table_lookup(c->connected, &ends) == value)
+		g_hash_table_remove(c->connected, &ends);
+	else
+		/* A connection that was reset has no ends any more. */
+		g_hash_table_foreach_remove(c->connected, is_socket_, value);
 }
 
 /* The socket of a connection, which libcurl does not tell; -1 if unknown. */
