A prompt that many ask for is shared by as many upstreams as its load needs

What a node does know at once is how much of its own traffic asks for the prompt, and that share is about the same at every node. From the second request among the last ones on, the prompt goes to any of its first upstreams, so many that each gets about a mean load more.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -94,6 +94,7 @@
 	GHashTable *services; /* char * to balance_service_t * */
 	GHashTable *homes;    /* affinity to balance_home_t * */
 	mstime_t swept_at;    /* homes */
+	uint64_t prompts;     /* asked for so far */
 	GHashTable *out;      /* data centres that get no work */
 	char *data_centre;    /* of this node */
 	placement_t placement;
@@ -104,8 +105,10 @@
 
 /* Where prompts with the same shared parts were last sent. */
 typedef struct balance_home {
-	uint64_t number; /* of the upstream */
+	uint64_t number; /* of the upstream, 0 before the first choice */
 	mstime_t used_at;
+	double share;	  /* moving share of this node's prompts, */
+	uint64_t counted; /* as of this many */
 } balance_home_t;
 
 typedef struct balance_ask {
@@ -118,6 +121,7 @@
 typedef enum balance_reason {
 	BALANCE_FIRST,	  /* first in the order of the affinity */
 	BALANCE_SPILL,	  /* a later one; those before bear too much */
+	BALANCE_HOT,	  /* one of several that share a prompt */
 	BALANCE_LEAST,	  /* least loaded */
 	BALANCE_TRIAL,	  /* held unsound, asked whether it recovered */
 	BALANCE_BASELINE, /* by a placement to compare with */
--- a/include/kcf/served_model.h
+++ b/include/kcf/served_model.h
@@ -24,6 +24,8 @@
 	int cache_prompts; /* prompts that an engine keeps */
 	int prompts;	   /* different ones */
 	double skew;	   /* exponent of their popularity, 0: all alike */
+	double hot_share;  /* of arrivals that ask for one prompt, */
+	mstime_t hot_at;   /* from then on */
 	double per_s;	   /* arrivals */
 	double clump;	   /* mean number that arrives at a node together */
 	double warm_ms;	   /* until the first token, prompt in the cache */
--- a/packages/ctl/cmd_experiment.c
+++ b/packages/ctl/cmd_experiment.c
@@ -57,6 +57,8 @@
 		  "Requests that an engine runs at a time (64)", "N" },
 		{ "prompts", 0, 0, G_OPTION_ARG_INT, &c->prompts,
 		  "Different prompts (220)", "N" },
+		{ "hot-share", 0, 0, G_OPTION_ARG_DOUBLE, &c->hot_share,
+		  "Arrivals that ask for one prompt (0)", "0..1" },
 		{ "cache", 0, 0, G_OPTION_ARG_INT, &c->cache_prompts,
 		  "Prompts that an engine keeps (60)", "N" },
 		{ "work-ms", 0, 0, G_OPTION_ARG_DOUBLE, &c->work_ms,
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -38,6 +38,10 @@
 #define TRIAL_INTERVAL_MS 700
 /* Share of a cold upstream's rate that is used; the rest is for stale views. */
 #define COLD_SHARE 0.9
+/* Weight of one prompt in the moving share of each. */
+#define PROMPT_WEIGHT (1.0 / 16)
+/* A share below this says nothing: the prompt came once of late. */
+#define HOT_SHARE (1.5 * PROMPT_WEIGHT)
 /* Turns the upper 53 bits of a hash into a number below 1. */
 #define HASH_UNIT (1.0 / 9007199254740992.0)
 /* When callers may come back: entries are read again, places get free, or the
@@ -48,8 +52,8 @@
 #define RETRY_COLD_MS 150
 
 const char *const balance_reason_string[] = {
-	"first",    "spill",	   "least", "trial",
-	"baseline", "no upstream", "full",  "cold",
+	"first",    "spill",	   "hot",  "least", "trial",
+	"baseline", "no upstream", "full", "cold",
 };
 
 static bool excluded_(const balance_ask_t *ask, const balance_upstream_t *u)
@@ -242,36 +246,55 @@
 	return *now - home->used_at > HOME_IDLE_MS;
 }
 
-/* Number of the upstream that holds a prompt, 0 for none. */
-static uint64_t home_(balance_t *b, uint64_t affinity, mstime_t now)
+/* What is known of a prompt; kept until nobody asks for it any more. */
+static balance_home_t *home_(balance_t *b, uint64_t affinity, mstime_t now)
 {
-	const balance_home_t *home;
+	balance_home_t *home;
+	uint64_t *key;
 
 	if (now - b->swept_at > HOME_SWEEP_MS) {
 		b->swept_at = now;
 		g_hash_table_foreach_remove(b->homes, idle_, &now);
 	}
 	home = g_hash_table_lookup(b->homes, &affinity);
-	return home ? home->number : 0;
+	if (home)
+		return home;
+	key = g_new(uint64_t, 1);
+	*key = affinity;
+	home = g_new0(balance_home_t, 1);
+	home->used_at = now;
+	home->counted = b->prompts;
+	g_hash_table_insert(b->homes, key, home);
+	return home;
 }
 
-static void set_home_(balance_t *b, uint64_t affinity, uint64_t number,
-		      mstime_t now)
+/* Counts a prompt; returns its moving share of all that this node gets. */
+static double share_(balance_t *b, balance_home_t *home)
 {
-	balance_home_t *home = g_hash_table_lookup(b->homes, &affinity);
+	double others = (double)(b->prompts - home->counted);
 
-	if (!home) {
-		uint64_t *key = g_new(uint64_t, 1);
+	b->prompts++;
+	home->share *= pow(1 - PROMPT_WEIGHT, others + 1);
+	home->share += PROMPT_WEIGHT;
+	home->counted = b->prompts;
+	return home->share;
+}
 
-		*key = affinity;
-		home = g_new0(balance_home_t, 1);
-		g_hash_table_insert(b->homes, key, home);
-	}
-	home->number = number;
-	home->used_at = now;
+/*
+ * How many upstreams a prompt needs, so that it adds no more than a mean load
+ * to each. All nodes see about the same share, without telling each other.
+ */
+static int width_(const candidates_t *c, double share)
+{
+	double load = share * c->mean * c->count;
+
+	if (share < HOT_SHARE)
+		return 1;
+	return MAX(1, (int)(load / MAX(c->mean, LEAVE_FIRST_SLACK) + 0.5));
 }
 
 typedef struct survey {
+	int width;	      /* upstreams that share the prompt */
 	uint64_t home_number; /* upstream that holds the prompt, 0: unknown */
 	choice_t home;	      /* first of the affinity's order, loaded or not */
 	choice_t next;	      /* the one after it */
@@ -318,9 +341,12 @@
 static void survey_(balance_t *b, const balance_ask_t *ask,
 		    const candidates_t *c, mstime_t now, survey_t *s)
 {
-	uint64_t home = ask->affinity ? home_(b, ask->affinity, now) : 0;
+	balance_home_t *known =
+		ask->affinity ? home_(b, ask->affinity, now) : NULL;
+	uint64_t home = known ? known->number : 0;
 
-	*s = (survey_t){ .home_number = home,
+	*s = (survey_t){ .width = known ? width_(c, share_(b, known)) : 1,
+			 .home_number = home,
 			 .home = { -1 },
 			 .next = { -1 },
 			 .first = { -1 },
@@ -369,12 +395,51 @@
 				 .retry_ms = RETRY_NONE_MS };
 }
 
+static gint by_score_(gconstpointer a, gconstpointer b)
+{
+	const choice_t *ca = a;
+	const choice_t *cb = b;
+
+	return (cb->score > ca->score) - (cb->score < ca->score);
+}
+
+/* Any of the first in the prompt's order that bear it, or -1. */
+static int by_width_(balance_t *b, const balance_ask_t *ask,
+		     const candidates_t *c, const survey_t *s)
+{
+	GArray *fit = g_array_new(FALSE, FALSE, sizeof(choice_t));
+	int at = -1;
+
+	for (guint i = 0; i < s->able_count; i++) {
+		const balance_upstream_t *u = c->list[s->able[i]];
+		choice_t choice = { s->able[i], 0,
+				    rank_score(ask->affinity, u->hash, 1) };
+
+		if (!unsound_(c, u) &&
+		    c->loads[choice.at] + 1 <= bound_(c, u, ask->affinity))
+			g_array_append_val(fit, choice);
+	}
+	g_array_sort(fit, by_score_);
+	if (fit->len) {
+		gint32 n = (gint32)MIN(fit->len, (guint)s->width);
+		gint32 i = g_rand_int_range(b->rand, 0, n);
+
+		at = g_array_index(fit, choice_t, i).at;
+	}
+	g_array_unref(fit);
+	return at;
+}
+
 static int by_bound_(balance_t *b, const balance_ask_t *ask,
 		     const candidates_t *c, const survey_t *s,
 		     balance_reason_t *reason)
 {
-	(void)b;
-	(void)c;
+	int at = s->width > 1 ? by_width_(b, ask, c, s) : -1;
+
+	if (at >= 0) {
+		*reason = BALANCE_HOT;
+		return at;
+	}
 	if (ask->affinity && s->first.at >= 0) {
 		*reason = s->first.at == s->home.at ? BALANCE_FIRST
 						    : BALANCE_SPILL;
@@ -451,6 +516,15 @@
 	return s->trial;
 }
 
+static void settle_(balance_t *b, uint64_t affinity, uint64_t number,
+		    mstime_t now)
+{
+	balance_home_t *home = home_(b, affinity, now);
+
+	home->number = number;
+	home->used_at = now;
+}
+
 /* A prompt that is in no cache yet is looked for in vain, at little cost. */
 static const balance_upstream_t *warm_(const balance_t *b,
 				       const candidates_t *c, const survey_t *s,
@@ -500,7 +574,7 @@
 			pick.warm = warm_(b, &c, &s, pick.upstream);
 		/* The place of one that was passed over is kept. */
 		if (ask->affinity && pick.reason == BALANCE_FIRST)
-			set_home_(b, ask->affinity, pick.upstream->number, now);
+			settle_(b, ask->affinity, pick.upstream->number, now);
 		if (cold_(b, pick.upstream, now))
 			pick.upstream->permits -= 1;
 	}
--- a/packages/model/served_model.c
+++ b/packages/model/served_model.c
@@ -16,6 +16,8 @@
 #define RULE_OVER_MIN 20
 /* Requests of a clump come within this time. */
 #define CLUMP_MS 20
+/* Different from all that are numbered. */
+#define HOT_PROMPT (1ULL << 32)
 /* Of the histogram of times to the first token; longer ones count as this. */
 #define FIRST_MAX_MS 20000
 #define FIRST_BUCKET_MS 5
@@ -228,6 +230,8 @@
 	r->node = node;
 	r->came = m->now;
 	r->prompt = gsl_ran_discrete(m->rng, m->prompts) + 1;
+	if (gsl_rng_uniform(m->rng) < c->hot_share && m->now >= c->hot_at)
+		r->prompt = HOT_PROMPT;
 	r->work_ms = gsl_ran_lognormal(m->rng, log_mean, c->spread);
 	m->result->arrivals++;
 	r->engine = choose_(m, r);
--- a/tests/unit/test_served_model.c
+++ b/tests/unit/test_served_model.c
@@ -5,6 +5,7 @@
 /* The users' rule: at most this share of requests in five seconds. */
 #define RULE_SHARE 0.03
 #define SEEDS 40
+#define HOT_AT_MS 4000
 /* A large fleet takes a second to play. */
 #define SEEDS_LARGE 8
 
@@ -16,6 +17,7 @@
 	mstime_t back_at;
 	mstime_t add_at;
 	int added;
+	double hot_share;
 } rule_case_t;
 
 static const rule_case_t rule_cases[] = {
@@ -26,6 +28,8 @@
 	{ "many empty engines are added", false, 200, 0, 0, 2000, 9 },
 	{ "large", true, 430, 0, 0, 0, 0 },
 	{ "large, empty engines are added", true, 430, 0, 0, 2000, 15 },
+	{ "one prompt is hot", false, 100, 0, 0, 0, 0, 0.28 },
+	{ "large, one prompt is hot", true, 430, 0, 0, 0, 0, 0.28 },
 };
 
 static void enlarge_(served_conf_t *conf)
@@ -57,6 +61,8 @@
 		conf.back_at = k->back_at;
 		conf.add_at = k->add_at;
 		conf.added = k->added;
+		conf.hot_share = k->hot_share;
+		conf.hot_at = HOT_AT_MS;
 		served_run(&conf, &r, NULL);
 		ck_assert_int_gt(r.arrivals, 0);
 		ck_assert_int_eq(r.refused, 0);
