--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -42,6 +42,8 @@
 #define PROMPT_WEIGHT (1.0 / 16)
 /* A share below this says nothing: the prompt came once of late. */
 #define HOT_SHARE (1.5 * PROMPT_WEIGHT)
+/* Part of a mean load that a hot prompt adds to each of its upstreams. */
+#define HOT_PART 0.5
 /* Turns the upper 53 bits of a hash into a number below 1. */
 #define HASH_UNIT (1.0 / 9007199254740992.0)
 /* When callers may come back: entries are read again, places get free, or the
@@ -281,8 +283,8 @@
 }
 
 /*
- * How many upstreams a prompt needs, so that it adds no more than a mean load
- * to each. All nodes see about the same share, without telling each other.
+ * How many upstreams a prompt needs, so that it adds only a part of a mean
+ * load to each. All nodes see about the same share, without telling each other.
  */
 static int width_(const candidates_t *c, double share)
 {
@@ -290,7 +292,9 @@
 
 	if (share < HOT_SHARE)
 		return 1;
-	return MAX(1, (int)(load / MAX(c->mean, LEAVE_FIRST_SLACK) + 0.5));
+	return MAX(1,
+		   (int)(load / (HOT_PART * MAX(c->mean, LEAVE_FIRST_SLACK)) +
+			 0.5));
 }
 
 typedef struct survey {
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -173,6 +173,42 @@
 }
 END_TEST
 
+/* Load: 30 upstreams with three requests each; a part asks for one prompt. */
+static const struct {
+	int every;   /* each so-manieth request asks for it */
+	guint least; /* upstreams that it goes to */
+	guint most;
+} hot_cases[] = {
+	{ 1, 25, 30 },
+	{ 3, 12, 30 },
+	{ 10, 1, 12 },
+	{ 100, 1, 1 },
+};
+
+START_TEST(test_hot_prompt_is_shared)
+{
+	GHashTable *used = g_hash_table_new(NULL, NULL);
+	GHashTableIter iter;
+	gpointer u;
+
+	put_many_(30);
+	g_hash_table_iter_init(&iter, b.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &u))
+		balance_report(u, 3, 0, NOW);
+	for (int i = 1; i <= 1000; i++) {
+		bool hot = i % hot_cases[_i].every == 0;
+		balance_pick_t p = choose_(hot ? 7 : 1000 + (uint64_t)i, NOW);
+
+		if (hot)
+			g_hash_table_add(used, p.upstream);
+		balance_done(p.upstream, BALANCE_OK, 10, NOW);
+	}
+	ck_assert_uint_ge(g_hash_table_size(used), hot_cases[_i].least);
+	ck_assert_uint_le(g_hash_table_size(used), hot_cases[_i].most);
+	g_hash_table_unref(used);
+}
+END_TEST
+
 START_TEST(test_same_order_on_every_node)
 {
 	balance_t other;
@@ -483,6 +519,8 @@
 	tcase_add_test(c, test_bound_counts_upstreams_that_are_out);
 	tcase_add_test(c, test_old_report_lacks_what_was_sent_since);
 	tcase_add_test(c, test_old_report_still_has_what_has_ended_since);
+	tcase_add_loop_test(c, test_hot_prompt_is_shared, 0,
+			    G_N_ELEMENTS(hot_cases));
 	tcase_add_test(c, test_same_order_on_every_node);
 	tcase_add_loop_test(c, test_cold_upstream_bears_little, 0,
 			    G_N_ELEMENTS(cold_cases));
--- a/tests/unit/test_gateway_conf.c
+++ b/tests/unit/test_gateway_conf.c
@@ -2,7 +2,6 @@
 
 #include <kcf/gateway.h>
 #include <kcf/logline.h>
-#include <string.h>
 #include <unistd.h>
 
 #define NODE "[node]\nname = \"n\"\ndata_centre = \"d\"\nregion = \"r\"\n"
@@ -16,16 +15,14 @@
 #define RETRIES "[retries]\nratio = 0.2\nburst = 5\nwindow_s = 10\n"
 #define WHOLE NODE LISTEN PEERS STORE RETRIES
 
-static char file[] = "/tmp/kcf-conf-XXXXXX";
+static char *file;
 static GPtrArray *faults;
 static gateway_conf_t conf;
 
 static void setup_(void)
 {
-	int fd;
+	int fd = g_file_open_tmp("kcf-conf-XXXXXX", &file, NULL);
 
-	memcpy(file + strlen(file) - 6, "XXXXXX", 6);
-	fd = mkstemp(file);
 	ck_assert_int_ge(fd, 0);
 	close(fd);
 	faults = g_ptr_array_new_with_free_func(g_free);
@@ -36,6 +33,7 @@
 	gateway_conf_finish(&conf);
 	g_ptr_array_unref(faults);
 	unlink(file);
+	g_free(file);
 }
 
 static int load_(const char *text)
