--- /dev/null
+++ b/packages/decide/balance_candidates.c
@@ -0,0 +1,158 @@
+/*
+ * The upstreams that a request may go to, and what is known of them.
+ */
+#include "private/balance.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Below this many outcomes nothing is said of an upstream. */
+#define SAMPLES_MIN 4
+/* An upstream is unsound from this share of failures on, */
+#define UNSOUND_FAILURES 0.25
+/* if that is also this many times the mean of the others; */
+#define UNSOUND_FACTOR 2.0
+/* or if its answers take this many times as long as those of the others. */
+#define UNSOUND_LATENCY 3.0
+#define UNSOUND_LATENCY_MIN_MS 60
+/* Share of a cold upstream's rate that is used; the rest is for stale views. */
+#define COLD_SHARE 0.9
+
+static bool excluded_(const balance_ask_t *ask, const balance_upstream_t *u)
+{
+	for (int i = 0; i < ask->excluded; i++) {
+		if (ask->exclude[i] == u->number)
+			return true;
+	}
+	return false;
+}
+
+static bool in_service_(const balance_t *b, const balance_upstream_t *u,
+			const balance_ask_t *ask, mstime_t now)
+{
+	return !u->leaving && now >= u->shunned_until &&
+	       !strcmp(u->service, ask->service) &&
+	       !g_hash_table_contains(b->out, u->data_centre) &&
+	       !excluded_(ask, u);
+}
+
+/* Work of other nodes at upstreams without a report is taken as the mean. */
+static double mean_foreign_(const candidates_t *c, mstime_t now)
+{
+	double sum = 0;
+	int n = 0;
+
+	for (guint i = 0; i < c->count; i++) {
+		if (!balance_told(c->list[i], now))
+			continue;
+		sum += c->list[i]->foreign;
+		n++;
+	}
+	return n ? sum / n : 0;
+}
+
+static int load_(const balance_upstream_t *u, double mean_foreign, mstime_t now)
+{
+	double foreign = balance_foreign(u, mean_foreign, now);
+
+	return u->mine + (int)(MAX(0, foreign) + 0.5);
+}
+
+static void average_(candidates_t *c, int all)
+{
+	int timed = 0;
+
+	for (guint i = 0; i < c->count; i++) {
+		const balance_upstream_t *u = c->list[i];
+
+		c->mean += c->loads[i];
+		c->failures += u->failures;
+		if (u->latency_ms > 0) {
+			c->latency += u->latency_ms;
+			timed++;
+		}
+	}
+	if (c->count) {
+		c->mean /= all;
+		c->failures /= c->count;
+	}
+	if (timed)
+		c->latency /= timed;
+}
+
+void balance_gather(const balance_t *b, const balance_ask_t *ask, mstime_t now,
+		    candidates_t *c)
+{
+	guint size = g_hash_table_size(b->by_id);
+	GHashTableIter iter;
+	gpointer value;
+	double foreign;
+	int all = 0;
+
+	*c = (candidates_t){ .list = g_new(balance_upstream_t *, size + 1),
+			     .loads = g_new(int, size + 1) };
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		if (in_service_(b, u, ask, now))
+			c->list[c->count++] = value;
+		else if (!strcmp(u->service, ask->service))
+			c->mean += u->mine + balance_left(u, now);
+		else
+			continue;
+		all++;
+	}
+	foreign = mean_foreign_(c, now);
+	for (guint i = 0; i < c->count; i++)
+		c->loads[i] = load_(c->list[i], foreign, now);
+	average_(c, all);
+}
+
+void balance_drop(candidates_t *c)
+{
+	g_free(c->list);
+	g_free(c->loads);
+}
+
+/* Failures that all upstreams share say nothing about one of them. */
+bool balance_unsound(const candidates_t *c, const balance_upstream_t *u)
+{
+	double others = c->failures;
+	double latency = c->latency;
+
+	if (u->samples < SAMPLES_MIN || c->count < 2)
+		return false;
+	others = (others * c->count - u->failures) / (c->count - 1);
+	if (u->failures > UNSOUND_FAILURES &&
+	    u->failures > UNSOUND_FACTOR * others)
+		return true;
+	latency = (latency * c->count - u->latency_ms) / (c->count - 1);
+	return u->latency_ms > UNSOUND_LATENCY_MIN_MS && latency > 0 &&
+	       u->latency_ms > UNSOUND_LATENCY * latency;
+}
+
+static double cold_rate_(const balance_t *b, const balance_upstream_t *u)
+{
+	const balance_service_t *s =
+		g_hash_table_lookup(b->services, u->service);
+
+	return s ? s->cold_per_s * COLD_SHARE / MAX(1, b->nodes) : 0;
+}
+
+bool balance_cold(const balance_t *b, const balance_upstream_t *u, mstime_t now)
+{
+	return now < u->cold_until && cold_rate_(b, u) > 0;
+}
+
+/* Tokens of this node's share; at most one is saved up. */
+bool balance_bears(const balance_t *b, balance_upstream_t *u, mstime_t now)
+{
+	if (!balance_cold(b, u, now))
+		return true;
+	u->permits +=
+		(double)(now - u->permits_at) * cold_rate_(b, u) / MSEC_PER_SEC;
+	u->permits = MIN(u->permits, 1.0);
+	u->permits_at = now;
+	return u->permits >= 1.0;
+}
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -20,28 +20,10 @@
 #define LEAVE_FIRST_SLACK 2.0
 #define LEAVE_LAST_FACTOR 1.6
 #define LEAVE_LAST_SLACK 2.5
-/* An engine keeps a prompt that nobody asks for about this long. */
-#define HOME_IDLE_MS 30000
-#define HOME_SWEEP_MS 5000
 /* Outstanding requests per slot above which a request would not start soon. */
 #define FULL_FACTOR 3
-/* Below this many outcomes nothing is said of an upstream. */
-#define SAMPLES_MIN 4
-/* An upstream is unsound from this share of failures on, */
-#define UNSOUND_FAILURES 0.25
-/* if that is also this many times the mean of the others; */
-#define UNSOUND_FACTOR 2.0
-/* or if its answers take this many times as long as those of the others. */
-#define UNSOUND_LATENCY 3.0
-#define UNSOUND_LATENCY_MIN_MS 60
 /* Interval of requests to an unsound upstream, to see whether it recovered. */
 #define TRIAL_INTERVAL_MS 700
-/* Share of a cold upstream's rate that is used; the rest is for stale views. */
-#define COLD_SHARE 0.9
-/* Weight of one prompt in the moving share of each. */
-#define PROMPT_WEIGHT (1.0 / 16)
-/* A share below this says nothing: the prompt came once of late. */
-#define HOT_SHARE (1.5 * PROMPT_WEIGHT)
 /* Part of a mean load that a hot prompt adds to each of its upstreams. */
 #define HOT_PART 0.5
 /* Turns the upper 53 bits of a hash into a number below 1. */
@@ -58,155 +40,6 @@
 	"baseline", "no upstream", "full", "cold",
 };
 
-static bool excluded_(const balance_ask_t *ask, const balance_upstream_t *u)
-{
-	for (int i = 0; i < ask->excluded; i++) {
-		if (ask->exclude[i] == u->number)
-			return true;
-	}
-	return false;
-}
-
-static bool in_service_(const balance_t *b, const balance_upstream_t *u,
-			const balance_ask_t *ask, mstime_t now)
-{
-	return !u->leaving && now >= u->shunned_until &&
-	       !strcmp(u->service, ask->service) &&
-	       !g_hash_table_contains(b->out, u->data_centre) &&
-	       !excluded_(ask, u);
-}
-
-/* What is known of the upstreams that a request may go to. */
-typedef struct candidates {
-	balance_upstream_t **list;
-	int *loads; /* parallel to list */
-	guint count;
-	double mean;	 /* load of all of the service, in use or not */
-	double failures; /* mean share */
-	double latency;	 /* mean, of those that have one */
-} candidates_t;
-
-/* Work of other nodes at upstreams without a report is taken as the mean. */
-static double mean_foreign_(const candidates_t *c, mstime_t now)
-{
-	double sum = 0;
-	int n = 0;
-
-	for (guint i = 0; i < c->count; i++) {
-		if (!balance_told(c->list[i], now))
-			continue;
-		sum += c->list[i]->foreign;
-		n++;
-	}
-	return n ? sum / n : 0;
-}
-
-static int load_(const balance_upstream_t *u, double mean_foreign, mstime_t now)
-{
-	double foreign = balance_foreign(u, mean_foreign, now);
-
-	return u->mine + (int)(MAX(0, foreign) + 0.5);
-}
-
-static void average_(candidates_t *c, int all)
-{
-	int timed = 0;
-
-	for (guint i = 0; i < c->count; i++) {
-		const balance_upstream_t *u = c->list[i];
-
-		c->mean += c->loads[i];
-		c->failures += u->failures;
-		if (u->latency_ms > 0) {
-			c->latency += u->latency_ms;
-			timed++;
-		}
-	}
-	if (c->count) {
-		c->mean /= all;
-		c->failures /= c->count;
-	}
-	if (timed)
-		c->latency /= timed;
-}
-
-static void gather_(const balance_t *b, const balance_ask_t *ask, mstime_t now,
-		    candidates_t *c)
-{
-	guint size = g_hash_table_size(b->by_id);
-	GHashTableIter iter;
-	gpointer value;
-	double foreign;
-	int all = 0;
-
-	*c = (candidates_t){ .list = g_new(balance_upstream_t *, size + 1),
-			     .loads = g_new(int, size + 1) };
-	g_hash_table_iter_init(&iter, b->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const balance_upstream_t *u = value;
-
-		if (in_service_(b, u, ask, now))
-			c->list[c->count++] = value;
-		else if (!strcmp(u->service, ask->service))
-			c->mean += u->mine + balance_left(u, now);
-		else
-			continue;
-		all++;
-	}
-	foreign = mean_foreign_(c, now);
-	for (guint i = 0; i < c->count; i++)
-		c->loads[i] = load_(c->list[i], foreign, now);
-	average_(c, all);
-}
-
-static void drop_(candidates_t *c)
-{
-	g_free(c->list);
-	g_free(c->loads);
-}
-
-/* Failures that all upstreams share say nothing about one of them. */
-static bool unsound_(const candidates_t *c, const balance_upstream_t *u)
-{
-	double others = c->failures;
-	double latency = c->latency;
-
-	if (u->samples < SAMPLES_MIN || c->count < 2)
-		return false;
-	others = (others * c->count - u->failures) / (c->count - 1);
-	if (u->failures > UNSOUND_FAILURES &&
-	    u->failures > UNSOUND_FACTOR * others)
-		return true;
-	latency = (latency * c->count - u->latency_ms) / (c->count - 1);
-	return u->latency_ms > UNSOUND_LATENCY_MIN_MS && latency > 0 &&
-	       u->latency_ms > UNSOUND_LATENCY * latency;
-}
-
-static double cold_rate_(const balance_t *b, const balance_upstream_t *u)
-{
-	const balance_service_t *s =
-		g_hash_table_lookup(b->services, u->service);
-
-	return s ? s->cold_per_s * COLD_SHARE / MAX(1, b->nodes) : 0;
-}
-
-static bool cold_(const balance_t *b, const balance_upstream_t *u, mstime_t now)
-{
-	return now < u->cold_until && cold_rate_(b, u) > 0;
-}
-
-/* Tokens of this node's share; at most one is saved up. */
-static bool bears_(const balance_t *b, balance_upstream_t *u, mstime_t now)
-{
-	if (!cold_(b, u, now))
-		return true;
-	u->permits +=
-		(double)(now - u->permits_at) * cold_rate_(b, u) / MSEC_PER_SEC;
-	u->permits = MIN(u->permits, 1.0);
-	u->permits_at = now;
-	return u->permits >= 1.0;
-}
-
 typedef struct choice {
 	int at; /* -1 for none */
 	double key;
@@ -239,49 +72,6 @@
 	best->score = score;
 }
 
-static gboolean idle_(gpointer key, gpointer value, gpointer arg)
-{
-	const balance_home_t *home = value;
-	const mstime_t *now = arg;
-
-	(void)key;
-	return *now - home->used_at > HOME_IDLE_MS;
-}
-
-/* What is known of a prompt; kept until nobody asks for it any more. */
-static balance_home_t *home_(balance_t *b, uint64_t affinity, mstime_t now)
-{
-	balance_home_t *home;
-	uint64_t *key;
-
-	if (now - b->swept_at > HOME_SWEEP_MS) {
-		b->swept_at = now;
-		g_hash_table_foreach_remove(b->homes, idle_, &now);
-	}
-	home = g_hash_table_lookup(b->homes, &affinity);
-	if (home)
-		return home;
-	key = g_new(uint64_t, 1);
-	*key = affinity;
-	home = g_new0(balance_home_t, 1);
-	home->used_at = now;
-	home->counted = b->prompts;
-	g_hash_table_insert(b->homes, key, home);
-	return home;
-}
-
-/* Counts a prompt; returns its moving share of all that this node gets. */
-static double share_(balance_t *b, balance_home_t *home)
-{
-	double others = (double)(b->prompts - home->counted);
-
-	b->prompts++;
-	home->share *= pow(1 - PROMPT_WEIGHT, others + 1);
-	home->share += PROMPT_WEIGHT;
-	home->counted = b->prompts;
-	return home->share;
-}
-
 /*
  * How many upstreams a prompt needs, so that it adds only a part of a mean
  * load to each. All nodes see about the same share, without telling each other.
@@ -290,8 +80,6 @@
 {
 	double load = share * c->mean * c->count;
 
-	if (share < HOT_SHARE)
-		return 1;
 	return MAX(1,
 		   (int)(load / (HOT_PART * MAX(c->mean, LEAVE_FIRST_SLACK)) +
 			 0.5));
@@ -346,10 +134,11 @@
 		    const candidates_t *c, mstime_t now, survey_t *s)
 {
 	balance_home_t *known =
-		ask->affinity ? home_(b, ask->affinity, now) : NULL;
+		ask->affinity ? balance_home(b, ask->affinity, now) : NULL;
 	uint64_t home = known ? known->number : 0;
 
-	*s = (survey_t){ .width = known ? width_(c, share_(b, known)) : 1,
+	*s = (survey_t){ .width =
+				 known ? width_(c, balance_share(b, known)) : 1,
 			 .home_number = home,
 			 .home = { -1 },
 			 .next = { -1 },
@@ -370,13 +159,13 @@
 			s->full = true;
 			continue;
 		}
-		if (!bears_(b, u, now)) {
+		if (!balance_bears(b, u, now)) {
 			s->cold = true;
 			continue;
 		}
 		s->able[s->able_count++] = (int)i;
 		consider_least_(&s->last, (int)i, key);
-		if (unsound_(c, u)) {
+		if (balance_unsound(c, u)) {
 			if (now >= u->trial_at && !u->mine)
 				s->trial = (int)i;
 			continue;
@@ -419,7 +208,7 @@
 		choice_t choice = { s->able[i], 0,
 				    rank_score(ask->affinity, u->hash, 1) };
 
-		if (!unsound_(c, u) &&
+		if (!balance_unsound(c, u) &&
 		    c->loads[choice.at] + 1 <= bound_(c, u, ask->affinity))
 			g_array_append_val(fit, choice);
 	}
@@ -520,15 +309,6 @@
 	return s->trial;
 }
 
-static void settle_(balance_t *b, uint64_t affinity, uint64_t number,
-		    mstime_t now)
-{
-	balance_home_t *home = home_(b, affinity, now);
-
-	home->number = number;
-	home->used_at = now;
-}
-
 /* A prompt that is in no cache yet is looked for in vain, at little cost. */
 static const balance_upstream_t *warm_(const balance_t *b,
 				       const candidates_t *c, const survey_t *s,
@@ -562,7 +342,7 @@
 	int at;
 
 	assert(b && ask && ask->service);
-	gather_(b, ask, now, &c);
+	balance_gather(b, ask, now, &c);
 	survey_(b, ask, &c, now, &s);
 	at = decide_(b, ask, &c, &s, now, &pick.reason);
 	if (at < 0) {
@@ -578,12 +358,13 @@
 			pick.warm = warm_(b, &c, &s, pick.upstream);
 		/* The place of one that was passed over is kept. */
 		if (ask->affinity && pick.reason == BALANCE_FIRST)
-			settle_(b, ask->affinity, pick.upstream->number, now);
-		if (cold_(b, pick.upstream, now))
+			balance_settle(b, ask->affinity, pick.upstream->number,
+				       now);
+		if (balance_cold(b, pick.upstream, now))
 			pick.upstream->permits -= 1;
 	}
 	pick.mean = c.mean;
 	g_free(s.able);
-	drop_(&c);
+	balance_drop(&c);
 	return pick;
 }
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -6,6 +6,62 @@
 
 #include <kcf/balance.h>
 
+/* What is known of the upstreams that a request may go to. */
+typedef struct candidates {
+	balance_upstream_t **list;
+	int *loads; /* parallel to list */
+	guint count;
+	double mean;	 /* load of all of the service, in use or not */
+	double failures; /* mean share */
+	double latency;	 /* mean, of those that have one */
+} candidates_t;
+
+/*
+ * balance_gather - the upstreams of a service that a request may go to.
+ * @c: ended with balance_drop
+ */
+void balance_gather(const balance_t *b, const balance_ask_t *ask, mstime_t now,
+		    candidates_t *c);
+void balance_drop(candidates_t *c);
+
+/*
+ * balance_unsound - whether an upstream fails or lags more than the others.
+ * Failures that all upstreams share say nothing about one of them.
+ */
+bool balance_unsound(const candidates_t *c, const balance_upstream_t *u);
+
+/*
+ * balance_cold - whether an upstream starts slowly now.
+ */
+bool balance_cold(const balance_t *b, const balance_upstream_t *u,
+		  mstime_t now);
+
+/*
+ * balance_bears - whether this node's share of a cold upstream's rate leaves
+ * one more request. At most one is saved up.
+ */
+bool balance_bears(const balance_t *b, balance_upstream_t *u, mstime_t now);
+
+/*
+ * balance_home - what is known of a prompt; kept until nobody asks for it any
+ * more.
+ */
+balance_home_t *balance_home(balance_t *b, uint64_t affinity, mstime_t now);
+
+/*
+ * balance_share - counts a prompt.
+ *
+ * Return: its moving share of all that this node gets, 0 to 1; 0 while that
+ * says nothing.
+ */
+double balance_share(balance_t *b, balance_home_t *home);
+
+/*
+ * balance_settle - a prompt is warm at an upstream from now on.
+ */
+void balance_settle(balance_t *b, uint64_t affinity, uint64_t number,
+		    mstime_t now);
+
 /*
  * balance_told - whether the last report of an upstream counts as present.
  */
