--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -11,6 +11,7 @@
 #include <kcf/address.h>
 #include <kcf/clock.h>
 #include <kcf/str.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -462,9 +463,12 @@
 		return 1;
 	for (;;) {
 		int peer = accept(fd, NULL, NULL);
+		int on = 1;
 
 		if (peer < 0)
 			continue;
+		/* Head and body are written apart. */
+		setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		g_mutex_lock(&state.lock);
 		state.connections++;
 		g_mutex_unlock(&state.lock);
