The end of a stream is told again to a caller that asks after it

The node threw [DONE] away as already sent, and took the clean end after it for an early one. Change: the end is passed on, so that each node on the way sees it.

--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -113,16 +113,18 @@
 {
 	if (e->comment || x->finished)
 		return;
+	if (str_eq(e->data, str_of("[DONE]")))
+		x->finished = true;
 	if (e->id >= 0) {
-		/* A resumed stream may begin before what was sent already. */
-		if (e->id <= x->last_id)
+		/* A resumed stream may begin before what was sent already. The
+		 * end is told again: only the close after it may be lacking.
+		 */
+		if (e->id <= x->last_id && !x->finished)
 			return;
 		x->last_id = e->id;
 	}
 	if (x->first_token_ms < 0)
 		x->first_token_ms = x->heard_at - x->sent_at;
-	if (str_eq(e->data, str_of("[DONE]")))
-		x->finished = true;
 	http_stream_write(x->req, e->raw);
 	x->wrote_at = x->heard_at;
 }
--- a/tests/scenarios/whole_answers.lua
+++ b/tests/scenarios/whole_answers.lua
@@ -107,6 +107,11 @@
 end)
 expect(have .. events(rest.body) == direct(f.engines[1], req).body, "continued stream differs")
 
+-- A caller that has the end, but not the close after it, asks once more: the
+-- stream ends well, and only the end is told again.
+local ended = chat(n, { chat = "ended", id = "ended-1", stream = true, tokens = 8, last = 9, timeout_ms = 5000 })
+expect(ended.status == 200 and not ended.err and events(ended.body) == "id: 9\ndata: [DONE]\n\n", "after the end: %s %s %s", ended.status, ended.err, ended.body)
+
 -- A slow reader gets everything.
 for _, engine in ipairs(f.engines) do fault(engine, { token_ms = 0 }) end
 local body = json_encode { model = MODEL, stream = true, max_tokens = 8000, messages = { { role = "user", content = "slow" } } }
