One piece for what stood twice: options, JSON answers, datagrams, scenario words

The path of the feeds is written once. - Dead: http_call_sent, ADMIN_CONNECTIONS, an unused time. - address, read_file, row and the single unlimited node are words, not copies. One difference: a node with owners looks for a pause before each message that it takes, no longer before a datagram that it rejects.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -115,11 +115,6 @@
 				      const char *value),
 			   void *arg);
 
-/*
- * http_call_sent - whether any byte of the request may have left.
- */
-bool http_call_sent(const http_call_t *call);
-
 /*
  * http_call_body - the collected body, for calls without a data function.
  */
--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -135,6 +135,11 @@
 	uint64_t incarnation;
 } member_self_t;
 
+/*
+ * member_log_change - writes the log line of a member's new state.
+ */
+void member_log_change(const member_t *m, member_state_t before);
+
 /*
  * members_init - starts with this node alone, in state joining.
  * @ms:   caller-owned memory
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -4,10 +4,11 @@
 #ifndef KCF_PEER_SOCKET_H
 #define KCF_PEER_SOCKET_H
 
-#include <kcf/str.h>
+#include <kcf/datagram.h>
 
-/* Takes one datagram; from is "ip:port". */
-typedef void (*peer_socket_fn)(void *ctx, str_t data, const char *from);
+/* Takes one message, which is freed after it; from is "ip:port". */
+typedef void (*peer_socket_fn)(void *ctx, unsigned int proc,
+			       const peer_message_t *m, const char *from);
 
 /*
  * peer_socket_open - binds a socket that never blocks.
@@ -18,8 +19,11 @@
 int peer_socket_open(const char *address);
 
 /*
- * peer_socket_receive - hands over every datagram that has come.
+ * peer_socket_receive - hands over every message that has come; counts what
+ * comes, and logs what is rejected.
+ * @key: PEER_KEY_BYTES bytes that all nodes share
  */
-void peer_socket_receive(int fd, peer_socket_fn fn, void *ctx);
+void peer_socket_receive(int fd, const unsigned char *key, peer_socket_fn fn,
+			 void *ctx);
 
 #endif
--- a/packages/ctl/cmd_experiment.c
+++ b/packages/ctl/cmd_experiment.c
@@ -77,28 +77,13 @@
 		  "Write a picture of the first seed", "FILE.png" },
 		{ 0 },
 	};
-	GOptionContext *context = g_option_context_new("experiment");
-	GError *error = NULL;
-	/* GLib expects the program's name first. */
-	char **args = g_new0(char *, (gsize)argc + 2);
-	int n = argc + 1;
-	bool ok;
+	const char *word;
 
-	args[0] = "experiment";
-	for (int i = 0; i < argc; i++)
-		args[i + 1] = argv[i];
-	g_option_context_add_main_entries(context, entries, NULL);
-	ok = g_option_context_parse(context, &n, &args, &error);
-	if (!ok) {
-		fprintf(stderr, "kcfctl: %s\n", error->message);
-		g_error_free(error);
-	} else if (n > 1) {
-		fprintf(stderr, "kcfctl: unexpected argument %s\n", args[1]);
-		ok = false;
-	}
-	g_option_context_free(context);
-	g_free(args);
-	return ok;
+	if (!ctl_options("experiment", entries, argc, argv, &word))
+		return false;
+	if (word)
+		fprintf(stderr, "kcfctl: unexpected argument %s\n", word);
+	return !word;
 }
 
 /* NULL when the settings make sense, else what is wrong. */
--- a/packages/ctl/ctl.c
+++ b/packages/ctl/ctl.c
@@ -194,3 +194,28 @@
 	}
 	json_decref(body);
 }
+
+bool ctl_options(const char *command, const GOptionEntry *entries, int argc,
+		 char **argv, const char **word)
+{
+	GOptionContext *context = g_option_context_new(command);
+	GError *error = NULL;
+	/* GLib expects the program's name first. */
+	char **args = g_new0(char *, (gsize)argc + 2);
+	int n = argc + 1;
+	bool ok;
+
+	args[0] = (char *)command;
+	for (int i = 0; i < argc; i++)
+		args[i + 1] = argv[i];
+	g_option_context_add_main_entries(context, entries, NULL);
+	ok = g_option_context_parse(context, &n, &args, &error);
+	if (!ok) {
+		fprintf(stderr, "kcfctl: %s\n", error->message);
+		g_error_free(error);
+	}
+	*word = ok && n > 1 ? args[1] : NULL;
+	g_option_context_free(context);
+	g_free(args);
+	return ok;
+}
--- a/packages/ctl/load_options.c
+++ b/packages/ctl/load_options.c
@@ -70,28 +70,14 @@
 		  "Path of run-once calls", "PATH" },
 		{ 0 },
 	};
-	GOptionContext *context = g_option_context_new("load");
-	GError *error = NULL;
-	/* GLib expects the program's name first. */
-	char **args = g_new0(char *, (gsize)argc + 2);
-	int n = argc + 1;
-	bool ok;
+	const char *word;
 
-	args[0] = "load";
-	for (int i = 0; i < argc; i++)
-		args[i + 1] = argv[i];
-	g_option_context_add_main_entries(context, entries, NULL);
-	ok = g_option_context_parse(context, &n, &args, &error);
-	if (!ok) {
-		fprintf(stderr, "kcfctl: %s\n", error->message);
-		g_error_free(error);
-	} else if (n > 1 || !o->model || !o->service || o->rate <= 0 ||
-		   o->duration_ms <= 0) {
-		fprintf(stderr, "usage: kcfctl load --model M --service S "
-				"--rate N --duration-ms N [...]\n");
-		ok = false;
-	}
-	g_option_context_free(context);
-	g_free(args);
-	return ok;
+	if (!ctl_options("load", entries, argc, argv, &word))
+		return false;
+	if (!word && o->model && o->service && o->rate > 0 &&
+	    o->duration_ms > 0)
+		return true;
+	fprintf(stderr, "usage: kcfctl load --model M --service S "
+			"--rate N --duration-ms N [...]\n");
+	return false;
 }
--- a/packages/ctl/private/ctl.h
+++ b/packages/ctl/private/ctl.h
@@ -65,6 +65,17 @@
 void ctl_print(const ctl_t *c, const ctl_reply_t *r,
 	       const char *const *columns);
 
+/*
+ * ctl_options - reads the options of a command; complains of unknown ones.
+ * @command: its name
+ * @entries: ended by an empty one
+ * @word:    receives the first argument that is no option, or NULL
+ *
+ * Return: false when they cannot be read.
+ */
+bool ctl_options(const char *command, const GOptionEntry *entries, int argc,
+		 char **argv, const char **word);
+
 /* The commands. */
 ctl_exit_t cmd_get(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_apply(ctl_t *c, int argc, char **argv);
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -125,6 +125,11 @@
 	return first + (last - first) * (double)(hash >> 11) * HASH_UNIT;
 }
 
+static bool within_bound_(const candidates_t *c, int at, uint64_t affinity)
+{
+	return c->loads[at] + 1 <= bound_(c, c->list[at], affinity);
+}
+
 /* Work that is only supposed fills nothing. */
 static bool full_(const balance_upstream_t *u, int load, mstime_t now)
 {
@@ -174,7 +179,7 @@
 			continue;
 		}
 		consider_least_(&s->least, (int)i, key);
-		if (c->loads[i] + 1 <= bound_(c, u, ask->affinity))
+		if (within_bound_(c, (int)i, ask->affinity))
 			consider_first_(&s->first, (int)i, score);
 	}
 }
@@ -212,7 +217,7 @@
 				    rank_score(ask->affinity, u->hash, 1) };
 
 		if (!balance_unsound(c, u) &&
-		    c->loads[choice.at] + 1 <= bound_(c, u, ask->affinity))
+		    within_bound_(c, choice.at, ask->affinity))
 			g_array_append_val(fit, choice);
 	}
 	g_array_sort(fit, by_score_);
--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -1,5 +1,6 @@
 #include "private/gateway.h"
 
+#include <kcf/json_text.h>
 #include <string.h>
 
 static void render_latencies_(const gateway_t *g, GString *text)
@@ -42,6 +43,14 @@
 	http_reply(req, status, headers, str_of(text));
 }
 
+void gateway_reply_tree(http_request_t *req, json_t *root)
+{
+	char *text = json_text(root);
+
+	gateway_reply_json(req, 200, text);
+	g_free(text);
+}
+
 static json_t *upstream_(const balance_upstream_t *u, mstime_t now)
 {
 	return json_pack("{s:s,s:s,s:s,s:s,s:b,s:i,s:i,s:I,s:f,s:f,s:I}", "id",
@@ -59,20 +68,15 @@
 	mstime_t now = clock_now();
 	GHashTableIter iter;
 	gpointer value;
-	json_t *root;
-	char *text;
 
 	g_hash_table_iter_init(&iter, g->balance.by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		json_array_append_new(list, upstream_(value, now));
-	root = json_pack("{s:s,s:s,s:I,s:o}", "node", g->conf->name, "phase",
-			 phase_string[g->phase], "config",
-			 g->table ? (json_int_t)g->table->version : -1,
-			 "upstreams", list);
-	text = json_dumps(root, JSON_COMPACT);
-	gateway_reply_json(req, 200, text);
-	free(text);
-	json_decref(root);
+	gateway_reply_tree(
+		req, json_pack("{s:s,s:s,s:I,s:o}", "node", g->conf->name,
+			       "phase", phase_string[g->phase], "config",
+			       g->table ? (json_int_t)g->table->version : -1,
+			       "upstreams", list));
 }
 
 static void on_admin_(void *ctx, http_request_t *req)
@@ -80,7 +84,7 @@
 	gateway_t *g = ctx;
 	str_t path = http_request_path(req);
 
-	if (str_eq(path, str_of("/v1/feeds")))
+	if (str_eq(path, str_of(GATEWAY_FEEDS_PATH)))
 		mirror_reply(g, req);
 	else if (str_eq(path, str_of("/v1/status")))
 		reply_status_(g, req);
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -65,6 +65,12 @@
 	kick_(f);
 }
 
+static void crossed_(forward_t *f)
+{
+	counter_add(COUNTER_CROSSED, 1);
+	forward_failed(f, FAULT_CROSSED);
+}
+
 static void on_kick_(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	forward_t *f = w->data;
@@ -74,11 +80,10 @@
 	if (!f->call)
 		return;
 	if (f->broken) {
-		counter_add(COUNTER_CROSSED, 1);
 		http_call_cancel(f->call);
 		f->call = NULL;
 		ev_timer_stop(f->gateway->loop, &f->late);
-		forward_failed(f, FAULT_CROSSED);
+		crossed_(f);
 		return;
 	}
 	if (http_stream_pending(f->req) > STREAM_HIGH_BYTES) {
@@ -274,8 +279,7 @@
 	ev_timer_stop(f->gateway->loop, &f->kick);
 	ev_timer_stop(f->gateway->loop, &f->late);
 	if (f->broken) {
-		counter_add(COUNTER_CROSSED, 1);
-		forward_failed(f, FAULT_CROSSED);
+		crossed_(f);
 	} else if (err != HTTP_OK) {
 		failed_(f, err);
 	} else if (f->answer.wrong_start) {
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -1,5 +1,6 @@
 #include "private/forward.h"
 
+#include <kcf/json_text.h>
 #include <kcf/logline.h>
 #include <string.h>
 
@@ -108,10 +109,9 @@
 	http_header_t headers[4] = { { "Content-Type",
 				       "application/problem+json" } };
 	int n = 1;
-	json_t *root =
-		json_pack("{s:i,s:s,s:s}", "status", (int)status, "title", why,
-			  "ran", f->may_have_run ? "unknown" : "no");
-	char *text = json_dumps(root, JSON_COMPACT);
+	char *text = json_text(json_pack("{s:i,s:s,s:s}", "status", (int)status,
+					 "title", why, "ran",
+					 f->may_have_run ? "unknown" : "no"));
 
 	if (retry_ms) {
 		f->gateway->speech->retry_after(retry_ms, after);
@@ -120,8 +120,7 @@
 	if (f->gateway->phase == GATEWAY_STOPPING)
 		headers[n++] = (http_header_t){ "Connection", "close" };
 	http_reply(f->req, status, headers, str_of(text));
-	free(text);
-	json_decref(root);
+	g_free(text);
 }
 
 void forward_refuse(forward_t *f, unsigned int status, const char *why,
@@ -410,12 +409,11 @@
 	forward_free_(f);
 }
 
-void forwards_tick(gateway_t *g, mstime_t now)
+void forwards_tick(gateway_t *g)
 {
 	GHashTableIter iter;
 	gpointer key;
 
-	(void)now;
 	g_hash_table_iter_init(&iter, g->forwards);
 	while (g_hash_table_iter_next(&iter, &key, NULL))
 		forward_resume_reading(key);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -18,7 +18,6 @@
  */
 #define STOP_TAKE_MS 2800
 #define FLUSH_INTERVAL_MS 50
-#define ADMIN_CONNECTIONS 64
 #define SIDE_CONNECTIONS 512
 #define SIDE_IDLE_S 30
 /* Longer than the idle limit of any caller. */
@@ -87,7 +86,7 @@
 			list,
 			MIN(DIRECTORY_TTL_MS, g->conf->directory_ttl_max_ms));
 		gateway_reply_json(req, 200, text);
-		free(text);
+		g_free(text);
 	} else {
 		gateway_reply_json(req, 503,
 				   "{\"error\":\"no node is ready\"}");
@@ -149,7 +148,7 @@
 	mirror_tick(g, now);
 	check_phase_(g);
 	gateway_peers_tick(g, now);
-	forwards_tick(g, now);
+	forwards_tick(g);
 	if (g->phase == GATEWAY_STOPPING && drained_(g, now))
 		ev_break(loop, EVBREAK_ALL);
 }
--- a/packages/gateway/mirror.c
+++ b/packages/gateway/mirror.c
@@ -11,8 +11,6 @@
 #define INTERVAL_MS 450
 #define ANSWER_MAX_MS 500
 
-static const char path[] = "/v1/feeds";
-
 static json_t *entry_(const feed_entry_t *e)
 {
 	gsize len = 0;
@@ -60,7 +58,6 @@
 {
 	mstime_t now = clock_now();
 	json_t *root = json_object();
-	char *text;
 
 	for (int i = 0; i <= FEED_UPSTREAMS; i++) {
 		int64_t from = 0;
@@ -70,10 +67,7 @@
 				    mirror_feed(&g->states[i],
 						(uint64_t)MAX(0, from), now));
 	}
-	text = json_dumps(root, JSON_COMPACT);
-	gateway_reply_json(req, 200, text);
-	free(text);
-	json_decref(root);
+	gateway_reply_tree(req, root);
 }
 
 void mirror_take(feed_state_t *s, const json_t *feed, mstime_t asked_at,
@@ -175,8 +169,8 @@
 		return;
 	url = g_strdup_printf("http://%s%s?operators=%" G_GUINT64_FORMAT
 			      "&upstreams=%" G_GUINT64_FORMAT,
-			      peer->operators, path, operators->next,
-			      upstreams->next);
+			      peer->operators, GATEWAY_FEEDS_PATH,
+			      operators->next, upstreams->next);
 	spec.url = url;
 	g->mirror_asked_at = now;
 	g->mirror_call = http_call_start(&g->store, &spec, &ops, g);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -134,25 +134,13 @@
 	send_(g, to->peer, PEER_LOADS, &m, true);
 }
 
-static void take_(void *ctx, str_t data, const char *from)
+static void take_message_(void *ctx, unsigned int proc, const peer_message_t *m,
+			  const char *from)
 {
 	gateway_t *g = ctx;
-	peer_message_t m = { 0 };
-	unsigned int proc;
-	int err;
-
-	counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
-		    (int64_t)data.len + DATAGRAM_OVERHEAD);
-	err = datagram_decode(g->conf->peer_key, data, clock_wall(), &proc, &m);
-	if (err) {
-		counter_add(COUNTER_MAC_REJECTED, 1);
-		LOG_EVENT(LOG_INFO, "datagram.rejected", F_STR("from", from),
-			  F_STR("error", datagram_err_string[-err]));
-		return;
-	}
-	take_loads_(g, &m);
-	members_receive(&g->members, clock_now(), from, proc, &m);
-	datagram_free(&m);
+
+	take_loads_(g, m);
+	members_receive(&g->members, clock_now(), from, proc, m);
 }
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
@@ -161,16 +149,13 @@
 
 	(void)loop;
 	(void)revents;
-	peer_socket_receive(g->socket, take_, g);
+	peer_socket_receive(g->socket, g->conf->peer_key, take_message_, g);
 }
 
 static void changed_(void *ctx, const member_t *m, member_state_t before)
 {
 	(void)ctx;
-	LOG_EVENT(LOG_NOTICE, "member.changed", F_STR("member", m->name),
-		  F_STR("state", member_state_string[m->state]),
-		  F_STR("before", member_state_string[before]),
-		  F_INT("incarnation", (int64_t)m->incarnation));
+	member_log_change(m, before);
 }
 
 static member_state_t own_state_(const gateway_t *g)
@@ -195,7 +180,8 @@
 		    members_count(&g->members, MEMBER_LIVE));
 }
 
-GPtrArray *gateway_peers_usable(const gateway_t *g)
+/* Of const member_t *, without this node. */
+static GPtrArray *live_others_(const gateway_t *g)
 {
 	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter iter;
@@ -206,8 +192,17 @@
 		const member_t *m = value;
 
 		if (m->state == MEMBER_LIVE && m != g->members.self)
-			g_ptr_array_add(list, m->callers);
+			g_ptr_array_add(list, value);
 	}
+	return list;
+}
+
+GPtrArray *gateway_peers_usable(const gateway_t *g)
+{
+	GPtrArray *list = live_others_(g);
+
+	for (guint i = 0; i < list->len; i++)
+		list->pdata[i] = ((member_t *)list->pdata[i])->callers;
 	if (gateway_ready(g))
 		g_ptr_array_add(list, g->members.self->callers);
 	return list;
@@ -244,18 +239,9 @@
 
 const member_t *gateway_peers_nth(gateway_t *g, guint n)
 {
-	GPtrArray *list = g_ptr_array_new();
+	GPtrArray *list = live_others_(g);
 	const member_t *found = NULL;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, g->members.by_name);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const member_t *m = value;
 
-		if (m->state == MEMBER_LIVE && m != g->members.self)
-			g_ptr_array_add(list, value);
-	}
 	g_ptr_array_sort(list, by_key_);
 	if (list->len)
 		found = list->pdata[n % list->len];
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -179,7 +179,7 @@
 
 /* forward.c */
 extern const http_server_ops_t forward_server_ops;
-void forwards_tick(gateway_t *g, mstime_t now);
+void forwards_tick(gateway_t *g);
 
 /* A call that is no caller's request is over; nothing was kept with it. */
 void gateway_closed(void *ctx, http_request_t *req, bool whole);
@@ -188,4 +188,10 @@
 void gateway_reply_json(http_request_t *req, unsigned int status,
 			const char *text);
 
+/* The same with a tree, whose reference is taken. */
+void gateway_reply_tree(http_request_t *req, json_t *root);
+
+/* Where a node tells others of its feeds, on the operators' interface. */
+#define GATEWAY_FEEDS_PATH "/v1/feeds"
+
 #endif
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -241,11 +241,6 @@
 		fn(arg, h->name, h->value);
 }
 
-bool http_call_sent(const http_call_t *call)
-{
-	return call->sends > 0;
-}
-
 str_t http_call_body(const http_call_t *call)
 {
 	return (str_t){ (const char *)call->body->data, call->body->len };
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -1,5 +1,7 @@
 #include <kcf/member.h>
 
+#include <kcf/logline.h>
+
 #include <assert.h>
 #include <string.h>
 
@@ -49,6 +51,14 @@
 	return (uint32_t)str_hash64(str_of(name), 0);
 }
 
+void member_log_change(const member_t *m, member_state_t before)
+{
+	LOG_EVENT(LOG_NOTICE, "member.changed", F_STR("member", m->name),
+		  F_STR("state", member_state_string[m->state]),
+		  F_STR("before", member_state_string[before]),
+		  F_INT("incarnation", (int64_t)m->incarnation));
+}
+
 void members_init(members_t *ms, const member_self_t *self, guint32 seed,
 		  const member_ops_t *ops, void *ctx, mstime_t now)
 {
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -146,30 +146,18 @@
 	}
 }
 
-static void take_datagram_(void *ctx, str_t data, const char *from)
+static void take_message_(void *ctx, unsigned int proc, const peer_message_t *m,
+			  const char *from)
 {
 	control_t *c = ctx;
-	peer_message_t m = { 0 };
-	unsigned int proc;
 	mstime_t now = clock_now();
-	int err;
 
+	/* Loads that waited while the process stood still are old. */
 	peers_check_pause(c, now);
-	counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
-		    (int64_t)data.len + DATAGRAM_OVERHEAD);
-	err = datagram_decode(c->settings->peer_key, data, clock_wall(), &proc,
-			      &m);
-	if (err) {
-		counter_add(COUNTER_MAC_REJECTED, 1);
-		LOG_EVENT(LOG_INFO, "datagram.rejected", F_STR("from", from),
-			  F_STR("error", datagram_err_string[-err]));
-		return;
-	}
-	for (u_int i = 0; i < m.loads.loads_len; i++)
-		sched_take_load(&c->sched, now, &m.loads.loads_val[i]);
-	take_loans_(c, now, &m);
-	members_receive(&c->members, now, from, proc, &m);
-	datagram_free(&m);
+	for (u_int i = 0; i < m->loads.loads_len; i++)
+		sched_take_load(&c->sched, now, &m->loads.loads_val[i]);
+	take_loans_(c, now, m);
+	members_receive(&c->members, now, from, proc, m);
 }
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
@@ -178,17 +166,14 @@
 
 	(void)loop;
 	(void)revents;
-	peer_socket_receive(c->socket, take_datagram_, c);
+	peer_socket_receive(c->socket, c->settings->peer_key, take_message_, c);
 }
 
 static void changed_(void *ctx, const member_t *m, member_state_t before)
 {
 	control_t *c = ctx;
 
-	LOG_EVENT(LOG_NOTICE, "member.changed", F_STR("member", m->name),
-		  F_STR("state", member_state_string[m->state]),
-		  F_STR("before", member_state_string[before]),
-		  F_INT("incarnation", (int64_t)m->incarnation));
+	member_log_change(m, before);
 	c->roster_changed = true;
 }
 
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -2,7 +2,9 @@
 
 #include <errno.h>
 #include <kcf/address.h>
-#include <kcf/datagram.h>
+#include <kcf/clock.h>
+#include <kcf/counter.h>
+#include <kcf/logline.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,7 +27,28 @@
 	return -1;
 }
 
-void peer_socket_receive(int fd, peer_socket_fn fn, void *ctx)
+static void take_(const unsigned char *key, str_t data, const char *from,
+		  peer_socket_fn fn, void *ctx)
+{
+	peer_message_t m = { 0 };
+	unsigned int proc;
+	int err;
+
+	counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
+		    (int64_t)data.len + DATAGRAM_OVERHEAD);
+	err = datagram_decode(key, data, clock_wall(), &proc, &m);
+	if (err) {
+		counter_add(COUNTER_MAC_REJECTED, 1);
+		LOG_EVENT(LOG_INFO, "datagram.rejected", F_STR("from", from),
+			  F_STR("error", datagram_err_string[-err]));
+		return;
+	}
+	fn(ctx, proc, &m, from);
+	datagram_free(&m);
+}
+
+void peer_socket_receive(int fd, const unsigned char *key, peer_socket_fn fn,
+			 void *ctx)
 {
 	char data[DATAGRAM_MAX + 1];
 	char from[ADDRESS_TEXT_MAX];
@@ -36,7 +59,7 @@
 	while ((n = recvfrom(fd, data, sizeof(data), 0, (struct sockaddr *)&sa,
 			     &len)) >= 0) {
 		address_format(&sa, from);
-		fn(ctx, (str_t){ data, (size_t)n }, from);
+		take_(key, (str_t){ data, (size_t)n }, from, fn, ctx);
 		len = sizeof(sa);
 	}
 }
--- a/tests/scenarios/gateway_measure.lua
+++ b/tests/scenarios/gateway_measure.lua
@@ -3,17 +3,9 @@
 dofile(scenarios .. "/measure.lua")
 dofile(scenarios .. "/gateway_words.lua")
 
-local function row(fmt, ...) print(string.format(fmt, ...)); io.stdout:flush() end
-
 local RATE, MS = 500, 5000
 
-local old = start_fleet { engine = { token_ms = 0, prefill_tps = 100000000, cache_tokens = 1000000 },
-	edit = function(resources)
-		for _, r in ipairs(resources) do
-			if r.kind == "Upstream" then r.body.slots, r.body.floor, r.body.ramp_s = 1000, 1000, 0 end
-			if r.name == "site" then r.body.load_bound = 100 end
-		end
-	end, nodes = 1 }
+local old = start_single_node()
 local f = start_site { gateways = 1, counter = { delay_ms = 0, slots = 1000 }, engine = { slots = 1000, events = 50, gap_ms = 20 } }
 local g = f.gateways[1]
 
--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -1,17 +1,7 @@
 -- Words for nodes on the users' platform: a store, runners and gateways.
 
-local function address(a, b, port) return string.format("127.%s.%d.%d:%d", net, a, b, port) end
-
 HOST, KEY1 = "site.example", "key-one"
 
-local function text_of(path)
-	local f = io.open(path)
-	if not f then return "" end
-	local text = f:read("a")
-	f:close()
-	return text
-end
-
 -- Routes of a manifest; fields given go before these.
 function route(prefix, kind, service, o)
 	local r = { name = "r" .. prefix, host = HOST, path_prefix = prefix, route_type = kind, service = service,
@@ -176,7 +166,7 @@
 	return n
 end
 
-function log_of(g) return text_of(g.out) end
+function log_of(g) return read_file(g.out) end
 
 -- Starts callers in the background; finish_callers gives their report.
 function start_callers(f, o)
@@ -192,8 +182,8 @@
 end
 
 function finish_callers(p)
-	expect(wait_exit(p, 120000) == 0, "callers: %s", text_of(p.path .. ".err"))
-	return json_decode(text_of(p.path .. ".out"))
+	expect(wait_exit(p, 120000) == 0, "callers: %s", read_file(p.path .. ".err"))
+	return json_decode(read_file(p.path .. ".out"))
 end
 
 function callers_of(f)
--- a/tests/scenarios/measure.lua
+++ b/tests/scenarios/measure.lua
@@ -58,3 +58,17 @@
 	file:close()
 	return (tonumber(fields[14]) + tonumber(fields[15])) * 10
 end
+
+-- One line of a report.
+function row(fmt, ...) print(string.format(fmt, ...)); io.stdout:flush() end
+
+-- One node before engines that answer at once, with no limit in force.
+function start_single_node()
+	return start_fleet { engine = { token_ms = 0, prefill_tps = 100000000, cache_tokens = 1000000 },
+		edit = function(resources)
+			for _, r in ipairs(resources) do
+				if r.kind == "Upstream" then r.body.slots, r.body.floor, r.body.ramp_s = 1000, 1000, 0 end
+				if r.name == "site" then r.body.load_bound = 100 end
+			end
+		end, nodes = 1 }
+end
--- a/tests/scenarios/measure_all.lua
+++ b/tests/scenarios/measure_all.lua
@@ -1,8 +1,6 @@
 -- Figures for docs/MEASUREMENTS.md; not a test. Prints Markdown.
 dofile(scenarios .. "/measure.lua")
 
-local function row(fmt, ...) print(string.format(fmt, ...)); io.stdout:flush() end
-
 local function finish(f)
 	for _, p in ipairs(f.nodes) do if not p.gone then kill(p) end end
 	for _, p in pairs(f.upstreams) do kill(p) end
@@ -18,13 +16,7 @@
 local f
 if os.getenv("KCF_PART") ~= "placement" then
 -- What a node adds to a request.
-f = start_fleet { engine = { token_ms = 0, prefill_tps = 100000000, cache_tokens = 1000000 },
-	edit = function(resources)
-		for _, r in ipairs(resources) do
-			if r.kind == "Upstream" then r.body.slots, r.body.floor, r.body.ramp_s = 1000, 1000, 0 end
-			if r.name == "site" then r.body.load_bound = 100 end
-		end
-	end, nodes = 1 }
+f = start_single_node()
 row("## What a node adds to a request\n")
 row("One node, 500 requests/s on loopback, whole answers of 8 tokens, 10 engines; the stand-in called directly in turn.\n")
 row("| round | direct p50 ms | direct p99 ms | by node p50 ms | by node p99 ms |\n|---|---|---|---|---|")
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -28,7 +28,8 @@
 
 function http(request) return http_all({ request })[1] end
 
-local function address(a, b, port) return string.format("127.%s.%d.%d:%d", net, a, b, port) end
+-- An address of this scenario alone.
+function address(a, b, port) return string.format("127.%s.%d.%d:%d", net, a, b, port) end
 
 local function write_file(path, text)
 	local f = assert(io.open(path, "w"))
@@ -36,7 +37,8 @@
 	f:close()
 end
 
-local function read_file(path)
+-- Text of a file, empty when it cannot be read.
+function read_file(path)
 	local f = io.open(path)
 	if not f then return "" end
 	local text = f:read("a")
--- a/tests/soak/soak.lua
+++ b/tests/soak/soak.lua
@@ -6,7 +6,6 @@
 local seconds = tonumber(os.getenv("KCF_SOAK_S") or "20")
 math.randomseed(seed)
 local function pick(list) return list[math.random(#list)] end
-local function address(a, b, port) return string.format("127.%s.%d.%d:%d", net, a, b, port) end
 
 local proxies = 0
 local function proxy(f, to)
