Gateway: failed attempts log their prompt segments and how far the answer was

Cause: the three hypotheses of the crashing segments could not be told apart from the logs: no line said what the prompts of the requests at a crashed upstream have in common, nor which of them the upstream had begun to answer. Change: attempt.failed has segments= (keys of the shared segments) and answer= (none, head, events). No logic changed.

--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -250,8 +250,10 @@
 static void forward_event_(forward_t *f, http_call_t *call,
 			   const sse_event_t *e)
 {
-	if (!e->comment)
+	if (!e->comment) {
 		record_progress_(f);
+		f->event_seen = true;
+	}
 	if (e->id >= 0) {
 		/* A resumed stream may repeat events that were already sent. */
 		if (e->id <= f->last_event_id)
@@ -283,6 +285,7 @@
 	g->buffered_bytes += data.len;
 	g_string_append_len(f->body, data.data, (gssize)data.len);
 	record_progress_(f);
+	f->event_seen = true;
 }
 
 static void on_data_(void *ctx, http_call_t *call, str_t data)
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -333,15 +333,37 @@
 					: f->pick.retry_ms);
 }
 
+/* What the upstream had sent in this attempt. */
+static const char *answer_stage_(const forward_t *f)
+{
+	if (f->event_seen)
+		return "events";
+	return f->response.status ? "head" : "none";
+}
+
+/* Keys of the shared prompt segments, in hexadecimal. */
+static void format_segments_(const forward_t *f, GString *out)
+{
+	for (int i = 0; i < f->in.segment_count; i++)
+		g_string_append_printf(out, "%s%016" G_GINT64_MODIFIER "x",
+				       i ? "," : "", f->in.segments[i]);
+}
+
 void forward_log_fault(const forward_t *f, const char *upstream, fault_t why)
 {
+	GString *segments = g_string_new(NULL);
+
+	format_segments_(f, segments);
 	LOG_EVENT(LOG_NOTICE, "attempt.failed", F_VIEW("request", f->in.id),
 		  F_STR("why", fault_string[why]), F_STR("upstream", upstream),
 		  F_INT("status", f->response.status),
 		  F_INT("arrivals", f->deliveries),
 		  F_INT("tries", f->attempt_count),
 		  F_INT("ms", clock_now() - f->sent_at),
-		  F_INT("last_event", f->last_event_id));
+		  F_INT("last_event", f->last_event_id),
+		  F_STR("answer", answer_stage_(f)),
+		  F_STR("segments", segments->str));
+	g_string_free(segments, TRUE);
 }
 
 static balance_outcome_t balance_outcome_(fault_t why)
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -55,6 +55,7 @@
 	mstime_t sent_at;
 	mstime_t first_at; /* first byte of the response, 0 before */
 	upstream_response_t response;
+	bool event_seen;	  /* an event, or a part of a plain body */
 	mstime_t progress_at;	  /* last event or part of the body */
 	int64_t progress_bytes;	  /* received at the first check without
 				     progress, or -1 */
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -100,6 +100,7 @@
 	f->sent_at = now;
 	f->first_at = 0;
 	f->failing = false;
+	f->event_seen = false;
 	f->response = (upstream_response_t){ 0 };
 	forward_drop_body(f);
 	f->progress_at = now;
