--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -22,6 +22,8 @@
 #define HEAD_MAX 65536
 #define BACKLOG 256
 #define LATE_MS 60
+/* A crash right after the head: the head arrives alone. */
+#define HEAD_LEAD_MS 5
 #define DRIP_MS 100
 #define ENDLESS_BLOCK 16384
 
@@ -53,6 +55,7 @@
 static gint gap_ms = 10;
 static gint delay_ms = 5;
 static gint slots = 8;
+static gchar *crash_segment;
 
 static const GOptionEntry entries[] = {
 	{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_address, "Address",
@@ -64,6 +67,8 @@
 	{ "delay-ms", 0, 0, G_OPTION_ARG_INT, &delay_ms, "Time of a call",
 	  "MS" },
 	{ "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Told to callers", "N" },
+	{ "crash-segment", 0, 0, G_OPTION_ARG_STRING, &crash_segment,
+	  "Crashes when it answers a prompt with this segment", "ID" },
 	{ 0 },
 };
 
@@ -326,11 +331,24 @@
 	return send_(fd, "%zx\r\n%s\r\n", strlen(text), text);
 }
 
+static bool crashes_(const request_t *r)
+{
+	char *segments = header_(r, "Prompt-Prefix");
+	bool found = crash_segment && strstr(segments, crash_segment);
+
+	g_free(segments);
+	return found;
+}
+
 static bool stream_(int fd, const request_t *r, const char *mode)
 {
 	head_(fd, r, 200, mode);
 	send_(fd, "Content-Type: text/event-stream\r\n"
 		  "Transfer-Encoding: chunked\r\n\r\n");
+	if (crashes_(r)) {
+		pause_(fd, HEAD_LEAD_MS);
+		_exit(1);
+	}
 	for (int64_t i = r->last_event + 1; i <= events; i++) {
 		char *event =
 			g_strdup_printf("id: %" G_GINT64_FORMAT
