Quarantine of prompt segments that crash upstreams

Cause: a missing shared memory of what a request has done. A request whose upstream had crashed was sent to the next one as after any broken connection, and each new request with the same segment counted as the first, as every node saw a part of the crashes and none what their requests had in common. Change: packages/decide/quarantine, pure code: the set of such ends, merged over the nodes by datagrams of their own (PEER_CRASHES; older builds reject them and keep the rest), gives holds on combinations of segments: two crashes of different upstreams, three where the prompt was answered before, less what was answered since, what ended together, and what ran beside an explained crash. A hold lasts 30 s, doubles with each crash, then one node at a time tries one request. A request whose upstream crashed as it began to answer is not sent again unless its segments were answered elsewhere; requests under way of a new hold are ended. 503 with Retry-After for what was not sent, 502 for what was. Lists at /v1/quarantine, log lines, counters. Why it works: a segment that is deadly whatever else the prompt holds is in each of the crashes and in no answer; any other one is in an answer soon.

--- a/include/kcf/datagram.h
+++ b/include/kcf/datagram.h
@@ -10,6 +10,7 @@
 #include "peer.h"
 #include <kcf/clock.h>
 #include <kcf/str.h>
+#include <stdbool.h>
 
 /* Maximum length; below the usual path MTU. */
 #define DATAGRAM_MAX 1400
@@ -61,4 +62,21 @@
  */
 void datagram_free(peer_message_t *m);
 
+/*
+ * datagram_is_crash_report - whether a datagram claims to be one; its MAC is
+ * not verified.
+ */
+bool datagram_is_crash_report(str_t data);
+
+/*
+ * datagram_encode_crashes, datagram_decode_crashes, datagram_free_crashes - the
+ * same as above for PEER_CRASHES.
+ */
+int datagram_encode_crashes(const unsigned char *key,
+			    const peer_crash_report_t *r, unsigned char *out,
+			    size_t *len);
+int datagram_decode_crashes(const unsigned char *key, str_t data, mstime_t wall,
+			    peer_crash_report_t *r);
+void datagram_free_crashes(peer_crash_report_t *r);
+
 #endif
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -7,9 +7,13 @@
 #include <kcf/byte_budget.h>
 #include <kcf/datagram.h>
 
-/* Handles one message, which is freed on return; from is "ip:port". */
-typedef void (*peer_socket_fn)(void *ctx, unsigned int proc,
-			       const peer_message_t *m, const char *from);
+/* Handlers of messages, which are freed on return; from is "ip:port". */
+typedef struct peer_socket_ops {
+	void (*message)(void *ctx, unsigned int proc, const peer_message_t *m,
+			const char *from);
+	void (*crashes)(void *ctx, const peer_crash_report_t *r,
+			const char *from);
+} peer_socket_ops_t;
 
 /*
  * peer_socket_open - binds a non-blocking socket.
@@ -20,12 +24,12 @@
 int peer_socket_open(const char *address);
 
 /*
- * peer_socket_receive - passes every received message to fn. Received bytes are
+ * peer_socket_receive - handles every received message. Received bytes are
  * counted; rejected datagrams are counted and logged.
  * @key: DATAGRAM_KEY_BYTES bytes, shared by all nodes
  */
-void peer_socket_receive(int fd, const unsigned char *key, peer_socket_fn fn,
-			 void *ctx);
+void peer_socket_receive(int fd, const unsigned char *key,
+			 const peer_socket_ops_t *ops, void *ctx);
 
 /* Socket, key and byte budget for sending. */
 typedef struct peer_sender {
@@ -47,4 +51,13 @@
 bool peer_socket_send(const peer_sender_t *s, const char *to, unsigned int proc,
 		      peer_message_t *m, bool force);
 
+/*
+ * peer_socket_send_crashes - sends one crash report, also when the budget is
+ * exhausted.
+ *
+ * Return: bytes sent, 0 when it was not sent.
+ */
+size_t peer_socket_send_crashes(const peer_sender_t *s, const char *to,
+				const peer_crash_report_t *r);
+
 #endif
--- /dev/null
+++ b/include/kcf/quarantine_report.h
@@ -0,0 +1,48 @@
+/*
+ * quarantine_report - how nodes tell each other, and operators, what the
+ * quarantine knows.
+ */
+#ifndef KCF_QUARANTINE_REPORT_H
+#define KCF_QUARANTINE_REPORT_H
+
+#include <kcf/datagram.h>
+#include <kcf/quarantine.h>
+#include <jansson.h>
+
+/* Nodes that are told of a new crash at once by each node that learns it. */
+#define QUARANTINE_FANOUT 4
+/* Interval at which known crashes are repeated to one random node. */
+#define QUARANTINE_REPEAT_MS 1000
+/* Interval at which a node that has just started asks for the known crashes. */
+#define QUARANTINE_ASK_MS 300
+
+/* Lists of one report, on the stack of its sender. */
+typedef struct quarantine_report {
+	peer_crash_report_t message;
+	peer_crash_t crashes[PEER_CRASHES_MAX];
+	quarantine_crash_t collected[PEER_CRASHES_MAX];
+	peer_answered_t answered[PEER_ANSWERED_MAX];
+} quarantine_report_t;
+
+/*
+ * quarantine_report_fill - fills a report with crashes and answered segments.
+ * @r: its message refers to its lists
+ */
+void quarantine_report_fill(quarantine_t *q, quarantine_report_t *r,
+			    mstime_t now);
+
+/*
+ * quarantine_report_apply - applies another node's report.
+ */
+void quarantine_report_apply(quarantine_t *q, const peer_crash_report_t *m,
+			     mstime_t now);
+
+/*
+ * quarantine_report_json - holds and crashes for operators; a new reference.
+ */
+json_t *quarantine_report_json(const quarantine_t *q, mstime_t now);
+
+/* Writes a log line for each change, and counts them; needs no context. */
+extern const quarantine_ops_t quarantine_log_ops;
+
+#endif
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -23,6 +23,8 @@
 	[COUNTER_REFUSED_UPSTREAM] = "kcf_refusals_total{reason=\"upstream\"}",
 	[COUNTER_REFUSED_NOT_READY] =
 		"kcf_refusals_total{reason=\"not_ready\"}",
+	[COUNTER_REFUSED_QUARANTINE] =
+		"kcf_refusals_total{reason=\"quarantine\"}",
 	[COUNTER_CALLERS_DISCONNECTED] = "kcf_callers_gone_total",
 	[COUNTER_CACHED_TOKENS] = "kcf_cached_tokens_total",
 	[COUNTER_PROMPT_TOKENS] = "kcf_prompt_tokens_total",
@@ -45,11 +47,15 @@
 	[COUNTER_ONCE_RUNS] = "kcf_once_runs_total",
 	[COUNTER_ONCE_REFUSED] = "kcf_once_refused_total",
 	[COUNTER_ONCE_UNKNOWN] = "kcf_once_unknown_total",
+	[COUNTER_CRASHES_SUSPECTED] = "kcf_crashes_suspected_total",
+	[COUNTER_QUARANTINE_HOLDS] = "kcf_quarantine_holds_total",
+	[COUNTER_QUARANTINE_RELEASES] = "kcf_quarantine_releases_total",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
 	[GAUGE_OWNED_UPSTREAMS] = "kcf_owned_upstreams",
 	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
+	[GAUGE_QUARANTINE_HOLDS] = "kcf_quarantine_holds",
 };
 
 void counter_add(counter_t c, int64_t n)
--- /dev/null
+++ b/packages/decide/quarantine_report.c
@@ -0,0 +1,188 @@
+#include <kcf/quarantine_report.h>
+
+#include <assert.h>
+#include <kcf/counter.h>
+#include <kcf/logline.h>
+
+/* Bits of the flags of a crash. */
+#define FLAG_KNOWN 1u
+#define FLAG_ALIVE 2u
+
+static void log_suspected_(void *ctx, const quarantine_crash_t *crash);
+static void log_held_(void *ctx, const quarantine_hold_t *hold);
+static void log_released_(void *ctx, const quarantine_hold_t *hold,
+			  const char *why);
+
+const quarantine_ops_t quarantine_log_ops = { log_suspected_, log_held_,
+					      log_released_ };
+
+static u_int age_(mstime_t at, mstime_t now)
+{
+	return (u_int)CLAMP(now - at, 0, QUARANTINE_KEEP_MS);
+}
+
+static void encode_crash_(quarantine_crash_t *c, mstime_t now,
+			  peer_crash_t *out)
+{
+	*out = (peer_crash_t){
+		.upstream = c->upstream,
+		.age_ms = age_(c->at, now),
+		.flags = (c->known ? FLAG_KNOWN : 0) |
+			 (c->alive ? FLAG_ALIVE : 0),
+	};
+	out->segments.segments_len = (u_int)c->prompt.count;
+	out->segments.segments_val = (u_quad_t *)c->prompt.segments;
+}
+
+static void decode_crash_(const peer_crash_t *m, mstime_t now,
+			  quarantine_crash_t *out)
+{
+	*out = (quarantine_crash_t){
+		.upstream = m->upstream,
+		.at = now - (mstime_t)m->age_ms,
+		.known = m->flags & FLAG_KNOWN,
+		.alive = m->flags & FLAG_ALIVE,
+	};
+	for (u_int i = 0; i < m->segments.segments_len; i++)
+		out->prompt.segments[out->prompt.count++] =
+			m->segments.segments_val[i];
+}
+
+void quarantine_report_fill(quarantine_t *q, quarantine_report_t *r,
+			    mstime_t now)
+{
+	quarantine_answered_t answered[PEER_ANSWERED_MAX];
+	int crash_count;
+	int answered_count;
+
+	assert(q && r);
+	crash_count = quarantine_collect(q, r->collected, PEER_CRASHES_MAX);
+	answered_count = quarantine_collect_answered(q, now, answered,
+						     PEER_ANSWERED_MAX);
+	for (int i = 0; i < crash_count; i++)
+		encode_crash_(&r->collected[i], now, &r->crashes[i]);
+	for (int i = 0; i < answered_count; i++)
+		r->answered[i] = (peer_answered_t){ answered[i].segment,
+						    age_(answered[i].at, now) };
+	r->message = (peer_crash_report_t){ .sent = (u_quad_t)clock_wall() };
+	r->message.crashes.crashes_len = (u_int)crash_count;
+	r->message.crashes.crashes_val = r->crashes;
+	r->message.answered.answered_len = (u_int)answered_count;
+	r->message.answered.answered_val = r->answered;
+}
+
+void quarantine_report_apply(quarantine_t *q, const peer_crash_report_t *m,
+			     mstime_t now)
+{
+	assert(q && m);
+	for (u_int i = 0; i < m->answered.answered_len; i++) {
+		const peer_answered_t *a = &m->answered.answered_val[i];
+		quarantine_answered_t answered = { a->segment,
+						   now - (mstime_t)a->age_ms };
+
+		quarantine_merge_answered(q, &answered, now);
+	}
+	for (u_int i = 0; i < m->crashes.crashes_len; i++) {
+		quarantine_crash_t c;
+
+		decode_crash_(&m->crashes.crashes_val[i], now, &c);
+		quarantine_merge_crash(q, &c, now);
+	}
+}
+
+static char *format_prompt_(const quarantine_prompt_t *p)
+{
+	GString *text = g_string_new(NULL);
+
+	for (int i = 0; i < p->count; i++)
+		g_string_append_printf(text, "%s%016" G_GINT64_MODIFIER "x",
+				       i ? "," : "", p->segments[i]);
+	return g_string_free(text, FALSE);
+}
+
+static void log_suspected_(void *ctx, const quarantine_crash_t *crash)
+{
+	char *segments = format_prompt_(&crash->prompt);
+	char upstream[16];
+
+	(void)ctx;
+	g_snprintf(upstream, sizeof(upstream), "%08x", crash->upstream);
+	counter_add(COUNTER_CRASHES_SUSPECTED, 1);
+	LOG_EVENT(LOG_NOTICE, "quarantine.suspected", F_STR("key", upstream),
+		  F_INT("known", crash->known), F_INT("alive", crash->alive),
+		  F_STR("segments", segments));
+	g_free(segments);
+}
+
+static void log_hold_(const char *event, const quarantine_hold_t *hold,
+		      const char *why)
+{
+	char *segments = format_prompt_(&hold->prompt);
+
+	LOG_EVENT(LOG_NOTICE, event, F_STR("segments", segments),
+		  F_STR("why", why), F_INT("crashes", hold->crashes),
+		  F_INT("over_ms", hold->last_at - hold->first_at),
+		  F_INT("hold_ms", hold->until - hold->last_at));
+	g_free(segments);
+}
+
+static void log_held_(void *ctx, const quarantine_hold_t *hold)
+{
+	(void)ctx;
+	counter_add(COUNTER_QUARANTINE_HOLDS, 1);
+	log_hold_("quarantine.held", hold, "upstreams crashed");
+}
+
+static void log_released_(void *ctx, const quarantine_hold_t *hold,
+			  const char *why)
+{
+	(void)ctx;
+	counter_add(COUNTER_QUARANTINE_RELEASES, 1);
+	log_hold_("quarantine.released", hold, why);
+}
+
+static json_t *segments_json_(const quarantine_prompt_t *p)
+{
+	json_t *list = json_array();
+
+	for (int i = 0; i < p->count; i++) {
+		char text[24];
+
+		g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
+			   p->segments[i]);
+		json_array_append_new(list, json_string(text));
+	}
+	return list;
+}
+
+json_t *quarantine_report_json(const quarantine_t *q, mstime_t now)
+{
+	json_t *holds = json_array();
+	json_t *crashes = json_array();
+
+	assert(q);
+	for (int i = 0; i < q->hold_count; i++) {
+		const quarantine_hold_t *h = &q->holds[i];
+
+		json_array_append_new(
+			holds,
+			json_pack("{s:o,s:i,s:I,s:I}", "segments",
+				  segments_json_(&h->prompt), "crashes",
+				  h->crashes, "last_crash_age_ms",
+				  (json_int_t)(now - h->last_at), "hold_ms",
+				  (json_int_t)MAX(0, h->until - now)));
+	}
+	for (int i = 0; i < q->crash_count; i++) {
+		const quarantine_crash_t *c = &q->crashes[i];
+		char key[16];
+
+		g_snprintf(key, sizeof(key), "%08x", c->upstream);
+		json_array_append_new(
+			crashes,
+			json_pack("{s:s,s:I,s:b,s:b,s:o}", "upstream_key", key,
+				  "age_ms", (json_int_t)(now - c->at), "known",
+				  c->known, "alive", c->alive, "segments",
+				  segments_json_(&c->prompt)));
+	}
+	return json_pack("{s:o,s:o}", "holds", holds, "crashes", crashes);
+}
--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -91,6 +91,10 @@
 		feed_sync_reply(g, req);
 	else if (str_eq(path, str_of("/v1/status")))
 		reply_status_(g, req);
+	else if (str_eq(path, str_of("/v1/quarantine")))
+		gateway_reply_json_tree(
+			req,
+			quarantine_report_json(&g->quarantine, clock_now()));
 	else if (str_eq(path, str_of("/metrics")))
 		reply_metrics_(g, req);
 	else if (str_eq(path, str_of("/healthz")))
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -209,6 +209,8 @@
 	if (f->route->affinity && is_success_(f->response.status))
 		balance_mark_warm(&f->gateway->balance, f->in.affinity,
 				  f->selected, now);
+	quarantine_record_alive(&f->gateway->quarantine, f->selected->key,
+				f->sent_at, now);
 	if (f->response.outstanding >= 0) {
 		f->gateway->load_reported_at = now;
 		balance_apply_report(f->selected, f->response.outstanding,
@@ -252,6 +254,8 @@
 {
 	if (!e->comment) {
 		record_progress_(f);
+		if (!f->event_seen)
+			crashes_record_answer(f);
 		f->event_seen = true;
 	}
 	if (e->id >= 0) {
@@ -336,6 +340,8 @@
 		   (const http_header_t *)(void *)headers->data,
 		   (str_t){ f->body->str, f->body->len });
 	g_array_unref(headers);
+	if (is_success_(f->response.status))
+		crashes_record_answer(f);
 	forward_complete(f, (unsigned int)f->response.status, "answered");
 	forward_release(f,
 			f->response.status < 500 ? BALANCE_OK : BALANCE_FAILED);
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -118,6 +118,24 @@
 			  F_STR("why", why));
 }
 
+static void log_entry_(const gateway_t *g, const balance_spec_t *spec,
+		       const feed_record_t *r, mstime_t now)
+{
+	const balance_upstream_t *u =
+		g_hash_table_lookup(g->balance.by_id, spec->id);
+	char key[16];
+
+	g_snprintf(key, sizeof(key), "%08x", u->key);
+	LOG_EVENT(LOG_NOTICE, "upstream.entry", F_STR("upstream", spec->id),
+		  F_STR("service", spec->service),
+		  F_STR("address", spec->address),
+		  F_STR("data_centre", spec->data_centre),
+		  F_INT("leaving", spec->leaving),
+		  F_INT("cold_ms", MAX(0, spec->cold_until - now)),
+		  F_INT("start", (int64_t)spec->start_id), F_STR("key", key),
+		  F_INT("offset", (int64_t)r->offset));
+}
+
 /* False if the record is only a heartbeat. */
 static bool apply_upstream_entry_(gateway_t *g, const char *id,
 				  const feed_record_t *r, mstime_t now)
@@ -135,16 +153,7 @@
 		spec.id = id;
 		changed = balance_put_upstream(&g->balance, &spec, now);
 		if (changed)
-			LOG_EVENT(
-				LOG_NOTICE, "upstream.entry",
-				F_STR("upstream", id),
-				F_STR("service", spec.service),
-				F_STR("address", spec.address),
-				F_STR("data_centre", spec.data_centre),
-				F_INT("leaving", spec.leaving),
-				F_INT("cold_ms", MAX(0, spec.cold_until - now)),
-				F_INT("start", (int64_t)spec.start_id),
-				F_INT("offset", (int64_t)r->offset));
+			log_entry_(g, &spec, r, now);
 	}
 	json_decref(holder);
 	return changed;
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -273,9 +273,12 @@
 static bool may_retry_(forward_t *f, fault_t why)
 {
 	gateway_t *g = f->gateway;
+	mstime_t held_ms;
 
 	if (!never_executed_(why) && !is_retryable_(f))
 		return false;
+	if (f->suspect || crashes_check(f, &held_ms))
+		return false;
 	if (!has_attempt_left_(f) || !gateway_data_is_current(g))
 		return false;
 	if (why == FAULT_CONNECT && !f->deliveries)
@@ -378,6 +381,7 @@
 	if (!f->selected)
 		return;
 	forward_log_fault(f, f->selected->id, why);
+	f->suspect = crashes_record(f, why) || f->suspect;
 	if (why == FAULT_CONNECT)
 		balance_eject(f->selected, now + EJECT_CONNECT_MS);
 	if (why == FAULT_INSTANCE)
@@ -488,6 +492,8 @@
 			       RETRY_AFTER_STOPPING_MS);
 		return;
 	}
+	if (crashes_refuse_held(f))
+		return;
 	retry_budget_count_request(service_budget_(f), &g->conf->retries,
 				   f->received_at);
 	if (start_attempt_(f))
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -152,6 +152,7 @@
 		return;
 	g->data_valid_from = now;
 	reader_resume(g, gap, now);
+	crashes_ask(g, now);
 	LOG_EVENT(LOG_WARNING, "node.paused", F_INT("ms", gap));
 }
 
@@ -342,6 +343,7 @@
 	balance_init(&g->balance, g->conf->data_centre, g_rand_int(g->rand));
 	g->balance.placement = g->conf->placement;
 	shares_init(&g->shares);
+	crashes_init(g);
 	http_client_init(&g->upstreams, g->loop);
 	http_client_init(&g->store, g->loop);
 	g->feed_client.http = &g->store;
@@ -365,6 +367,7 @@
 		latency_finish(&g->latency_first_byte[i]);
 		latency_finish(&g->latency_total[i]);
 	}
+	crashes_finish(g);
 	balance_finish(&g->balance);
 	shares_finish(&g->shares);
 	route_table_unref(g->table);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -175,13 +175,21 @@
 	members_receive(&g->members, clock_now(), from, proc, m);
 }
 
+static void on_crashes_(void *ctx, const peer_crash_report_t *r,
+			const char *from)
+{
+	crashes_receive(ctx, r, from);
+}
+
+static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_ };
+
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
 	gateway_t *g = w->data;
 
 	(void)loop;
 	(void)revents;
-	peer_socket_receive(g->socket, g->conf->peer_key, on_message_, g);
+	peer_socket_receive(g->socket, g->conf->peer_key, &socket_ops, g);
 }
 
 static void on_member_changed_(void *ctx, const member_t *m,
@@ -241,6 +249,7 @@
 	members_tick(&g->members, now);
 	update_ranking_(g);
 	send_gossip_(g, now);
+	crashes_tick(g, now);
 	counter_set(GAUGE_MEMBERS_LIVE, g->ranking->len);
 }
 
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -45,6 +45,7 @@
 	int attempt_count;
 	int deliveries; /* attempts that may have reached an upstream */
 	bool may_have_run;
+	bool suspect; /* its upstream crashed, maybe because of it */
 	balance_pick_t pick;
 	char upstream_id[64]; /* of the last attempt, for the log */
 
@@ -141,6 +142,33 @@
  */
 void forward_complete(forward_t *f, unsigned int status, const char *outcome);
 
+/* crashes.c */
+
+/*
+ * crashes_check - whether the request is held back, since its prompt has
+ * crashed upstreams.
+ * @retry_ms: receives the delay after which the caller may retry
+ */
+bool crashes_check(forward_t *f, mstime_t *retry_ms);
+
+/*
+ * crashes_refuse_held - refuses the request if it is held back.
+ */
+bool crashes_refuse_held(forward_t *f);
+
+/*
+ * crashes_record - records a failed attempt if its upstream ended as it began
+ * to answer.
+ *
+ * Return: whether the request may be the cause, and is not to be sent again.
+ */
+bool crashes_record(forward_t *f, fault_t why);
+
+/*
+ * crashes_record_answer - records that the answer has begun soundly.
+ */
+void crashes_record_answer(forward_t *f);
+
 /* send.c */
 
 /*
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -7,6 +7,7 @@
  * feed_sync.c  copies feeds between nodes
  * nodes.c      discovery for nodes without members
  * peers.c      membership, ranking of nodes, load gossip
+ * crashes.c    reports of crashed upstreams between nodes
  * forward.c    one request: routing, retries, final response
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
@@ -21,6 +22,7 @@
 #include <kcf/gateway.h>
 #include <kcf/latency.h>
 #include <kcf/member.h>
+#include <kcf/quarantine_report.h>
 #include <kcf/shares.h>
 
 /* Callers use at most this many addresses of a directory response. */
@@ -130,6 +132,12 @@
 	ev_io socket_io;
 	mstime_t next_gossip_at;
 	uint64_t incarnation;
+	quarantine_t quarantine;
+	bool crashes_hold_is_new;     /* requests under way may be part of it */
+	byte_budget_t crashes_budget; /* for reports of crashes */
+	mstime_t crashes_repeat_at;   /* next repeated report */
+	mstime_t crashes_ask_at;      /* next question for known crashes */
+	mstime_t crashes_ask_until;   /* 0 once another node has answered */
 	balance_t balance;
 	shares_t shares;      /* outstanding requests of each customer */
 	route_table_t *table; /* NULL before the first */
@@ -281,6 +289,15 @@
 /* Number of nodes that share limits, this one included. */
 int gateway_peers_sharing_count(const gateway_t *g);
 
+/* crashes.c */
+void crashes_init(gateway_t *g);
+void crashes_finish(gateway_t *g);
+void crashes_tick(gateway_t *g, mstime_t now);
+/* Asks other nodes for the crashes that this node may have missed. */
+void crashes_ask(gateway_t *g, mstime_t now);
+void crashes_receive(gateway_t *g, const peer_crash_report_t *m,
+		     const char *from);
+
 /* admin.c */
 extern const http_server_ops_t admin_server_ops;
 extern const http_server_ops_t metrics_server_ops;
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -144,13 +144,23 @@
 	members_receive(&c->members, now, from, proc, m);
 }
 
+static void on_crashes_(void *ctx, const peer_crash_report_t *r,
+			const char *from)
+{
+	(void)ctx;
+	(void)r;
+	(void)from;
+}
+
+static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_ };
+
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
 	control_t *c = w->data;
 
 	(void)loop;
 	(void)revents;
-	peer_socket_receive(c->socket, c->settings->peer_key, on_message_, c);
+	peer_socket_receive(c->socket, c->settings->peer_key, &socket_ops, c);
 }
 
 static void on_member_changed_(void *ctx, const member_t *m,
--- a/packages/wire/datagram.c
+++ b/packages/wire/datagram.c
@@ -1,5 +1,6 @@
 #include <kcf/datagram.h>
 
+#include <arpa/inet.h>
 #include <assert.h>
 #include <rpc/rpc.h>
 #include <sodium.h>
@@ -13,6 +14,8 @@
  * credential, and the flavor and length of the verifier.
  */
 #define MAC_OFFSET 40
+/* After xid, type, RPC version, program and version. */
+#define PROC_OFFSET 20
 
 const char *const datagram_err_string[] = {
 	"ok",
@@ -26,16 +29,17 @@
 static void compute_mac_(const unsigned char *key, const unsigned char *data,
 			 size_t len, unsigned char *mac);
 
-int datagram_encode(const unsigned char *key, unsigned int proc,
-		    const peer_message_t *m, unsigned char *out, size_t *len)
+/* Encodes one call with its arguments and signs it. */
+static int encode_(const unsigned char *key, unsigned int proc, uint32_t xid,
+		   xdrproc_t encode_args, const void *args, unsigned char *out,
+		   size_t *len)
 {
 	unsigned char mac[MAC_BYTES] = { 0 };
 	struct rpc_msg call = { 0 };
 	XDR xdrs;
 	bool ok;
 
-	assert(key && m && out && len);
-	call.rm_xid = m->seq;
+	call.rm_xid = xid;
 	call.rm_direction = CALL;
 	call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
 	call.rm_call.cb_prog = PEER_PROGRAM;
@@ -46,8 +50,7 @@
 	call.rm_call.cb_verf.oa_base = (caddr_t)mac;
 	call.rm_call.cb_verf.oa_length = MAC_BYTES;
 	xdrmem_create(&xdrs, (char *)out, DATAGRAM_MAX, XDR_ENCODE);
-	ok = xdr_callmsg(&xdrs, &call) &&
-	     xdr_peer_message_t(&xdrs, (peer_message_t *)m);
+	ok = xdr_callmsg(&xdrs, &call) && encode_args(&xdrs, (void *)args);
 	*len = xdr_getpos(&xdrs);
 	xdr_destroy(&xdrs);
 	if (!ok)
@@ -57,6 +60,23 @@
 	return DATAGRAM_OK;
 }
 
+int datagram_encode(const unsigned char *key, unsigned int proc,
+		    const peer_message_t *m, unsigned char *out, size_t *len)
+{
+	assert(key && m && out && len);
+	return encode_(key, proc, m->seq, (xdrproc_t)xdr_peer_message_t, m, out,
+		       len);
+}
+
+int datagram_encode_crashes(const unsigned char *key,
+			    const peer_crash_report_t *r, unsigned char *out,
+			    size_t *len)
+{
+	assert(key && r && out && len);
+	return encode_(key, PEER_CRASHES, 0, (xdrproc_t)xdr_peer_crash_report_t,
+		       r, out, len);
+}
+
 static bool decode_header_(XDR *xdrs, unsigned int *proc)
 {
 	char cred[MAX_AUTH_BYTES];
@@ -74,16 +94,18 @@
 	       call.rm_call.cb_cred.oa_length == 0;
 }
 
-int datagram_decode(const unsigned char *key, str_t data, mstime_t wall,
-		    unsigned int *proc, peer_message_t *m)
+/*
+ * Verifies one call and decodes its arguments, which are released on errors.
+ * @args: zeroed
+ */
+static int decode_(const unsigned char *key, str_t data, unsigned int *proc,
+		   xdrproc_t decode_args, void *args)
 {
 	unsigned char copy[DATAGRAM_MAX];
 	unsigned char mac[MAC_BYTES];
-	peer_message_t message = { 0 };
 	int err = DATAGRAM_OK;
 	XDR xdrs;
 
-	assert(key && proc && m);
 	if (data.len < MAC_OFFSET + MAC_BYTES || data.len > DATAGRAM_MAX)
 		return DATAGRAM_ESIZE;
 	memcpy(copy, data.data, data.len);
@@ -94,15 +116,32 @@
 	xdrmem_create(&xdrs, (char *)copy, (u_int)data.len, XDR_DECODE);
 	if (!decode_header_(&xdrs, proc))
 		err = DATAGRAM_EHEADER;
-	else if (!xdr_peer_message_t(&xdrs, &message) ||
-		 xdr_getpos(&xdrs) != data.len)
+	else if (!decode_args(&xdrs, args) || xdr_getpos(&xdrs) != data.len)
 		err = DATAGRAM_EBODY;
-	else if (llabs(wall - (mstime_t)message.sent) > DATAGRAM_AGE_MAX_MS)
-		err = DATAGRAM_EAGE;
 	xdr_destroy(&xdrs);
-	if (err) {
-		datagram_free(&message);
+	if (err)
+		xdr_free(decode_args, args);
+	return err;
+}
+
+static bool is_recent_(mstime_t wall, u_quad_t sent)
+{
+	return llabs(wall - (mstime_t)sent) <= DATAGRAM_AGE_MAX_MS;
+}
+
+int datagram_decode(const unsigned char *key, str_t data, mstime_t wall,
+		    unsigned int *proc, peer_message_t *m)
+{
+	peer_message_t message = { 0 };
+	int err;
+
+	assert(key && proc && m);
+	err = decode_(key, data, proc, (xdrproc_t)xdr_peer_message_t, &message);
+	if (err)
 		return err;
+	if (!is_recent_(wall, message.sent)) {
+		datagram_free(&message);
+		return DATAGRAM_EAGE;
 	}
 	*m = message;
 	return DATAGRAM_OK;
@@ -114,6 +153,46 @@
 	memset(m, 0, sizeof(*m));
 }
 
+bool datagram_is_crash_report(str_t data)
+{
+	uint32_t proc;
+
+	if (data.len < PROC_OFFSET + sizeof(proc))
+		return false;
+	memcpy(&proc, data.data + PROC_OFFSET, sizeof(proc));
+	return ntohl(proc) == PEER_CRASHES;
+}
+
+int datagram_decode_crashes(const unsigned char *key, str_t data, mstime_t wall,
+			    peer_crash_report_t *r)
+{
+	peer_crash_report_t report = { 0 };
+	unsigned int proc;
+	int err;
+
+	assert(key && r);
+	err = decode_(key, data, &proc, (xdrproc_t)xdr_peer_crash_report_t,
+		      &report);
+	if (err)
+		return err;
+	if (proc != PEER_CRASHES)
+		err = DATAGRAM_EHEADER;
+	else if (!is_recent_(wall, report.sent))
+		err = DATAGRAM_EAGE;
+	if (err) {
+		datagram_free_crashes(&report);
+		return err;
+	}
+	*r = report;
+	return DATAGRAM_OK;
+}
+
+void datagram_free_crashes(peer_crash_report_t *r)
+{
+	xdr_free((xdrproc_t)xdr_peer_crash_report_t, r);
+	memset(r, 0, sizeof(*r));
+}
+
 static void compute_mac_(const unsigned char *key, const unsigned char *data,
 			 size_t len, unsigned char *mac)
 {
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -8,6 +8,9 @@
 const PEER_FACTS_MAX = 24;
 const PEER_LOADS_MAX = 40;
 const PEER_LOANS_MAX = 8;
+const PEER_SEGMENTS_MAX = 16;
+const PEER_CRASHES_MAX = 6;
+const PEER_ANSWERED_MAX = 16;
 
 /* Membership record of one node. */
 struct peer_update_t {
@@ -56,6 +59,28 @@
 	peer_loan_t loans<PEER_LOANS_MAX>;
 };
 
+/* An upstream that ended while it began to answer a prompt. */
+struct peer_crash_t {
+	unsigned int upstream;
+	unsigned int age_ms;
+	unsigned int flags;
+	unsigned hyper segments<PEER_SEGMENTS_MAX>;
+};
+
+/* A prompt segment of such a crash that was answered since. */
+struct peer_answered_t {
+	unsigned hyper segment;
+	unsigned int age_ms;
+};
+
+/* A node that wants them has just started and is sent all crashes. */
+struct peer_crash_report_t {
+	unsigned hyper sent;
+	bool wanted;
+	peer_crash_t crashes<PEER_CRASHES_MAX>;
+	peer_answered_t answered<PEER_ANSWERED_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		void PEER_PING(peer_message_t) = 1;
@@ -63,5 +88,6 @@
 		void PEER_PING_REQ(peer_message_t) = 3;
 		void PEER_LOAN(peer_message_t) = 4;
 		void PEER_LOADS(peer_message_t) = 5;
+		void PEER_CRASHES(peer_crash_report_t) = 6;
 	} = 1;
 } = 0x20004b43;
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -28,28 +28,46 @@
 	return -1;
 }
 
-static void handle_datagram_(const unsigned char *key, str_t data,
-			     const char *from, peer_socket_fn fn, void *ctx)
+static void reject_(const char *from, int err)
+{
+	counter_add(COUNTER_DATAGRAMS_REJECTED, 1);
+	LOG_EVENT(LOG_INFO, "datagram.rejected", F_STR("from", from),
+		  F_STR("error", datagram_err_string[-err]));
+}
+
+static void handle_message_(const unsigned char *key, str_t data,
+			    const char *from, const peer_socket_ops_t *ops,
+			    void *ctx)
 {
 	peer_message_t m = { 0 };
 	unsigned int proc;
-	int err;
+	int err = datagram_decode(key, data, clock_wall(), &proc, &m);
 
-	counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
-		    (int64_t)data.len + DATAGRAM_OVERHEAD);
-	err = datagram_decode(key, data, clock_wall(), &proc, &m);
 	if (err) {
-		counter_add(COUNTER_DATAGRAMS_REJECTED, 1);
-		LOG_EVENT(LOG_INFO, "datagram.rejected", F_STR("from", from),
-			  F_STR("error", datagram_err_string[-err]));
+		reject_(from, err);
 		return;
 	}
-	fn(ctx, proc, &m, from);
+	ops->message(ctx, proc, &m, from);
 	datagram_free(&m);
 }
 
-void peer_socket_receive(int fd, const unsigned char *key, peer_socket_fn fn,
-			 void *ctx)
+static void handle_crashes_(const unsigned char *key, str_t data,
+			    const char *from, const peer_socket_ops_t *ops,
+			    void *ctx)
+{
+	peer_crash_report_t r = { 0 };
+	int err = datagram_decode_crashes(key, data, clock_wall(), &r);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	ops->crashes(ctx, &r, from);
+	datagram_free_crashes(&r);
+}
+
+void peer_socket_receive(int fd, const unsigned char *key,
+			 const peer_socket_ops_t *ops, void *ctx)
 {
 	char data[DATAGRAM_MAX + 1];
 	char from[ADDRESS_TEXT_MAX];
@@ -59,9 +77,15 @@
 
 	while ((n = recvfrom(fd, data, sizeof(data), 0, (struct sockaddr *)&sa,
 			     &len)) >= 0) {
+		str_t view = { data, (size_t)n };
+
 		address_format(&sa, from);
-		handle_datagram_(key, (str_t){ data, (size_t)n }, from, fn,
-				 ctx);
+		counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
+			    n + DATAGRAM_OVERHEAD);
+		if (datagram_is_crash_report(view))
+			handle_crashes_(key, view, from, ops, ctx);
+		else
+			handle_message_(key, view, from, ops, ctx);
 		len = sizeof(sa);
 	}
 }
@@ -113,3 +137,19 @@
 	counter_add(COUNTER_CONTROL_DROPPED, 1);
 	return false;
 }
+
+size_t peer_socket_send_crashes(const peer_sender_t *s, const char *to,
+				const peer_crash_report_t *r)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && r);
+	if (address_parse(to, &sa) &&
+	    !datagram_encode_crashes(s->key, r, data, &len) &&
+	    send_datagram_(s, &sa, data, len, true))
+		return len + DATAGRAM_OVERHEAD;
+	counter_add(COUNTER_CONTROL_DROPPED, 1);
+	return 0;
+}
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -25,6 +25,7 @@
 Suite *peer_socket_suite(void);
 Suite *platform_suite(void);
 Suite *power_suite(void);
+Suite *quarantine_suite(void);
 Suite *rank_suite(void);
 Suite *routing_suite(void);
 Suite *schema_suite(void);
--- a/tests/unit/test_peer_socket.c
+++ b/tests/unit/test_peer_socket.c
@@ -59,6 +59,8 @@
 		};
 }
 
+static const peer_socket_ops_t ops = { on_message_, NULL };
+
 START_TEST(test_send)
 {
 	int in = peer_socket_open(TO);
@@ -87,7 +89,7 @@
 			 cases[_i].sent ? 0 : 1);
 	if (cases[_i].sent)
 		ck_assert_int_eq(poll(&ready, 1, RECEIVE_TIMEOUT_MS), 1);
-	peer_socket_receive(in, key, on_message_, &received);
+	peer_socket_receive(in, key, &ops, &received);
 	ck_assert_int_eq(received.count, cases[_i].sent);
 	if (cases[_i].sent) {
 		ck_assert_uint_eq(received.updates, cases[_i].updates);
