Nodes with owners hold back chats that crash engines

Cause: the same as at gateways: an end of the connection was a reason to try the next engine, and nothing remembered what the requests had in common. Evidence: packages/node/retry.c retried after any lost connection, five times; jobs again after each 502. Change: the messages of a chat are the segments of its prompt. The relay reports ends before anything of an answer, and answers; the control task keeps the quarantine and refuses placements (reason held_back; 503 with ran=no, 502 after a crash). Engines that send the head with the first token give no sign of having begun: such ends are weak evidence (three crashes), the request is sent again unless an earlier crash fits it too, and at most two engines may end under one. The spreading of reports is now a module that both forms share (quarantine_gossip). GET /v1/quarantine, kcfctl holds. Ruled out: the start id to tell two ends of one engine apart: it is polled each second or two, so that a second crash looked like the first (5 crashes in place of 4). Counting two losses at the same engine as two: a cut whole answer was not tried elsewhere (scenario_whole_answers failed). Unit, whole_answers, owner_lost pass.

--- a/include/kcf/member.h
+++ b/include/kcf/member.h
@@ -203,6 +203,11 @@
  */
 void members_set_state(members_t *ms, mstime_t now, member_state_t state);
 
+/*
+ * members_random_peer - a random other member that is not dead, or NULL.
+ */
+member_t *members_random_peer(members_t *ms);
+
 /*
  * members_announce - sends this node's state to several peers at once.
  */
--- a/include/kcf/quarantine.h
+++ b/include/kcf/quarantine.h
@@ -27,11 +27,9 @@
 #define QUARANTINE_HOLDS_MAX 16
 /* Answered segments in one report to another node. */
 #define QUARANTINE_ANSWERED_MAX 16
-/* Crashes that are held against segments that were never answered, and against
- * those of which one was.
- */
-#define QUARANTINE_CRASHES_UNKNOWN 2
-#define QUARANTINE_CRASHES_KNOWN 3
+/* Crashes that give a hold, and the same if the evidence of one is weak. */
+#define QUARANTINE_CRASHES_STRONG 2
+#define QUARANTINE_CRASHES_WEAK 3
 /* Time for which requests are held back; doubles with each further crash. */
 #define QUARANTINE_HOLD_MS 30000
 /* Reports expire after this; longer than the longest hold. */
@@ -48,7 +46,8 @@
 	uint32_t upstream; /* key of one start of an upstream */
 	mstime_t at;
 	quarantine_prompt_t prompt;
-	bool known;	/* all its segments had been answered before */
+	bool weak; /* all segments had been answered before, or the upstream had
+		      not begun to answer */
 	bool alive;	/* the upstream has answered since: it did not crash */
 	bool unsent;	/* not told to other nodes yet */
 	bool explained; /* by a hold, while holds are computed */
@@ -125,11 +124,20 @@
 			   const quarantine_prompt_t *prompt, mstime_t now);
 
 /*
- * quarantine_record_crash - records that an upstream ended when it had begun to
- * answer a request and nothing of the answer had arrived.
+ * quarantine_count_crashes - most crashes that speak against one segment of a
+ * prompt.
+ */
+int quarantine_count_crashes(const quarantine_t *q,
+			     const quarantine_prompt_t *prompt);
+
+/*
+ * quarantine_record_crash - records that an upstream ended before anything of
+ * the answer to a request had arrived.
+ * @begun: the upstream had begun to answer
  */
 void quarantine_record_crash(quarantine_t *q, uint32_t upstream,
-			     const quarantine_prompt_t *prompt, mstime_t now);
+			     const quarantine_prompt_t *prompt, bool begun,
+			     mstime_t now);
 
 /*
  * quarantine_record_answer - records that an upstream has answered a request
--- a/include/kcf/quarantine_report.h
+++ b/include/kcf/quarantine_report.h
@@ -9,13 +9,6 @@
 #include <kcf/quarantine.h>
 #include <jansson.h>
 
-/* Nodes that are told of a new crash at once by each node that learns it. */
-#define QUARANTINE_FANOUT 4
-/* Interval at which known crashes are repeated to one random node. */
-#define QUARANTINE_REPEAT_MS 1000
-/* Interval at which a node that has just started asks for the known crashes. */
-#define QUARANTINE_ASK_MS 300
-
 /* Lists of one report, on the stack of its sender. */
 typedef struct quarantine_report {
 	peer_crash_report_t message;
--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -53,6 +53,7 @@
 	REFUSE_OVERLOAD,    /* the queue is full */
 	REFUSE_DEADLINE,    /* cannot start before its deadline */
 	REFUSE_MOVED,	    /* the ownership of the upstream is changing */
+	REFUSE_HELD,	    /* its prompt has crashed upstreams */
 	SCHED_REFUSAL_COUNT,
 } sched_refusal_t;
 
--- a/packages/ctl/cmd_resources.c
+++ b/packages/ctl/cmd_resources.c
@@ -296,6 +296,17 @@
 	return show_(c, "/v1/upstreams", cols);
 }
 
+ctl_exit_t cmd_holds(ctl_t *c, int argc, char **argv)
+{
+	static const char *const cols[] = { "segments", "crashes",
+					    "last_crash_age_ms", "hold_ms",
+					    NULL };
+
+	(void)argc;
+	(void)argv;
+	return show_(c, "/v1/quarantine", cols);
+}
+
 /* Asks one node; false when it does not know the request. */
 static bool explain_at_(ctl_t *c, const char *address, const char *path)
 {
--- a/packages/decide/quarantine.c
+++ b/packages/decide/quarantine.c
@@ -119,7 +119,7 @@
 	mstime_t counted_at = 0;
 
 	*hold = (quarantine_hold_t){ 0 };
-	*needed = QUARANTINE_CRASHES_UNKNOWN;
+	*needed = QUARANTINE_CRASHES_STRONG;
 	for (int i = 0; i < q->crash_count; i++) {
 		const quarantine_crash_t *c = &q->crashes[i];
 		quarantine_prompt_t open;
@@ -133,8 +133,8 @@
 		}
 		intersect_(&hold->prompt, &open);
 		hold->last_at = c->at;
-		if (c->known)
-			*needed = QUARANTINE_CRASHES_KNOWN;
+		if (c->weak)
+			*needed = QUARANTINE_CRASHES_WEAK;
 		if (hold->crashes && (c->at - counted_at <= COINCIDENT_MS ||
 				      is_repeated_(q, i, segment)))
 			continue;
@@ -232,7 +232,7 @@
 	}
 }
 
-/* Computes the holds from the crashes and answers that are known. */
+/* Computes the holds from the crashes and answers that are there. */
 static void judge_(quarantine_t *q, mstime_t now)
 {
 	quarantine_hold_t before[QUARANTINE_HOLDS_MAX];
@@ -315,6 +315,21 @@
 	return prompt->count > 0;
 }
 
+int quarantine_count_crashes(const quarantine_t *q,
+			     const quarantine_prompt_t *prompt)
+{
+	quarantine_hold_t hold;
+	int most = 0;
+	int needed;
+
+	assert(q && prompt);
+	for (int i = 0; i < prompt->count; i++) {
+		sum_crashes_(q, prompt->segments[i], &hold, &needed);
+		most = MAX(most, hold.crashes);
+	}
+	return most;
+}
+
 static quarantine_crash_t *find_crash_(quarantine_t *q,
 				       const quarantine_crash_t *like)
 {
@@ -347,17 +362,20 @@
 	return &q->crashes[at];
 }
 
-/* Makes room; crashes that are part of a hold stay longest. */
+/* Crashes that are part of a hold, then those with strong evidence. */
+static int usefulness_(const quarantine_crash_t *c)
+{
+	return 2 * c->explained + !c->weak;
+}
+
+/* Makes room: the oldest of the least useful goes. */
 static void remove_least_useful_(quarantine_t *q)
 {
 	int found = 0;
 
 	for (int i = 1; i < q->crash_count; i++) {
-		const quarantine_crash_t *c = &q->crashes[i];
-		const quarantine_crash_t *least = &q->crashes[found];
-
-		if (c->explained != least->explained ? !c->explained
-						     : c->at < least->at)
+		if (usefulness_(&q->crashes[i]) <
+		    usefulness_(&q->crashes[found]))
 			found = i;
 	}
 	remove_crash_(q, found);
@@ -382,18 +400,20 @@
 		remove_least_useful_(q);
 	c = insert_crash_(q, crash);
 	c->unsent = true;
-	c->known = c->known || is_known_(q, &c->prompt);
+	c->weak = c->weak || is_known_(q, &c->prompt);
 	if (q->ops->suspected)
 		q->ops->suspected(q->ctx, c);
 	judge_(q, now);
 }
 
 void quarantine_record_crash(quarantine_t *q, uint32_t upstream,
-			     const quarantine_prompt_t *prompt, mstime_t now)
+			     const quarantine_prompt_t *prompt, bool begun,
+			     mstime_t now)
 {
 	quarantine_crash_t c = { .upstream = upstream,
 				 .at = now,
-				 .prompt = *prompt };
+				 .prompt = *prompt,
+				 .weak = !begun };
 
 	assert(q && prompt && prompt->count <= QUARANTINE_SEGMENTS_MAX);
 	if (prompt->count && !find_crash_(q, &c))
@@ -419,8 +439,8 @@
 	/* Each hop adds its delay to the time: the earliest is the best. */
 	merged.at = MIN(c->at, crash->at);
 	merged.alive = c->alive || crash->alive;
-	merged.known = c->known || crash->known;
-	changed = merged.alive != c->alive || merged.known != c->known;
+	merged.weak = c->weak || crash->weak;
+	changed = merged.alive != c->alive || merged.weak != c->weak;
 	merged.unsent = c->unsent || changed;
 	remove_crash_(q, (int)(c - q->crashes));
 	insert_crash_(q, &merged);
--- a/packages/decide/quarantine_report.c
+++ b/packages/decide/quarantine_report.c
@@ -5,8 +5,10 @@
 #include <kcf/logline.h>
 
 /* Bits of the flags of a crash. */
-#define FLAG_KNOWN 1u
+#define FLAG_WEAK 1u
 #define FLAG_ALIVE 2u
+/* Size of an upstream's key as text, with its end. */
+#define KEY_TEXT_MAX 16
 
 static void log_suspected_(void *ctx, const quarantine_crash_t *crash);
 static void log_held_(void *ctx, const quarantine_hold_t *hold);
@@ -27,8 +29,8 @@
 	*out = (peer_crash_t){
 		.upstream = c->upstream,
 		.age_ms = age_(c->at, now),
-		.flags = (c->known ? FLAG_KNOWN : 0) |
-			 (c->alive ? FLAG_ALIVE : 0),
+		.flags =
+			(c->weak ? FLAG_WEAK : 0) | (c->alive ? FLAG_ALIVE : 0),
 	};
 	out->segments.segments_len = (u_int)c->prompt.count;
 	out->segments.segments_val = (u_quad_t *)c->prompt.segments;
@@ -40,7 +42,7 @@
 	*out = (quarantine_crash_t){
 		.upstream = m->upstream,
 		.at = now - (mstime_t)m->age_ms,
-		.known = m->flags & FLAG_KNOWN,
+		.weak = m->flags & FLAG_WEAK,
 		.alive = m->flags & FLAG_ALIVE,
 	};
 	for (u_int i = 0; i < m->segments.segments_len; i++)
@@ -90,6 +92,12 @@
 	}
 }
 
+/* An upstream's key as it is logged. */
+static void format_key_(uint32_t upstream, char *out)
+{
+	g_snprintf(out, KEY_TEXT_MAX, "%08x", upstream);
+}
+
 static char *format_prompt_(const quarantine_prompt_t *p)
 {
 	GString *text = g_string_new(NULL);
@@ -103,13 +111,13 @@
 static void log_suspected_(void *ctx, const quarantine_crash_t *crash)
 {
 	char *segments = format_prompt_(&crash->prompt);
-	char upstream[16];
+	char upstream[KEY_TEXT_MAX];
 
 	(void)ctx;
-	g_snprintf(upstream, sizeof(upstream), "%08x", crash->upstream);
+	format_key_(crash->upstream, upstream);
 	counter_add(COUNTER_CRASHES_SUSPECTED, 1);
 	LOG_EVENT(LOG_NOTICE, "quarantine.suspected", F_STR("key", upstream),
-		  F_INT("known", crash->known), F_INT("alive", crash->alive),
+		  F_INT("weak", crash->weak), F_INT("alive", crash->alive),
 		  F_STR("segments", segments));
 	g_free(segments);
 }
@@ -141,18 +149,30 @@
 	log_hold_("quarantine.released", hold, why);
 }
 
-static json_t *segments_json_(const quarantine_prompt_t *p)
+static json_t *hold_json_(const quarantine_hold_t *h, mstime_t now)
 {
-	json_t *list = json_array();
+	char *segments = format_prompt_(&h->prompt);
+	json_t *o = json_pack("{s:s,s:i,s:I,s:I}", "segments", segments,
+			      "crashes", h->crashes, "last_crash_age_ms",
+			      (json_int_t)(now - h->last_at), "hold_ms",
+			      (json_int_t)MAX(0, h->until - now));
 
-	for (int i = 0; i < p->count; i++) {
-		char text[24];
+	g_free(segments);
+	return o;
+}
 
-		g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x",
-			   p->segments[i]);
-		json_array_append_new(list, json_string(text));
-	}
-	return list;
+static json_t *crash_json_(const quarantine_crash_t *c, mstime_t now)
+{
+	char *segments = format_prompt_(&c->prompt);
+	char key[KEY_TEXT_MAX];
+	json_t *o;
+
+	format_key_(c->upstream, key);
+	o = json_pack("{s:s,s:I,s:b,s:b,s:s}", "upstream_key", key, "age_ms",
+		      (json_int_t)(now - c->at), "weak", c->weak, "alive",
+		      c->alive, "segments", segments);
+	g_free(segments);
+	return o;
 }
 
 json_t *quarantine_report_json(const quarantine_t *q, mstime_t now)
@@ -161,28 +181,10 @@
 	json_t *crashes = json_array();
 
 	assert(q);
-	for (int i = 0; i < q->hold_count; i++) {
-		const quarantine_hold_t *h = &q->holds[i];
-
-		json_array_append_new(
-			holds,
-			json_pack("{s:o,s:i,s:I,s:I}", "segments",
-				  segments_json_(&h->prompt), "crashes",
-				  h->crashes, "last_crash_age_ms",
-				  (json_int_t)(now - h->last_at), "hold_ms",
-				  (json_int_t)MAX(0, h->until - now)));
-	}
-	for (int i = 0; i < q->crash_count; i++) {
-		const quarantine_crash_t *c = &q->crashes[i];
-		char key[16];
-
-		g_snprintf(key, sizeof(key), "%08x", c->upstream);
-		json_array_append_new(
-			crashes,
-			json_pack("{s:s,s:I,s:b,s:b,s:o}", "upstream_key", key,
-				  "age_ms", (json_int_t)(now - c->at), "known",
-				  c->known, "alive", c->alive, "segments",
-				  segments_json_(&c->prompt)));
-	}
-	return json_pack("{s:o,s:o}", "holds", holds, "crashes", crashes);
+	for (int i = 0; i < q->hold_count; i++)
+		json_array_append_new(holds, hold_json_(&q->holds[i], now));
+	for (int i = 0; i < q->crash_count; i++)
+		json_array_append_new(crashes,
+				      crash_json_(&q->crashes[i], now));
+	return json_pack("{s:o,s:o}", "items", holds, "crashes", crashes);
 }
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -16,13 +16,11 @@
 	"queue is full",
 	"cannot start before the deadline",
 	"upstream is changing hands",
+	"prompt is held back",
 };
 
 const char *const sched_refusal_reason[] = {
-	"no_upstream",
-	"queue_full",
-	"deadline",
-	"moved",
+	"no_upstream", "queue_full", "deadline", "moved", "held_back",
 };
 
 const char *sched_refusal_reason_of(const char *text)
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -10,11 +10,6 @@
 #include <kcf/logline.h>
 #include <kcf/peer_socket.h>
 
-/*
- * Bytes of reports per second. They are urgent and few: they go before load
- * gossip, which leaves nothing of the byte budget in large fleets.
- */
-#define REPORT_BYTES_PER_S 2048
 /*
  * A connection that breaks this long after the head of its response was not
  * ended by the beginning of the answer.
@@ -53,76 +48,39 @@
 
 static const quarantine_ops_t ops = { on_suspected_, on_held_, on_released_ };
 
-void crashes_init(gateway_t *g)
-{
-	uint64_t hash = str_hash64(str_of(g->conf->name), 0);
-
-	g->crashes_budget.rate = REPORT_BYTES_PER_S;
-	quarantine_init(&g->quarantine, (double)hash / (double)UINT64_MAX, &ops,
-			g);
-}
-
-void crashes_finish(gateway_t *g)
+static const char *random_peer_(void *ctx)
 {
-	quarantine_finish(&g->quarantine);
-}
+	const member_t *m = gateway_peers_random(ctx);
 
-static bool may_send_(gateway_t *g, mstime_t now)
-{
-	return byte_budget_has_fraction(&g->crashes_budget, now, 0);
+	return m ? m->peer : NULL;
 }
 
-static void send_report_(gateway_t *g, const char *to,
-			 const peer_crash_report_t *m)
+static size_t send_report_(void *ctx, const char *to,
+			   const peer_crash_report_t *r)
 {
+	gateway_t *g = ctx;
 	peer_sender_t sender = { g->socket, g->conf->peer_key,
 				 &g->control_budget };
-	size_t bytes = peer_socket_send_crashes(&sender, to, m);
 
-	byte_budget_spend(&g->crashes_budget, clock_now(), (int64_t)bytes,
-			  true);
+	return peer_socket_send_crashes(&sender, to, r);
 }
 
-/* Sends what is new to several nodes; the rest waits for the byte budget. */
-static void send_unsent_(gateway_t *g, mstime_t now)
-{
-	quarantine_report_t r;
-
-	while (quarantine_has_unsent(&g->quarantine) && may_send_(g, now)) {
-		const member_t *last = NULL;
-
-		quarantine_report_fill(&g->quarantine, &r, now);
-		for (int i = 0; i < QUARANTINE_FANOUT; i++) {
-			const member_t *to = gateway_peers_random(g);
-
-			if (to && to != last)
-				send_report_(g, to->peer, &r.message);
-			last = to;
-		}
-	}
-}
+static const quarantine_gossip_ops_t gossip_ops = { random_peer_,
+						    send_report_ };
 
-static void send_repeated_(gateway_t *g, mstime_t now)
+void crashes_init(gateway_t *g)
 {
-	const member_t *to = gateway_peers_random(g);
-	quarantine_report_t r;
+	uint64_t hash = str_hash64(str_of(g->conf->name), 0);
 
-	g->crashes_repeat_at = now + QUARANTINE_REPEAT_MS;
-	if (!to || !g->quarantine.crash_count || !may_send_(g, now))
-		return;
-	quarantine_report_fill(&g->quarantine, &r, now);
-	send_report_(g, to->peer, &r.message);
+	quarantine_init(&g->quarantine, (double)hash / (double)UINT64_MAX, &ops,
+			g);
+	quarantine_gossip_init(&g->crash_gossip, &g->quarantine, &gossip_ops, g,
+			       clock_now());
 }
 
-static void ask_(gateway_t *g, mstime_t now)
+void crashes_finish(gateway_t *g)
 {
-	const member_t *to = gateway_peers_random(g);
-	peer_crash_report_t m = { .sent = (u_quad_t)clock_wall(),
-				  .wanted = TRUE };
-
-	g->crashes_ask_at = now + QUARANTINE_ASK_MS;
-	if (to)
-		send_report_(g, to->peer, &m);
+	quarantine_finish(&g->quarantine);
 }
 
 /* Whether an upstream may begin to answer the request and crash. */
@@ -163,31 +121,7 @@
 	quarantine_tick(&g->quarantine, now);
 	end_held_(g, now);
 	counter_set(GAUGE_QUARANTINE_HOLDS, g->quarantine.hold_count);
-	send_unsent_(g, now);
-	if (now >= g->crashes_repeat_at)
-		send_repeated_(g, now);
-	if (now < g->crashes_ask_until && now >= g->crashes_ask_at)
-		ask_(g, now);
-}
-
-void crashes_ask(gateway_t *g, mstime_t now)
-{
-	g->crashes_ask_until = now + GATEWAY_DISCOVERY_MS;
-}
-
-/* A node that is still asking itself has no complete answer. */
-static void reply_(gateway_t *g, const char *to, mstime_t now)
-{
-	quarantine_report_t r;
-	int sent = 0;
-
-	if (now < g->crashes_ask_until)
-		return;
-	do {
-		quarantine_report_fill(&g->quarantine, &r, now);
-		send_report_(g, to, &r.message);
-		sent += PEER_CRASHES_MAX;
-	} while (sent < g->quarantine.crash_count);
+	quarantine_gossip_tick(&g->crash_gossip, now);
 }
 
 void crashes_receive(gateway_t *g, const peer_crash_report_t *m,
@@ -195,13 +129,7 @@
 {
 	mstime_t now = clock_now();
 
-	if (m->wanted) {
-		reply_(g, from, now);
-		return;
-	}
-	g->crashes_ask_until = 0;
-	quarantine_report_apply(&g->quarantine, m, now);
-	send_unsent_(g, now);
+	quarantine_gossip_receive(&g->crash_gossip, m, from, now);
 	end_held_(g, now);
 }
 
@@ -243,8 +171,8 @@
 	/* A planned end is no crash. */
 	if (!f->selected->leaving) {
 		quarantine_record_crash(&g->quarantine, f->selected->key, &p,
-					now);
-		send_unsent_(g, now);
+					true, now);
+		quarantine_gossip_flush(&g->crash_gossip, now);
 	}
 	return !cleared;
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -152,7 +152,7 @@
 		return;
 	g->data_valid_from = now;
 	reader_resume(g, gap, now);
-	crashes_ask(g, now);
+	quarantine_gossip_ask(&g->crash_gossip, now);
 	LOG_EVENT(LOG_WARNING, "node.paused", F_INT("ms", gap));
 }
 
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -22,7 +22,7 @@
 #include <kcf/gateway.h>
 #include <kcf/latency.h>
 #include <kcf/member.h>
-#include <kcf/quarantine_report.h>
+#include <kcf/quarantine_gossip.h>
 #include <kcf/shares.h>
 
 /* Callers use at most this many addresses of a directory response. */
@@ -133,11 +133,8 @@
 	mstime_t next_gossip_at;
 	uint64_t incarnation;
 	quarantine_t quarantine;
-	bool crashes_hold_is_new;     /* requests under way may be part of it */
-	byte_budget_t crashes_budget; /* for reports of crashes */
-	mstime_t crashes_repeat_at;   /* next repeated report */
-	mstime_t crashes_ask_at;      /* next question for known crashes */
-	mstime_t crashes_ask_until;   /* 0 once another node has answered */
+	bool crashes_hold_is_new; /* requests under way may be part of it */
+	quarantine_gossip_t crash_gossip;
 	balance_t balance;
 	shares_t shares;      /* outstanding requests of each customer */
 	route_table_t *table; /* NULL before the first */
@@ -293,8 +290,6 @@
 void crashes_init(gateway_t *g);
 void crashes_finish(gateway_t *g);
 void crashes_tick(gateway_t *g, mstime_t now);
-/* Asks other nodes for the crashes that this node may have missed. */
-void crashes_ask(gateway_t *g, mstime_t now);
 void crashes_receive(gateway_t *g, const peer_crash_report_t *m,
 		     const char *from);
 
--- a/packages/member/member.c
+++ b/packages/member/member.c
@@ -55,7 +55,6 @@
 static void continue_pull_(members_t *ms, mstime_t now);
 static int random_peers_(members_t *ms, const char *except, member_t **chosen,
 			 int max);
-static member_t *random_peer_(members_t *ms);
 static void announce_pending_(members_t *ms, mstime_t now);
 static void add_to_probe_queue_(members_t *ms, const member_t *m);
 
@@ -527,7 +526,7 @@
 		m->gossip_left--;
 		write_update_(&updates[n++], m);
 	}
-	m = compact ? NULL : random_peer_(ms);
+	m = compact ? NULL : members_random_peer(ms);
 	if (m)
 		write_update_(&updates[n++], m);
 	return n;
@@ -749,7 +748,7 @@
 	return MIN(seen, max);
 }
 
-static member_t *random_peer_(members_t *ms)
+member_t *members_random_peer(members_t *ms)
 {
 	member_t *m;
 
--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -109,6 +109,7 @@
 	x->reported_cached_tokens = int_header_(call, "X-Cached-Tokens");
 	x->reported_start_id =
 		(uint64_t)MAX(0, int_header_(call, "X-Start-Id"));
+	x->head_seen = status == 200;
 	if (status == 200 && is_stream_(call))
 		begin_stream_(x, call);
 }
@@ -128,8 +129,10 @@
 			return;
 		x->last_event_id = e->id;
 	}
-	if (x->first_token_ms < 0)
+	if (x->first_token_ms < 0) {
 		x->first_token_ms = x->received_at - x->sent_at;
+		exchange_report_answered(x);
+	}
 	http_stream_write(x->req, e->raw);
 	x->written_at = x->received_at;
 }
@@ -335,6 +338,8 @@
 		exchange_handle_failure(x, FAILURE_RESUME_REFUSED);
 	} else {
 		exchange_release_permit(x, SCHED_DONE);
+		if (status == 200)
+			exchange_report_answered(x);
 		exchange_trace(x, "answered status=%d bytes=%zu", status,
 			       x->body->len);
 		reply_buffered_(x, call, status);
--- a/packages/node/control.c
+++ b/packages/node/control.c
@@ -103,6 +103,7 @@
 		return false;
 	}
 	config_stream_start(c);
+	chat_quarantine_start(c);
 	once_start(c);
 	jobs_start(c);
 	orders_start(c);
@@ -125,6 +126,7 @@
 	orders_stop(c);
 	jobs_stop(c);
 	once_stop(c);
+	chat_quarantine_stop(c);
 	config_stream_stop(c);
 	peers_stop(c);
 	http_client_finish(&c->http);
@@ -204,6 +206,7 @@
 	(void)revents;
 	peers_tick(c, now);
 	config_stream_tick(c, now);
+	chat_quarantine_tick(c, now);
 	load_poll_tick(c, now);
 	once_tick(c, now);
 	jobs_tick(c, now);
@@ -223,9 +226,26 @@
 		ev_timer_stop(loop, w);
 }
 
-static void place_request_(control_t *c, const sched_request_t *r)
+static void refuse_held_(control_t *c, uint64_t id, mstime_t retry_ms)
 {
-	sched_place(&c->sched, clock_now(), r);
+	const sched_decision_t refusal = { .id = id,
+					   .verdict = SCHED_REFUSE,
+					   .refusal = REFUSE_HELD,
+					   .retry_after_ms = retry_ms };
+
+	on_decided_(c, &refusal);
+}
+
+static void place_request_(control_t *c, const place_query_t *q)
+{
+	mstime_t now = clock_now();
+	mstime_t retry_ms;
+
+	if (chat_quarantine_check(c, q, now, &retry_ms)) {
+		refuse_held_(c, q->request.id, retry_ms);
+		return;
+	}
+	sched_place(&c->sched, now, &q->request);
 	/* The request may have been queued. */
 	ev_timer_start(c->task.loop, &c->dispatch_timer);
 }
@@ -302,6 +322,12 @@
 	case MSG_CANCEL:
 		sched_cancel(&c->sched, now, m->cancel);
 		break;
+	case MSG_CRASH:
+		chat_quarantine_record(c, &m->attempt, now);
+		break;
+	case MSG_ANSWERED:
+		chat_quarantine_record_answer(c, &m->attempt, now);
+		break;
 	case MSG_RELEASE:
 		sched_release(&c->sched, now, &m->release);
 		break;
--- a/packages/node/control_peers.c
+++ b/packages/node/control_peers.c
@@ -117,6 +117,21 @@
 	peer_socket_send(&sender, address, proc, &full, ignores_budget_(proc));
 }
 
+const char *peers_random(control_t *c)
+{
+	const member_t *m = members_random_peer(&c->members);
+
+	return m ? m->peer : NULL;
+}
+
+size_t peers_send_crashes(control_t *c, const char *to,
+			  const peer_crash_report_t *r)
+{
+	peer_sender_t sender = { c->socket, c->settings->peer_key, &c->budget };
+
+	return peer_socket_send_crashes(&sender, to, r);
+}
+
 static void apply_loans_(control_t *c, mstime_t now, const peer_message_t *m)
 {
 	mstime_t wall = clock_wall();
@@ -147,9 +162,7 @@
 static void on_crashes_(void *ctx, const peer_crash_report_t *r,
 			const char *from)
 {
-	(void)ctx;
-	(void)r;
-	(void)from;
+	chat_quarantine_receive(ctx, r, from);
 }
 
 static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_ };
@@ -258,6 +271,7 @@
 	LOG_EVENT(LOG_WARNING, "node.paused",
 		  F_INT("hold_ms", REJOIN_DELAY_MS));
 	sched_pause(&c->sched, now + REJOIN_DELAY_MS);
+	quarantine_gossip_ask(&c->crash_gossip, now);
 	control_rejoin(c, now + REJOIN_DELAY_MS);
 }
 
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -189,7 +189,7 @@
 void exchange_request_placement(exchange_t *x)
 {
 	message_t *m = message_new(MSG_PLACE);
-	sched_request_t *r = &m->place;
+	sched_request_t *r = &m->place.request;
 
 	r->id = x->id;
 	r->chat = x->chat;
@@ -206,6 +206,9 @@
 	r->target = x->target;
 	r->exclude_count = x->exclude_count;
 	memcpy(r->exclude, x->exclude, sizeof(r->exclude));
+	m->place.prompt = x->prompt;
+	m->place.lost_upstream = x->lost_upstream;
+	m->place.lost_begun = x->lost_begun;
 	x->placement_pending = true;
 	task_post(x->relay->control, m);
 }
@@ -220,6 +223,18 @@
 	       (a->refusal == REFUSE_NO_UPSTREAM && x->avoid_node[0]);
 }
 
+static counter_t refusal_counter_(sched_refusal_t why)
+{
+	switch (why) {
+	case REFUSE_DEADLINE:
+		return COUNTER_REFUSED_DEADLINE;
+	case REFUSE_HELD:
+		return COUNTER_REFUSED_QUARANTINE;
+	default:
+		return COUNTER_REFUSED_LOAD;
+	}
+}
+
 static void handle_placement_refusal_(exchange_t *x, const sched_decision_t *a)
 {
 	sched_refusal_t why = a->refusal;
@@ -230,11 +245,10 @@
 		why = REFUSE_MOVED;
 	}
 	x->reason = sched_refusal_reason[why];
-	exchange_refuse(x, 503, sched_refusal_string[why],
+	exchange_refuse(x, x->lost_upstream && why == REFUSE_HELD ? 502 : 503,
+			sched_refusal_string[why],
 			x->maybe_sent ? RAN_UNKNOWN : RAN_NO,
-			a->refusal == REFUSE_DEADLINE ? COUNTER_REFUSED_DEADLINE
-						      : COUNTER_REFUSED_LOAD,
-			MAX(1, a->retry_after_ms));
+			refusal_counter_(why), MAX(1, a->retry_after_ms));
 }
 
 void exchange_handle_placement(exchange_t *x, const sched_decision_t *a)
--- a/packages/node/filters.c
+++ b/packages/node/filters.c
@@ -237,6 +237,29 @@
 	return false;
 }
 
+/*
+ * Keys of the messages of a chat; of a long chat the first and the last ones.
+ */
+static void set_prompt_(exchange_t *x, const json_t *messages)
+{
+	size_t count = json_array_size(messages);
+	size_t skipped_from = QUARANTINE_SEGMENTS_MAX / 2;
+	uint64_t seed = str_hash64(str_of(x->model), 0);
+
+	for (size_t i = 0; i < count; i++) {
+		char *text;
+
+		if (i == skipped_from && count > QUARANTINE_SEGMENTS_MAX)
+			i += count - QUARANTINE_SEGMENTS_MAX;
+		text = json_dumps(json_array_get(messages, i),
+				  JSON_COMPACT | JSON_SORT_KEYS |
+					  JSON_ENCODE_ANY);
+		x->prompt.segments[x->prompt.count++] =
+			str_hash64(str_of(text), seed);
+		free(text);
+	}
+}
+
 static filter_result_t classify_chat_(exchange_t *x)
 {
 	str_t body = http_request_body(x->req);
@@ -268,6 +291,7 @@
 		x->wants_stream = json_is_true(json_object_get(root, "stream"));
 		x->prompt_tokens = (int64_t)body.len / BYTES_PER_TOKEN + 1;
 		set_chat_(x, name_parts[1] ? name_parts[1] : "");
+		set_prompt_(x, json_object_get(root, "messages"));
 	}
 	g_strfreev(name_parts);
 	json_decref(root);
--- a/packages/node/operators.c
+++ b/packages/node/operators.c
@@ -555,6 +555,11 @@
 		reply_audit_(c, req);
 	} else if (str_eq(path, str_of("/v1/nodes"))) {
 		reply_nodes_(c, req);
+	} else if (str_eq(path, str_of("/v1/quarantine"))) {
+		operators_reply_json(
+			req, 200,
+			quarantine_report_json(&c->quarantine, clock_now()),
+			NULL);
 	} else if (str_eq(path, str_of("/v1/upstreams"))) {
 		operators_reply_json(
 			req, 200,
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -16,6 +16,7 @@
 #include <kcf/http_server.h>
 #include <kcf/member.h>
 #include <kcf/platform.h>
+#include <kcf/quarantine_gossip.h>
 #include <kcf/settings.h>
 #include <kcf/task.h>
 
@@ -60,6 +61,10 @@
 	ev_io socket_io;
 	members_t members;
 	byte_budget_t budget;
+	quarantine_t quarantine;
+	quarantine_gossip_t crash_gossip;
+	GHashTable *upstream_ends; /* upstream's key to the time of its last end
+				    */
 	bool roster_changed;
 	bool isolated; /* no peer answers */
 	mstime_t next_host_list_fetch;
@@ -165,6 +170,28 @@
  */
 uint32_t peers_gossip_stamp(void);
 
+/* control_quarantine.c */
+void chat_quarantine_start(control_t *c);
+void chat_quarantine_stop(control_t *c);
+void chat_quarantine_tick(control_t *c, mstime_t now);
+void chat_quarantine_receive(control_t *c, const peer_crash_report_t *r,
+			     const char *from);
+/*
+ * chat_quarantine_check - whether a request is held back.
+ * @retry_ms: receives the delay after which the caller may retry
+ */
+bool chat_quarantine_check(control_t *c, const place_query_t *q, mstime_t now,
+			   mstime_t *retry_ms);
+void chat_quarantine_record(control_t *c, const attempt_report_t *r,
+			    mstime_t now);
+void chat_quarantine_record_answer(control_t *c, const attempt_report_t *r,
+				   mstime_t now);
+/* Nodes to choose a random peer from; NULL without any. */
+const char *peers_random(control_t *c);
+/* Sends a crash report; returns its bytes, 0 if it was not sent. */
+size_t peers_send_crashes(control_t *c, const char *to,
+			  const peer_crash_report_t *r);
+
 /* control_config.c */
 void config_stream_start(control_t *c);
 void config_stream_stop(control_t *c);
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -84,8 +84,9 @@
 	uint64_t chat; /* hash of chat, customer, service, model and adapter */
 	int urgency;   /* 0 (first) to 7, RFC 9218 */
 	mstime_t deadline;
-	mstime_t gap_ms;       /* longest silence within a stream */
-	int64_t prompt_tokens; /* estimate */
+	mstime_t gap_ms;	    /* longest silence within a stream */
+	int64_t prompt_tokens;	    /* estimate */
+	quarantine_prompt_t prompt; /* keys of a chat's messages */
 
 	/* deferred jobs */
 	char job[JOB_ID_MAX]; /* ROUTE_JOB: the job whose state is queried */
@@ -128,6 +129,10 @@
 	mstime_t received_at;	 /* last byte from the upstream */
 	mstime_t written_at;	 /* last byte to the caller */
 	mstime_t first_token_ms; /* after sent_at, or -1 */
+	bool head_seen;		 /* of the present attempt's answer */
+	uint32_t lost_upstream;	 /* ended before anything of its answer, or 0 */
+	int unanswered_ends;	 /* different upstreams that ended like this */
+	bool lost_begun;	 /* it had begun to answer */
 	/* from the answer's headers: -1, or 0 for the start id, if absent */
 	int64_t reported_prompt_tokens;
 	int64_t reported_cached_tokens;
@@ -192,6 +197,12 @@
  */
 void exchange_handle_once_reply(exchange_t *x, const once_reply_t *r);
 
+/*
+ * exchange_report_answered - tells the control task that the upstream has begun
+ * to answer.
+ */
+void exchange_report_answered(exchange_t *x);
+
 /*
  * exchange_retry_claim - runs filter_once again, to find the present owner of
  * the run-once key.
--- a/packages/node/private/messages.h
+++ b/packages/node/private/messages.h
@@ -8,6 +8,7 @@
 #define KCF_PRIVATE_MESSAGES_H
 
 #include <kcf/jobs.h>
+#include <kcf/quarantine.h>
 #include <kcf/sched.h>
 #include <kcf/view.h>
 
@@ -16,6 +17,8 @@
 	MSG_PLACE,	  /* asks for a placement */
 	MSG_CANCEL,	  /* withdraws a MSG_PLACE */
 	MSG_RELEASE,	  /* how a placed request ended */
+	MSG_CRASH,	  /* an upstream ended before anything of an answer */
+	MSG_ANSWERED,	  /* an upstream has begun to answer a prompt */
 	MSG_WHERE,	  /* GET /v1/where */
 	MSG_TRACE,	  /* steps of a closed request, to be kept */
 	MSG_LOADS,	  /* value of a LOADS_HEADER */
@@ -93,6 +96,20 @@
 #define REQUEST_ID_MAX 64
 #define ONCE_KEY_MAX 320
 
+typedef struct place_query {
+	sched_request_t request;
+	quarantine_prompt_t prompt;
+	uint32_t lost_upstream; /* ended before anything of an answer, or 0 */
+	bool lost_begun;	/* it had begun to answer */
+} place_query_t;
+
+/* What became of an attempt at an upstream, for the quarantine. */
+typedef struct attempt_report {
+	uint32_t upstream;
+	quarantine_prompt_t prompt;
+	bool begun; /* MSG_CRASH: the answer had begun */
+} attempt_report_t;
+
 typedef struct where_query {
 	uint64_t id;
 	char service[SCHED_NAME_MAX];
@@ -177,7 +194,8 @@
 typedef struct message {
 	message_type_t type;
 	union {
-		sched_request_t place;
+		place_query_t place;
+		attempt_report_t attempt;
 		uint64_t cancel;
 		sched_outcome_t release;
 		where_query_t where;
--- a/packages/node/retry.c
+++ b/packages/node/retry.c
@@ -14,6 +14,8 @@
 #define OWNER_POLL_MS 200
 /* Failed attempts to connect to nodes after which the request waits. */
 #define UNREACHABLE_NODES_MAX 2
+/* Upstreams that may end under one request before anything of its answer. */
+#define UNANSWERED_ENDS_MAX 2
 
 const char *const failure_string[] = {
 	"cannot connect",
@@ -162,7 +164,8 @@
 
 	if (at_node && proves_unsent_(why))
 		return retry_unsent_(x, why);
-	if (x->retries >= RETRIES_MAX)
+	if (x->retries >= RETRIES_MAX ||
+	    x->unanswered_ends >= UNANSWERED_ENDS_MAX)
 		return false;
 	x->retries++;
 	counter_add(COUNTER_RETRIES, 1);
@@ -203,8 +206,44 @@
 			COUNTER_REFUSED_UPSTREAM, RETRY_AFTER_FAILURE_MS);
 }
 
+static void post_attempt_(exchange_t *x, message_type_t type, bool begun)
+{
+	message_t *m = message_new(type);
+
+	m->attempt = (attempt_report_t){ .upstream = x->placement.key,
+					 .prompt = x->prompt,
+					 .begun = begun };
+	task_post(x->relay->control, m);
+}
+
+void exchange_report_answered(exchange_t *x)
+{
+	if (x->prompt.count && x->placement.verdict == SCHED_RUN)
+		post_attempt_(x, MSG_ANSWERED, true);
+}
+
+/* Whether an upstream ended before anything of the answer had arrived. */
+static bool is_unanswered_end_(const exchange_t *x, failure_t why)
+{
+	return (why == FAILURE_CONNECTION_LOST || why == FAILURE_EARLY_END) &&
+	       x->placement.verdict == SCHED_RUN && x->prompt.count &&
+	       x->first_token_ms < 0;
+}
+
+/* Such an upstream may have crashed because of the request. */
+static void report_end_(exchange_t *x)
+{
+	post_attempt_(x, MSG_CRASH, x->head_seen);
+	/* One that fails twice in a row is tried elsewhere. */
+	x->unanswered_ends += x->placement.key != x->lost_upstream;
+	x->lost_upstream = x->placement.key;
+	x->lost_begun = x->head_seen;
+}
+
 void exchange_handle_failure(exchange_t *x, failure_t why)
 {
+	if (is_unanswered_end_(x, why))
+		report_end_(x);
 	if (proves_unsent_(why))
 		x->maybe_sent = x->maybe_sent_before;
 	exchange_release_permit(x, why == FAILURE_CONNECT
--- a/packages/node/send.c
+++ b/packages/node/send.c
@@ -146,6 +146,7 @@
 	x->sent_at = clock_now();
 	x->received_at = x->sent_at;
 	x->first_token_ms = -1;
+	x->head_seen = false;
 	x->mismatched = false;
 	x->paused = false;
 	g_string_truncate(x->body, 0);
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -30,6 +30,7 @@
 	GString *text;
 	ev_timer timer;
 	bool counted;
+	bool crashes; /* the engine crashes with its first token */
 } job_t;
 
 static struct {
@@ -68,6 +69,7 @@
 	int late_ms;	  /* requests take longer to arrive */
 	int down;	  /* load reports fail too */
 	int ignore_fences;
+	char crash_text[64]; /* in a prompt */
 } fault;
 
 static void on_token_(struct ev_loop *loop, ev_timer *w, int revents);
@@ -236,6 +238,8 @@
 		http_stream_end(j->req, false);
 		return;
 	}
+	if (j->crashes)
+		_exit(1);
 	if (fault.silent_after && j->at >= fault.silent_after)
 		return;
 	if (j->at < j->tokens) {
@@ -368,6 +372,9 @@
 	j->request_id = str_dup(http_request_header(r, "X-Request-Id"));
 	j->seed = str_hash64(body, 0);
 	j->stream = json_is_true(json_object_get(root, "stream"));
+	j->crashes =
+		fault.crash_text[0] && body.len &&
+		g_strstr_len(body.data, (gssize)body.len, fault.crash_text);
 	j->tokens =
 		(int)json_integer_value(json_object_get(root, "max_tokens"));
 	if (j->tokens <= 0)
@@ -457,6 +464,10 @@
 	standin_switch(s, "ignore_fences", &fault.ignore_fences);
 	if (json_is_object(json_object_get(s, "models")))
 		json_object_update(e.models, json_object_get(s, "models"));
+	if (json_is_string(json_object_get(s, "crash_text")))
+		g_strlcpy(fault.crash_text,
+			  json_string_value(json_object_get(s, "crash_text")),
+			  sizeof(fault.crash_text));
 	standin_switch(s, "token_ms", &e.o.token_ms);
 	standin_switch(s, "restart", &restart);
 	standin_switch(s, "reset", &reset);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -26,6 +26,7 @@
 
 typedef enum step_kind {
 	STEP_END,
+	STEP_LOST,   /* an upstream ends before it begins to answer */
 	STEP_CRASH,  /* an upstream ends as it begins to answer */
 	STEP_ANSWER, /* some upstream answers */
 	STEP_ALIVE,  /* an upstream answers something */
@@ -138,6 +139,20 @@
 	  1000,
 	  true,
 	  false },
+	{ "ends before the answers begin are weak evidence",
+	  { { STEP_LOST, 0, 1, { SYSTEM, CRASHING, THING } },
+	    { STEP_LOST, 500, 2, { SYSTEM, CRASHING, THING } } },
+	  1000,
+	  false,
+	  false },
+	{ "but three of them are enough",
+	  { { STEP_LOST, 0, 1, { SYSTEM, CRASHING, THING } },
+	    { STEP_LOST, 500, 2, { SYSTEM, CRASHING, THING } },
+	    { STEP_ANSWER, 700, 9, { SYSTEM, THING } },
+	    { STEP_LOST, 1000, 3, { SYSTEM, CRASHING, THING } } },
+	  2000,
+	  true,
+	  false },
 	{ "a hold ends",
 	  { { STEP_CRASH, 0, 1, { SYSTEM, CRASHING, THING } },
 	    { STEP_CRASH, 500, 2, { SYSTEM, CRASHING, THING } } },
@@ -160,7 +175,9 @@
 
 		switch (s->kind) {
 		case STEP_CRASH:
+		case STEP_LOST:
 			quarantine_record_crash(q, s->upstream, &p,
+						s->kind == STEP_CRASH,
 						NOW + s->at);
 			break;
 		case STEP_ANSWER:
@@ -245,13 +262,13 @@
 	mstime_t retry_ms;
 
 	quarantine_init(&q, 0.5, &silent, NULL);
-	quarantine_record_crash(&q, 1, &p, NOW);
-	quarantine_record_crash(&q, 2, &p, NOW + 500);
+	quarantine_record_crash(&q, 1, &p, true, NOW);
+	quarantine_record_crash(&q, 2, &p, true, NOW + 500);
 	ck_assert(quarantine_check(&q, &p, NODES, end + 1000, &retry_ms));
 	ck_assert(!quarantine_check(&q, &p, NODES, end + 4000, &retry_ms));
 	ck_assert(quarantine_check(&q, &p, NODES, end + 4001, &retry_ms));
 	if (_i) {
-		quarantine_record_crash(&q, 3, &p, end + 4100);
+		quarantine_record_crash(&q, 3, &p, true, end + 4100);
 		ck_assert(quarantine_check(&q, &p, NODES, end + 30000,
 					   &retry_ms));
 	} else {
@@ -270,8 +287,8 @@
 	quarantine_prompt_t p = prompt_(crashing);
 
 	quarantine_init(&q, 0, &silent, NULL);
-	quarantine_record_crash(&q, 1, &p, NOW);
-	quarantine_record_crash(&q, 2, &p, NOW + 500);
+	quarantine_record_crash(&q, 1, &p, true, NOW);
+	quarantine_record_crash(&q, 2, &p, true, NOW + 500);
 	quarantine_tick(&q, NOW + QUARANTINE_KEEP_MS + 501);
 	ck_assert_int_eq(q.crash_count, 0);
 	ck_assert_int_eq(q.hold_count, 0);
@@ -286,14 +303,14 @@
 	quarantine_prompt_t p = prompt_(crashing);
 
 	quarantine_init(&q, 0, &silent, NULL);
-	quarantine_record_crash(&q, 1, &p, NOW);
-	quarantine_record_crash(&q, 2, &p, NOW + 500);
+	quarantine_record_crash(&q, 1, &p, true, NOW);
+	quarantine_record_crash(&q, 2, &p, true, NOW + 500);
 	for (uint32_t i = 0; i < 100000; i++) {
 		const uint64_t made_up[] = { SYSTEM, 1000 + i, 0 };
 		quarantine_prompt_t other = prompt_(made_up);
 
 		if (i < 1000)
-			quarantine_record_crash(&q, 10 + i, &other,
+			quarantine_record_crash(&q, 10 + i, &other, true,
 						NOW + 600 + i);
 		quarantine_record_answer(&q, &other, NOW + 2000 + i);
 	}
@@ -316,7 +333,7 @@
 	ck_assert(!quarantine_is_cleared(&q, 1, &p, NOW));
 	quarantine_record_answer(&q, &p, NOW);
 	ck_assert(quarantine_is_cleared(&q, 1, &p, NOW + 100));
-	quarantine_record_crash(&q, 1, &p, NOW + 200);
+	quarantine_record_crash(&q, 1, &p, true, NOW + 200);
 	/* Another request's report of the same end. */
 	ck_assert(quarantine_is_cleared(&q, 1, &p, NOW + 300));
 	ck_assert(!quarantine_is_cleared(&q, 2, &p, NOW + 300));
@@ -342,7 +359,7 @@
 	quarantine_init(&from, 0, &silent, NULL);
 	quarantine_init(&to, 0, &silent, NULL);
 	for (uint32_t i = 1; i <= 20; i++)
-		quarantine_record_crash(&from, i, &p, NOW + 300 * i);
+		quarantine_record_crash(&from, i, &p, true, NOW + 300 * i);
 	quarantine_record_answer(&from, &common, NOW + 7000);
 	while (quarantine_has_unsent(&from)) {
 		quarantine_report_t r;
