Model and fuzz target of the quarantine

A fleet of 3 to 40 nodes with lost and late reports, paused and restarted nodes, and upstreams that end together for another reason: at most three requests with the crashing segment are sent later than 3 s after the fifth crash, and no other request is ever held back.

--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -8,6 +8,7 @@
 #include "../../platform/platform_protocol.h"
 #include <kcf/config.h>
 #include <kcf/datagram.h>
+#include <kcf/quarantine_report.h>
 #include <kcf/jobs.h>
 #include <kcf/logline.h>
 #include <kcf/once.h>
@@ -16,12 +17,34 @@
 #include <string.h>
 
 static const unsigned char key[PEER_KEY_BYTES] = { 1, 2, 3 };
+/* Time at which reports are applied. */
+#define FUZZ_NOW 1000000
 
 static str_t view_(const uint8_t *data, size_t size)
 {
 	return (str_t){ (const char *)data, size };
 }
 
+static const quarantine_ops_t quarantine_ops = { 0 };
+
+static void fuzz_crash_report_(const uint8_t *data, size_t size)
+{
+	peer_crash_report_t r = { 0 };
+	quarantine_t q;
+	XDR xdrs;
+
+	if (!datagram_decode_crashes(key, view_(data, size), 0, &r))
+		datagram_free_crashes(&r);
+	memset(&r, 0, sizeof(r));
+	quarantine_init(&q, 0, &quarantine_ops, NULL);
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	if (xdr_peer_crash_report_t(&xdrs, &r))
+		quarantine_report_apply(&q, &r, FUZZ_NOW);
+	xdr_destroy(&xdrs);
+	datagram_free_crashes(&r);
+	quarantine_finish(&q);
+}
+
 /* Also the part behind the MAC, which random bytes would never reach. */
 int fuzz_datagram(const uint8_t *data, size_t size)
 {
@@ -36,6 +59,7 @@
 	xdr_peer_message_t(&xdrs, &m);
 	xdr_destroy(&xdrs);
 	datagram_free(&m);
+	fuzz_crash_report_(data, size);
 	return 0;
 }
 
--- a/tests/model/main.c
+++ b/tests/model/main.c
@@ -1,7 +1,7 @@
 /*
  * kcf-model - runs the state machines through random sequences of events.
  *
- * usage: kcf-model config|once SEED SEQUENCES
+ * usage: kcf-model config|once|quarantine SEED SEQUENCES
  * Prints the seed of the first sequence that violates an invariant and exits
  * with 1.
  */
@@ -11,15 +11,29 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const struct {
+	const char *name;
+	bool (*run)(guint32 seed);
+} machines[] = {
+	{ "config", model_config },
+	{ "once", model_once },
+	{ "quarantine", model_quarantine },
+};
+
 int main(int argc, char **argv)
 {
 	long seed;
 	long sequences;
-	bool (*run)(guint32 seed);
+	bool (*run)(guint32 seed) = NULL;
 
 	if (argc != 4)
 		return 2;
-	run = !strcmp(argv[1], "once") ? model_once : model_config;
+	for (size_t i = 0; i < G_N_ELEMENTS(machines); i++) {
+		if (!strcmp(argv[1], machines[i].name))
+			run = machines[i].run;
+	}
+	if (!run)
+		return 2;
 	seed = strtol(argv[2], NULL, 10);
 	sequences = strtol(argv[3], NULL, 10);
 	for (long i = 0; i < sequences; i++) {
