Gateway: a stream without length or chunks that ends before its first event is broken

What callers saw: an upstream that ended right after the head of such a stream gave an empty stream that looked whole; a crash could hide as an answer. Cause: the end of the connection was taken for the end of the stream unless it came inside an event. Evidence: scenario_gateway_faults, mode unframed_head, failed before ("a broken stream looked whole"). Change: without an event it is a broken connection, like an end inside an event. Streams that end after an event stay whole (unframed), inside one they are cut (unframed_cut); both are played now. Result: gateway_faults, gateway_streams, gateway_path pass.

--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -347,7 +347,6 @@
 			f->response.status < 500 ? BALANCE_OK : BALANCE_FAILED);
 }
 
-/* A response without a length may end in the middle of an event. */
 static bool has_framing_(http_call_t *call)
 {
 	return http_call_header(call, "Transfer-Encoding").len ||
@@ -364,7 +363,10 @@
 {
 	str_t rest = unparsed_rest_(f);
 
-	if (rest.len && !has_framing_(call)) {
+	/* A response without a length may end in the middle of an event, or
+	 * before the first.
+	 */
+	if (!has_framing_(call) && (rest.len || !f->event_seen)) {
 		forward_attempt_failed(f, FAULT_DISCONNECT);
 		return;
 	}
--- a/tests/scenarios/gateway_faults.lua
+++ b/tests/scenarios/gateway_faults.lua
@@ -120,6 +120,22 @@
 end
 set_fault(broken, "", 0)
 
+-- Without length and chunks a stream ends with its connection: whole after an
+-- event, broken off inside one or before the first.
+for mode, whole in pairs { unframed = true, unframed_cut = false, unframed_head = false } do
+	local id = fresh_id()
+	local expected = ""
+	for i = 1, 8 do expected = expected .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
+	everywhere(engines, mode, -1)
+	local r = send(g, "/once/stream/" .. mode, { id = id })
+	everywhere(engines, "", 0)
+	if whole then
+		expect(r.status == 200 and not r.err and r.body == expected, "%s: %s %s %q", mode, r.status, r.err, r.body)
+	else
+		expect(r.status ~= 200 or r.err, "%s: a broken stream looked whole: %q", mode, r.body)
+	end
+end
+
 -- A caller that leaves ends the work, also before the first byte.
 everywhere(counters, "hang", 1)
 local before = aborted(counters)
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -331,6 +331,12 @@
 	return send_(fd, "%zx\r\n%s\r\n", strlen(text), text);
 }
 
+/* A part of a stream, which ends with its connection unless it is framed. */
+static bool piece_(int fd, bool framed, const char *text)
+{
+	return framed ? chunk_(fd, text) : send_(fd, "%s", text);
+}
+
 static bool crashes_(const request_t *r)
 {
 	char *segments = header_(r, "Prompt-Prefix");
@@ -342,9 +348,13 @@
 
 static bool stream_(int fd, const request_t *r, const char *mode)
 {
+	bool framed = strncmp(mode, "unframed", 8) != 0;
+
 	head_(fd, r, 200, mode);
-	send_(fd, "Content-Type: text/event-stream\r\n"
-		  "Transfer-Encoding: chunked\r\n\r\n");
+	send_(fd, "Content-Type: text/event-stream\r\n%s\r\n",
+	      framed ? "Transfer-Encoding: chunked\r\n" : "");
+	if (!strcmp(mode, "unframed_head"))
+		return false;
 	if (crashes_(r)) {
 		pause_(fd, HEAD_LEAD_MS);
 		_exit(1);
@@ -355,9 +365,10 @@
 					"\ndata: %s-%" G_GINT64_FORMAT "\n\n",
 					i, r->id, i);
 
-		if (i > events / 2 && !strcmp(mode, "cut"))
+		if (i > events / 2 &&
+		    (!strcmp(mode, "cut") || !strcmp(mode, "unframed_cut")))
 			event[strlen(event) / 2] = '\0';
-		if (!chunk_(fd, event) || !pause_(fd, gap_ms)) {
+		if (!piece_(fd, framed, event) || !pause_(fd, gap_ms)) {
 			g_free(event);
 			return false;
 		}
@@ -368,13 +379,14 @@
 			return false;
 		}
 		if (i > events / 2 &&
-		    (!strcmp(mode, "cut") || !strcmp(mode, "reset"))) {
+		    (!strcmp(mode, "cut") || !strcmp(mode, "unframed_cut") ||
+		     !strcmp(mode, "reset"))) {
 			if (*mode == 'r')
 				reset_(fd);
 			return false;
 		}
 	}
-	return send_(fd, "0\r\n\r\n");
+	return framed && send_(fd, "0\r\n\r\n");
 }
 
 /* Bytes that come until the other side closes: what comes before them, and
