Quarantine: log functions in place of a table, contracts of the node's part

The two forms of the node had a wrapper for each log function; declarations of control_peers.c stood with those of control_quarantine.c. No change of what runs.

--- a/include/kcf/quarantine_report.h
+++ b/include/kcf/quarantine_report.h
@@ -35,7 +35,13 @@
  */
 json_t *quarantine_report_json(const quarantine_t *q, mstime_t now);
 
-/* Writes a log line for each change, and counts them; needs no context. */
-extern const quarantine_ops_t quarantine_log_ops;
+/*
+ * quarantine_log_suspected, quarantine_log_held, quarantine_log_released - for
+ * quarantine_ops_t: write a log line and count; need no context.
+ */
+void quarantine_log_suspected(void *ctx, const quarantine_crash_t *crash);
+void quarantine_log_held(void *ctx, const quarantine_hold_t *hold);
+void quarantine_log_released(void *ctx, const quarantine_hold_t *hold,
+			     const char *why);
 
 #endif
--- a/packages/decide/quarantine_report.c
+++ b/packages/decide/quarantine_report.c
@@ -10,14 +10,6 @@
 /* Size of an upstream's key as text, with its end. */
 #define KEY_TEXT_MAX 16
 
-static void log_suspected_(void *ctx, const quarantine_crash_t *crash);
-static void log_held_(void *ctx, const quarantine_hold_t *hold);
-static void log_released_(void *ctx, const quarantine_hold_t *hold,
-			  const char *why);
-
-const quarantine_ops_t quarantine_log_ops = { log_suspected_, log_held_,
-					      log_released_ };
-
 static u_int age_(mstime_t at, mstime_t now)
 {
 	return (u_int)CLAMP(now - at, 0, QUARANTINE_KEEP_MS);
@@ -108,7 +100,7 @@
 	return g_string_free(text, FALSE);
 }
 
-static void log_suspected_(void *ctx, const quarantine_crash_t *crash)
+void quarantine_log_suspected(void *ctx, const quarantine_crash_t *crash)
 {
 	char *segments = format_prompt_(&crash->prompt);
 	char upstream[KEY_TEXT_MAX];
@@ -134,15 +126,15 @@
 	g_free(segments);
 }
 
-static void log_held_(void *ctx, const quarantine_hold_t *hold)
+void quarantine_log_held(void *ctx, const quarantine_hold_t *hold)
 {
 	(void)ctx;
 	counter_add(COUNTER_QUARANTINE_HOLDS, 1);
 	log_hold_("quarantine.held", hold, "upstreams crashed");
 }
 
-static void log_released_(void *ctx, const quarantine_hold_t *hold,
-			  const char *why)
+void quarantine_log_released(void *ctx, const quarantine_hold_t *hold,
+			     const char *why)
 {
 	(void)ctx;
 	counter_add(COUNTER_QUARANTINE_RELEASES, 1);
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -1,14 +1,13 @@
 /*
- * Tells other nodes of crashed upstreams, and learns of them. A new crash
- * spreads at once: each node that learns of it tells a few others.
+ * Holds back requests whose prompts crash upstreams: what this node sees of
+ * crashes and answers, and what other nodes report.
  */
 #include "private/forward.h"
 
-#include <string.h>
-
 #include <kcf/counter.h>
 #include <kcf/logline.h>
 #include <kcf/peer_socket.h>
+#include <string.h>
 
 /*
  * A connection that breaks this long after the head of its response was not
@@ -29,24 +28,12 @@
 {
 	gateway_t *g = ctx;
 
-	quarantine_log_ops.held(NULL, hold);
+	quarantine_log_held(NULL, hold);
 	g->crashes_hold_is_new = true;
 }
 
-static void on_suspected_(void *ctx, const quarantine_crash_t *crash)
-{
-	(void)ctx;
-	quarantine_log_ops.suspected(NULL, crash);
-}
-
-static void on_released_(void *ctx, const quarantine_hold_t *hold,
-			 const char *why)
-{
-	(void)ctx;
-	quarantine_log_ops.released(NULL, hold, why);
-}
-
-static const quarantine_ops_t ops = { on_suspected_, on_held_, on_released_ };
+static const quarantine_ops_t ops = { quarantine_log_suspected, on_held_,
+				      quarantine_log_released };
 
 static const char *random_peer_(void *ctx)
 {
--- a/packages/node/control_quarantine.c
+++ b/packages/node/control_quarantine.c
@@ -20,13 +20,17 @@
 static const quarantine_gossip_ops_t gossip_ops = { random_peer_,
 						    send_report_ };
 
+static const quarantine_ops_t ops = { quarantine_log_suspected,
+				      quarantine_log_held,
+				      quarantine_log_released };
+
 void chat_quarantine_start(control_t *c)
 {
 	uint64_t hash = str_hash64(str_of(c->settings->name->str), 0);
 
 	c->upstream_ends = g_hash_table_new(NULL, NULL);
-	quarantine_init(&c->quarantine, (double)hash / (double)UINT64_MAX,
-			&quarantine_log_ops, NULL);
+	quarantine_init(&c->quarantine, (double)hash / (double)UINT64_MAX, &ops,
+			NULL);
 	quarantine_gossip_init(&c->crash_gossip, &c->quarantine, &gossip_ops, c,
 			       clock_now());
 }
--- a/packages/node/private/control.h
+++ b/packages/node/private/control.h
@@ -165,6 +165,16 @@
  * before anything is decided.
  */
 void peers_check_pause(control_t *c, mstime_t now);
+/*
+ * peers_random - address of a random other node, or NULL.
+ */
+const char *peers_random(control_t *c);
+/*
+ * peers_send_crashes - sends a crash report; returns its bytes, 0 if it was not
+ * sent.
+ */
+size_t peers_send_crashes(control_t *c, const char *to,
+			  const peer_crash_report_t *r);
 /*
  * peers_gossip_stamp - present wall time in the unit of load gossip, 10 ms.
  */
@@ -182,15 +192,14 @@
  */
 bool chat_quarantine_check(control_t *c, const place_query_t *q, mstime_t now,
 			   mstime_t *retry_ms);
+/*
+ * chat_quarantine_record - records that an upstream ended before anything of an
+ * answer.
+ */
 void chat_quarantine_record(control_t *c, const attempt_report_t *r,
 			    mstime_t now);
 void chat_quarantine_record_answer(control_t *c, const attempt_report_t *r,
 				   mstime_t now);
-/* Nodes to choose a random peer from; NULL without any. */
-const char *peers_random(control_t *c);
-/* Sends a crash report; returns its bytes, 0 if it was not sent. */
-size_t peers_send_crashes(control_t *c, const char *to,
-			  const peer_crash_report_t *r);
 
 /* control_config.c */
 void config_stream_start(control_t *c);
