Gateway: one type for the segments of a prompt, one text for them

inbound_request_t held a copy of quarantine_prompt_t field by field, which was copied again for each check of a request, and attempt.failed wrote the segments by a loop of its own. The request holds the type itself; one function formats it. No change of behaviour.

--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -12,11 +12,9 @@
 #include <kcf/http_client.h>
 #include <kcf/http_server.h>
 #include <jansson.h>
+#include <kcf/quarantine.h>
 #include <kcf/route_table.h>
 
-/* Shared prompt segments that are looked at; further ones are ignored. */
-#define INBOUND_SEGMENTS_MAX 16
-
 /* A request as its caller sent it; the views are valid as long as it is. */
 typedef struct inbound_request {
 	str_t id; /* differs for each try of the caller, empty if missing */
@@ -29,9 +27,8 @@
 	int64_t last_event_id; /* last one that the caller has, -1 for none */
 	bool generation;       /* names a model */
 	uint64_t affinity;     /* hash of the shared prompt segments, or 0 */
-	uint64_t segments[INBOUND_SEGMENTS_MAX]; /* key of each of them */
-	int segment_count;
-	bool well_formed; /* its headers could be parsed */
+	quarantine_prompt_t prompt; /* keys of the shared prompt segments */
+	bool well_formed;	    /* its headers could be parsed */
 } inbound_request_t;
 
 /* What the gateway adds to a request for an upstream. */
--- a/include/kcf/quarantine_report.h
+++ b/include/kcf/quarantine_report.h
@@ -30,6 +30,12 @@
 void quarantine_report_apply(quarantine_t *q, const peer_crash_report_t *m,
 			     mstime_t now);
 
+/*
+ * quarantine_format_prompt - keys of the segments as they are logged; released
+ * with g_free.
+ */
+char *quarantine_format_prompt(const quarantine_prompt_t *p);
+
 /*
  * quarantine_report_json - holds and crashes for operators; a new reference.
  */
--- a/packages/decide/quarantine_report.c
+++ b/packages/decide/quarantine_report.c
@@ -90,7 +90,7 @@
 	g_snprintf(out, KEY_TEXT_MAX, "%08x", upstream);
 }
 
-static char *format_prompt_(const quarantine_prompt_t *p)
+char *quarantine_format_prompt(const quarantine_prompt_t *p)
 {
 	GString *text = g_string_new(NULL);
 
@@ -102,7 +102,7 @@
 
 void quarantine_log_suspected(void *ctx, const quarantine_crash_t *crash)
 {
-	char *segments = format_prompt_(&crash->prompt);
+	char *segments = quarantine_format_prompt(&crash->prompt);
 	char upstream[KEY_TEXT_MAX];
 
 	(void)ctx;
@@ -117,7 +117,7 @@
 static void log_hold_(const char *event, const quarantine_hold_t *hold,
 		      const char *why)
 {
-	char *segments = format_prompt_(&hold->prompt);
+	char *segments = quarantine_format_prompt(&hold->prompt);
 
 	LOG_EVENT(LOG_NOTICE, event, F_STR("segments", segments),
 		  F_STR("why", why), F_INT("crashes", hold->crashes),
@@ -143,7 +143,7 @@
 
 static json_t *hold_json_(const quarantine_hold_t *h, mstime_t now)
 {
-	char *segments = format_prompt_(&h->prompt);
+	char *segments = quarantine_format_prompt(&h->prompt);
 	json_t *o = json_pack("{s:s,s:i,s:I,s:I}", "segments", segments,
 			      "crashes", h->crashes, "last_crash_age_ms",
 			      (json_int_t)(now - h->last_at), "hold_ms",
@@ -155,7 +155,7 @@
 
 static json_t *crash_json_(const quarantine_crash_t *c, mstime_t now)
 {
-	char *segments = format_prompt_(&c->prompt);
+	char *segments = quarantine_format_prompt(&c->prompt);
 	char key[KEY_TEXT_MAX];
 	json_t *o;
 
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -7,7 +7,6 @@
 #include <kcf/counter.h>
 #include <kcf/logline.h>
 #include <kcf/peer_socket.h>
-#include <string.h>
 
 /*
  * A connection that breaks this long after the head of its response was not
@@ -17,13 +16,6 @@
 
 static const char refused_text[] = "prompt is held back";
 
-static void get_prompt_(const forward_t *f, quarantine_prompt_t *p)
-{
-	p->count = f->in.segment_count;
-	memcpy(p->segments, f->in.segments,
-	       (size_t)p->count * sizeof(p->segments[0]));
-}
-
 static void on_held_(void *ctx, const quarantine_hold_t *hold)
 {
 	gateway_t *g = ctx;
@@ -73,12 +65,9 @@
 /* Whether an upstream may begin to answer the request and crash. */
 static bool is_endangering_(const forward_t *f, mstime_t now)
 {
-	quarantine_prompt_t p;
-
 	if (f->done || !f->call || f->event_seen)
 		return false;
-	get_prompt_(f, &p);
-	return quarantine_is_held(&f->gateway->quarantine, &p, now);
+	return quarantine_is_held(&f->gateway->quarantine, &f->in.prompt, now);
 }
 
 /* Ends requests of a new hold before their upstreams begin to answer them. */
@@ -123,10 +112,8 @@
 bool crashes_check(forward_t *f, mstime_t *retry_ms)
 {
 	gateway_t *g = f->gateway;
-	quarantine_prompt_t p;
 
-	get_prompt_(f, &p);
-	return quarantine_check(&g->quarantine, &p,
+	return quarantine_check(&g->quarantine, &f->in.prompt,
 				gateway_peers_sharing_count(g), clock_now(),
 				retry_ms);
 }
@@ -146,19 +133,17 @@
 {
 	gateway_t *g = f->gateway;
 	mstime_t now = clock_now();
-	quarantine_prompt_t p;
 	bool cleared;
 
 	if (why != FAULT_DISCONNECT || !f->response.status || f->event_seen ||
-	    !f->in.segment_count || now - f->progress_at > BEGIN_MAX_MS)
+	    !f->in.prompt.count || now - f->progress_at > BEGIN_MAX_MS)
 		return false;
-	get_prompt_(f, &p);
-	cleared = quarantine_is_cleared(&g->quarantine, f->selected->key, &p,
-					now);
+	cleared = quarantine_is_cleared(&g->quarantine, f->selected->key,
+					&f->in.prompt, now);
 	/* A planned end is no crash. */
 	if (!f->selected->leaving) {
-		quarantine_record_crash(&g->quarantine, f->selected->key, &p,
-					true, now);
+		quarantine_record_crash(&g->quarantine, f->selected->key,
+					&f->in.prompt, true, now);
 		quarantine_gossip_flush(&g->crash_gossip, now);
 	}
 	return !cleared;
@@ -166,10 +151,8 @@
 
 void crashes_record_answer(forward_t *f)
 {
-	quarantine_prompt_t p;
-
-	get_prompt_(f, &p);
-	if (quarantine_record_answer(&f->gateway->quarantine, &p, clock_now()))
+	if (quarantine_record_answer(&f->gateway->quarantine, &f->in.prompt,
+				     clock_now()))
 		LOG_EVENT(LOG_NOTICE, "quarantine.cleared",
 			  F_VIEW("request", f->in.id),
 			  F_STR("upstream", f->upstream_id));
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -344,19 +344,10 @@
 	return f->response.status ? "head" : "none";
 }
 
-/* Keys of the shared prompt segments, in hexadecimal. */
-static void format_segments_(const forward_t *f, GString *out)
-{
-	for (int i = 0; i < f->in.segment_count; i++)
-		g_string_append_printf(out, "%s%016" G_GINT64_MODIFIER "x",
-				       i ? "," : "", f->in.segments[i]);
-}
-
 void forward_log_fault(const forward_t *f, const char *upstream, fault_t why)
 {
-	GString *segments = g_string_new(NULL);
+	char *segments = quarantine_format_prompt(&f->in.prompt);
 
-	format_segments_(f, segments);
 	LOG_EVENT(LOG_NOTICE, "attempt.failed", F_VIEW("request", f->in.id),
 		  F_STR("why", fault_string[why]), F_STR("upstream", upstream),
 		  F_INT("status", f->response.status),
@@ -365,8 +356,8 @@
 		  F_INT("ms", clock_now() - f->sent_at),
 		  F_INT("last_event", f->last_event_id),
 		  F_STR("answer", answer_stage_(f)),
-		  F_STR("segments", segments->str));
-	g_string_free(segments, TRUE);
+		  F_STR("segments", segments));
+	g_free(segments);
 }
 
 static balance_outcome_t balance_outcome_(fault_t why)
