Log the end of a scan, the source of records and outages of the platform

The logs of the incident could not tell a removal that was never read from one that was deferred or one that came from another node: nothing told of a scan's end nor of who supplied a record. New: feed.scanned, feed.outage, source= in upstream.entry, upstream.gone, config.in_force, data_centre.out and feed.loaded, offset= in upstream.gone.

Also seen: feed.outage with ms=20208 while known_age_ms=630, so a node that does not read itself takes that for an outage. No change of logic.

--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -413,6 +413,7 @@
 		skip_entries_(feed, payload);
 		return;
 	}
+	s->source = FEED_FROM_NODE;
 	if (full) {
 		feeds_cancel_scan(s);
 		feeds_begin_scan(s);
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -14,6 +14,8 @@
 
 const char *const feed_string[] = { "operators", "upstreams", "nodes" };
 
+const char *const feed_source_string[] = { "platform", "node" };
+
 const char *const feed_err_string[] = {
 	"ok",
 	"no response",
@@ -53,9 +55,11 @@
 }
 
 /* False if the table is not newer than the one in force. */
-static bool apply_route_table_(gateway_t *g, route_table_t *table,
+static bool apply_route_table_(feed_state_t *s, route_table_t *table,
 			       uint64_t offset)
 {
+	gateway_t *g = s->gateway;
+
 	if (g->table && table->version <= g->table->version) {
 		LOG_EVENT(LOG_INFO, "config.older",
 			  F_INT("version", (int64_t)table->version),
@@ -66,6 +70,7 @@
 	LOG_EVENT(LOG_NOTICE, "config.in_force",
 		  F_INT("version", (int64_t)table->version),
 		  F_INT("offset", (int64_t)offset),
+		  F_STR("source", feed_source_string[s->source]),
 		  F_INT("routes", table->routes->len),
 		  F_INT("keys", g_hash_table_size(table->customers)));
 	route_table_unref(g->table);
@@ -82,9 +87,10 @@
 }
 
 /* False if the record is rejected, and the one before it stays in force. */
-static bool apply_operator_record_(gateway_t *g, const feed_record_t *r,
+static bool apply_operator_record_(feed_state_t *s, const feed_record_t *r,
 				   mstime_t now)
 {
+	gateway_t *g = s->gateway;
 	operator_change_t change;
 
 	g->protocol->parse_operator_record(r, &change);
@@ -98,12 +104,13 @@
 			  F_INT("offset", (int64_t)r->offset));
 		return false;
 	case CHANGE_ROUTE_TABLE:
-		return apply_route_table_(g, change.table, r->offset);
+		return apply_route_table_(s, change.table, r->offset);
 	case CHANGE_DATA_CENTRE:
 		LOG_EVENT(LOG_NOTICE, "data_centre.out",
 			  F_STR("data_centre", change.data_centre),
 			  F_INT("out", change.drained),
-			  F_INT("offset", (int64_t)r->offset));
+			  F_INT("offset", (int64_t)r->offset),
+			  F_STR("source", feed_source_string[s->source]));
 		balance_set_drained(&g->balance, change.data_centre,
 				    change.drained, now);
 		break;
@@ -111,18 +118,20 @@
 	return true;
 }
 
-static void remove_upstream_(gateway_t *g, const char *id, const char *why)
+static void remove_upstream_(feed_state_t *s, const char *id, uint64_t offset,
+			     const char *why)
 {
-	if (balance_remove_upstream(&g->balance, id))
+	if (balance_remove_upstream(&s->gateway->balance, id))
 		LOG_EVENT(LOG_NOTICE, "upstream.gone", F_STR("upstream", id),
-			  F_STR("why", why));
+			  F_STR("why", why), F_INT("offset", (int64_t)offset),
+			  F_STR("source", feed_source_string[s->source]));
 }
 
-static void log_entry_(const gateway_t *g, const balance_spec_t *spec,
+static void log_entry_(const feed_state_t *s, const balance_spec_t *spec,
 		       const feed_record_t *r, mstime_t now)
 {
 	const balance_upstream_t *u =
-		g_hash_table_lookup(g->balance.by_id, spec->id);
+		g_hash_table_lookup(s->gateway->balance.by_id, spec->id);
 	char key[16];
 
 	g_snprintf(key, sizeof(key), "%08x", u->key);
@@ -133,13 +142,15 @@
 		  F_INT("leaving", spec->leaving),
 		  F_INT("cold_ms", MAX(0, spec->cold_until - now)),
 		  F_INT("start", (int64_t)spec->start_id), F_STR("key", key),
-		  F_INT("offset", (int64_t)r->offset));
+		  F_INT("offset", (int64_t)r->offset),
+		  F_STR("source", feed_source_string[s->source]));
 }
 
 /* False if the record is only a heartbeat. */
-static bool apply_upstream_entry_(gateway_t *g, const char *id,
+static bool apply_upstream_entry_(feed_state_t *s, const char *id,
 				  const feed_record_t *r, mstime_t now)
 {
+	gateway_t *g = s->gateway;
 	json_t *holder = NULL;
 	balance_spec_t spec;
 	bool changed = true;
@@ -148,12 +159,12 @@
 		LOG_EVENT(LOG_WARNING, "upstream.unreadable",
 			  F_STR("upstream", id),
 			  F_INT("offset", (int64_t)r->offset));
-		remove_upstream_(g, id, "entry unreadable");
+		remove_upstream_(s, id, r->offset, "entry unreadable");
 	} else {
 		spec.id = id;
 		changed = balance_put_upstream(&g->balance, &spec, now);
 		if (changed)
-			log_entry_(g, &spec, r, now);
+			log_entry_(s, &spec, r, now);
 	}
 	json_decref(holder);
 	return changed;
@@ -180,9 +191,9 @@
 				   const feed_record_t *r, mstime_t now)
 {
 	if (!r->removed)
-		return apply_upstream_entry_(s->gateway, e->key, r, now);
+		return apply_upstream_entry_(s, e->key, r, now);
 	if (!defer_removal_(s, e->key, now))
-		remove_upstream_(s->gateway, e->key, "entry removed");
+		remove_upstream_(s, e->key, r->offset, "entry removed");
 	return true;
 }
 
@@ -205,7 +216,7 @@
 
 	switch (s->feed) {
 	case FEED_OPERATORS:
-		in_force = apply_operator_record_(s->gateway, r, now);
+		in_force = apply_operator_record_(s, r, now);
 		changed = in_force;
 		break;
 	case FEED_UPSTREAMS:
@@ -253,15 +264,17 @@
 		LOG_EVENT(LOG_NOTICE, "feed.loaded",
 			  F_STR("feed", feed_string[s->feed]),
 			  F_INT("next", (int64_t)s->next_offset),
-			  F_INT("keys", g_hash_table_size(s->entries)));
+			  F_INT("keys", g_hash_table_size(s->entries)),
+			  F_STR("source", feed_source_string[s->source]));
 	s->loaded = true;
 }
 
-/* Removes keys that a completed scan has not found. */
-static void remove_unseen_(feed_state_t *s, mstime_t now)
+/* Removes keys that a completed scan has not found; their number. */
+static int remove_unseen_(feed_state_t *s, mstime_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
+	int removed = 0;
 
 	g_hash_table_iter_init(&iter, s->entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -272,7 +285,9 @@
 			continue;
 		r.offset = s->scan_end - 1;
 		apply_(s, e, &r, now);
+		removed++;
 	}
+	return removed;
 }
 
 void feeds_begin_scan(feed_state_t *s)
@@ -301,9 +316,18 @@
 
 void feeds_end_scan(feed_state_t *s, uint64_t end, mstime_t as_of, mstime_t now)
 {
+	int removed;
+
 	s->scanning = false;
 	s->scan_end = end;
-	remove_unseen_(s, now);
+	removed = remove_unseen_(s, now);
+	LOG_EVENT(LOG_NOTICE, "feed.scanned",
+		  F_STR("feed", feed_string[s->feed]),
+		  F_STR("source", feed_source_string[s->source]),
+		  F_INT("end", (int64_t)end),
+		  F_INT("known_to", (int64_t)s->next_offset),
+		  F_INT("keys", g_hash_table_size(s->entries)),
+		  F_INT("removed", removed), F_INT("ms", now - as_of));
 	s->removals_complete_from = MAX(s->removals_complete_from, end);
 	feeds_set_current(s, as_of, end);
 }
@@ -315,6 +339,12 @@
 	    now - s->last_response_at > OUTAGE_MIN_MS) {
 		s->defer_until = now + DEFER_REMOVALS_MS;
 		s->removals_since_outage = 0;
+		LOG_EVENT(LOG_NOTICE, "feed.outage",
+			  F_STR("feed", feed_string[s->feed]),
+			  F_INT("ms", now - s->last_response_at),
+			  F_INT("known_age_ms",
+				s->loaded ? now - s->current_as_of : -1),
+			  F_INT("defer_ms", DEFER_REMOVALS_MS));
 	}
 	s->last_response_at = now;
 	if (!s->down)
@@ -337,6 +367,6 @@
 		const feed_entry_t *e = value;
 
 		if (!e->data)
-			remove_upstream_(s->gateway, e->key, "entry expired");
+			remove_upstream_(s, e->key, e->offset, "entry expired");
 	}
 }
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -42,10 +42,20 @@
 	bool seen;		/* in the current scan */
 } feed_entry_t;
 
+/* Where the records that are being applied come from. */
+typedef enum feed_source {
+	FEED_FROM_PLATFORM,
+	FEED_FROM_NODE,
+} feed_source_t;
+
+/* Parallel to feed_source_t. */
+extern const char *const feed_source_string[];
+
 /* State of one feed. */
 typedef struct feed_state {
 	gateway_t *gateway;
 	feed_t feed;
+	feed_source_t source;
 	GHashTable *entries;  /* char * to feed_entry_t * */
 	uint64_t next_offset; /* first offset that is not known */
 	uint64_t changes_end; /* offset after the last record that was not only
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -95,6 +95,7 @@
 		handle_failure_(s, err, now);
 		return;
 	}
+	s->source = FEED_FROM_PLATFORM;
 	feeds_record_response(s, now);
 	if (!s->scan_after)
 		s->scan_end = batch->next_offset;
@@ -138,6 +139,7 @@
 		handle_failure_(s, err, now);
 		return;
 	}
+	s->source = FEED_FROM_PLATFORM;
 	feeds_record_response(s, now);
 	for (size_t i = 0; i < batch->count; i++)
 		feeds_apply_record(s, &batch->records[i], now);
