--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -411,6 +411,96 @@
 }
 END_TEST
 
+/* A platform whose response to a scan is kept until the test sends it. */
+static struct {
+	feed_fn fn;
+	void *arg;
+} asked;
+
+static http_call_t *keep_scan_(feed_client_t *c, feed_t feed, const char *after,
+			       mstime_t deadline, feed_fn fn, void *arg)
+{
+	(void)c;
+	(void)after;
+	(void)deadline;
+	if (feed == FEED_UPSTREAMS) {
+		asked.fn = fn;
+		asked.arg = arg;
+	}
+	return NULL;
+}
+
+static http_call_t *ignore_read_(feed_client_t *c, feed_t feed, uint64_t from,
+				 mstime_t wait_ms, mstime_t deadline,
+				 feed_fn fn, void *arg)
+{
+	(void)c;
+	(void)feed;
+	(void)from;
+	(void)wait_ms;
+	(void)deadline;
+	(void)fn;
+	(void)arg;
+	return NULL;
+}
+
+static const feed_client_ops_t kept_ops = { .read_latest = keep_scan_,
+					    .read_from = ignore_read_ };
+
+/* Lets a node send its first reads as a seed that has just started. */
+static void start_seed_(gateway_t *g, gateway_conf_t *conf)
+{
+	g->conf = conf;
+	g->feed_client.ops = &kept_ops;
+	g->is_seed = true;
+	g->started_at = clock_now();
+	g->own_rank = -1;
+	g->rand = g_rand_new_with_seed(1);
+	g->ranking = g_array_new(FALSE, FALSE, sizeof(fleet_roles_node_t));
+	g->members.by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	feed_sync_init(g);
+	reader_tick(g, clock_now());
+}
+
+static void stop_seed_(gateway_t *g)
+{
+	feed_sync_finish(g);
+	g_hash_table_destroy(g->members.by_name);
+	g_array_unref(g->ranking);
+	g_rand_free(g->rand);
+}
+
+/* A copy from another node hid that a scan had not found an upstream. */
+START_TEST(test_scan_removes_what_a_copy_brought_meanwhile)
+{
+	gateway_conf_t conf = { .apply_limit_ms = 2000 };
+	feed_batch_t batch = { .next_offset = UPSTREAMS + 1 };
+
+	put_all_(&one);
+	start_seed_(&two, &conf);
+	sync_(&one, &two);
+	ck_assert(knows_(&two, "u-0"));
+	/* The platform removed u-0 at the next offset; the others are left out
+	 * for brevity.
+	 */
+	asked.fn(asked.arg, FEED_OK, &batch);
+	ck_assert(two.feed_states[FEED_UPSTREAMS].next_offset <= UPSTREAMS ||
+		  !knows_(&two, "u-0"));
+	stop_seed_(&two);
+}
+END_TEST
+
+Suite *feed_scan_suite(void)
+{
+	Suite *s = suite_create("feed_scan");
+	TCase *c = tcase_create("feed_scan");
+
+	tcase_add_checked_fixture(c, setup_, teardown_);
+	tcase_add_test(c, test_scan_removes_what_a_copy_brought_meanwhile);
+	suite_add_tcase(s, c);
+	return s;
+}
+
 Suite *feeds_suite(void)
 {
 	Suite *s = suite_create("feeds");
