Gateway: a scan counts only the records of its own source as found

A starting node asks the platform for the latest record of every key and another node for its records at the same time. What the other node sent during the scan was marked as found by it. When the scan ended, an upstream that only the older copy had was kept, while the node went on reading behind the removal: it never learnt of it, and handed the upstream on in whole copies.

Class: two sources of one state are merged, and the completeness that one has proved is claimed for what the other brought. Now a scan belongs to a source, and only that source's records count as found; all else below its end is removed. Looked for elsewhere: the whole copy of another node begins and ends within one call and cancels a scan of the platform, so nothing can come between; reads from an offset cover all from there on whatever arrives meanwhile.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -239,8 +239,9 @@
 {
 	char *key = str_dup(r->key);
 	feed_entry_t *e = g_hash_table_lookup(s->entries, key);
+	bool scanned = s->scanning && s->source == s->scan_source;
 
-	if (e)
+	if (e && scanned)
 		e->seen = true;
 	if (e && e->offset >= r->offset) {
 		g_free(key);
@@ -249,7 +250,7 @@
 	if (!e) {
 		e = g_new0(feed_entry_t, 1);
 		e->key = g_strdup(key);
-		e->seen = true;
+		e->seen = scanned;
 		g_hash_table_insert(s->entries, e->key, e);
 	}
 	g_free(key);
@@ -296,6 +297,7 @@
 	gpointer value;
 
 	s->scanning = true;
+	s->scan_source = s->source;
 	s->scan_end = 0;
 	g_clear_pointer(&s->scan_after, g_free);
 	g_hash_table_iter_init(&iter, s->entries);
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -72,7 +72,8 @@
 	uint64_t scan_end; /* end of the feed when the scan began */
 	char *scan_after;  /* last key of the previous page, or NULL */
 	bool scanning;
-	bool down; /* the platform does not respond */
+	feed_source_t scan_source; /* only its records count as found */
+	bool down;		   /* the platform does not respond */
 	/* removals that may only be entries that expired in an outage */
 	mstime_t defer_until;
 	int removals_since_outage;
@@ -202,7 +203,8 @@
 void feeds_set_current(feed_state_t *s, mstime_t as_of, uint64_t next_offset);
 /*
  * feeds_begin_scan, feeds_end_scan - a scan reads the latest record of every
- * key; keys without a record applied in between are removed.
+ * key from the current source; keys without a record of that source applied in
+ * between are removed. Records of another source may arrive meanwhile.
  * @end:   end of the feed when the scan began
  * @as_of: time when the scan began
  */
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -131,6 +131,7 @@
 		LOG_EVENT(LOG_NOTICE, "feed.expired",
 			  F_STR("feed", feed_string[s->feed]),
 			  F_INT("next", (int64_t)s->next_offset));
+		s->source = FEED_FROM_PLATFORM;
 		feeds_begin_scan(s);
 		s->next_read_at = now;
 		return;
@@ -165,8 +166,10 @@
 				: 0;
 
 	s->requested_at = now;
-	if (!s->loaded && !s->scanning)
+	if (!s->loaded && !s->scanning) {
+		s->source = FEED_FROM_PLATFORM;
 		feeds_begin_scan(s);
+	}
 	if (s->scanning) {
 		counter_add(COUNTER_STORE_NEWEST_CALLS, 1);
 		s->call = c->ops->read_latest(c, s->feed, s->scan_after,
