--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -501,6 +501,53 @@
 	return s;
 }
 
+/* Nodes that others read for took their first own read for an outage's end. */
+START_TEST(test_removals_are_not_deferred_after_copies)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+
+	put_all_(&one);
+	s->last_response_at = NOW;
+	s->source = FEED_FROM_NODE;
+	feeds_set_current(s, NOW + 20000, UPSTREAMS + 5);
+	s->source = FEED_FROM_PLATFORM;
+	feeds_record_response(s, NOW + 20400);
+	for (int i = 0; i < UPSTREAMS / 2; i++)
+		remove_(&one, i, 20 + (uint64_t)i);
+	for (int i = 0; i < UPSTREAMS / 2; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "u-%d", i);
+		ck_assert(!knows_(&one, id));
+	}
+}
+END_TEST
+
+/* Neither the platform nor any other node has told of the platform since. */
+START_TEST(test_removals_are_deferred_after_an_outage)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+
+	put_all_(&one);
+	s->last_response_at = NOW;
+	feeds_set_current(s, NOW + 1000, UPSTREAMS + 5);
+	feeds_record_response(s, NOW + 5000);
+	ck_assert_int_gt(s->defer_until, NOW + 5000);
+}
+END_TEST
+
+Suite *feed_outage_suite(void)
+{
+	Suite *s = suite_create("feed_outage");
+	TCase *c = tcase_create("feed_outage");
+
+	tcase_add_checked_fixture(c, setup_, teardown_);
+	tcase_add_test(c, test_removals_are_not_deferred_after_copies);
+	tcase_add_test(c, test_removals_are_deferred_after_an_outage);
+	suite_add_tcase(s, c);
+	return s;
+}
+
 Suite *feeds_suite(void)
 {
 	Suite *s = suite_create("feeds");
