Gateway: copies from other nodes count as responses of the platform

Callers saw: when a quarter of the upstreams left at once, a node that had just begun to read the platform itself went on sending to them for up to 2.2 s more than the news took. A node took the time since its own last read for an outage, also where others had read for it, so that each change of readers and each first read some seconds after a start deferred removals.

Class: a clock that only one of two sources advances. Now a copy advances it to the time up to which the copying node knew the platform. A real outage, in which no node was answered, is recognised as before (test_removals_are_deferred_after_an_outage, test_configuration_after_an_outage).

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -261,6 +261,7 @@
 {
 	s->next_offset = MAX(s->next_offset, next_offset);
 	s->current_as_of = MAX(s->current_as_of, as_of);
+	s->last_response_at = MAX(s->last_response_at, as_of);
 	if (!s->loaded)
 		LOG_EVENT(LOG_NOTICE, "feed.loaded",
 			  F_STR("feed", feed_string[s->feed]),
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -68,9 +68,10 @@
 	mstime_t requested_at;
 	mstime_t next_read_at;
 	mstime_t fallback_at; /* next read of a node that cannot sync, or 0 */
-	mstime_t last_response_at;
-	uint64_t scan_end; /* end of the feed when the scan began */
-	char *scan_after;  /* last key of the previous page, or NULL */
+	mstime_t last_response_at; /* of the platform, to this node or to one
+				      that it copies from */
+	uint64_t scan_end;	   /* end of the feed when the scan began */
+	char *scan_after;	   /* last key of the previous page, or NULL */
 	bool scanning;
 	feed_source_t scan_source; /* only its records count as found */
 	bool down;		   /* the platform does not respond */
