--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -280,6 +280,8 @@
 		send_(fd, "Response-Signature: sig-%s-%s\r\n", own_id, r->id);
 	if (!strcmp(mode, "encoded"))
 		send_(fd, "Content-Encoding: gzip\r\n");
+	if (!strncmp(mode, "leaving", 7))
+		send_(fd, "Server-Leaving: %s\r\n", mode + 7);
 	send_(fd, "Server-Load: %d,0,%d\r\nKeep-Alive: timeout=5\r\n",
 	      state.running, slots);
 }
@@ -518,6 +520,9 @@
 	mode = take_fault_();
 	if (other || !strcmp(mode, "other"))
 		refuse_(fd, 421);
+	else if (!strcmp(mode, "other_leaving"))
+		send_(fd, "HTTP/1.1 421 Refused\r\nServer-Leaving: 1\r\n"
+			  "Content-Length: 0\r\n\r\n");
 	else if (!strcmp(mode, "shed"))
 		refuse_(fd, 503);
 	else
