Gateway: an upstream that announces its leaving in an answer gets nothing more

Callers saw: requests reach an upstream after one of its answers had told the same node that it leaves. Nothing read the notice; a node knew of a leave only from the published entry.

Class: what an upstream says of itself in an answer has no effect. Retries, resumed and moved streams choose among the same candidates. Other nodes are bound by their own answers and by the entry.

New: upstream.leaving in the log, kcf_leaves_announced_total.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -70,6 +70,8 @@
 	uint32_t key;  /* hash of id and start_id, identifies it in gossip */
 	int slots;
 	bool leaving;
+	bool announced_leaving; /* in an answer, which its entry cannot revoke
+				 */
 	bool removed;
 	mstime_t cold_until;
 	mstime_t ejected_until; /* gets no requests until then */
@@ -100,8 +102,10 @@
 } balance_service_t;
 
 typedef struct balance {
-	GHashTable *by_id;	/* char * to balance_upstream_t * */
-	GHashTable *by_key;	/* uint32_t to balance_upstream_t * */
+	GHashTable *by_id;  /* char * to balance_upstream_t * */
+	GHashTable *by_key; /* uint32_t to balance_upstream_t * */
+	/* uint32_t key to the mstime_t * until which its notice is kept */
+	GHashTable *notices;
 	guint gossip_cursor;	/* into the reports that are sent in rotation */
 	GHashTable *services;	/* char * to balance_service_t * */
 	GHashTable *affinities; /* affinity to balance_affinity_t * */
@@ -198,6 +202,16 @@
  */
 bool balance_remove_upstream(balance_t *b, const char *id);
 
+/*
+ * balance_announce_leaving - records that an upstream has announced its leaving
+ * in an answer. It gets no more requests from this node until it starts anew,
+ * whatever its entry says.
+ *
+ * Return: false when that was known.
+ */
+bool balance_announce_leaving(balance_t *b, balance_upstream_t *u,
+			      mstime_t now);
+
 /*
  * balance_set_service_limits - sets the limits of a service.
  */
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -51,6 +51,7 @@
 	bool wrong_instance; /* another instance has the address */
 	bool event_stream;   /* the body is a stream of events */
 	bool encoded;	 /* has a content encoding: not the upstream's body */
+	bool leaving;	 /* it announces that this start of it leaves */
 	int outstanding; /* reported load, -1 if unset */
 	int slots;	 /* requests that it runs at a time, 0 if unset */
 	mstime_t idle_max_ms; /* it closes idle connections then, 0 if unset */
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -50,6 +50,7 @@
 	[COUNTER_CRASHES_SUSPECTED] = "kcf_crashes_suspected_total",
 	[COUNTER_QUARANTINE_HOLDS] = "kcf_quarantine_holds_total",
 	[COUNTER_QUARANTINE_RELEASES] = "kcf_quarantine_releases_total",
+	[COUNTER_LEAVES_ANNOUNCED] = "kcf_leaves_announced_total",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -10,6 +10,11 @@
 #define LATENCY_WEIGHT 0.15
 /* Slow start of the upstreams of a data centre that was drained. */
 #define DRAIN_SLOW_START_MS 3000
+/*
+ * A leaving upstream's entry may lapse and come back. It has ended long before
+ * this time; some serve on for many seconds.
+ */
+#define NOTICE_KEEP_MS 600000
 
 static void release_upstream_(gpointer p);
 
@@ -21,6 +26,7 @@
 	b->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 release_upstream_);
 	b->by_key = g_hash_table_new(NULL, NULL);
+	b->notices = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	b->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->drained =
@@ -46,6 +52,7 @@
 		((balance_upstream_t *)value)->own_outstanding = 0;
 	g_hash_table_destroy(b->by_key);
 	g_hash_table_destroy(b->by_id);
+	g_hash_table_destroy(b->notices);
 	g_hash_table_destroy(b->services);
 	g_hash_table_destroy(b->drained);
 	g_hash_table_destroy(b->affinities);
@@ -76,7 +83,9 @@
 static bool is_same_entry_(const balance_upstream_t *u,
 			   const balance_spec_t *spec)
 {
-	return u->start_id == spec->start_id && u->leaving == spec->leaving &&
+	bool leaving = spec->leaving || u->announced_leaving;
+
+	return u->start_id == spec->start_id && u->leaving == leaving &&
 	       u->slots == spec->slots && !strcmp(u->address, spec->address) &&
 	       !strcmp(u->service, spec->service) &&
 	       !strcmp(u->data_centre, spec->data_centre);
@@ -118,11 +127,13 @@
 		u->start_id = spec->start_id;
 		u->hash = str_hash64(str_of(spec->id), 0);
 		u->key = (uint32_t)str_hash64(str_of(spec->id), spec->start_id);
+		u->announced_leaving = g_hash_table_contains(
+			b->notices, GUINT_TO_POINTER(u->key));
 		g_hash_table_insert(b->by_id, u->id, u);
 		g_hash_table_insert(b->by_key, GUINT_TO_POINTER(u->key), u);
 	}
 	u->slots = spec->slots;
-	u->leaving = spec->leaving;
+	u->leaving = spec->leaving || u->announced_leaving;
 	set_cold_until_(u, spec->cold_until, now);
 	return changed;
 }
@@ -137,6 +148,28 @@
 	return g_hash_table_remove(b->by_id, id);
 }
 
+static gboolean has_expired_(gpointer key, gpointer value, gpointer now)
+{
+	(void)key;
+	return *(const mstime_t *)value <= *(const mstime_t *)now;
+}
+
+bool balance_announce_leaving(balance_t *b, balance_upstream_t *u, mstime_t now)
+{
+	mstime_t *until;
+
+	assert(b && u);
+	if (u->announced_leaving)
+		return false;
+	g_hash_table_foreach_remove(b->notices, has_expired_, &now);
+	until = g_new(mstime_t, 1);
+	*until = now + NOTICE_KEEP_MS;
+	g_hash_table_insert(b->notices, GUINT_TO_POINTER(u->key), until);
+	u->announced_leaving = true;
+	u->leaving = true;
+	return true;
+}
+
 void balance_set_service_limits(balance_t *b, const char *service,
 				const balance_service_t *limits)
 {
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -201,6 +201,18 @@
 	return status >= 200 && status < 300;
 }
 
+static void record_leaving_(const forward_t *f, mstime_t now)
+{
+	if (!f->response.leaving ||
+	    !balance_announce_leaving(&f->gateway->balance, f->selected, now))
+		return;
+	counter_add(COUNTER_LEAVES_ANNOUNCED, 1);
+	LOG_EVENT(LOG_NOTICE, "upstream.leaving",
+		  F_STR("upstream", f->selected->id),
+		  F_INT("start", (int64_t)f->selected->start_id),
+		  F_VIEW("request", f->in.id));
+}
+
 /* Applies what the response headers say about the upstream. */
 static void record_upstream_state_(forward_t *f)
 {
@@ -218,6 +230,7 @@
 	}
 	if (f->response.idle_max_ms)
 		f->selected->idle_max_ms = f->response.idle_max_ms;
+	record_leaving_(f, now);
 }
 
 static void on_head_(void *ctx, http_call_t *call, int status)
