--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -411,7 +411,7 @@
 }
 END_TEST
 
-/* A platform whose response to a scan is kept until the test sends it. */
+/* A platform whose response about upstreams the test sends itself. */
 static struct {
 	feed_fn fn;
 	void *arg;
@@ -430,22 +430,17 @@
 	return NULL;
 }
 
-static http_call_t *ignore_read_(feed_client_t *c, feed_t feed, uint64_t from,
-				 mstime_t wait_ms, mstime_t deadline,
-				 feed_fn fn, void *arg)
+static http_call_t *keep_read_(feed_client_t *c, feed_t feed, uint64_t from,
+			       mstime_t wait_ms, mstime_t deadline, feed_fn fn,
+			       void *arg)
 {
-	(void)c;
-	(void)feed;
 	(void)from;
 	(void)wait_ms;
-	(void)deadline;
-	(void)fn;
-	(void)arg;
-	return NULL;
+	return keep_scan_(c, feed, NULL, deadline, fn, arg);
 }
 
 static const feed_client_ops_t kept_ops = { .read_latest = keep_scan_,
-					    .read_from = ignore_read_ };
+					    .read_from = keep_read_ };
 
 /* Lets a node send its first reads as a seed that has just started. */
 static void start_seed_(gateway_t *g, gateway_conf_t *conf)
@@ -536,6 +531,57 @@
 }
 END_TEST
 
+/* After an outage, nodes starved of copies each saw another outage. */
+START_TEST(test_stale_copies_are_no_outage)
+{
+	gateway_conf_t conf = { .apply_limit_ms = 2000 };
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_batch_t batch = { .next_offset = UPSTREAMS };
+
+	put_all_(&one);
+	s->last_response_at = clock_now() - 20000;
+	feeds_set_current(s, clock_now() - 5000, UPSTREAMS);
+	start_seed_(&one, &conf);
+	asked.fn(asked.arg, FEED_OK, &batch);
+	ck_assert_int_le(s->defer_until, clock_now());
+	stop_seed_(&one);
+}
+END_TEST
+
+/* The same node, but the platform leaves its reads without response. */
+START_TEST(test_failed_reads_are_an_outage)
+{
+	gateway_conf_t conf = { .apply_limit_ms = 2000 };
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_batch_t batch = { .next_offset = UPSTREAMS };
+
+	put_all_(&one);
+	feeds_set_current(s, clock_now() - 5000, UPSTREAMS);
+	s->last_response_at = clock_now() - 5000;
+	s->down = true;
+	start_seed_(&one, &conf);
+	asked.fn(asked.arg, FEED_OK, &batch);
+	ck_assert_int_gt(s->defer_until, clock_now());
+	stop_seed_(&one);
+}
+END_TEST
+
+/* A node that has read nothing in an outage learns of it with a copy. */
+START_TEST(test_copies_tell_of_an_outage)
+{
+	feed_state_t *s = &two.feed_states[FEED_UPSTREAMS];
+
+	put_all_(&one);
+	put_all_(&two);
+	one.feed_states[FEED_UPSTREAMS].defer_until = NOW + 2000;
+	sync_(&one, &two);
+	ck_assert_int_eq(s->defer_until, NOW + 2000);
+	for (int i = 0; i < UPSTREAMS; i++)
+		remove_(&two, i, 10 + (uint64_t)i);
+	ck_assert_int_ge(g_hash_table_size(two.balance.by_id), UPSTREAMS / 2);
+}
+END_TEST
+
 Suite *feed_outage_suite(void)
 {
 	Suite *s = suite_create("feed_outage");
@@ -544,6 +590,9 @@
 	tcase_add_checked_fixture(c, setup_, teardown_);
 	tcase_add_test(c, test_removals_are_not_deferred_after_copies);
 	tcase_add_test(c, test_removals_are_deferred_after_an_outage);
+	tcase_add_test(c, test_stale_copies_are_no_outage);
+	tcase_add_test(c, test_failed_reads_are_an_outage);
+	tcase_add_test(c, test_copies_tell_of_an_outage);
 	suite_add_tcase(s, c);
 	return s;
 }
