Gateway: other nodes read the platform while the readers are cut off from it

Callers saw: news of leaves came 3.0 to 3.9 s late on 78 hosts while the platform turned the three readers (and others) away: each node used its copies until they were 0.7 of the bound old, then read itself, so that data grew old everywhere at once.

Class: a role stays with nodes that are alive but cannot do it. A reader whose data is too old says so in its answers, those who ask it pass that on, and nodes that hear it read sooner (0.35 of the bound) and copy mostly from any live node.

--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -18,6 +18,17 @@
  */
 #define STALE_FRACTION 0.6
 #define STALE_INTERVAL_MS 200
+/* A reader whose data exceeds this fraction of the limit counts as cut off: a
+ * read takes 0.35 and a round trip.
+ */
+#define CUT_AGE_FRACTION 0.45
+/* A source that was cut off from the platform counts as such for this fraction
+ * of the limit, in which it is asked again several times.
+ */
+#define CUT_MEMORY_FRACTION 1.0
+/* One request in this many goes to a reader, the others to any live node. */
+#define TURNS_STALE 2
+#define TURNS_CUT_OFF 4
 #define FAILED_INTERVAL_MS 50
 /* Longest time for a response, in addition to the requested delay. */
 #define RESPONSE_MAX_MS 500
@@ -141,6 +152,21 @@
 	}
 }
 
+/* Whether the platform answers neither this reader nor those that this node
+ * copies from.
+ */
+static bool is_cut_off_(const gateway_t *g, mstime_t now)
+{
+	if (!reader_is_self(g, now))
+		return now < g->sources_cut_until;
+	for (int i = 0; i < SYNCED_FEEDS; i++) {
+		if (now - g->feed_states[i].current_as_of >
+		    gateway_limit_fraction_ms(g, CUT_AGE_FRACTION))
+			return true;
+	}
+	return false;
+}
+
 static feed_sync_response_t build_response_(gateway_t *g, const uint64_t *from,
 					    mstime_t now)
 {
@@ -157,6 +183,8 @@
 				    feed_sync_encode(&g->feed_states[i],
 						     from[i], now, payload));
 	}
+	if (is_cut_off_(g, now))
+		json_object_set_new(root, "cut_off", json_true());
 	json_object_set_new(root, "serving",
 			    json_integer(gateway_peers_serving_count(g, now)));
 	if (!gateway_recently_started(g, now)) {
@@ -499,6 +527,10 @@
 		feed_sync_apply(&g->feed_states[i],
 				json_object_get(root, feed_string[i]), &payload,
 				created_at_(g, call, now), now);
+	if (g->sync_source_ranked &&
+	    json_is_true(json_object_get(root, "cut_off")))
+		g->sources_cut_until =
+			now + gateway_limit_fraction_ms(g, CUT_MEMORY_FRACTION);
 	gateway_peers_set_serving_count(g, read_count_(root, "serving"), now);
 	apply_serving_(g, json_object_get(root, "addresses"));
 	g->start_sharing_nodes =
@@ -509,6 +541,8 @@
 		/* That node's data is no newer; the next one may have more. */
 		g->sync_source_turn++;
 		g->sync_next_at = now + STALE_INTERVAL_MS;
+	} else if (now < g->sources_cut_until) {
+		g->sync_source_turn++;
 	}
 	gateway_feeds_updated(g, now);
 }
@@ -516,25 +550,30 @@
 static const http_call_ops_t ops = { .done = on_done_ };
 
 /*
- * A node with current data uses the sync source of its rank. Others alternate
- * between a reader and any live node; a node without other members uses a seed.
+ * A node with current data uses the sync source of its rank. Others, and those
+ * whose source is cut off, alternate between a reader and any live node; a node
+ * without other members uses a seed.
  */
-static const char *select_source_(gateway_t *g, bool stale)
+static const char *select_source_(gateway_t *g, bool stale, mstime_t now)
 {
 	guint count = g->ranking->len;
 	guint readers = MIN(fleet_roles_reader_count(count), count);
+	guint turns = now < g->sources_cut_until ? TURNS_CUT_OFF : TURNS_STALE;
 	const member_t *m = NULL;
 
+	g->sync_source_ranked = true;
 	if (!stale && g->own_rank >= (int)readers)
 		m = gateway_peers_at_rank(
 			g, fleet_roles_sync_source((guint)g->own_rank, count,
 						   g->sync_source_turn));
-	else if (count && g->sync_source_turn % 2 == 0)
-		m = gateway_peers_at_rank(
-			g, (g->members.self->key + g->sync_source_turn / 2) %
-				   readers);
-	else
+	else if (count && g->sync_source_turn % turns == 0)
+		m = gateway_peers_at_rank(g, (g->members.self->key +
+					      g->sync_source_turn / turns) %
+						     readers);
+	else {
 		m = gateway_peers_random_live(g);
+		g->sync_source_ranked = false;
+	}
 	if (m && m != g->members.self)
 		return m->operators;
 	if (!g->conf->seed_admins->len)
@@ -583,7 +622,7 @@
 	if (g->sync_call || now < g->sync_next_at ||
 	    (!stale && reader_is_self(g, now)))
 		return;
-	address = select_source_(g, stale);
+	address = select_source_(g, stale || now < g->sources_cut_until, now);
 	if (!address || !strcmp(address, g->conf->admin)) {
 		g->sync_source_turn++;
 		return;
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -117,7 +117,12 @@
 	http_call_t *sync_call;
 	mstime_t sync_requested_at;
 	mstime_t sync_next_at;
-	guint sync_source_turn; /* advanced to use another source */
+	guint sync_source_turn;	 /* advanced to use another source */
+	bool sync_source_ranked; /* the source of its rank, or a reader */
+	/* Until then this node also reads the platform, as it does not answer
+	 * those that this node copies from.
+	 */
+	mstime_t sources_cut_until;
 	guint sync_response_count;
 	GPtrArray *sync_waiters;	/* waiter_t *, wait for a change */
 	feed_sync_response_t sync_full; /* with all records */
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -18,6 +18,10 @@
  */
 #define UPSTREAMS_INTERVAL_FRACTION 0.35
 #define FALLBACK_AGE_FRACTION 0.7
+/* The same while the readers are cut off from the platform: the first nodes
+ * that reach it read for the others, and their data has yet to spread.
+ */
+#define SUBSTITUTE_AGE_FRACTION 0.35
 /*
  * Fallback reads a second of the whole fleet: the first of each node, which on
  * small fleets recovers from the loss of all readers within the limit, and
@@ -207,9 +211,13 @@
 
 static bool is_fresh_(const feed_state_t *s, mstime_t now)
 {
-	return s->loaded && now - s->current_as_of <=
-				    gateway_limit_fraction_ms(
-					    s->gateway, FALLBACK_AGE_FRACTION);
+	double fraction = now < s->gateway->sources_cut_until
+				  ? SUBSTITUTE_AGE_FRACTION
+				  : FALLBACK_AGE_FRACTION;
+
+	return s->loaded &&
+	       now - s->current_as_of <=
+		       gateway_limit_fraction_ms(s->gateway, fraction);
 }
 
 static mstime_t start_delay_(const gateway_t *g)
