--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -25,6 +25,7 @@
 	GHashTable *newest; /* GBytes * to record_t *, owned by all */
 	GPtrArray *all;	    /* record_t *, kept for ever */
 	guint64 next;
+	guint64 copied; /* next when the copy was taken */
 } topic_t;
 
 /* A read that waits for news. */
@@ -40,6 +41,7 @@
 	topic_t topics[TOPICS];
 	int reads;
 	int appends;
+	int era; /* grows with each restore from a copy */
 } s;
 
 static struct {
@@ -50,6 +52,25 @@
 
 static GPtrArray *waiters;
 
+static void reply_(http_request_t *req, unsigned int status, str_t body)
+{
+	char era[16];
+	const http_header_t headers[] = { { "Store-Era", era },
+					  { NULL, NULL } };
+
+	g_snprintf(era, sizeof(era), "%d", s.era);
+	http_reply(req, status, headers, body);
+}
+
+static void reply_json_(http_request_t *req, unsigned int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	reply_(req, status, str_of(text));
+	free(text);
+	json_decref(body);
+}
+
 static void record_free_(gpointer p)
 {
 	record_t *r = p;
@@ -67,6 +88,7 @@
 
 	(void)o;
 	s.loop = loop;
+	s.era = 1;
 	waiters = g_ptr_array_new();
 	for (int i = 0; i < TOPICS; i++) {
 		topic_t *t = &s.topics[i];
@@ -130,8 +152,7 @@
 		if (r->offset >= from)
 			append_record_(out, r);
 	}
-	http_reply(req, 200, NULL,
-		   (str_t){ (const char *)out->data, out->len });
+	reply_(req, 200, (str_t){ (const char *)out->data, out->len });
 	g_byte_array_unref(out);
 }
 
@@ -189,10 +210,10 @@
 	waiter_t *w;
 
 	s.reads++;
-	if (from < first_(t)) {
-		standin_json(req, 410,
-			     json_pack("{s:I}", "start_offset",
-				       (json_int_t)first_(t)));
+	if (from < first_(t) || from > t->next) {
+		reply_json_(req, 410,
+			    json_pack("{s:I}", "start_offset",
+				      (json_int_t)first_(t)));
 		return;
 	}
 	if (from < t->next || !wait_ms) {
@@ -258,9 +279,9 @@
 			break;
 		json_array_append_new(entries, entry_(r));
 	}
-	standin_json(req, 200,
-		     json_pack("{s:o,s:b,s:I}", "entries", entries, "has_more",
-			       more, "end_offset", (json_int_t)t->next));
+	reply_json_(req, 200,
+		    json_pack("{s:o,s:b,s:I}", "entries", entries, "has_more",
+			      more, "end_offset", (json_int_t)t->next));
 	g_bytes_unref(last);
 	g_ptr_array_unref(list);
 }
@@ -285,9 +306,9 @@
 		body = str_skip(body, len);
 	}
 	if (!fault.lost)
-		standin_json(req, 200,
-			     json_pack("{s:I,s:I}", "offset", (json_int_t)first,
-				       "end_offset", (json_int_t)t->next));
+		reply_json_(req, 200,
+			    json_pack("{s:I,s:I}", "offset", (json_int_t)first,
+				      "end_offset", (json_int_t)t->next));
 }
 
 static void request_(http_request_t *req)
@@ -298,7 +319,7 @@
 	if (fault.silent)
 		return;
 	if (fault.busy || !t) {
-		standin_json(req, fault.busy ? 503 : 404, json_object());
+		reply_json_(req, fault.busy ? 503 : 404, json_object());
 		return;
 	}
 	if (str_eq(path, str_of("/api/log-read")))
@@ -308,7 +329,7 @@
 	else if (str_eq(path, str_of("/api/log-append")))
 		append_(req, t);
 	else
-		standin_json(req, 404, json_object());
+		reply_json_(req, 404, json_object());
 }
 
 static void closed_(http_request_t *req, bool whole)
@@ -345,8 +366,46 @@
 	}
 }
 
+static void rebuild_newest_(topic_t *t)
+{
+	g_hash_table_remove_all(t->newest);
+	for (guint i = 0; i < t->all->len; i++) {
+		record_t *r = t->all->pdata[i];
+
+		if (r->data)
+			g_hash_table_replace(t->newest, r->key, r);
+		else
+			g_hash_table_remove(t->newest, r->key);
+	}
+}
+
+/* Goes back to the copy; later offsets are given out again. */
+static void restore_(topic_t *t)
+{
+	while (t->history->len &&
+	       ((record_t *)t->history->pdata[t->history->len - 1])->offset >=
+		       t->copied)
+		g_ptr_array_set_size(t->history, (gint)t->history->len - 1);
+	while (t->all->len &&
+	       ((record_t *)t->all->pdata[t->all->len - 1])->offset >=
+		       t->copied)
+		g_ptr_array_set_size(t->all, (gint)t->all->len - 1);
+	t->next = t->copied;
+	rebuild_newest_(t);
+}
+
 static void set_fault_(const json_t *f)
 {
+	bool copy = json_is_true(json_object_get(f, "copy"));
+	bool restore = json_is_true(json_object_get(f, "restore"));
+
+	for (int i = 0; i < TOPICS; i++) {
+		if (copy)
+			s.topics[i].copied = s.topics[i].next;
+		if (restore)
+			restore_(&s.topics[i]);
+	}
+	s.era += restore;
 	standin_switch(f, "busy", &fault.busy);
 	standin_switch(f, "silent", &fault.silent);
 	standin_switch(f, "lost", &fault.lost);
