Gateway: records are ordered by the epoch of the platform's log and their offset

Callers saw (reported, by reading the cause of 'came back older' and 'not in force in time'): after the platform's log was restored from an older copy, changes written since had lower offsets than those known and were ignored, a 410 began scans that never ended, and a node that started took the old configuration and upstreams that had left.

Class: offsets of two logs are compared as if they were of one. Now (epoch, offset) orders records, a node learns of a new epoch from any answer of the platform or another node and reads all anew, and where epochs differ the content decides (version; start and heartbeat). What is known better than the log's record is passed on as corrected. What the log lacks is dropped after 6 s unless written again. Copies state from which offset they cover a feed: a request that was held over the restore was answered with changes of the new epoch after an offset of the old one, found by the scenario.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -44,8 +44,9 @@
 	const char *service;
 	const char *address; /* ip:port */
 	const char *data_centre;
-	uint64_t start_id; /* differs for each start of the process */
-	int slots;	   /* requests that it runs concurrently */
+	uint64_t start_id;  /* differs for each start of the process */
+	uint64_t heartbeat; /* number of entries that this start has written */
+	int slots;	    /* requests that it runs concurrently */
 	bool leaving;
 	mstime_t cold_until; /* end of its slow start, 0 when it is not cold */
 } balance_spec_t;
--- a/include/kcf/feed.h
+++ b/include/kcf/feed.h
@@ -5,6 +5,10 @@
  * limited history. Offsets grow with each record. A record is applied only if
  * none of the same key with the same or a higher offset is known, so that late
  * and stale responses never undo a change.
+ *
+ * A log that was restored from an older copy has lost its latest records and
+ * gives out their offsets again. Its epoch grows with each restore, so records
+ * are ordered by epoch and offset.
  */
 #ifndef KCF_FEED_H
 #define KCF_FEED_H
@@ -36,7 +40,14 @@
 	str_t key;
 	str_t data;
 	uint64_t offset;
-	bool removed; /* the record removes its key */
+	uint64_t epoch; /* of the offset; 0: that of the feed */
+	bool removed;	/* the record removes its key */
+	/* Known to be newer than the log's record at this offset, which is of
+	 * an older copy.
+	 */
+	bool corrected;
+	uint64_t start_id;  /* of a removed upstream, 0 if unknown */
+	uint64_t heartbeat; /* its last one */
 } feed_record_t;
 
 typedef struct feed_batch {
@@ -44,9 +55,10 @@
 	size_t count;
 	uint64_t next_offset; /* offset after the last record of the feed */
 	bool has_more;	      /* another page follows */
+	uint64_t epoch;	      /* of the log, 0 if unstated */
 } feed_batch_t;
 
-/* Receives a result; batch is NULL unless err is FEED_OK. */
+/* Receives a result; unless err is FEED_OK, batch only has the epoch. */
 typedef void (*feed_fn)(void *arg, int err, const feed_batch_t *batch);
 
 typedef struct feed_client feed_client_t;
--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -42,6 +42,9 @@
 #define FULL_CACHE_MS 300
 /* Waiting nodes are answered within one iteration of the event loop. */
 #define RECENT_CACHE_MS 50
+/* A starting node asks for a copy for this long, then there is no other node.
+ */
+#define FIRST_COPY_MAX_MS 2000
 /* Granularity of offsets; upstreams write this many heartbeats in one to a few
  * seconds.
  */
@@ -62,28 +65,52 @@
 	gateway_t *gateway;
 	http_request_t *req;
 	uint64_t from[SYNCED_FEEDS];
+	uint64_t epoch; /* of these offsets */
 	mstime_t requested_at;
 	mstime_t until;
 } waiter_t;
 
-static json_t *encode_entry_(const feed_entry_t *e, GString *payload)
+static json_t *encode_entry_(const feed_state_t *s, const feed_entry_t *e,
+			     GString *payload)
 {
 	gsize len = 0;
 	const char *data = e->data ? g_bytes_get_data(e->data, &len) : NULL;
+	json_t *entry = json_pack("{s:s,s:I}", "key", e->key, "offset",
+				  (json_int_t)e->offset);
+
+	if (e->epoch != s->epoch)
+		json_object_set_new(entry, "epoch",
+				    json_integer((json_int_t)e->epoch));
+	if (e->corrected)
+		json_object_set_new(entry, "corrected", json_true());
+	if (data) {
+		g_string_append_len(payload, data, (gssize)len);
+		json_object_set_new(entry, "bytes",
+				    json_integer((json_int_t)len));
+	} else if (e->start_id) {
+		json_object_set_new(entry, "start",
+				    json_integer((json_int_t)e->start_id));
+		json_object_set_new(entry, "heartbeat",
+				    json_integer((json_int_t)e->heartbeat));
+	}
+	return entry;
+}
 
-	if (!data)
-		return json_pack("{s:s,s:I}", "key", e->key, "offset",
-				 (json_int_t)e->offset);
-	g_string_append_len(payload, data, (gssize)len);
-	return json_pack("{s:s,s:I,s:I}", "key", e->key, "offset",
-			 (json_int_t)e->offset, "bytes", (json_int_t)len);
+/* Whether an entry is part of a response from an offset on. */
+static bool includes_(const feed_state_t *s, const feed_entry_t *e,
+		      uint64_t from, bool full)
+{
+	/* What a restored log may lack, removals among it. */
+	if (e->epoch != s->epoch)
+		return true;
+	return full ? e->data || e->corrected : e->change_offset >= from;
 }
 
 json_t *feed_sync_encode(const feed_state_t *s, uint64_t from, mstime_t now,
 			 GString *payload)
 {
 	/* Deferred removals may only be expired entries of an outage. */
-	bool removals_certain = s->loaded && now >= s->defer_until;
+	bool removals_certain = s->complete && now >= s->defer_until;
 	/* Removals before this offset are unknown here: all records are sent,
 	 * and the receiver removes the others.
 	 */
@@ -97,17 +124,19 @@
 		const feed_entry_t *e = value;
 		json_t *entry;
 
-		if (full ? !e->data : e->change_offset < from)
+		if (!includes_(s, e, from, full))
 			continue;
-		entry = encode_entry_(e, payload);
+		entry = encode_entry_(s, e, payload);
 		if (entry)
 			json_array_append_new(list, entry);
 	}
-	return json_pack(
-		"{s:I,s:I,s:b,s:b,s:I,s:o}", "next", (json_int_t)s->next_offset,
-		"age_ms", (json_int_t)(now - s->current_as_of), "loaded",
-		removals_certain, "whole", full, "defer_ms",
-		(json_int_t)MAX(0, s->defer_until - now), "entries", list);
+	return json_pack("{s:I,s:I,s:I,s:I,s:b,s:b,s:I,s:o}", "epoch",
+			 (json_int_t)s->epoch, "from", (json_int_t)from, "next",
+			 (json_int_t)s->next_offset, "age_ms",
+			 (json_int_t)(now - s->current_as_of), "loaded",
+			 removals_certain, "whole", full, "defer_ms",
+			 (json_int_t)MAX(0, s->defer_until - now), "entries",
+			 list);
 }
 
 static GBytes *deflate_(str_t plain)
@@ -177,6 +206,7 @@
 	char *head;
 
 	for (int i = 0; i < SYNCED_FEEDS; i++) {
+		response.epoch[i] = g->feed_states[i].epoch;
 		response.from_offset[i] = from[i];
 		response.changes_end[i] = g->feed_states[i].changes_end;
 		json_object_set_new(root, feed_string[i],
@@ -233,7 +263,8 @@
 	if (!response->bytes || now - response->created_at > max_age_ms)
 		return false;
 	for (int i = 0; i < SYNCED_FEEDS; i++) {
-		if (response->from_offset[i] != from[i] ||
+		if (response->epoch[i] != g->feed_states[i].epoch ||
+		    response->from_offset[i] != from[i] ||
 		    response->changes_end[i] != g->feed_states[i].changes_end)
 			return false;
 	}
@@ -291,13 +322,23 @@
 	send_response_(req, feed_sync_response_for(g, from, now), requested_at);
 }
 
+/* Offsets of another epoch say nothing: all records are sent. */
+static void discard_other_epoch_(const gateway_t *g, uint64_t epoch,
+				 uint64_t *from)
+{
+	for (int i = 0; i < SYNCED_FEEDS; i++) {
+		if (epoch != g->feed_states[i].epoch)
+			from[i] = 0;
+	}
+}
+
 static bool has_changes_(const gateway_t *g, const uint64_t *from)
 {
 	for (int i = 0; i < SYNCED_FEEDS; i++) {
 		const feed_state_t *s = &g->feed_states[i];
 
-		if (s->loaded && (!from[i] || s->changes_end > from[i] ||
-				  from[i] < s->removals_complete_from))
+		if (s->complete && (!from[i] || s->changes_end > from[i] ||
+				    from[i] < s->removals_complete_from))
 			return true;
 	}
 	return false;
@@ -308,7 +349,7 @@
 static bool can_respond_now_(const gateway_t *g, const uint64_t *from)
 {
 	for (int i = 0; i < SYNCED_FEEDS; i++) {
-		if (!g->feed_states[i].loaded)
+		if (!g->feed_states[i].complete)
 			return false;
 	}
 	return has_changes_(g, from);
@@ -336,8 +377,9 @@
 void feed_sync_notify_waiters(gateway_t *g, mstime_t now)
 {
 	for (guint i = g->sync_waiters->len; i > 0; i--) {
-		const waiter_t *w = g->sync_waiters->pdata[i - 1];
+		waiter_t *w = g->sync_waiters->pdata[i - 1];
 
+		discard_other_epoch_(g, w->epoch, w->from);
 		if (now >= w->until || can_respond_now_(g, w->from))
 			respond_to_waiter_(g, i - 1, now);
 	}
@@ -363,14 +405,18 @@
 	mstime_t now = clock_now();
 	uint64_t from[SYNCED_FEEDS];
 	int64_t hold = 0;
+	int64_t epoch = 0;
 	waiter_t *w;
 
+	str_to_int(http_request_query(req, "epoch"), &epoch);
+	feeds_observe_epoch(g, (uint64_t)MAX(0, epoch), now);
 	for (int i = 0; i < SYNCED_FEEDS; i++) {
 		int64_t n = 0;
 
 		str_to_int(http_request_query(req, feed_string[i]), &n);
 		from[i] = (uint64_t)MAX(0, n);
 	}
+	discard_other_epoch_(g, (uint64_t)MAX(0, epoch), from);
 	str_to_int(http_request_query(req, "hold_ms"), &hold);
 	hold = CLAMP(hold, 0, FULL_MAX_MS);
 	if (!hold || g->phase == GATEWAY_STOPPING ||
@@ -381,6 +427,7 @@
 	w = g_new0(waiter_t, 1);
 	*w = (waiter_t){ .gateway = g,
 			 .req = req,
+			 .epoch = (uint64_t)MAX(0, epoch),
 			 .requested_at = now,
 			 .until = now + hold };
 	memcpy(w->from, from, sizeof(from));
@@ -415,16 +462,50 @@
 	return true;
 }
 
-/* Skips the payload of a feed that is not applied. */
-static void skip_entries_(const json_t *feed, str_t *payload)
+static uint64_t read_number_(const json_t *object, const char *name)
+{
+	return (uint64_t)MAX(0,
+			     json_integer_value(json_object_get(object, name)));
+}
+
+/* Takes an entry off the response; false if the payload is too short. */
+static bool read_entry_(const json_t *entry, uint64_t epoch, str_t *payload,
+			feed_record_t *r)
+{
+	const json_t *key = json_object_get(entry, "key");
+
+	*r = (feed_record_t){
+		.key = { json_string_value(key), json_string_length(key) },
+		.offset = read_number_(entry, "offset"),
+		.epoch = read_number_(entry, "epoch"),
+		.removed = !json_object_get(entry, "bytes"),
+		.corrected = json_is_true(json_object_get(entry, "corrected")),
+		.start_id = read_number_(entry, "start"),
+		.heartbeat = read_number_(entry, "heartbeat"),
+	};
+	if (!r->epoch)
+		r->epoch = epoch;
+	return read_entry_data_(entry, payload, &r->data);
+}
+
+/*
+ * Takes from a response that does not cover the feed what a restored log has
+ * lost, which is compared by content.
+ */
+static void merge_entries_(feed_state_t *s, const json_t *feed, uint64_t epoch,
+			   str_t *payload, mstime_t now)
 {
 	size_t i;
 	json_t *entry;
-	str_t data;
+	feed_record_t r;
 
 	json_array_foreach (json_object_get(feed, "entries"), i, entry) {
-		if (!read_entry_data_(entry, payload, &data))
+		if (!read_entry_(entry, epoch, payload, &r))
 			return;
+		if (r.key.len && s->epoch &&
+		    (r.epoch < s->epoch ||
+		     (r.epoch == s->epoch && r.corrected)))
+			feeds_apply_record(s, &r, now);
 	}
 }
 
@@ -433,6 +514,10 @@
 {
 	json_int_t next = json_integer_value(json_object_get(feed, "next"));
 	json_int_t age = json_integer_value(json_object_get(feed, "age_ms"));
+	/* Nodes of older builds do not state it. */
+	uint64_t epoch = json_object_get(feed, "epoch")
+				 ? read_number_(feed, "epoch")
+				 : s->epoch;
 	size_t i;
 	json_t *entry;
 	bool full = json_is_true(json_object_get(feed, "whole"));
@@ -442,28 +527,23 @@
 	if (defer > 0)
 		feeds_defer_removals(
 			s, requested_at + MIN(defer, FEEDS_DEFER_REMOVALS_MS));
+	s->source = FEED_FROM_NODE;
+	feeds_observe_epoch(s->gateway, epoch, now);
 	if (!json_is_true(json_object_get(feed, "loaded")) ||
-	    (uint64_t)next < s->next_offset) {
-		skip_entries_(feed, payload);
+	    epoch < s->epoch || (uint64_t)next < s->next_offset ||
+	    (!full && read_number_(feed, "from") > s->next_offset)) {
+		merge_entries_(s, feed, epoch, payload, now);
 		return;
 	}
-	s->source = FEED_FROM_NODE;
 	if (full) {
 		feeds_cancel_scan(s);
 		feeds_begin_scan(s);
 	}
 	json_array_foreach (json_object_get(feed, "entries"), i, entry) {
-		const json_t *key = json_object_get(entry, "key");
-		feed_record_t r = {
-			.key = { json_string_value(key),
-				 json_string_length(key) },
-			.offset = (uint64_t)json_integer_value(
-				json_object_get(entry, "offset")),
-			.removed = !json_object_get(entry, "bytes"),
-		};
+		feed_record_t r;
 
 		/* A truncated payload does not cover the feed up to next. */
-		if (!read_entry_data_(entry, payload, &r.data)) {
+		if (!read_entry_(entry, epoch, payload, &r)) {
 			feeds_cancel_scan(s);
 			return;
 		}
@@ -482,7 +562,7 @@
 	for (int i = 0; i < SYNCED_FEEDS; i++) {
 		const feed_state_t *s = &g->feed_states[i];
 
-		if (!s->loaded || s->current_as_of < g->data_valid_from ||
+		if (!s->complete || s->current_as_of < g->data_valid_from ||
 		    now - s->current_as_of >
 			    gateway_limit_fraction_ms(g, STALE_FRACTION))
 			return true;
@@ -588,7 +668,11 @@
 {
 	const feed_state_t *operators = &g->feed_states[FEED_OPERATORS];
 	const feed_state_t *upstreams = &g->feed_states[FEED_UPSTREAMS];
-	bool start = !operators->loaded || !upstreams->loaded;
+	bool start = !operators->complete || !upstreams->complete;
+	/* A node that has just started may have read an older copy of the log:
+	 * its first request asks for all.
+	 */
+	bool first = !g->sync_response_count;
 	mstime_t hold = stale && !start
 				? 0
 				: gateway_limit_fraction_ms(g, HOLD_FRACTION);
@@ -602,9 +686,10 @@
 	};
 	char *url = g_strdup_printf(
 		"http://%s%s?operators=%" G_GUINT64_FORMAT
-		"&upstreams=%" G_GUINT64_FORMAT "&hold_ms=%" G_GINT64_FORMAT,
-		address, GATEWAY_FEEDS_PATH, operators->next_offset,
-		upstreams->next_offset, hold);
+		"&upstreams=%" G_GUINT64_FORMAT "&epoch=%" G_GUINT64_FORMAT
+		"&hold_ms=%" G_GINT64_FORMAT,
+		address, GATEWAY_FEEDS_PATH, first ? 0 : operators->next_offset,
+		first ? 0 : upstreams->next_offset, operators->epoch, hold);
 
 	spec.url = url;
 	counter_add(COUNTER_FEED_CALLS, 1);
@@ -613,6 +698,13 @@
 	g_free(url);
 }
 
+/* Whether this node has started and no other has told it what it knows yet. */
+static bool needs_first_copy_(const gateway_t *g, mstime_t now)
+{
+	return !g->sync_response_count &&
+	       now - g->started_at < FIRST_COPY_MAX_MS;
+}
+
 void feed_sync_tick(gateway_t *g, mstime_t now)
 {
 	bool stale = is_stale_(g, now);
@@ -620,7 +712,7 @@
 
 	feed_sync_notify_waiters(g, now);
 	if (g->sync_call || now < g->sync_next_at ||
-	    (!stale && reader_is_self(g, now)))
+	    (!stale && !needs_first_copy_(g, now) && reader_is_self(g, now)))
 		return;
 	address = select_source_(g, stale || now < g->sources_cut_until, now);
 	if (!address || !strcmp(address, g->conf->admin)) {
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -5,6 +5,10 @@
 
 /* Time without a response from the platform that counts as an outage. */
 #define OUTAGE_MIN_MS 2200
+/* After a restore of the log, operators and upstreams write again what they
+ * last wrote; upstreams do so once a second.
+ */
+#define DROP_OLDER_MS 6000
 /* An outage expires many entries at once; removals of fewer than this fraction
  * of the upstreams are genuine.
  */
@@ -145,7 +149,7 @@
 }
 
 /* False if the record is only a heartbeat. */
-static bool apply_upstream_entry_(feed_state_t *s, const char *id,
+static bool apply_upstream_entry_(feed_state_t *s, feed_entry_t *e,
 				  const feed_record_t *r, mstime_t now)
 {
 	gateway_t *g = s->gateway;
@@ -155,11 +159,13 @@
 
 	if (!g->protocol->parse_upstream_record(r, now, &spec, &holder)) {
 		LOG_EVENT(LOG_WARNING, "upstream.unreadable",
-			  F_STR("upstream", id),
+			  F_STR("upstream", e->key),
 			  F_INT("offset", (int64_t)r->offset));
-		remove_upstream_(s, id, r->offset, "entry unreadable");
+		remove_upstream_(s, e->key, r->offset, "entry unreadable");
 	} else {
-		spec.id = id;
+		spec.id = e->key;
+		e->start_id = spec.start_id;
+		e->heartbeat = spec.heartbeat;
 		changed = balance_put_upstream(&g->balance, &spec, now);
 		if (changed)
 			log_entry_(s, &spec, r, now);
@@ -185,11 +191,11 @@
 }
 
 /* False if the record is only a heartbeat. */
-static bool apply_upstream_record_(feed_state_t *s, const feed_entry_t *e,
+static bool apply_upstream_record_(feed_state_t *s, feed_entry_t *e,
 				   const feed_record_t *r, mstime_t now)
 {
 	if (!r->removed)
-		return apply_upstream_entry_(s, e->key, r, now);
+		return apply_upstream_entry_(s, e, r, now);
 	if (!defer_removal_(s, e->key, now))
 		remove_upstream_(s, e->key, r->offset, "entry removed");
 	return true;
@@ -202,6 +208,37 @@
 		e->data = g_bytes_new(r->data.data, r->data.len);
 }
 
+/* False if the content is rejected and the one before it stays in force. */
+static bool apply_content_(feed_state_t *s, feed_entry_t *e,
+			   const feed_record_t *r, mstime_t now, bool *changed)
+{
+	*changed = true;
+	switch (s->feed) {
+	case FEED_OPERATORS:
+		*changed = apply_operator_record_(s, r, now);
+		return *changed;
+	case FEED_UPSTREAMS:
+		*changed = apply_upstream_record_(s, e, r, now);
+		return true;
+	case FEED_NODES:
+	default:
+		return true;
+	}
+}
+
+static uint64_t epoch_(const feed_state_t *s, const feed_record_t *r)
+{
+	return r->epoch ? r->epoch : s->epoch;
+}
+
+static void record_change_(feed_state_t *s, feed_entry_t *e)
+{
+	if (e->epoch != s->epoch)
+		return;
+	e->change_offset = e->offset;
+	s->changes_end = MAX(s->changes_end, e->offset + 1);
+}
+
 /*
  * Applies a record that is newer than its entry. Only data in force is stored,
  * as sync responses are built from it.
@@ -209,28 +246,110 @@
 static void apply_(feed_state_t *s, feed_entry_t *e, const feed_record_t *r,
 		   mstime_t now)
 {
-	bool in_force = true;
-	bool changed = true;
+	bool changed;
+	bool in_force = apply_content_(s, e, r, now, &changed);
+
+	e->epoch = epoch_(s, r);
+	e->offset = r->offset;
+	/* Other nodes get the content in force with the rejected offset. */
+	e->corrected = r->corrected || (!in_force && e->data);
+	if (in_force)
+		store_data_(e, r);
+	if (changed || e->corrected)
+		record_change_(s, e);
+}
+
+/* Whether a record of an upstream says less than what is known of it. */
+static bool is_older_upstream_(const feed_state_t *s, const feed_entry_t *e,
+			       const feed_record_t *r, mstime_t now)
+{
+	uint64_t start_id = r->start_id;
+	uint64_t heartbeat = r->heartbeat;
+	json_t *holder = NULL;
+	balance_spec_t spec;
+	bool ok = r->removed || s->gateway->protocol->parse_upstream_record(
+					r, now, &spec, &holder);
+
+	if (ok && !r->removed) {
+		start_id = spec.start_id;
+		heartbeat = spec.heartbeat;
+	}
+	json_decref(holder);
+	return !ok || start_id < e->start_id ||
+	       (start_id == e->start_id && heartbeat <= e->heartbeat);
+}
+
+/* Whether a record of operators has a version of its own. */
+static bool is_versioned_(const feed_state_t *s, const feed_record_t *r)
+{
+	operator_change_t change;
+
+	s->gateway->protocol->parse_operator_record(r, &change);
+	if (change.kind != CHANGE_ROUTE_TABLE)
+		return false;
+	route_table_unref(change.table);
+	return true;
+}
+
+/*
+ * The epochs of a record and its entry differ, so that one of them may be of an
+ * older copy of the log. The content decides which one is newer: the version of
+ * a configuration, start and heartbeat of an upstream.
+ *
+ * Return: whether the record is to be applied.
+ */
+static bool is_newer_content_(feed_state_t *s, const feed_entry_t *e,
+			      const feed_record_t *r, mstime_t now)
+{
+	bool later = epoch_(s, r) > e->epoch;
 
+	/* A removal is not in a copy of the latest records: it was written. */
+	if (later && r->removed)
+		return true;
 	switch (s->feed) {
-	case FEED_OPERATORS:
-		in_force = apply_operator_record_(s, r, now);
-		changed = in_force;
-		break;
 	case FEED_UPSTREAMS:
-		changed = apply_upstream_record_(s, e, r, now);
-		break;
+		return !is_older_upstream_(s, e, r, now);
+	case FEED_OPERATORS:
+		return later || is_versioned_(s, r);
 	case FEED_NODES:
 	default:
-		break;
+		return later;
 	}
-	e->offset = r->offset;
-	if (in_force)
-		store_data_(e, r);
-	if (!changed)
+}
+
+/* Merges a record of another epoch than its entry. */
+static void merge_(feed_state_t *s, feed_entry_t *e, const feed_record_t *r,
+		   mstime_t now)
+{
+	bool later = epoch_(s, r) > e->epoch;
+	bool newer = is_newer_content_(s, e, r, now);
+	bool changed;
+
+	if (later && newer) {
+		apply_(s, e, r, now);
 		return;
-	e->change_offset = r->offset;
-	s->changes_end = MAX(s->changes_end, r->offset + 1);
+	}
+	if (!later && !newer)
+		return;
+	if (later) {
+		e->epoch = epoch_(s, r);
+		e->offset = r->offset;
+	} else {
+		if (!apply_content_(s, e, r, now, &changed))
+			return;
+		store_data_(e, r);
+	}
+	/* The log's record is of an older copy. */
+	e->corrected = true;
+	record_change_(s, e);
+}
+
+/* Order of a record against its entry, of the same epoch. */
+static bool is_newer_(const feed_entry_t *e, const feed_record_t *r)
+{
+	if (e->offset != r->offset)
+		return e->offset < r->offset;
+	return r->corrected && !e->corrected;
 }
 
 void feeds_apply_record(feed_state_t *s, const feed_record_t *r, mstime_t now)
@@ -239,20 +358,22 @@
 	feed_entry_t *e = g_hash_table_lookup(s->entries, key);
 	bool scanned = s->scanning && s->source == s->scan_source;
 
-	if (e && scanned)
-		e->seen = true;
-	if (e && e->offset >= r->offset) {
-		g_free(key);
-		return;
-	}
+	if (epoch_(s, r) < s->epoch && !s->drop_older_at)
+		s->drop_older_at = now + DROP_OLDER_MS;
 	if (!e) {
 		e = g_new0(feed_entry_t, 1);
 		e->key = g_strdup(key);
 		e->seen = scanned;
 		g_hash_table_insert(s->entries, e->key, e);
+		apply_(s, e, r, now);
+	} else {
+		e->seen = e->seen || scanned;
+		if (e->epoch != epoch_(s, r))
+			merge_(s, e, r, now);
+		else if (is_newer_(e, r))
+			apply_(s, e, r, now);
 	}
 	g_free(key);
-	apply_(s, e, r, now);
 }
 
 void feeds_set_current(feed_state_t *s, mstime_t as_of, uint64_t next_offset)
@@ -267,6 +388,14 @@
 			  F_INT("keys", g_hash_table_size(s->entries)),
 			  F_STR("source", feed_source_string[s->source]));
 	s->loaded = true;
+	s->complete = true;
+}
+
+/* Entries of an older epoch are given time to be written again. */
+static bool is_kept_unseen_(feed_state_t *s, const feed_entry_t *e)
+{
+	return e->epoch == s->epoch ? e->offset >= s->scan_end
+				    : s->feed != FEED_NODES;
 }
 
 /* Removes keys that a completed scan has not found; their number. */
@@ -281,9 +410,9 @@
 		feed_entry_t *e = value;
 		feed_record_t r = { .key = str_of(e->key), .removed = true };
 
-		if (e->seen || !e->data || e->offset >= s->scan_end)
+		if (e->seen || !e->data || is_kept_unseen_(s, e))
 			continue;
-		r.offset = s->scan_end - 1;
+		r.offset = MAX(s->scan_end, 1) - 1;
 		apply_(s, e, &r, now);
 		removed++;
 	}
@@ -322,6 +451,7 @@
 	s->scanning = false;
 	s->scan_end = end;
 	removed = remove_unseen_(s, now);
+	s->drop_older_at = now + DROP_OLDER_MS;
 	LOG_EVENT(LOG_NOTICE, "feed.scanned",
 		  F_STR("feed", feed_string[s->feed]),
 		  F_STR("source", feed_source_string[s->source]),
@@ -369,11 +499,46 @@
 		  F_STR("feed", feed_string[s->feed]));
 }
 
+/* A configuration is only ever replaced. */
+static bool has_version_(const feed_state_t *s, const feed_entry_t *e)
+{
+	feed_record_t r = { .key = str_of(e->key) };
+
+	r.data.data = g_bytes_get_data(e->data, &r.data.len);
+	return is_versioned_(s, &r);
+}
+
+/* Drops what the restored log lacks and nobody has written again. */
+static void drop_older_(feed_state_t *s, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	s->drop_older_at = 0;
+	g_hash_table_iter_init(&iter, s->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		feed_entry_t *e = value;
+		feed_record_t r = { .key = str_of(e->key), .removed = true };
+
+		if (e->epoch == s->epoch || !e->data ||
+		    (s->feed == FEED_OPERATORS && has_version_(s, e)))
+			continue;
+		LOG_EVENT(LOG_NOTICE, "feed.dropped",
+			  F_STR("feed", feed_string[s->feed]),
+			  F_STR("key", e->key),
+			  F_INT("epoch", (int64_t)e->epoch),
+			  F_INT("now", (int64_t)s->epoch));
+		apply_(s, e, &r, now);
+	}
+}
+
 void feeds_apply_deferred_removals(feed_state_t *s, mstime_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
 
+	if (s->complete && s->drop_older_at && now >= s->drop_older_at)
+		drop_older_(s, now);
 	if (!s->defer_until || now < s->defer_until)
 		return;
 	s->defer_until = 0;
@@ -385,3 +550,39 @@
 			remove_upstream_(s, e->key, e->offset, "entry expired");
 	}
 }
+
+/* The offsets known so far mean nothing in the restored log. */
+static void begin_epoch_(feed_state_t *s, uint64_t epoch, mstime_t now)
+{
+	LOG_EVENT(LOG_NOTICE, "feed.restored",
+		  F_STR("feed", feed_string[s->feed]),
+		  F_INT("epoch", (int64_t)epoch),
+		  F_INT("before", (int64_t)s->epoch),
+		  F_INT("known_to", (int64_t)s->next_offset),
+		  F_INT("keys", g_hash_table_size(s->entries)));
+	feeds_cancel_scan(s);
+	if (s->call)
+		http_call_cancel(s->call);
+	s->call = NULL;
+	s->epoch = epoch;
+	s->next_offset = 0;
+	s->changes_end = 0;
+	s->removals_complete_from = 0;
+	s->complete = false;
+	s->drop_older_at = 0;
+	s->next_read_at = now;
+	s->fallback_at = 0;
+}
+
+void feeds_observe_epoch(gateway_t *g, uint64_t epoch, mstime_t now)
+{
+	for (int i = 0; i < FEED_COUNT; i++) {
+		feed_state_t *s = &g->feed_states[i];
+
+		if (epoch <= s->epoch)
+			continue;
+		if (s->loaded)
+			begin_epoch_(s, epoch, now);
+		s->epoch = epoch;
+	}
+}
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -28,6 +28,8 @@
  */
 #define START_STALE_WAIT_MS 2000
 #define START_STALE_RESPONSES 3
+/* Another node that runs answers within this time; there may be none. */
+#define START_COPY_WAIT_MS 400
 #define FLUSH_INTERVAL_MS 50
 #define AUX_CONNECTIONS_MAX 512
 #define AUX_IDLE_S 30
@@ -156,13 +158,22 @@
 	LOG_EVENT(LOG_WARNING, "node.paused", F_INT("ms", gap));
 }
 
+/* A restored log may be older than what other nodes know. */
+static bool waits_for_copy_(const gateway_t *g, mstime_t now)
+{
+	return g->feed_states[FEED_OPERATORS].epoch &&
+	       !g->sync_response_count &&
+	       now - g->started_at < START_COPY_WAIT_MS;
+}
+
 static void check_ready_(gateway_t *g)
 {
 	mstime_t now = clock_now();
 	mstime_t oldest = MIN(g->feed_states[FEED_OPERATORS].current_as_of,
 			      g->feed_states[FEED_UPSTREAMS].current_as_of);
 
-	if (g->phase != GATEWAY_STARTING || !gateway_data_is_current(g))
+	if (g->phase != GATEWAY_STARTING || !gateway_data_is_current(g) ||
+	    waits_for_copy_(g, now))
 		return;
 	g->phase = GATEWAY_READY;
 	g->data_valid_from = MIN(g->data_valid_from, oldest);
--- a/packages/gateway/nodes.c
+++ b/packages/gateway/nodes.c
@@ -66,8 +66,8 @@
 {
 	gateway_t *g = arg;
 
-	(void)batch;
 	g->publishing = false;
+	feeds_observe_epoch(g, batch->epoch, clock_now());
 	if (err)
 		LOG_EVENT(LOG_WARNING, "node.unpublished",
 			  F_STR("error", feed_err_string[-err]));
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -36,7 +36,12 @@
 typedef struct feed_entry {
 	char *key;
 	GBytes *data; /* NULL once the key is removed */
+	uint64_t epoch;
 	uint64_t offset;
+	bool corrected; /* newer than the log's record at this offset */
+	/* of an upstream, kept after its removal */
+	uint64_t start_id;
+	uint64_t heartbeat;
 	uint64_t change_offset; /* of the last record that was not only a
 				   heartbeat */
 	bool seen;		/* in the current scan */
@@ -61,7 +66,13 @@
 	uint64_t changes_end; /* offset after the last record that was not only
 				 a heartbeat */
 	uint64_t removals_complete_from; /* removals from here on are known */
+	uint64_t epoch;			 /* of the offsets above */
 	bool loaded;			 /* all keys have been read once */
+	bool complete;			 /* all keys of the epoch are known */
+	/* Entries of older epochs that are not written again are dropped then,
+	 * or 0.
+	 */
+	mstime_t drop_older_at;
 	mstime_t current_as_of; /* all records written before are known */
 	/* reading from the platform */
 	http_call_t *call;
@@ -87,6 +98,7 @@
 	GBytes *bytes;
 	bool deflated;
 	mstime_t created_at;
+	uint64_t epoch[FEED_COUNT];
 	uint64_t from_offset[FEED_COUNT]; /* first offset included */
 	uint64_t changes_end[FEED_COUNT]; /* of each feed at created_at */
 } feed_sync_response_t;
@@ -208,8 +220,14 @@
 void feeds_record_response(feed_state_t *s, mstime_t now);
 /* Defers removals as another node does that has seen an outage. */
 void feeds_defer_removals(feed_state_t *s, mstime_t until);
-/* Once the delay is over, removes upstreams that were not republished. */
+/* Once the delays are over, removes what was not published again. */
 void feeds_apply_deferred_removals(feed_state_t *s, mstime_t now);
+/*
+ * feeds_observe_epoch - learns the epoch of the platform's log. With a new one
+ * all feeds are read anew; what was known stays in force until it is replaced.
+ * @epoch: 0 is ignored
+ */
+void feeds_observe_epoch(gateway_t *g, uint64_t epoch, mstime_t now);
 /*
  * feeds_apply_record - applies a record unless a newer one of its key is known.
  */
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -88,12 +88,30 @@
 	s->fallback_at = now + g_rand_int_range(g->rand, 0, START_SPREAD_MS);
 }
 
+/* Whether a response is of the epoch that was asked; else it is of no use. */
+static bool check_epoch_(feed_state_t *s, const feed_batch_t *batch,
+			 mstime_t now)
+{
+	bool known = s->loaded;
+
+	if (batch->epoch && batch->epoch < s->epoch) {
+		s->next_read_at = now + RETRY_MS;
+		return false;
+	}
+	if (batch->epoch <= s->epoch)
+		return true;
+	feeds_observe_epoch(s->gateway, batch->epoch, now);
+	return !known;
+}
+
 static void on_scan_page_(void *arg, int err, const feed_batch_t *batch)
 {
 	feed_state_t *s = arg;
 	mstime_t now = clock_now();
 
 	s->call = NULL;
+	if (!check_epoch_(s, batch, now))
+		return;
 	/* The scan resumes after the last key that it has read. */
 	if (err) {
 		handle_failure_(s, err, now);
@@ -130,6 +148,8 @@
 	mstime_t now = clock_now();
 
 	s->call = NULL;
+	if (!check_epoch_(s, batch, now))
+		return;
 	if (err == FEED_EEXPIRED) {
 		feeds_record_response(s, now);
 		LOG_EVENT(LOG_NOTICE, "feed.expired",
@@ -171,7 +191,7 @@
 
 	s->requested_at = now;
 	feeds_record_request(s, read_interval_(s), now);
-	if (!s->loaded && !s->scanning) {
+	if (!s->complete && !s->scanning) {
 		s->source = FEED_FROM_PLATFORM;
 		feeds_begin_scan(s);
 	}
@@ -215,7 +235,7 @@
 				  ? SUBSTITUTE_AGE_FRACTION
 				  : FALLBACK_AGE_FRACTION;
 
-	return s->loaded &&
+	return s->complete &&
 	       now - s->current_as_of <=
 		       gateway_limit_fraction_ms(s->gateway, fraction);
 }
@@ -271,8 +291,7 @@
 	for (int i = 0; i < FEED_COUNT; i++) {
 		feed_state_t *s = &g->feed_states[i];
 
-		if (s->feed == FEED_UPSTREAMS)
-			feeds_apply_deferred_removals(s, now);
+		feeds_apply_deferred_removals(s, now);
 		if (read_due_(s, reader, now))
 			send_request_(s, now);
 	}
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -10,6 +10,7 @@
 Suite *config_suite(void);
 Suite *datagram_suite(void);
 Suite *fairq_suite(void);
+Suite *feed_epochs_suite(void);
 Suite *feed_outage_suite(void);
 Suite *feed_scan_suite(void);
 Suite *feeds_suite(void);
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -597,6 +597,149 @@
 	return s;
 }
 
+/* A state of an upstream as its record says, NULL for a removal. */
+#define ENTRY(state, start, heartbeat)                                         \
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
+	"\"slot_count\":8,\"state\":\"" state "\",\"born\":" #start            \
+	",\"sequence\":" #heartbeat "}"
+
+/* What is in service after two records of one upstream. */
+static const struct {
+	const char *known;
+	uint64_t known_epoch;
+	const char *next;
+	uint64_t next_epoch;
+	bool in_service;
+} epoch_cases[] = {
+	/* The restored log has an older record of a start that has left. */
+	{ ENTRY("draining", 5, 9), 1, ENTRY("ready", 5, 8), 2, false },
+	{ ENTRY("draining", 5, 9), 1, ENTRY("ready", 5, 9), 2, false },
+	/* The same, and a record of an earlier start. */
+	{ ENTRY("ready", 5, 1), 1, ENTRY("draining", 4, 70), 2, true },
+	/* The upstream has written again, or has started anew. */
+	{ ENTRY("ready", 5, 9), 1, ENTRY("draining", 5, 10), 2, false },
+	{ ENTRY("draining", 5, 9), 1, ENTRY("ready", 6, 1), 2, true },
+	/* A removal that was written after the restore. */
+	{ ENTRY("ready", 5, 9), 1, NULL, 2, false },
+	/* Another node still has the log of before the restore. */
+	{ ENTRY("ready", 5, 8), 2, ENTRY("draining", 5, 9), 1, false },
+	{ ENTRY("ready", 5, 9), 2, ENTRY("draining", 5, 8), 1, true },
+	{ ENTRY("draining", 5, 9), 2, ENTRY("ready", 4, 90), 1, false },
+	/* Within an epoch the offset decides. */
+	{ ENTRY("draining", 5, 9), 1, ENTRY("ready", 5, 3), 1, true },
+};
+
+START_TEST(test_order_over_epochs)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_record_t known = { .key = str_of("u"), .offset = 40 };
+	feed_record_t next = { .key = str_of("u"), .offset = 41 };
+	const balance_upstream_t *u;
+
+	known.data = str_of(epoch_cases[_i].known);
+	known.epoch = epoch_cases[_i].known_epoch;
+	next.removed = !epoch_cases[_i].next;
+	if (!next.removed)
+		next.data = str_of(epoch_cases[_i].next);
+	next.epoch = epoch_cases[_i].next_epoch;
+	feeds_set_current(s, NOW, 40);
+	feeds_observe_epoch(&one, known.epoch, NOW);
+	feeds_apply_record(s, &known, NOW);
+	feeds_observe_epoch(&one, next.epoch, NOW);
+	feeds_apply_record(s, &next, NOW);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert_int_eq(u && !u->leaving, epoch_cases[_i].in_service);
+}
+END_TEST
+
+/* A node that started from the older copy takes what another one still knows.
+ */
+START_TEST(test_copy_corrects_a_restored_log)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_record_t r = { .key = str_of("u"),
+			    .data = str_of(ENTRY("draining", 5, 9)),
+			    .offset = 40 };
+
+	feeds_observe_epoch(&one, 1, NOW);
+	feeds_apply_record(s, &r, NOW);
+	feeds_set_current(s, NOW, 41);
+	r.data = str_of(ENTRY("ready", 5, 7));
+	r.offset = 12;
+	for (int i = 0; i < 2; i++) {
+		gateway_t *g = i ? &two : &one;
+
+		s = &g->feed_states[FEED_UPSTREAMS];
+		feeds_observe_epoch(g, 2, NOW);
+		feeds_begin_scan(s);
+		feeds_apply_record(s, &r, NOW);
+		feeds_end_scan(s, 20, NOW, NOW);
+	}
+	two.feed_states[FEED_UPSTREAMS].next_offset = 0;
+	sync_(&one, &two);
+	ck_assert(((const balance_upstream_t *)g_hash_table_lookup(
+			   two.balance.by_id, "u"))
+			  ->leaving);
+}
+END_TEST
+
+/* What the restored log lacks is used until it had time to be written again. */
+START_TEST(test_missing_after_a_restore)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+
+	feeds_observe_epoch(&one, 1, NOW);
+	put_all_(&one);
+	feeds_observe_epoch(&one, 2, NOW);
+	feeds_begin_scan(s);
+	put_(&one, 0, 0);
+	feeds_end_scan(s, 1, NOW, NOW);
+	feeds_apply_deferred_removals(s, NOW + 2000);
+	ck_assert(knows_(&one, "u-0") && knows_(&one, "u-1"));
+	feeds_apply_deferred_removals(s, NOW + 10000);
+	ck_assert(knows_(&one, "u-0") && !knows_(&one, "u-1"));
+}
+END_TEST
+
+/* A held request for changes was answered with offsets of another epoch. */
+START_TEST(test_changes_of_another_epoch_are_not_applied)
+{
+	feed_state_t *s = &two.feed_states[FEED_UPSTREAMS];
+	GString *bytes = g_string_new(NULL);
+	json_t *feed;
+	str_t payload;
+
+	feeds_observe_epoch(&two, 1, NOW);
+	put_all_(&two);
+	feeds_observe_epoch(&one, 2, NOW);
+	put_all_(&one);
+	feed = feed_sync_encode(&one.feed_states[FEED_UPSTREAMS], UPSTREAMS,
+				NOW, bytes);
+	payload = (str_t){ bytes->str, bytes->len };
+	feed_sync_apply(s, feed, &payload, NOW, NOW);
+	ck_assert_uint_eq(s->epoch, 2);
+	ck_assert(!s->complete);
+	ck_assert_uint_eq(s->next_offset, 0);
+	json_decref(feed);
+	g_string_free(bytes, TRUE);
+}
+END_TEST
+
+Suite *feed_epochs_suite(void)
+{
+	Suite *s = suite_create("feed_epochs");
+	TCase *c = tcase_create("feed_epochs");
+
+	tcase_add_checked_fixture(c, setup_, teardown_);
+	tcase_add_loop_test(c, test_order_over_epochs, 0,
+			    G_N_ELEMENTS(epoch_cases));
+	tcase_add_test(c, test_copy_corrects_a_restored_log);
+	tcase_add_test(c, test_missing_after_a_restore);
+	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
+	suite_add_tcase(s, c);
+	return s;
+}
+
 Suite *feeds_suite(void)
 {
 	Suite *s = suite_create("feeds");
