Gateway: copies tell of removals for a minute, and each new epoch begins with one

A node that had started from a whole copy knew nothing of the removal and believed the restored log. Now copies include upstreams removed in the last minute, with start and last heartbeat; a removal counts as later than the heartbeat it follows; and a node asks another one for all it knows at its start and at each new epoch.

--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -42,9 +42,6 @@
 #define FULL_CACHE_MS 300
 /* Waiting nodes are answered within one iteration of the event loop. */
 #define RECENT_CACHE_MS 50
-/* A starting node asks for a copy for this long, then there is no other node.
- */
-#define FIRST_COPY_MAX_MS 2000
 /* Granularity of offsets; upstreams write this many heartbeats in one to a few
  * seconds.
  */
@@ -98,10 +95,11 @@
 
 /* Whether an entry is part of a response from an offset on. */
 static bool includes_(const feed_state_t *s, const feed_entry_t *e,
-		      uint64_t from, bool full)
+		      uint64_t from, bool full, mstime_t now)
 {
-	/* What a restored log may lack, removals among it. */
-	if (e->epoch != s->epoch)
+	/* What a restored log may lack or bring back. */
+	if (e->epoch != s->epoch ||
+	    (!from && feeds_is_recently_removed(e, now)))
 		return true;
 	return full ? e->data || e->corrected : e->change_offset >= from;
 }
@@ -124,7 +122,7 @@
 		const feed_entry_t *e = value;
 		json_t *entry;
 
-		if (!includes_(s, e, from, full))
+		if (!includes_(s, e, from, full, now))
 			continue;
 		entry = encode_entry_(s, e, payload);
 		if (entry)
@@ -585,6 +583,27 @@
 			    NODE_COUNT_MAX);
 }
 
+/* Applies what a sync source says about the fleet. */
+static void apply_fleet_(gateway_t *g, const json_t *root, mstime_t now)
+{
+	gateway_peers_set_serving_count(g, read_count_(root, "serving"), now);
+	apply_serving_(g, json_object_get(root, "addresses"));
+	g->start_sharing_nodes =
+		MAX(g->start_sharing_nodes, (int)read_count_(root, "nodes"));
+}
+
+/* Whether another node knew of this node's epoch when it responded. */
+static bool is_of_epoch_(const gateway_t *g, const json_t *root)
+{
+	for (int i = 0; i < SYNCED_FEEDS; i++) {
+		const json_t *feed = json_object_get(root, feed_string[i]);
+
+		if (read_number_(feed, "epoch") != g->feed_states[i].epoch)
+			return false;
+	}
+	return true;
+}
+
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
 	gateway_t *g = ctx;
@@ -611,10 +630,10 @@
 	    json_is_true(json_object_get(root, "cut_off")))
 		g->sources_cut_until =
 			now + gateway_limit_fraction_ms(g, CUT_MEMORY_FRACTION);
-	gateway_peers_set_serving_count(g, read_count_(root, "serving"), now);
-	apply_serving_(g, json_object_get(root, "addresses"));
-	g->start_sharing_nodes =
-		MAX(g->start_sharing_nodes, (int)read_count_(root, "nodes"));
+	if (is_of_epoch_(g, root))
+		g->first_copy_until = 0;
+	if (!g->sync_only_merges)
+		apply_fleet_(g, root, now);
 	json_decref(root);
 	g->sync_response_count++;
 	if (is_stale_(g, now)) {
@@ -672,7 +691,7 @@
 	/* A node that has just started may have read an older copy of the log:
 	 * its first request asks for all.
 	 */
-	bool first = !g->sync_response_count;
+	bool first = now < g->first_copy_until;
 	mstime_t hold = stale && !start
 				? 0
 				: gateway_limit_fraction_ms(g, HOLD_FRACTION);
@@ -698,13 +717,6 @@
 	g_free(url);
 }
 
-/* Whether this node has started and no other has told it what it knows yet. */
-static bool needs_first_copy_(const gateway_t *g, mstime_t now)
-{
-	return !g->sync_response_count &&
-	       now - g->started_at < FIRST_COPY_MAX_MS;
-}
-
 void feed_sync_tick(gateway_t *g, mstime_t now)
 {
 	bool stale = is_stale_(g, now);
@@ -712,8 +724,9 @@
 
 	feed_sync_notify_waiters(g, now);
 	if (g->sync_call || now < g->sync_next_at ||
-	    (!stale && !needs_first_copy_(g, now) && reader_is_self(g, now)))
+	    (!stale && now >= g->first_copy_until && reader_is_self(g, now)))
 		return;
+	g->sync_only_merges = !stale && reader_is_self(g, now);
 	address = select_source_(g, stale || now < g->sources_cut_until, now);
 	if (!address || !strcmp(address, g->conf->admin)) {
 		g->sync_source_turn++;
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -9,6 +9,12 @@
  * last wrote; upstreams do so once a second.
  */
 #define DROP_OLDER_MS 6000
+/* A restored log may bring back an upstream's entry from some seconds ago. */
+#define REMOVAL_KEEP_MS 60000
+/* A node that starts, or sees a new epoch, asks for a copy for this long; then
+ * there is no other node.
+ */
+#define FIRST_COPY_MAX_MS 2000
 /* An outage expires many entries at once; removals of fewer than this fraction
  * of the upstreams are genuine.
  */
@@ -38,6 +44,7 @@
 
 void feeds_init(gateway_t *g)
 {
+	g->first_copy_until = clock_now() + FIRST_COPY_MAX_MS;
 	for (int i = 0; i < FEED_COUNT; i++) {
 		feed_state_t *s = &g->feed_states[i];
 
@@ -196,6 +203,13 @@
 {
 	if (!r->removed)
 		return apply_upstream_entry_(s, e, r, now);
+	e->removed_at = now;
+	if (r->start_id) {
+		e->start_id = r->start_id;
+		e->heartbeat = r->heartbeat;
+	}
+	if (!g_hash_table_contains(s->gateway->balance.by_id, e->key))
+		return true;
 	if (!defer_removal_(s, e->key, now))
 		remove_upstream_(s, e->key, r->offset, "entry removed");
 	return true;
@@ -275,8 +289,11 @@
 		heartbeat = spec.heartbeat;
 	}
 	json_decref(holder);
-	return !ok || start_id < e->start_id ||
-	       (start_id == e->start_id && heartbeat <= e->heartbeat);
+	if (!ok || start_id != e->start_id)
+		return !ok || start_id < e->start_id;
+	/* A removal comes after the last heartbeat. */
+	return r->removed ? heartbeat < e->heartbeat
+			  : heartbeat <= e->heartbeat;
 }
 
 /* Whether a record of operators has a version of its own. */
@@ -574,6 +591,11 @@
 	s->fallback_at = 0;
 }
 
+bool feeds_is_recently_removed(const feed_entry_t *e, mstime_t now)
+{
+	return !e->data && e->start_id && now - e->removed_at < REMOVAL_KEEP_MS;
+}
+
 void feeds_observe_epoch(gateway_t *g, uint64_t epoch, mstime_t now)
 {
 	for (int i = 0; i < FEED_COUNT; i++) {
@@ -581,8 +603,10 @@
 
 		if (epoch <= s->epoch)
 			continue;
-		if (s->loaded)
+		if (s->loaded) {
 			begin_epoch_(s, epoch, now);
+			g->first_copy_until = now + FIRST_COPY_MAX_MS;
+		}
 		s->epoch = epoch;
 	}
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -162,7 +162,7 @@
 static bool waits_for_copy_(const gateway_t *g, mstime_t now)
 {
 	return g->feed_states[FEED_OPERATORS].epoch &&
-	       !g->sync_response_count &&
+	       now < g->first_copy_until &&
 	       now - g->started_at < START_COPY_WAIT_MS;
 }
 
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -42,6 +42,7 @@
 	/* of an upstream, kept after its removal */
 	uint64_t start_id;
 	uint64_t heartbeat;
+	mstime_t removed_at;
 	uint64_t change_offset; /* of the last record that was not only a
 				   heartbeat */
 	bool seen;		/* in the current scan */
@@ -136,6 +137,11 @@
 	 */
 	mstime_t sources_cut_until;
 	guint sync_response_count;
+	/* Until then this node asks for all that another one knows, since what
+	 * it has read itself may be of an older copy of the log; 0 once it has.
+	 */
+	mstime_t first_copy_until;
+	bool sync_only_merges;		/* the request is for this alone */
 	GPtrArray *sync_waiters;	/* waiter_t *, wait for a change */
 	feed_sync_response_t sync_full; /* with all records */
 	feed_sync_response_t
@@ -228,6 +234,8 @@
  * @epoch: 0 is ignored
  */
 void feeds_observe_epoch(gateway_t *g, uint64_t epoch, mstime_t now);
+/* Whether copies still tell of the removal of an upstream. */
+bool feeds_is_recently_removed(const feed_entry_t *e, mstime_t now);
 /*
  * feeds_apply_record - applies a record unless a newer one of its key is known.
  */
--- a/tests/scenarios/gateway_stop.lua
+++ b/tests/scenarios/gateway_stop.lua
@@ -3,6 +3,7 @@
 dofile(scenarios .. "/gateway_words.lua")
 local f = start_site { engine = { gap_ms = 100, events = 12 } }
 local leaving, other = f.gateways[2], f.gateways[1]
+sleep_ms(4000) -- the directory of a node that has just started is empty below three nodes
 
 -- Streams that run, and requests on connections that stay open.
 local open = {}
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -625,6 +625,9 @@
 	{ ENTRY("ready", 5, 8), 2, ENTRY("draining", 5, 9), 1, false },
 	{ ENTRY("ready", 5, 9), 2, ENTRY("draining", 5, 8), 1, true },
 	{ ENTRY("draining", 5, 9), 2, ENTRY("ready", 4, 90), 1, false },
+	/* It has seen the entry removed, which has no content of its own. */
+	{ ENTRY("ready", 5, 9), 2, NULL, 1, false },
+	{ ENTRY("ready", 5, 10), 2, NULL, 1, true },
 	/* Within an epoch the offset decides. */
 	{ ENTRY("draining", 5, 9), 1, ENTRY("ready", 5, 3), 1, true },
 };
@@ -642,6 +645,8 @@
 	if (!next.removed)
 		next.data = str_of(epoch_cases[_i].next);
 	next.epoch = epoch_cases[_i].next_epoch;
+	next.start_id = next.removed ? 5 : 0;
+	next.heartbeat = next.removed ? 9 : 0;
 	feeds_set_current(s, NOW, 40);
 	feeds_observe_epoch(&one, known.epoch, NOW);
 	feeds_apply_record(s, &known, NOW);
