--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -280,6 +280,8 @@
 		send_(fd, "Response-Signature: sig-%s-%s\r\n", own_id, r->id);
 	if (!strcmp(mode, "encoded"))
 		send_(fd, "Content-Encoding: gzip\r\n");
+	if (!strncmp(mode, "limit", 5))
+		send_(fd, "Server-Limit: %s\r\n", mode + 5);
 	if (!strncmp(mode, "leaving", 7))
 		send_(fd, "Server-Leaving: %s\r\n", mode + 7);
 	send_(fd, "Server-Load: %d,0,%d\r\nKeep-Alive: timeout=5\r\n",
