Gateway: request rates that upstreams name are kept by the whole fleet

Class: a limit of the sum over all nodes, which no node can judge by itself. New decision of its own, rate_limit: a few holders per upstream, found alike by all nodes, divide 0.7 of the rate, the rest goes round in time slots; the last tenth and the users' factor of 1.5 cover nodes that see different members. lend.c (loans of power) needs a message a loan, limit.c bounds requests at one upstream by its owner, shares.c compares customers: none divides a rate.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 #include <kcf/clock.h>
 #include <kcf/placement.h>
+#include <kcf/rate_limit.h>
 #include <kcf/str.h>
 
 #define BALANCE_EXCLUDE_MAX 8
@@ -88,6 +89,7 @@
 	double latency_ms;    /* moving mean, 0 before the first answer */
 	int outcome_count;    /* requests in failure_rate */
 	mstime_t idle_max_ms; /* it closes idle connections after this */
+	rate_limit_t rate_limit;
 } balance_upstream_t;
 
 /* A load report as nodes forward it to each other. */
@@ -116,7 +118,8 @@
 	GHashTable *drained;	   /* set of data centres */
 	char *data_centre;	   /* of this node */
 	placement_t placement;
-	int node_count; /* nodes that share the limits */
+	int node_count;		  /* nodes that share the limits */
+	rate_limit_place_t place; /* of this node among those that serve */
 	uint64_t last_local_id;
 	GRand *rand;
 } balance_t;
@@ -150,6 +153,7 @@
 	BALANCE_FULL,	      /* all are at capacity */
 	BALANCE_OVER_SHARE,   /* the rest is reserved for other customers */
 	BALANCE_COLD,	      /* only cold ones are left, at their rate limit */
+	BALANCE_RATE_LIMITED, /* the rest takes no more requests a second */
 	BALANCE_REASON_COUNT,
 } balance_reason_t;
 
@@ -213,6 +217,29 @@
 bool balance_announce_leaving(balance_t *b, balance_upstream_t *u,
 			      mstime_t now);
 
+/*
+ * balance_name_rate - records the request rate that an answer names.
+ * @per_s: at least 0, of all nodes together
+ *
+ * Return: whether it is new or has changed.
+ */
+bool balance_name_rate(balance_upstream_t *u, double per_s, mstime_t now);
+
+/*
+ * balance_omit_rate - records that the answer to a request names no rate.
+ *
+ * Return: whether a rate begins to end.
+ */
+bool balance_omit_rate(balance_upstream_t *u, mstime_t sent_at, mstime_t now);
+
+/*
+ * balance_share_rates - divides the named rates among the nodes.
+ * @keys: of the nodes that serve, in an order that they agree on
+ * @own:  index of this node, or count if it does not serve
+ */
+void balance_share_rates(balance_t *b, const uint64_t *keys, guint count,
+			 guint own);
+
 /*
  * balance_set_service_limits - sets the limits of a service.
  */
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -50,10 +50,12 @@
 	bool not_executed;   /* confirms that the request has not run */
 	bool wrong_instance; /* another instance has the address */
 	bool event_stream;   /* the body is a stream of events */
-	bool encoded;	 /* has a content encoding: not the upstream's body */
-	bool leaving;	 /* it announces that this start of it leaves */
-	int outstanding; /* reported load, -1 if unset */
-	int slots;	 /* requests that it runs at a time, 0 if unset */
+	bool encoded;	  /* has a content encoding: not the upstream's body */
+	bool leaving;	  /* it announces that this start of it leaves */
+	bool names_limit; /* on the requests of all nodes together */
+	double limit_per_s;   /* below 0 if it cannot be read */
+	int outstanding;      /* reported load, -1 if unset */
+	int slots;	      /* requests that it runs at a time, 0 if unset */
 	mstime_t idle_max_ms; /* it closes idle connections then, 0 if unset */
 } upstream_response_t;
 
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -25,6 +25,7 @@
 		"kcf_refusals_total{reason=\"not_ready\"}",
 	[COUNTER_REFUSED_QUARANTINE] =
 		"kcf_refusals_total{reason=\"quarantine\"}",
+	[COUNTER_REFUSED_RATE] = "kcf_refusals_total{reason=\"rate\"}",
 	[COUNTER_CALLERS_DISCONNECTED] = "kcf_callers_gone_total",
 	[COUNTER_CACHED_TOKENS] = "kcf_cached_tokens_total",
 	[COUNTER_PROMPT_TOKENS] = "kcf_prompt_tokens_total",
@@ -51,6 +52,8 @@
 	[COUNTER_QUARANTINE_HOLDS] = "kcf_quarantine_holds_total",
 	[COUNTER_QUARANTINE_RELEASES] = "kcf_quarantine_releases_total",
 	[COUNTER_LEAVES_ANNOUNCED] = "kcf_leaves_announced_total",
+	[COUNTER_RATES_NAMED] = "kcf_upstream_rates_total{change=\"named\"}",
+	[COUNTER_RATES_ENDED] = "kcf_upstream_rates_total{change=\"ended\"}",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -148,6 +148,33 @@
 	return g_hash_table_remove(b->by_id, id);
 }
 
+bool balance_name_rate(balance_upstream_t *u, double per_s, mstime_t now)
+{
+	return rate_limit_name(&u->rate_limit, per_s, now);
+}
+
+bool balance_omit_rate(balance_upstream_t *u, mstime_t sent_at, mstime_t now)
+{
+	return rate_limit_omit(&u->rate_limit, sent_at, now);
+}
+
+void balance_share_rates(balance_t *b, const uint64_t *keys, guint count,
+			 guint own)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		balance_upstream_t *u = value;
+		rate_limit_t *l = &u->rate_limit;
+
+		if (l->active)
+			l->holder_share = rate_limit_share(keys, count, own,
+							   u->key, l->per_s);
+	}
+}
+
 static gboolean has_expired_(gpointer key, gpointer value, gpointer now)
 {
 	(void)key;
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -37,8 +37,9 @@
 #define RETRY_COLD_MS 150
 
 const char *const balance_reason_string[] = {
-	"first",    "spill",	   "hot",  "least",	     "trial",
-	"baseline", "no upstream", "full", "over its share", "cold",
+	"first",	  "spill",    "hot",	     "least",
+	"trial",	  "baseline", "no upstream", "full",
+	"over its share", "cold",     "rate limit",
 };
 
 typedef struct choice {
@@ -104,6 +105,8 @@
 	int *eligible;		   /* all that have capacity for the request */
 	guint eligible_count;
 	bool any_cold; /* one was left out at its cold rate limit */
+	bool any_rate_limited;
+	mstime_t rate_wait_ms; /* shortest of those */
 	bool any_full;
 } ranking_t;
 
@@ -188,6 +191,16 @@
 			r->any_cold = true;
 			continue;
 		}
+		if (!rate_limit_allows(&u->rate_limit, &b->place, u->key,
+				       now)) {
+			mstime_t wait = rate_limit_wait_ms(&u->rate_limit);
+
+			r->rate_wait_ms = r->any_rate_limited
+						  ? MIN(r->rate_wait_ms, wait)
+						  : wait;
+			r->any_rate_limited = true;
+			continue;
+		}
 		r->eligible[r->eligible_count++] = (int)i;
 		keep_lower_load_(&r->least_loaded_any, (int)i, slot_load);
 		if (balance_is_unhealthy(c, u)) {
@@ -208,6 +221,9 @@
 	if (r->any_cold)
 		return (balance_pick_t){ .reason = BALANCE_COLD,
 					 .retry_ms = RETRY_COLD_MS };
+	if (r->any_rate_limited)
+		return (balance_pick_t){ .reason = BALANCE_RATE_LIMITED,
+					 .retry_ms = r->rate_wait_ms };
 	if (r->any_full)
 		return (balance_pick_t){ .reason = request->over_share
 							   ? BALANCE_OVER_SHARE
@@ -443,6 +459,8 @@
 					      pick.upstream->local_id, now);
 		if (balance_is_cold(b, pick.upstream, now))
 			pick.upstream->cold_tokens -= 1;
+		rate_limit_spend(&pick.upstream->rate_limit, &b->place,
+				 pick.upstream->key, now);
 	}
 	pick.mean_load = c.mean_load;
 	g_free(r.eligible);
--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -55,9 +55,11 @@
 static json_t *upstream_json_(const balance_upstream_t *u, mstime_t now)
 {
 	return json_pack(
-		"{s:s,s:s,s:s,s:s,s:b,s:i,s:i,s:I,s:f,s:f,s:I}", "id", u->id,
-		"service", u->service, "address", u->address, "data_centre",
-		u->data_centre, "leaving", u->leaving, "mine",
+		"{s:s,s:s,s:s,s:s,s:b,s:f,s:i,s:i,s:I,s:f,s:f,s:I}", "id",
+		u->id, "service", u->service, "address", u->address,
+		"data_centre", u->data_centre, "leaving", u->leaving,
+		"limit_per_s",
+		u->rate_limit.active ? u->rate_limit.per_s : -1.0, "mine",
 		u->own_outstanding, "foreign", u->remote_outstanding,
 		"load_age_ms",
 		(json_int_t)(u->reported_at ? now - u->reported_at : -1),
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -213,6 +213,31 @@
 		  F_VIEW("request", f->in.id));
 }
 
+static void record_rate_(const forward_t *f, mstime_t now)
+{
+	const upstream_response_t *a = &f->response;
+
+	if (a->mismatched || a->wrong_instance)
+		return;
+	if (!a->names_limit) {
+		if (!balance_omit_rate(f->selected, f->sent_at, now))
+			return;
+		counter_add(COUNTER_RATES_ENDED, 1);
+		LOG_EVENT(LOG_NOTICE, "upstream.rate_ended",
+			  F_STR("upstream", f->selected->id),
+			  F_VIEW("request", f->in.id));
+		return;
+	}
+	if (a->limit_per_s < 0 ||
+	    !balance_name_rate(f->selected, a->limit_per_s, now))
+		return;
+	counter_add(COUNTER_RATES_NAMED, 1);
+	LOG_EVENT(LOG_NOTICE, "upstream.rate",
+		  F_STR("upstream", f->selected->id),
+		  F_REAL("per_s", a->limit_per_s), F_VIEW("request", f->in.id));
+	gateway_peers_share_rates(f->gateway, now);
+}
+
 /* Applies what the response headers say about the upstream. */
 static void record_upstream_state_(forward_t *f)
 {
@@ -231,6 +256,7 @@
 	if (f->response.idle_max_ms)
 		f->selected->idle_max_ms = f->response.idle_max_ms;
 	record_leaving_(f, now);
+	record_rate_(f, now);
 }
 
 static void on_head_(void *ctx, http_call_t *call, int status)
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -449,15 +449,25 @@
 	return true;
 }
 
+static counter_t unplaced_counter_(balance_reason_t why)
+{
+	switch (why) {
+	case BALANCE_NO_UPSTREAM:
+		return COUNTER_REFUSED_UPSTREAM;
+	case BALANCE_RATE_LIMITED:
+		return COUNTER_REFUSED_RATE;
+	default:
+		return COUNTER_REFUSED_LOAD;
+	}
+}
+
 /* No upstream is eligible; the pick has the reason and the retry delay. */
 static void refuse_unplaced_(forward_t *f)
 {
 	balance_reason_t why = f->pick.reason;
 
 	forward_refuse(f, why == BALANCE_OVER_SHARE ? 429 : 503,
-		       balance_reason_string[why],
-		       why == BALANCE_NO_UPSTREAM ? COUNTER_REFUSED_UPSTREAM
-						  : COUNTER_REFUSED_LOAD,
+		       balance_reason_string[why], unplaced_counter_(why),
 		       f->pick.retry_ms);
 }
 
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -237,6 +237,25 @@
 	return gateway_ready(g) ? MEMBER_LIVE : MEMBER_JOINING;
 }
 
+void gateway_peers_share_rates(gateway_t *g, mstime_t now)
+{
+	guint count = gateway_peers_serving_count(g, now);
+	uint64_t *keys = g_new(uint64_t, count + 1);
+	/* A recently started node knows few others; it would take too much. */
+	bool known = !gateway_recently_started(g, now) && g->own_rank >= 0;
+	guint own = known ? MIN((guint)g->own_rank, count) : count;
+
+	for (guint i = 0; i < count; i++)
+		keys[i] = g_array_index(g->ranking, fleet_roles_node_t, i).key;
+	g->balance.place = (rate_limit_place_t){
+		.index = own,
+		.count = known ? count : 0,
+		.wall_offset = clock_wall() - now,
+	};
+	balance_share_rates(&g->balance, keys, count, own);
+	g_free(keys);
+}
+
 void gateway_peers_tick(gateway_t *g, mstime_t now)
 {
 	member_state_t state = own_state_(g);
@@ -249,6 +268,7 @@
 	members_tick(&g->members, now);
 	update_ranking_(g);
 	send_gossip_(g, now);
+	gateway_peers_share_rates(g, now);
 	crashes_tick(g, now);
 	counter_set(GAUGE_MEMBERS_LIVE, g->ranking->len);
 }
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -342,6 +342,9 @@
 /* Number of nodes that share limits, this one included. */
 int gateway_peers_sharing_count(const gateway_t *g);
 
+/* Divides the request rates that upstreams name among the serving nodes. */
+void gateway_peers_share_rates(gateway_t *g, mstime_t now);
+
 /* crashes.c */
 void crashes_init(gateway_t *g);
 void crashes_finish(gateway_t *g);
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -162,8 +162,11 @@
 	GArray *records = g_array_new(FALSE, TRUE, sizeof(feed_record_t));
 	gateway_t g = { .protocol = &platform_protocol };
 	uint64_t next;
+	double per_s;
 
 	logline_setup("fuzz", LOG_EMERG);
+	if (platform_parse_rate(view_(data, size), &per_s) && !(per_s >= 0))
+		abort();
 	balance_init(&g.balance, "dc", 1);
 	feeds_init(&g);
 	platform_parse_log_records(view_(data, size), 0, records, &next);
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -32,6 +32,7 @@
 	{ "power", power_suite },
 	{ "quarantine", quarantine_suite },
 	{ "rank", rank_suite },
+	{ "rate_limit", rate_limit_suite },
 	{ "schema", schema_suite },
 	{ "sched", sched_suite },
 	{ "served_model", served_model_suite },
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -67,6 +67,44 @@
 }
 END_TEST
 
+static const struct {
+	const char *text;
+	bool ok;
+	double per_s;
+} rates[] = {
+	{ "5", true, 5 },
+	{ "4.8", true, 4.8 },
+	{ "0", true, 0 },
+	{ "0.25", true, 0.25 },
+	{ ".5", true, 0.5 },
+	{ "7.", true, 7 },
+	{ "99999999999999999999", true, 1e20 },
+	{ "" },
+	{ "." },
+	{ "-1" },
+	{ "+1" },
+	{ "1e9" },
+	{ "nan" },
+	{ "inf" },
+	{ "0x10" },
+	{ "1,5" },
+	{ "1.2.3" },
+	{ "5 a second" },
+	{ "111111111111111111111111111111111" },
+};
+
+START_TEST(test_rate)
+{
+	double per_s = -1;
+
+	ck_assert_int_eq(platform_parse_rate(str_of(rates[_i].text), &per_s),
+			 rates[_i].ok);
+	if (rates[_i].ok)
+		ck_assert_double_eq_tol(per_s, rates[_i].per_s,
+					rates[_i].per_s * 1e-9 + 1e-12);
+}
+END_TEST
+
 static const char manifest[] =
 	"{\"version\":7,\"unknown\":{},\"routes\":["
 	"{\"name\":\"r1\",\"host\":\"h\",\"path_prefix\":\"/a/\","
@@ -198,6 +236,7 @@
 	Suite *s = suite_create("platform");
 	TCase *c = tcase_create("platform");
 
+	tcase_add_loop_test(c, test_rate, 0, G_N_ELEMENTS(rates));
 	tcase_add_loop_test(c, test_upstream_entry, 0, G_N_ELEMENTS(entries));
 	tcase_add_test(c, test_manifest);
 	tcase_add_loop_test(c, test_operator_change, 0, G_N_ELEMENTS(changes));
