Gateway: load reports that nodes forward name the upstream's request rate

Now gossip of loads, which has a field left, says what the same answer named. Older builds send 0, which says nothing.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -90,13 +90,18 @@
 	int outcome_count;    /* requests in failure_rate */
 	mstime_t idle_max_ms; /* it closes idle connections after this */
 	rate_limit_t rate_limit;
+	/* what the last reported answer says of it, see balance_load_t */
+	bool reports_rate;
+	double reported_per_s;
 } balance_upstream_t;
 
 /* A load report as nodes forward it to each other. */
 typedef struct balance_load {
-	uint32_t key;	 /* of the upstream */
-	int outstanding; /* requests of all nodes */
-	mstime_t age_ms; /* of the report */
+	uint32_t key;	  /* of the upstream */
+	int outstanding;  /* requests of all nodes */
+	mstime_t age_ms;  /* of the report */
+	bool states_rate; /* whether the answer's request rate is known */
+	double per_s;	  /* the rate that it names, below 0 for none */
 } balance_load_t;
 
 /* Limits that hold for all upstreams of a service. */
@@ -226,7 +231,8 @@
 bool balance_name_rate(balance_upstream_t *u, double per_s, mstime_t now);
 
 /*
- * balance_omit_rate - records that the answer to a request names no rate.
+ * balance_omit_rate - records that an answer names no rate.
+ * @sent_at: of its request
  *
  * Return: whether a rate begins to end.
  */
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -150,11 +150,15 @@
 
 bool balance_name_rate(balance_upstream_t *u, double per_s, mstime_t now)
 {
+	u->reports_rate = true;
+	u->reported_per_s = per_s;
 	return rate_limit_name(&u->rate_limit, per_s, now);
 }
 
 bool balance_omit_rate(balance_upstream_t *u, mstime_t sent_at, mstime_t now)
 {
+	u->reports_rate = true;
+	u->reported_per_s = -1;
 	return rate_limit_omit(&u->rate_limit, sent_at, now);
 }
 
--- a/packages/decide/balance_loads.c
+++ b/packages/decide/balance_loads.c
@@ -19,6 +19,8 @@
  * nodes that join late learn all loads.
  */
 #define ROTATED_DIVISOR 4
+/* An answer that names no rate may belong to a request of this long before. */
+#define RATE_SETTLE_MS 1000
 
 void balance_count_own(balance_upstream_t *u, int change, mstime_t now)
 {
@@ -120,15 +122,29 @@
 		guint at = i < newest ? i : newest + b->gossip_cursor++ % rest;
 		const balance_upstream_t *u = list->pdata[at];
 
-		out[i] = (balance_load_t){ u->key,
-					   u->remote_outstanding +
-						   u->own_outstanding,
-					   now - u->reported_at };
+		out[i] = (balance_load_t){
+			u->key, u->remote_outstanding + u->own_outstanding,
+			now - u->reported_at, u->reports_rate, u->reported_per_s
+		};
 	}
 	g_ptr_array_unref(list);
 	return count;
 }
 
+/* Learns of a rate, or of its end, from an answer to another node. */
+static void apply_rate_(balance_upstream_t *u, const balance_load_t *load,
+			mstime_t at, mstime_t now)
+{
+	if (!load->states_rate) {
+		u->reports_rate = false;
+		return;
+	}
+	if (load->per_s < 0)
+		balance_omit_rate(u, at - RATE_SETTLE_MS, now);
+	else if (at > u->rate_limit.ending_at)
+		balance_name_rate(u, load->per_s, at);
+}
+
 void balance_apply_gossip(balance_t *b, const balance_load_t *load,
 			  mstime_t now)
 {
@@ -140,4 +156,5 @@
 		return;
 	balance_set_remote(
 		u, MAX(0, load->outstanding - own_outstanding_at_(u, at)), at);
+	apply_rate_(u, load, at, now);
 }
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -29,6 +29,9 @@
 #define GOSSIP_RANDOM_ONE_IN 8
 /* A node without load reports of its own for this long sends no gossip. */
 #define GOSSIP_REPORT_MAX_AGE_MS 2000
+/* Request rates in gossip are in hundredths of a request a second. */
+#define RATE_STEPS_PER_UNIT 100.0
+#define RATE_MAX 4e9
 /* Fraction of the budget that must be available to send more than probes. */
 #define BUDGET_FULL_FRACTION 0.5
 
@@ -105,6 +108,22 @@
 	peer_socket_send(&sender, address, proc, &full, true);
 }
 
+/* 0: unknown, as older builds send it; 1: none; else in steps from 2 on. */
+static u_int encode_rate_(const balance_load_t *load)
+{
+	if (!load->states_rate)
+		return 0;
+	if (load->per_s < 0)
+		return 1;
+	return 2 + (u_int)MIN(load->per_s * RATE_STEPS_PER_UNIT, RATE_MAX);
+}
+
+static void decode_rate_(u_int code, balance_load_t *load)
+{
+	load->states_rate = code > 0;
+	load->per_s = code > 1 ? (code - 2) / RATE_STEPS_PER_UNIT : -1;
+}
+
 static void apply_gossip_(gateway_t *g, const peer_message_t *m)
 {
 	mstime_t now = clock_now();
@@ -114,6 +133,8 @@
 		balance_load_t load = { l->upstream, (int)l->outstanding,
 					(mstime_t)l->stamp };
 
+		decode_rate_(l->limit, &load);
+
 		balance_apply_gossip(&g->balance, &load, now);
 	}
 }
@@ -160,6 +181,7 @@
 			.upstream = loads[i].key,
 			.outstanding = (u_int)loads[i].outstanding,
 			.stamp = (u_int)loads[i].age_ms,
+			.limit = encode_rate_(&loads[i]),
 		};
 	}
 	m.loads.loads_val = wire;
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -625,12 +625,51 @@
 }
 END_TEST
 
+/* Nodes that held no share of a rate did not learn that it had ended. */
+START_TEST(test_rates_are_gossiped)
+{
+	balance_spec_t spec = { .id = "u",
+				.service = "s",
+				.address = "10.0.0.1:80",
+				.data_centre = "dc",
+				.slots = 8 };
+	balance_load_t load;
+	balance_t nodes[2];
+	balance_upstream_t *u[2];
+
+	for (int i = 0; i < 2; i++) {
+		balance_init(&nodes[i], "dc", 1);
+		balance_put_upstream(&nodes[i], &spec, 1000);
+		u[i] = g_hash_table_lookup(nodes[i].by_id, "u");
+	}
+	balance_apply_report(u[0], 1, 8, 1000);
+	balance_name_rate(u[0], 2.5, 1000);
+	ck_assert_uint_eq(balance_collect_gossip(&nodes[0], 1100, &load, 1), 1);
+	balance_apply_gossip(&nodes[1], &load, 1150);
+	ck_assert(u[1]->rate_limit.active);
+	ck_assert_double_eq(u[1]->rate_limit.per_s, 2.5);
+	/* A report of before the rate does not end it, a later one does. */
+	load = (balance_load_t){ u[0]->key, 1, 10, true, -1 };
+	balance_apply_gossip(&nodes[1], &load, 1500);
+	ck_assert_int_eq(u[1]->rate_limit.ending_at, 0);
+	balance_apply_gossip(&nodes[1], &load, 4000);
+	ck_assert_int_eq(u[1]->rate_limit.ending_at, 4000);
+	/* Nor does a report of an older build. */
+	load = (balance_load_t){ u[0]->key, 1, 10, false, 0 };
+	balance_apply_gossip(&nodes[0], &load, 5000);
+	ck_assert(u[0]->rate_limit.active && !u[0]->rate_limit.ending_at);
+	for (int i = 0; i < 2; i++)
+		balance_finish(&nodes[i]);
+}
+END_TEST
+
 Suite *balance_suite(void)
 {
 	Suite *s = suite_create("balance");
 	TCase *c = tcase_create("balance");
 
 	tcase_add_checked_fixture(c, setup_, finish_);
+	tcase_add_test(c, test_rates_are_gossiped);
 	tcase_add_test(c, test_no_upstream);
 	tcase_add_test(c, test_prompt_stays_warm);
 	tcase_add_test(c, test_prompt_stays_when_upstreams_are_added);
