Gateway: an ended request rate returns within two seconds

With a ramp of 4 s after each node's own news of the end, upstreams whose rate had ended still held less than the others 6 s later.

--- a/packages/decide/rate_limit.c
+++ b/packages/decide/rate_limit.c
@@ -15,8 +15,8 @@
  */
 #define BURST_S 0.25
 /* A rate that ends doubles in each step, until it is no longer felt. */
-#define ENDING_STEP_MS 500.0
-#define ENDING_MS 4000
+#define ENDING_STEP_MS 250.0
+#define ENDING_MS 2000
 /* A rate below this starts to rise from here. */
 #define ENDING_MIN_PER_S 1.0
 #define WAIT_MIN_MS 50
