Test: a request that is answered 503 has run

A late refusal of an earlier request, which carries no id, arrives on a kept connection before the answer.

--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -527,7 +527,11 @@
 			  "Content-Length: 0\r\n\r\n");
 	else if (!strcmp(mode, "shed"))
 		refuse_(fd, 503);
-	else
+	else if (!strcmp(mode, "stale_refusal")) {
+		/* It belongs to an earlier request on this connection. */
+		refuse_(fd, 503);
+		kept = run_(fd, r, "");
+	} else
 		kept = run_(fd, r, mode);
 	g_free(mode);
 	return kept;
