Gateway: a refusal without an id on a reused connection proves nothing

Callers saw (reported from real processes): a request was answered with a refusal that promises it has not run, and ran; a request ran twice. Shown here on real sockets: a late refusal of an earlier request, without an id, arrives on a kept connection before the answer. The node took it for its own request's: 503 to the caller, or the next upstream, while the first one runs it.

Class: an answer is matched by its place on a connection.

The stand-in's refusals now carry their request's id, as real upstreams' answers do; gateway_faults keeps its checks. Whether this is what the users saw is not known: their runs left no logs.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -111,6 +111,12 @@
  */
 int64_t http_call_received(http_call_t *call);
 
+/*
+ * http_call_reused - whether the request was sent on a connection that had
+ * carried another one, so that an answer may belong to that one.
+ */
+bool http_call_reused(http_call_t *call);
+
 /*
  * http_call_header - a header of the answer; empty view when absent.
  */
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -244,6 +244,14 @@
 	return (int64_t)info.tcpi_bytes_received;
 }
 
+bool http_call_reused(http_call_t *call)
+{
+	long opened = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_NUM_CONNECTS, &opened);
+	return !opened;
+}
+
 str_t http_call_header(http_call_t *call, const char *name)
 {
 	struct curl_header *h;
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -459,12 +459,13 @@
 	return false;
 }
 
-static void refuse_(int fd, int status)
+/* id: of the request, or NULL for a refusal that came too late for its own */
+static void refuse_(int fd, const char *id, int status)
 {
 	send_(fd,
 	      "HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\n"
-	      "Content-Length: 0\r\n\r\n",
-	      status);
+	      "%s%s%sContent-Length: 0\r\n\r\n",
+	      status, id ? "Attempt-Id: " : "", id ? id : "", id ? "\r\n" : "");
 }
 
 static bool run_(int fd, const request_t *r, const char *mode)
@@ -521,15 +522,15 @@
 	note_arrival_(r);
 	mode = take_fault_();
 	if (other || !strcmp(mode, "other"))
-		refuse_(fd, 421);
+		refuse_(fd, r->id, 421);
 	else if (!strcmp(mode, "other_leaving"))
 		send_(fd, "HTTP/1.1 421 Refused\r\nServer-Leaving: 1\r\n"
 			  "Content-Length: 0\r\n\r\n");
 	else if (!strcmp(mode, "shed"))
-		refuse_(fd, 503);
+		refuse_(fd, r->id, 503);
 	else if (!strcmp(mode, "stale_refusal")) {
 		/* It belongs to an earlier request on this connection. */
-		refuse_(fd, 503);
+		refuse_(fd, NULL, 503);
 		kept = run_(fd, r, "");
 	} else
 		kept = run_(fd, r, mode);
