--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -35,6 +35,7 @@
 	char *id;
 	int64_t last_event;
 	bool stream;
+	bool reused; /* not the first on its connection */
 } request_t;
 
 static struct {
@@ -508,7 +509,6 @@
 	bool other = *target && strcmp(target, own_id) != 0;
 	char *mode;
 	bool kept = true;
-
 	g_free(target);
 	if (!strcmp(r->target, "/stats")) {
 		send_json_(fd, stats_());
@@ -530,7 +530,8 @@
 		refuse_(fd, r->id, 503);
 	else if (!strcmp(mode, "stale_refusal")) {
 		/* It belongs to an earlier request on this connection. */
-		refuse_(fd, NULL, 503);
+		if (r->reused)
+			refuse_(fd, NULL, 503);
 		kept = run_(fd, r, "");
 	} else
 		kept = run_(fd, r, mode);
@@ -544,8 +545,11 @@
 	GString *in = g_string_new(NULL);
 	request_t r;
 	bool kept = true;
+	bool reused = false;
 
 	while (kept && read_request_(fd, in, &r)) {
+		r.reused = reused;
+		reused = true;
 		kept = serve_(fd, &r);
 		request_clear_(&r);
 	}
