Gateway: failed attempts log the fingerprint of their request

The logs of the recorded incident cannot tell whether requests with different ids are one request that comes again: nothing in attempt.failed is the same for two tries of a caller. The fingerprint is a hash of method, host, target, customer and body, which a caller repeats. No decision uses it yet.

--- a/include/kcf/quarantine.h
+++ b/include/kcf/quarantine.h
@@ -39,6 +39,8 @@
 typedef struct quarantine_prompt {
 	uint64_t segments[QUARANTINE_SEGMENTS_MAX];
 	int count;
+	uint64_t request; /* the same for each repeat of the request, 0 if
+			     unknown */
 } quarantine_prompt_t;
 
 /* An upstream that ended while it began to answer a prompt. */
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -21,6 +21,8 @@
 /* An upstream that cannot be reached is ejected for this long. */
 #define EJECT_CONNECT_MS 400
 #define EJECT_INSTANCE_MS 3000
+/* 16 hexadecimal digits and the end. */
+#define FINGERPRINT_TEXT_MAX 17
 
 const char *const fault_string[] = {
 	"cannot connect",   "shed",	      "other start",
@@ -347,7 +349,10 @@
 void forward_log_fault(const forward_t *f, const char *upstream, fault_t why)
 {
 	char *segments = quarantine_format_prompt(&f->in.prompt);
+	char fingerprint[FINGERPRINT_TEXT_MAX];
 
+	g_snprintf(fingerprint, sizeof(fingerprint),
+		   "%016" G_GINT64_MODIFIER "x", f->in.prompt.request);
 	LOG_EVENT(LOG_NOTICE, "attempt.failed", F_VIEW("request", f->in.id),
 		  F_STR("why", fault_string[why]), F_STR("upstream", upstream),
 		  F_INT("status", f->response.status),
@@ -356,6 +361,7 @@
 		  F_INT("ms", clock_now() - f->sent_at),
 		  F_INT("last_event", f->last_event_id),
 		  F_STR("answer", answer_stage_(f)),
+		  F_STR("fingerprint", fingerprint),
 		  F_STR("segments", segments));
 	g_free(segments);
 }
@@ -471,6 +477,20 @@
 		       f->pick.retry_ms);
 }
 
+/*
+ * Key of all that a caller repeats when it sends a request again; ids differ
+ * for each try.
+ */
+static uint64_t fingerprint_(const forward_t *f)
+{
+	uint64_t hash = str_hash64(f->in.method, 0);
+
+	hash = str_hash64(f->in.host, hash);
+	hash = str_hash64(f->in.target, hash);
+	hash = str_hash64(str_of(share_customer_(f)), hash);
+	return str_hash64(http_request_body(f->req), hash) | 1;
+}
+
 static void handle_request_(forward_t *f)
 {
 	gateway_t *g = f->gateway;
@@ -485,6 +505,7 @@
 	f->table = route_table_ref(g->table);
 	if (!identify_(f))
 		return;
+	f->in.prompt.request = fingerprint_(f);
 	f->last_event_id = f->in.last_event_id;
 	start_deadline_timer_(f, f->received_at);
 	if (!gateway_can_finish_by(g, f->deadline)) {
