Test: one request that comes again and again crashes upstream after upstream

Callers see 503 and 502 on the whole service: a request that crashes each upstream that begins to run it comes again with the same path, customer and body, at any node.

Stand-ins: upstreams that crash on a body (plain: before any byte of the answer; streams: after the head), and write their version into events; callers that try again, with a target for each request, and take streams up with the id of the try that brought the first event.

--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -186,7 +186,7 @@
 	local argv = { bin .. "/kcf-caller" }
 	for k, v in pairs(o) do
 		argv[#argv + 1] = "--" .. k:gsub("_", "-")
-		argv[#argv + 1] = tostring(v)
+		if v ~= "" then argv[#argv + 1] = tostring(v) end
 	end
 	f.callers = (f.callers or 0) + 1
 	local p = { name = "callers", path = f.dir .. "/callers-" .. f.callers }
--- a/tests/standin/caller.c
+++ b/tests/standin/caller.c
@@ -1,6 +1,7 @@
 /*
  * caller - callers of the users' platform, as an open load: they come at random
  * moments, whether or not earlier answers are there, and take them in whole.
+ * They may send a request again, and take a stream up where it broke off.
  *
  * Prints one JSON report: answers by status, events, times in milliseconds.
  */
@@ -24,6 +25,10 @@
 static gint timeout_ms = 5000;
 static gint body_bytes = 200;
 static gint seed = 1;
+static gint tries = 1;
+static gint pause_ms = 50;
+static gboolean distinct;
+static gboolean resume;
 
 static const GOptionEntry entries[] = {
 	{ "to", 0, 0, G_OPTION_ARG_STRING, &to, "Addresses, in turn",
@@ -39,14 +44,34 @@
 	{ "body-bytes", 0, 0, G_OPTION_ARG_INT, &body_bytes, "Of each request",
 	  "N" },
 	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Of the arrivals", "N" },
+	{ "tries", 0, 0, G_OPTION_ARG_INT, &tries,
+	  "Of one request, after failures", "N" },
+	{ "pause-ms", 0, 0, G_OPTION_ARG_INT, &pause_ms, "Before a next try",
+	  "MS" },
+	{ "distinct", 0, 0, G_OPTION_ARG_NONE, &distinct,
+	  "A target for each request", NULL },
+	{ "resume", 0, 0, G_OPTION_ARG_NONE, &resume,
+	  "Take streams up after their last event", NULL },
 	{ 0 },
 };
 
+#define ID_MAX 48
+
 typedef struct caller {
 	struct timespec came; /* milliseconds are too coarse for loopback */
-	char id[48];
+	int serial;
+	int tries;
+	mstime_t deadline;
+	char id[ID_MAX];       /* of the current try */
+	char first_id[ID_MAX]; /* of the try that brought the first event */
+	char version[ID_MAX];  /* that wrote the first event */
+	int64_t event_id;      /* of the event that is being read */
+	int64_t last_event;    /* 0 before the first */
 	int events;
-	bool newline; /* the last byte was one */
+	bool joined; /* events of two versions */
+	bool resumed;
+	GString *line;
+	ev_timer again;
 } caller_t;
 
 static struct {
@@ -65,8 +90,12 @@
 	int other;   /* another status to the end */
 	int failed;  /* no whole answer */
 	int events;
-	GArray *ms;	  /* double, of whole ones */
-	json_t *promised; /* ids of requests refused as not run */
+	int joined;	   /* streams with events of two versions */
+	int disordered;	   /* events that do not follow the one before */
+	int resumes;	   /* streams that were taken up, each try */
+	int resumes_whole; /* of these, those that went on to the end */
+	GArray *ms;	   /* double, of whole ones */
+	json_t *promised;  /* ids of requests refused as not run */
 } all;
 
 static double since_ms_(const struct timespec *t)
@@ -78,17 +107,55 @@
 	       (double)(now.tv_nsec - t->tv_nsec) / 1e6;
 }
 
-/* Events end with an empty line, which may come in two pieces. */
+static void end_event_(caller_t *c)
+{
+	c->events++;
+	if (c->event_id <= 0)
+		return;
+	if (!c->last_event)
+		g_strlcpy(c->first_id, c->id, ID_MAX);
+	all.disordered += c->event_id != c->last_event + 1;
+	c->last_event = c->event_id;
+	c->event_id = 0;
+}
+
+/* "VERSION/..." */
+static void read_version_(caller_t *c, const char *text)
+{
+	const char *end = strchr(text, '/');
+	char version[ID_MAX];
+
+	if (!end)
+		return;
+	g_strlcpy(version, text, MIN((size_t)(end - text) + 1, ID_MAX));
+	if (!*c->version)
+		g_strlcpy(c->version, version, ID_MAX);
+	c->joined = c->joined || strcmp(c->version, version) != 0;
+}
+
+static void read_line_(caller_t *c)
+{
+	const char *line = c->line->str;
+
+	if (!*line)
+		end_event_(c);
+	else if (g_str_has_prefix(line, "id: "))
+		c->event_id = g_ascii_strtoll(line + strlen("id: "), NULL, 10);
+	else if (g_str_has_prefix(line, "data: "))
+		read_version_(c, line + strlen("data: "));
+	g_string_truncate(c->line, 0);
+}
+
 static void on_data_(void *ctx, http_call_t *call, str_t data)
 {
 	caller_t *c = ctx;
 
 	(void)call;
 	for (size_t i = 0; i < data.len; i++) {
-		bool newline = data.data[i] == '\n';
-
-		c->events += newline && c->newline;
-		c->newline = newline && !c->newline;
+		if (data.data[i] == '\n')
+			read_line_(c);
+		else
+			g_string_append_c(c->line, data.data[i]);
 	}
 }
 
@@ -98,14 +165,18 @@
 		ev_break(all.loop, EVBREAK_ALL);
 }
 
-static void on_done_(void *ctx, http_call_t *call, int err, int status)
+static void caller_free_(caller_t *c)
+{
+	g_string_free(c->line, TRUE);
+	g_free(c);
+}
+
+static void count_end_(const caller_t *c, int err, int status)
 {
-	caller_t *c = ctx;
 	double ms = since_ms_(&c->came);
 
-	(void)call;
-	all.open--;
 	all.events += c->events;
+	all.joined += c->joined;
 	if (err) {
 		all.failed++;
 	} else if (status == 200) {
@@ -117,42 +188,108 @@
 	} else {
 		all.other++;
 	}
-	g_free(c);
+}
+
+static bool may_try_again_(const caller_t *c, int err, int status)
+{
+	if (c->tries >= tries || clock_now() + pause_ms >= c->deadline ||
+	    (!err && status < 500))
+		return false;
+	return !c->last_event || resume;
+}
+
+static void on_done_(void *ctx, http_call_t *call, int err, int status)
+{
+	caller_t *c = ctx;
+
+	(void)call;
+	all.resumes_whole += c->resumed && !err && status == 200;
+	if (may_try_again_(c, err, status)) {
+		ev_timer_set(&c->again, pause_ms / 1e3, 0);
+		ev_timer_start(all.loop, &c->again);
+		return;
+	}
+	all.open--;
+	count_end_(c, err, status);
+	caller_free_(c);
 	close_if_over_();
 }
 
 static const http_call_ops_t call_ops = { .data = on_data_, .done = on_done_ };
 
-static void come_(void)
+static void add_line_(GPtrArray *lines, const char *fmt, ...)
+	G_GNUC_PRINTF(2, 3);
+
+static void add_line_(GPtrArray *lines, const char *fmt, ...)
 {
-	char *url = g_strdup_printf("http://%s%s",
-				    all.nodes[(guint)all.sent % all.node_count],
-				    path);
-	char *lines[] = {
-		g_strdup_printf("Host: %s", host),
-		g_strdup_printf("X-Api-Key: %s", key),
-		g_strdup_printf("Deadline-Ms: %d", timeout_ms),
-		g_strdup_printf("Attempt-Id: caller-%d-%d", seed, all.sent),
-		NULL,
-	};
+	va_list args;
+
+	va_start(args, fmt);
+	g_ptr_array_add(lines, g_strdup_vprintf(fmt, args));
+	va_end(args);
+}
+
+/* Sends a request for the first time, or once more at the next node. */
+static void try_(caller_t *c)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
+	guint node = (guint)(c->serial + c->tries) % all.node_count;
+	mstime_t now = clock_now();
+	GString *url = g_string_new(NULL);
 	http_call_spec_t spec = {
 		.method = "POST",
-		.url = url,
-		.headers = (const char *const *)lines,
 		.body = { all.body->str, all.body->len },
-		.deadline = clock_now() + timeout_ms,
+		.deadline = c->deadline,
 		.single = true, /* an id is used once */
 	};
+
+	g_string_printf(url, "http://%s%s", all.nodes[node], path);
+	if (distinct)
+		g_string_append_printf(url, "/%d-%d", seed, c->serial);
+	g_snprintf(c->id, ID_MAX, "caller-%d-%d", seed, c->serial);
+	if (c->tries)
+		g_snprintf(c->id, ID_MAX, "caller-%d-%d-%d", seed, c->serial,
+			   c->tries);
+	c->tries++;
+	c->event_id = 0;
+	g_string_truncate(c->line, 0);
+	add_line_(lines, "Host: %s", host);
+	add_line_(lines, "X-Api-Key: %s", key);
+	add_line_(lines, "Deadline-Ms: %d", (int)(c->deadline - now));
+	add_line_(lines, "Attempt-Id: %s", c->id);
+	c->resumed = c->last_event > 0;
+	all.resumes += c->resumed;
+	if (c->resumed) {
+		add_line_(lines, "Last-Event-Id: %d", (int)c->last_event);
+		add_line_(lines, "Resumes: %s", c->first_id);
+	}
+	g_ptr_array_add(lines, NULL);
+	spec.url = url->str;
+	spec.headers = (const char *const *)lines->pdata;
+	http_call_start(&all.http, &spec, &call_ops, c);
+	g_ptr_array_unref(lines);
+	g_string_free(url, TRUE);
+}
+
+static void on_again_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	try_(w->data);
+}
+
+static void come_(void)
+{
 	caller_t *c = g_new0(caller_t, 1);
 
-	g_snprintf(c->id, sizeof(c->id), "caller-%d-%d", seed, all.sent);
+	c->serial = all.sent++;
+	c->deadline = clock_now() + timeout_ms;
+	c->line = g_string_new(NULL);
+	ev_init(&c->again, on_again_);
+	c->again.data = c;
 	clock_gettime(CLOCK_MONOTONIC, &c->came);
-	all.sent++;
 	all.open++;
-	http_call_start(&all.http, &spec, &call_ops, c);
-	for (char **line = lines; *line; line++)
-		g_free(*line);
-	g_free(url);
+	try_(c);
 }
 
 static void on_arrival_(struct ev_loop *loop, ev_timer *w, int revents)
@@ -183,12 +320,15 @@
 	char *text;
 
 	gsl_sort((double *)(void *)all.ms->data, 1, all.ms->len);
-	report = json_pack("{s:O,s:i,s:i,s:i,s:i,s:i,s:i,s:{s:f,s:f,s:f,s:f}}",
-			   "promised", all.promised, "sent", all.sent, "whole",
-			   all.whole, "refused", all.refused, "other",
-			   all.other, "failed", all.failed, "events",
-			   all.events, "ms", "p50", at_(0.5), "p95", at_(0.95),
-			   "p99", at_(0.99), "max", at_(1.0));
+	report = json_pack(
+		"{s:O,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,"
+		"s:{s:f,s:f,s:f,s:f}}",
+		"promised", all.promised, "sent", all.sent, "whole", all.whole,
+		"refused", all.refused, "other", all.other, "failed",
+		all.failed, "events", all.events, "joined", all.joined,
+		"disordered", all.disordered, "resumes", all.resumes,
+		"resumes_whole", all.resumes_whole, "ms", "p50", at_(0.5),
+		"p95", at_(0.95), "p99", at_(0.99), "max", at_(1.0));
 	text = json_dumps(report, JSON_COMPACT);
 	puts(text);
 	free(text);
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -57,6 +57,8 @@
 static gint delay_ms = 5;
 static gint slots = 8;
 static gchar *crash_segment;
+static gchar *crash_body;
+static gchar *version;
 
 static const GOptionEntry entries[] = {
 	{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_address, "Address",
@@ -70,6 +72,10 @@
 	{ "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Told to callers", "N" },
 	{ "crash-segment", 0, 0, G_OPTION_ARG_STRING, &crash_segment,
 	  "Crashes when it answers a prompt with this segment", "ID" },
+	{ "crash-body", 0, 0, G_OPTION_ARG_STRING, &crash_body,
+	  "Crashes when it runs a request with this in its body", "TEXT" },
+	{ "version", 0, 0, G_OPTION_ARG_STRING, &version,
+	  "Written in each event", "NAME" },
 	{ 0 },
 };
 
@@ -226,7 +232,7 @@
 		"Deadline-Ms",	   "Last-Event-Id", "Kv-From",
 		"Cache-Retention", "Pin-Ms",	    "Kv-Replica",
 		"X-Own",	   "X-Hop",	    "Request-Priority",
-		"Kv-Fetch"
+		"Kv-Fetch",	   "Resumes"
 	};
 	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:s%}", "id", r->id, "method",
 			      r->method, "target", r->target, "at",
@@ -342,13 +348,18 @@
 	return framed ? chunk_(fd, text) : send_(fd, "%s", text);
 }
 
+static bool body_crashes_(const request_t *r)
+{
+	return crash_body && strstr(r->body->str, crash_body);
+}
+
 static bool crashes_(const request_t *r)
 {
 	char *segments = header_(r, "Prompt-Prefix");
 	bool found = crash_segment && strstr(segments, crash_segment);
 
 	g_free(segments);
-	return found;
+	return found || body_crashes_(r);
 }
 
 static bool stream_(int fd, const request_t *r, const char *mode)
@@ -365,10 +376,11 @@
 		_exit(1);
 	}
 	for (int64_t i = r->last_event + 1; i <= events; i++) {
-		char *event =
-			g_strdup_printf("id: %" G_GINT64_FORMAT
-					"\ndata: %s-%" G_GINT64_FORMAT "\n\n",
-					i, r->id, i);
+		char *event = g_strdup_printf("id: %" G_GINT64_FORMAT
+					      "\ndata: %s%s%s-%" G_GINT64_FORMAT
+					      "\n\n",
+					      i, version ? version : "",
+					      version ? "/" : "", r->id, i);
 
 		if (i > events / 2 &&
 		    (!strcmp(mode, "cut") || !strcmp(mode, "unframed_cut")))
@@ -482,6 +494,8 @@
 		end_run_(true);
 		return false;
 	}
+	if (!r->stream && body_crashes_(r))
+		_exit(1);
 	if (!strcmp(mode, "close") || (!strcmp(mode, "reset") && !r->stream)) {
 		if (*mode == 'r')
 			reset_(fd);
