Quarantine: requests that crash upstreams are held back by the key of the whole request

Cause: the quarantine knew shared prompt segments alone. A plain request has none, the own segment of a chat is left out, and a crash counted only once a head had come, which plain upstreams send with the body. So nothing connected the repeats, and the node's own retry made two ends of one arrival. Class: a failure that the request carries is answered by trying the next upstream.

Change: the fingerprint is a key beside those of the segments, in reports, holds and answers. Two crashes of it hold back that request alone, also 40 ms apart (one request is at one upstream after the other), three if it had been answered before. The key with most crashes explains what else ran at those upstreams, so that sound requests beside it are served; an answer clears them. A node sends a plain request on after its first crash only. From the fifth crash on there is no trial any more while it keeps coming: refusals keep the reports alive.

The report's datagram has a new number; older builds reject it and keep the rest, so two builds side by side do not share crashes.

Ruled out: a second decision beside the quarantine (the same reports, gossip and holds would stand twice); no retry after the first crash of a plain request (costs every sound one its attempt); counting by customer or route.

--- a/include/kcf/quarantine.h
+++ b/include/kcf/quarantine.h
@@ -1,14 +1,14 @@
 /*
- * quarantine - finds prompt segments that crash upstreams and holds back the
- * requests that have them.
+ * quarantine - finds requests, and prompt segments of requests, that crash
+ * upstreams, and holds them back.
  *
  * Every node reports the upstreams that ended while they began to answer one of
- * its requests, with the prompt segments of that request. The reports are
- * merged into a set that only grows until its entries expire, so that it may
- * arrive late, twice or in any order: all nodes that have the same reports hold
- * back the same requests. A segment that an upstream has answered since is not
- * the cause; an upstream that still answers has not crashed. Pure logic: no
- * socket, no clock.
+ * its requests, with a key of the whole request and those of its prompt
+ * segments. The reports are merged into a set that only grows until its entries
+ * expire, so that it may arrive late, twice or in any order: all nodes that
+ * have the same reports hold back the same requests. What an upstream has
+ * answered since is not the cause; an upstream that still answers has not
+ * crashed. Pure logic: no socket, no clock.
  */
 #ifndef KCF_QUARANTINE_H
 #define KCF_QUARANTINE_H
@@ -22,7 +22,7 @@
 /* Segments of one prompt that are looked at. */
 #define QUARANTINE_SEGMENTS_MAX 16
 /* Crash reports that are kept; the oldest make room for new ones. */
-#define QUARANTINE_CRASHES_MAX 64
+#define QUARANTINE_CRASHES_MAX 128
 /* Holds at a time. */
 #define QUARANTINE_HOLDS_MAX 16
 /* Answered segments in one report to another node. */
@@ -30,12 +30,17 @@
 /* Crashes that give a hold, and the same if the evidence of one is weak. */
 #define QUARANTINE_CRASHES_STRONG 2
 #define QUARANTINE_CRASHES_WEAK 3
+/*
+ * From so many crashes on, a request is not tried again until it has stayed
+ * away for QUARANTINE_KEEP_MS. Segments are: many callers may share them.
+ */
+#define QUARANTINE_CRASHES_FINAL 5
 /* Time for which requests are held back; doubles with each further crash. */
 #define QUARANTINE_HOLD_MS 30000
 /* Reports expire after this; longer than the longest hold. */
 #define QUARANTINE_KEEP_MS 600000
 
-/* Keys of the segments of one prompt, without the one of the request itself. */
+/* Keys of one request and of the prompt segments that it shares with others. */
 typedef struct quarantine_prompt {
 	uint64_t segments[QUARANTINE_SEGMENTS_MAX];
 	int count;
@@ -48,26 +53,29 @@
 	uint32_t upstream; /* key of one start of an upstream */
 	mstime_t at;
 	quarantine_prompt_t prompt;
+	mstime_t seen_at; /* last time such a request came */
 	bool weak; /* all segments had been answered before, or the upstream had
 		      not begun to answer */
+	bool known;	/* the same request had been answered before */
 	bool alive;	/* the upstream has answered since: it did not crash */
 	bool unsent;	/* not told to other nodes yet */
-	bool explained; /* by a hold, while holds are computed */
+	bool explained; /* by a hold, with all that ran at its upstreams */
+	bool held;	/* a hold rests on it */
 } quarantine_crash_t;
 
-/* A combination of segments that is held back. */
+/* A request, or a combination of segments, that is held back. */
 typedef struct quarantine_hold {
-	quarantine_prompt_t prompt; /* requests that have all of them */
+	quarantine_prompt_t prompt; /* requests that have all of these keys */
 	int crashes;
 	mstime_t first_at;
 	mstime_t last_at;
-	mstime_t until;
+	mstime_t until;	      /* MSTIME_NEVER once it is final */
 	mstime_t trial_until; /* a trial request is under way, 0 if not */
 } quarantine_hold_t;
 
-/* A segment and the time when an upstream last began to answer it. */
+/* A key and the time when an upstream last began to answer it. */
 typedef struct quarantine_answered {
-	uint64_t segment;
+	uint64_t key;
 	mstime_t at;
 } quarantine_answered_t;
 
@@ -84,8 +92,10 @@
 	int crash_count;
 	quarantine_hold_t holds[QUARANTINE_HOLDS_MAX];
 	int hold_count;
-	lru_t answered;	    /* segments by the time of their last answer */
+	lru_t answered; /* segments by the time of their last answer */
+	lru_t answered_requests;
 	guint cursor;	    /* into the crashes that are sent in rotation */
+	guint held_cursor;  /* the same among those of holds */
 	double trial_delay; /* this node's place among the nodes, 0 to 1 */
 	const quarantine_ops_t *ops;
 	void *ctx;
@@ -119,14 +129,15 @@
 
 /*
  * quarantine_is_cleared - whether each segment was answered lately, and after
- * the last crash of a request that has it. False for a prompt without segments.
+ * the last crash of a request that has it. Says nothing of the request itself;
+ * false for a prompt without segments.
  * @upstream: key of one whose crash does not matter
  */
 bool quarantine_is_cleared(const quarantine_t *q, uint32_t upstream,
 			   const quarantine_prompt_t *prompt, mstime_t now);
 
 /*
- * quarantine_count_crashes - most crashes that speak against one segment of a
+ * quarantine_count_crashes - most crashes that speak against one key of a
  * prompt.
  */
 int quarantine_count_crashes(const quarantine_t *q,
@@ -135,7 +146,8 @@
 /*
  * quarantine_record_crash - records that an upstream ended before anything of
  * the answer to a request had arrived.
- * @begun: the upstream had begun to answer
+ * @begun: the upstream had begun to answer; without it segments need more
+ *         crashes, the request itself does not
  */
 void quarantine_record_crash(quarantine_t *q, uint32_t upstream,
 			     const quarantine_prompt_t *prompt, bool begun,
--- a/include/kcf/quarantine_gossip.h
+++ b/include/kcf/quarantine_gossip.h
@@ -24,7 +24,8 @@
 	byte_budget_t budget; /* of reports alone */
 	mstime_t repeat_at;
 	mstime_t ask_at;
-	mstime_t ask_until; /* 0 once another node has answered */
+	mstime_t ask_until; /* 0 once enough others have replied */
+	int replies;	    /* that were complete, since it asks */
 	const quarantine_gossip_ops_t *ops;
 	void *ctx;
 } quarantine_gossip_t;
--- a/include/kcf/quarantine_report.h
+++ b/include/kcf/quarantine_report.h
@@ -9,6 +9,9 @@
 #include <kcf/quarantine.h>
 #include <jansson.h>
 
+/* Size of a request's key as text: hexadecimal digits and the end. */
+#define QUARANTINE_REQUEST_TEXT_MAX 17
+
 /* Lists of one report, on the stack of its sender. */
 typedef struct quarantine_report {
 	peer_crash_report_t message;
@@ -18,7 +21,7 @@
 } quarantine_report_t;
 
 /*
- * quarantine_report_fill - fills a report with crashes and answered segments.
+ * quarantine_report_fill - fills a report with crashes and answered keys.
  * @r: its message refers to its lists
  */
 void quarantine_report_fill(quarantine_t *q, quarantine_report_t *r,
@@ -36,6 +39,12 @@
  */
 char *quarantine_format_prompt(const quarantine_prompt_t *p);
 
+/*
+ * quarantine_format_request - key of the request as it is logged.
+ * @out: has at least QUARANTINE_REQUEST_TEXT_MAX bytes
+ */
+void quarantine_format_request(const quarantine_prompt_t *p, char *out);
+
 /*
  * quarantine_report_json - holds and crashes for operators; a new reference.
  */
--- a/packages/decide/quarantine.c
+++ b/packages/decide/quarantine.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 #include <string.h>
 
-/* Answered segments that are remembered. */
+/* Answered segments that are remembered, and as many requests. */
 #define ANSWERED_MAX 4096
 /*
  * Crashes of several upstreams within this time have a common cause, such as a
@@ -29,18 +29,31 @@
 			     .ops = ops,
 			     .ctx = ctx };
 	lru_init(&q->answered, ANSWERED_MAX, QUARANTINE_KEEP_MS);
+	lru_init(&q->answered_requests, ANSWERED_MAX, QUARANTINE_KEEP_MS);
 }
 
 void quarantine_finish(quarantine_t *q)
 {
 	assert(q);
 	lru_finish(&q->answered);
+	lru_finish(&q->answered_requests);
 }
 
-static bool contains_(const quarantine_prompt_t *p, uint64_t segment)
+/* The keys of a prompt, those of its segments first. */
+static int key_count_(const quarantine_prompt_t *p)
 {
-	for (int i = 0; i < p->count; i++) {
-		if (p->segments[i] == segment)
+	return p->count + (p->request != 0);
+}
+
+static uint64_t key_at_(const quarantine_prompt_t *p, int index)
+{
+	return index < p->count ? p->segments[index] : p->request;
+}
+
+static bool contains_(const quarantine_prompt_t *p, uint64_t key)
+{
+	for (int i = 0; i < key_count_(p); i++) {
+		if (key_at_(p, i) == key)
 			return true;
 	}
 	return false;
@@ -49,8 +62,8 @@
 static bool contains_all_(const quarantine_prompt_t *p,
 			  const quarantine_prompt_t *part)
 {
-	for (int i = 0; i < part->count; i++) {
-		if (!contains_(p, part->segments[i]))
+	for (int i = 0; i < key_count_(part); i++) {
+		if (!contains_(p, key_at_(part, i)))
 			return false;
 	}
 	return true;
@@ -58,14 +71,17 @@
 
 static bool equal_(const quarantine_prompt_t *a, const quarantine_prompt_t *b)
 {
-	return a->count == b->count && contains_all_(a, b);
+	return a->count == b->count && a->request == b->request &&
+	       contains_all_(a, b);
 }
 
-/* When a segment was last answered, or 0. */
-static mstime_t answered_at_(const quarantine_t *q, uint64_t segment)
+/* When a key was last answered, or 0. */
+static mstime_t answered_at_(const quarantine_t *q, uint64_t key)
 {
-	const lru_entry_t *e = lru_get(&q->answered, 0, segment);
+	const lru_entry_t *e = lru_get(&q->answered, 0, key);
 
+	if (!e)
+		e = lru_get(&q->answered_requests, 0, key);
 	return e ? e->used_at : 0;
 }
 
@@ -78,10 +94,12 @@
 			p->segments[count++] = p->segments[i];
 	}
 	p->count = count;
+	if (p->request != other->request)
+		p->request = 0;
 }
 
 /*
- * What can be held against a prompt: the segments of each crash that were not
+ * What can be held against a prompt: the keys of each crash that were not
  * answered since, none if the upstream goes on.
  */
 typedef struct evidence {
@@ -96,8 +114,12 @@
 		const quarantine_crash_t *c = &q->crashes[i];
 		quarantine_prompt_t *open = &e->open[i];
 
-		open->count = 0;
-		for (int k = 0; k < c->prompt.count && !c->alive; k++) {
+		*open = (quarantine_prompt_t){ .count = 0 };
+		if (c->alive)
+			continue;
+		if (answered_at_(q, c->prompt.request) <= c->at)
+			open->request = c->prompt.request;
+		for (int k = 0; k < c->prompt.count; k++) {
 			uint64_t segment = c->prompt.segments[k];
 
 			if (answered_at_(q, segment) <= c->at)
@@ -106,25 +128,24 @@
 	}
 }
 
-/* Whether an earlier crash of the list has the segment, at any upstream or at
- * one.
+/* Whether an earlier crash of the list has the key, at any upstream or at one.
  */
 static bool is_in_earlier_(const quarantine_t *q, const evidence_t *e,
-			   int index, uint64_t segment, bool same_upstream)
+			   int index, uint64_t key, bool same_upstream)
 {
 	for (int i = 0; i < index; i++) {
 		if (same_upstream &&
 		    q->crashes[i].upstream != q->crashes[index].upstream)
 			continue;
-		if (contains_(&e->open[i], segment))
+		if (contains_(&e->open[i], key))
 			return true;
 	}
 	return false;
 }
 
-/* The hold that a segment would give, without its end. */
+/* The hold that a key would give, without its end. */
 static void sum_crashes_(const quarantine_t *q, const evidence_t *e,
-			 uint64_t segment, quarantine_hold_t *hold, int *needed)
+			 uint64_t key, quarantine_hold_t *hold, int *needed)
 {
 	mstime_t counted_at = 0;
 
@@ -132,8 +153,9 @@
 	*needed = QUARANTINE_CRASHES_STRONG;
 	for (int i = 0; i < e->count; i++) {
 		const quarantine_crash_t *c = &q->crashes[i];
+		bool whole = key == c->prompt.request;
 
-		if (!contains_(&e->open[i], segment))
+		if (!contains_(&e->open[i], key))
 			continue;
 		if (!hold->crashes) {
 			hold->prompt = e->open[i];
@@ -141,24 +163,34 @@
 		}
 		intersect_(&hold->prompt, &e->open[i]);
 		hold->last_at = c->at;
-		if (c->weak)
+		if (whole ? c->known : c->weak)
 			*needed = QUARANTINE_CRASHES_WEAK;
-		if (hold->crashes && (c->at - counted_at <= COINCIDENT_MS ||
-				      is_in_earlier_(q, e, i, segment, true)))
+		/* One request is at one upstream after the other. */
+		if (hold->crashes &&
+		    ((!whole && c->at - counted_at <= COINCIDENT_MS) ||
+		     is_in_earlier_(q, e, i, key, true)))
 			continue;
 		hold->crashes++;
 		counted_at = c->at;
 	}
 }
 
-/* The segment with most crashes, if they are enough for a hold. */
+static mstime_t hold_until_(const quarantine_hold_t *h, int needed)
+{
+	if (h->prompt.request && h->crashes >= QUARANTINE_CRASHES_FINAL)
+		return MSTIME_NEVER;
+	return h->last_at + (QUARANTINE_HOLD_MS
+			     << MIN(h->crashes - needed, HOLD_DOUBLINGS_MAX));
+}
+
+/* The key with most crashes, if they are enough for a hold. */
 static bool find_hold_(const quarantine_t *q, const evidence_t *e,
-		       quarantine_hold_t *best, uint64_t *segment)
+		       quarantine_hold_t *best, uint64_t *key)
 {
 	best->crashes = 0;
 	for (int i = 0; i < e->count; i++) {
-		for (int k = 0; k < e->open[i].count; k++) {
-			uint64_t candidate = e->open[i].segments[k];
+		for (int k = 0; k < key_count_(&e->open[i]); k++) {
+			uint64_t candidate = key_at_(&e->open[i], k);
 			quarantine_hold_t hold;
 			int needed;
 
@@ -168,12 +200,9 @@
 			if (hold.crashes < needed ||
 			    hold.crashes <= best->crashes)
 				continue;
-			hold.until =
-				hold.last_at + (QUARANTINE_HOLD_MS
-						<< MIN(hold.crashes - needed,
-						       HOLD_DOUBLINGS_MAX));
+			hold.until = hold_until_(&hold, needed);
 			*best = hold;
-			*segment = candidate;
+			*key = candidate;
 		}
 	}
 	return best->crashes > 0;
@@ -183,18 +212,20 @@
  * Takes the crashes that a hold explains out of the evidence, with all that
  * else ran at their upstreams.
  */
-static void mark_explained_(quarantine_t *q, evidence_t *e, uint64_t segment)
+static void mark_explained_(quarantine_t *q, evidence_t *e, uint64_t key)
 {
 	bool supports[QUARANTINE_CRASHES_MAX];
 
-	for (int i = 0; i < e->count; i++)
-		supports[i] = contains_(&e->open[i], segment);
+	for (int i = 0; i < e->count; i++) {
+		supports[i] = contains_(&e->open[i], key);
+		q->crashes[i].held = q->crashes[i].held || supports[i];
+	}
 	for (int i = 0; i < e->count; i++) {
 		for (int k = 0; supports[i] && k < e->count; k++) {
 			if (q->crashes[k].upstream != q->crashes[i].upstream)
 				continue;
 			q->crashes[k].explained = true;
-			e->open[k].count = 0;
+			e->open[k] = (quarantine_prompt_t){ .count = 0 };
 		}
 	}
 }
@@ -217,8 +248,8 @@
 		if (contains_all_(&hold->prompt, &q->holds[i].prompt))
 			return "narrowed";
 	}
-	for (int i = 0; i < hold->prompt.count; i++) {
-		if (answered_at_(q, hold->prompt.segments[i]) > hold->first_at)
+	for (int i = 0; i < key_count_(&hold->prompt); i++) {
+		if (answered_at_(q, key_at_(&hold->prompt, i)) > hold->first_at)
 			return "answered";
 	}
 	return now - hold->first_at > QUARANTINE_KEEP_MS ? "expired"
@@ -251,33 +282,51 @@
 {
 	quarantine_hold_t before[QUARANTINE_HOLDS_MAX];
 	int before_count = q->hold_count;
-	uint64_t segment = 0;
+	uint64_t key = 0;
 	evidence_t e;
 
 	memcpy(before, q->holds, sizeof(before));
-	for (int i = 0; i < q->crash_count; i++)
+	for (int i = 0; i < q->crash_count; i++) {
 		q->crashes[i].explained = false;
+		q->crashes[i].held = false;
+	}
 	q->hold_count = 0;
 	collect_evidence_(q, &e);
 	while (q->hold_count < QUARANTINE_HOLDS_MAX &&
-	       find_hold_(q, &e, &q->holds[q->hold_count], &segment)) {
+	       find_hold_(q, &e, &q->holds[q->hold_count], &key)) {
 		q->hold_count++;
-		mark_explained_(q, &e, segment);
+		mark_explained_(q, &e, key);
 	}
 	announce_changes_(q, before, before_count, now);
 }
 
+/* Crashes are remembered as long as callers repeat what caused them. */
+static void note_seen_(quarantine_t *q, const quarantine_hold_t *h,
+		       mstime_t now)
+{
+	for (int i = 0; i < q->crash_count; i++) {
+		if (contains_all_(&q->crashes[i].prompt, &h->prompt))
+			q->crashes[i].seen_at = now;
+	}
+}
+
 bool quarantine_check(quarantine_t *q, const quarantine_prompt_t *prompt,
 		      int nodes, mstime_t now, mstime_t *retry_ms)
 {
 	assert(q && prompt && retry_ms);
 	for (int i = 0; i < q->hold_count; i++) {
 		quarantine_hold_t *h = &q->holds[i];
-		mstime_t until = h->until + (mstime_t)(q->trial_delay * nodes *
-						       TRIAL_SPACING_MS);
+		mstime_t until;
 
 		if (!contains_all_(prompt, &h->prompt))
 			continue;
+		note_seen_(q, h, now);
+		if (h->until == MSTIME_NEVER) {
+			*retry_ms = QUARANTINE_KEEP_MS;
+			return true;
+		}
+		until = h->until +
+			(mstime_t)(q->trial_delay * nodes * TRIAL_SPACING_MS);
 		until = MAX(until, h->trial_until);
 		if (now < until) {
 			*retry_ms = until - now;
@@ -343,15 +392,20 @@
 	collect_evidence_(q, &e);
 	for (int i = 0; i < e.count; i++) {
 		if (q->crashes[i].explained)
-			e.open[i].count = 0;
+			e.open[i] = (quarantine_prompt_t){ .count = 0 };
 	}
-	for (int i = 0; i < prompt->count; i++) {
-		sum_crashes_(q, &e, prompt->segments[i], &hold, &needed);
+	for (int i = 0; i < key_count_(prompt); i++) {
+		sum_crashes_(q, &e, key_at_(prompt, i), &hold, &needed);
 		most = MAX(most, hold.crashes);
 	}
 	return most;
 }
 
+static bool is_expired_(const quarantine_crash_t *c, mstime_t now)
+{
+	return now - MAX(c->at, c->seen_at) > QUARANTINE_KEEP_MS;
+}
+
 static quarantine_crash_t *find_crash_(quarantine_t *q,
 				       const quarantine_crash_t *like)
 {
@@ -387,7 +441,9 @@
 /* Crashes that are part of a hold, then those with strong evidence. */
 static int usefulness_(const quarantine_crash_t *c)
 {
-	return 2 * c->explained + !c->weak;
+	if (c->alive)
+		return 0;
+	return 1 + 2 * c->held + !(c->weak && c->known);
 }
 
 /* Makes room: the oldest of the least useful goes. */
@@ -423,6 +479,7 @@
 	c = insert_crash_(q, crash);
 	c->unsent = true;
 	c->weak = c->weak || is_known_(q, &c->prompt);
+	c->known = c->known || answered_at_(q, c->prompt.request);
 	if (q->ops->suspected)
 		q->ops->suspected(q->ctx, c);
 	judge_(q, now);
@@ -434,11 +491,12 @@
 {
 	quarantine_crash_t c = { .upstream = upstream,
 				 .at = now,
+				 .seen_at = now,
 				 .prompt = *prompt,
 				 .weak = !begun };
 
 	assert(q && prompt && prompt->count <= QUARANTINE_SEGMENTS_MAX);
-	if (prompt->count && !find_crash_(q, &c))
+	if (key_count_(prompt) && !find_crash_(q, &c))
 		add_crash_(q, &c, now);
 }
 
@@ -450,7 +508,7 @@
 	bool changed;
 
 	assert(q && crash);
-	if (!crash->prompt.count || now - crash->at > QUARANTINE_KEEP_MS)
+	if (!key_count_(&crash->prompt) || is_expired_(crash, now))
 		return false;
 	c = find_crash_(q, crash);
 	if (!c) {
@@ -462,7 +520,10 @@
 	merged.at = MIN(c->at, crash->at);
 	merged.alive = c->alive || crash->alive;
 	merged.weak = c->weak || crash->weak;
-	changed = merged.alive != c->alive || merged.weak != c->weak;
+	merged.known = c->known || crash->known;
+	merged.seen_at = MAX(c->seen_at, crash->seen_at);
+	changed = merged.alive != c->alive || merged.weak != c->weak ||
+		  merged.known != c->known;
 	merged.unsent = c->unsent || changed;
 	remove_crash_(q, (int)(c - q->crashes));
 	insert_crash_(q, &merged);
@@ -471,28 +532,28 @@
 	return changed;
 }
 
-/* Whether an answer at a time clears a segment of some crash. */
-static bool clears_crash_(const quarantine_t *q, uint64_t segment,
-			  mstime_t before, mstime_t at)
+/* Whether an answer at a time clears a key of some crash. */
+static bool clears_crash_(const quarantine_t *q, uint64_t key, mstime_t before,
+			  mstime_t at)
 {
 	for (int i = 0; i < q->crash_count; i++) {
 		const quarantine_crash_t *c = &q->crashes[i];
 
-		if (c->at >= before && c->at < at &&
-		    contains_(&c->prompt, segment))
+		if (c->at >= before && c->at < at && contains_(&c->prompt, key))
 			return true;
 	}
 	return false;
 }
 
-static bool put_answered_(quarantine_t *q, uint64_t segment, mstime_t at)
+static bool put_answered_(quarantine_t *q, lru_t *answered, uint64_t key,
+			  mstime_t at)
 {
-	mstime_t before = answered_at_(q, segment);
+	mstime_t before = answered_at_(q, key);
 
 	if (at <= before)
 		return false;
-	lru_put(&q->answered, at, segment, 0, 1);
-	return clears_crash_(q, segment, before, at);
+	lru_put(answered, at, key, 0, 1);
+	return clears_crash_(q, key, before, at);
 }
 
 bool quarantine_record_answer(quarantine_t *q,
@@ -502,18 +563,37 @@
 
 	assert(q && prompt);
 	for (int i = 0; i < prompt->count; i++)
-		changed = put_answered_(q, prompt->segments[i], now) || changed;
+		changed = put_answered_(q, &q->answered, prompt->segments[i],
+					now) ||
+			  changed;
+	if (prompt->request)
+		changed = put_answered_(q, &q->answered_requests,
+					prompt->request, now) ||
+			  changed;
 	if (changed)
 		judge_(q, now);
 	return changed;
 }
 
+static bool is_request_(const quarantine_t *q, uint64_t key)
+{
+	for (int i = 0; i < q->crash_count; i++) {
+		if (q->crashes[i].prompt.request == key)
+			return true;
+	}
+	return false;
+}
+
 bool quarantine_merge_answered(quarantine_t *q,
 			       const quarantine_answered_t *answered,
 			       mstime_t now)
 {
+	lru_t *list;
+
 	assert(q && answered);
-	if (!put_answered_(q, answered->segment, MIN(answered->at, now)))
+	list = is_request_(q, answered->key) ? &q->answered_requests
+					     : &q->answered;
+	if (!put_answered_(q, list, answered->key, MIN(answered->at, now)))
 		return false;
 	judge_(q, now);
 	return true;
@@ -549,29 +629,53 @@
 	return false;
 }
 
+/* Adds crashes from the cursor on, up to max in all. */
+static int collect_rotating_(quarantine_t *q, guint *cursor, bool held_only,
+			     quarantine_crash_t *out, int count, int max)
+{
+	int before = count;
+
+	for (int i = 0; i < q->crash_count && count < max; i++) {
+		const quarantine_crash_t *c =
+			&q->crashes[(*cursor)++ % (guint)q->crash_count];
+		bool taken = held_only && !c->held;
+
+		for (int k = 0; k < before; k++)
+			taken = taken || (out[k].upstream == c->upstream &&
+					  equal_(&out[k].prompt, &c->prompt));
+		if (!taken)
+			out[count++] = *c;
+	}
+	return count;
+}
+
 int quarantine_collect(quarantine_t *q, quarantine_crash_t *out, int max)
 {
 	int count = 0;
 
 	assert(q && out);
-	for (int i = 0; i < q->crash_count && count < max; i++) {
-		if (!q->crashes[i].unsent)
-			continue;
-		q->crashes[i].unsent = false;
-		out[count++] = q->crashes[i];
+	for (int pass = 0; pass < 2; pass++) {
+		for (int i = 0; i < q->crash_count && count < max; i++) {
+			quarantine_crash_t *c = &q->crashes[i];
+
+			if (!c->unsent || c->held != !pass)
+				continue;
+			c->unsent = false;
+			out[count++] = *c;
+		}
 	}
 	if (count)
 		return count;
-	while (count < MIN(max, q->crash_count))
-		out[count++] = q->crashes[q->cursor++ % (guint)q->crash_count];
-	return count;
+	/* What holds rest on matters most to a node that lacks it. */
+	count = collect_rotating_(q, &q->held_cursor, true, out, 0, max / 2);
+	return collect_rotating_(q, &q->cursor, false, out, count, max);
 }
 
 static bool is_collected_(const quarantine_answered_t *list, int count,
-			  uint64_t segment)
+			  uint64_t key)
 {
 	for (int i = 0; i < count; i++) {
-		if (list[i].segment == segment)
+		if (list[i].key == key)
 			return true;
 	}
 	return false;
@@ -586,14 +690,15 @@
 	for (int i = 0; i < q->crash_count; i++) {
 		const quarantine_crash_t *c = &q->crashes[i];
 
-		for (int k = 0; k < c->prompt.count && count < max; k++) {
-			uint64_t segment = c->prompt.segments[k];
-			mstime_t at = answered_at_(q, segment);
+		for (int k = 0; k < key_count_(&c->prompt) && count < max;
+		     k++) {
+			uint64_t key = key_at_(&c->prompt, k);
+			mstime_t at = answered_at_(q, key);
 
 			if (at > c->at && at <= now &&
-			    !is_collected_(out, count, segment))
+			    !is_collected_(out, count, key))
 				out[count++] =
-					(quarantine_answered_t){ segment, at };
+					(quarantine_answered_t){ key, at };
 		}
 	}
 	return count;
@@ -604,8 +709,9 @@
 	int before = q->crash_count;
 
 	lru_expire(&q->answered, now);
+	lru_expire(&q->answered_requests, now);
 	for (int i = 0; i < q->crash_count;) {
-		if (now - q->crashes[i].at > QUARANTINE_KEEP_MS)
+		if (is_expired_(&q->crashes[i], now))
 			remove_crash_(q, i);
 		else
 			i++;
--- a/packages/decide/quarantine_gossip.c
+++ b/packages/decide/quarantine_gossip.c
@@ -15,6 +15,8 @@
 /* A node asks for known crashes at this interval, for this long. */
 #define ASK_INTERVAL_MS 300
 #define ASK_MS 4000
+/* It stops after so many replies: a part of one may be lost. */
+#define REPLIES_WANTED 2
 
 void quarantine_gossip_init(quarantine_gossip_t *s, quarantine_t *q,
 			    const quarantine_gossip_ops_t *ops, void *ctx,
@@ -30,6 +32,7 @@
 {
 	assert(s);
 	s->ask_until = now + ASK_MS;
+	s->replies = 0;
 }
 
 static bool may_send_(quarantine_gossip_t *s, mstime_t now)
@@ -103,13 +106,15 @@
 	quarantine_report_t r;
 	int sent = 0;
 
-	if (now < s->ask_until)
+	if (now < s->ask_until && !s->replies)
 		return;
 	do {
 		quarantine_report_fill(s->quarantine, &r, now);
+		/* Half of a report repeats what holds rest on. */
+		sent += PEER_CRASHES_MAX / 2;
+		r.message.completes = sent >= s->quarantine->crash_count;
 		send_(s, to, &r.message, now);
-		sent += PEER_CRASHES_MAX;
-	} while (sent < s->quarantine->crash_count);
+	} while (!r.message.completes);
 }
 
 void quarantine_gossip_receive(quarantine_gossip_t *s,
@@ -121,7 +126,8 @@
 		reply_(s, from, now);
 		return;
 	}
-	s->ask_until = 0;
+	if (m->completes && ++s->replies >= REPLIES_WANTED)
+		s->ask_until = 0;
 	quarantine_report_apply(s->quarantine, m, now);
 	quarantine_gossip_flush(s, now);
 }
--- a/packages/decide/quarantine_report.c
+++ b/packages/decide/quarantine_report.c
@@ -7,6 +7,7 @@
 /* Bits of the flags of a crash. */
 #define FLAG_WEAK 1u
 #define FLAG_ALIVE 2u
+#define FLAG_KNOWN 4u
 /* Size of an upstream's key as text, with its end. */
 #define KEY_TEXT_MAX 16
 
@@ -20,9 +21,12 @@
 {
 	*out = (peer_crash_t){
 		.upstream = c->upstream,
-		.age_ms = age_(c->at, now),
-		.flags =
-			(c->weak ? FLAG_WEAK : 0) | (c->alive ? FLAG_ALIVE : 0),
+		.age_ms = (u_int)CLAMP(now - c->at, 0, UINT32_MAX),
+		.seen_age_ms = age_(c->seen_at, now),
+		.flags = (c->weak ? FLAG_WEAK : 0) |
+			 (c->alive ? FLAG_ALIVE : 0) |
+			 (c->known ? FLAG_KNOWN : 0),
+		.request = c->prompt.request,
 	};
 	out->segments.segments_len = (u_int)c->prompt.count;
 	out->segments.segments_val = (u_quad_t *)c->prompt.segments;
@@ -33,9 +37,13 @@
 {
 	*out = (quarantine_crash_t){
 		.upstream = m->upstream,
-		.at = now - (mstime_t)m->age_ms,
+		/* 0 stands for no time. */
+		.at = MAX(1, now - (mstime_t)m->age_ms),
+		.seen_at = now - (mstime_t)m->seen_age_ms,
+		.prompt.request = m->request,
 		.weak = m->flags & FLAG_WEAK,
 		.alive = m->flags & FLAG_ALIVE,
+		.known = m->flags & FLAG_KNOWN,
 	};
 	for (u_int i = 0; i < m->segments.segments_len; i++)
 		out->prompt.segments[out->prompt.count++] =
@@ -56,7 +64,7 @@
 	for (int i = 0; i < crash_count; i++)
 		encode_crash_(&r->collected[i], now, &r->crashes[i]);
 	for (int i = 0; i < answered_count; i++)
-		r->answered[i] = (peer_answered_t){ answered[i].segment,
+		r->answered[i] = (peer_answered_t){ answered[i].key,
 						    age_(answered[i].at, now) };
 	r->message = (peer_crash_report_t){ .sent = (u_quad_t)clock_wall() };
 	r->message.crashes.crashes_len = (u_int)crash_count;
@@ -71,7 +79,7 @@
 	assert(q && m);
 	for (u_int i = 0; i < m->answered.answered_len; i++) {
 		const peer_answered_t *a = &m->answered.answered_val[i];
-		quarantine_answered_t answered = { a->segment,
+		quarantine_answered_t answered = { a->key,
 						   now - (mstime_t)a->age_ms };
 
 		quarantine_merge_answered(q, &answered, now);
@@ -100,29 +108,51 @@
 	return g_string_free(text, FALSE);
 }
 
+void quarantine_format_request(const quarantine_prompt_t *p, char *out)
+{
+	g_snprintf(out, QUARANTINE_REQUEST_TEXT_MAX,
+		   "%016" G_GINT64_MODIFIER "x", p->request);
+}
+
 void quarantine_log_suspected(void *ctx, const quarantine_crash_t *crash)
 {
 	char *segments = quarantine_format_prompt(&crash->prompt);
+	char fingerprint[QUARANTINE_REQUEST_TEXT_MAX];
 	char upstream[KEY_TEXT_MAX];
 
 	(void)ctx;
 	format_key_(crash->upstream, upstream);
+	quarantine_format_request(&crash->prompt, fingerprint);
 	counter_add(COUNTER_CRASHES_SUSPECTED, 1);
 	LOG_EVENT(LOG_NOTICE, "quarantine.suspected", F_STR("key", upstream),
 		  F_INT("weak", crash->weak), F_INT("alive", crash->alive),
+		  F_INT("known", crash->known),
+		  F_STR("fingerprint", fingerprint),
 		  F_STR("segments", segments));
 	g_free(segments);
 }
 
+/* Time for which a request must stay away before it may be tried again. */
+static mstime_t hold_ms_(const quarantine_hold_t *hold)
+{
+	if (hold->until == MSTIME_NEVER)
+		return QUARANTINE_KEEP_MS;
+	return hold->until - hold->last_at;
+}
+
 static void log_hold_(const char *event, const quarantine_hold_t *hold,
 		      const char *why)
 {
 	char *segments = quarantine_format_prompt(&hold->prompt);
+	char fingerprint[QUARANTINE_REQUEST_TEXT_MAX];
 
-	LOG_EVENT(LOG_NOTICE, event, F_STR("segments", segments),
-		  F_STR("why", why), F_INT("crashes", hold->crashes),
+	quarantine_format_request(&hold->prompt, fingerprint);
+	LOG_EVENT(LOG_NOTICE, event, F_STR("fingerprint", fingerprint),
+		  F_STR("segments", segments), F_STR("why", why),
+		  F_INT("crashes", hold->crashes),
 		  F_INT("over_ms", hold->last_at - hold->first_at),
-		  F_INT("hold_ms", hold->until - hold->last_at));
+		  F_INT("hold_ms", hold_ms_(hold)),
+		  F_INT("final", hold->until == MSTIME_NEVER));
 	g_free(segments);
 }
 
@@ -143,11 +173,17 @@
 
 static json_t *hold_json_(const quarantine_hold_t *h, mstime_t now)
 {
+	bool final = h->until == MSTIME_NEVER;
 	char *segments = quarantine_format_prompt(&h->prompt);
-	json_t *o = json_pack("{s:s,s:i,s:I,s:I}", "segments", segments,
-			      "crashes", h->crashes, "last_crash_age_ms",
-			      (json_int_t)(now - h->last_at), "hold_ms",
-			      (json_int_t)MAX(0, h->until - now));
+	char fingerprint[QUARANTINE_REQUEST_TEXT_MAX];
+	mstime_t rest_ms = final ? hold_ms_(h) : h->until - now;
+	json_t *o;
+
+	quarantine_format_request(&h->prompt, fingerprint);
+	o = json_pack("{s:s,s:s,s:i,s:I,s:I,s:b}", "fingerprint", fingerprint,
+		      "segments", segments, "crashes", h->crashes,
+		      "last_crash_age_ms", (json_int_t)(now - h->last_at),
+		      "hold_ms", (json_int_t)MAX(0, rest_ms), "final", final);
 
 	g_free(segments);
 	return o;
@@ -156,13 +192,16 @@
 static json_t *crash_json_(const quarantine_crash_t *c, mstime_t now)
 {
 	char *segments = quarantine_format_prompt(&c->prompt);
+	char fingerprint[QUARANTINE_REQUEST_TEXT_MAX];
 	char key[KEY_TEXT_MAX];
 	json_t *o;
 
 	format_key_(c->upstream, key);
-	o = json_pack("{s:s,s:I,s:b,s:b,s:s}", "upstream_key", key, "age_ms",
-		      (json_int_t)(now - c->at), "weak", c->weak, "alive",
-		      c->alive, "segments", segments);
+	quarantine_format_request(&c->prompt, fingerprint);
+	o = json_pack("{s:s,s:I,s:b,s:b,s:b,s:s,s:s}", "upstream_key", key,
+		      "age_ms", (json_int_t)(now - c->at), "weak", c->weak,
+		      "alive", c->alive, "known", c->known, "fingerprint",
+		      fingerprint, "segments", segments);
 	g_free(segments);
 	return o;
 }
--- a/packages/decide/sched.c
+++ b/packages/decide/sched.c
@@ -16,7 +16,7 @@
 	"queue is full",
 	"cannot start before the deadline",
 	"upstream is changing hands",
-	"prompt is held back",
+	"request is held back",
 };
 
 const char *const sched_refusal_reason[] = {
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -1,6 +1,6 @@
 /*
- * Holds back requests whose prompts crash upstreams: what this node sees of
- * crashes and answers, and what other nodes report.
+ * Holds back requests that crash upstreams: what this node sees of crashes and
+ * answers, and what other nodes report.
  */
 #include "private/forward.h"
 
@@ -9,12 +9,12 @@
 #include <kcf/peer_socket.h>
 
 /*
- * A connection that breaks this long after the head of its response was not
- * ended by the beginning of the answer.
+ * A stream that breaks this long after the head of its response was not ended
+ * by the beginning of the answer.
  */
 #define BEGIN_MAX_MS 1000
 
-static const char refused_text[] = "prompt is held back";
+static const char refused_text[] = "request is held back";
 
 static void on_held_(void *ctx, const quarantine_hold_t *hold)
 {
@@ -129,24 +129,48 @@
 	return true;
 }
 
+/*
+ * Whether the upstream may have ended under this request. Upstreams send the
+ * head of a stream when they begin to run it; that of a plain response comes
+ * with its body, so that nothing tells whether one ran or waited there.
+ */
+static bool may_have_crashed_(const forward_t *f, mstime_t now)
+{
+	if (f->event_seen)
+		return false;
+	if (f->route->kind != ROUTE_KIND_STREAM)
+		return true;
+	return f->response.status && now - f->progress_at <= BEGIN_MAX_MS;
+}
+
+/* Whether upstreams have answered the prompt's segments in other requests. */
+static bool is_prompt_sound_(const forward_t *f, mstime_t now)
+{
+	return f->route->kind != ROUTE_KIND_STREAM || !f->in.prompt.count ||
+	       quarantine_is_cleared(&f->gateway->quarantine, f->selected->key,
+				     &f->in.prompt, now);
+}
+
 bool crashes_record(forward_t *f, fault_t why)
 {
 	gateway_t *g = f->gateway;
+	quarantine_prompt_t request = { .request = f->in.prompt.request };
 	mstime_t now = clock_now();
-	bool cleared;
+	bool leaving = f->selected->leaving;
+	bool sound;
 
-	if (why != FAULT_DISCONNECT || !f->response.status || f->event_seen ||
-	    !f->in.prompt.count || now - f->progress_at > BEGIN_MAX_MS)
+	if (why != FAULT_DISCONNECT || !may_have_crashed_(f, now))
 		return false;
-	cleared = quarantine_is_cleared(&g->quarantine, f->selected->key,
-					&f->in.prompt, now);
+	sound = is_prompt_sound_(f, now) &&
+		!quarantine_count_crashes(&g->quarantine, &request);
 	/* A planned end is no crash. */
-	if (!f->selected->leaving) {
+	if (!leaving) {
 		quarantine_record_crash(&g->quarantine, f->selected->key,
-					&f->in.prompt, true, now);
+					&f->in.prompt, f->response.status > 0,
+					now);
 		quarantine_gossip_flush(&g->crash_gossip, now);
 	}
-	return !cleared;
+	return !sound;
 }
 
 void crashes_record_answer(forward_t *f)
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -21,8 +21,6 @@
 /* An upstream that cannot be reached is ejected for this long. */
 #define EJECT_CONNECT_MS 400
 #define EJECT_INSTANCE_MS 3000
-/* 16 hexadecimal digits and the end. */
-#define FINGERPRINT_TEXT_MAX 17
 
 const char *const fault_string[] = {
 	"cannot connect",   "shed",	      "other start",
@@ -349,10 +347,9 @@
 void forward_log_fault(const forward_t *f, const char *upstream, fault_t why)
 {
 	char *segments = quarantine_format_prompt(&f->in.prompt);
-	char fingerprint[FINGERPRINT_TEXT_MAX];
+	char fingerprint[QUARANTINE_REQUEST_TEXT_MAX];
 
-	g_snprintf(fingerprint, sizeof(fingerprint),
-		   "%016" G_GINT64_MODIFIER "x", f->in.prompt.request);
+	quarantine_format_request(&f->in.prompt, fingerprint);
 	LOG_EVENT(LOG_NOTICE, "attempt.failed", F_VIEW("request", f->in.id),
 		  F_STR("why", fault_string[why]), F_STR("upstream", upstream),
 		  F_INT("status", f->response.status),
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -145,7 +145,7 @@
 /* crashes.c */
 
 /*
- * crashes_check - whether the request is held back, since its prompt has
+ * crashes_check - whether the request is held back, since it or its prompt has
  * crashed upstreams.
  * @retry_ms: receives the delay after which the caller may retry
  */
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -59,24 +59,30 @@
 	peer_loan_t loans<PEER_LOANS_MAX>;
 };
 
-/* An upstream that ended while it began to answer a prompt. */
+/* An upstream that ended while it began to answer a request. */
 struct peer_crash_t {
 	unsigned int upstream;
 	unsigned int age_ms;
+	unsigned int seen_age_ms;
 	unsigned int flags;
+	unsigned hyper request;
 	unsigned hyper segments<PEER_SEGMENTS_MAX>;
 };
 
-/* A prompt segment of such a crash that was answered since. */
+/* A request or prompt segment of such a crash that was answered since. */
 struct peer_answered_t {
-	unsigned hyper segment;
+	unsigned hyper key;
 	unsigned int age_ms;
 };
 
-/* A node that wants them has just started and is sent all crashes. */
+/*
+ * A node that wants them has just started and is sent all crashes; the last
+ * report of such a reply completes it.
+ */
 struct peer_crash_report_t {
 	unsigned hyper sent;
 	bool wanted;
+	bool completes;
 	peer_crash_t crashes<PEER_CRASHES_MAX>;
 	peer_answered_t answered<PEER_ANSWERED_MAX>;
 };
@@ -88,6 +94,7 @@
 		void PEER_PING_REQ(peer_message_t) = 3;
 		void PEER_LOAN(peer_message_t) = 4;
 		void PEER_LOADS(peer_message_t) = 5;
-		void PEER_CRASHES(peer_crash_report_t) = 6;
+		/* 6 were reports without the key of the request. */
+		void PEER_CRASHES(peer_crash_report_t) = 7;
 	} = 1;
 } = 0x20004b43;
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -9,6 +9,9 @@
 #define THING 0xb
 #define OTHER 0xc
 #define NODES 7
+#define CRASHING_REQUEST 0x1d
+#define BESIDE 0x1b
+#define BESIDE_TOO 0x1c
 #define STEPS_MAX 12
 
 static const quarantine_ops_t silent = { 0 };
@@ -356,6 +359,7 @@
 
 	for (int i = 0; i < p.count; i++)
 		p.segments[i] = (uint64_t)i + 1;
+	p.request = CRASHING_REQUEST;
 	quarantine_init(&from, 0, &silent, NULL);
 	quarantine_init(&to, 0, &silent, NULL);
 	for (uint32_t i = 1; i <= 20; i++)
@@ -386,12 +390,256 @@
 	ck_assert_int_eq(to.crash_count, from.crash_count);
 	ck_assert_int_eq(to.hold_count, 1);
 	ck_assert_int_eq(to.holds[0].prompt.count, from.holds[0].prompt.count);
+	ck_assert_uint_eq(to.holds[0].prompt.request, CRASHING_REQUEST);
 	ck_assert_int_eq(to.holds[0].crashes, from.holds[0].crashes);
 	quarantine_finish(&from);
 	quarantine_finish(&to);
 }
 END_TEST
 
+/* Requests without segments, or whose segments are answered in others. */
+typedef struct request_step {
+	step_kind_t kind;
+	mstime_t at;
+	uint32_t upstream;
+	uint64_t request;
+	uint64_t segments[3];
+} request_step_t;
+
+static const struct {
+	const char *label;
+	request_step_t steps[STEPS_MAX];
+	mstime_t at; /* of the checks */
+	bool crashing_held;
+	bool beside_held;
+} request_cases[] = {
+	{ "one crash is no evidence",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  false,
+	  false },
+	{ "two crashes are, whether or not the answer had begun",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 500, 2, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  true,
+	  false },
+	{ "a retry crashes the next upstream at once",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 40, 2, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  true,
+	  false },
+	{ "two reports of one end are one crash",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 300, 1, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  false,
+	  false },
+	{ "others ran beside it at two of three ends",
+	  { { STEP_LOST, 0, 1, BESIDE, { 0 } },
+	    { STEP_LOST, 1, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 50, 2, BESIDE, { 0 } },
+	    { STEP_LOST, 51, 2, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 900, 3, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 901, 3, BESIDE_TOO, { 0 } } },
+	  1000,
+	  true,
+	  false },
+	{ "what ran beside it is answered",
+	  { { STEP_LOST, 0, 1, BESIDE, { 0 } },
+	    { STEP_LOST, 1, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 50, 2, BESIDE, { 0 } },
+	    { STEP_ANSWER, 90, 3, BESIDE, { 0 } },
+	    { STEP_LOST, 95, 3, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  true,
+	  false },
+	{ "an answer ends the hold",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 500, 2, CRASHING_REQUEST, { 0 } },
+	    { STEP_ANSWER, 600, 3, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  false,
+	  false },
+	{ "a request that was answered before needs more",
+	  { { STEP_ANSWER, 0, 4, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 100, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 500, 2, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  false,
+	  false },
+	{ "but not much more",
+	  { { STEP_ANSWER, 0, 4, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 100, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 500, 2, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 900, 3, CRASHING_REQUEST, { 0 } } },
+	  1000,
+	  true,
+	  false },
+	{ "its segments are answered in others",
+	  { { STEP_CRASH, 0, 1, CRASHING_REQUEST, { SYSTEM, THING } },
+	    { STEP_ANSWER, 100, 4, BESIDE, { SYSTEM, THING } },
+	    { STEP_CRASH, 500, 2, CRASHING_REQUEST, { SYSTEM, THING } },
+	    { STEP_ANSWER, 600, 4, BESIDE_TOO, { SYSTEM, THING } } },
+	  1000,
+	  true,
+	  false },
+	{ "its segments are in no other request",
+	  { { STEP_CRASH, 0, 1, CRASHING_REQUEST, { SYSTEM, THING } },
+	    { STEP_CRASH, 500, 2, CRASHING_REQUEST, { SYSTEM, THING } } },
+	  1000,
+	  true,
+	  false },
+	{ "a segment that other requests have too",
+	  { { STEP_CRASH, 0, 1, CRASHING_REQUEST, { SYSTEM, THING } },
+	    { STEP_CRASH, 500, 2, CRASHING_REQUEST, { SYSTEM, THING } },
+	    { STEP_CRASH, 900, 3, BESIDE, { SYSTEM, THING } } },
+	  1000,
+	  true,
+	  true },
+	{ "an upstream that goes on has not crashed",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 500, 2, CRASHING_REQUEST, { 0 } },
+	    { STEP_ALIVE, 900, 2, 0, { 0 } } },
+	  1000,
+	  false,
+	  false },
+	{ "the fourth crash leaves a trial",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 500, 2, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 31000, 3, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 92000, 4, CRASHING_REQUEST, { 0 } } },
+	  92000 + 4 * QUARANTINE_HOLD_MS + 1,
+	  false,
+	  false },
+	{ "the fifth does not",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 500, 2, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 31000, 3, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 92000, 4, CRASHING_REQUEST, { 0 } },
+	    { STEP_LOST, 213000, 5, CRASHING_REQUEST, { 0 } } },
+	  550000,
+	  true,
+	  false },
+};
+
+static quarantine_prompt_t request_prompt_(uint64_t request,
+					   const uint64_t *segments)
+{
+	quarantine_prompt_t p = prompt_(segments);
+
+	p.request = request;
+	return p;
+}
+
+static bool request_is_held_(quarantine_t *q, uint64_t request,
+			     const uint64_t *segments, mstime_t at)
+{
+	quarantine_prompt_t p = request_prompt_(request, segments);
+	mstime_t retry_ms = 0;
+	bool held = quarantine_check(q, &p, 1, at, &retry_ms);
+
+	ck_assert(held == (retry_ms > 0));
+	return held;
+}
+
+static void play_requests_(quarantine_t *q, const request_step_t *steps)
+{
+	for (const request_step_t *s = steps; s->kind != STEP_END; s++) {
+		quarantine_prompt_t p =
+			request_prompt_(s->request, s->segments);
+
+		if (s->kind == STEP_ANSWER)
+			quarantine_record_answer(q, &p, NOW + s->at);
+		else if (s->kind == STEP_ALIVE)
+			quarantine_record_alive(q, s->upstream, NOW + s->at - 1,
+						NOW + s->at);
+		else
+			quarantine_record_crash(q, s->upstream, &p,
+						s->kind == STEP_CRASH,
+						NOW + s->at);
+	}
+}
+
+START_TEST(test_hold_request)
+{
+	const uint64_t *segments = request_cases[_i].steps[0].segments;
+	mstime_t at = NOW + request_cases[_i].at;
+	quarantine_t q;
+
+	quarantine_init(&q, 0, &silent, NULL);
+	play_requests_(&q, request_cases[_i].steps);
+	ck_assert_msg(request_is_held_(&q, BESIDE, segments, at) ==
+			      request_cases[_i].beside_held,
+		      "beside: %s", request_cases[_i].label);
+	ck_assert_msg(!request_is_held_(&q, BESIDE_TOO, segments, at) ||
+			      request_cases[_i].beside_held,
+		      "beside too: %s", request_cases[_i].label);
+	ck_assert_msg(request_is_held_(&q, CRASHING_REQUEST, segments, at) ==
+			      request_cases[_i].crashing_held,
+		      "crashing: %s", request_cases[_i].label);
+	quarantine_finish(&q);
+}
+END_TEST
+
+/*
+ * A request that crashed five upstreams is held as long as it keeps coming, at
+ * a node that sees it and at one that is only told; not after it stayed away.
+ */
+START_TEST(test_final)
+{
+	quarantine_prompt_t p = { .request = CRASHING_REQUEST };
+	mstime_t now = NOW;
+	mstime_t retry_ms;
+	quarantine_t told;
+	quarantine_t q;
+
+	quarantine_init(&q, 0, &silent, NULL);
+	quarantine_init(&told, 0, &silent, NULL);
+	for (uint32_t i = 0; i < QUARANTINE_CRASHES_FINAL; i++)
+		quarantine_record_crash(&q, i, &p, false, NOW + 300 * i);
+	for (; now < NOW + 10 * QUARANTINE_KEEP_MS; now += 60000) {
+		quarantine_report_t r;
+
+		quarantine_tick(&q, now);
+		quarantine_tick(&told, now);
+		ck_assert(quarantine_check(&q, &p, NODES, now, &retry_ms));
+		quarantine_report_fill(&q, &r, now);
+		quarantine_report_apply(&told, &r.message, now);
+		ck_assert(quarantine_is_held(&told, &p, now));
+	}
+	now += QUARANTINE_KEEP_MS + 1;
+	quarantine_tick(&q, now);
+	ck_assert(!quarantine_check(&q, &p, NODES, now, &retry_ms));
+	quarantine_finish(&q);
+	quarantine_finish(&told);
+}
+END_TEST
+
+/* Many connections that break take no room from a request that is held. */
+START_TEST(test_bounded_requests)
+{
+	quarantine_prompt_t p = { .request = CRASHING_REQUEST };
+	quarantine_t q;
+
+	quarantine_init(&q, 0, &silent, NULL);
+	quarantine_record_crash(&q, 1, &p, false, NOW);
+	quarantine_record_crash(&q, 2, &p, false, NOW + 500);
+	for (uint32_t i = 0; i < 10000; i++) {
+		quarantine_prompt_t other = { .request = 1000 + i };
+
+		quarantine_record_crash(&q, 10 + i % 3, &other, false,
+					NOW + 600 + i);
+		quarantine_record_answer(&q, &other, NOW + 700 + i);
+	}
+	ck_assert_int_le(q.crash_count, QUARANTINE_CRASHES_MAX);
+	ck_assert_uint_le(g_hash_table_size(q.answered_requests.map), 4096);
+	ck_assert(quarantine_is_held(&q, &p, NOW + 20000));
+	quarantine_finish(&q);
+}
+END_TEST
+
 Suite *quarantine_suite(void)
 {
 	Suite *s = suite_create("quarantine");
@@ -404,6 +652,10 @@
 	tcase_add_test(c, test_bounded);
 	tcase_add_test(c, test_cleared);
 	tcase_add_test(c, test_report);
+	tcase_add_loop_test(c, test_hold_request, 0,
+			    G_N_ELEMENTS(request_cases));
+	tcase_add_test(c, test_final);
+	tcase_add_test(c, test_bounded_requests);
 	suite_add_tcase(s, c);
 	return s;
 }
