--- a/tests/standin/caller.c
+++ b/tests/standin/caller.c
@@ -68,8 +68,9 @@
 	int64_t event_id;      /* of the event that is being read */
 	int64_t last_event;    /* 0 before the first */
 	int events;
-	bool joined; /* events of two versions */
-	bool resumed;
+	bool joined;  /* events of two versions */
+	bool resumes; /* the current try */
+	bool resumed; /* some node has answered such a try */
 	GString *line;
 	ev_timer again;
 } caller_t;
@@ -92,8 +93,8 @@
 	int events;
 	int joined;	   /* streams with events of two versions */
 	int disordered;	   /* events that do not follow the one before */
-	int resumes;	   /* streams that were taken up, each try */
-	int resumes_whole; /* of these, those that went on to the end */
+	int resumed;	   /* streams whose resume was answered */
+	int resumed_whole; /* of these, those that went on to the end */
 	GArray *ms;	   /* double, of whole ones */
 	json_t *promised;  /* ids of requests refused as not run */
 } all;
@@ -177,6 +178,8 @@
 
 	all.events += c->events;
 	all.joined += c->joined;
+	all.resumed += c->resumed;
+	all.resumed_whole += c->resumed && !err && status == 200;
 	if (err) {
 		all.failed++;
 	} else if (status == 200) {
@@ -203,7 +206,7 @@
 	caller_t *c = ctx;
 
 	(void)call;
-	all.resumes_whole += c->resumed && !err && status == 200;
+	c->resumed = c->resumed || (c->resumes && status);
 	if (may_try_again_(c, err, status)) {
 		ev_timer_set(&c->again, pause_ms / 1e3, 0);
 		ev_timer_start(all.loop, &c->again);
@@ -257,9 +260,8 @@
 	add_line_(lines, "X-Api-Key: %s", key);
 	add_line_(lines, "Deadline-Ms: %d", (int)(c->deadline - now));
 	add_line_(lines, "Attempt-Id: %s", c->id);
-	c->resumed = c->last_event > 0;
-	all.resumes += c->resumed;
-	if (c->resumed) {
+	c->resumes = c->last_event > 0;
+	if (c->resumes) {
 		add_line_(lines, "Last-Event-Id: %d", (int)c->last_event);
 		add_line_(lines, "Resumes: %s", c->first_id);
 	}
@@ -326,8 +328,8 @@
 		"promised", all.promised, "sent", all.sent, "whole", all.whole,
 		"refused", all.refused, "other", all.other, "failed",
 		all.failed, "events", all.events, "joined", all.joined,
-		"disordered", all.disordered, "resumes", all.resumes,
-		"resumes_whole", all.resumes_whole, "ms", "p50", at_(0.5),
+		"disordered", all.disordered, "resumed", all.resumed,
+		"resumed_whole", all.resumed_whole, "ms", "p50", at_(0.5),
 		"p95", at_(0.95), "p99", at_(0.99), "max", at_(1.0));
 	text = json_dumps(report, JSON_COMPACT);
 	puts(text);
