--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -45,9 +45,10 @@
 	const char *service;
 	const char *address; /* ip:port */
 	const char *data_centre;
-	uint64_t start_id;  /* differs for each start of the process */
-	uint64_t heartbeat; /* number of entries that this start has written */
-	int slots;	    /* requests that it runs concurrently */
+	const char *version; /* of its software */
+	uint64_t start_id;   /* differs for each start of the process */
+	uint64_t heartbeat;  /* number of entries that this start has written */
+	int slots;	     /* requests that it runs concurrently */
 	bool leaving;
 	mstime_t cold_until; /* end of its slow start, 0 when it is not cold */
 } balance_spec_t;
@@ -67,6 +68,7 @@
 	char *service;
 	char *address;
 	char *data_centre;
+	char *version;
 	uint64_t start_id;
 	uint64_t hash; /* of id */
 	uint32_t key;  /* hash of id and start_id, identifies it in gossip */
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -25,6 +25,8 @@
 	str_t key;	       /* identifies a customer */
 	mstime_t remaining_ms; /* until the caller's deadline, -1 if unset */
 	int64_t last_event_id; /* last one that the caller has, -1 for none */
+	str_t resumes;	       /* id of the try that brought the first event of
+				  a stream that is taken up, or empty */
 	bool generation;       /* names a model */
 	uint64_t affinity;     /* hash of the shared prompt segments, or 0 */
 	quarantine_prompt_t prompt; /* keys of the shared prompt segments */
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -69,6 +69,7 @@
 	g_free(u->service);
 	g_free(u->address);
 	g_free(u->data_centre);
+	g_free(u->version);
 	g_free(u);
 }
 
@@ -124,6 +125,7 @@
 		u->service = g_strdup(spec->service);
 		u->address = g_strdup(spec->address);
 		u->data_centre = g_strdup(spec->data_centre);
+		u->version = g_strdup(spec->version ? spec->version : "");
 		u->start_id = spec->start_id;
 		u->hash = str_hash64(str_of(spec->id), 0);
 		u->key = (uint32_t)str_hash64(str_of(spec->id), spec->start_id);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -106,6 +106,9 @@
 		  F_STR("service", f->service ? f->service : "-"),
 		  F_STR("customer", f->customer ? f->customer->name : "-"),
 		  F_STR("upstream", f->upstream_id[0] ? f->upstream_id : "-"),
+		  F_STR("version", f->version[0] ? f->version : "-"),
+		  F_VIEW("resumes", f->in.resumes),
+		  F_INT("after", f->in.last_event_id),
 		  F_INT("arrivals", f->deliveries),
 		  F_INT("tries", f->attempt_count),
 		  F_STR("placed", placement_reason_(f)),
@@ -241,6 +244,7 @@
 	shares_add_outstanding(&g->shares, f->service, customer, 1, now);
 	f->tried_ids[f->attempt_count++] = f->selected->local_id;
 	g_strlcpy(f->upstream_id, f->selected->id, sizeof(f->upstream_id));
+	g_strlcpy(f->version, f->selected->version, sizeof(f->version));
 	switch (f->pick.reason) {
 	case BALANCE_FIRST:
 		counter_add(COUNTER_PLACED_FIRST, 1);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -48,6 +48,7 @@
 	bool suspect; /* its upstream crashed, maybe because of it */
 	balance_pick_t pick;
 	char upstream_id[64]; /* of the last attempt, for the log */
+	char version[64];     /* of that upstream's software */
 
 	/* the current attempt */
 	balance_upstream_t
