--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -72,6 +72,7 @@
 	uint64_t start_id;
 	uint64_t hash; /* of id */
 	uint32_t key;  /* hash of id and start_id, identifies it in gossip */
+	uint32_t version_key; /* see versions_key */
 	int slots;
 	bool leaving;
 	bool announced_leaving; /* in an answer, which its entry cannot revoke
@@ -146,7 +147,8 @@
 	uint64_t affinity; /* hash of the shared prompt, 0 if unset */
 	uint64_t exclude[BALANCE_EXCLUDE_MAX]; /* local_id of upstreams */
 	int exclude_count;
-	bool over_share; /* its customer uses more than its share */
+	uint32_t version; /* key of the only one that fits, 0 for any */
+	bool over_share;  /* its customer uses more than its share */
 } balance_request_t;
 
 typedef enum balance_reason {
@@ -199,7 +201,8 @@
 
 /*
  * balance_put_upstream - adds or updates the entry of an upstream. A new start,
- * service, address or data centre makes it a new upstream without statistics.
+ * service, version, address or data centre makes it a new upstream without
+ * statistics.
  *
  * Return: true when the entry changed more than its heartbeat.
  */
--- a/include/kcf/datagram.h
+++ b/include/kcf/datagram.h
@@ -63,10 +63,10 @@
 void datagram_free(peer_message_t *m);
 
 /*
- * datagram_is_crash_report - whether a datagram claims to be one; its MAC is
- * not verified.
+ * datagram_proc - the procedure that a datagram claims to call, 0 if it is too
+ * short; its MAC is not verified.
  */
-bool datagram_is_crash_report(str_t data);
+unsigned int datagram_proc(str_t data);
 
 /*
  * datagram_encode_crashes, datagram_decode_crashes, datagram_free_crashes - the
@@ -79,4 +79,14 @@
 			    peer_crash_report_t *r);
 void datagram_free_crashes(peer_crash_report_t *r);
 
+/*
+ * datagram_encode_origins, datagram_decode_origins, datagram_free_origins - the
+ * same for PEER_ORIGINS.
+ */
+int datagram_encode_origins(const unsigned char *key, const peer_origins_t *m,
+			    unsigned char *out, size_t *len);
+int datagram_decode_origins(const unsigned char *key, str_t data, mstime_t wall,
+			    peer_origins_t *m);
+void datagram_free_origins(peer_origins_t *m);
+
 #endif
--- /dev/null
+++ b/include/kcf/origins.h
@@ -0,0 +1,97 @@
+/*
+ * origins - which software version began a stream.
+ *
+ * What two versions of a service write does not fit together, so a stream goes
+ * on only at the version that began it. The node that begins a stream keeps the
+ * version under a key that the caller repeats, and tells the stream's homes:
+ * the nodes ranked first for the key. A node that does not know a stream which
+ * a caller takes up asks them. Nobody knows it once all of them have restarted;
+ * the stream then goes on only if a single version can have begun it. Pure
+ * logic: no socket, no clock.
+ */
+#ifndef KCF_ORIGINS_H
+#define KCF_ORIGINS_H
+
+#include <kcf/lru.h>
+#include <kcf/versions.h>
+
+/* Nodes that are told of a stream, besides the one that began it. */
+#define ORIGINS_HOMES 3
+/* Nodes that are asked; views of the fleet may differ by one. */
+#define ORIGINS_ASKED 4
+
+typedef struct origins {
+	lru_t streams; /* key to the version, 0 after contradicting ones */
+} origins_t;
+
+/* How the version of a stream is known. */
+typedef enum origin_source {
+	ORIGIN_UNKNOWN,
+	ORIGIN_TOLD, /* this node began it, or was told */
+	ORIGIN_ONLY, /* no other version can have begun it */
+	ORIGIN_SOURCE_COUNT,
+} origin_source_t;
+
+/* Parallel to origin_source_t. */
+extern const char *const origin_source_string[];
+
+typedef enum origin_verdict {
+	ORIGIN_FOUND,
+	ORIGIN_ASK,	  /* the homes first */
+	ORIGIN_AMBIGUOUS, /* several versions can have begun it */
+	ORIGIN_NONE,	  /* the services have had no version */
+} origin_verdict_t;
+
+/* A stream that a caller takes up. */
+typedef struct origin_query {
+	uint64_t stream;	     /* its key, 0 if the caller names no try */
+	const char *const *services; /* that its route may choose */
+	int service_count;
+	bool asked; /* the homes have answered, or had time to */
+} origin_query_t;
+
+typedef struct origin_answer {
+	origin_verdict_t verdict;
+	origin_source_t source;
+	uint32_t version; /* if found */
+} origin_answer_t;
+
+void origins_init(origins_t *o);
+void origins_finish(origins_t *o);
+
+/*
+ * origins_put - records the version that began a stream. A stream for which
+ * two versions are named is not known any more.
+ *
+ * Return: whether it was new.
+ */
+bool origins_put(origins_t *o, uint64_t stream, uint32_t version, mstime_t now);
+
+/*
+ * origins_get - the version that began a stream, or 0.
+ */
+uint32_t origins_get(const origins_t *o, uint64_t stream, mstime_t now);
+
+/*
+ * origins_tick - drops streams that no caller takes up any more.
+ * @life_ms: for which a stream may be taken up
+ */
+void origins_tick(origins_t *o, mstime_t life_ms, mstime_t now);
+
+/*
+ * origins_resolve - at which version a stream goes on.
+ */
+origin_answer_t origins_resolve(const origins_t *o, const versions_t *v,
+				const origin_query_t *query, mstime_t now);
+
+/*
+ * origins_select_homes - the nodes ranked first for a stream.
+ * @nodes: keys of the nodes, in any order
+ * @out:   receives indices into nodes, the first home first
+ *
+ * Return: number of indices.
+ */
+int origins_select_homes(uint64_t stream, const uint32_t *nodes, guint count,
+			 guint *out, int max);
+
+#endif
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -13,6 +13,8 @@
 			const char *from);
 	void (*crashes)(void *ctx, const peer_crash_report_t *r,
 			const char *from);
+	/* NULL: such messages are ignored. */
+	void (*origins)(void *ctx, const peer_origins_t *m, const char *from);
 } peer_socket_ops_t;
 
 /*
@@ -60,4 +62,11 @@
 size_t peer_socket_send_crashes(const peer_sender_t *s, const char *to,
 				const peer_crash_report_t *r);
 
+/*
+ * peer_socket_send_origins - sends the versions that began streams, or asks for
+ * them, also when the budget is exhausted.
+ */
+void peer_socket_send_origins(const peer_sender_t *s, const char *to,
+			      const peer_origins_t *m);
+
 #endif
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -13,6 +13,8 @@
 	[COUNTER_RESPONSES_TRUNCATED] = "kcf_answers_cut_total",
 	[COUNTER_FORWARDED] = "kcf_forwarded_total",
 	[COUNTER_STREAMS_RESUMED] = "kcf_streams_resumed_total",
+	[COUNTER_RESUMES_TOLD] = "kcf_resumes_total{version=\"told\"}",
+	[COUNTER_RESUMES_ONLY] = "kcf_resumes_total{version=\"only_one\"}",
 	[COUNTER_RESPONSES_MISMATCHED] = "kcf_crossed_answers_total",
 	[COUNTER_RETRIES] = "kcf_retries_total",
 	[COUNTER_OWNER_WAITS] = "kcf_owner_waits_total",
@@ -25,6 +27,7 @@
 		"kcf_refusals_total{reason=\"not_ready\"}",
 	[COUNTER_REFUSED_QUARANTINE] =
 		"kcf_refusals_total{reason=\"quarantine\"}",
+	[COUNTER_REFUSED_RESUME] = "kcf_refusals_total{reason=\"resume\"}",
 	[COUNTER_REFUSED_RATE] = "kcf_refusals_total{reason=\"rate\"}",
 	[COUNTER_CALLERS_DISCONNECTED] = "kcf_callers_gone_total",
 	[COUNTER_CACHED_TOKENS] = "kcf_cached_tokens_total",
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -1,6 +1,7 @@
 #include "private/balance.h"
 
 #include <assert.h>
+#include <kcf/versions.h>
 #include <string.h>
 
 /* How long a report stays fresh; requests last about a second. */
@@ -89,6 +90,7 @@
 	return u->start_id == spec->start_id && u->leaving == leaving &&
 	       u->slots == spec->slots && !strcmp(u->address, spec->address) &&
 	       !strcmp(u->service, spec->service) &&
+	       !strcmp(u->version, spec->version ? spec->version : "") &&
 	       !strcmp(u->data_centre, spec->data_centre);
 }
 
@@ -114,6 +116,7 @@
 	if (u && (u->start_id != spec->start_id ||
 		  strcmp(u->service, spec->service) != 0 ||
 		  strcmp(u->address, spec->address) != 0 ||
+		  strcmp(u->version, spec->version ? spec->version : "") ||
 		  strcmp(u->data_centre, spec->data_centre) != 0)) {
 		balance_remove_upstream(b, spec->id);
 		u = NULL;
@@ -126,6 +129,7 @@
 		u->address = g_strdup(spec->address);
 		u->data_centre = g_strdup(spec->data_centre);
 		u->version = g_strdup(spec->version ? spec->version : "");
+		u->version_key = versions_key(u->service, u->version);
 		u->start_id = spec->start_id;
 		u->hash = str_hash64(str_of(spec->id), 0);
 		u->key = (uint32_t)str_hash64(str_of(spec->id), spec->start_id);
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -151,6 +151,20 @@
 	return known_load >= u->slots * factor;
 }
 
+/*
+ * Whether one more request would put an upstream over the load limit. Only what
+ * must stay at few upstreams can: others go to one with less load.
+ */
+static bool is_over_limit_(const candidates_t *c, guint i, mstime_t now)
+{
+	const balance_upstream_t *u = c->list[i];
+	int known_load = balance_has_fresh_report(u, now) ? c->loads[i]
+							  : u->own_outstanding;
+
+	return known_load + 1 >
+	       c->mean_load * BALANCE_LIMIT_FACTOR + BALANCE_LIMIT_SLACK;
+}
+
 static void rank_candidates_(balance_t *b, const balance_request_t *request,
 			     const candidates_t *c, mstime_t now, ranking_t *r)
 {
@@ -182,8 +196,11 @@
 				: rank_score(request->affinity, u->hash, 1);
 		double slot_load = load_per_slot_(b, c, i);
 
+		if (request->version && request->version != u->version_key)
+			continue;
 		update_preferred_(r, (int)i, score);
-		if (is_full_(request, u, c->loads[i], now)) {
+		if (is_full_(request, u, c->loads[i], now) ||
+		    (request->version && is_over_limit_(c, i, now))) {
 			r->any_full = true;
 			continue;
 		}
@@ -453,8 +470,11 @@
 		if (request->affinity)
 			pick.copy_source =
 				copy_source_(b, &c, &r, pick.upstream);
-		/* A spill leaves the preferred upstream as it is. */
-		if (request->affinity && pick.reason == BALANCE_FIRST)
+		/* A spill leaves the preferred upstream as it is, and so does
+		 * a request that could not go to all.
+		 */
+		if (request->affinity && !request->version &&
+		    pick.reason == BALANCE_FIRST)
 			balance_set_preferred(b, request->affinity,
 					      pick.upstream->local_id, now);
 		if (balance_is_cold(b, pick.upstream, now))
--- /dev/null
+++ b/packages/decide/origins.c
@@ -0,0 +1,119 @@
+#include <kcf/origins.h>
+
+#include <assert.h>
+#include <kcf/rank.h>
+
+/* Streams that are remembered, about 80 bytes each. */
+#define STREAMS_MAX 32768
+/* A stream for which two versions were named. */
+#define CONTRADICTED 0
+
+const char *const origin_source_string[] = { "unknown", "told", "only one" };
+
+void origins_init(origins_t *o)
+{
+	assert(o);
+	lru_init(&o->streams, STREAMS_MAX, VERSIONS_STREAM_LIFE_MS);
+}
+
+void origins_finish(origins_t *o)
+{
+	assert(o);
+	lru_finish(&o->streams);
+}
+
+bool origins_put(origins_t *o, uint64_t stream, uint32_t version, mstime_t now)
+{
+	const lru_entry_t *e;
+	uint32_t value = version;
+
+	assert(o && stream && version);
+	e = lru_get(&o->streams, now, stream);
+	if (e && e->value != version)
+		value = CONTRADICTED;
+	lru_put(&o->streams, now, stream, value, 1);
+	return !e;
+}
+
+uint32_t origins_get(const origins_t *o, uint64_t stream, mstime_t now)
+{
+	const lru_entry_t *e;
+
+	assert(o);
+	e = lru_get(&o->streams, now, stream);
+	return e ? e->value : 0;
+}
+
+void origins_tick(origins_t *o, mstime_t life_ms, mstime_t now)
+{
+	assert(o);
+	o->streams.idle_max_ms = life_ms;
+	lru_expire(&o->streams, now);
+}
+
+/* Versions of all services that the route may choose. */
+static int count_versions_(const versions_t *v, const origin_query_t *query,
+			   mstime_t now, uint32_t *only)
+{
+	int count = 0;
+
+	for (int i = 0; i < query->service_count; i++)
+		count += versions_count(v, query->services[i], now, only);
+	return count;
+}
+
+static origin_answer_t verdict_(origin_verdict_t verdict)
+{
+	return (origin_answer_t){ .verdict = verdict };
+}
+
+origin_answer_t origins_resolve(const origins_t *o, const versions_t *v,
+				const origin_query_t *query, mstime_t now)
+{
+	const lru_entry_t *e;
+	uint32_t only = 0;
+	int count;
+
+	assert(o && v && query);
+	e = query->stream ? lru_get(&o->streams, now, query->stream) : NULL;
+	if (e && e->value == CONTRADICTED)
+		return verdict_(ORIGIN_AMBIGUOUS);
+	if (e)
+		return (origin_answer_t){ ORIGIN_FOUND, ORIGIN_TOLD, e->value };
+	/* Another node may know a version that this one has not seen yet. */
+	if (query->stream && !query->asked)
+		return verdict_(ORIGIN_ASK);
+	count = count_versions_(v, query, now, &only);
+	if (count > 1)
+		return verdict_(ORIGIN_AMBIGUOUS);
+	if (!count)
+		return verdict_(ORIGIN_NONE);
+	return (origin_answer_t){ ORIGIN_FOUND, ORIGIN_ONLY, only };
+}
+
+int origins_select_homes(uint64_t stream, const uint32_t *nodes, guint count,
+			 guint *out, int max)
+{
+	double scores[ORIGINS_ASKED];
+	int found = 0;
+
+	assert(nodes && out && max > 0 && max <= ORIGINS_ASKED);
+	for (guint i = 0; i < count; i++) {
+		double score = rank_score(stream, nodes[i], 1);
+		int at;
+
+		if (found < max)
+			at = found++;
+		else if (scores[max - 1] < score)
+			at = max - 1;
+		else
+			continue;
+		for (; at > 0 && scores[at - 1] < score; at--) {
+			scores[at] = scores[at - 1];
+			out[at] = out[at - 1];
+		}
+		scores[at] = score;
+		out[at] = i;
+	}
+	return found;
+}
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -303,6 +303,8 @@
 			return;
 		f->last_event_id = e->id;
 	}
+	if (!f->origin_noted)
+		resumes_bind(f);
 	begin_stream_(f, call);
 	http_stream_write(f->req, e->raw);
 }
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -84,6 +84,7 @@
 		  F_INT("keys", g_hash_table_size(table->customers)));
 	route_table_unref(g->table);
 	g->table = table;
+	resumes_set_life(g);
 	counter_add(COUNTER_CONFIG_APPLIED, 1);
 	counter_set(GAUGE_APPLIED_OFFSET, (int64_t)offset);
 	for (guint i = 0; i < table->services->len; i++) {
@@ -174,6 +175,7 @@
 		e->start_id = spec.start_id;
 		e->heartbeat = spec.heartbeat;
 		changed = balance_put_upstream(&g->balance, &spec, now);
+		resumes_observe(g, e->key, now);
 		if (changed)
 			log_entry_(s, &spec, r, now);
 	}
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -49,6 +49,7 @@
 	f->deadline_timer.data = f;
 	ev_init(&f->deferred_timer, NULL);
 	ev_init(&f->overdue_timer, NULL);
+	ev_init(&f->resume_timer, NULL);
 	http_request_set_user(req, f);
 	g_hash_table_add(g->forwards, f);
 	return f;
@@ -71,6 +72,7 @@
 	ev_timer_stop(loop, &f->deadline_timer);
 	ev_timer_stop(loop, &f->deferred_timer);
 	ev_timer_stop(loop, &f->overdue_timer);
+	ev_timer_stop(loop, &f->resume_timer);
 	g_hash_table_remove(f->gateway->forwards, f);
 	route_table_unref(f->table);
 	f->gateway->buffered_bytes -= f->body->len;
@@ -136,6 +138,7 @@
 	}
 	ev_timer_stop(f->gateway->loop, &f->deadline_timer);
 	ev_timer_stop(f->gateway->loop, &f->overdue_timer);
+	ev_timer_stop(f->gateway->loop, &f->resume_timer);
 	log_request_end_(f, status);
 }
 
@@ -226,7 +229,8 @@
 static bool start_attempt_(forward_t *f)
 {
 	gateway_t *g = f->gateway;
-	balance_request_t request = { .service = f->service };
+	balance_request_t request = { .service = f->service,
+				      .version = f->bound_version };
 	const char *customer = share_customer_(f);
 	mstime_t now = clock_now();
 
@@ -478,6 +482,14 @@
 		       f->pick.retry_ms);
 }
 
+void forward_place(forward_t *f)
+{
+	retry_budget_count_request(service_budget_(f),
+				   &f->gateway->conf->retries, f->received_at);
+	if (!start_attempt_(f))
+		refuse_unplaced_(f);
+}
+
 /*
  * Key of all that a caller repeats when it sends a request again; ids differ
  * for each try.
@@ -517,11 +529,8 @@
 	}
 	if (crashes_refuse_held(f))
 		return;
-	retry_budget_count_request(service_budget_(f), &g->conf->retries,
-				   f->received_at);
-	if (start_attempt_(f))
-		return;
-	refuse_unplaced_(f);
+	if (resumes_resolve(f))
+		forward_place(f);
 }
 
 static void on_request_(void *ctx, http_request_t *req)
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -355,6 +355,8 @@
 	g->balance.placement = g->conf->placement;
 	shares_init(&g->shares);
 	crashes_init(g);
+	versions_init(&g->versions);
+	resumes_init(g);
 	http_client_init(&g->upstreams, g->loop);
 	http_client_init(&g->store, g->loop);
 	g->feed_client.http = &g->store;
@@ -379,6 +381,8 @@
 		latency_finish(&g->latency_total[i]);
 	}
 	crashes_finish(g);
+	resumes_finish(g);
+	versions_finish(&g->versions);
 	balance_finish(&g->balance);
 	shares_finish(&g->shares);
 	route_table_unref(g->table);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -203,7 +203,13 @@
 	crashes_receive(ctx, r, from);
 }
 
-static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_ };
+static void on_origins_(void *ctx, const peer_origins_t *m, const char *from)
+{
+	resumes_receive(ctx, m, from);
+}
+
+static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_,
+					      on_origins_ };
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
@@ -292,6 +298,7 @@
 	send_gossip_(g, now);
 	gateway_peers_share_rates(g, now);
 	crashes_tick(g, now);
+	resumes_tick(g, now);
 	counter_set(GAUGE_MEMBERS_LIVE, g->ranking->len);
 }
 
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -50,6 +50,14 @@
 	char upstream_id[64]; /* of the last attempt, for the log */
 	char version[64];     /* of that upstream's software */
 
+	/* the stream, see resumes.c */
+	uint64_t stream;	/* its key, 0 if unknown */
+	uint32_t bound_version; /* key of the only one that may go on, or 0 */
+	bool origin_noted;
+	bool resume_asked; /* the homes of the stream */
+	int asked_count;   /* homes that have not replied yet */
+	ev_timer resume_timer;
+
 	/* the current attempt */
 	balance_upstream_t
 		*selected; /* counts the request as outstanding, or NULL */
@@ -93,6 +101,12 @@
  */
 void forward_record_fault(forward_t *f, fault_t why);
 
+/*
+ * forward_place - sends a request to an upstream for the first time, or refuses
+ * it.
+ */
+void forward_place(forward_t *f);
+
 /*
  * forward_retry - starts another attempt, if one is allowed.
  *
@@ -170,6 +184,23 @@
  */
 void crashes_record_answer(forward_t *f);
 
+/* resumes.c */
+
+/*
+ * resumes_resolve - finds the version that began a stream which the caller
+ * takes up.
+ *
+ * Return: false if the request waits for other nodes or the platform, and is
+ * placed later, or if it was refused.
+ */
+bool resumes_resolve(forward_t *f);
+
+/*
+ * resumes_bind - binds a stream to the version of the selected upstream, which
+ * has sent its first event.
+ */
+void resumes_bind(forward_t *f);
+
 /* send.c */
 
 /*
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -8,6 +8,7 @@
  * nodes.c      discovery for nodes without members
  * peers.c      membership, ranking of nodes, load gossip
  * crashes.c    reports of crashed upstreams between nodes
+ * resumes.c    streams that callers take up, and their versions
  * forward.c    one request: routing, retries, final response
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
@@ -22,6 +23,7 @@
 #include <kcf/gateway.h>
 #include <kcf/latency.h>
 #include <kcf/member.h>
+#include <kcf/origins.h>
 #include <kcf/quarantine_gossip.h>
 #include <kcf/shares.h>
 
@@ -172,6 +174,9 @@
 	quarantine_t quarantine;
 	bool crashes_hold_is_new; /* requests under way may be part of it */
 	quarantine_gossip_t crash_gossip;
+	versions_t versions;
+	origins_t origins;
+	byte_budget_t origins_budget;
 	balance_t balance;
 	shares_t shares;      /* outstanding requests of each customer */
 	route_table_t *table; /* NULL before the first */
@@ -352,6 +357,16 @@
 void crashes_receive(gateway_t *g, const peer_crash_report_t *m,
 		     const char *from);
 
+/* resumes.c */
+void resumes_init(gateway_t *g);
+void resumes_finish(gateway_t *g);
+void resumes_tick(gateway_t *g, mstime_t now);
+void resumes_receive(gateway_t *g, const peer_origins_t *m, const char *from);
+/* A configuration came into force: sets for how long streams are known. */
+void resumes_set_life(gateway_t *g);
+/* The entry of an upstream is new or has changed. */
+void resumes_observe(gateway_t *g, const char *id, mstime_t now);
+
 /* admin.c */
 extern const http_server_ops_t admin_server_ops;
 extern const http_server_ops_t metrics_server_ops;
--- /dev/null
+++ b/packages/gateway/resumes.c
@@ -0,0 +1,384 @@
+/*
+ * Streams that callers take up: which software version began them, and whether
+ * they can go on there.
+ */
+#include "private/forward.h"
+
+#include <kcf/counter.h>
+#include <kcf/logline.h>
+#include <kcf/peer_socket.h>
+#include <string.h>
+
+/* Other nodes of a region answer within this time, also on slow hosts. */
+#define ASK_MAX_MS 150
+/* Counted apart from other control traffic, which it must not crowd out. */
+#define ORIGIN_BYTES_PER_S 65536
+/* Until this node knows the version of a stream that another one knows. */
+#define RETRY_UNSEEN_MS 300
+/* Callers come back within a few times the longest stream. */
+#define LIFE_TIMEOUT_FACTOR 2
+/* Services of one route that are looked at. */
+#define SERVICES_MAX 8
+
+static const char *const verdict_text[] = {
+	[ORIGIN_FOUND] = "",
+	[ORIGIN_ASK] = "",
+	[ORIGIN_AMBIGUOUS] = "several versions can have begun the stream",
+	[ORIGIN_NONE] = "no version of the service is known",
+};
+
+static void on_wait_over_(struct ev_loop *loop, ev_timer *w, int revents);
+
+/* Key of a stream by the id of the caller's try that began it. */
+static uint64_t stream_key_(const forward_t *f, str_t id)
+{
+	uint64_t hash = str_hash64(f->in.host, 0);
+
+	hash = str_hash64(f->in.target, hash);
+	hash = str_hash64(str_of(f->customer ? f->customer->name : ""), hash);
+	return str_hash64(id, hash) | 1;
+}
+
+static peer_sender_t sender_(gateway_t *g)
+{
+	return (peer_sender_t){ g->socket, g->conf->peer_key,
+				&g->origins_budget };
+}
+
+/* Addresses of the homes of a stream among the other nodes. */
+static int homes_(gateway_t *g, uint64_t stream, int max, const char **out)
+{
+	uint32_t *keys = g_new(uint32_t, g->ranking->len + 1);
+	const char **peers = g_new(const char *, g->ranking->len + 1);
+	guint homes[ORIGINS_ASKED];
+	guint others = 0;
+	int count;
+
+	for (guint i = 0; i < g->ranking->len; i++) {
+		const member_t *m = gateway_peers_at_rank(g, i);
+
+		if (m == g->members.self)
+			continue;
+		keys[others] = m->key;
+		peers[others++] = m->peer;
+	}
+	count = origins_select_homes(stream, keys, others, homes, max);
+	for (int i = 0; i < count; i++)
+		out[i] = peers[homes[i]];
+	g_free(keys);
+	g_free(peers);
+	return count;
+}
+
+static void tell_(gateway_t *g, uint64_t stream, uint32_t version)
+{
+	peer_origin_t origin = { stream, version };
+	peer_origins_t m = { .sent = (u_quad_t)clock_wall(),
+			     .list = { 1, &origin } };
+	const char *homes[ORIGINS_ASKED];
+	int count = homes_(g, stream, ORIGINS_HOMES, homes);
+	peer_sender_t sender = sender_(g);
+
+	for (int i = 0; i < count; i++)
+		peer_socket_send_origins(&sender, homes[i], &m);
+}
+
+/* Whether streams of a service may have been begun by several versions. */
+static bool is_mixed_(const gateway_t *g, const char *service)
+{
+	uint32_t only;
+
+	return versions_count(&g->versions, service, clock_now(), &only) > 1;
+}
+
+void resumes_init(gateway_t *g)
+{
+	origins_init(&g->origins);
+	g->origins_budget.rate = ORIGIN_BYTES_PER_S;
+}
+
+void resumes_finish(gateway_t *g)
+{
+	origins_finish(&g->origins);
+}
+
+/* Another version has come: nobody was told of the streams that are open. */
+static void tell_open_(gateway_t *g, const char *service)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	if (!is_mixed_(g, service))
+		return;
+	g_hash_table_iter_init(&iter, g->forwards);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const forward_t *f = key;
+
+		if (f->stream && f->bound_version && !f->done &&
+		    !strcmp(f->service, service))
+			tell_(g, f->stream, f->bound_version);
+	}
+}
+
+static void observe_(gateway_t *g, const balance_upstream_t *u, mstime_t now)
+{
+	if (!versions_observe(&g->versions, u->service, u->version, now))
+		return;
+	LOG_EVENT(LOG_NOTICE, "version.seen", F_STR("service", u->service),
+		  F_STR("version", u->version), F_STR("upstream", u->id));
+	tell_open_(g, u->service);
+}
+
+void resumes_observe(gateway_t *g, const char *id, mstime_t now)
+{
+	const balance_upstream_t *u = g_hash_table_lookup(g->balance.by_id, id);
+
+	if (u)
+		observe_(g, u, now);
+}
+
+static void observe_all_(gateway_t *g, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->balance.by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		observe_(g, value, now);
+}
+
+void resumes_set_life(gateway_t *g)
+{
+	mstime_t longest = 0;
+
+	for (guint i = 0; i < g->table->routes->len; i++) {
+		const routing_route_t *r = g->table->routes->pdata[i];
+
+		if (r->kind == ROUTE_KIND_STREAM)
+			longest = MAX(longest, r->timeout_ms);
+	}
+	versions_set_life(&g->versions, longest * LIFE_TIMEOUT_FACTOR);
+}
+
+void resumes_tick(gateway_t *g, mstime_t now)
+{
+	observe_all_(g, now);
+	versions_tick(&g->versions, now);
+	origins_tick(&g->origins, g->versions.life_ms, now);
+}
+
+void resumes_bind(forward_t *f)
+{
+	gateway_t *g = f->gateway;
+
+	f->origin_noted = true;
+	f->bound_version = f->selected->version_key;
+	if (!f->route->resumable)
+		return;
+	if (!f->stream)
+		f->stream = stream_key_(f, f->in.id);
+	origins_put(&g->origins, f->stream, f->bound_version, clock_now());
+	if (is_mixed_(g, f->service))
+		tell_(g, f->stream, f->bound_version);
+}
+
+static void log_resume_(const forward_t *f, const origin_answer_t *a,
+			const char *outcome)
+{
+	const version_t *version =
+		versions_find(&f->gateway->versions, a->version);
+
+	LOG_EVENT(LOG_NOTICE, "stream.resume", F_VIEW("request", f->in.id),
+		  F_VIEW("resumes", f->in.resumes),
+		  F_INT("after", f->in.last_event_id),
+		  F_STR("service", f->service),
+		  F_STR("version", version ? version->name : "-"),
+		  F_STR("known", origin_source_string[a->source]),
+		  F_INT("ms", clock_now() - f->received_at),
+		  F_STR("outcome", outcome));
+}
+
+static void refuse_(forward_t *f, const origin_answer_t *a, const char *why,
+		    mstime_t retry_ms)
+{
+	log_resume_(f, a, why);
+	forward_refuse(f, 503, why, COUNTER_REFUSED_RESUME, retry_ms);
+}
+
+/* The service of the route that the version belongs to, or NULL. */
+static const char *service_of_(const forward_t *f, uint32_t key)
+{
+	const version_t *version = versions_find(&f->gateway->versions, key);
+
+	for (guint i = 0; version && i < f->route->targets->len; i++) {
+		const route_target_t *t =
+			&g_array_index(f->route->targets, route_target_t, i);
+
+		if (!strcmp(t->service, version->service))
+			return t->service;
+	}
+	return NULL;
+}
+
+static bool go_on_(forward_t *f, const origin_answer_t *a)
+{
+	const char *service = service_of_(f, a->version);
+
+	if (!versions_find(&f->gateway->versions, a->version)) {
+		refuse_(f, a, "the stream's version is not known here yet",
+			RETRY_UNSEEN_MS);
+		return false;
+	}
+	if (!service) {
+		refuse_(f, a, "the stream's service is not on the route", 0);
+		return false;
+	}
+	f->service = service;
+	f->bound_version = a->version;
+	counter_add(a->source == ORIGIN_TOLD ? COUNTER_RESUMES_TOLD
+					     : COUNTER_RESUMES_ONLY,
+		    1);
+	log_resume_(f, a, "goes on");
+	return true;
+}
+
+static void wait_(forward_t *f, mstime_t ms)
+{
+	ev_timer_stop(f->gateway->loop, &f->resume_timer);
+	ev_timer_init(&f->resume_timer, on_wait_over_,
+		      (double)ms / MSEC_PER_SEC, 0);
+	f->resume_timer.data = f;
+	ev_timer_start(f->gateway->loop, &f->resume_timer);
+}
+
+/* False if there is nobody to ask. */
+static bool ask_(forward_t *f)
+{
+	gateway_t *g = f->gateway;
+	peer_origin_t origin = { f->stream, 0 };
+	peer_origins_t m = { .sent = (u_quad_t)clock_wall(),
+			     .asks = TRUE,
+			     .list = { 1, &origin } };
+	const char *homes[ORIGINS_ASKED];
+	peer_sender_t sender = sender_(g);
+
+	f->asked_count = homes_(g, f->stream, ORIGINS_ASKED, homes);
+	for (int i = 0; i < f->asked_count; i++)
+		peer_socket_send_origins(&sender, homes[i], &m);
+	return f->asked_count > 0;
+}
+
+/* False while the request waits, or when it was refused. */
+static bool resolve_(forward_t *f)
+{
+	gateway_t *g = f->gateway;
+	const char *services[SERVICES_MAX];
+	origin_query_t query = { .stream = f->stream,
+				 .services = services,
+				 .asked = f->resume_asked };
+	origin_answer_t a;
+
+	for (guint i = 0; i < MIN(f->route->targets->len, SERVICES_MAX); i++)
+		services[query.service_count++] =
+			g_array_index(f->route->targets, route_target_t, i)
+				.service;
+	a = origins_resolve(&g->origins, &g->versions, &query, clock_now());
+	switch (a.verdict) {
+	case ORIGIN_FOUND:
+		return go_on_(f, &a);
+	case ORIGIN_ASK:
+		f->resume_asked = true;
+		if (!ask_(f))
+			return resolve_(f);
+		wait_(f, ASK_MAX_MS);
+		return false;
+	default:
+		refuse_(f, &a, verdict_text[a.verdict], 0);
+		return false;
+	}
+}
+
+/* Resolves a request that has waited, and places it. */
+static void continue_(forward_t *f)
+{
+	ev_timer_stop(f->gateway->loop, &f->resume_timer);
+	if (resolve_(f))
+		forward_place(f);
+}
+
+static void on_wait_over_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	(void)loop;
+	(void)revents;
+	continue_(w->data);
+}
+
+bool resumes_resolve(forward_t *f)
+{
+	if (f->route->kind != ROUTE_KIND_STREAM || f->in.last_event_id < 0)
+		return true;
+	if (f->in.resumes.len)
+		f->stream = stream_key_(f, f->in.resumes);
+	return resolve_(f);
+}
+
+/* Whether a reply of a home ends the wait. */
+static bool is_answered_(forward_t *f, uint64_t stream)
+{
+	const gateway_t *g = f->gateway;
+
+	if (f->stream != stream)
+		return false;
+	return origins_get(&g->origins, stream, clock_now()) ||
+	       --f->asked_count <= 0;
+}
+
+/* Requests that wait for a stream, which a home has told of, go on. */
+static void continue_waiting_(gateway_t *g, uint64_t stream)
+{
+	GList *all = g_hash_table_get_keys(g->forwards);
+
+	for (GList *l = all; l; l = l->next) {
+		forward_t *f = l->data;
+
+		if (ev_is_active(&f->resume_timer) && !f->done &&
+		    is_answered_(f, stream))
+			continue_(f);
+	}
+	g_list_free(all);
+}
+
+static void reply_(gateway_t *g, const peer_origins_t *m, const char *to)
+{
+	peer_origin_t list[PEER_ORIGINS_MAX];
+	peer_origins_t reply = { .sent = (u_quad_t)clock_wall(),
+				 .list = { m->list.list_len, list } };
+	peer_sender_t sender = sender_(g);
+
+	for (u_int i = 0; i < m->list.list_len; i++) {
+		uint64_t stream = m->list.list_val[i].stream;
+
+		list[i] = (peer_origin_t){
+			stream, origins_get(&g->origins, stream, clock_now())
+		};
+	}
+	peer_socket_send_origins(&sender, to, &reply);
+}
+
+void resumes_receive(gateway_t *g, const peer_origins_t *m, const char *from)
+{
+	if (m->asks) {
+		reply_(g, m, from);
+		return;
+	}
+	for (u_int i = 0; i < m->list.list_len; i++) {
+		const peer_origin_t *origin = &m->list.list_val[i];
+
+		if (!origin->stream)
+			continue;
+		if (origin->software)
+			origins_put(&g->origins, origin->stream,
+				    origin->software, clock_now());
+		continue_waiting_(g, origin->stream);
+	}
+}
--- a/packages/wire/datagram.c
+++ b/packages/wire/datagram.c
@@ -77,6 +77,14 @@
 		       r, out, len);
 }
 
+int datagram_encode_origins(const unsigned char *key, const peer_origins_t *m,
+			    unsigned char *out, size_t *len)
+{
+	assert(key && m && out && len);
+	return encode_(key, PEER_ORIGINS, 0, (xdrproc_t)xdr_peer_origins_t, m,
+		       out, len);
+}
+
 static bool decode_header_(XDR *xdrs, unsigned int *proc)
 {
 	char cred[MAX_AUTH_BYTES];
@@ -153,38 +161,51 @@
 	memset(m, 0, sizeof(*m));
 }
 
-bool datagram_is_crash_report(str_t data)
+unsigned int datagram_proc(str_t data)
 {
 	uint32_t proc;
 
 	if (data.len < PROC_OFFSET + sizeof(proc))
-		return false;
+		return 0;
 	memcpy(&proc, data.data + PROC_OFFSET, sizeof(proc));
-	return ntohl(proc) == PEER_CRASHES;
+	return ntohl(proc);
+}
+
+/*
+ * Decodes the arguments of one procedure, which are released on errors.
+ * @sent: within args
+ */
+static int decode_call_(const unsigned char *key, str_t data, mstime_t wall,
+			unsigned int proc, xdrproc_t decode_args, void *args,
+			const u_quad_t *sent)
+{
+	unsigned int found;
+	int err = decode_(key, data, &found, decode_args, args);
+
+	if (err)
+		return err;
+	if (found != proc)
+		err = DATAGRAM_EHEADER;
+	else if (!is_recent_(wall, *sent))
+		err = DATAGRAM_EAGE;
+	if (err)
+		xdr_free(decode_args, args);
+	return err;
 }
 
 int datagram_decode_crashes(const unsigned char *key, str_t data, mstime_t wall,
 			    peer_crash_report_t *r)
 {
 	peer_crash_report_t report = { 0 };
-	unsigned int proc;
 	int err;
 
 	assert(key && r);
-	err = decode_(key, data, &proc, (xdrproc_t)xdr_peer_crash_report_t,
-		      &report);
-	if (err)
-		return err;
-	if (proc != PEER_CRASHES)
-		err = DATAGRAM_EHEADER;
-	else if (!is_recent_(wall, report.sent))
-		err = DATAGRAM_EAGE;
-	if (err) {
-		datagram_free_crashes(&report);
-		return err;
-	}
-	*r = report;
-	return DATAGRAM_OK;
+	err = decode_call_(key, data, wall, PEER_CRASHES,
+			   (xdrproc_t)xdr_peer_crash_report_t, &report,
+			   &report.sent);
+	if (!err)
+		*r = report;
+	return err;
 }
 
 void datagram_free_crashes(peer_crash_report_t *r)
@@ -193,6 +214,27 @@
 	memset(r, 0, sizeof(*r));
 }
 
+int datagram_decode_origins(const unsigned char *key, str_t data, mstime_t wall,
+			    peer_origins_t *m)
+{
+	peer_origins_t origins = { 0 };
+	int err;
+
+	assert(key && m);
+	err = decode_call_(key, data, wall, PEER_ORIGINS,
+			   (xdrproc_t)xdr_peer_origins_t, &origins,
+			   &origins.sent);
+	if (!err)
+		*m = origins;
+	return err;
+}
+
+void datagram_free_origins(peer_origins_t *m)
+{
+	xdr_free((xdrproc_t)xdr_peer_origins_t, m);
+	memset(m, 0, sizeof(*m));
+}
+
 static void compute_mac_(const unsigned char *key, const unsigned char *data,
 			 size_t len, unsigned char *mac)
 {
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -11,6 +11,7 @@
 const PEER_SEGMENTS_MAX = 16;
 const PEER_CRASHES_MAX = 6;
 const PEER_ANSWERED_MAX = 16;
+const PEER_ORIGINS_MAX = 32;
 
 /* Membership record of one node. */
 struct peer_update_t {
@@ -87,6 +88,19 @@
 	peer_answered_t answered<PEER_ANSWERED_MAX>;
 };
 
+/* The software version that began a stream; 0 if it is not known. */
+struct peer_origin_t {
+	unsigned hyper stream;
+	unsigned int software;
+};
+
+/* A message that asks has the streams alone. */
+struct peer_origins_t {
+	unsigned hyper sent;
+	bool asks;
+	peer_origin_t list<PEER_ORIGINS_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		void PEER_PING(peer_message_t) = 1;
@@ -96,5 +110,6 @@
 		void PEER_LOADS(peer_message_t) = 5;
 		/* 6 were reports without the key of the request. */
 		void PEER_CRASHES(peer_crash_report_t) = 7;
+		void PEER_ORIGINS(peer_origins_t) = 8;
 	} = 1;
 } = 0x20004b43;
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -66,6 +66,22 @@
 	datagram_free_crashes(&r);
 }
 
+static void handle_origins_(const unsigned char *key, str_t data,
+			    const char *from, const peer_socket_ops_t *ops,
+			    void *ctx)
+{
+	peer_origins_t m = { 0 };
+	int err = datagram_decode_origins(key, data, clock_wall(), &m);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	if (ops->origins)
+		ops->origins(ctx, &m, from);
+	datagram_free_origins(&m);
+}
+
 void peer_socket_receive(int fd, const unsigned char *key,
 			 const peer_socket_ops_t *ops, void *ctx)
 {
@@ -82,10 +98,17 @@
 		address_format(&sa, from);
 		counter_add(COUNTER_CONTROL_RECEIVED_BYTES,
 			    n + DATAGRAM_OVERHEAD);
-		if (datagram_is_crash_report(view))
+		switch (datagram_proc(view)) {
+		case PEER_CRASHES:
 			handle_crashes_(key, view, from, ops, ctx);
-		else
+			break;
+		case PEER_ORIGINS:
+			handle_origins_(key, view, from, ops, ctx);
+			break;
+		default:
 			handle_message_(key, view, from, ops, ctx);
+			break;
+		}
 		len = sizeof(sa);
 	}
 }
@@ -153,3 +176,17 @@
 	counter_add(COUNTER_CONTROL_DROPPED, 1);
 	return 0;
 }
+
+void peer_socket_send_origins(const peer_sender_t *s, const char *to,
+			      const peer_origins_t *m)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && m);
+	if (!address_parse(to, &sa) ||
+	    datagram_encode_origins(s->key, m, data, &len) ||
+	    !send_datagram_(s, &sa, data, len, true))
+		counter_add(COUNTER_CONTROL_DROPPED, 1);
+}
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -27,6 +27,20 @@
 
 static const quarantine_ops_t quarantine_ops = { 0 };
 
+static void fuzz_origins_(const uint8_t *data, size_t size)
+{
+	peer_origins_t m = { 0 };
+	XDR xdrs;
+
+	if (!datagram_decode_origins(key, view_(data, size), 0, &m))
+		datagram_free_origins(&m);
+	m = (peer_origins_t){ 0 };
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	(void)xdr_peer_origins_t(&xdrs, &m);
+	xdr_destroy(&xdrs);
+	datagram_free_origins(&m);
+}
+
 static void fuzz_crash_report_(const uint8_t *data, size_t size)
 {
 	peer_crash_report_t r = { 0 };
@@ -60,6 +74,7 @@
 	xdr_destroy(&xdrs);
 	datagram_free(&m);
 	fuzz_crash_report_(data, size);
+	fuzz_origins_(data, size);
 	return 0;
 }
 
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -29,6 +29,7 @@
 	{ "member_mass", member_mass_suite },
 	{ "once", once_suite },
 	{ "once_key", once_key_suite },
+	{ "origins", origins_suite },
 	{ "power", power_suite },
 	{ "quarantine", quarantine_suite },
 	{ "rank", rank_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -25,6 +25,7 @@
 Suite *member_mass_suite(void);
 Suite *once_suite(void);
 Suite *once_key_suite(void);
+Suite *origins_suite(void);
 Suite *peer_socket_suite(void);
 Suite *platform_suite(void);
 Suite *power_suite(void);
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -15,12 +15,16 @@
 {
 	*g = (gateway_t){ .protocol = &platform_protocol };
 	balance_init(&g->balance, "dc-a", 1);
+	versions_init(&g->versions);
+	g->forwards = g_hash_table_new(NULL, NULL);
 	feeds_init(g);
 }
 
 static void finish_(gateway_t *g)
 {
 	feeds_finish(g);
+	versions_finish(&g->versions);
+	g_hash_table_destroy(g->forwards);
 	balance_finish(&g->balance);
 	route_table_unref(g->table);
 }
@@ -43,7 +47,7 @@
 	char key[16];
 	char *data = g_strdup_printf(
 		"{\"service\":\"s\",\"address\":\"10.0.0.%d:80\",\"zone\":\"z\""
-		",\"slot_count\":8,\"state\":\"ready\"}",
+		",\"version\":\"v1\",\"slot_count\":8,\"state\":\"ready\"}",
 		i + 1);
 	feed_record_t r = { .offset = offset };
 
@@ -600,8 +604,8 @@
 /* A state of an upstream as its record says, NULL for a removal. */
 #define ENTRY(state, start, heartbeat)                                         \
 	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","       \
-	"\"slot_count\":8,\"state\":\"" state "\",\"born\":" #start            \
-	",\"sequence\":" #heartbeat "}"
+	"\"version\":\"v1\",\"slot_count\":8,\"state\":\"" state               \
+	"\",\"born\":" #start ",\"sequence\":" #heartbeat "}"
 
 /* What is in service after two records of one upstream. */
 static const struct {
--- /dev/null
+++ b/tests/unit/test_origins.c
@@ -0,0 +1,354 @@
+#include "suites.h"
+
+#include <kcf/balance.h>
+#include <kcf/datagram.h>
+#include <kcf/origins.h>
+#include <string.h>
+
+#define NOW 1000000
+#define STREAM 0x51
+#define OTHER_STREAM 0x52
+#define NODES 295
+
+static versions_t versions;
+static origins_t origins;
+
+static void setup_(void)
+{
+	versions_init(&versions);
+	origins_init(&origins);
+}
+
+static void teardown_(void)
+{
+	versions_finish(&versions);
+	origins_finish(&origins);
+}
+
+typedef enum step_kind {
+	STEP_END,
+	STEP_SEEN,  /* an upstream of the service and version is known */
+	STEP_BEGUN, /* a stream was begun at the version */
+} step_kind_t;
+
+typedef struct step {
+	step_kind_t kind;
+	mstime_t at;
+	const char *service;
+	const char *version;
+} step_t;
+
+/* What becomes of STREAM, whose route may choose the services a and b. */
+static const struct {
+	const char *label;
+	step_t steps[6];
+	mstime_t at;
+	uint64_t stream;
+	bool asked;
+	origin_verdict_t verdict;
+	const char *service;
+	const char *version;
+} cases[] = {
+	{ "this node began it",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "a", "v2" },
+	    { STEP_BEGUN, 10, "a", "v2" } },
+	  1000,
+	  STREAM,
+	  false,
+	  ORIGIN_FOUND,
+	  "a",
+	  "v2" },
+	{ "its homes are asked first, also with one version",
+	  { { STEP_SEEN, 0, "a", "v1" } },
+	  1000,
+	  STREAM,
+	  false,
+	  ORIGIN_ASK },
+	{ "only one version can have begun it",
+	  { { STEP_SEEN, 0, "a", "v1" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_FOUND,
+	  "a",
+	  "v1" },
+	{ "two can",
+	  { { STEP_SEEN, 0, "a", "v1" }, { STEP_SEEN, 0, "a", "v2" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "one of them left just now",
+	  { { STEP_SEEN, 0, "a", "v1" }, { STEP_SEEN, 30000, "a", "v2" } },
+	  30000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "one of them left before any stream that is known",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, VERSIONS_STREAM_LIFE_MS + 1, "a", "v2" } },
+	  VERSIONS_STREAM_LIFE_MS + 1,
+	  STREAM,
+	  true,
+	  ORIGIN_FOUND,
+	  "a",
+	  "v2" },
+	{ "the same name in two services is two versions",
+	  { { STEP_SEEN, 0, "a", "v1" }, { STEP_SEEN, 0, "b", "v1" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "a service that the route does not choose",
+	  { { STEP_SEEN, 0, "a", "v1" }, { STEP_SEEN, 0, "c", "v2" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_FOUND,
+	  "a",
+	  "v1" },
+	{ "a version that came back",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 40000, "a", "v2" },
+	    { STEP_SEEN, 50000, "a", "v1" } },
+	  50000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "the caller names no try",
+	  { { STEP_SEEN, 0, "a", "v1" }, { STEP_SEEN, 0, "a", "v2" } },
+	  1000,
+	  0,
+	  false,
+	  ORIGIN_AMBIGUOUS },
+	{ "nor does it need to",
+	  { { STEP_SEEN, 0, "a", "v1" } },
+	  1000,
+	  0,
+	  false,
+	  ORIGIN_FOUND,
+	  "a",
+	  "v1" },
+	{ "another stream is known",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "a", "v2" },
+	    { STEP_BEGUN, 10, "a", "v2" } },
+	  1000,
+	  OTHER_STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "two versions are said to have begun it",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "a", "v2" },
+	    { STEP_BEGUN, 10, "a", "v1" },
+	    { STEP_BEGUN, 20, "a", "v2" },
+	    { STEP_BEGUN, 30, "a", "v1" } },
+	  1000,
+	  STREAM,
+	  false,
+	  ORIGIN_AMBIGUOUS },
+	{ "the stream is over",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_BEGUN, 0, "a", "v1" },
+	    { STEP_SEEN, 30000, "a", "v2" } },
+	  VERSIONS_STREAM_LIFE_MS + 1,
+	  STREAM,
+	  true,
+	  ORIGIN_FOUND,
+	  "a",
+	  "v2" },
+	{ "no upstream was ever known",
+	  { { STEP_END } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_NONE },
+};
+
+START_TEST(test_resolve)
+{
+	static const char *const services[] = { "a", "b" };
+	origin_query_t query = { .stream = cases[_i].stream,
+				 .services = services,
+				 .service_count = 2,
+				 .asked = cases[_i].asked };
+	origin_answer_t a;
+
+	for (const step_t *s = cases[_i].steps; s->kind != STEP_END; s++) {
+		if (s->kind == STEP_SEEN)
+			versions_observe(&versions, s->service, s->version,
+					 NOW + s->at);
+		else
+			origins_put(&origins, STREAM,
+				    versions_key(s->service, s->version),
+				    NOW + s->at);
+	}
+	a = origins_resolve(&origins, &versions, &query, NOW + cases[_i].at);
+	ck_assert_msg(a.verdict == cases[_i].verdict, "%s: %d", cases[_i].label,
+		      (int)a.verdict);
+	if (a.verdict == ORIGIN_FOUND)
+		ck_assert_msg(a.version == versions_key(cases[_i].service,
+							cases[_i].version),
+			      "%s", cases[_i].label);
+}
+END_TEST
+
+/* The node that begins a stream and the one that asks leave themselves out. */
+START_TEST(test_homes)
+{
+	uint32_t all[NODES];
+
+	for (uint32_t i = 0; i < NODES; i++)
+		all[i] = 7919 * (i + 1);
+	for (uint64_t stream = 1; stream <= 200; stream++) {
+		guint told[ORIGINS_HOMES];
+		guint asked[ORIGINS_ASKED];
+		guint begins = (guint)(stream * 31 % NODES);
+		guint asks = (guint)(stream * 57 % NODES);
+		uint32_t keys[NODES];
+		int found = 0;
+
+		memcpy(keys, all, sizeof(keys));
+		keys[begins] = keys[NODES - 1];
+		ck_assert_int_eq(origins_select_homes(stream, keys, NODES - 1,
+						      told, ORIGINS_HOMES),
+				 ORIGINS_HOMES);
+		for (int i = 0; i < ORIGINS_HOMES; i++)
+			told[i] = keys[told[i]];
+		memcpy(keys, all, sizeof(keys));
+		keys[asks] = keys[NODES - 1];
+		ck_assert_int_eq(origins_select_homes(stream, keys, NODES - 1,
+						      asked, ORIGINS_ASKED),
+				 ORIGINS_ASKED);
+		for (int i = 0; i < ORIGINS_ASKED; i++) {
+			for (int k = 0; k < ORIGINS_HOMES; k++)
+				found += keys[asked[i]] == told[k] ||
+					 (i == 0 && told[k] == all[asks]);
+		}
+		ck_assert_int_eq(found, ORIGINS_HOMES);
+	}
+}
+END_TEST
+
+START_TEST(test_few_homes)
+{
+	static const uint32_t keys[] = { 11, 22 };
+	guint homes[ORIGINS_ASKED];
+
+	ck_assert_int_eq(
+		origins_select_homes(STREAM, keys, 0, homes, ORIGINS_ASKED), 0);
+	ck_assert_int_eq(
+		origins_select_homes(STREAM, keys, 2, homes, ORIGINS_ASKED), 2);
+	ck_assert_uint_eq(homes[0] + homes[1], 1);
+}
+END_TEST
+
+START_TEST(test_bounded)
+{
+	for (uint64_t i = 1; i <= 100000; i++)
+		origins_put(&origins, i, 7, NOW);
+	ck_assert_uint_le(g_hash_table_size(origins.streams.map), 32768);
+	ck_assert_uint_eq(origins_get(&origins, 100000, NOW), 7);
+	origins_tick(&origins, VERSIONS_STREAM_LIFE_MS,
+		     NOW + VERSIONS_STREAM_LIFE_MS + 1);
+	ck_assert_uint_eq(g_hash_table_size(origins.streams.map), 0);
+}
+END_TEST
+
+START_TEST(test_message)
+{
+	static const unsigned char key[DATAGRAM_KEY_BYTES] = "key";
+	unsigned char data[DATAGRAM_MAX];
+	peer_origin_t list[PEER_ORIGINS_MAX];
+	peer_origins_t m = { .sent = (u_quad_t)clock_wall(),
+			     .list = { PEER_ORIGINS_MAX, list } };
+	peer_origins_t got;
+	size_t len;
+	str_t view;
+
+	for (u_int i = 0; i < PEER_ORIGINS_MAX; i++)
+		list[i] = (peer_origin_t){ STREAM + i, i };
+	ck_assert_int_eq(datagram_encode_origins(key, &m, data, &len),
+			 DATAGRAM_OK);
+	view = (str_t){ (char *)data, len };
+	ck_assert_uint_eq(datagram_proc(view), PEER_ORIGINS);
+	ck_assert_int_eq(datagram_decode_origins(key, view, clock_wall(), &got),
+			 DATAGRAM_OK);
+	ck_assert_uint_eq(got.list.list_len, PEER_ORIGINS_MAX);
+	ck_assert_uint_eq(got.list.list_val[3].stream, STREAM + 3);
+	ck_assert_uint_eq(got.list.list_val[3].software, 3);
+	datagram_free_origins(&got);
+	ck_assert_int_eq(datagram_decode_origins(key, view,
+						 clock_wall() + 3600000, &got),
+			 DATAGRAM_EAGE);
+	data[len - 1] ^= 1;
+	ck_assert_int_eq(datagram_decode_origins(key, view, clock_wall(), &got),
+			 DATAGRAM_EMAC);
+}
+END_TEST
+
+static void put_upstream_(balance_t *b, int i, const char *version)
+{
+	char id[16];
+	balance_spec_t spec = { .id = id,
+				.service = "a",
+				.address = "127.0.0.1:9",
+				.data_centre = "dc",
+				.version = version,
+				.slots = 64 };
+
+	g_snprintf(id, sizeof(id), "u-%d", i);
+	balance_put_upstream(b, &spec, NOW);
+}
+
+/*
+ * Requests that must stay at a version with one upstream of many do not push it
+ * over the limit on its load, and leave a prompt's preferred upstream alone.
+ */
+START_TEST(test_bound_load)
+{
+	balance_request_t bound = { .service = "a",
+				    .affinity = 5,
+				    .version = versions_key("a", "v1") };
+	balance_t b;
+	int taken = 0;
+
+	balance_init(&b, "dc", 1);
+	for (int i = 0; i < 8; i++)
+		put_upstream_(&b, i, i ? "v2" : "v1");
+	for (int i = 0; i < 100; i++) {
+		balance_pick_t p = balance_choose(&b, &bound, NOW);
+
+		if (!p.upstream) {
+			ck_assert_int_eq(p.reason, BALANCE_FULL);
+			ck_assert_int_gt(p.retry_ms, 0);
+			continue;
+		}
+		taken++;
+		ck_assert_str_eq(p.upstream->version, "v1");
+	}
+	ck_assert_int_gt(taken, 0);
+	ck_assert_int_le(taken, (int)BALANCE_LIMIT_SLACK + 2);
+	bound.version = versions_key("a", "v3");
+	ck_assert_int_eq(balance_choose(&b, &bound, NOW).reason,
+			 BALANCE_NO_UPSTREAM);
+	balance_finish(&b);
+}
+END_TEST
+
+Suite *origins_suite(void)
+{
+	Suite *s = suite_create("origins");
+	TCase *c = tcase_create("origins");
+
+	tcase_add_checked_fixture(c, setup_, teardown_);
+	tcase_add_loop_test(c, test_resolve, 0, G_N_ELEMENTS(cases));
+	tcase_add_test(c, test_homes);
+	tcase_add_test(c, test_few_homes);
+	tcase_add_test(c, test_bounded);
+	tcase_add_test(c, test_message);
+	tcase_add_test(c, test_bound_load);
+	suite_add_tcase(s, c);
+	return s;
+}
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -18,28 +18,44 @@
 	  "\"born\":17,\"sequence\":1,\"version\":\"v1\",\"later\":[]}",
 	  true, false, 0, 17 },
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":8,\"state\":\"draining\",\"cold_remaining_ms\":250}",
 	  true, true, NOW + 250, 0 },
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":8.0,\"state\":\"ready\",\"born\":1.7e12}",
 	  true, false, 0, 1700000000000 },
 	/* fields missing or of another type */
-	{ "{\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slot_count\":8,"
+	{ "{\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
+	  "\"slot_count\":8,"
 	  "\"state\":\"ready\"}" },
 	{ "{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":8,\"state\":\"ready\"}" },
 	{ "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":8,\"state\":\"ready\"}" },
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":0,\"state\":\"ready\"}" },
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":\"8\",\"state\":\"ready\"}" },
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":8,\"state\":\"odd\"}" },
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":8,\"state\":\"ready\",\"born\":\"x\"}" },
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"version\":\"v1\","
 	  "\"slot_count\":8,\"state\":\"ready\",\"cold_remaining_ms\":-1}" },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"slot_count\":8,\"state\":\"ready\"}" },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"slot_count\":8,\"state\":\"ready\",\"version\":1}" },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	  "\"slot_count\":8,\"state\":\"ready\",\"version\":\"\"}" },
 	/* not a JSON object */
 	{ "" },
 	{ "{" },
@@ -60,6 +76,7 @@
 		ck_assert_int_eq(spec.leaving, entries[_i].leaving);
 		ck_assert_int_eq(spec.cold_until, entries[_i].cold_until);
 		ck_assert_uint_eq(spec.start_id, entries[_i].start);
+		ck_assert_str_eq(spec.version, "v1");
 		ck_assert_int_eq(spec.slots, 8);
 		ck_assert_str_eq(spec.service, "s");
 	}
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -373,8 +373,8 @@
 		ck_assert_int_eq(
 			datagram_encode_crashes(key, &r.message, data, &len),
 			DATAGRAM_OK);
-		ck_assert(
-			datagram_is_crash_report((str_t){ (char *)data, len }));
+		ck_assert_uint_eq(datagram_proc((str_t){ (char *)data, len }),
+				  PEER_CRASHES);
 		ck_assert_int_eq(datagram_decode_crashes(
 					 key, (str_t){ (char *)data, len },
 					 clock_wall(), &got),
