Gateway: the platform's log records which versions of a service may have begun streams

Callers whose streams broke off when all nodes were killed at once got them joined from two versions: the nodes that came back knew the versions that serve now, not those that had just left.

Cause: what a fleet knows of versions died with its nodes; the entries of upstreams that have left are gone. Class: a choice that is safe only with a memory older than the process.

Change: one reader writes a key for each version of a service in the fleet's own topic when it appears, and removes it once no stream of it can be open (two calls and one for a mark at the first start, one when a version comes, one when it has left; none else). A node that does not know a stream reads the record once before it believes that a single version can have begun it. The mark names the epoch of the log: a log restored from an older copy may lack versions, and the node then waits for the life of a stream. A pause or a scan makes the versions incomplete again. The keys of nodes and of versions share the topic; addresses are taken from the former alone.

Ruled out: writing before a new version gets work (its upstream would idle while the log cannot be written; an upstream that serves is among the entries a restarted node reads, and one that leaves was recorded long before); times by the wall clock (hosts' clocks step).

--- a/include/kcf/origins.h
+++ b/include/kcf/origins.h
@@ -37,9 +37,11 @@
 
 typedef enum origin_verdict {
 	ORIGIN_FOUND,
-	ORIGIN_ASK,	  /* the homes first */
-	ORIGIN_AMBIGUOUS, /* several versions can have begun it */
-	ORIGIN_NONE,	  /* the services have had no version */
+	ORIGIN_ASK,	   /* the homes first */
+	ORIGIN_READ,	   /* the record of versions first */
+	ORIGIN_AMBIGUOUS,  /* several versions can have begun it */
+	ORIGIN_INCOMPLETE, /* versions that this node does not know can, too */
+	ORIGIN_NONE,	   /* the services have had no version */
 } origin_verdict_t;
 
 /* A stream that a caller takes up. */
@@ -48,6 +50,7 @@
 	const char *const *services; /* that its route may choose */
 	int service_count;
 	bool asked; /* the homes have answered, or had time to */
+	bool read;  /* the record was read, or there was time to */
 } origin_query_t;
 
 typedef struct origin_answer {
--- a/include/kcf/versions.h
+++ b/include/kcf/versions.h
@@ -3,7 +3,11 @@
  * stream which its caller takes up.
  *
  * A version may have, as long as the longest stream, after an upstream of it
- * was last among the known entries. Pure logic: no socket, no clock.
+ * was last among the known entries. A node that has just started does not know
+ * which versions left before: it takes them from a record in the platform's
+ * log, which one node writes when the set changes. Until it has read the
+ * record, or has run for the life of a stream, its set is not complete. Pure
+ * logic: no socket, no clock.
  */
 #ifndef KCF_VERSIONS_H
 #define KCF_VERSIONS_H
@@ -24,21 +28,39 @@
 	char *service;
 	char *name;
 	bool seen;
-	mstime_t seen_at; /* an upstream of it was known */
+	mstime_t seen_at; /* an upstream of it was known, or it was recorded */
+	bool recorded;
+	uint64_t recorded_epoch; /* of the log, when it was written */
 } version_t;
 
 typedef struct versions {
-	GHashTable *by_key; /* uint32_t to version_t * */
-	mstime_t life_ms;   /* of a stream */
+	GHashTable *by_key;    /* uint32_t to version_t * */
+	mstime_t life_ms;      /* of a stream */
+	mstime_t watched_from; /* no change was missed since */
+	bool complete;	       /* the record was read and lacks none */
+	bool marked; /* the record says of which epoch it is complete */
+	uint64_t mark_epoch;
 } versions_t;
 
+typedef enum versions_change_kind {
+	VERSIONS_ADD,	 /* write the version to the record */
+	VERSIONS_REMOVE, /* remove it */
+	VERSIONS_MARK,	 /* mark the record as complete */
+} versions_change_kind_t;
+
+/* A change that the record needs. */
+typedef struct versions_change {
+	versions_change_kind_t kind;
+	version_t *version; /* NULL for a mark */
+} versions_change_t;
+
 /*
  * versions_key - key of a version of a service, not 0; the same name in two
  * services gives two keys.
  */
 uint32_t versions_key(const char *service, const char *name);
 
-void versions_init(versions_t *v);
+void versions_init(versions_t *v, mstime_t now);
 void versions_finish(versions_t *v);
 
 /*
@@ -47,6 +69,11 @@
  */
 void versions_set_life(versions_t *v, mstime_t life_ms);
 
+/*
+ * versions_miss - changes of the entries may have been missed until now.
+ */
+void versions_miss(versions_t *v, mstime_t now);
+
 /*
  * versions_observe - records that an upstream with this version is known.
  *
@@ -68,8 +95,36 @@
 		   uint32_t *only);
 
 /*
- * versions_tick - drops versions whose streams are over.
+ * versions_is_complete - whether no version is missing.
+ */
+bool versions_is_complete(const versions_t *v, mstime_t now);
+
+/*
+ * versions_begin_record, versions_add_recorded, versions_end_record - apply the
+ * record as it was read.
+ * @epoch, @mark_epoch: of the log when the entry or the mark was written. A log
+ *          that was restored from an older copy may lack versions; its mark is
+ *          of an earlier epoch.
+ * @marked: whether there is a mark
+ * @read_epoch: of the log when the record was read
+ */
+void versions_begin_record(versions_t *v);
+void versions_add_recorded(versions_t *v, const char *service, const char *name,
+			   uint64_t epoch, mstime_t now);
+void versions_end_record(versions_t *v, bool marked, uint64_t mark_epoch,
+			 uint64_t read_epoch);
+
+/*
+ * versions_next_change - what the record needs next, if anything.
+ * @epoch: of the log
+ */
+bool versions_next_change(versions_t *v, uint64_t epoch, mstime_t now,
+			  versions_change_t *change);
+
+/*
+ * versions_apply_change - a change was written in an epoch of the log.
  */
-void versions_tick(versions_t *v, mstime_t now);
+void versions_apply_change(versions_t *v, const versions_change_t *change,
+			   uint64_t epoch);
 
 #endif
--- a/packages/decide/origins.c
+++ b/packages/decide/origins.c
@@ -86,6 +86,8 @@
 	count = count_versions_(v, query, now, &only);
 	if (count > 1)
 		return verdict_(ORIGIN_AMBIGUOUS);
+	if (!versions_is_complete(v, now))
+		return verdict_(query->read ? ORIGIN_INCOMPLETE : ORIGIN_READ);
 	if (!count)
 		return verdict_(ORIGIN_NONE);
 	return (origin_answer_t){ ORIGIN_FOUND, ORIGIN_ONLY, only };
--- a/packages/decide/versions.c
+++ b/packages/decide/versions.c
@@ -23,10 +23,11 @@
 	return key ? key : 1;
 }
 
-void versions_init(versions_t *v)
+void versions_init(versions_t *v, mstime_t now)
 {
 	assert(v);
-	*v = (versions_t){ .life_ms = VERSIONS_STREAM_LIFE_MS };
+	*v = (versions_t){ .life_ms = VERSIONS_STREAM_LIFE_MS,
+			   .watched_from = now };
 	v->by_key = g_hash_table_new_full(NULL, NULL, NULL, version_free_);
 }
 
@@ -42,6 +43,13 @@
 	v->life_ms = MAX(life_ms, VERSIONS_STREAM_LIFE_MS);
 }
 
+void versions_miss(versions_t *v, mstime_t now)
+{
+	assert(v);
+	v->watched_from = now;
+	v->complete = false;
+}
+
 static bool is_possible_(const versions_t *v, const version_t *version,
 			 mstime_t now)
 {
@@ -111,15 +119,134 @@
 	return count;
 }
 
-void versions_tick(versions_t *v, mstime_t now)
+bool versions_is_complete(const versions_t *v, mstime_t now)
+{
+	assert(v);
+	return v->complete || now - v->watched_from > v->life_ms;
+}
+
+void versions_begin_record(versions_t *v)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	assert(v);
+	g_hash_table_iter_init(&iter, v->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((version_t *)value)->recorded = false;
+}
+
+void versions_add_recorded(versions_t *v, const char *service, const char *name,
+			   uint64_t epoch, mstime_t now)
+{
+	version_t *version;
+
+	assert(v && service && name);
+	version = get_(v, service, name);
+	version->recorded = true;
+	version->recorded_epoch = epoch;
+	/* Its last upstream may have left just before this node started. */
+	if (!version->seen || !versions_is_complete(v, now))
+		note_seen_(version, now);
+}
+
+static bool is_any_recorded_(const versions_t *v)
+{
+	GHashTableIter iter;
+	gpointer value;
+
 	g_hash_table_iter_init(&iter, v->by_key);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		if (!is_possible_(v, value, now))
+		if (((const version_t *)value)->recorded)
+			return true;
+	}
+	return false;
+}
+
+void versions_end_record(versions_t *v, bool marked, uint64_t mark_epoch,
+			 uint64_t read_epoch)
+{
+	assert(v);
+	v->marked = marked;
+	v->mark_epoch = mark_epoch;
+	/* Without any record no node has run before this one. */
+	if (marked ? mark_epoch >= read_epoch : !is_any_recorded_(v))
+		v->complete = true;
+}
+
+static void remove_obsolete_(versions_t *v, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, v->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const version_t *version = value;
+
+		if (!version->recorded && !is_possible_(v, version, now))
 			g_hash_table_iter_remove(&iter);
 	}
 }
+
+static bool needs_(const versions_t *v, const version_t *version,
+		   uint64_t epoch, mstime_t now, versions_change_kind_t kind)
+{
+	bool current = version->recorded && version->recorded_epoch >= epoch;
+
+	if (kind == VERSIONS_ADD)
+		return is_possible_(v, version, now) && !current;
+	return !is_possible_(v, version, now) && version->recorded;
+}
+
+static version_t *find_change_(const versions_t *v, uint64_t epoch,
+			       mstime_t now, versions_change_kind_t kind)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, v->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (needs_(v, value, epoch, now, kind))
+			return value;
+	}
+	return NULL;
+}
+
+bool versions_next_change(versions_t *v, uint64_t epoch, mstime_t now,
+			  versions_change_t *change)
+{
+	bool marked;
+
+	assert(v && change);
+	remove_obsolete_(v, now);
+	marked = v->marked && v->mark_epoch >= epoch;
+	change->kind = VERSIONS_ADD;
+	change->version = find_change_(v, epoch, now, VERSIONS_ADD);
+	if (change->version)
+		return true;
+	change->kind = VERSIONS_MARK;
+	if (!marked && versions_is_complete(v, now))
+		return g_hash_table_size(v->by_key) > 0;
+	change->kind = VERSIONS_REMOVE;
+	change->version = find_change_(v, epoch, now, VERSIONS_REMOVE);
+	return change->version != NULL;
+}
+
+void versions_apply_change(versions_t *v, const versions_change_t *change,
+			   uint64_t epoch)
+{
+	assert(v && change);
+	switch (change->kind) {
+	case VERSIONS_ADD:
+		change->version->recorded = true;
+		change->version->recorded_epoch = epoch;
+		break;
+	case VERSIONS_REMOVE:
+		change->version->recorded = false;
+		break;
+	case VERSIONS_MARK:
+		v->marked = true;
+		v->mark_epoch = epoch;
+		break;
+	}
+}
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -443,6 +443,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	/* The latest records do not tell what came and went since. */
+	if (s->feed == FEED_UPSTREAMS && s->loaded)
+		versions_miss(&s->gateway->versions, clock_now());
 	s->scanning = true;
 	s->scan_source = s->source;
 	s->scan_end = 0;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -155,6 +155,7 @@
 	g->data_valid_from = now;
 	reader_resume(g, gap, now);
 	quarantine_gossip_ask(&g->crash_gossip, now);
+	versions_miss(&g->versions, now);
 	LOG_EVENT(LOG_WARNING, "node.paused", F_INT("ms", gap));
 }
 
@@ -355,7 +356,7 @@
 	g->balance.placement = g->conf->placement;
 	shares_init(&g->shares);
 	crashes_init(g);
-	versions_init(&g->versions);
+	versions_init(&g->versions, g->started_at);
 	resumes_init(g);
 	http_client_init(&g->upstreams, g->loop);
 	http_client_init(&g->store, g->loop);
--- a/packages/gateway/nodes.c
+++ b/packages/gateway/nodes.c
@@ -16,6 +16,7 @@
  */
 #define UNKNOWN_MAX_MS 4000
 #define RESPONSE_MAX_MS 900
+#define KEY_PREFIX "seed/"
 
 static bool is_alone_(const gateway_t *g)
 {
@@ -29,6 +30,8 @@
 
 bool nodes_read_due(const gateway_t *g, mstime_t now)
 {
+	if (g->record_wanted)
+		return true;
 	if (is_alone_(g))
 		return now - g->started_at >= ALONE_INTERVAL_MS;
 	return g->own_rank >= 0 && reader_is_self(g, now);
@@ -54,8 +57,12 @@
 		members_add_seed(&g->members, g->conf->seeds->pdata[i]);
 	g_hash_table_iter_init(&iter, g->feed_states[FEED_NODES].entries);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		char *address = entry_address_(value);
+		const feed_entry_t *e = value;
+		char *address;
 
+		if (!g_str_has_prefix(e->key, KEY_PREFIX))
+			continue;
+		address = entry_address_(e);
 		if (address[0] && strlen(address) < MEMBER_ADDRESS_MAX)
 			members_add_seed(&g->members, address);
 		g_free(address);
@@ -112,7 +119,7 @@
 
 	if (g->own_rank < 0 || !reader_is_self(g, now) || !s->loaded)
 		return;
-	g_snprintf(key, sizeof(key), "seed/%d", g->own_rank);
+	g_snprintf(key, sizeof(key), KEY_PREFIX "%d", g->own_rank);
 	address = entry_address_(g_hash_table_lookup(s->entries, key));
 	if (strcmp(address, g->conf->peers) != 0 &&
 	    !is_usable_seed_(g, address, now))
@@ -124,4 +131,5 @@
 {
 	update_seeds_(g);
 	claim_key_(g, now);
+	version_record_apply(g, now);
 }
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -55,6 +55,7 @@
 	uint32_t bound_version; /* key of the only one that may go on, or 0 */
 	bool origin_noted;
 	bool resume_asked; /* the homes of the stream */
+	bool resume_read;  /* the record of versions */
 	int asked_count;   /* homes that have not replied yet */
 	ev_timer resume_timer;
 
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -9,6 +9,7 @@
  * peers.c      membership, ranking of nodes, load gossip
  * crashes.c    reports of crashed upstreams between nodes
  * resumes.c    streams that callers take up, and their versions
+ * version_record.c  versions of each service in the platform's log
  * forward.c    one request: routing, retries, final response
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
@@ -177,6 +178,13 @@
 	versions_t versions;
 	origins_t origins;
 	byte_budget_t origins_budget;
+	/* the record of versions in the platform's log */
+	bool record_wanted;  /* a request waits for it */
+	bool record_writing; /* record_change is being written */
+	versions_change_t record_change;
+	uint64_t record_epoch;	   /* of the log */
+	mstime_t record_due_since; /* a change is due, or 0 */
+	mstime_t record_write_at;  /* not before, after a failure */
 	balance_t balance;
 	shares_t shares;      /* outstanding requests of each customer */
 	route_table_t *table; /* NULL before the first */
@@ -362,11 +370,21 @@
 void resumes_finish(gateway_t *g);
 void resumes_tick(gateway_t *g, mstime_t now);
 void resumes_receive(gateway_t *g, const peer_origins_t *m, const char *from);
+/* The record of versions was read. */
+void resumes_record_read(gateway_t *g);
 /* A configuration came into force: sets for how long streams are known. */
 void resumes_set_life(gateway_t *g);
 /* The entry of an upstream is new or has changed. */
 void resumes_observe(gateway_t *g, const char *id, mstime_t now);
 
+/* version_record.c */
+/* Writes what the record lacks; one reader does for the whole fleet. */
+void version_record_tick(gateway_t *g, mstime_t now);
+/* Reads the record; resumes_record_read follows. */
+void version_record_read(gateway_t *g);
+/* Applies the record after a read of FEED_NODES. */
+void version_record_apply(gateway_t *g, mstime_t now);
+
 /* admin.c */
 extern const http_server_ops_t admin_server_ops;
 extern const http_server_ops_t metrics_server_ops;
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -11,6 +11,8 @@
 
 /* Other nodes of a region answer within this time, also on slow hosts. */
 #define ASK_MAX_MS 150
+/* Within this time the platform answers a read of the record. */
+#define READ_MAX_MS 600
 /* Counted apart from other control traffic, which it must not crowd out. */
 #define ORIGIN_BYTES_PER_S 65536
 /* Until this node knows the version of a stream that another one knows. */
@@ -23,7 +25,9 @@
 static const char *const verdict_text[] = {
 	[ORIGIN_FOUND] = "",
 	[ORIGIN_ASK] = "",
+	[ORIGIN_READ] = "",
 	[ORIGIN_AMBIGUOUS] = "several versions can have begun the stream",
+	[ORIGIN_INCOMPLETE] = "the versions of the service are not known yet",
 	[ORIGIN_NONE] = "no version of the service is known",
 };
 
@@ -163,7 +167,6 @@
 void resumes_tick(gateway_t *g, mstime_t now)
 {
 	observe_all_(g, now);
-	versions_tick(&g->versions, now);
 	origins_tick(&g->origins, g->versions.life_ms, now);
 }
 
@@ -275,7 +278,8 @@
 	const char *services[SERVICES_MAX];
 	origin_query_t query = { .stream = f->stream,
 				 .services = services,
-				 .asked = f->resume_asked };
+				 .asked = f->resume_asked,
+				 .read = f->resume_read };
 	origin_answer_t a;
 
 	for (guint i = 0; i < MIN(f->route->targets->len, SERVICES_MAX); i++)
@@ -292,6 +296,11 @@
 			return resolve_(f);
 		wait_(f, ASK_MAX_MS);
 		return false;
+	case ORIGIN_READ:
+		f->resume_read = true;
+		version_record_read(g);
+		wait_(f, READ_MAX_MS);
+		return false;
 	default:
 		refuse_(f, &a, verdict_text[a.verdict], 0);
 		return false;
@@ -322,19 +331,10 @@
 	return resolve_(f);
 }
 
-/* Whether a reply of a home ends the wait. */
-static bool is_answered_(forward_t *f, uint64_t stream)
-{
-	const gateway_t *g = f->gateway;
-
-	if (f->stream != stream)
-		return false;
-	return origins_get(&g->origins, stream, clock_now()) ||
-	       --f->asked_count <= 0;
-}
-
-/* Requests that wait for a stream, which a home has told of, go on. */
-static void continue_waiting_(gateway_t *g, uint64_t stream)
+/* Waiting requests that a condition holds for go on. */
+static void continue_waiting_(gateway_t *g,
+			      bool (*fits)(forward_t *f, uint64_t stream),
+			      uint64_t stream)
 {
 	GList *all = g_hash_table_get_keys(g->forwards);
 
@@ -342,12 +342,34 @@
 		forward_t *f = l->data;
 
 		if (ev_is_active(&f->resume_timer) && !f->done &&
-		    is_answered_(f, stream))
+		    fits(f, stream))
 			continue_(f);
 	}
 	g_list_free(all);
 }
 
+static bool waits_for_record_(forward_t *f, uint64_t stream)
+{
+	(void)stream;
+	return f->resume_read;
+}
+
+void resumes_record_read(gateway_t *g)
+{
+	continue_waiting_(g, waits_for_record_, 0);
+}
+
+/* Whether a reply of a home ends the wait. */
+static bool is_answered_(forward_t *f, uint64_t stream)
+{
+	const gateway_t *g = f->gateway;
+
+	if (f->stream != stream || f->resume_read)
+		return false;
+	return origins_get(&g->origins, stream, clock_now()) ||
+	       --f->asked_count <= 0;
+}
+
 static void reply_(gateway_t *g, const peer_origins_t *m, const char *to)
 {
 	peer_origin_t list[PEER_ORIGINS_MAX];
@@ -379,6 +401,6 @@
 		if (origin->software)
 			origins_put(&g->origins, origin->stream,
 				    origin->software, clock_now());
-		continue_waiting_(g, origin->stream);
+		continue_waiting_(g, is_answered_, origin->stream);
 	}
 }
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -15,7 +15,7 @@
 {
 	*g = (gateway_t){ .protocol = &platform_protocol };
 	balance_init(&g->balance, "dc-a", 1);
-	versions_init(&g->versions);
+	versions_init(&g->versions, NOW);
 	g->forwards = g_hash_table_new(NULL, NULL);
 	feeds_init(g);
 }
--- a/tests/unit/test_origins.c
+++ b/tests/unit/test_origins.c
@@ -15,7 +15,9 @@
 
 static void setup_(void)
 {
-	versions_init(&versions);
+	versions_init(&versions, NOW);
+	/* Without a record no node has run before. */
+	versions_end_record(&versions, false, 0, 0);
 	origins_init(&origins);
 }
 
@@ -337,6 +339,133 @@
 }
 END_TEST
 
+/* What a node that has just started makes of the record that it reads. */
+static const struct {
+	const char *label;
+	const char *known;    /* version of an upstream that serves, or NULL */
+	const char *recorded; /* another version in the record, or NULL */
+	bool marked;
+	uint64_t mark_epoch;
+	uint64_t read_epoch;
+	mstime_t at;
+	origin_verdict_t verdict;
+} records[] = {
+	{ "one version has ever served", "v1", "v1", true, 0, 0, 1000,
+	  ORIGIN_FOUND },
+	{ "the older one has left", "v2", "v1", true, 0, 0, 1000,
+	  ORIGIN_AMBIGUOUS },
+	{ "the older one left long ago", "v2", "v1", true, 0, 0,
+	  VERSIONS_STREAM_LIFE_MS + 1, ORIGIN_FOUND },
+	{ "there is no record: no node has run before", "v1", NULL, false, 0, 0,
+	  1000, ORIGIN_FOUND },
+	{ "a record that was never complete", "v1", "v1", false, 0, 0, 1000,
+	  ORIGIN_INCOMPLETE },
+	{ "but this node has run for long", "v1", "v1", false, 0, 0,
+	  VERSIONS_STREAM_LIFE_MS + 1, ORIGIN_FOUND },
+	{ "a record from an older copy of the log", "v1", "v1", true, 3, 4,
+	  1000, ORIGIN_INCOMPLETE },
+	{ "a record of this copy", "v1", "v1", true, 4, 4, 1000, ORIGIN_FOUND },
+};
+
+START_TEST(test_record)
+{
+	static const char *const services[] = { "a" };
+	origin_query_t query = { .stream = STREAM,
+				 .services = services,
+				 .service_count = 1,
+				 .asked = true };
+	mstime_t at = NOW + records[_i].at;
+	origin_answer_t a;
+	versions_t v;
+
+	versions_init(&v, NOW);
+	versions_observe(&v, "a", records[_i].known, NOW);
+	a = origins_resolve(&origins, &v, &query, NOW);
+	ck_assert_int_eq(a.verdict, ORIGIN_READ);
+	versions_begin_record(&v);
+	if (records[_i].recorded)
+		versions_add_recorded(&v, "a", records[_i].recorded,
+				      records[_i].mark_epoch, NOW);
+	versions_end_record(&v, records[_i].marked, records[_i].mark_epoch,
+			    records[_i].read_epoch);
+	query.read = true;
+	versions_observe(&v, "a", records[_i].known, at);
+	a = origins_resolve(&origins, &v, &query, at);
+	ck_assert_msg(a.verdict == records[_i].verdict, "%s: %d",
+		      records[_i].label, (int)a.verdict);
+	versions_finish(&v);
+}
+END_TEST
+
+/* A version that is read again and again is not seen again by that. */
+START_TEST(test_record_expires)
+{
+	uint32_t only;
+
+	versions_observe(&versions, "a", "v1", NOW);
+	for (mstime_t at = 0; at <= VERSIONS_STREAM_LIFE_MS; at += 1000) {
+		versions_begin_record(&versions);
+		versions_add_recorded(&versions, "a", "v1", 0, NOW + at);
+		versions_end_record(&versions, true, 0, 0);
+	}
+	ck_assert_int_eq(versions_count(&versions, "a",
+					NOW + VERSIONS_STREAM_LIFE_MS + 1,
+					&only),
+			 0);
+}
+END_TEST
+
+/* Changes that were missed make the versions incomplete until the next read. */
+START_TEST(test_missed)
+{
+	ck_assert(versions_is_complete(&versions, NOW));
+	versions_miss(&versions, NOW + 1000);
+	ck_assert(!versions_is_complete(&versions, NOW + 1001));
+	ck_assert(versions_is_complete(&versions,
+				       NOW + 1001 + VERSIONS_STREAM_LIFE_MS));
+	versions_begin_record(&versions);
+	versions_end_record(&versions, true, 0, 0);
+	ck_assert(versions_is_complete(&versions, NOW + 1001));
+}
+END_TEST
+
+static void check_change_(uint64_t epoch, mstime_t at, int kind,
+			  const char *name)
+{
+	versions_change_t change;
+
+	if (kind < 0) {
+		ck_assert(!versions_next_change(&versions, epoch, NOW + at,
+						&change));
+		return;
+	}
+	ck_assert(versions_next_change(&versions, epoch, NOW + at, &change));
+	ck_assert_int_eq(change.kind, kind);
+	if (name)
+		ck_assert_str_eq(change.version->name, name);
+	versions_apply_change(&versions, &change, epoch);
+}
+
+/* What the record needs, in order; all of it again in a later epoch. */
+START_TEST(test_changes)
+{
+	mstime_t gone = VERSIONS_STREAM_LIFE_MS + 1;
+
+	check_change_(0, 0, -1, NULL);
+	versions_observe(&versions, "a", "v1", NOW);
+	check_change_(0, 0, VERSIONS_ADD, "v1");
+	check_change_(0, 0, VERSIONS_MARK, NULL);
+	check_change_(0, 0, -1, NULL);
+	versions_observe(&versions, "a", "v2", NOW + gone);
+	check_change_(0, gone, VERSIONS_ADD, "v2");
+	check_change_(0, gone, VERSIONS_REMOVE, "v1");
+	check_change_(0, gone, -1, NULL);
+	check_change_(1, gone, VERSIONS_ADD, "v2");
+	check_change_(1, gone, VERSIONS_MARK, NULL);
+	check_change_(1, gone, -1, NULL);
+}
+END_TEST
+
 Suite *origins_suite(void)
 {
 	Suite *s = suite_create("origins");
@@ -349,6 +478,10 @@
 	tcase_add_test(c, test_bounded);
 	tcase_add_test(c, test_message);
 	tcase_add_test(c, test_bound_load);
+	tcase_add_loop_test(c, test_record, 0, G_N_ELEMENTS(records));
+	tcase_add_test(c, test_record_expires);
+	tcase_add_test(c, test_missed);
+	tcase_add_test(c, test_changes);
 	suite_add_tcase(s, c);
 	return s;
 }
