Gateway: streams whose nodes have all restarted go on by a log of the versions that began them

Cause: who began a stream at which version was known to nodes alone. The version cannot be computed again: what a caller repeats is the same whichever version served, and streams of both sides of a release overlap.

Change: while a service has had several versions, the node ranked first collects what the others tell and writes it to a topic of the fleet's own, 12 bytes a stream, at most ten batches a second for the whole fleet, under keys that it uses in turn (16 s). A node that knows a stream neither itself nor from its homes reads the topic, at most once a second. Homes are asked twice; if none replies, the log is read as well: a node may not have seen a version yet that another one uses. A version without any upstream is refused without a Retry-After. The mark of the record is written before its first entry, else a restart in between makes it look incomplete.

Ruled out: an append for each stream (priced); a copy at each node (lost when all end).

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -217,6 +217,12 @@
  */
 bool balance_remove_upstream(balance_t *b, const char *id);
 
+/*
+ * balance_has_version - whether an upstream with this version is known.
+ * @version: see versions_key
+ */
+bool balance_has_version(const balance_t *b, uint32_t version);
+
 /*
  * balance_announce_leaving - records that an upstream has announced its leaving
  * in an answer. It gets no more requests from this node until it starts anew,
--- a/include/kcf/feed.h
+++ b/include/kcf/feed.h
@@ -18,7 +18,8 @@
 typedef enum feed {
 	FEED_OPERATORS, /* configuration and drained data centres */
 	FEED_UPSTREAMS, /* entries that upstreams publish themselves */
-	FEED_NODES,	/* addresses of some nodes of this fleet */
+	FEED_NODES,   /* addresses of some nodes of this fleet, and versions */
+	FEED_STREAMS, /* which versions began streams, for some seconds */
 	FEED_COUNT,
 } feed_t;
 
--- a/include/kcf/origins.h
+++ b/include/kcf/origins.h
@@ -5,9 +5,9 @@
  * on only at the version that began it. The node that begins a stream keeps the
  * version under a key that the caller repeats, and tells the stream's homes:
  * the nodes ranked first for the key. A node that does not know a stream which
- * a caller takes up asks them. Nobody knows it once all of them have restarted;
- * the stream then goes on only if a single version can have begun it. Pure
- * logic: no socket, no clock.
+ * a caller takes up asks them. Once all of them have restarted it may still be
+ * in the platform's log; else the stream goes on only if a single version can
+ * have begun it. Pure logic: no socket, no clock.
  */
 #ifndef KCF_ORIGINS_H
 #define KCF_ORIGINS_H
@@ -39,6 +39,7 @@
 	ORIGIN_FOUND,
 	ORIGIN_ASK,	   /* the homes first */
 	ORIGIN_READ,	   /* the record of versions first */
+	ORIGIN_READ_LOG,   /* the log of streams first */
 	ORIGIN_AMBIGUOUS,  /* several versions can have begun it */
 	ORIGIN_INCOMPLETE, /* versions that this node does not know can, too */
 	ORIGIN_NONE,	   /* the services have had no version */
@@ -49,8 +50,10 @@
 	uint64_t stream;	     /* its key, 0 if the caller names no try */
 	const char *const *services; /* that its route may choose */
 	int service_count;
-	bool asked; /* the homes have answered, or had time to */
-	bool read;  /* the record was read, or there was time to */
+	bool asked;  /* the homes have answered, or had time to */
+	bool silent; /* none has */
+	bool read;   /* the record was read, or there was time to */
+	bool logged; /* the log of streams was */
 } origin_query_t;
 
 typedef struct origin_answer {
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -154,6 +154,20 @@
 	return g_hash_table_remove(b->by_id, id);
 }
 
+bool balance_has_version(const balance_t *b, uint32_t version)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	assert(b);
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((const balance_upstream_t *)value)->version_key == version)
+			return true;
+	}
+	return false;
+}
+
 bool balance_name_rate(balance_upstream_t *u, double per_s, mstime_t now)
 {
 	u->reports_rate = true;
--- a/packages/decide/origins.c
+++ b/packages/decide/origins.c
@@ -72,6 +72,7 @@
 {
 	const lru_entry_t *e;
 	uint32_t only = 0;
+	bool complete;
 	int count;
 
 	assert(o && v && query);
@@ -84,10 +85,16 @@
 	if (query->stream && !query->asked)
 		return verdict_(ORIGIN_ASK);
 	count = count_versions_(v, query, now, &only);
+	complete = versions_is_complete(v, now);
+	if (count <= 1 && !complete && !query->read)
+		return verdict_(ORIGIN_READ);
+	if ((count > 1 || !complete || query->silent) && query->stream &&
+	    !query->logged)
+		return verdict_(ORIGIN_READ_LOG);
 	if (count > 1)
 		return verdict_(ORIGIN_AMBIGUOUS);
-	if (!versions_is_complete(v, now))
-		return verdict_(query->read ? ORIGIN_INCOMPLETE : ORIGIN_READ);
+	if (!complete)
+		return verdict_(ORIGIN_INCOMPLETE);
 	if (!count)
 		return verdict_(ORIGIN_NONE);
 	return (origin_answer_t){ ORIGIN_FOUND, ORIGIN_ONLY, only };
--- a/packages/decide/versions.c
+++ b/packages/decide/versions.c
@@ -220,6 +220,11 @@
 	assert(v && change);
 	remove_obsolete_(v, now);
 	marked = v->marked && v->mark_epoch >= epoch;
+	/* A first record without the mark would look like an incomplete one. */
+	change->kind = VERSIONS_MARK;
+	change->version = NULL;
+	if (!v->marked && !is_any_recorded_(v) && versions_is_complete(v, now))
+		return g_hash_table_size(v->by_key) > 0;
 	change->kind = VERSIONS_ADD;
 	change->version = find_change_(v, epoch, now, VERSIONS_ADD);
 	if (change->version)
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -20,7 +20,8 @@
  */
 #define EXPIRED_MIN_FRACTION 0.25
 
-const char *const feed_string[] = { "operators", "upstreams", "nodes" };
+const char *const feed_string[] = { "operators", "upstreams", "nodes",
+				    "streams" };
 
 const char *const feed_source_string[] = { "platform", "node" };
 
@@ -236,6 +237,10 @@
 	case FEED_UPSTREAMS:
 		*changed = apply_upstream_record_(s, e, r, now);
 		return true;
+	case FEED_STREAMS:
+		if (!r->removed)
+			stream_log_apply(s->gateway, r->data, now);
+		return true;
 	case FEED_NODES:
 	default:
 		return true;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -358,6 +358,7 @@
 	crashes_init(g);
 	versions_init(&g->versions, g->started_at);
 	resumes_init(g);
+	stream_log_init(g);
 	http_client_init(&g->upstreams, g->loop);
 	http_client_init(&g->store, g->loop);
 	g->feed_client.http = &g->store;
@@ -382,6 +383,7 @@
 		latency_finish(&g->latency_total[i]);
 	}
 	crashes_finish(g);
+	stream_log_finish(g);
 	resumes_finish(g);
 	versions_finish(&g->versions);
 	balance_finish(&g->balance);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -300,6 +300,7 @@
 	crashes_tick(g, now);
 	resumes_tick(g, now);
 	version_record_tick(g, now);
+	stream_log_tick(g, now);
 	counter_set(GAUGE_MEMBERS_LIVE, g->ranking->len);
 }
 
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -29,6 +29,13 @@
 /* Parallel to fault_t. */
 extern const char *const fault_string[];
 
+/* What a stream that is taken up waits for. */
+typedef enum resume_wait {
+	RESUME_WAITS_FOR_HOMES,
+	RESUME_WAITS_FOR_RECORD,
+	RESUME_WAITS_FOR_LOG,
+} resume_wait_t;
+
 typedef struct forward {
 	gateway_t *gateway;
 	http_request_t *req;
@@ -54,9 +61,13 @@
 	uint64_t stream;	/* its key, 0 if unknown */
 	uint32_t bound_version; /* key of the only one that may go on, or 0 */
 	bool origin_noted;
-	bool resume_asked; /* the homes of the stream */
-	bool resume_read;  /* the record of versions */
-	int asked_count;   /* homes that have not replied yet */
+	resume_wait_t resume_wait; /* while resume_timer runs */
+	int resume_asks;
+	bool resume_asked;  /* the homes of the stream */
+	bool resume_silent; /* none of them has replied */
+	bool resume_read;   /* the record of versions */
+	bool resume_logged; /* the log of streams */
+	int asked_count;    /* homes that have not replied yet */
 	ev_timer resume_timer;
 
 	/* the current attempt */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -10,6 +10,7 @@
  * crashes.c    reports of crashed upstreams between nodes
  * resumes.c    streams that callers take up, and their versions
  * version_record.c  versions of each service in the platform's log
+ * stream_log.c  versions that began streams in the platform's log
  * forward.c    one request: routing, retries, final response
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
@@ -185,6 +186,13 @@
 	uint64_t record_epoch;	   /* of the log */
 	mstime_t record_due_since; /* a change is due, or 0 */
 	mstime_t record_write_at;  /* not before, after a failure */
+	/* the log of streams there */
+	GByteArray *stream_batch; /* to be written by this node */
+	bool stream_log_wanted;	  /* a request waits for it */
+	bool stream_log_writing;
+	mstime_t stream_log_written_at;
+	mstime_t stream_log_read_at; /* 0 if not read yet */
+	guint stream_log_slot;	     /* of the next batch */
 	balance_t balance;
 	shares_t shares;      /* outstanding requests of each customer */
 	route_table_t *table; /* NULL before the first */
@@ -370,8 +378,9 @@
 void resumes_finish(gateway_t *g);
 void resumes_tick(gateway_t *g, mstime_t now);
 void resumes_receive(gateway_t *g, const peer_origins_t *m, const char *from);
-/* The record of versions was read. */
+/* The record of versions, or the log of streams, was read. */
 void resumes_record_read(gateway_t *g);
+void resumes_log_read(gateway_t *g);
 /* A configuration came into force: sets for how long streams are known. */
 void resumes_set_life(gateway_t *g);
 /* The entry of an upstream is new or has changed. */
@@ -385,6 +394,21 @@
 /* Applies the record after a read of FEED_NODES. */
 void version_record_apply(gateway_t *g, mstime_t now);
 
+/* stream_log.c */
+void stream_log_init(gateway_t *g);
+void stream_log_finish(gateway_t *g);
+/* The node that writes for all, or NULL. */
+const member_t *stream_log_writer(const gateway_t *g);
+/* The version that began a stream; kept if this node writes. */
+void stream_log_note(gateway_t *g, uint64_t stream, uint32_t version);
+void stream_log_tick(gateway_t *g, mstime_t now);
+/* Applies one batch that was read. */
+void stream_log_apply(gateway_t *g, str_t data, mstime_t now);
+/* Reads the log, and resumes_log_read follows; false if it was read just now.
+ */
+bool stream_log_read(gateway_t *g, mstime_t now);
+void stream_log_end_read(gateway_t *g, mstime_t now);
+
 /* admin.c */
 extern const http_server_ops_t admin_server_ops;
 extern const http_server_ops_t metrics_server_ops;
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -71,6 +71,8 @@
 	case FEED_UPSTREAMS:
 		return gateway_limit_fraction_ms(s->gateway,
 						 UPSTREAMS_INTERVAL_FRACTION);
+	case FEED_STREAMS:
+		return 0;
 	case FEED_NODES:
 	default:
 		return nodes_read_interval(s->gateway);
@@ -104,6 +106,16 @@
 	return !known;
 }
 
+/* Acts on a feed that was read up to its end. */
+static void finish_read_(feed_state_t *s, mstime_t now)
+{
+	if (s->feed == FEED_NODES)
+		nodes_update(s->gateway, now);
+	if (s->feed == FEED_STREAMS)
+		stream_log_end_read(s->gateway, now);
+	gateway_feeds_updated(s->gateway, now);
+}
+
 static void on_scan_page_(void *arg, int err, const feed_batch_t *batch)
 {
 	feed_state_t *s = arg;
@@ -137,9 +149,7 @@
 		feeds_end_scan(s, s->scan_end, s->requested_at, now);
 		s->next_read_at = now;
 	}
-	if (s->feed == FEED_NODES)
-		nodes_update(s->gateway, now);
-	gateway_feeds_updated(s->gateway, now);
+	finish_read_(s, now);
 }
 
 static void on_read_(void *arg, int err, const feed_batch_t *batch)
@@ -176,9 +186,7 @@
 	}
 	feeds_set_current(s, batch->count ? s->requested_at : now,
 			  batch->next_offset);
-	if (s->feed == FEED_NODES)
-		nodes_update(s->gateway, now);
-	gateway_feeds_updated(s->gateway, now);
+	finish_read_(s, now);
 }
 
 static void send_request_(feed_state_t *s, mstime_t now)
@@ -281,6 +289,8 @@
 		return false;
 	if (s->feed == FEED_NODES)
 		return nodes_read_due(s->gateway, now);
+	if (s->feed == FEED_STREAMS)
+		return s->gateway->stream_log_wanted;
 	return reader || fallback_due_(s, now);
 }
 
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -9,9 +9,13 @@
 #include <kcf/peer_socket.h>
 #include <string.h>
 
-/* Other nodes of a region answer within this time, also on slow hosts. */
+/*
+ * Other nodes of a region answer within this time, also on slow hosts; then
+ * they are asked again.
+ */
 #define ASK_MAX_MS 150
-/* Within this time the platform answers a read of the record. */
+#define ASKS 2
+/* Within this time the platform answers a read. */
 #define READ_MAX_MS 600
 /* Counted apart from other control traffic, which it must not crowd out. */
 #define ORIGIN_BYTES_PER_S 65536
@@ -26,6 +30,7 @@
 	[ORIGIN_FOUND] = "",
 	[ORIGIN_ASK] = "",
 	[ORIGIN_READ] = "",
+	[ORIGIN_READ_LOG] = "",
 	[ORIGIN_AMBIGUOUS] = "several versions can have begun the stream",
 	[ORIGIN_INCOMPLETE] = "the versions of the service are not known yet",
 	[ORIGIN_NONE] = "no version of the service is known",
@@ -81,10 +86,14 @@
 			     .list = { 1, &origin } };
 	const char *homes[ORIGINS_ASKED];
 	int count = homes_(g, stream, ORIGINS_HOMES, homes);
+	const member_t *writer = stream_log_writer(g);
 	peer_sender_t sender = sender_(g);
 
 	for (int i = 0; i < count; i++)
 		peer_socket_send_origins(&sender, homes[i], &m);
+	stream_log_note(g, stream, version);
+	if (writer && writer != g->members.self)
+		peer_socket_send_origins(&sender, writer->peer, &m);
 }
 
 /* Whether streams of a service may have been begun by several versions. */
@@ -236,6 +245,10 @@
 		refuse_(f, a, "the stream's service is not on the route", 0);
 		return false;
 	}
+	if (!balance_has_version(&f->gateway->balance, a->version)) {
+		refuse_(f, a, "no upstream has the stream's version", 0);
+		return false;
+	}
 	f->service = service;
 	f->bound_version = a->version;
 	counter_add(a->source == ORIGIN_TOLD ? COUNTER_RESUMES_TOLD
@@ -245,8 +258,9 @@
 	return true;
 }
 
-static void wait_(forward_t *f, mstime_t ms)
+static void wait_(forward_t *f, resume_wait_t what, mstime_t ms)
 {
+	f->resume_wait = what;
 	ev_timer_stop(f->gateway->loop, &f->resume_timer);
 	ev_timer_init(&f->resume_timer, on_wait_over_,
 		      (double)ms / MSEC_PER_SEC, 0);
@@ -279,7 +293,9 @@
 	origin_query_t query = { .stream = f->stream,
 				 .services = services,
 				 .asked = f->resume_asked,
-				 .read = f->resume_read };
+				 .silent = f->resume_silent,
+				 .read = f->resume_read,
+				 .logged = f->resume_logged };
 	origin_answer_t a;
 
 	for (guint i = 0; i < MIN(f->route->targets->len, SERVICES_MAX); i++)
@@ -291,15 +307,24 @@
 	case ORIGIN_FOUND:
 		return go_on_(f, &a);
 	case ORIGIN_ASK:
-		f->resume_asked = true;
-		if (!ask_(f))
+		f->resume_asked = ++f->resume_asks == ASKS;
+		f->resume_silent = true;
+		if (!ask_(f)) {
+			f->resume_asked = true;
 			return resolve_(f);
-		wait_(f, ASK_MAX_MS);
+		}
+		wait_(f, RESUME_WAITS_FOR_HOMES, ASK_MAX_MS);
 		return false;
 	case ORIGIN_READ:
 		f->resume_read = true;
+		wait_(f, RESUME_WAITS_FOR_RECORD, READ_MAX_MS);
 		version_record_read(g);
-		wait_(f, READ_MAX_MS);
+		return false;
+	case ORIGIN_READ_LOG:
+		f->resume_logged = true;
+		if (!stream_log_read(g, clock_now()))
+			return resolve_(f);
+		wait_(f, RESUME_WAITS_FOR_LOG, READ_MAX_MS);
 		return false;
 	default:
 		refuse_(f, &a, verdict_text[a.verdict], 0);
@@ -351,7 +376,7 @@
 static bool waits_for_record_(forward_t *f, uint64_t stream)
 {
 	(void)stream;
-	return f->resume_read;
+	return f->resume_wait == RESUME_WAITS_FOR_RECORD;
 }
 
 void resumes_record_read(gateway_t *g)
@@ -359,15 +384,28 @@
 	continue_waiting_(g, waits_for_record_, 0);
 }
 
+static bool waits_for_log_(forward_t *f, uint64_t stream)
+{
+	(void)stream;
+	return f->resume_wait == RESUME_WAITS_FOR_LOG;
+}
+
+void resumes_log_read(gateway_t *g)
+{
+	continue_waiting_(g, waits_for_log_, 0);
+}
+
 /* Whether a reply of a home ends the wait. */
 static bool is_answered_(forward_t *f, uint64_t stream)
 {
 	const gateway_t *g = f->gateway;
 
-	if (f->stream != stream || f->resume_read)
+	if (f->stream != stream || f->resume_wait != RESUME_WAITS_FOR_HOMES)
 		return false;
-	return origins_get(&g->origins, stream, clock_now()) ||
-	       --f->asked_count <= 0;
+	f->resume_silent = false;
+	f->resume_asked = f->resume_asked || --f->asked_count <= 0;
+	return f->asked_count <= 0 ||
+	       origins_get(&g->origins, stream, clock_now());
 }
 
 static void reply_(gateway_t *g, const peer_origins_t *m, const char *to)
@@ -398,9 +436,10 @@
 
 		if (!origin->stream)
 			continue;
-		if (origin->software)
-			origins_put(&g->origins, origin->stream,
-				    origin->software, clock_now());
+		if (origin->software &&
+		    origins_put(&g->origins, origin->stream, origin->software,
+				clock_now()))
+			stream_log_note(g, origin->stream, origin->software);
 		continue_waiting_(g, is_answered_, origin->stream);
 	}
 }
--- /dev/null
+++ b/packages/gateway/stream_log.c
@@ -0,0 +1,111 @@
+/*
+ * The versions that began streams, in the platform's log for some seconds, for
+ * streams whose homes have all restarted. One reader writes what the others
+ * tell it; they do so only while a service has several versions.
+ */
+#include "private/gateway.h"
+
+#include <kcf/logline.h>
+#include <string.h>
+
+/* A batch is written this often at most; a younger stream may be lost. */
+#define FLUSH_MS 100
+/* Keys that are written in turn: batches of 16 s. */
+#define SLOTS 160
+/* A stream's key and its version, big-endian. */
+#define ENTRY_BYTES 12
+/* Below the greatest record of the log. */
+#define BATCH_MAX_BYTES (128 * 1024)
+#define RESPONSE_MAX_MS 900
+/* A node reads the log no more often than this. */
+#define READ_INTERVAL_MS 1000
+#define KEY_TEXT_MAX 32
+
+void stream_log_init(gateway_t *g)
+{
+	g->stream_batch = g_byte_array_new();
+}
+
+void stream_log_finish(gateway_t *g)
+{
+	g_byte_array_unref(g->stream_batch);
+}
+
+const member_t *stream_log_writer(const gateway_t *g)
+{
+	return gateway_peers_at_rank(g, 0);
+}
+
+void stream_log_note(gateway_t *g, uint64_t stream, uint32_t version)
+{
+	guint64 key = GUINT64_TO_BE(stream);
+	guint32 software = GUINT32_TO_BE(version);
+
+	if (stream_log_writer(g) != g->members.self ||
+	    g->stream_batch->len + ENTRY_BYTES > BATCH_MAX_BYTES)
+		return;
+	g_byte_array_append(g->stream_batch, (const guint8 *)&key, sizeof(key));
+	g_byte_array_append(g->stream_batch, (const guint8 *)&software,
+			    sizeof(software));
+}
+
+static void on_written_(void *arg, int err, const feed_batch_t *batch)
+{
+	gateway_t *g = arg;
+
+	g->stream_log_writing = false;
+	feeds_observe_epoch(g, batch->epoch, clock_now());
+	if (err)
+		LOG_EVENT(LOG_WARNING, "streams.unwritten",
+			  F_STR("error", feed_err_string[-err]));
+}
+
+void stream_log_tick(gateway_t *g, mstime_t now)
+{
+	GByteArray *batch = g->stream_batch;
+	str_t data = { (const char *)batch->data, batch->len };
+	char key[KEY_TEXT_MAX];
+
+	if (!batch->len || g->stream_log_writing ||
+	    now - g->stream_log_written_at < FLUSH_MS)
+		return;
+	g_snprintf(key, sizeof(key), "%08x/%02u", g->members.self->key,
+		   g->stream_log_slot++ % SLOTS);
+	g->stream_log_writing = true;
+	g->stream_log_written_at = now;
+	counter_add(COUNTER_STORE_APPEND_CALLS, 1);
+	g->feed_client.ops->put(&g->feed_client, FEED_STREAMS, str_of(key),
+				data, now + RESPONSE_MAX_MS, on_written_, g);
+	g_byte_array_set_size(batch, 0);
+}
+
+void stream_log_apply(gateway_t *g, str_t data, mstime_t now)
+{
+	for (; data.len >= ENTRY_BYTES; data = str_skip(data, ENTRY_BYTES)) {
+		guint64 stream;
+		guint32 version;
+
+		memcpy(&stream, data.data, sizeof(stream));
+		memcpy(&version, data.data + sizeof(stream), sizeof(version));
+		if (stream && version)
+			origins_put(&g->origins, GUINT64_FROM_BE(stream),
+				    GUINT32_FROM_BE(version), now);
+	}
+}
+
+bool stream_log_read(gateway_t *g, mstime_t now)
+{
+	if (g->stream_log_read_at &&
+	    now - g->stream_log_read_at < READ_INTERVAL_MS)
+		return false;
+	g->stream_log_wanted = true;
+	reader_tick(g, now);
+	return true;
+}
+
+void stream_log_end_read(gateway_t *g, mstime_t now)
+{
+	g->stream_log_wanted = false;
+	g->stream_log_read_at = now;
+	resumes_log_read(g);
+}
--- a/tests/model/main.c
+++ b/tests/model/main.c
@@ -1,7 +1,7 @@
 /*
  * kcf-model - runs the state machines through random sequences of events.
  *
- * usage: kcf-model config|once|quarantine SEED SEQUENCES
+ * usage: kcf-model config|once|origins|quarantine SEED SEQUENCES
  * Prints the seed of the first sequence that violates an invariant and exits
  * with 1.
  */
@@ -17,6 +17,7 @@
 } machines[] = {
 	{ "config", model_config },
 	{ "once", model_once },
+	{ "origins", model_origins },
 	{ "quarantine", model_quarantine },
 };
 
--- /dev/null
+++ b/tests/model/model_origins.c
@@ -0,0 +1,609 @@
+/*
+ * Model of a fleet whose callers take streams up while versions of a service
+ * come and go: nodes see the entries late, messages are lost and delayed, nodes
+ * are restarted one after the other or all at once, reads of the platform fail,
+ * and its log is restored from an older copy.
+ *
+ * Invariants: no stream goes on at another version than the one that began it,
+ * at most two of those whose callers do not name the try that began them;
+ * without a restored log, at least half of the streams go on that are taken up
+ * at nodes that were in touch, while their version serves.
+ */
+#include "model.h"
+
+#include <kcf/origins.h>
+#include <string.h>
+
+#define NODES_MIN 3
+#define NODES_MAX 30
+#define VERSIONS_MAX 8
+#define STREAMS_MAX 4096
+#define RESUMES_MAX 256
+#define MESSAGES_MAX 8192
+#define STEP_MS 10
+#define RUN_MS 90000
+#define START 1000000
+#define NEVER (START * 1000)
+#define CONTACT_MS 3000
+#define ASK_MAX_MS 150
+#define ASKS 2
+#define READ_MAX_MS 600
+/* A stream ends, or its caller gives it up, before this age. */
+#define AGE_MAX_MS 8000
+#define LAG_MAX_MS 1500
+#define FLUSH_MS 100
+#define LOG_KEEP_MS 16000
+/* A restored log lacks at most so much of what was written last. */
+#define RESTORE_MAX_MS 5000
+#define GO_ON_MIN 20 /* streams from which the share is judged */
+#define JOINED_MAX 2
+
+#define SERVICE "a"
+
+typedef struct model_node {
+	versions_t versions;
+	origins_t origins;
+	mstime_t in_touch_at;
+	mstime_t down_until;
+	mstime_t lag; /* of its view of the entries */
+	mstime_t write_at;
+	bool has_read; /* the record */
+} model_node_t;
+
+/* A version, and what the platform's log says of it. */
+typedef struct model_version {
+	char name[8];
+	uint32_t key;
+	mstime_t serves_from;
+	mstime_t serves_until;
+	mstime_t recorded_at; /* for the first time, NEVER if it is not */
+	uint64_t epoch;
+} model_version_t;
+
+typedef struct stream {
+	uint64_t key; /* 0 if unused */
+	int node;
+	int version;
+	mstime_t begun_at;
+	mstime_t logged_at; /* NEVER if it is not */
+	bool batched;
+	mstime_t breaks_at;
+	mstime_t resumes_at; /* 0 while it runs */
+} stream_t;
+
+typedef struct resume {
+	bool used;
+	stream_t copy;
+	int node;
+	int asked_count; /* homes that have not replied yet */
+	int asks;
+	origin_query_t query;
+	mstime_t wait_until;
+	mstime_t read_at; /* a read of the platform ends, NEVER if it fails */
+	bool reads_log;
+} resume_t;
+
+typedef struct message {
+	bool used;
+	bool asks;
+	int from;
+	int to;
+	uint64_t stream;
+	uint32_t version;
+	mstime_t at;
+} message_t;
+
+static struct {
+	GRand *rand;
+	mstime_t now;
+	int node_count;
+	double loss;
+	int delay_max_ms;
+	model_node_t nodes[NODES_MAX];
+	model_version_t versions[VERSIONS_MAX];
+	int version_count;
+	stream_t streams[STREAMS_MAX];
+	uint64_t next_stream;
+	resume_t resumes[RESUMES_MAX];
+	message_t messages[MESSAGES_MAX];
+	bool restores; /* of the log */
+	uint64_t epoch;
+	mstime_t marked_at; /* for the first time, NEVER if it is not */
+	mstime_t mark_written_at;
+	uint64_t mark_epoch;
+	int joined;
+	int taken_up;
+	int went_on;
+	bool violated;
+} m;
+
+static const char *const services[] = { SERVICE };
+
+static bool chance_(double p)
+{
+	return g_rand_double(m.rand) < p;
+}
+
+static mstime_t between_(int low, int high)
+{
+	return g_rand_int_range(m.rand, low, high);
+}
+
+static bool is_up_(int node)
+{
+	return m.now >= m.nodes[node].down_until;
+}
+
+static bool serves_(const model_version_t *v, mstime_t at)
+{
+	return at >= v->serves_from && at < v->serves_until;
+}
+
+static void add_version_(mstime_t from)
+{
+	model_version_t *v = &m.versions[m.version_count++];
+
+	g_snprintf(v->name, sizeof(v->name), "v%d", m.version_count);
+	v->key = versions_key(SERVICE, v->name);
+	v->serves_from = from;
+	v->serves_until = NEVER;
+	v->recorded_at = NEVER;
+}
+
+static int home_list_(int self, uint64_t stream, int max, int *out)
+{
+	uint32_t keys[NODES_MAX];
+	int nodes[NODES_MAX];
+	guint homes[ORIGINS_ASKED];
+	guint others = 0;
+	int count;
+
+	for (int i = 0; i < m.node_count; i++) {
+		if (i == self)
+			continue;
+		keys[others] = 7919u * (uint32_t)(i + 1);
+		nodes[others++] = i;
+	}
+	count = origins_select_homes(stream, keys, others, homes, max);
+	for (int i = 0; i < count; i++)
+		out[i] = nodes[homes[i]];
+	return count;
+}
+
+static void send_(int from, int to, bool asks, uint64_t stream,
+		  uint32_t version)
+{
+	if (chance_(m.loss))
+		return;
+	for (int i = 0; i < MESSAGES_MAX; i++) {
+		message_t *message = &m.messages[i];
+
+		if (message->used)
+			continue;
+		*message = (message_t){
+			true,
+			asks,
+			from,
+			to,
+			stream,
+			version,
+			m.now + between_(1, m.delay_max_ms),
+		};
+		return;
+	}
+}
+
+static int writer_(void)
+{
+	for (int i = 0; i < m.node_count; i++) {
+		if (is_up_(i))
+			return i;
+	}
+	return -1;
+}
+
+static void start_node_(int i, mstime_t dark_ms)
+{
+	model_node_t *n = &m.nodes[i];
+
+	n->down_until = m.now + dark_ms;
+	n->in_touch_at = n->down_until + CONTACT_MS;
+	n->lag = between_(0, LAG_MAX_MS);
+	n->has_read = false;
+	versions_init(&n->versions, n->down_until);
+	origins_init(&n->origins);
+}
+
+static void stop_node_(int i)
+{
+	versions_finish(&m.nodes[i].versions);
+	origins_finish(&m.nodes[i].origins);
+	for (int k = 0; k < STREAMS_MAX; k++) {
+		stream_t *s = &m.streams[k];
+
+		if (s->key && s->node == i && !s->resumes_at)
+			s->breaks_at = m.now;
+		/* What the writer has not written is lost with it. */
+		if (s->key && s->batched && i == writer_())
+			s->batched = false;
+	}
+	for (int k = 0; k < RESUMES_MAX; k++) {
+		if (m.resumes[k].node == i)
+			m.resumes[k].used = false;
+	}
+	for (int k = 0; k < MESSAGES_MAX; k++) {
+		if (m.messages[k].to == i)
+			m.messages[k].used = false;
+	}
+}
+
+static void trouble_nodes_(void)
+{
+	bool all = chance_(0.0007);
+
+	if (!all && !chance_(0.003))
+		return;
+	for (int i = 0; i < m.node_count; i++) {
+		if (!all && i != (int)(m.next_stream % (guint)m.node_count))
+			continue;
+		stop_node_(i);
+		start_node_(i, between_(100, 2500));
+	}
+}
+
+/* Versions come, and an older one leaves soon after or serves on beside. */
+static void change_versions_(void)
+{
+	if (m.version_count == VERSIONS_MAX || !chance_(0.0012))
+		return;
+	add_version_(m.now);
+	for (int i = 0; i < m.version_count - 1; i++) {
+		if (m.versions[i].serves_until == NEVER && chance_(0.7))
+			m.versions[i].serves_until =
+				m.now + between_(200, 4000);
+	}
+}
+
+/* The log comes back without what was written last. */
+static void restore_log_(void)
+{
+	mstime_t copy = m.now - between_(100, RESTORE_MAX_MS);
+
+	if (!m.restores || !chance_(0.0004))
+		return;
+	m.epoch++;
+	for (int i = 0; i < m.version_count; i++) {
+		if (m.versions[i].recorded_at > copy)
+			m.versions[i].recorded_at = NEVER;
+	}
+	if (m.marked_at > copy)
+		m.marked_at = NEVER;
+	else if (m.mark_written_at > copy)
+		m.mark_epoch--;
+	for (int i = 0; i < STREAMS_MAX; i++) {
+		if (m.streams[i].logged_at > copy)
+			m.streams[i].logged_at = NEVER;
+	}
+}
+
+static void read_record_(model_node_t *n)
+{
+	versions_begin_record(&n->versions);
+	for (int i = 0; i < m.version_count; i++) {
+		const model_version_t *v = &m.versions[i];
+
+		if (v->recorded_at != NEVER)
+			versions_add_recorded(&n->versions, SERVICE, v->name,
+					      v->epoch, m.now);
+	}
+	versions_end_record(&n->versions, m.marked_at != NEVER, m.mark_epoch,
+			    m.epoch);
+	n->has_read = true;
+}
+
+static void write_record_(model_node_t *n)
+{
+	versions_change_t change;
+
+	if (!n->has_read)
+		read_record_(n);
+	if (m.now < n->write_at ||
+	    !versions_next_change(&n->versions, m.epoch, m.now, &change))
+		return;
+	n->write_at = m.now + between_(10, 200);
+	if (chance_(0.1))
+		return;
+	versions_apply_change(&n->versions, &change, m.epoch);
+	if (change.kind == VERSIONS_MARK) {
+		m.marked_at = MIN(m.marked_at, m.now);
+		m.mark_written_at = m.now;
+		m.mark_epoch = m.epoch;
+		return;
+	}
+	for (int i = 0; i < m.version_count; i++) {
+		model_version_t *v = &m.versions[i];
+
+		if (strcmp(v->name, change.version->name) != 0)
+			continue;
+		v->recorded_at = change.kind == VERSIONS_ADD
+					 ? MIN(v->recorded_at, m.now)
+					 : NEVER;
+		v->epoch = m.epoch;
+	}
+}
+
+static void read_log_(model_node_t *n)
+{
+	for (int i = 0; i < STREAMS_MAX; i++) {
+		const stream_t *s = &m.streams[i];
+
+		if (s->key && s->logged_at != NEVER &&
+		    m.now - s->logged_at < LOG_KEEP_MS)
+			origins_put(&n->origins, s->key,
+				    m.versions[s->version].key, m.now);
+	}
+}
+
+static void tick_nodes_(void)
+{
+	int writer = writer_();
+
+	for (int i = 0; i < m.node_count; i++) {
+		model_node_t *n = &m.nodes[i];
+
+		if (!is_up_(i))
+			continue;
+		for (int k = 0; k < m.version_count; k++) {
+			if (serves_(&m.versions[k], m.now - n->lag))
+				versions_observe(&n->versions, SERVICE,
+						 m.versions[k].name, m.now);
+		}
+		origins_tick(&n->origins, VERSIONS_STREAM_LIFE_MS, m.now);
+		if (i == writer)
+			write_record_(n);
+	}
+	for (int i = 0; i < STREAMS_MAX && m.now % FLUSH_MS == 0; i++) {
+		stream_t *s = &m.streams[i];
+
+		if (s->key && s->batched) {
+			s->batched = false;
+			s->logged_at = m.now;
+		}
+	}
+}
+
+static void tell_(const stream_t *s)
+{
+	int homes[ORIGINS_ASKED];
+	int count = home_list_(s->node, s->key, ORIGINS_HOMES, homes);
+
+	for (int i = 0; i < count; i++)
+		send_(s->node, homes[i], false, s->key,
+		      m.versions[s->version].key);
+}
+
+static void begin_stream_(void)
+{
+	int node = g_rand_int_range(m.rand, 0, m.node_count);
+	model_node_t *n = &m.nodes[node];
+	int version = g_rand_int_range(m.rand, 0, m.version_count);
+	uint32_t only;
+
+	if (!is_up_(node) || !serves_(&m.versions[version], m.now) ||
+	    !serves_(&m.versions[version], m.now - n->lag))
+		return;
+	for (int i = 0; i < STREAMS_MAX; i++) {
+		stream_t *s = &m.streams[i];
+
+		if (s->key)
+			continue;
+		*s = (stream_t){ ++m.next_stream, node, version, m.now, NEVER };
+		s->breaks_at = m.now + between_(50, AGE_MAX_MS);
+		origins_put(&n->origins, s->key, m.versions[version].key,
+			    m.now);
+		if (versions_count(&n->versions, SERVICE, m.now, &only) > 1) {
+			tell_(s);
+			s->batched = !chance_(m.loss);
+		}
+		return;
+	}
+}
+
+/* A node that sees a second version tells of its open streams. */
+static void tell_open_(void)
+{
+	for (int i = 0; i < STREAMS_MAX; i++) {
+		stream_t *s = &m.streams[i];
+		uint32_t only;
+
+		if (!s->key || s->resumes_at || s->batched ||
+		    s->logged_at != NEVER || !is_up_(s->node))
+			continue;
+		if (versions_count(&m.nodes[s->node].versions, SERVICE, m.now,
+				   &only) > 1) {
+			tell_(s);
+			s->batched = true;
+		}
+	}
+}
+
+static void end_resume_(resume_t *r, const origin_answer_t *a)
+{
+	const model_node_t *n = &m.nodes[r->node];
+	const model_version_t *v = &m.versions[r->copy.version];
+	bool counts = m.now >= n->in_touch_at && serves_(v, m.now);
+
+	r->used = false;
+	m.taken_up += counts;
+	if (a->verdict != ORIGIN_FOUND)
+		return;
+	if (a->version != v->key) {
+		m.joined++;
+		m.violated =
+			m.violated || r->query.stream || m.joined > JOINED_MAX;
+	}
+	m.went_on += counts;
+}
+
+static void resolve_(resume_t *r)
+{
+	model_node_t *n = &m.nodes[r->node];
+	origin_answer_t a =
+		origins_resolve(&n->origins, &n->versions, &r->query, m.now);
+	int homes[ORIGINS_ASKED];
+
+	r->read_at = NEVER;
+	switch (a.verdict) {
+	case ORIGIN_ASK:
+		r->query.asked = ++r->asks == ASKS;
+		r->query.silent = true;
+		r->asked_count = home_list_(r->node, r->query.stream,
+					    ORIGINS_ASKED, homes);
+		for (int i = 0; i < r->asked_count; i++)
+			send_(r->node, homes[i], true, r->query.stream, 0);
+		r->wait_until = m.now + ASK_MAX_MS;
+		return;
+	case ORIGIN_READ:
+	case ORIGIN_READ_LOG:
+		r->reads_log = a.verdict == ORIGIN_READ_LOG;
+		r->query.read = r->query.read || !r->reads_log;
+		r->query.logged = r->query.logged || r->reads_log;
+		r->wait_until = m.now + READ_MAX_MS;
+		if (!chance_(0.05))
+			r->read_at = m.now + between_(5, 100);
+		return;
+	default:
+		end_resume_(r, &a);
+		return;
+	}
+}
+
+static void take_up_(const stream_t *s)
+{
+	int node = g_rand_int_range(m.rand, 0, m.node_count);
+
+	for (int i = 0; i < RESUMES_MAX && is_up_(node); i++) {
+		resume_t *r = &m.resumes[i];
+
+		if (r->used)
+			continue;
+		*r = (resume_t){ .used = true, .copy = *s, .node = node };
+		r->query =
+			(origin_query_t){ .stream = chance_(0.05) ? 0 : s->key,
+					  .services = services,
+					  .service_count = 1 };
+		resolve_(r);
+		return;
+	}
+}
+
+static void advance_streams_(void)
+{
+	for (int i = 0; i < STREAMS_MAX; i++) {
+		stream_t *s = &m.streams[i];
+
+		if (!s->key)
+			continue;
+		if (m.now - s->begun_at > AGE_MAX_MS) {
+			s->key = 0;
+		} else if (!s->resumes_at && m.now >= s->breaks_at) {
+			s->resumes_at = m.now + between_(20, 3000);
+		} else if (s->resumes_at && m.now >= s->resumes_at) {
+			take_up_(s);
+			s->resumes_at = m.now + between_(200, 3000);
+		}
+	}
+}
+
+static void advance_resumes_(void)
+{
+	for (int i = 0; i < RESUMES_MAX; i++) {
+		resume_t *r = &m.resumes[i];
+
+		if (!r->used)
+			continue;
+		if (m.now >= r->read_at) {
+			if (r->reads_log)
+				read_log_(&m.nodes[r->node]);
+			else
+				read_record_(&m.nodes[r->node]);
+			resolve_(r);
+		} else if (m.now >= r->wait_until) {
+			resolve_(r);
+		}
+	}
+}
+
+static void answer_(const message_t *message)
+{
+	model_node_t *n = &m.nodes[message->to];
+
+	if (message->asks) {
+		send_(message->to, message->from, false, message->stream,
+		      origins_get(&n->origins, message->stream, m.now));
+		return;
+	}
+	if (message->version)
+		origins_put(&n->origins, message->stream, message->version,
+			    m.now);
+	for (int i = 0; i < RESUMES_MAX; i++) {
+		resume_t *r = &m.resumes[i];
+
+		if (!r->used || r->node != message->to || r->read_at != NEVER ||
+		    r->query.stream != message->stream)
+			continue;
+		r->query.silent = false;
+		r->query.asked = r->query.asked || --r->asked_count <= 0;
+		if (message->version || r->query.asked)
+			resolve_(r);
+	}
+}
+
+static void deliver_(void)
+{
+	for (int i = 0; i < MESSAGES_MAX; i++) {
+		message_t message = m.messages[i];
+
+		if (!message.used || m.now < message.at)
+			continue;
+		m.messages[i].used = false;
+		if (is_up_(message.to))
+			answer_(&message);
+	}
+}
+
+bool model_origins(guint32 seed)
+{
+	memset(&m, 0, sizeof(m));
+	m.rand = g_rand_new_with_seed(seed);
+	m.now = START;
+	m.marked_at = NEVER;
+	m.restores = seed % 2;
+	m.node_count = g_rand_int_range(m.rand, NODES_MIN, NODES_MAX + 1);
+	m.loss = g_rand_double_range(m.rand, 0, 0.1);
+	m.delay_max_ms = g_rand_int_range(m.rand, 2, 120);
+	add_version_(START - LAG_MAX_MS);
+	for (int i = 0; i < m.node_count; i++)
+		start_node_(i, 0);
+	for (; m.now < START + RUN_MS && !m.violated; m.now += STEP_MS) {
+		trouble_nodes_();
+		change_versions_();
+		restore_log_();
+		deliver_();
+		tick_nodes_();
+		tell_open_();
+		if (chance_(0.4))
+			begin_stream_();
+		advance_streams_();
+		advance_resumes_();
+	}
+	if (!m.restores && m.taken_up >= GO_ON_MIN &&
+	    2 * m.went_on < m.taken_up)
+		m.violated = true;
+	for (int i = 0; i < m.node_count; i++) {
+		versions_finish(&m.nodes[i].versions);
+		origins_finish(&m.nodes[i].origins);
+	}
+	g_rand_free(m.rand);
+	return !m.violated;
+}
--- a/tests/scenarios/joined_after_restart.lua
+++ b/tests/scenarios/joined_after_restart.lua
@@ -9,6 +9,12 @@
 
 for _ = 1, 3 do add("v1.1") end
 sleep_ms(1000)
+-- Both serve on.
+load = start_streams(6, 4000)
+sleep_ms(2500)
+power_cycle(f.gateways, 600)
+judge("two versions, all nodes killed", load, true)
+
 -- The older version has left, and all nodes lose power at once.
 load = start_streams(4, 4000)
 sleep_ms(2000)
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -8,7 +8,7 @@
 #include <kcf/clock.h>
 #include <string.h>
 
-#define TOPICS 3
+#define TOPICS 4
 #define PAGE_ENTRIES 500
 #define OFFSET_BYTES 8
 #define LENGTH_BYTES 4
@@ -84,7 +84,7 @@
 static void init_(struct ev_loop *loop, const standin_options_t *o)
 {
 	static const char *const names[] = { "keyed.op", "keyed.servers",
-					     "keyed.status" };
+					     "keyed.status", "keyed.streams" };
 
 	(void)o;
 	s.loop = loop;
--- a/tests/unit/test_origins.c
+++ b/tests/unit/test_origins.c
@@ -174,7 +174,8 @@
 	origin_query_t query = { .stream = cases[_i].stream,
 				 .services = services,
 				 .service_count = 2,
-				 .asked = cases[_i].asked };
+				 .asked = cases[_i].asked,
+				 .logged = cases[_i].asked };
 	origin_answer_t a;
 
 	for (const step_t *s = cases[_i].steps; s->kind != STEP_END; s++) {
@@ -196,6 +197,33 @@
 }
 END_TEST
 
+/* Homes, then the log of streams, as long as nothing else tells. */
+START_TEST(test_sources)
+{
+	static const char *const services[] = { "a" };
+	origin_query_t query = { .stream = STREAM,
+				 .services = services,
+				 .service_count = 1 };
+	origin_answer_t a;
+
+	versions_observe(&versions, "a", "v1", NOW);
+	versions_observe(&versions, "a", "v2", NOW);
+	a = origins_resolve(&origins, &versions, &query, NOW);
+	ck_assert_int_eq(a.verdict, ORIGIN_ASK);
+	query.asked = true;
+	a = origins_resolve(&origins, &versions, &query, NOW);
+	ck_assert_int_eq(a.verdict, ORIGIN_READ_LOG);
+	query.logged = true;
+	a = origins_resolve(&origins, &versions, &query, NOW);
+	ck_assert_int_eq(a.verdict, ORIGIN_AMBIGUOUS);
+	origins_put(&origins, STREAM, versions_key("a", "v2"), NOW);
+	a = origins_resolve(&origins, &versions, &query, NOW);
+	ck_assert_int_eq(a.verdict, ORIGIN_FOUND);
+	ck_assert_int_eq(a.source, ORIGIN_TOLD);
+	ck_assert_uint_eq(a.version, versions_key("a", "v2"));
+}
+END_TEST
+
 /* The node that begins a stream and the one that asks leave themselves out. */
 START_TEST(test_homes)
 {
@@ -373,7 +401,8 @@
 	origin_query_t query = { .stream = STREAM,
 				 .services = services,
 				 .service_count = 1,
-				 .asked = true };
+				 .asked = true,
+				 .logged = true };
 	mstime_t at = NOW + records[_i].at;
 	origin_answer_t a;
 	versions_t v;
@@ -453,8 +482,8 @@
 
 	check_change_(0, 0, -1, NULL);
 	versions_observe(&versions, "a", "v1", NOW);
-	check_change_(0, 0, VERSIONS_ADD, "v1");
 	check_change_(0, 0, VERSIONS_MARK, NULL);
+	check_change_(0, 0, VERSIONS_ADD, "v1");
 	check_change_(0, 0, -1, NULL);
 	versions_observe(&versions, "a", "v2", NOW + gone);
 	check_change_(0, gone, VERSIONS_ADD, "v2");
@@ -473,6 +502,7 @@
 
 	tcase_add_checked_fixture(c, setup_, teardown_);
 	tcase_add_loop_test(c, test_resolve, 0, G_N_ELEMENTS(cases));
+	tcase_add_test(c, test_sources);
 	tcase_add_test(c, test_homes);
 	tcase_add_test(c, test_few_homes);
 	tcase_add_test(c, test_bounded);
