Gateway: operators see the versions of services; a 421 of another start is no sign of life

GET /v1/versions lists the versions that may have begun streams, whether any may be missing, and how many streams are known; /v1/status names each upstream's version.

A 421 comes from another start at the address, and so does not show that the one before goes on: an upstream that was back within a second cleared its own crash.

scenario_joined_versions, crashing_request, gateway_crash_spreads, crash_spreads, gateway_path passed.

--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -55,10 +55,10 @@
 static json_t *upstream_json_(const balance_upstream_t *u, mstime_t now)
 {
 	return json_pack(
-		"{s:s,s:s,s:s,s:s,s:b,s:f,s:i,s:i,s:I,s:f,s:f,s:I}", "id",
+		"{s:s,s:s,s:s,s:s,s:s,s:b,s:f,s:i,s:i,s:I,s:f,s:f,s:I}", "id",
 		u->id, "service", u->service, "address", u->address,
-		"data_centre", u->data_centre, "leaving", u->leaving,
-		"limit_per_s",
+		"data_centre", u->data_centre, "version", u->version, "leaving",
+		u->leaving, "limit_per_s",
 		u->rate_limit.active ? u->rate_limit.per_s : -1.0, "mine",
 		u->own_outstanding, "foreign", u->remote_outstanding,
 		"load_age_ms",
@@ -84,6 +84,37 @@
 			       "upstreams", list));
 }
 
+static json_t *version_json_(const version_t *v, mstime_t now)
+{
+	char key[16];
+
+	g_snprintf(key, sizeof(key), "%08x", v->key);
+	return json_pack("{s:s,s:s,s:s,s:I,s:b}", "service", v->service,
+			 "version", v->name, "key", key, "seen_age_ms",
+			 (json_int_t)(v->seen ? now - v->seen_at : -1),
+			 "recorded", v->recorded);
+}
+
+/* Versions that may have begun streams, and whether any may be missing. */
+static void reply_versions_(gateway_t *g, http_request_t *req)
+{
+	json_t *list = json_array();
+	mstime_t now = clock_now();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->versions.by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		json_array_append_new(list, version_json_(value, now));
+	gateway_reply_json_tree(
+		req, json_pack("{s:b,s:I,s:i,s:o}", "complete",
+			       versions_is_complete(&g->versions, now),
+			       "stream_life_ms",
+			       (json_int_t)g->versions.life_ms, "streams",
+			       (int)g_hash_table_size(g->origins.streams.map),
+			       "versions", list));
+}
+
 static void on_admin_(void *ctx, http_request_t *req)
 {
 	gateway_t *g = ctx;
@@ -97,6 +128,8 @@
 		gateway_reply_json_tree(
 			req,
 			quarantine_report_json(&g->quarantine, clock_now()));
+	else if (str_eq(path, str_of("/v1/versions")))
+		reply_versions_(g, req);
 	else if (str_eq(path, str_of("/metrics")))
 		reply_metrics_(g, req);
 	else if (str_eq(path, str_of("/healthz")))
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -246,8 +246,10 @@
 	if (f->route->affinity && is_success_(f->response.status))
 		balance_mark_warm(&f->gateway->balance, f->in.affinity,
 				  f->selected, now);
-	quarantine_record_alive(&f->gateway->quarantine, f->selected->key,
-				f->sent_at, now);
+	/* The answer of another start says nothing of this one. */
+	if (!f->response.wrong_instance)
+		quarantine_record_alive(&f->gateway->quarantine,
+					f->selected->key, f->sent_at, now);
 	if (f->response.outstanding >= 0) {
 		f->gateway->load_reported_at = now;
 		balance_apply_report(f->selected, f->response.outstanding,
--- a/tests/scenarios/joined_versions.lua
+++ b/tests/scenarios/joined_versions.lua
@@ -25,4 +25,9 @@
 	sleep_ms(1200)
 end
 judge("two versions, nodes killed", load, true)
+
+local page = json_decode(http { url = "http://" .. f.gateways[1].admin .. "/v1/versions" }.body)
+local names = {}
+for _, v in ipairs(page.versions) do names[v.service .. " " .. v.version] = true end
+check(names["engines v1"] and names["engines v1.1"], "GET /v1/versions lacks a version")
 expect(#problems == 0, "%s", table.concat(problems, "\n"))
