Soak: a request that crashes its upstream, two versions of a service, callers that take streams up

Engines of two versions serve side by side, each writes its version into its events; callers take their streams up; one request that crashes its upstream comes again and again, and crashed upstreams start again under their ids. Checked: no stream holds events of two versions, and at most six upstreams end, two more for each time at which at most one node remembers.

--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -46,6 +46,7 @@
 		argv[#argv + 1] = "--" .. k:gsub("_", "-")
 		argv[#argv + 1] = tostring(v)
 	end
+	r.argv = argv
 	r.pid = spawn(argv, f.dir .. "/" .. name .. ".log")
 	f.runners[n] = r
 	f[name] = r
--- a/tests/soak/soak.lua
+++ b/tests/soak/soak.lua
@@ -24,7 +24,12 @@
 
 -- Each gateway has a path of its own to the store, each runner one for all.
 local f
-f = start_site { gateways = 3, engine = { gap_ms = 15, events = 10 }, each = function(site)
+local CRASH = "crash-me"
+local CRASHES_MAX, CRASHES_FORGOTTEN = 6, 2
+local engine_options = { gap_ms = 15, events = 10, version = "v1", crash_body = CRASH }
+f = start_site { gateways = 3, engine = engine_options, counter = { crash_body = CRASH }, each = function(site)
+	engine_options.version = "v1.1"
+	for i = 4, 5 do start_runner(site, "engine-" .. i, "engines", "dc-" .. i % 3 + 1, engine_options).version = "v1.1" end
 	for _, g in ipairs(site.gateways) do
 		g.proxy = proxy(site, site.store.address)
 		g.store = g.proxy.address
@@ -33,11 +38,19 @@
 	sleep_ms(200)
 	for _, r in ipairs(site.runners) do
 		r.real, r.address = r.address, r.proxy.address
-		announce(site, r, { sequence = 2 })
+		announce(site, r, { sequence = 2, version = r.version })
 		r.address = r.real
 	end
 end }
 
+-- The entry of a runner, which callers reach through its proxy.
+local function announce_proxied(r, fields)
+	fields.version = r.version
+	r.address = r.proxy.address
+	announce(f, r, fields)
+	r.address = r.real
+end
+
 local version, removed = 1, nil
 local history = {} -- every request: id, route, status
 local disturbed = now_ms() -- last fault that may delay what nodes know
@@ -132,18 +145,14 @@
 		if r.gone or left[r.name] or r.proxy.mode ~= "pass" then return end
 		note("%s leaves", r.name)
 		if math.random(2) == 1 then
-			r.address = r.proxy.address
-			announce(f, r, { state = "draining", sequence = 50 })
-			r.address = r.real
+			announce_proxied(r, { state = "draining", sequence = 50 })
 		else
 			store_drop(f, "keyed.servers", r.name)
 		end
 		left[r.name] = { at = now_ms() }
 		open[#open + 1] = { name = r.name .. " returns", ends = now_ms() + 4500, stop = function()
 			left[r.name] = nil
-			r.address = r.proxy.address
-			announce(f, r, { sequence = 60 })
-			r.address = r.real
+			if not r.gone then announce_proxied(r, { sequence = 60 }) end
 		end }
 	end,
 }
@@ -158,19 +167,28 @@
 		list[i] = ask(g, path .. "soak", { id = id, left = 2500, timeout_ms = 2600 })
 		list[i].keep = true
 	end
+	if math.random(3) == 1 then
+		local g = pick(f.gateways)
+		meta[17] = { crashes = true }
+		list[17] = ask(g, "/safe/crash", { body = CRASH, left = 2500, timeout_ms = 2600 })
+	end
 	return list, meta
 end
 
-local function stream_of(id, n)
+local function stream_of(id, n, version)
 	local out = {}
-	for i = 1, n do out[i] = "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
+	for i = 1, n do out[i] = "id: " .. i .. "\ndata: " .. version .. "/" .. id .. "-" .. i .. "\n\n" end
 	return table.concat(out)
 end
 
 local function check(r, m)
 	m.status = r.status
+	if m.crashes then
+		expect(r.status ~= 200, "seed %d: a request that crashes its runner was answered", seed)
+		return
+	end
 	if r.status == 200 and m.path:find("stream") then
-		local whole = stream_of(m.id, 10)
+		local whole = stream_of(m.id, 10, r.body:match("data: ([^/]*)/") or "v1")
 		expect(whole:sub(1, #r.body) == r.body, "seed %d: %s: pieces of %s: %q", seed, m.path, m.id, r.body)
 		expect(r.err or r.body == whole, "seed %d: %s: a short stream looked whole: %q", seed, m.path, r.body)
 	elseif r.status == 200 and not r.err then
@@ -189,7 +207,7 @@
 -- A runner that left gets nothing after two seconds, when nothing delays news.
 local function check_left()
 	for name, l in pairs(left) do
-		local calm = now_ms() - disturbed > 4000 and now_ms() - l.at > 2600
+		local calm = now_ms() - disturbed > 4000 and now_ms() - l.at > 2600 and not f[name].gone
 		local n = calm and #seen(f[name]).arrivals
 		if calm and l.seen then
 			expect(n == l.seen, "seed %d: %s got %d requests long after it left", seed, name, n - l.seen)
@@ -207,6 +225,27 @@
 	end
 end
 
+-- Runners that a request has crashed start again under their id.
+local crashes, forgotten = 0, 0
+local function restart_crashed()
+	for _, r in ipairs(f.runners) do
+		if not r.gone and exited(r.pid) then
+			crashes, r.gone, r.restart_at = crashes + 1, true, now_ms() + 800
+			note("%s has crashed", r.name)
+			if left[r.name] then left[r.name].seen = nil end
+		elseif r.restart_at and now_ms() >= r.restart_at then
+			r.gone, r.restart_at, r.born = nil, nil, wall_ms()
+			r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+			sleep_ms(50)
+			if not left[r.name] then announce_proxied(r, { sequence = 1 }) end
+		end
+	end
+	-- What crashed runners is lost with the last node that knows it.
+	local up = 0
+	for _, g in ipairs(f.gateways) do up = up + (g.down and 0 or 1) end
+	forgotten = forgotten + (up <= 1 and 1 or 0)
+end
+
 local function undo(all)
 	for i = #open, 1, -1 do
 		if all or now_ms() >= open[i].ends then
@@ -217,6 +256,9 @@
 end
 
 note("seed %d, %d s", seed, seconds)
+-- Callers that take their streams up, while both versions serve.
+local takers = start_callers(f, { to = callers_of(f), path = "/stream/taken", rate = 20, duration_ms = seconds * 1000,
+				  timeout_ms = 4000, tries = 6, pause_ms = 200, seed = seed, resume = "" })
 local ends = now_ms() + seconds * 1000
 while now_ms() < ends do
 	local list, meta = batch()
@@ -225,12 +267,20 @@
 	for _ = 1, math.random(0, 2) do pick(kinds)() end
 	for i, r in ipairs(http_finish(handle)) do check(r, meta[i]) end
 	undo()
+	restart_crashed()
 	check_left()
 	check_processes()
 end
 
 -- All is healed: everything is served again.
 undo(true)
+sleep_ms(1000)
+restart_crashed()
+restart_crashed()
+local taken = finish_callers(takers)
+expect(taken.joined == 0, "seed %d: %d of %d streams hold events of two versions", seed, taken.joined, taken.sent)
+-- Two crashes tell of it; a trial or two follow, and as many again once nodes have forgotten.
+expect(crashes <= CRASHES_MAX + CRASHES_FORGOTTEN * forgotten, "seed %d: one request crashed %d runners", seed, crashes)
 for _, r in ipairs(f.runners) do
 	set_fault(r, "", 0)
 	set_mode(r.proxy, "pass")
@@ -264,4 +314,5 @@
 	else failed = failed + 1 end
 end
 expect(served > #history / 4, "seed %d: only %d of %d served", seed, served, #history)
-note("seed %d: %d requests, %d answered, %d refused, %d failed", seed, #history, served, refused, failed)
+note("seed %d: %d requests, %d answered, %d refused, %d failed; %d runners crashed; %d streams, %d taken up, %d of them whole",
+	seed, #history, served, refused, failed, crashes, taken.sent, taken.resumed, taken.resumed_whole)
