--- a/tests/standin/service.c
+++ b/tests/standin/service.c
@@ -5,6 +5,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <unistd.h>
 
 typedef struct call {
 	http_request_t *req;
@@ -27,7 +28,8 @@
 	int cut;    /* runs, and closes without an answer */
 	int hang;   /* runs, and never answers */
 	int crossed;
-	int status; /* of answers, 0 for 200 */
+	int status;	     /* of answers, 0 for 200 */
+	char crash_text[64]; /* in a body */
 } fault;
 
 static void init_(struct ev_loop *loop, const standin_options_t *o)
@@ -79,9 +81,13 @@
 static void on_time_(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	call_t *c = w->data;
+	str_t body = http_request_body(c->req);
 
 	(void)loop;
 	(void)revents;
+	if (fault.crash_text[0] && body.len &&
+	    g_strstr_len(body.data, (gssize)body.len, fault.crash_text))
+		_exit(1);
 	if (fault.cut) {
 		http_stream_begin(c->req, 200, NULL);
 		http_stream_end(c->req, false);
@@ -138,6 +144,10 @@
 	standin_switch(f, "crossed", &fault.crossed);
 	standin_switch(f, "status", &fault.status);
 	standin_switch(f, "delay_ms", &s.o.delay_ms);
+	if (json_is_string(json_object_get(f, "crash_text")))
+		g_strlcpy(fault.crash_text,
+			  json_string_value(json_object_get(f, "crash_text")),
+			  sizeof(fault.crash_text));
 }
 
 static json_t *stats_(void)
