Nodes with owners: a call that crashes upstreams is held back by the key of the whole request

Callers of a plain service at a node with owners: one call, sent again and again, crashed upstream after upstream, since it has no chat messages that could connect its crashes.

The key of the whole request (method, path, customer, body) is filled in for chats and calls; ends and answers are reported for both.

--- a/packages/decide/quarantine.c
+++ b/packages/decide/quarantine.c
@@ -210,9 +210,11 @@
 
 /*
  * Takes the crashes that a hold explains out of the evidence, with all that
- * else ran at their upstreams.
+ * else ran at their upstreams. While a request is held as a whole, one of its
+ * segments may still be the cause.
  */
-static void mark_explained_(quarantine_t *q, evidence_t *e, uint64_t key)
+static void mark_explained_(quarantine_t *q, evidence_t *e, uint64_t key,
+			    bool whole)
 {
 	bool supports[QUARANTINE_CRASHES_MAX];
 
@@ -224,7 +226,7 @@
 		for (int k = 0; supports[i] && k < e->count; k++) {
 			if (q->crashes[k].upstream != q->crashes[i].upstream)
 				continue;
-			q->crashes[k].explained = true;
+			q->crashes[k].explained = !whole || !supports[k];
 			e->open[k] = (quarantine_prompt_t){ .count = 0 };
 		}
 	}
@@ -294,8 +296,9 @@
 	collect_evidence_(q, &e);
 	while (q->hold_count < QUARANTINE_HOLDS_MAX &&
 	       find_hold_(q, &e, &q->holds[q->hold_count], &key)) {
+		mark_explained_(q, &e, key,
+				q->holds[q->hold_count].prompt.request != 0);
 		q->hold_count++;
-		mark_explained_(q, &e, key);
 	}
 	announce_changes_(q, before, before_count, now);
 }
--- a/packages/node/filters.c
+++ b/packages/node/filters.c
@@ -360,6 +360,16 @@
 	return FILTER_WAIT;
 }
 
+/* Key of all that a caller repeats when it sends a request again. */
+static uint64_t fingerprint_(const exchange_t *x)
+{
+	uint64_t hash = str_hash64(http_request_method(x->req), 0);
+
+	hash = str_hash64(http_request_path(x->req), hash);
+	hash = str_hash64(str_of(x->customer), hash);
+	return str_hash64(http_request_body(x->req), hash) | 1;
+}
+
 filter_result_t filter_classify(exchange_t *x)
 {
 	const service_t *service;
@@ -398,6 +408,7 @@
 	} else {
 		path = http_request_path(x->req);
 	}
+	x->prompt.request = fingerprint_(x);
 	x->run_once =
 		service_runs_once(service, http_request_method(x->req), path);
 	x->echoes_request_id = service->echoes_request_id;
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -86,7 +86,8 @@
 	mstime_t deadline;
 	mstime_t gap_ms;	    /* longest silence within a stream */
 	int64_t prompt_tokens;	    /* estimate */
-	quarantine_prompt_t prompt; /* keys of a chat's messages */
+	quarantine_prompt_t prompt; /* keys of a chat's messages, and of the
+				       request */
 
 	/* deferred jobs */
 	char job[JOB_ID_MAX]; /* ROUTE_JOB: the job whose state is queried */
--- a/packages/node/retry.c
+++ b/packages/node/retry.c
@@ -218,7 +218,7 @@
 
 void exchange_report_answered(exchange_t *x)
 {
-	if (x->prompt.count && x->placement.verdict == SCHED_RUN)
+	if (x->prompt.request && x->placement.verdict == SCHED_RUN)
 		post_attempt_(x, MSG_ANSWERED, true);
 }
 
@@ -226,7 +226,7 @@
 static bool is_unanswered_end_(const exchange_t *x, failure_t why)
 {
 	return (why == FAILURE_CONNECTION_LOST || why == FAILURE_EARLY_END) &&
-	       x->placement.verdict == SCHED_RUN && x->prompt.count &&
+	       x->placement.verdict == SCHED_RUN && x->prompt.request &&
 	       x->first_token_ms < 0;
 }
 
--- a/tests/scenarios/crashing_request.lua
+++ b/tests/scenarios/crashing_request.lua
@@ -13,6 +13,11 @@
 local options = { delay_ms = 40, gap_ms = 20, crash_body = "crash-me" }
 local f = start_site { engine = options, counter = options }
 start_runner(f, "counter-3", "counter", "dc-3", options)
+for _, g in ipairs(f.gateways) do
+	wait_for("counter-3 is known", 4000, function()
+		return http { url = "http://" .. g.admin .. "/v1/status" }.body:find("counter-3", 1, true)
+	end)
+end
 
 local starts = 0
 -- Counts the upstreams that have ended and starts others in their place.
