Quarantine: crash reports reach every node of a small fleet, also when several upstreams end

Cause: four random choices among two others miss one of them in 1 of 16, and two crashes with what ran beside them use up the 2 KB of reports a second, as every node passes on what is new to it. Now different nodes are chosen, and reports have 8 KB a second, spent while upstreams crash only.

--- a/packages/decide/quarantine_gossip.c
+++ b/packages/decide/quarantine_gossip.c
@@ -7,9 +7,11 @@
  * Bytes of reports per second. They are urgent and few: they go before load
  * gossip, which leaves nothing of the common budget in large fleets.
  */
-#define REPORT_BYTES_PER_S 2048
+#define REPORT_BYTES_PER_S 8192
 /* Nodes that each node tells of a crash that is new to it. */
 #define FANOUT 4
+/* Random choices for them; in a small fleet most fall on the same nodes. */
+#define CHOICES_MAX 16
 /* Known crashes are repeated to one node at this interval. */
 #define REPEAT_MS 1000
 /* A node asks for known crashes at this interval, for this long. */
@@ -48,22 +50,35 @@
 	byte_budget_spend(&s->budget, now, (int64_t)bytes, true);
 }
 
+/* Chooses different nodes; their number. */
+static int choose_peers_(const quarantine_gossip_t *s, const char **out)
+{
+	int count = 0;
+
+	for (int i = 0; i < CHOICES_MAX && count < FANOUT; i++) {
+		const char *to = s->ops->random_peer(s->ctx);
+		bool taken = !to;
+
+		for (int k = 0; k < count; k++)
+			taken = taken || out[k] == to;
+		if (!taken)
+			out[count++] = to;
+	}
+	return count;
+}
+
 void quarantine_gossip_flush(quarantine_gossip_t *s, mstime_t now)
 {
+	const char *peers[FANOUT];
 	quarantine_report_t r;
 
 	assert(s);
 	while (quarantine_has_unsent(s->quarantine) && may_send_(s, now)) {
-		const char *last = NULL;
+		int count = choose_peers_(s, peers);
 
 		quarantine_report_fill(s->quarantine, &r, now);
-		for (int i = 0; i < FANOUT; i++) {
-			const char *to = s->ops->random_peer(s->ctx);
-
-			if (to && to != last)
-				send_(s, to, &r.message, now);
-			last = to;
-		}
+		for (int i = 0; i < count; i++)
+			send_(s, peers[i], &r.message, now);
 	}
 }
 
