Gateway: a stream whose route has many services is compared with all of them

Versions of the ninth service of a route and later ones were not looked at, so that a stream might have been taken for one that a single version can have begun. Found in a reading of the change; no route of the tests has so many. Two lint findings.

unit origins, balance, scenario_joined_versions, joined_after_restart, gateway_streams, gateway_path passed; clang-format and clang-tidy clean.

--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -116,7 +116,7 @@
 	if (u && (u->start_id != spec->start_id ||
 		  strcmp(u->service, spec->service) != 0 ||
 		  strcmp(u->address, spec->address) != 0 ||
-		  strcmp(u->version, spec->version ? spec->version : "") ||
+		  strcmp(u->version, spec->version ? spec->version : "") != 0 ||
 		  strcmp(u->data_centre, spec->data_centre) != 0)) {
 		balance_remove_upstream(b, spec->id);
 		u = NULL;
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -23,8 +23,6 @@
 #define RETRY_UNSEEN_MS 300
 /* Callers come back within a few times the longest stream. */
 #define LIFE_TIMEOUT_FACTOR 2
-/* Services of one route that are looked at. */
-#define SERVICES_MAX 8
 
 static const char *const verdict_text[] = {
 	[ORIGIN_FOUND] = "",
@@ -285,24 +283,33 @@
 	return f->asked_count > 0;
 }
 
-/* False while the request waits, or when it was refused. */
-static bool resolve_(forward_t *f)
+static origin_answer_t query_origin_(const forward_t *f)
 {
-	gateway_t *g = f->gateway;
-	const char *services[SERVICES_MAX];
+	const gateway_t *g = f->gateway;
+	const GArray *targets = f->route->targets;
+	const char **services = g_new(const char *, targets->len);
 	origin_query_t query = { .stream = f->stream,
 				 .services = services,
+				 .service_count = (int)targets->len,
 				 .asked = f->resume_asked,
 				 .silent = f->resume_silent,
 				 .read = f->resume_read,
 				 .logged = f->resume_logged };
 	origin_answer_t a;
 
-	for (guint i = 0; i < MIN(f->route->targets->len, SERVICES_MAX); i++)
-		services[query.service_count++] =
-			g_array_index(f->route->targets, route_target_t, i)
-				.service;
+	for (guint i = 0; i < targets->len; i++)
+		services[i] = g_array_index(targets, route_target_t, i).service;
 	a = origins_resolve(&g->origins, &g->versions, &query, clock_now());
+	g_free(services);
+	return a;
+}
+
+/* False while the request waits, or when it was refused. */
+static bool resolve_(forward_t *f)
+{
+	gateway_t *g = f->gateway;
+	origin_answer_t a = query_origin_(f);
+
 	switch (a.verdict) {
 	case ORIGIN_FOUND:
 		return go_on_(f, &a);
--- a/tests/model/model_origins.c
+++ b/tests/model/model_origins.c
@@ -450,7 +450,7 @@
 	model_node_t *n = &m.nodes[r->node];
 	origin_answer_t a =
 		origins_resolve(&n->origins, &n->versions, &r->query, m.now);
-	int homes[ORIGINS_ASKED];
+	int homes[ORIGINS_ASKED] = { 0 };
 
 	r->read_at = NEVER;
 	switch (a.verdict) {
