Quarantine: an upstream that seems to have crashed is asked whether it goes on

Cause: with whole requests as keys, a plain request's broken connection counts as a crash. That the upstream goes on was shown only by an answer to some other request that was sent 0.25 to 1 s later, so by chance where there is little traffic. Class: the absence of evidence is taken as evidence.

Change: if no answer has told after 0.4 s, the node that lost the request opens a connection to the upstream, once for all requests that it ended under. Nobody listens at the address of one that has crashed. What to ask is decided in quarantine.c (quarantine_next_check); busy upstreams are not asked. Log line quarantine.checked, counter kcf_crash_checks_total.

Ruled out: a longer time in which answers count (an upstream may be back under its id; answers name no start); news of the platform's heartbeats (late by seconds, and away with it); the health path (not known to nodes, waits for a slot); a request without id (priced, and it may wait as well).

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -217,6 +217,11 @@
  */
 bool balance_remove_upstream(balance_t *b, const char *id);
 
+/*
+ * balance_find_key - the upstream with a key; NULL when there is none.
+ */
+const balance_upstream_t *balance_find_key(const balance_t *b, uint32_t key);
+
 /*
  * balance_has_version - whether an upstream with this version is known.
  * @version: see versions_key
--- a/include/kcf/quarantine.h
+++ b/include/kcf/quarantine.h
@@ -53,7 +53,9 @@
 	uint32_t upstream; /* key of one start of an upstream */
 	mstime_t at;
 	quarantine_prompt_t prompt;
-	mstime_t seen_at; /* last time such a request came */
+	mstime_t seen_at;  /* last time such a request came */
+	mstime_t check_at; /* when to ask the upstream whether it goes on, 0 if
+			      another node does or did */
 	bool weak; /* all segments had been answered before, or the upstream had
 		      not begun to answer */
 	bool known;	/* the same request had been answered before */
@@ -170,6 +172,17 @@
 void quarantine_record_alive(quarantine_t *q, uint32_t upstream,
 			     mstime_t sent_at, mstime_t now);
 
+/*
+ * quarantine_next_check - takes one of the checks that are due: of upstreams
+ * that ended under a request of this node, and of which no answer has told
+ * since whether they go on. Called until there is none.
+ * @upstream: receives the key of the one to be asked; quarantine_record_alive
+ *            takes what it says
+ *
+ * Return: whether there is one.
+ */
+bool quarantine_next_check(quarantine_t *q, mstime_t now, uint32_t *upstream);
+
 /*
  * quarantine_merge_crash, quarantine_merge_answered - apply what another node
  * reports; times are by this node's clock.
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -52,6 +52,7 @@
 	[COUNTER_ONCE_REFUSED] = "kcf_once_refused_total",
 	[COUNTER_ONCE_UNKNOWN] = "kcf_once_unknown_total",
 	[COUNTER_CRASHES_SUSPECTED] = "kcf_crashes_suspected_total",
+	[COUNTER_CRASH_CHECKS] = "kcf_crash_checks_total",
 	[COUNTER_QUARANTINE_HOLDS] = "kcf_quarantine_holds_total",
 	[COUNTER_QUARANTINE_RELEASES] = "kcf_quarantine_releases_total",
 	[COUNTER_LEAVES_ANNOUNCED] = "kcf_leaves_announced_total",
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -154,6 +154,12 @@
 	return g_hash_table_remove(b->by_id, id);
 }
 
+const balance_upstream_t *balance_find_key(const balance_t *b, uint32_t key)
+{
+	assert(b);
+	return g_hash_table_lookup(b->by_key, GUINT_TO_POINTER(key));
+}
+
 bool balance_has_version(const balance_t *b, uint32_t version)
 {
 	GHashTableIter iter;
--- a/packages/decide/quarantine.c
+++ b/packages/decide/quarantine.c
@@ -14,6 +14,11 @@
 #define ALIVE_MARGIN_MS 250
 /* An upstream that answers later may have been started again under its id. */
 #define ALIVE_MAX_MS 1000
+/*
+ * An upstream is asked whether it goes on after this; of a busy one the answers
+ * to other requests have told by then.
+ */
+#define CHECK_DELAY_MS 400
 /* Most doublings of QUARANTINE_HOLD_MS. */
 #define HOLD_DOUBLINGS_MAX 4
 /* Nodes try held requests one after the other, this long apart. */
@@ -495,6 +500,7 @@
 	quarantine_crash_t c = { .upstream = upstream,
 				 .at = now,
 				 .seen_at = now,
+				 .check_at = now + CHECK_DELAY_MS,
 				 .prompt = *prompt,
 				 .weak = !begun };
 
@@ -623,6 +629,26 @@
 		judge_(q, now);
 }
 
+bool quarantine_next_check(quarantine_t *q, mstime_t now, uint32_t *upstream)
+{
+	bool found = false;
+
+	assert(q && upstream);
+	for (int i = 0; i < q->crash_count; i++) {
+		quarantine_crash_t *c = &q->crashes[i];
+
+		if (!c->check_at || now < c->check_at ||
+		    (found && c->upstream != *upstream))
+			continue;
+		c->check_at = 0;
+		if (c->alive || now > c->at + ALIVE_MAX_MS)
+			continue;
+		*upstream = c->upstream;
+		found = true;
+	}
+	return found;
+}
+
 bool quarantine_has_unsent(const quarantine_t *q)
 {
 	for (int i = 0; i < q->crash_count; i++) {
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -13,6 +13,8 @@
  * by the beginning of the answer.
  */
 #define BEGIN_MAX_MS 1000
+/* Longer than any round trip in a region. */
+#define CHECK_MAX_MS 300
 
 static const char refused_text[] = "request is held back";
 
@@ -47,6 +49,65 @@
 static const quarantine_gossip_ops_t gossip_ops = { random_peer_,
 						    send_report_ };
 
+/* A connection that is opened to learn whether an upstream goes on. */
+typedef struct end_check {
+	gateway_t *gateway;
+	uint32_t key;
+	char upstream_id[64]; /* for the log */
+	mstime_t sent_at;
+} end_check_t;
+
+static void on_checked_(void *ctx, http_call_t *call, int err, int status)
+{
+	end_check_t *c = ctx;
+
+	(void)call;
+	(void)status;
+	LOG_EVENT(LOG_NOTICE, "quarantine.checked",
+		  F_STR("upstream", c->upstream_id),
+		  F_STR("result", http_err_string[-err]));
+	if (!err)
+		quarantine_record_alive(&c->gateway->quarantine, c->key,
+					c->sent_at, clock_now());
+	g_free(c);
+}
+
+static const http_call_ops_t check_ops = { .done = on_checked_,
+					   .dropped = g_free };
+
+/* Nobody listens at the address of an upstream that has crashed. */
+static void start_check_(gateway_t *g, const balance_upstream_t *u,
+			 mstime_t now)
+{
+	end_check_t *c = g_new0(end_check_t, 1);
+	char *url = g_strdup_printf("http://%s/", u->address);
+	http_call_spec_t spec = { .method = "GET",
+				  .url = url,
+				  .deadline = now + CHECK_MAX_MS,
+				  .connect_only = true };
+
+	c->gateway = g;
+	c->key = u->key;
+	c->sent_at = now;
+	g_strlcpy(c->upstream_id, u->id, sizeof(c->upstream_id));
+	counter_add(COUNTER_CRASH_CHECKS, 1);
+	http_call_start(&g->upstreams, &spec, &check_ops, c);
+	g_free(url);
+}
+
+static void start_checks_(gateway_t *g, mstime_t now)
+{
+	uint32_t key;
+
+	while (quarantine_next_check(&g->quarantine, now, &key)) {
+		const balance_upstream_t *u =
+			balance_find_key(&g->balance, key);
+
+		if (u)
+			start_check_(g, u, now);
+	}
+}
+
 void crashes_init(gateway_t *g)
 {
 	uint64_t hash = str_hash64(str_of(g->conf->name), 0);
@@ -95,6 +156,7 @@
 void crashes_tick(gateway_t *g, mstime_t now)
 {
 	quarantine_tick(&g->quarantine, now);
+	start_checks_(g, now);
 	end_held_(g, now);
 	counter_set(GAUGE_QUARANTINE_HOLDS, g->quarantine.hold_count);
 	quarantine_gossip_tick(&g->crash_gossip, now);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -583,6 +583,91 @@
 }
 END_TEST
 
+typedef struct check_step {
+	step_kind_t kind;
+	mstime_t at;
+	uint32_t upstream;
+	uint64_t request;
+} check_step_t;
+
+/* Which upstreams a node asks whether they go on, in order; 0 ends the list. */
+static const struct {
+	const char *label;
+	check_step_t steps[4];
+	mstime_t at;
+	uint32_t checked[3];
+} check_cases[] = {
+	{ "none without a crash", { { STEP_END, 0, 0, 0 } }, 500, { 0 } },
+	{ "not at once: answers may tell",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST } },
+	  200,
+	  { 0 } },
+	{ "the upstream that ended",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST } },
+	  500,
+	  { 1 } },
+	{ "each upstream", /* of a request that was sent on */
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST },
+	    { STEP_LOST, 40, 2, CRASHING_REQUEST } },
+	  500,
+	  { 1, 2 } },
+	{ "once for all requests that it ended under",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST },
+	    { STEP_LOST, 0, 1, BESIDE },
+	    { STEP_LOST, 10, 1, BESIDE_TOO } },
+	  500,
+	  { 1 } },
+	{ "none of which an answer has told",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST }, { STEP_ALIVE, 300, 1, 0 } },
+	  500,
+	  { 0 } },
+	{ "not when it may have been started again",
+	  { { STEP_LOST, 0, 1, CRASHING_REQUEST } },
+	  1100,
+	  { 0 } },
+};
+
+START_TEST(test_check)
+{
+	mstime_t at = NOW + check_cases[_i].at;
+	quarantine_t told;
+	quarantine_t q;
+	uint32_t upstream;
+
+	quarantine_init(&q, 0, &silent, NULL);
+	quarantine_init(&told, 0, &silent, NULL);
+	for (const check_step_t *s = check_cases[_i].steps; s->kind != STEP_END;
+	     s++) {
+		quarantine_prompt_t p = { .request = s->request };
+
+		if (s->kind == STEP_ALIVE)
+			quarantine_record_alive(&q, s->upstream,
+						NOW + s->at - 1, NOW + s->at);
+		else
+			quarantine_record_crash(&q, s->upstream, &p, false,
+						NOW + s->at);
+	}
+	for (int i = 0; i < q.crash_count; i++) {
+		quarantine_report_t r;
+
+		quarantine_report_fill(&q, &r, at);
+		quarantine_report_apply(&told, &r.message, at);
+	}
+	for (const uint32_t *u = check_cases[_i].checked; *u; u++) {
+		ck_assert_msg(quarantine_next_check(&q, at, &upstream), "%s",
+			      check_cases[_i].label);
+		ck_assert_msg(upstream == *u, "%s: %u", check_cases[_i].label,
+			      upstream);
+	}
+	ck_assert_msg(!quarantine_next_check(&q, at, &upstream), "%s: more",
+		      check_cases[_i].label);
+	ck_assert_msg(!quarantine_next_check(&told, at, &upstream),
+		      "%s: by another node", check_cases[_i].label);
+	quarantine_finish(&q);
+	quarantine_finish(&told);
+}
+END_TEST
+
 /*
  * A request that crashed five upstreams is held as long as it keeps coming, at
  * a node that sees it and at one that is only told; not after it stayed away.
@@ -654,6 +739,7 @@
 	tcase_add_test(c, test_report);
 	tcase_add_loop_test(c, test_hold_request, 0,
 			    G_N_ELEMENTS(request_cases));
+	tcase_add_loop_test(c, test_check, 0, G_N_ELEMENTS(check_cases));
 	tcase_add_test(c, test_final);
 	tcase_add_test(c, test_bounded_requests);
 	suite_add_tcase(s, c);
