Quarantine: the health path tells whether an upstream goes on, not its address

Cause: a connection that is accepted is weak evidence. Where a proxy stands before upstreams, as in the soak, it accepts connections for one that has crashed, so a request that crashes each upstream would never be held back.

Change: the node asks at the health path that the operators' configuration names for the service; only a success that carries the upstream's id counts. A cold upstream is not asked, as its rate of requests is limited. The connection pool's option for it goes.

Ruled out: any answer (a proxy answers 502 itself); a request for an instance that does not exist (421 proves it, but a request that is wrong on purpose reads as a fault in the upstream's log).

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -53,7 +53,6 @@
 	bool fresh;	    /* a connection of its own, never reused */
 	bool bare;	    /* only the given headers, and Host */
 	bool single;	    /* never sent again on another connection */
-	bool connect_only;  /* nothing is sent, the call ends when connected */
 	bool inflate;	    /* takes a deflated answer, as it was before */
 	const char *target; /* request target as sent, or NULL for the URL's */
 	mstime_t connect_max_ms; /* 0 for the default */
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -87,6 +87,10 @@
 					    const outbound_request_t *out);
 	void (*parse_response)(http_call_t *call, int status, str_t request_id,
 			       upstream_response_t *response);
+	/* Whether a response to a health check shows that this upstream serves.
+	 */
+	bool (*confirms_health)(http_call_t *call, int status,
+				const char *upstream);
 	/* Whether a header of a response is passed on to the caller. */
 	bool (*forwards_response_header)(const char *name);
 	/* Parses a record of FEED_OPERATORS; data is empty for a removed key.
--- a/include/kcf/route_table.h
+++ b/include/kcf/route_table.h
@@ -44,6 +44,7 @@
 typedef struct routing_service {
 	char *name;
 	double cold_per_s; /* request rate of a cold upstream, 0: unlimited */
+	char *health_path; /* of its upstreams, or NULL */
 } routing_service_t;
 
 typedef struct routing_customer {
@@ -81,9 +82,16 @@
 
 /*
  * route_table_add_service - adds the limits of a service.
+ * @health_path: of its upstreams, or NULL
  */
 void route_table_add_service(route_table_t *t, const char *name,
-			     double cold_per_s);
+			     double cold_per_s, const char *health_path);
+
+/*
+ * route_table_service - the service with a name, or NULL.
+ */
+const routing_service_t *route_table_service(const route_table_t *t,
+					     const char *name);
 
 /*
  * route_table_match - the route of a host whose prefix is the longest one that
--- a/packages/decide/route_table.c
+++ b/packages/decide/route_table.c
@@ -24,6 +24,7 @@
 	routing_service_t *s = p;
 
 	g_free(s->name);
+	g_free(s->health_path);
 	g_free(s);
 }
 
@@ -148,15 +149,29 @@
 }
 
 void route_table_add_service(route_table_t *t, const char *name,
-			     double cold_per_s)
+			     double cold_per_s, const char *health_path)
 {
 	routing_service_t *s = g_new0(routing_service_t, 1);
 
 	s->name = g_strdup(name);
 	s->cold_per_s = cold_per_s;
+	s->health_path = g_strdup(health_path);
 	g_ptr_array_add(t->services, s);
 }
 
+const routing_service_t *route_table_service(const route_table_t *t,
+					     const char *name)
+{
+	assert(t && name);
+	for (guint i = 0; i < t->services->len; i++) {
+		const routing_service_t *s = t->services->pdata[i];
+
+		if (!strcmp(s->name, name))
+			return s;
+	}
+	return NULL;
+}
+
 /* Converts to lower case and drops a port; false if empty or too long. */
 static bool normalise_host_(str_t host, char *out)
 {
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -13,8 +13,8 @@
  * by the beginning of the answer.
  */
 #define BEGIN_MAX_MS 1000
-/* Longer than any round trip in a region. */
-#define CHECK_MAX_MS 300
+/* An upstream that needs longer for a health check is too busy to tell. */
+#define CHECK_MAX_MS 500
 
 static const char refused_text[] = "request is held back";
 
@@ -49,42 +49,44 @@
 static const quarantine_gossip_ops_t gossip_ops = { random_peer_,
 						    send_report_ };
 
-/* A connection that is opened to learn whether an upstream goes on. */
+/* A health check to learn whether an upstream goes on. */
 typedef struct end_check {
 	gateway_t *gateway;
 	uint32_t key;
-	char upstream_id[64]; /* for the log */
+	char upstream_id[64];
 	mstime_t sent_at;
 } end_check_t;
 
 static void on_checked_(void *ctx, http_call_t *call, int err, int status)
 {
 	end_check_t *c = ctx;
+	gateway_t *g = c->gateway;
+	bool alive = !err &&
+		     g->protocol->confirms_health(call, status, c->upstream_id);
 
-	(void)call;
-	(void)status;
 	LOG_EVENT(LOG_NOTICE, "quarantine.checked",
-		  F_STR("upstream", c->upstream_id),
-		  F_STR("result", http_err_string[-err]));
-	if (!err)
-		quarantine_record_alive(&c->gateway->quarantine, c->key,
-					c->sent_at, clock_now());
+		  F_STR("upstream", c->upstream_id), F_INT("alive", alive),
+		  F_INT("status", status),
+		  F_STR("error", http_err_string[-err]));
+	if (alive)
+		quarantine_record_alive(&g->quarantine, c->key, c->sent_at,
+					clock_now());
 	g_free(c);
 }
 
 static const http_call_ops_t check_ops = { .done = on_checked_,
 					   .dropped = g_free };
 
-/* Nobody listens at the address of an upstream that has crashed. */
 static void start_check_(gateway_t *g, const balance_upstream_t *u,
-			 mstime_t now)
+			 const char *path, mstime_t now)
 {
 	end_check_t *c = g_new0(end_check_t, 1);
 	char *url = g_strdup_printf("http://%s/", u->address);
 	http_call_spec_t spec = { .method = "GET",
 				  .url = url,
+				  .target = path,
 				  .deadline = now + CHECK_MAX_MS,
-				  .connect_only = true };
+				  .bare = true };
 
 	c->gateway = g;
 	c->key = u->key;
@@ -102,9 +104,12 @@
 	while (quarantine_next_check(&g->quarantine, now, &key)) {
 		const balance_upstream_t *u =
 			balance_find_key(&g->balance, key);
+		const routing_service_t *s =
+			u ? route_table_service(g->table, u->service) : NULL;
 
-		if (u)
-			start_check_(g, u, now);
+		/* A cold upstream has no room for checks. */
+		if (s && s->health_path && now >= u->cold_until)
+			start_check_(g, u, s->health_path, now);
 	}
 }
 
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -205,8 +205,6 @@
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
 	}
-	if (spec->connect_only)
-		curl_easy_setopt(call->easy, CURLOPT_CONNECT_ONLY, 1L);
 	if (left != MSTIME_NEVER) {
 		left = MAX(1, left - clock_now());
 		curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)left);
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -533,6 +533,13 @@
 		send_json_(fd, json_object());
 		return true;
 	}
+	if (!strcmp(r->target, "/healthz")) {
+		send_(fd,
+		      "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\n"
+		      "Content-Length: 0\r\n\r\n",
+		      own_id);
+		return true;
+	}
 	note_arrival_(r);
 	mode = take_fault_();
 	if (other || !strcmp(mode, "other"))
