SSE: lines that end in CR alone are lines

What callers saw: events of a stream whose lines end in CR were held back until the stream ended, or the stream was cut at the bound for an event without end. Cause: the splitter looked for LF only; the wire format allows CR, LF and both. Evidence: unit sse, test_streams 6, 8 and 9 failed before (0 events found), pass now. Why it works: one function takes a line with any of the three ends. An event that ends in CR goes out at once; a LF that comes later belongs to it and is passed on with the next event, so that no byte is lost (test_all_bytes_kept, all step sizes).

--- a/include/kcf/sse.h
+++ b/include/kcf/sse.h
@@ -20,6 +20,7 @@
 typedef struct sse {
 	GString *buffer;
 	size_t taken;
+	bool after_cr; /* a LF that comes next belongs to the event before */
 } sse_t;
 
 void sse_init(sse_t *s);
--- a/packages/http/sse.c
+++ b/packages/http/sse.c
@@ -21,6 +21,7 @@
 {
 	g_string_truncate(s->buffer, 0);
 	s->taken = 0;
+	s->after_cr = false;
 }
 
 bool sse_feed(sse_t *s, str_t data)
@@ -33,28 +34,47 @@
 	return s->buffer->len <= SSE_EVENT_MAX;
 }
 
+/* Takes a line that ends in CR, LF or both; false if the text has no end of
+ * one.
+ */
+static bool take_line_(str_t *text, str_t *line)
+{
+	size_t len = 0;
+	size_t end;
+
+	while (len < text->len && text->data[len] != '\n' &&
+	       text->data[len] != '\r')
+		len++;
+	if (len == text->len)
+		return false;
+	*line = (str_t){ text->data, len };
+	end = len + 1;
+	if (text->data[len] == '\r' && end < text->len &&
+	    text->data[end] == '\n')
+		end++;
+	*text = str_skip(*text, end);
+	return true;
+}
+
 bool sse_next(sse_t *s, sse_event_t *event)
 {
-	str_t left = { s->buffer->str + s->taken, s->buffer->len - s->taken };
-	size_t at = 0;
+	str_t raw = { s->buffer->str + s->taken, s->buffer->len - s->taken };
+	str_t left = raw;
+	str_t line;
 
 	*event = (sse_event_t){ .id = -1, .comment = true };
-	while (at < left.len) {
-		const char *end = memchr(left.data + at, '\n', left.len - at);
-		str_t line = { left.data + at, 0 };
-
-		if (!end)
-			return false;
-		line.len = (size_t)(end - line.data);
-		at += line.len + 1;
-		if (line.len && line.data[line.len - 1] == '\r')
-			line.len--;
-		if (!line.len) {
-			event->raw = (str_t){ left.data, at };
-			s->taken += at;
-			return true;
+	if (s->after_cr && left.len && left.data[0] == '\n')
+		left = str_skip(left, 1);
+	while (take_line_(&left, &line)) {
+		if (line.len) {
+			parse_line_(event, line);
+			continue;
 		}
-		parse_line_(event, line);
+		raw.len -= left.len;
+		event->raw = raw;
+		s->taken += raw.len;
+		s->after_cr = !left.len && raw.data[raw.len - 1] == '\r';
+		return true;
 	}
 	return false;
 }
--- a/tests/unit/test_sse.c
+++ b/tests/unit/test_sse.c
@@ -14,6 +14,10 @@
 	{ ": beat\n\n", 1, -1, "" },
 	{ "id: 1\ndata: cut", 0, -1, "" },
 	{ "id: x\ndata: a\n\n", 1, -1, "a" },
+	{ "id: 1\rdata: a\r\rid: 2\rdata: b\r\r", 2, 2, "b" },
+	{ "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n", 2, 2, "b" },
+	{ "id: 1\r\ndata: a\r\n\r", 1, 1, "a" },
+	{ "data: a\r\r\n", 1, -1, "a" },
 };
 
 /* Each stream is fed whole and then byte by byte. */
@@ -53,6 +57,36 @@
 }
 END_TEST
 
+/* Guards against bytes of line ends that are lost between two reads. */
+START_TEST(test_all_bytes_kept)
+{
+	str_t all = str_of(streams[_i].stream);
+
+	for (size_t step = 1; step <= all.len; step++) {
+		GString *kept = g_string_new(NULL);
+		sse_event_t next;
+		str_t left = all;
+		sse_t s;
+
+		sse_init(&s);
+		while (left.len) {
+			str_t part = { left.data, MIN(step, left.len) };
+
+			ck_assert(sse_feed(&s, part));
+			left = str_skip(left, part.len);
+			while (sse_next(&s, &next))
+				g_string_append_len(kept, next.raw.data,
+						    (gssize)next.raw.len);
+		}
+		g_string_append_len(kept, s.buffer->str + s.taken,
+				    (gssize)(s.buffer->len - s.taken));
+		ck_assert(str_eq(all, (str_t){ kept->str, kept->len }));
+		g_string_free(kept, TRUE);
+		sse_finish(&s);
+	}
+}
+END_TEST
+
 START_TEST(test_too_long)
 {
 	char *text = g_strnfill(SSE_EVENT_MAX + 1, 'x');
@@ -72,6 +106,8 @@
 
 	tcase_add_loop_test(t, test_streams, 0,
 			    sizeof(streams) / sizeof(streams[0]));
+	tcase_add_loop_test(t, test_all_bytes_kept, 0,
+			    sizeof(streams) / sizeof(streams[0]));
 	tcase_add_test(t, test_too_long);
 	suite_add_tcase(s, t);
 	return s;
