Gateway: a log line and a counter for streams that end inside an event

The log said outcome=answered for them, so that three causes looked alike: the upstream ends its answer inside an event; the node or its splitter loses bytes; the rest comes after the end that the framing marks.

Added: event=stream.incomplete with the framing, whether events came, the last id and the bytes after the last whole event; kcf_streams_incomplete_total. What callers get is unchanged.

--- a/include/kcf/sse.h
+++ b/include/kcf/sse.h
@@ -45,4 +45,17 @@
  */
 bool sse_next(sse_t *s, sse_event_t *event);
 
+/*
+ * sse_rest - the bytes after the last whole event.
+ */
+str_t sse_rest(const sse_t *s);
+
+/*
+ * sse_ends_inside_event - whether a stream that ends with this text is cut:
+ * inside a line, or before the blank line that closes an event. Readers drop
+ * such an event. Comment lines need no blank line.
+ * @text: the rest of a stream after whole events, or a stream from its start
+ */
+bool sse_ends_inside_event(str_t text);
+
 #endif
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -396,16 +396,31 @@
 	       http_call_header(call, "Content-Length").len;
 }
 
-static str_t unparsed_rest_(const forward_t *f)
+/* How the end of an answer is marked. */
+static const char *framing_(http_call_t *call)
 {
-	return (str_t){ f->sse.buffer->str + f->sse.taken,
-			f->sse.buffer->len - f->sse.taken };
+	if (http_call_header(call, "Transfer-Encoding").len)
+		return "chunks";
+	return has_framing_(call) ? "length" : "connection";
+}
+
+static void log_incomplete_(const forward_t *f, http_call_t *call)
+{
+	counter_add(COUNTER_STREAMS_INCOMPLETE, 1);
+	LOG_EVENT(LOG_NOTICE, "stream.incomplete", F_VIEW("request", f->in.id),
+		  F_STR("upstream", f->upstream_id),
+		  F_STR("framing", framing_(call)),
+		  F_INT("events", f->event_seen),
+		  F_INT("last_event", f->last_event_id),
+		  F_INT("rest_bytes", (int64_t)sse_rest(&f->sse).len));
 }
 
 static void finish_stream_(forward_t *f, http_call_t *call)
 {
-	str_t rest = unparsed_rest_(f);
+	str_t rest = sse_rest(&f->sse);
 
+	if (sse_ends_inside_event(rest) || !f->event_seen)
+		log_incomplete_(f, call);
 	/* A response without a length may end in the middle of an event, or
 	 * before the first.
 	 */
--- a/packages/http/sse.c
+++ b/packages/http/sse.c
@@ -58,7 +58,7 @@
 
 bool sse_next(sse_t *s, sse_event_t *event)
 {
-	str_t raw = { s->buffer->str + s->taken, s->buffer->len - s->taken };
+	str_t raw = sse_rest(s);
 	str_t left = raw;
 	str_t line;
 
@@ -79,6 +79,25 @@
 	return false;
 }
 
+str_t sse_rest(const sse_t *s)
+{
+	return (str_t){ s->buffer->str + s->taken, s->buffer->len - s->taken };
+}
+
+bool sse_ends_inside_event(str_t text)
+{
+	bool inside = false;
+	str_t line;
+
+	while (take_line_(&text, &line)) {
+		if (!line.len)
+			inside = false;
+		else if (line.data[0] != ':')
+			inside = true;
+	}
+	return inside || text.len;
+}
+
 static str_t value_of_(str_t line, size_t name_len)
 {
 	str_t v = str_skip(line, name_len);
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -133,6 +133,7 @@
 	sse_feed(&s, view_(data, size));
 	while (sse_next(&s, &event))
 		;
+	sse_ends_inside_event(sse_rest(&s));
 	sse_finish(&s);
 	return 0;
 }
--- a/tests/unit/test_sse.c
+++ b/tests/unit/test_sse.c
@@ -78,8 +78,8 @@
 				g_string_append_len(kept, next.raw.data,
 						    (gssize)next.raw.len);
 		}
-		g_string_append_len(kept, s.buffer->str + s.taken,
-				    (gssize)(s.buffer->len - s.taken));
+		g_string_append_len(kept, sse_rest(&s).data,
+				    (gssize)sse_rest(&s).len);
 		ck_assert(str_eq(all, (str_t){ kept->str, kept->len }));
 		g_string_free(kept, TRUE);
 		sse_finish(&s);
@@ -87,6 +87,38 @@
 }
 END_TEST
 
+static const struct {
+	const char *text;
+	bool inside;
+} ends[] = {
+	{ "", false },
+	{ "data: a\n\n", false },
+	{ "data: a\r\r", false },
+	{ "data: a\r\n\r\n", false },
+	{ "data: a\r\n\r", false },
+	{ "\n", false },
+	{ ": comment\n", false },
+	{ "data: a\n\n: comment\r\n", false },
+	{ "d", true },
+	{ "da", true },
+	{ "data:", true },
+	{ "data: a", true },
+	{ "data: a\r", true },
+	{ "data: a\n", true },
+	{ "data: a\r\n", true },
+	{ "id: 1\n: comment\n", true },
+	{ "id: 1\n: comm", true },
+	{ ": comm", true },
+	{ "data: a\n\n\n\nid: 2\n", true },
+};
+
+START_TEST(test_ends_inside_event)
+{
+	ck_assert_int_eq(sse_ends_inside_event(str_of(ends[_i].text)),
+			 ends[_i].inside);
+}
+END_TEST
+
 START_TEST(test_too_long)
 {
 	char *text = g_strnfill(SSE_EVENT_MAX + 1, 'x');
@@ -108,6 +140,8 @@
 			    sizeof(streams) / sizeof(streams[0]));
 	tcase_add_loop_test(t, test_all_bytes_kept, 0,
 			    sizeof(streams) / sizeof(streams[0]));
+	tcase_add_loop_test(t, test_ends_inside_event, 0,
+			    sizeof(ends) / sizeof(ends[0]));
 	tcase_add_test(t, test_too_long);
 	suite_add_tcase(s, t);
 	return s;
