Gateway: a stream that ends inside an event is broken off, whatever its framing

A stream that could be resumed was not.

Cause: the end of the framing was taken for the end of the stream; the rest after the last whole event was looked at only where nothing else marked the end.

Change: whether a stream is whole is asked in one place, of its text alone. What is not whole fails the attempt, so that retry, budget, version and the log are those of any broken stream, and the rest is never passed on. A stream without events is whole only as a continuation, and not after an event that an earlier upstream had begun. HEAD has no events and is answered as before. An upstream that marks the end of its response is not suspected of a crash; one that ends with its connection is, as before.

Ruled out: refusing a continuation that has nothing left (a caller may have the last event and not the end); passing on a last event without its blank line (readers drop it).

--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -37,6 +37,10 @@
 static bool on_start_(void *ctx);
 static void on_deferred_(struct ev_loop *loop, ev_timer *w, int revents);
 
+/* Parallel to framing_t. */
+static const char *const framing_string[] = { "connection", "length",
+					      "chunks" };
+
 const http_call_ops_t forward_call_ops = { on_head_, on_data_, on_done_, NULL,
 					   on_start_ };
 
@@ -57,6 +61,15 @@
 	g_array_append_val(l->headers, header);
 }
 
+static framing_t framing_(http_call_t *call)
+{
+	if (http_call_header(call, "Transfer-Encoding").len)
+		return FRAMING_CHUNKS;
+	return http_call_header(call, "Content-Length").len
+		       ? FRAMING_LENGTH
+		       : FRAMING_CONNECTION;
+}
+
 /* Headers for the caller; their strings belong to the call. */
 static GArray *response_headers_(const forward_t *f, http_call_t *call)
 {
@@ -125,7 +138,8 @@
 static bool is_stream_(const forward_t *f)
 {
 	return f->response.status == 200 && f->response.event_stream &&
-	       f->route->kind == ROUTE_KIND_STREAM;
+	       f->route->kind == ROUTE_KIND_STREAM &&
+	       !str_eq(f->in.method, str_of("HEAD"));
 }
 
 static void record_progress_(forward_t *f)
@@ -267,6 +281,7 @@
 
 	f->gateway->protocol->parse_response(call, status, f->in.id,
 					     &f->response);
+	f->framing = framing_(call);
 	if (f->response.mismatched || f->response.encoded ||
 	    (is_success_(status) && !f->response.has_signature)) {
 		fail_later_(f, FAULT_MISMATCH);
@@ -305,6 +320,8 @@
 			return;
 		f->last_event_id = e->id;
 	}
+	if (!e->comment)
+		f->event_missing = false;
 	if (!f->origin_noted)
 		resumes_bind(f);
 	begin_stream_(f, call);
@@ -390,46 +407,39 @@
 			f->response.status < 500 ? BALANCE_OK : BALANCE_FAILED);
 }
 
-static bool has_framing_(http_call_t *call)
+static void log_incomplete_(const forward_t *f)
 {
-	return http_call_header(call, "Transfer-Encoding").len ||
-	       http_call_header(call, "Content-Length").len;
-}
-
-/* How the end of an answer is marked. */
-static const char *framing_(http_call_t *call)
-{
-	if (http_call_header(call, "Transfer-Encoding").len)
-		return "chunks";
-	return has_framing_(call) ? "length" : "connection";
-}
-
-static void log_incomplete_(const forward_t *f, http_call_t *call)
-{
-	counter_add(COUNTER_STREAMS_INCOMPLETE, 1);
 	LOG_EVENT(LOG_NOTICE, "stream.incomplete", F_VIEW("request", f->in.id),
 		  F_STR("upstream", f->upstream_id),
-		  F_STR("framing", framing_(call)),
+		  F_STR("framing", framing_string[f->framing]),
 		  F_INT("events", f->event_seen),
 		  F_INT("last_event", f->last_event_id),
 		  F_INT("rest_bytes", (int64_t)sse_rest(&f->sse).len));
 }
 
-static void finish_stream_(forward_t *f, http_call_t *call)
+/*
+ * Whether a stream that its upstream has ended without an error is whole. An
+ * upstream that fails may mark the end of its response all the same, so the
+ * framing says nothing of it.
+ */
+static bool is_stream_whole_(const forward_t *f)
 {
-	str_t rest = sse_rest(&f->sse);
+	if (sse_ends_inside_event(sse_rest(&f->sse)))
+		return false;
+	/* A caller that has the last event gets no other one. */
+	return f->event_seen || (f->last_event_id >= 0 && !f->event_missing);
+}
 
-	if (sse_ends_inside_event(rest) || !f->event_seen)
-		log_incomplete_(f, call);
-	/* A response without a length may end in the middle of an event, or
-	 * before the first.
-	 */
-	if (!has_framing_(call) && (rest.len || !f->event_seen)) {
-		forward_attempt_failed(f, FAULT_DISCONNECT);
+static void finish_stream_(forward_t *f, http_call_t *call)
+{
+	if (!is_stream_whole_(f)) {
+		log_incomplete_(f);
+		counter_add(COUNTER_STREAMS_INCOMPLETE, 1);
+		forward_attempt_failed(f, FAULT_INCOMPLETE);
 		return;
 	}
 	begin_stream_(f, call);
-	http_stream_write(f->req, rest);
+	http_stream_write(f->req, sse_rest(&f->sse));
 	http_stream_end(f->req, true);
 	forward_complete(f, 200, "answered");
 	forward_release(f, BALANCE_OK);
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -218,6 +218,13 @@
 				     &f->in.prompt, now);
 }
 
+/* An upstream that has marked the end of its response goes on. */
+static bool ended_with_connection_(const forward_t *f, fault_t why)
+{
+	return why == FAULT_DISCONNECT ||
+	       (why == FAULT_INCOMPLETE && f->framing == FRAMING_CONNECTION);
+}
+
 bool crashes_record(forward_t *f, fault_t why)
 {
 	gateway_t *g = f->gateway;
@@ -226,7 +233,7 @@
 	bool leaving = f->selected->leaving;
 	bool sound;
 
-	if (why != FAULT_DISCONNECT || !may_have_crashed_(f, now))
+	if (!ended_with_connection_(f, why) || !may_have_crashed_(f, now))
 		return false;
 	sound = is_prompt_sound_(f, now) &&
 		!quarantine_count_crashes(&g->quarantine, &request);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -23,10 +23,12 @@
 #define EJECT_INSTANCE_MS 3000
 
 const char *const fault_string[] = {
-	"cannot connect",   "shed",	      "other start",
-	"connection broke", "timed out",      "crossed answer",
-	"upstream error",   "resume refused", "answer without end",
-	"stream stalled",
+	"cannot connect",     "shed",
+	"other start",	      "connection broke",
+	"timed out",	      "crossed answer",
+	"upstream error",     "resume refused",
+	"answer without end", "stream stalled",
+	"stream ended early",
 };
 
 static void on_request_(void *ctx, http_request_t *req);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -24,11 +24,19 @@
 	FAULT_RESUME,	  /* the stream could not be resumed */
 	FAULT_UNBOUNDED,  /* more bytes than any response may have */
 	FAULT_STALLED,	  /* a stream without events */
+	FAULT_INCOMPLETE, /* ended without an error, but not whole */
 } fault_t;
 
 /* Parallel to fault_t. */
 extern const char *const fault_string[];
 
+/* What marks the end of a response. */
+typedef enum framing {
+	FRAMING_CONNECTION, /* nothing else does */
+	FRAMING_LENGTH,
+	FRAMING_CHUNKS,
+} framing_t;
+
 /* What a stream that is taken up waits for. */
 typedef enum resume_wait {
 	RESUME_WAITS_FOR_HOMES,
@@ -77,7 +85,8 @@
 	mstime_t sent_at;
 	mstime_t first_at; /* first byte of the response, 0 before */
 	upstream_response_t response;
-	bool event_seen;	  /* an event, or a part of a plain body */
+	bool event_seen; /* an event, or a part of a plain body */
+	framing_t framing;
 	mstime_t progress_at;	  /* last event or part of the body */
 	int64_t progress_bytes;	  /* received at the first check without
 				     progress, or -1 */
@@ -90,6 +99,7 @@
 
 	/* the response to the caller */
 	bool stream_begun;
+	bool event_missing; /* an upstream began one that did not come whole */
 	bool done;
 	bool paused;
 	int64_t last_event_id; /* last one sent to the caller, -1 for none */
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -100,7 +100,10 @@
 	f->sent_at = now;
 	f->first_at = 0;
 	f->failing = false;
+	f->event_missing =
+		f->event_missing || sse_ends_inside_event(sse_rest(&f->sse));
 	f->event_seen = false;
+	f->framing = FRAMING_CONNECTION;
 	f->response = (upstream_response_t){ 0 };
 	forward_drop_body(f);
 	f->progress_at = now;
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -26,6 +26,7 @@
 #define HEAD_LEAD_MS 5
 #define DRIP_MS 100
 #define ENDLESS_BLOCK 16384
+#define MODE_MAX 128
 
 typedef struct request {
 	GString *head;
@@ -46,7 +47,7 @@
 	int most;
 	int aborted; /* callers that closed before the end */
 	int connections;
-	char mode[32];
+	char mode[MODE_MAX];
 	int count;
 } state;
 
@@ -362,6 +363,62 @@
 	return found || body_crashes_(r);
 }
 
+static char *event_text_(const request_t *r, int64_t i)
+{
+	return g_strdup_printf("id: %" G_GINT64_FORMAT
+			       "\ndata: %s%s%s-%" G_GINT64_FORMAT "\n\n",
+			       i, version ? version : "", version ? "/" : "",
+			       r->id, i);
+}
+
+/*
+ * "ends FRAMING N TEXT": N events, then TEXT, then a sound end of the answer. A
+ * request that goes on after the Nth event gets the other events whole; with
+ * "ends_empty" it gets none. False when the mode is none of these.
+ */
+static bool ends_(int fd, const request_t *r, const char *mode, bool *kept)
+{
+	char **words = g_strsplit(mode, " ", 4);
+	bool matches =
+		g_str_has_prefix(mode, "ends") && g_strv_length(words) == 4;
+	int64_t last = matches ? g_ascii_strtoll(words[2], NULL, 10) : 0;
+	const char *tail = matches ? words[3] : "";
+	GString *body = g_string_new(NULL);
+	const char *framing;
+
+	if (matches && last && r->last_event >= last) {
+		last = strcmp(words[0], "ends") ? 0 : events;
+		tail = "";
+	}
+	for (int64_t i = r->last_event + 1; i <= last; i++) {
+		char *event = event_text_(r, i);
+
+		g_string_append(body, event);
+		g_free(event);
+	}
+	g_string_append(body, tail);
+	framing = matches ? words[1] : "";
+	if (matches) {
+		head_(fd, r, 200, "");
+		send_(fd, "Content-Type: text/event-stream\r\n");
+	}
+	if (!strcmp(framing, "chunks")) {
+		send_(fd, "Transfer-Encoding: chunked\r\n\r\n");
+		if (body->len)
+			chunk_(fd, body->str);
+		*kept = send_(fd, "0\r\n\r\n");
+	} else if (!strcmp(framing, "length")) {
+		*kept = send_(fd, "Content-Length: %zu\r\n\r\n%s", body->len,
+			      body->str);
+	} else if (matches) {
+		send_(fd, "\r\n%s", body->str);
+		*kept = false;
+	}
+	g_string_free(body, TRUE);
+	g_strfreev(words);
+	return matches;
+}
+
 static bool stream_(int fd, const request_t *r, const char *mode)
 {
 	bool framed = strncmp(mode, "unframed", 8) != 0;
@@ -376,11 +433,7 @@
 		_exit(1);
 	}
 	for (int64_t i = r->last_event + 1; i <= events; i++) {
-		char *event = g_strdup_printf("id: %" G_GINT64_FORMAT
-					      "\ndata: %s%s%s-%" G_GINT64_FORMAT
-					      "\n\n",
-					      i, version ? version : "",
-					      version ? "/" : "", r->id, i);
+		char *event = event_text_(r, i);
 
 		if (i > events / 2 &&
 		    (!strcmp(mode, "cut") || !strcmp(mode, "unframed_cut")))
@@ -506,6 +559,10 @@
 		end_run_(true);
 		return false;
 	}
+	if (ends_(fd, r, mode, &kept)) {
+		end_run_(false);
+		return kept;
+	}
 	if (!strcmp(mode, "garbage")) {
 		send_(fd, "\x16\x03\x01 no answer at all\r\n\r\n");
 		end_run_(false);
