Gateway: event streams on routes of plain answers are checked for their end, too

Evidence: scenario_incomplete_streams, extended by such routes, failed before ('/hold/, 2 events and "i", ended by chunks: 200'), passes now. Why it works: is_whole_ is asked for every response that ended without an error; what is not whole fails the attempt: 502 for a request that may run once, another upstream for one that may run twice.

--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -384,6 +384,11 @@
 				    a->status == 429 || a->status == 503);
 }
 
+static str_t buffered_body_(const forward_t *f)
+{
+	return (str_t){ f->body->str, f->body->len };
+}
+
 static void send_response_(forward_t *f, http_call_t *call)
 {
 	GArray *headers;
@@ -398,7 +403,7 @@
 	headers = response_headers_(f, call);
 	http_reply(f->req, (unsigned int)f->response.status,
 		   (const http_header_t *)(void *)headers->data,
-		   (str_t){ f->body->str, f->body->len });
+		   buffered_body_(f));
 	g_array_unref(headers);
 	if (is_success_(f->response.status))
 		crashes_record_answer(f);
@@ -407,6 +412,12 @@
 			f->response.status < 500 ? BALANCE_OK : BALANCE_FAILED);
 }
 
+/* The text of a response that has not been passed on. */
+static str_t unparsed_(const forward_t *f)
+{
+	return is_stream_(f) ? sse_rest(&f->sse) : buffered_body_(f);
+}
+
 static void log_incomplete_(const forward_t *f)
 {
 	LOG_EVENT(LOG_NOTICE, "stream.incomplete", F_VIEW("request", f->in.id),
@@ -414,30 +425,36 @@
 		  F_STR("framing", framing_string[f->framing]),
 		  F_INT("events", f->event_seen),
 		  F_INT("last_event", f->last_event_id),
-		  F_INT("rest_bytes", (int64_t)sse_rest(&f->sse).len));
+		  F_INT("rest_bytes", (int64_t)unparsed_(f).len));
 }
 
 /*
- * Whether a stream that its upstream has ended without an error is whole. An
- * upstream that fails may mark the end of its response all the same, so the
- * framing says nothing of it.
+ * Whether a response that its upstream has ended without an error is whole. An
+ * upstream that fails may mark the end of a stream all the same, so the framing
+ * says nothing of it.
  */
-static bool is_stream_whole_(const forward_t *f)
+static bool is_whole_(const forward_t *f)
 {
-	if (sse_ends_inside_event(sse_rest(&f->sse)))
+	if (!is_stream_(f) &&
+	    (!f->response.event_stream || !is_success_(f->response.status)))
+		return true;
+	if (sse_ends_inside_event(unparsed_(f)))
 		return false;
-	/* A caller that has the last event gets no other one. */
-	return f->event_seen || (f->last_event_id >= 0 && !f->event_missing);
+	if (!is_stream_(f) || f->event_seen)
+		return true;
+	/* Nothing may be left for a caller that has the last event. */
+	return f->last_event_id >= 0 && !f->event_missing;
+}
+
+static void handle_incomplete_(forward_t *f)
+{
+	counter_add(COUNTER_STREAMS_INCOMPLETE, 1);
+	log_incomplete_(f);
+	forward_attempt_failed(f, FAULT_INCOMPLETE);
 }
 
 static void finish_stream_(forward_t *f, http_call_t *call)
 {
-	if (!is_stream_whole_(f)) {
-		log_incomplete_(f);
-		counter_add(COUNTER_STREAMS_INCOMPLETE, 1);
-		forward_attempt_failed(f, FAULT_INCOMPLETE);
-		return;
-	}
 	begin_stream_(f, call);
 	http_stream_write(f->req, sse_rest(&f->sse));
 	http_stream_end(f->req, true);
@@ -469,6 +486,18 @@
 		send_response_(f, call);
 }
 
+static void handle_response_(forward_t *f, http_call_t *call)
+{
+	if (!is_whole_(f))
+		handle_incomplete_(f);
+	else if (is_stream_(f))
+		finish_stream_(f, call);
+	else if (f->response.status >= 500)
+		handle_upstream_error_(f, call);
+	else
+		send_response_(f, call);
+}
+
 static bool on_start_(void *ctx)
 {
 	forward_t *f = ctx;
@@ -496,14 +525,8 @@
 		forward_attempt_failed(f, FAULT_INSTANCE);
 	} else if (f->response.not_executed) {
 		forward_attempt_failed(f, FAULT_SHED);
-	} else if (is_stream_(f)) {
-		record_first_byte_(f);
-		finish_stream_(f, call);
-	} else if (f->response.status >= 500) {
-		record_first_byte_(f);
-		handle_upstream_error_(f, call);
 	} else {
 		record_first_byte_(f);
-		send_response_(f, call);
+		handle_response_(f, call);
 	}
 }
--- a/tests/scenarios/incomplete_streams.lua
+++ b/tests/scenarios/incomplete_streams.lua
@@ -8,6 +8,7 @@
 	route("/stream/", "streaming", "engines", { stream_resume = true }),
 	route("/once/stream/", "streaming", "engines", { max_attempts = 1 }),
 	route("/single/stream/", "streaming", "engines", { max_attempts = 1, stream_resume = true }),
+	route("/hold/", "non_idempotent", "counter", { max_attempts = 1 }),
 	route("/safe/", "idempotent", "counter") })
 wait_for("the routes are in force", 4000, function()
 	return send(g, "/single/stream/w").status == 200 and send(other, "/single/stream/w").status == 200
@@ -107,6 +108,26 @@
 end
 everywhere(engines, "", 0)
 
+-- On a route of plain answers a stream is passed on whole or not at all.
+local counters = { f["counter-1"], f["counter-2"] }
+for _, framing in ipairs { "chunks", "length", "connection" } do
+	for _, c in ipairs(cases) do
+		local n, tail = table.unpack(c)
+		local whole = c[3] or n == 0 and not tail:find("^id")
+		everywhere(counters, string.format("ends %s %d %s", framing, n, tail), -1)
+		local id = fresh_id()
+		local r = send(g, "/hold/x", { id = id })
+		local what = describe(framing, c, "/hold/")
+		if whole then
+			expect(r.status == 200 and not r.err and r.body == events_of(id, 1, n) .. tail, "%s: %s %s %q", what, r.status, r.err, r.body)
+		else
+			expect(r.status == 502, "%s: %s %q", what, r.status, r.body)
+		end
+		expect(runs_of(f, id) == 1, "%s: %d runs", what, runs_of(f, id))
+	end
+end
+everywhere(counters, "", 0)
+
 -- An answer to HEAD has no events.
 local r = send(g, "/once/stream/head", { method = "HEAD" })
 expect(r.status == 200 and not r.err, "HEAD: %s %s", r.status, r.err)
