Node: an answer over the bound is a failed attempt, not a shorter answer

What callers saw at nodes with owners: a 200 whose body stopped at 32 MiB, with a length of its own. Cause: what did not fit the buffer was left out without a word. Change: such an answer fails its attempt as 'answer without end'; so does a stream with an event over the bound, which was counted as a crossed answer before.

--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -40,12 +40,20 @@
 static void on_data_(void *ctx, http_call_t *call, str_t data);
 static void on_done_(void *ctx, http_call_t *call, int err, int status);
 static void on_check_timer_(struct ev_loop *loop, ev_timer *w, int revents);
-static void fail_mismatched_(exchange_t *x);
+static void fail_rejected_(exchange_t *x);
 static void finish_stream_(exchange_t *x);
 static void schedule_check_(exchange_t *x);
 
 const http_call_ops_t exchange_call_ops = { on_head_, on_data_, on_done_ };
 
+/* The attempt fails outside of the client's callbacks. */
+static void reject_later_(exchange_t *x, failure_t why)
+{
+	x->rejected = true;
+	x->rejected_why = why;
+	schedule_check_(x);
+}
+
 static bool is_stream_(http_call_t *call)
 {
 	return str_starts_with(http_call_header(call, "Content-Type"),
@@ -99,8 +107,7 @@
 
 	x->received_at = clock_now();
 	if (x->echoes_request_id && !str_eq(echo, str_of(x->request_id))) {
-		x->mismatched = true;
-		schedule_check_(x);
+		reject_later_(x, FAILURE_MISMATCHED);
 		return;
 	}
 	if (x->placement.verdict == SCHED_FORWARD)
@@ -137,23 +144,28 @@
 	x->written_at = x->received_at;
 }
 
+static void buffer_body_(exchange_t *x, str_t data)
+{
+	if (x->body->len + data.len > ANSWER_MAX_BYTES)
+		reject_later_(x, FAILURE_UNBOUNDED);
+	else
+		g_string_append_len(x->body, data.data, (gssize)data.len);
+}
+
 static void on_data_(void *ctx, http_call_t *call, str_t data)
 {
 	exchange_t *x = ctx;
 	sse_event_t event;
 
 	x->received_at = clock_now();
-	if (x->mismatched)
+	if (x->rejected)
 		return;
 	if (!x->streaming || !is_stream_(call)) {
-		if (x->body->len + data.len <= ANSWER_MAX_BYTES)
-			g_string_append_len(x->body, data.data,
-					    (gssize)data.len);
+		buffer_body_(x, data);
 		return;
 	}
 	if (!sse_feed(&x->sse, data)) {
-		x->mismatched = true;
-		schedule_check_(x);
+		reject_later_(x, FAILURE_UNBOUNDED);
 		return;
 	}
 	while (sse_next(&x->sse, &event))
@@ -321,8 +333,8 @@
 
 	x->call = NULL;
 	ev_timer_stop(x->relay->task.loop, &x->check_timer);
-	if (x->mismatched) {
-		fail_mismatched_(x);
+	if (x->rejected) {
+		fail_rejected_(x);
 	} else if (streamed && x->stream_finished) {
 		finish_stream_(x);
 	} else if (err != HTTP_OK) {
@@ -346,10 +358,11 @@
 	}
 }
 
-static void fail_mismatched_(exchange_t *x)
+static void fail_rejected_(exchange_t *x)
 {
-	counter_add(COUNTER_RESPONSES_MISMATCHED, 1);
-	exchange_handle_failure(x, FAILURE_MISMATCHED);
+	if (x->rejected_why == FAILURE_MISMATCHED)
+		counter_add(COUNTER_RESPONSES_MISMATCHED, 1);
+	exchange_handle_failure(x, x->rejected_why);
 }
 
 static void finish_stream_(exchange_t *x)
@@ -389,10 +402,10 @@
 	(void)revents;
 	if (!x->call)
 		return;
-	if (x->mismatched) {
+	if (x->rejected) {
 		http_call_cancel(x->call);
 		x->call = NULL;
-		fail_mismatched_(x);
+		fail_rejected_(x);
 		return;
 	}
 	if (http_stream_pending(x->req) > STREAM_HIGH_BYTES) {
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -53,6 +53,7 @@
 	FAILURE_CONNECTION_LOST,
 	FAILURE_EARLY_END,	/* a stream ended without its last event */
 	FAILURE_RESUME_REFUSED, /* a resumed stream got another answer */
+	FAILURE_UNBOUNDED,	/* an answer or event is longer than allowed */
 } failure_t;
 
 /* Indexed by failure_t; written to the trace and the log. */
@@ -118,9 +119,10 @@
 	sse_t sse;	      /* parser of the upstream's stream */
 	bool streaming;	      /* the head of a stream was sent to the caller */
 	bool stream_finished; /* the last event was received */
-	bool mismatched; /* answer of another request, or a malformed stream */
-	bool paused;	 /* reading waits for a slow caller */
-	bool maybe_sent; /* some attempt may have reached an upstream */
+	bool rejected;	      /* the answer cannot be used */
+	failure_t rejected_why;
+	bool paused;		/* reading waits for a slow caller */
+	bool maybe_sent;	/* some attempt may have reached an upstream */
 	bool maybe_sent_before; /* maybe_sent before the present attempt */
 	int64_t last_event_id;	/* last event sent to the caller */
 	int attempts;
--- a/packages/node/retry.c
+++ b/packages/node/retry.c
@@ -27,6 +27,7 @@
 	"connection broke",
 	"stream ended early",
 	"resume was refused",
+	"answer without end",
 };
 
 static void on_retry_timer_(struct ev_loop *loop, ev_timer *w, int revents);
--- a/packages/node/send.c
+++ b/packages/node/send.c
@@ -147,7 +147,7 @@
 	x->received_at = x->sent_at;
 	x->first_token_ms = -1;
 	x->head_seen = false;
-	x->mismatched = false;
+	x->rejected = false;
 	x->paused = false;
 	g_string_truncate(x->body, 0);
 	sse_reset(&x->sse);
--- a/tests/scenarios/whole_answers.lua
+++ b/tests/scenarios/whole_answers.lua
@@ -112,6 +112,16 @@
 local ended = chat(n, { chat = "ended", id = "ended-1", stream = true, tokens = 8, last = 9, timeout_ms = 5000 })
 expect(ended.status == 200 and not ended.err and events(ended.body) == "id: 9\ndata: [DONE]\n\n", "after the end: %s %s %s", ended.status, ended.err, ended.body)
 
+-- Guards against an answer over the bound of a node that is passed on cut at that bound.
+local BOUND = 32 * 1024 * 1024
+for _, service in ipairs(f.services) do fault(service, { pad_bytes = BOUND - 1024 }) end
+local padded = call(n, PLAIN, "GET", "/below")
+expect(padded.status == 200 and #json_decode(padded.body).pad == BOUND - 1024, "an answer below the bound: %s, %d bytes", padded.status, #padded.body)
+for _, service in ipairs(f.services) do fault(service, { pad_bytes = BOUND }) end
+padded = call(n, PLAIN, "GET", "/above")
+expect(padded.status == 502 and problem(padded).ran == "unknown", "an answer over the bound: %s, %d bytes", padded.status, #padded.body)
+for _, service in ipairs(f.services) do fault(service, { pad_bytes = 0 }) end
+
 -- A slow reader gets everything.
 for _, engine in ipairs(f.engines) do fault(engine, { token_ms = 0 }) end
 local body = json_encode { model = MODEL, stream = true, max_tokens = 8000, messages = { { role = "user", content = "slow" } } }
--- a/tests/standin/service.c
+++ b/tests/standin/service.c
@@ -29,6 +29,7 @@
 	int hang;   /* runs, and never answers */
 	int crossed;
 	int status;	     /* of answers, 0 for 200 */
+	int pad_bytes;	     /* that answers are longer by */
 	char crash_text[64]; /* in a body */
 } fault;
 
@@ -62,17 +63,21 @@
 			      "method", method, "path", path, "run", run,
 			      "request_id", id, "body",
 			      body.data ? body.data : "", body.len);
-	char *text = json_dumps(o, JSON_COMPACT);
+	char *pad = g_strnfill((gsize)fault.pad_bytes, 'x');
+	char *text;
 	const http_header_t headers[] = {
 		{ "Content-Type", "application/json" },
 		{ "X-Request-Id", fault.crossed ? "another" : id },
 		{ NULL, NULL },
 	};
 
+	json_object_set_new(o, "pad", json_string(pad));
+	text = json_dumps(o, JSON_COMPACT);
 	http_reply(r, fault.status ? (unsigned int)fault.status : 200, headers,
 		   str_of(text));
 	free(text);
 	json_decref(o);
+	g_free(pad);
 	g_free(id);
 	g_free(path);
 	g_free(method);
@@ -143,6 +148,7 @@
 	standin_switch(f, "hang", &fault.hang);
 	standin_switch(f, "crossed", &fault.crossed);
 	standin_switch(f, "status", &fault.status);
+	standin_switch(f, "pad_bytes", &fault.pad_bytes);
 	standin_switch(f, "delay_ms", &s.o.delay_ms);
 	if (json_is_string(json_object_get(f, "crash_text")))
 		g_strlcpy(fault.crash_text,
