Run-once: an outcome whose body was left out is not replayed as an empty answer

What callers saw at nodes with owners: a second try with a key, at a node that knows the outcome from the log alone, got 200 with Idempotent-Replayed and no body, if the first answer was over 16 KiB. Cause: such bodies are left out of the record, and the record did not say so. Evidence: scenario_once on the code without the new verdict fails ('a long answer after a restart: 200, 0 bytes'); a first form of the test without the restart of all nodes passed there, since the key's owner remembers the answer. Both scenario_once and unit once (what the record keeps) pass now. Change: the record says that its body is left out, and the try is answered 409 with ran=yes. Records of older builds do not say it and are replayed as before; older builds ignore the new field.

--- a/include/kcf/once.h
+++ b/include/kcf/once.h
@@ -16,7 +16,8 @@
 
 /* Number of streams that share the keys, by hash. */
 #define ONCE_PARTITIONS 64
-/* Bodies of outcomes that are longer are not recorded. */
+/* Of bodies of outcomes that are longer, the record says that they are left
+ * out. */
 #define ONCE_BODY_MAX 16384
 
 typedef enum once_state {
@@ -30,7 +31,8 @@
 	char *owner_attempt; /* id of the attempt that claimed the key */
 	once_state_t state;
 	int status;
-	GBytes *body; /* NULL if it was too long */
+	GBytes *body; /* NULL if it is empty or left out */
+	bool body_left_out;
 	char *content_type;
 	mstime_t recorded_at; /* wall time of the record */
 } once_entry_t;
--- a/packages/node/control_once.c
+++ b/packages/node/control_once.c
@@ -246,7 +246,9 @@
 
 static void reply_from_entry_(control_t *c, uint64_t id, const once_entry_t *e)
 {
-	if (e->state == ONCE_COMPLETED)
+	if (e->state == ONCE_COMPLETED && e->body_left_out)
+		reply_(c, id, e->key, ONCE_NOT_KEPT);
+	else if (e->state == ONCE_COMPLETED)
 		reply_outcome_(c, id, e->status, e->content_type, e->body);
 	else if (attempt_may_be_running_(c, e->owner_attempt))
 		reply_(c, id, e->key, ONCE_BUSY);
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -329,6 +329,12 @@
 	case ONCE_REPLAY:
 		replay_outcome_(x, r);
 		break;
+	case ONCE_NOT_KEPT:
+		exchange_refuse(x, 409,
+				"an earlier try ran, its answer was too long "
+				"to be kept",
+				RAN_YES, COUNTER_ONCE_UNKNOWN, 0);
+		break;
 	case ONCE_UNKNOWN:
 		exchange_refuse(x, 409, "an earlier try may have run",
 				RAN_UNKNOWN, COUNTER_ONCE_UNKNOWN, 0);
--- a/packages/node/private/messages.h
+++ b/packages/node/private/messages.h
@@ -144,6 +144,7 @@
 typedef enum once_verdict {
 	ONCE_RUN,	 /* this try holds the key and may run */
 	ONCE_REPLAY,	 /* an earlier try ran; its outcome is attached */
+	ONCE_NOT_KEPT,	 /* an earlier try ran; its answer is not known */
 	ONCE_UNKNOWN,	 /* an earlier try may have run */
 	ONCE_BUSY,	 /* another try is running */
 	ONCE_FORWARD,	 /* another node owns the key */
--- a/packages/state/once.c
+++ b/packages/state/once.c
@@ -72,6 +72,8 @@
 	const void *data = body ? g_bytes_get_data(body, &len) : NULL;
 	gchar *text;
 
+	if (len > ONCE_BODY_MAX)
+		json_object_set_new(o, "body_left_out", json_true());
 	if (!data || len > ONCE_BODY_MAX)
 		return o;
 	text = g_base64_encode(data, len);
@@ -112,6 +114,7 @@
 	e->state = ONCE_COMPLETED;
 	e->status = (int)json_integer_value(json_object_get(o, "status"));
 	e->content_type = g_strdup(type ? type : "");
+	e->body_left_out = json_is_true(json_object_get(o, "body_left_out"));
 	if (data)
 		e->body = g_bytes_new_take(data, len);
 }
--- a/tests/scenarios/once.lua
+++ b/tests/scenarios/once.lua
@@ -138,3 +138,25 @@
 	start_node(f, victim)
 	wait_for("victim is ready again", 20000, function() return ready(victim) end)
 end
+
+-- An answer that is too long for the log is not replayed as an empty one, once the nodes that remember it are gone.
+for _, s in ipairs(f.services) do fault(s, { pad_bytes = 20000 }) end
+local long_key = new_key()
+r = try(f.nodes[1], long_key)
+expect(r.status == 200 and #r.body > 20000, "a long answer: %s, %d bytes", r.status, #r.body)
+for _, s in ipairs(f.services) do fault(s, { pad_bytes = 0 }) end
+local again = try(f.nodes[2], long_key)
+expect(again.status == 200 and #again.body == #r.body, "a long answer again: %s, %d bytes", again.status, #again.body)
+for _, node in ipairs(f.nodes) do
+	if not node.gone then kill(node) end
+end
+for _, node in ipairs(f.nodes) do
+	if not node.gone then start_node(f, node) end
+end
+wait_ready(f, 30000)
+wait_for("the outcome of a long answer is known again", 20000, function()
+	again = try(f.nodes[1], long_key)
+	return again.status == 200 or problem(again).ran == "yes"
+end)
+expect(again.status == 409 and problem(again).ran == "yes", "a long answer after a restart: %s, %d bytes", again.status, #again.body)
+expect(runs(long_key) == 1, "the key of a long answer ran %d times", runs(long_key))
--- a/tests/unit/test_once.c
+++ b/tests/unit/test_once.c
@@ -109,6 +109,42 @@
 }
 END_TEST
 
+static const struct {
+	size_t len;
+	bool left_out;
+} bodies[] = {
+	{ 0, false },
+	{ ONCE_BODY_MAX, false },
+	{ ONCE_BODY_MAX + 1, true },
+};
+
+/* Guards against an outcome without its body that is replayed as an empty one.
+ */
+START_TEST(test_left_out_body_is_known)
+{
+	char *text = g_strnfill(bodies[_i].len, 'x');
+	GBytes *body = g_bytes_new(text, bodies[_i].len);
+	json_t *list = json_pack("[o,o]", once_intent("k", "a"),
+				 once_outcome("k", "a", 200, "", body));
+	char *record = json_dumps(list, JSON_COMPACT);
+	const once_entry_t *e;
+	once_keys_t k;
+
+	once_keys_init(&k);
+	once_apply_record(&k, 1, 0, str_of(record));
+	e = once_find(&k, "k");
+	ck_assert_int_eq(e->state, ONCE_COMPLETED);
+	ck_assert_int_eq(e->body_left_out, bodies[_i].left_out);
+	ck_assert_uint_eq(e->body ? g_bytes_get_size(e->body) : 0,
+			  bodies[_i].left_out ? 0 : bodies[_i].len);
+	once_keys_finish(&k);
+	free(record);
+	json_decref(list);
+	g_bytes_unref(body);
+	g_free(text);
+}
+END_TEST
+
 Suite *once_suite(void)
 {
 	Suite *s = suite_create("once");
@@ -117,6 +153,8 @@
 	tcase_add_loop_test(t, test_sequences, 0, G_N_ELEMENTS(sequences));
 	tcase_add_loop_test(t, test_unreadable, 0, G_N_ELEMENTS(unreadable));
 	tcase_add_test(t, test_long_body);
+	tcase_add_loop_test(t, test_left_out_body_is_known, 0,
+			    sizeof(bodies) / sizeof(bodies[0]));
 	suite_add_tcase(s, t);
 	return s;
 }
