HTTP server: open requests are ended before the daemon is stopped

Cause: libmicrohttpd wants suspended connections resumed before its daemon is stopped; http_server_finish did not, and nobody answered what was open.

Change: the server keeps a list of its suspended requests, ends them and writes what is ready before it stops. Gateways answer open requests at the end of their time: 502 if an upstream may have run them, else 503; nodes with owners do so with ran. Servers are closed before what their requests use is released; operators' watches were freed first, which the same path would have touched.

Ruled out: resuming alone (callers would still lose their answer); waiting longer (the platform kills the node 0.8 s later).

--- a/include/kcf/http_server.h
+++ b/include/kcf/http_server.h
@@ -8,6 +8,7 @@
 #define KCF_HTTP_SERVER_H
 
 #include <ev.h>
+#include <glib.h>
 #include <kcf/clock.h>
 #include <kcf/str.h>
 
@@ -64,6 +65,8 @@
 	size_t max_body;
 	size_t bodies; /* bytes held */
 	bool dirty;
+	bool finishing;
+	GHashTable *suspended; /* http_request_t * */
 	int listen_fd;
 	unsigned int open;
 };
@@ -96,6 +99,11 @@
 
 /*
  * http_server_finish - closes every connection and releases the server.
+ *
+ * Responses that the owner has given are written as far as the connections take
+ * them at once. A request without one ends with its connection, a stream that
+ * has not ended is cut. The owner is told of each request's end, and may get
+ * requests that have arrived by now, which it may only answer at once.
  */
 void http_server_finish(http_server_t *s);
 
@@ -135,6 +143,11 @@
  */
 void http_request_ends_with_connection(http_request_t *r);
 
+/*
+ * http_request_answered - whether a response has been given, or a stream begun.
+ */
+bool http_request_answered(const http_request_t *r);
+
 /*
  * http_request_left - whether the sender has closed its connection by now,
  * looked up at the socket: a loop that is late finds the request and the end
--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -5,6 +5,7 @@
  */
 #include "private/gateway.h"
 
+#include <assert.h>
 #include <kcf/json_text.h>
 #include <kcf/logline.h>
 #include <string.h>
@@ -383,10 +384,15 @@
 	}
 }
 
-void feed_sync_finish(gateway_t *g)
+void feed_sync_stop(gateway_t *g)
 {
 	while (g->sync_waiters->len)
 		respond_to_waiter_(g, 0, clock_now());
+}
+
+void feed_sync_finish(gateway_t *g)
+{
+	assert(!g->sync_waiters->len);
 	g_ptr_array_unref(g->sync_waiters);
 	g_clear_pointer(&g->sync_full.bytes, g_bytes_unref);
 	g_clear_pointer(&g->sync_with_config.bytes, g_bytes_unref);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -565,6 +565,29 @@
 	forward_free_(f);
 }
 
+static void forward_end_(forward_t *f)
+{
+	f->may_have_run = f->may_have_run || f->call;
+	forward_cancel(f, BALANCE_ABANDONED);
+	forward_refuse(f, f->may_have_run ? 502 : 503, "node has stopped",
+		       COUNTER_REFUSED_NOT_READY,
+		       f->may_have_run ? 0 : RETRY_AFTER_STOPPING_MS);
+}
+
+void forwards_end(gateway_t *g)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, g->forwards);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		forward_t *f = key;
+
+		if (!f->done)
+			forward_end_(f);
+	}
+}
+
 void forwards_tick(gateway_t *g)
 {
 	mstime_t now = clock_now();
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -18,6 +18,8 @@
  * deadline is before the latest exit. Callers know of the stop by then.
  */
 #define STOP_ACCEPT_MS 2800
+/* For writing the last answers, out of the margin before the node is killed. */
+#define STOP_WRITE_MS 300
 /* Greatest age of the data that a starting node uses, as a fraction of the
  * limit for platform changes, so that it uses no upstream that left earlier.
  */
@@ -92,6 +94,8 @@
 
 bool gateway_can_finish_by(const gateway_t *g, mstime_t deadline)
 {
+	if (g->ended)
+		return false;
 	if (g->phase != GATEWAY_STOPPING ||
 	    clock_now() - g->stopping_since <= STOP_ACCEPT_MS)
 		return true;
@@ -196,12 +200,15 @@
 	feed_sync_notify_waiters(g, now);
 }
 
-static bool can_exit_(const gateway_t *g, mstime_t now)
+static bool can_exit_(gateway_t *g, mstime_t now)
 {
 	mstime_t since = now - g->stopping_since;
 
-	if (since >= g->conf->stop_limit_ms)
-		return true;
+	if (since >= g->conf->stop_limit_ms) {
+		forwards_end(g);
+		return !g->callers.open ||
+		       since >= g->conf->stop_limit_ms + STOP_WRITE_MS;
+	}
 	/* Requests that are still being read are not in forwards yet. */
 	return since >= STOP_MIN_MS && !g->callers.open &&
 	       !g_hash_table_size(g->forwards) &&
@@ -219,8 +226,10 @@
 	check_ready_(g);
 	gateway_peers_tick(g, now);
 	forwards_tick(g);
-	if (g->phase == GATEWAY_STOPPING && can_exit_(g, now))
+	if (g->phase == GATEWAY_STOPPING && can_exit_(g, now)) {
+		g->ended = true;
 		ev_break(loop, EVBREAK_ALL);
+	}
 }
 
 /* Runs before any request of the iteration is handled. */
@@ -367,14 +376,20 @@
 	feed_sync_init(g);
 }
 
-static void finish_(gateway_t *g)
+/* Needs all that requests use: the last ones are answered here. */
+static void close_servers_(gateway_t *g)
 {
-	feed_sync_finish(g);
+	feed_sync_stop(g);
 	http_server_finish(&g->callers);
 	http_server_finish(&g->readiness);
 	http_server_finish(&g->directory);
 	http_server_finish(&g->admin);
 	http_server_finish(&g->metrics);
+}
+
+static void finish_(gateway_t *g)
+{
+	feed_sync_finish(g);
 	http_client_finish(&g->upstreams);
 	http_client_finish(&g->store);
 	feeds_finish(g);
@@ -442,10 +457,11 @@
 	logline_to_stdout();
 	init_(&g);
 	ok = listen_(&g) && gateway_peers_start(&g);
-	if (ok) {
+	if (ok)
 		run_(&g);
+	close_servers_(&g);
+	if (ok)
 		gateway_peers_stop(&g);
-	}
 	finish_(&g);
 	logline_flush();
 	return ok;
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -205,6 +205,7 @@
 	phase_t phase;
 	mstime_t started_at;
 	mstime_t stopping_since; /* time of SIGTERM */
+	bool ended; /* its loop has, no request is begun any more */
 	mstime_t last_request_at;
 	mstime_t last_iteration_at;
 	mstime_t data_valid_from; /* older data must be read again before use */
@@ -299,6 +300,7 @@
 /* feed_sync.c */
 void feed_sync_init(gateway_t *g);
 /* Responds to all waiting nodes. */
+void feed_sync_stop(gateway_t *g);
 void feed_sync_finish(gateway_t *g);
 void feed_sync_tick(gateway_t *g, mstime_t now);
 /* Responds to nodes for which there is a change, or whose wait is over. */
@@ -417,6 +419,11 @@
 extern const http_server_ops_t forward_server_ops;
 void forwards_tick(gateway_t *g);
 
+/*
+ * forwards_end - ends the open requests of a node that has to exit.
+ */
+void forwards_end(gateway_t *g);
+
 /* The closed callback of interfaces that keep no state for a request. */
 void gateway_ignore_closed(void *ctx, http_request_t *req, bool whole);
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -19,6 +19,10 @@
 #define EXCESS_FACTOR 2
 /* A body of the largest size has been sent by then, on a usual link. */
 #define BODIES_RETRY_S "1"
+/* Passes over all connections at the end; one gives a response to the daemon,
+ * another writes it.
+ */
+#define FINISH_PASSES 4
 /* Data unacknowledged for so long shows a connection that has gone silent. */
 #define UNACKED_MAX_MS 5000
 
@@ -68,6 +72,7 @@
 static ssize_t on_read_(void *cls, uint64_t pos, char *buf, size_t max);
 static void on_hangup_(struct ev_loop *loop, ev_io *w, int revents);
 static void suspend_(http_request_t *r);
+static void leave_(http_request_t *r);
 static void run_(http_server_t *s);
 static void wake_(http_request_t *r);
 static int listen_(const char *address);
@@ -148,17 +153,21 @@
 
 	assert(s && loop && conf && ops);
 	*s = (http_server_t){ .loop = loop, .ops = ops, .ctx = ctx };
+	s->suspended = g_hash_table_new(NULL, NULL);
 	s->conf = *conf;
 	s->conf.address = s->conf.tls_cert = s->conf.tls_key = NULL;
 	s->max_body = conf->max_body;
 	s->listen_fd = listen_(conf->address);
-	if (s->listen_fd < 0)
+	if (s->listen_fd < 0) {
+		g_clear_pointer(&s->suspended, g_hash_table_destroy);
 		return s->listen_fd;
+	}
 	s->daemons = g_ptr_array_new_with_free_func(daemon_free_);
 	err = add_daemon_(s, conf->tls_cert, conf->tls_key);
 	if (err) {
 		close(s->listen_fd);
 		g_clear_pointer(&s->daemons, g_ptr_array_unref);
+		g_clear_pointer(&s->suspended, g_hash_table_destroy);
 		return err;
 	}
 	ev_timer_init(&s->timer, on_timer_, MAX_POLL_S, MAX_POLL_S);
@@ -205,6 +214,24 @@
 	s->listen_fd = -1;
 }
 
+/* libmicrohttpd aborts the process if it is stopped while a connection is
+ * suspended.
+ */
+static void end_requests_(http_server_t *s)
+{
+	GList *waiting;
+
+	s->finishing = true;
+	waiting = g_hash_table_get_keys(s->suspended);
+	for (GList *l = waiting; l; l = l->next)
+		leave_(l->data);
+	g_list_free(waiting);
+	for (int i = 0; i < FINISH_PASSES; i++)
+		run_(s);
+	assert(!g_hash_table_size(s->suspended));
+	ev_timer_stop(s->loop, &s->timer);
+}
+
 void http_server_finish(http_server_t *s)
 {
 	if (!s->daemons)
@@ -212,7 +239,9 @@
 	ev_timer_stop(s->loop, &s->timer);
 	ev_prepare_stop(s->loop, &s->prepare);
 	http_server_quiesce(s);
+	end_requests_(s);
 	g_clear_pointer(&s->daemons, g_ptr_array_unref);
+	g_clear_pointer(&s->suspended, g_hash_table_destroy);
 }
 
 str_t http_request_method(const http_request_t *r)
@@ -533,7 +562,7 @@
 	}
 	if (r->response)
 		return MHD_queue_response(c, r->status, r->response);
-	if (r->gone)
+	if (r->gone || s->finishing)
 		return MHD_NO;
 	suspend_(r);
 	return MHD_YES;
@@ -584,6 +613,8 @@
 			return MHD_CONTENT_READER_END_WITH_ERROR;
 		if (r->stream_ended)
 			return MHD_CONTENT_READER_END_OF_STREAM;
+		if (r->server->finishing)
+			return MHD_CONTENT_READER_END_WITH_ERROR;
 		suspend_(r);
 		return 0;
 	}
@@ -621,6 +652,11 @@
 	wake_(r);
 }
 
+bool http_request_answered(const http_request_t *r)
+{
+	return r->response;
+}
+
 bool http_request_left(http_request_t *r)
 {
 	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
@@ -639,6 +675,7 @@
 {
 	MHD_suspend_connection(r->connection);
 	r->suspended = true;
+	g_hash_table_add(r->server->suspended, r);
 	if (r->watched)
 		ev_io_start(r->server->loop, &r->hangup);
 }
@@ -667,6 +704,7 @@
 	if (!r->suspended)
 		return;
 	r->suspended = false;
+	g_hash_table_remove(r->server->suspended, r);
 	if (r->watched)
 		ev_io_stop(r->server->loop, &r->hangup);
 	MHD_resume_connection(r->connection);
--- a/packages/node/exchange.c
+++ b/packages/node/exchange.c
@@ -7,6 +7,8 @@
 
 /* An older placement is requested again; its upstream may have a new owner. */
 #define PLACEMENT_AGE_MAX_MS 1000
+/* Other nodes can serve the request at once. */
+#define RETRY_AFTER_STOPPED_MS 20
 
 typedef struct filter {
 	const char *name;
@@ -68,6 +70,20 @@
 	exchange_run(x);
 }
 
+void exchange_end(exchange_t *x)
+{
+	/* Without a claim an earlier try of the key may have run. */
+	bool unknown = x->maybe_sent || (x->run_once && !exchange_has_claim(x));
+
+	exchange_abort(x, SCHED_ABANDONED);
+	if (http_request_answered(x->req))
+		return;
+	x->reason = refusal_not_ready;
+	exchange_refuse(x, unknown ? 502 : 503, "node has stopped",
+			unknown ? RAN_UNKNOWN : RAN_NO,
+			COUNTER_REFUSED_NOT_READY, RETRY_AFTER_STOPPED_MS);
+}
+
 void exchange_close(exchange_t *x, bool whole)
 {
 	message_t *m;
--- a/packages/node/operators.c
+++ b/packages/node/operators.c
@@ -6,6 +6,7 @@
 #include "private/peer_proof.h"
 #include "private/signature.h"
 
+#include <assert.h>
 #include <kcf/logline.h>
 #include <sodium.h>
 #include <string.h>
@@ -90,10 +91,8 @@
 
 void operators_stop(control_t *c)
 {
-	for (guint i = 0; i < c->watchers->len; i++)
-		g_free(c->watchers->pdata[i]);
-	g_ptr_array_set_size(c->watchers, 0);
 	http_server_finish(&c->operators);
+	assert(!c->watchers->len);
 }
 
 void operators_reply_json(http_request_t *req, unsigned int status,
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -154,6 +154,11 @@
  */
 void exchange_run(exchange_t *x);
 
+/*
+ * exchange_end - answers a request that its node can't wait for any more.
+ */
+void exchange_end(exchange_t *x);
+
 /*
  * exchange_close - ends the exchange once the caller has its answer or has
  * disconnected, and frees it.
--- a/packages/node/relay.c
+++ b/packages/node/relay.c
@@ -114,8 +114,12 @@
 static void stop_(void *ctx)
 {
 	relay_t *r = ctx;
+	GList *all = g_hash_table_get_values(r->exchanges);
 
 	ev_timer_stop(r->task.loop, &r->sweep);
+	for (GList *l = all; l; l = l->next)
+		exchange_end(l->data);
+	g_list_free(all);
 	http_server_finish(&r->callers);
 	http_client_finish(&r->upstreams);
 }
--- a/tests/scenarios/words.lua
+++ b/tests/scenarios/words.lua
@@ -56,7 +56,7 @@
 		 pid = spawn(argv, dir .. "/" .. name .. ".log") }
 end
 
-local function operators_url(n) return (n.operator_scheme or "http") .. "://" .. n.operators end
+function operators_url(n) return (n.operator_scheme or "http") .. "://" .. n.operators end
 
 local function answers(addr, path)
 	local url = addr:find("://", 1, true) and addr or "http://" .. addr
