HTTP client: the connection of a rejected answer is closed before the request goes on

Cause: a foreign answer was to be cancelled outside of libcurl's callbacks. If it was whole in one read, the call ended before, and the connection went back to the pool with the request still running on it; its next user would have met that request's answer (MIXED is kept by the id, but that request fails as well).

Change: the head callback can reject a response; libcurl then ends the transfer and closes its connection, before the retry is started. Both forms of the node use it, and health checks, whose answers carry no id.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -32,8 +32,12 @@
 
 /* Behaviour of the owner of a call; each function may be NULL but done. */
 typedef struct http_call_ops {
-	/* Status line and headers are in. */
-	void (*head)(void *ctx, http_call_t *call, int status);
+	/*
+	 * Status line and headers are in. False rejects the response: the call
+	 * fails, and its connection is closed, since the request that was sent
+	 * on it may not have been answered yet.
+	 */
+	bool (*head)(void *ctx, http_call_t *call, int status);
 	/* Body bytes; without it the body is collected in the call. */
 	void (*data)(void *ctx, http_call_t *call, str_t data);
 	/* The call is over, freed after this; status is 0 without a head. */
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -31,7 +31,7 @@
 #define STREAM_HIGH_BYTES (256 * 1024)
 #define STREAM_LOW_BYTES (64 * 1024)
 
-static void on_head_(void *ctx, http_call_t *call, int status);
+static bool on_head_(void *ctx, http_call_t *call, int status);
 static void on_data_(void *ctx, http_call_t *call, str_t data);
 static void on_done_(void *ctx, http_call_t *call, int err, int status);
 static bool on_start_(void *ctx);
@@ -275,7 +275,7 @@
 	record_rate_(f, now);
 }
 
-static void on_head_(void *ctx, http_call_t *call, int status)
+static bool on_head_(void *ctx, http_call_t *call, int status)
 {
 	forward_t *f = ctx;
 
@@ -284,11 +284,13 @@
 	f->framing = framing_(call);
 	if (f->response.mismatched || f->response.encoded ||
 	    (is_success_(status) && !f->response.has_signature)) {
-		fail_later_(f, FAULT_MISMATCH);
-		return;
+		f->failing = true;
+		f->failing_fault = FAULT_MISMATCH;
+		return false;
 	}
 	record_progress_(f);
 	record_upstream_state_(f);
+	return true;
 }
 
 /* A resumed stream keeps the headers of its first response. */
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -61,9 +61,9 @@
 {
 	end_check_t *c = ctx;
 	gateway_t *g = c->gateway;
-	bool alive = !err &&
-		     g->protocol->confirms_health(call, status, c->upstream_id);
+	bool alive = !err;
 
+	(void)call;
 	LOG_EVENT(LOG_NOTICE, "quarantine.checked",
 		  F_STR("upstream", c->upstream_id), F_INT("alive", alive),
 		  F_INT("status", status),
@@ -74,7 +74,17 @@
 	g_free(c);
 }
 
-static const http_call_ops_t check_ops = { .done = on_checked_,
+/* What is no answer of the health path belongs to an earlier request. */
+static bool on_check_head_(void *ctx, http_call_t *call, int status)
+{
+	end_check_t *c = ctx;
+
+	return c->gateway->protocol->confirms_health(call, status,
+						     c->upstream_id);
+}
+
+static const http_call_ops_t check_ops = { .head = on_check_head_,
+					   .done = on_checked_,
 					   .dropped = g_free };
 
 static void start_check_(gateway_t *g, const balance_upstream_t *u,
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -611,8 +611,8 @@
 	if (status < 200 || call->head_seen)
 		return len;
 	call->head_seen = true;
-	if (call->ops->head)
-		call->ops->head(call->ctx, call, (int)status);
+	if (call->ops->head && !call->ops->head(call->ctx, call, (int)status))
+		return 0;
 	return len;
 }
 
--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -36,7 +36,7 @@
 
 #define ANSWER_HEADERS_MAX (G_N_ELEMENTS(answer_headers) + 5)
 
-static void on_head_(void *ctx, http_call_t *call, int status);
+static bool on_head_(void *ctx, http_call_t *call, int status);
 static void on_data_(void *ctx, http_call_t *call, str_t data);
 static void on_done_(void *ctx, http_call_t *call, int err, int status);
 static void on_check_timer_(struct ev_loop *loop, ev_timer *w, int revents);
@@ -100,15 +100,16 @@
 	http_stream_begin(x->req, 200, headers);
 }
 
-static void on_head_(void *ctx, http_call_t *call, int status)
+static bool on_head_(void *ctx, http_call_t *call, int status)
 {
 	exchange_t *x = ctx;
 	str_t echo = http_call_header(call, "X-Request-Id");
 
 	x->received_at = clock_now();
 	if (x->echoes_request_id && !str_eq(echo, str_of(x->request_id))) {
-		reject_later_(x, FAILURE_MISMATCHED);
-		return;
+		x->rejected = true;
+		x->rejected_why = FAILURE_MISMATCHED;
+		return false;
 	}
 	if (x->placement.verdict == SCHED_FORWARD)
 		exchange_post_loads(x, http_call_header(call, LOADS_HEADER));
@@ -119,6 +120,7 @@
 	x->head_seen = status == 200;
 	if (status == 200 && is_stream_(call))
 		begin_stream_(x, call);
+	return true;
 }
 
 static void forward_event_(exchange_t *x, const sse_event_t *e)
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -22,6 +22,7 @@
 #define HEAD_MAX 65536
 #define BACKLOG 256
 #define LATE_MS 60
+#define LONG_MS 1500
 /* A crash right after the head: the head arrives alone. */
 #define HEAD_LEAD_MS 5
 #define DRIP_MS 100
@@ -240,6 +241,7 @@
 			      (json_int_t)clock_now(), "body", r->body->str,
 			      r->body->len);
 
+	json_object_set_new(o, "reused", json_boolean(r->reused));
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
 		char *v = header_(r, names[i]);
 
@@ -543,7 +545,7 @@
 		end_run_(!pause_(fd, -1));
 		return false;
 	}
-	if (!pause_(fd, delay_ms)) {
+	if (!pause_(fd, strcmp(mode, "long") ? delay_ms : LONG_MS)) {
 		end_run_(true);
 		return false;
 	}
@@ -606,7 +608,14 @@
 			  "Content-Length: 0\r\n\r\n");
 	else if (!strcmp(mode, "shed"))
 		refuse_(fd, r->id, 503);
-	else if (!strcmp(mode, "stale_refusal")) {
+	else if (!strcmp(mode, "stale_answer")) {
+		/* To an earlier request on this connection. */
+		if (r->reused) {
+			head_(fd, r, 200, "crossed");
+			send_(fd, "Content-Length: 5\r\n\r\nstale");
+		}
+		kept = run_(fd, r, "long");
+	} else if (!strcmp(mode, "stale_refusal")) {
 		/* It belongs to an earlier request on this connection. */
 		if (r->reused)
 			refuse_(fd, NULL, 503);
