Feeds: what an upstream says is ordered by its start and heartbeat, not by its offset

Cause: within an epoch of the log a record with a higher offset was applied whatever it said. Starts and heartbeats were compared across epochs only.

Change: one order for both cases. A record that was overtaken is not applied; the node passes on what is in force with the late record's offset. Nothing that was said before a removal brings an entry back. A notice of leaving holds for its start in whatever order it is read: ignoring a late one would send requests to a leaving upstream.

Routes and keys have a version already; nodes' addresses are hints.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -218,6 +218,78 @@
 	return true;
 }
 
+/* What a record of an upstream says of its place among others. */
+typedef struct upstream_word {
+	uint64_t start_id;
+	uint64_t heartbeat;
+	bool leaving;
+} upstream_word_t;
+
+/* False if the record cannot be read. */
+static bool read_word_(const feed_state_t *s, const feed_record_t *r,
+		       mstime_t now, upstream_word_t *out)
+{
+	json_t *holder = NULL;
+	balance_spec_t spec;
+	bool ok;
+
+	*out = (upstream_word_t){ r->start_id, r->heartbeat };
+	if (r->removed)
+		return true;
+	ok = s->gateway->protocol->parse_upstream_record(r, now, &spec,
+							 &holder);
+	if (ok)
+		*out = (upstream_word_t){ spec.start_id, spec.heartbeat,
+					  spec.leaving };
+	json_decref(holder);
+	return ok;
+}
+
+/* Order against what is known: by start, then by heartbeat. */
+static int compare_word_(const upstream_word_t *w, const feed_entry_t *e)
+{
+	if (w->start_id != e->start_id)
+		return w->start_id < e->start_id ? -1 : 1;
+	if (w->heartbeat != e->heartbeat)
+		return w->heartbeat < e->heartbeat ? -1 : 1;
+	return 0;
+}
+
+/*
+ * Whether an upstream has said something newer before. A write that the
+ * platform did not answer may be carried out late, after later ones.
+ */
+static bool is_overtaken_(const feed_state_t *s, const feed_entry_t *e,
+			  const feed_record_t *r, mstime_t now)
+{
+	bool removed = e->removed_at && !e->data;
+	upstream_word_t w;
+	int order;
+
+	if (r->removed || !read_word_(s, r, now, &w))
+		return false;
+	order = compare_word_(&w, e);
+	if (order > 0)
+		return false;
+	/* What an upstream said before its removal does not bring it back, if
+	 * it counts what it says.
+	 */
+	if (!order && !(removed && e->heartbeat))
+		return false;
+	/* A start that has said so leaves, whenever that is read. */
+	if (!removed && w.leaving && w.start_id == e->start_id)
+		return false;
+	LOG_EVENT(LOG_NOTICE, "upstream.overtaken", F_STR("upstream", e->key),
+		  F_INT("offset", (int64_t)r->offset),
+		  F_INT("start", (int64_t)w.start_id),
+		  F_INT("known_start", (int64_t)e->start_id),
+		  F_INT("heartbeat", (int64_t)w.heartbeat),
+		  F_INT("known_heartbeat", (int64_t)e->heartbeat),
+		  F_INT("removed", removed),
+		  F_STR("source", feed_source_string[s->source]));
+	return true;
+}
+
 static void store_data_(feed_entry_t *e, const feed_record_t *r)
 {
 	g_clear_pointer(&e->data, g_bytes_unref);
@@ -235,6 +307,9 @@
 		*changed = apply_operator_record_(s, r, now);
 		return *changed;
 	case FEED_UPSTREAMS:
+		*changed = false;
+		if (is_overtaken_(s, e, r, now))
+			return false;
 		*changed = apply_upstream_record_(s, e, r, now);
 		return true;
 	case FEED_STREAMS:
@@ -273,7 +348,8 @@
 	e->epoch = epoch_(s, r);
 	e->offset = r->offset;
 	/* Other nodes get the content in force with the rejected offset. */
-	e->corrected = r->corrected || (!in_force && e->data);
+	e->corrected =
+		r->corrected || (!in_force && (e->data || e->removed_at));
 	if (in_force)
 		store_data_(e, r);
 	if (changed || e->corrected)
@@ -284,23 +360,14 @@
 static bool is_older_upstream_(const feed_state_t *s, const feed_entry_t *e,
 			       const feed_record_t *r, mstime_t now)
 {
-	uint64_t start_id = r->start_id;
-	uint64_t heartbeat = r->heartbeat;
-	json_t *holder = NULL;
-	balance_spec_t spec;
-	bool ok = r->removed || s->gateway->protocol->parse_upstream_record(
-					r, now, &spec, &holder);
+	upstream_word_t w;
+	int order;
 
-	if (ok && !r->removed) {
-		start_id = spec.start_id;
-		heartbeat = spec.heartbeat;
-	}
-	json_decref(holder);
-	if (!ok || start_id != e->start_id)
-		return !ok || start_id < e->start_id;
+	if (!read_word_(s, r, now, &w))
+		return true;
+	order = compare_word_(&w, e);
 	/* A removal comes after the last heartbeat. */
-	return r->removed ? heartbeat < e->heartbeat
-			  : heartbeat <= e->heartbeat;
+	return r->removed ? order < 0 : order <= 0;
 }
 
 /* Whether a record of operators has a version of its own. */
