Balance: what an upstream says of itself outlives a lapse of its entry

Cause: the rate was a part of the upstream as its entry describes it. The notice of leaving was kept apart, the rate was not.

Change: one place for both, under id and start. Answers to requests from before a lapse count for the entry that is there, which the notice did not do either while the entry was back.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -107,16 +107,22 @@
 	double per_s;	  /* the rate that it names, below 0 for none */
 } balance_load_t;
 
+/* What an upstream's answers say of its start, kept while its entry is away. */
+typedef struct balance_statement {
+	mstime_t kept_until;
+	bool leaving;
+	rate_limit_t rate_limit;
+} balance_statement_t;
+
 /* Limits that hold for all upstreams of a service. */
 typedef struct balance_service {
 	double cold_per_s; /* request rate of a cold upstream, 0: unlimited */
 } balance_service_t;
 
 typedef struct balance {
-	GHashTable *by_id;  /* char * to balance_upstream_t * */
-	GHashTable *by_key; /* uint32_t to balance_upstream_t * */
-	/* uint32_t key to the mstime_t * until which its notice is kept */
-	GHashTable *notices;
+	GHashTable *by_id;	/* char * to balance_upstream_t * */
+	GHashTable *by_key;	/* uint32_t to balance_upstream_t * */
+	GHashTable *statements; /* uint32_t key to balance_statement_t * */
 	guint gossip_cursor;	/* into the reports that are sent in rotation */
 	GHashTable *services;	/* char * to balance_service_t * */
 	GHashTable *affinities; /* affinity to balance_affinity_t * */
@@ -244,7 +250,8 @@
  *
  * Return: whether it is new or has changed.
  */
-bool balance_name_rate(balance_upstream_t *u, double per_s, mstime_t now);
+bool balance_name_rate(balance_t *b, balance_upstream_t *u, double per_s,
+		       mstime_t now);
 
 /*
  * balance_omit_rate - records that an answer names no rate.
@@ -252,7 +259,8 @@
  *
  * Return: whether a rate begins to end.
  */
-bool balance_omit_rate(balance_upstream_t *u, mstime_t sent_at, mstime_t now);
+bool balance_omit_rate(balance_t *b, balance_upstream_t *u, mstime_t sent_at,
+		       mstime_t now);
 
 /*
  * balance_share_rates - divides the named rates among the nodes.
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -12,10 +12,10 @@
 /* Slow start of the upstreams of a data centre that was drained. */
 #define DRAIN_SLOW_START_MS 3000
 /*
- * A leaving upstream's entry may lapse and come back. It has ended long before
- * this time; some serve on for many seconds.
+ * An upstream's entry may lapse and come back. A leaving one has ended long
+ * before this time; some serve on for many seconds.
  */
-#define NOTICE_KEEP_MS 600000
+#define STATEMENT_KEEP_MS 600000
 
 static void release_upstream_(gpointer p);
 
@@ -27,7 +27,7 @@
 	b->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 release_upstream_);
 	b->by_key = g_hash_table_new(NULL, NULL);
-	b->notices = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	b->statements = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	b->services =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->drained =
@@ -53,7 +53,7 @@
 		((balance_upstream_t *)value)->own_outstanding = 0;
 	g_hash_table_destroy(b->by_key);
 	g_hash_table_destroy(b->by_id);
-	g_hash_table_destroy(b->notices);
+	g_hash_table_destroy(b->statements);
 	g_hash_table_destroy(b->services);
 	g_hash_table_destroy(b->drained);
 	g_hash_table_destroy(b->affinities);
@@ -105,6 +105,17 @@
 	u->cold_until = MAX(u->cold_until, until);
 }
 
+static void restore_statement_(const balance_t *b, balance_upstream_t *u)
+{
+	const balance_statement_t *s =
+		g_hash_table_lookup(b->statements, GUINT_TO_POINTER(u->key));
+
+	if (!s)
+		return;
+	u->announced_leaving = s->leaving;
+	u->rate_limit = s->rate_limit;
+}
+
 bool balance_put_upstream(balance_t *b, const balance_spec_t *spec,
 			  mstime_t now)
 {
@@ -133,8 +144,7 @@
 		u->start_id = spec->start_id;
 		u->hash = str_hash64(str_of(spec->id), 0);
 		u->key = (uint32_t)str_hash64(str_of(spec->id), spec->start_id);
-		u->announced_leaving = g_hash_table_contains(
-			b->notices, GUINT_TO_POINTER(u->key));
+		restore_statement_(b, u);
 		g_hash_table_insert(b->by_id, u->id, u);
 		g_hash_table_insert(b->by_key, GUINT_TO_POINTER(u->key), u);
 	}
@@ -147,9 +157,14 @@
 bool balance_remove_upstream(balance_t *b, const char *id)
 {
 	const balance_upstream_t *u = g_hash_table_lookup(b->by_id, id);
+	balance_statement_t *s;
 
 	if (!u)
 		return false;
+	s = g_hash_table_lookup(b->statements, GUINT_TO_POINTER(u->key));
+	/* What was spent of the rate since it was named. */
+	if (s)
+		s->rate_limit = u->rate_limit;
 	g_hash_table_remove(b->by_key, GUINT_TO_POINTER(u->key));
 	return g_hash_table_remove(b->by_id, id);
 }
@@ -174,18 +189,60 @@
 	return false;
 }
 
-bool balance_name_rate(balance_upstream_t *u, double per_s, mstime_t now)
+/* The same start of an upstream, if its entry was away since. */
+static balance_upstream_t *present_(const balance_t *b, balance_upstream_t *u)
 {
+	balance_upstream_t *present =
+		g_hash_table_lookup(b->by_key, GUINT_TO_POINTER(u->key));
+
+	return present ? present : u;
+}
+
+static gboolean has_expired_(gpointer key, gpointer value, gpointer now)
+{
+	(void)key;
+	return ((const balance_statement_t *)value)->kept_until <=
+	       *(const mstime_t *)now;
+}
+
+static void keep_statement_(balance_t *b, const balance_upstream_t *u,
+			    mstime_t now)
+{
+	balance_statement_t *s =
+		g_hash_table_lookup(b->statements, GUINT_TO_POINTER(u->key));
+
+	if (!s) {
+		g_hash_table_foreach_remove(b->statements, has_expired_, &now);
+		s = g_new(balance_statement_t, 1);
+		g_hash_table_insert(b->statements, GUINT_TO_POINTER(u->key), s);
+	}
+	*s = (balance_statement_t){ now + STATEMENT_KEEP_MS,
+				    u->announced_leaving, u->rate_limit };
+}
+
+bool balance_name_rate(balance_t *b, balance_upstream_t *u, double per_s,
+		       mstime_t now)
+{
+	bool changed;
+
+	u = present_(b, u);
 	u->reports_rate = true;
 	u->reported_per_s = per_s;
-	return rate_limit_name(&u->rate_limit, per_s, now);
+	changed = rate_limit_name(&u->rate_limit, per_s, now);
+	keep_statement_(b, u, now);
+	return changed;
 }
 
-bool balance_omit_rate(balance_upstream_t *u, mstime_t sent_at, mstime_t now)
+bool balance_omit_rate(balance_t *b, balance_upstream_t *u, mstime_t sent_at,
+		       mstime_t now)
 {
+	u = present_(b, u);
 	u->reports_rate = true;
 	u->reported_per_s = -1;
-	return rate_limit_omit(&u->rate_limit, sent_at, now);
+	if (!rate_limit_omit(&u->rate_limit, sent_at, now))
+		return false;
+	keep_statement_(b, u, now);
+	return true;
 }
 
 void balance_share_rates(balance_t *b, const uint64_t *keys, guint count,
@@ -205,25 +262,15 @@
 	}
 }
 
-static gboolean has_expired_(gpointer key, gpointer value, gpointer now)
-{
-	(void)key;
-	return *(const mstime_t *)value <= *(const mstime_t *)now;
-}
-
 bool balance_announce_leaving(balance_t *b, balance_upstream_t *u, mstime_t now)
 {
-	mstime_t *until;
-
 	assert(b && u);
+	u = present_(b, u);
 	if (u->announced_leaving)
 		return false;
-	g_hash_table_foreach_remove(b->notices, has_expired_, &now);
-	until = g_new(mstime_t, 1);
-	*until = now + NOTICE_KEEP_MS;
-	g_hash_table_insert(b->notices, GUINT_TO_POINTER(u->key), until);
 	u->announced_leaving = true;
 	u->leaving = true;
+	keep_statement_(b, u, now);
 	return true;
 }
 
--- a/packages/decide/balance_loads.c
+++ b/packages/decide/balance_loads.c
@@ -132,17 +132,17 @@
 }
 
 /* Learns of a rate, or of its end, from an answer to another node. */
-static void apply_rate_(balance_upstream_t *u, const balance_load_t *load,
-			mstime_t at)
+static void apply_rate_(balance_t *b, balance_upstream_t *u,
+			const balance_load_t *load, mstime_t at)
 {
 	if (!load->states_rate) {
 		u->reports_rate = false;
 		return;
 	}
 	if (load->per_s < 0)
-		balance_omit_rate(u, at - RATE_SETTLE_MS, at);
+		balance_omit_rate(b, u, at - RATE_SETTLE_MS, at);
 	else if (at > u->rate_limit.ending_at)
-		balance_name_rate(u, load->per_s, at);
+		balance_name_rate(b, u, load->per_s, at);
 }
 
 void balance_apply_gossip(balance_t *b, const balance_load_t *load,
@@ -156,5 +156,5 @@
 		return;
 	balance_set_remote(
 		u, MAX(0, load->outstanding - own_outstanding_at_(u, at)), at);
-	apply_rate_(u, load, at);
+	apply_rate_(b, u, load, at);
 }
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -234,7 +234,8 @@
 	if (a->mismatched || a->wrong_instance)
 		return;
 	if (!a->names_limit) {
-		if (!balance_omit_rate(f->selected, f->sent_at, now))
+		if (!balance_omit_rate(&f->gateway->balance, f->selected,
+				       f->sent_at, now))
 			return;
 		counter_add(COUNTER_RATES_ENDED, 1);
 		LOG_EVENT(LOG_NOTICE, "upstream.rate_ended",
@@ -243,7 +244,8 @@
 		return;
 	}
 	if (a->limit_per_s < 0 ||
-	    !balance_name_rate(f->selected, a->limit_per_s, now))
+	    !balance_name_rate(&f->gateway->balance, f->selected,
+			       a->limit_per_s, now))
 		return;
 	counter_add(COUNTER_RATES_NAMED, 1);
 	LOG_EVENT(LOG_NOTICE, "upstream.rate",
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -625,6 +625,93 @@
 }
 END_TEST
 
+#define AWAY_MS 1400
+#define KEPT_MS 600000
+
+/* When an answer names a rate, or announces the leave: at an entry that then
+ * lapses, while it is away, or after its return, by a request from before.
+ */
+typedef enum said_when { SAID_BEFORE, SAID_AWAY, SAID_AFTER } said_when_t;
+
+static const struct {
+	said_when_t when;
+	bool leaves;
+	bool names;
+	uint64_t next_start;
+	mstime_t away_ms;
+	bool leaving;
+	bool limited;
+} lapse_cases[] = {
+	{ SAID_BEFORE, false, true, 1, AWAY_MS, false, true },
+	{ SAID_AWAY, false, true, 1, AWAY_MS, false, true },
+	{ SAID_AFTER, false, true, 1, AWAY_MS, false, true },
+	{ SAID_BEFORE, true, false, 1, AWAY_MS, true, false },
+	{ SAID_AWAY, true, false, 1, AWAY_MS, true, false },
+	{ SAID_AFTER, true, false, 1, AWAY_MS, true, false },
+	{ SAID_BEFORE, true, true, 1, AWAY_MS, true, true },
+	{ SAID_BEFORE, false, false, 1, AWAY_MS, false, false },
+	/* A new start has said nothing yet. */
+	{ SAID_BEFORE, true, true, 2, AWAY_MS, false, false },
+	{ SAID_AFTER, true, true, 2, AWAY_MS, false, false },
+	{ SAID_BEFORE, false, true, 1, KEPT_MS - 1, false, true },
+};
+
+/* Guards against what an upstream has said of itself being forgotten when its
+ * entry lapses and comes back.
+ */
+START_TEST(test_statements_outlive_an_entry)
+{
+	balance_spec_t spec = { .id = "u-0",
+				.service = SERVICE,
+				.address = "127.0.0.1:9000",
+				.data_centre = "dc-a",
+				.start_id = 1,
+				.slots = 8 };
+	balance_upstream_t *old;
+	const balance_upstream_t *u;
+	mstime_t back = NOW + lapse_cases[_i].away_ms;
+
+	balance_put_upstream(&b, &spec, NOW);
+	old = choose_(0, NOW).upstream;
+	for (said_when_t now = SAID_BEFORE; now <= SAID_AFTER; now++) {
+		if (now == SAID_AWAY)
+			balance_remove_upstream(&b, "u-0");
+		spec.start_id = lapse_cases[_i].next_start;
+		if (now == SAID_AFTER)
+			balance_put_upstream(&b, &spec, back);
+		if (lapse_cases[_i].when != now)
+			continue;
+		if (lapse_cases[_i].names)
+			balance_name_rate(&b, old, 1.0,
+					  now == SAID_AFTER ? back : NOW);
+		if (lapse_cases[_i].leaves)
+			balance_announce_leaving(
+				&b, old, now == SAID_AFTER ? back : NOW);
+	}
+	u = g_hash_table_lookup(b.by_id, "u-0");
+	ck_assert_int_eq(u->leaving, lapse_cases[_i].leaving);
+	ck_assert_int_eq(u->rate_limit.active, lapse_cases[_i].limited);
+	balance_end_request(old, BALANCE_OK, 10, back);
+}
+END_TEST
+
+/* A rate that ended while the entry was away does not hold afterwards. */
+START_TEST(test_ended_rate_is_not_kept)
+{
+	balance_upstream_t *u;
+
+	put_upstreams_(1);
+	u = choose_(0, NOW).upstream;
+	balance_name_rate(&b, u, 1.0, NOW);
+	balance_remove_upstream(&b, "u-0");
+	ck_assert(balance_omit_rate(&b, u, NOW + 1, NOW + 10));
+	put_upstream_(0, "dc-a", NOW + AWAY_MS);
+	balance_end_request(u, BALANCE_OK, 10, NOW + AWAY_MS);
+	u = g_hash_table_lookup(b.by_id, "u-0");
+	ck_assert_int_eq(u->rate_limit.ending_at, NOW + 10);
+}
+END_TEST
+
 /* Nodes that held no share of a rate did not learn that it had ended. */
 START_TEST(test_rates_are_gossiped)
 {
@@ -643,7 +730,7 @@
 		u[i] = g_hash_table_lookup(nodes[i].by_id, "u");
 	}
 	balance_apply_report(u[0], 1, 8, 1000);
-	balance_name_rate(u[0], 2.5, 1000);
+	balance_name_rate(&nodes[0], u[0], 2.5, 1000);
 	ck_assert_uint_eq(balance_collect_gossip(&nodes[0], 1100, &load, 1), 1);
 	balance_apply_gossip(&nodes[1], &load, 1150);
 	ck_assert(u[1]->rate_limit.active);
@@ -669,6 +756,9 @@
 	TCase *c = tcase_create("balance");
 
 	tcase_add_checked_fixture(c, setup_, finish_);
+	tcase_add_loop_test(c, test_statements_outlive_an_entry, 0,
+			    G_N_ELEMENTS(lapse_cases));
+	tcase_add_test(c, test_ended_rate_is_not_kept);
 	tcase_add_test(c, test_rates_are_gossiped);
 	tcase_add_test(c, test_no_upstream);
 	tcase_add_test(c, test_prompt_stays_warm);
