Test: a stream that its engine ends inside an event goes on at nodes with owners, too

Nodes with owners wait for the stream's last event, so this held before; no test played it.

Reading: a comment in once.h reworded.

--- a/include/kcf/once.h
+++ b/include/kcf/once.h
@@ -16,8 +16,7 @@
 
 /* Number of streams that share the keys, by hash. */
 #define ONCE_PARTITIONS 64
-/* Of bodies of outcomes that are longer, the record says that they are left
- * out. */
+/* Longer bodies are left out of the record, which then says so. */
 #define ONCE_BODY_MAX 16384
 
 typedef enum once_state {
--- a/tests/standin/engine.c
+++ b/tests/standin/engine.c
@@ -64,6 +64,7 @@
 	int refuse;
 	int silent_after; /* streams stop without closing after n tokens */
 	int cut_after;	  /* connections close after n tokens */
+	int end_after;	  /* streams end inside the event after n tokens */
 	int crossed;	  /* answers carry another request's id */
 	int hang;	  /* requests get no answer at all */
 	int late_ms;	  /* requests take longer to arrive */
@@ -238,6 +239,12 @@
 		http_stream_end(j->req, false);
 		return;
 	}
+	if (fault.end_after && j->stream && j->at >= fault.end_after) {
+		uncount_(j);
+		http_stream_write(j->req, str_of("id: "));
+		http_stream_end(j->req, true);
+		return;
+	}
 	if (j->crashes)
 		_exit(1);
 	if (fault.silent_after && j->at >= fault.silent_after)
@@ -457,6 +464,7 @@
 	standin_switch(s, "refuse", &fault.refuse);
 	standin_switch(s, "silent_after", &fault.silent_after);
 	standin_switch(s, "cut_after", &fault.cut_after);
+	standin_switch(s, "end_after", &fault.end_after);
 	standin_switch(s, "crossed", &fault.crossed);
 	standin_switch(s, "hang", &fault.hang);
 	standin_switch(s, "late_ms", &fault.late_ms);
