Gateway: failed attempts are logged with their connection and place on it

The logs could not tell whether one request came onto one connection twice, or was written again after an error: attempt.failed named no connection.

The HTTP client numbers its connections, never the same number twice (a descriptor is used again), and the requests on each; attempt.failed has both.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -69,6 +69,8 @@
 	ev_timer timer;
 	GHashTable *calls;
 	GHashTable *sockets;
+	GHashTable *connections; /* open ones, by descriptor */
+	uint64_t last_connection;
 	GHashTable *opened;    /* descriptors whose ends are not known yet */
 	GHashTable *connected; /* ends of a connection to its descriptor */
 	const char *ca_file;   /* authority of https servers, or NULL */
@@ -115,6 +117,13 @@
  */
 int64_t http_call_received(http_call_t *call);
 
+/*
+ * http_call_connection - number of the connection that the request was sent on,
+ * 0 if it was not sent; each connection of a client has another.
+ * @order: receives the place of the request on it, from 1
+ */
+uint64_t http_call_connection(const http_call_t *call, uint64_t *order);
+
 /*
  * http_call_reused - whether the request was sent on a connection that had
  * carried another one, so that an answer may belong to that one.
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -516,6 +516,7 @@
 	forward_t *f = ctx;
 
 	(void)status;
+	f->connection = http_call_connection(call, &f->connection_order);
 	f->call = NULL;
 	forward_end_call(f);
 	/* The server closes the connection next, which ends the request. */
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -368,6 +368,8 @@
 		  F_INT("ms", clock_now() - f->sent_at),
 		  F_INT("last_event", f->last_event_id),
 		  F_STR("answer", answer_stage_(f)),
+		  F_INT("connection", (int64_t)f->connection),
+		  F_INT("order", (int64_t)f->connection_order),
 		  F_STR("fingerprint", fingerprint),
 		  F_STR("segments", segments));
 	g_free(segments);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -85,7 +85,9 @@
 	mstime_t sent_at;
 	mstime_t first_at; /* first byte of the response, 0 before */
 	upstream_response_t response;
-	bool event_seen; /* an event, or a part of a plain body */
+	uint64_t connection;	   /* number of that of the last call, or 0 */
+	uint64_t connection_order; /* of the request on it, from 1 */
+	bool event_seen;	   /* an event, or a part of a plain body */
 	framing_t framing;
 	mstime_t progress_at;	  /* last event or part of the body */
 	int64_t progress_bytes;	  /* received at the first check without
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -105,6 +105,8 @@
 	f->event_seen = false;
 	f->framing = FRAMING_CONNECTION;
 	f->response = (upstream_response_t){ 0 };
+	f->connection = 0;
+	f->connection_order = 0;
 	forward_drop_body(f);
 	f->progress_at = now;
 	f->progress_bytes = -1;
@@ -123,6 +125,7 @@
 	ev_timer_stop(f->gateway->loop, &f->deferred_timer);
 	if (!f->call)
 		return;
+	f->connection = http_call_connection(f->call, &f->connection_order);
 	http_call_cancel(f->call);
 	f->call = NULL;
 }
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -27,6 +27,13 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 
+/* An open connection, whoever uses it. */
+typedef struct connection {
+	int fd;
+	uint64_t id;	   /* never used again by this client */
+	uint64_t requests; /* written on it so far */
+} connection_t;
+
 struct http_call {
 	http_client_t *client;
 	CURL *easy;
@@ -38,7 +45,9 @@
 	bool head_seen;
 	bool single;
 	bool fresh;
-	int fd; /* of the connection that the request was sent on, or -1 */
+	int fd; /* of the connection that the request was sent on */
+	uint64_t connection_id; /* its number, or 0 */
+	uint64_t order;		/* of the request on it, from 1 */
 	size_t head_bytes;
 	int sends;   /* connections on which the request was begun */
 	bool soiled; /* the pooled connection had something to read, or ended */
@@ -83,6 +92,7 @@
 	*c = (http_client_t){ .multi = multi, .loop = loop };
 	c->calls = g_hash_table_new(NULL, NULL);
 	c->sockets = g_hash_table_new(NULL, NULL);
+	c->connections = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	c->opened = g_hash_table_new(NULL, NULL);
 	c->connected = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
@@ -115,6 +125,7 @@
 	g_hash_table_destroy(c->sockets);
 	g_hash_table_destroy(c->opened);
 	g_hash_table_destroy(c->connected);
+	g_hash_table_destroy(c->connections);
 }
 
 static bool has_header_(const http_call_spec_t *spec, const char *name)
@@ -154,7 +165,6 @@
 
 	assert(ops && ops->done);
 	call->client = c;
-	call->fd = -1;
 	call->ops = ops;
 	call->ctx = ctx;
 	call->easy = curl_easy_init();
@@ -231,12 +241,22 @@
 	curl_easy_pause(call->easy, pause ? CURLPAUSE_RECV : CURLPAUSE_CONT);
 }
 
+/* The connection that the request was sent on; NULL once it is closed. */
+static connection_t *connection_of_(const http_call_t *call)
+{
+	connection_t *connection = g_hash_table_lookup(
+		call->client->connections, GINT_TO_POINTER(call->fd));
+
+	return connection && connection->id == call->connection_id ? connection
+								   : NULL;
+}
+
 int64_t http_call_received(http_call_t *call)
 {
 	struct tcp_info info = { 0 };
 	socklen_t len = sizeof(info);
 
-	if (call->fd < 0 ||
+	if (!connection_of_(call) ||
 	    getsockopt(call->fd, IPPROTO_TCP, TCP_INFO, &info, &len) ||
 	    len < offsetof(struct tcp_info, tcpi_bytes_received) +
 			    sizeof(info.tcpi_bytes_received))
@@ -244,6 +264,13 @@
 	return (int64_t)info.tcpi_bytes_received;
 }
 
+uint64_t http_call_connection(const http_call_t *call, uint64_t *order)
+{
+	assert(call && order);
+	*order = call->order;
+	return call->connection_id;
+}
+
 bool http_call_reused(http_call_t *call)
 {
 	long opened = 0;
@@ -374,15 +401,15 @@
 		g_hash_table_foreach_remove(c->connected, is_socket_, value);
 }
 
-/* The socket of a connection, which libcurl does not tell; -1 if unknown. */
-static int socket_of_(http_client_t *c, uint64_t ends)
+/* The socket of a connection, which libcurl does not tell; NULL if unknown. */
+static gpointer socket_of_(http_client_t *c, uint64_t ends)
 {
 	gpointer found = g_hash_table_lookup(c->connected, &ends);
 	GHashTableIter iter;
 	gpointer key;
 
 	if (found)
-		return GPOINTER_TO_INT(found);
+		return found;
 	g_hash_table_iter_init(&iter, c->opened);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		int fd = GPOINTER_TO_INT(key);
@@ -394,9 +421,14 @@
 		*copy = ends;
 		g_hash_table_iter_remove(&iter);
 		g_hash_table_insert(c->connected, copy, key);
-		return fd;
+		return key;
 	}
-	return -1;
+	return NULL;
+}
+
+static connection_t *find_connection_(http_client_t *c, uint64_t ends)
+{
+	return g_hash_table_lookup(c->connections, socket_of_(c, ends));
 }
 
 /*
@@ -404,17 +436,24 @@
  * this client, and an end means that nobody reads what is written. libcurl
  * looks for this once a second only.
  */
-static bool soiled_(int fd)
+static bool soiled_(const connection_t *connection)
 {
 	char byte;
 	ssize_t n;
 
-	if (fd < 0)
+	if (!connection)
 		return false;
-	n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	n = recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 	return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+static void number_request_(http_call_t *call, connection_t *connection)
+{
+	call->fd = connection ? connection->fd : -1;
+	call->connection_id = connection ? connection->id : 0;
+	call->order = connection ? ++connection->requests : 0;
+}
+
 /*
  * Runs before each write of the request. libcurl writes it again by itself
  * when a reused connection ends without an answer, though it may have run.
@@ -423,17 +462,18 @@
 		    int remote_port, int local_port)
 {
 	http_call_t *call = userp;
+	connection_t *connection = NULL;
 	struct in_addr remote;
 
 	(void)local_ip;
 	if (call->sends && call->single)
 		return CURL_PREREQFUNC_ABORT;
 	if (inet_pton(AF_INET, remote_ip, &remote) == 1)
-		call->fd =
-			socket_of_(call->client, ends_(ntohl(remote.s_addr),
-						       (uint16_t)remote_port,
-						       (uint16_t)local_port));
-	if (call->single && soiled_(call->fd) && !call->fresh) {
+		connection = find_connection_(call->client,
+					      ends_(ntohl(remote.s_addr),
+						    (uint16_t)remote_port,
+						    (uint16_t)local_port));
+	if (call->single && soiled_(connection) && !call->fresh) {
 		call->soiled = true;
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
 		return CURL_PREREQFUNC_ABORT;
@@ -441,6 +481,7 @@
 	if (call->ops->start && !call->ops->start(call->ctx))
 		return CURL_PREREQFUNC_ABORT;
 	call->sends++;
+	number_request_(call, connection);
 	return CURL_PREREQFUNC_OK;
 }
 
@@ -460,7 +501,11 @@
 
 	http_client_t *c = userp;
 
+	connection_t *connection = g_new(connection_t, 1);
+
 	(void)purpose;
+	*connection = (connection_t){ .fd = fd, .id = ++c->last_connection };
+	g_hash_table_insert(c->connections, GINT_TO_POINTER(fd), connection);
 	g_hash_table_add(c->opened, GINT_TO_POINTER(fd));
 	for (size_t i = 0; i < G_N_ELEMENTS(options); i++)
 		setsockopt(fd, options[i].level, options[i].name,
@@ -470,7 +515,10 @@
 
 static int on_close_(void *userp, curl_socket_t fd)
 {
-	forget_socket_(userp, fd);
+	http_client_t *c = userp;
+
+	forget_socket_(c, fd);
+	g_hash_table_remove(c->connections, GINT_TO_POINTER(fd));
 	return close(fd);
 }
 
