Test: second copies of refusals that come at a later try of their request

An upstream sends a refusal (421, 503, 429, 408, 400) and a second copy of it: at once, before, with or behind the next answer on the connection, or in pieces. Two entries have the address of one upstream, so that the same request comes there twice. The stand-in's mode is "refuse STATUS PLACE".

--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -37,9 +37,30 @@
 	char *id;
 	int64_t last_event;
 	bool stream;
-	bool reused; /* not the first on its connection */
+	bool reused;		   /* not the first on its connection */
+	const char *before_answer; /* sent right before it, or NULL */
 } request_t;
 
+/* Where the second copy of a refusal comes. */
+typedef enum copy_place {
+	COPY_NONE,
+	COPY_BEHIND, /* at once */
+	COPY_BEFORE, /* once the next request is in, before it is run */
+	COPY_PIECES, /* the same, in two parts */
+	COPY_WITH,   /* in one write with the next answer, before it */
+	COPY_AFTER,  /* behind the next answer */
+	COPY_PLACE_COUNT,
+} copy_place_t;
+
+static const char *const copy_place_string[] = { "none",   "behind", "before",
+						 "pieces", "with",   "after" };
+
+/* A copy that is due on a connection. */
+typedef struct copy {
+	char *text; /* NULL for none */
+	copy_place_t place;
+} copy_t;
+
 static struct {
 	GMutex lock;
 	json_t *runs;	  /* request id to number of runs */
@@ -54,6 +75,7 @@
 
 static gchar *listen_address;
 static gchar *own_id;
+static gchar *second_id;
 static gint events = 5;
 static gint gap_ms = 10;
 static gint delay_ms = 5;
@@ -66,6 +88,8 @@
 	{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_address, "Address",
 	  "IP:PORT" },
 	{ "id", 0, 0, G_OPTION_ARG_STRING, &own_id, "Id of this start", "ID" },
+	{ "also", 0, 0, G_OPTION_ARG_STRING, &second_id,
+	  "Another id that it answers to", "ID" },
 	{ "events", 0, 0, G_OPTION_ARG_INT, &events, "Events of a stream",
 	  "N" },
 	{ "gap-ms", 0, 0, G_OPTION_ARG_INT, &gap_ms, "Between events", "MS" },
@@ -528,12 +552,67 @@
 }
 
 /* id: of the request, or NULL for a refusal that came too late for its own */
+static char *refusal_text_(const char *id, int status)
+{
+	return g_strdup_printf("HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\n"
+			       "%s%s%sContent-Length: 0\r\n\r\n",
+			       status, id ? "Attempt-Id: " : "", id ? id : "",
+			       id ? "\r\n" : "");
+}
+
 static void refuse_(int fd, const char *id, int status)
 {
-	send_(fd,
-	      "HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\n"
-	      "%s%s%sContent-Length: 0\r\n\r\n",
-	      status, id ? "Attempt-Id: " : "", id ? id : "", id ? "\r\n" : "");
+	char *text = refusal_text_(id, status);
+
+	send_(fd, "%s", text);
+	g_free(text);
+}
+
+static copy_place_t copy_place_(const char *name)
+{
+	copy_place_t place = COPY_NONE;
+
+	for (int i = 0; i < COPY_PLACE_COUNT; i++) {
+		if (!strcmp(copy_place_string[i], name))
+			place = (copy_place_t)i;
+	}
+	return place;
+}
+
+/* "refuse STATUS PLACE": false when the mode is another. */
+static bool refuse_twice_(int fd, const request_t *r, const char *mode,
+			  copy_t *copy)
+{
+	char **words = g_strsplit(mode, " ", 3);
+	bool matches = g_strv_length(words) == 3 && !strcmp(words[0], "refuse");
+	char *text;
+
+	if (matches) {
+		text = refusal_text_(r->id, atoi(words[1]));
+		copy->place = copy_place_(words[2]);
+		send_(fd, "%s%s", text, copy->place == COPY_BEHIND ? text : "");
+		g_free(copy->text);
+		copy->text = copy->place > COPY_BEHIND ? g_strdup(text) : NULL;
+		g_free(text);
+	}
+	g_strfreev(words);
+	return matches;
+}
+
+/* Sends what of a copy is due before the next request is run. */
+static void send_copy_before_(int fd, const copy_t *copy)
+{
+	size_t half = copy->text ? strlen(copy->text) / 2 : 0;
+
+	if (!copy->text)
+		return;
+	if (copy->place == COPY_BEFORE)
+		send_(fd, "%s", copy->text);
+	if (copy->place != COPY_PIECES)
+		return;
+	send_(fd, "%.*s", (int)half, copy->text);
+	pause_(fd, LATE_MS);
+	send_(fd, "%s", copy->text + half);
 }
 
 static bool run_(int fd, const request_t *r, const char *mode)
@@ -570,16 +649,19 @@
 		end_run_(false);
 		return false;
 	}
+	if (r->before_answer)
+		send_(fd, "%s", r->before_answer);
 	kept = r->stream && strcmp(mode, "error") != 0 ? stream_(fd, r, mode)
 						       : plain_(fd, r, mode);
 	end_run_(r->stream && !kept && (!*mode || !strcmp(mode, "drip")));
 	return kept;
 }
 
-static bool serve_(int fd, const request_t *r)
+static bool serve_(int fd, request_t *r, copy_t *copy)
 {
 	char *target = header_(r, "Target-Instance");
-	bool other = *target && strcmp(target, own_id) != 0;
+	bool other = *target && strcmp(target, own_id) != 0 &&
+		     (!second_id || strcmp(target, second_id) != 0);
 	char *mode;
 	bool kept = true;
 	g_free(target);
@@ -600,7 +682,14 @@
 		return true;
 	}
 	note_arrival_(r);
+	send_copy_before_(fd, copy);
+	if (copy->place == COPY_WITH)
+		r->before_answer = copy->text;
 	mode = take_fault_();
+	if (refuse_twice_(fd, r, mode, copy)) {
+		g_free(mode);
+		return true;
+	}
 	if (other || !strcmp(mode, "other"))
 		refuse_(fd, r->id, 421);
 	else if (!strcmp(mode, "other_leaving"))
@@ -622,6 +711,10 @@
 		kept = run_(fd, r, "");
 	} else
 		kept = run_(fd, r, mode);
+	if (copy->text && copy->place == COPY_AFTER && kept)
+		send_(fd, "%s", copy->text);
+	g_free(copy->text);
+	copy->text = NULL;
 	g_free(mode);
 	return kept;
 }
@@ -630,6 +723,7 @@
 {
 	int fd = GPOINTER_TO_INT(data);
 	GString *in = g_string_new(NULL);
+	copy_t copy = { 0 };
 	request_t r;
 	bool kept = true;
 	bool reused = false;
@@ -637,9 +731,10 @@
 	while (kept && read_request_(fd, in, &r)) {
 		r.reused = reused;
 		reused = true;
-		kept = serve_(fd, &r);
+		kept = serve_(fd, &r, &copy);
 		request_clear_(&r);
 	}
+	g_free(copy.text);
 	g_string_free(in, TRUE);
 	close(fd);
 	return NULL;
