HTTP client: a request is kept off connections on which it was refused

Callers saw requests that may run once run twice, and answers that promised that nothing had run for requests that ran.

Cause: an answer was matched to a request by its id, where it has to be matched to one try of it. A request is kept from upstreams that it has tried by their entries, while connections are pooled by address; two entries with one address, or one that lapsed and is back, bring it onto one connection twice. A second copy of the first refusal then passes for the answer to the second try, which runs: the request goes on to a third upstream or is refused.

The connection now identifies the try. A call has the tag of its request; once it ends without its final answer, its connection refuses later calls with that tag, and they get another connection. It holds by whatever way the request comes there again, since it does not ask for entry, upstream, service or node. A connection with 64 such tags is replaced, so that the memory is bounded.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -59,6 +59,8 @@
 	bool single;	    /* never sent again on another connection */
 	bool inflate;	    /* takes a deflated answer, as it was before */
 	const char *target; /* request target as sent, or NULL for the URL's */
+	uint64_t tag;	    /* of the request in all of its tries, see
+			       http_call_keep_off; 0 for none */
 	mstime_t connect_max_ms; /* 0 for the default */
 	mstime_t idle_max_ms;	 /* of a pooled connection; 0 for the default */
 } http_call_spec_t;
@@ -124,6 +126,14 @@
  */
 uint64_t http_call_connection(const http_call_t *call, uint64_t *order);
 
+/*
+ * http_call_keep_off - keeps later calls with the tag of this one off its
+ * connection, where a second copy of its answer may still arrive. Nothing in
+ * the copy would tell it from their own answer. For a call that has a tag and
+ * is done.
+ */
+void http_call_keep_off(const http_call_t *call);
+
 /*
  * http_call_reused - whether the request was sent on a connection that had
  * carried another one, so that an answer may belong to that one.
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -502,6 +502,13 @@
 		send_response_(f, call);
 }
 
+/* Whether the request is not sent again, by this node or through it. */
+static bool is_final_(const forward_t *f)
+{
+	return f->response.status < 500 && !f->response.not_executed &&
+	       is_whole_(f);
+}
+
 static bool on_start_(void *ctx)
 {
 	forward_t *f = ctx;
@@ -517,6 +524,8 @@
 
 	(void)status;
 	f->connection = http_call_connection(call, &f->connection_order);
+	if (!err && (f->failing || !is_final_(f)))
+		http_call_keep_off(call);
 	f->call = NULL;
 	forward_end_call(f);
 	/* The server closes the connection next, which ends the request. */
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -91,6 +91,7 @@
 		.deadline = MSTIME_NEVER,
 		.bare = true,
 		.single = true,
+		.tag = str_hash64(f->in.id, 0) | 1,
 		.connect_max_ms = CONNECT_MAX_MS,
 		.idle_max_ms = idle_max_(f->selected),
 	};
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -22,6 +22,8 @@
 #define HEAD_MAX_BYTES (64 * 1024)
 /* Data unacknowledged for so long shows a connection that has gone silent. */
 #define UNACKED_MAX_MS 1500
+/* Requests kept off one connection; one with more is replaced. */
+#define KEPT_OFF_MAX 64
 /* Probes of a connection on which nothing is in flight. */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
@@ -32,6 +34,7 @@
 	int fd;
 	uint64_t id;	   /* never used again by this client */
 	uint64_t requests; /* written on it so far */
+	GArray *kept_off;  /* uint64_t, tags of requests; NULL for none */
 } connection_t;
 
 struct http_call {
@@ -45,12 +48,13 @@
 	bool head_seen;
 	bool single;
 	bool fresh;
+	uint64_t tag;
 	int fd; /* of the connection that the request was sent on */
 	uint64_t connection_id; /* its number, or 0 */
 	uint64_t order;		/* of the request on it, from 1 */
 	size_t head_bytes;
-	int sends;   /* connections on which the request was begun */
-	bool soiled; /* the pooled connection had something to read, or ended */
+	int sends;	 /* connections on which the request was begun */
+	bool unsuitable; /* the pooled connection; another one is opened */
 };
 
 const char *const http_err_string[] = {
@@ -85,6 +89,15 @@
 static int err_of_(http_call_t *call, CURLcode code);
 static void set_method_(http_call_t *call, const http_call_spec_t *spec);
 
+static void free_connection_(gpointer p)
+{
+	connection_t *connection = p;
+
+	if (connection->kept_off)
+		g_array_unref(connection->kept_off);
+	g_free(connection);
+}
+
 void http_client_init(http_client_t *c, struct ev_loop *loop)
 {
 	CURLM *multi = curl_multi_init();
@@ -92,7 +105,8 @@
 	*c = (http_client_t){ .multi = multi, .loop = loop };
 	c->calls = g_hash_table_new(NULL, NULL);
 	c->sockets = g_hash_table_new(NULL, NULL);
-	c->connections = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	c->connections =
+		g_hash_table_new_full(NULL, NULL, NULL, free_connection_);
 	c->opened = g_hash_table_new(NULL, NULL);
 	c->connected = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
@@ -173,6 +187,7 @@
 		call->headers = curl_slist_append(call->headers, *h);
 	call->headers = curl_slist_append(call->headers, "Expect:");
 	call->single = spec->single;
+	call->tag = spec->tag;
 	call->fresh = spec->fresh;
 	if (spec->bare)
 		omit_default_headers_(call, spec);
@@ -271,6 +286,20 @@
 	return call->connection_id;
 }
 
+void http_call_keep_off(const http_call_t *call)
+{
+	connection_t *connection;
+
+	assert(call && call->tag);
+	connection = connection_of_(call);
+	if (!connection)
+		return;
+	if (!connection->kept_off)
+		connection->kept_off =
+			g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_array_append_val(connection->kept_off, call->tag);
+}
+
 bool http_call_reused(http_call_t *call)
 {
 	long opened = 0;
@@ -447,6 +476,31 @@
 	return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+static bool is_kept_off_(const connection_t *connection, uint64_t tag)
+{
+	if (!connection || !connection->kept_off || !tag)
+		return false;
+	for (guint i = 0; i < connection->kept_off->len; i++) {
+		if (g_array_index(connection->kept_off, uint64_t, i) == tag)
+			return true;
+	}
+	return false;
+}
+
+static bool is_used_up_(const connection_t *connection)
+{
+	return connection && connection->kept_off &&
+	       connection->kept_off->len >= KEPT_OFF_MAX;
+}
+
+/* Whether the request must not be written on a pooled connection. */
+static bool is_unsuitable_(const http_call_t *call,
+			   const connection_t *connection)
+{
+	return (call->single && soiled_(connection)) ||
+	       is_used_up_(connection) || is_kept_off_(connection, call->tag);
+}
+
 static void number_request_(http_call_t *call, connection_t *connection)
 {
 	call->fd = connection ? connection->fd : -1;
@@ -473,8 +527,8 @@
 					      ends_(ntohl(remote.s_addr),
 						    (uint16_t)remote_port,
 						    (uint16_t)local_port));
-	if (call->single && soiled_(connection) && !call->fresh) {
-		call->soiled = true;
+	if (!call->fresh && is_unsuitable_(call, connection)) {
+		call->unsuitable = true;
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
 		return CURL_PREREQFUNC_ABORT;
 	}
@@ -573,7 +627,7 @@
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &call);
-		if (call->soiled)
+		if (call->unsuitable)
 			start_anew_(call);
 		else
 			end_call_(call, code);
@@ -583,7 +637,7 @@
 /* Nothing was sent yet: the call goes on with a connection of its own. */
 static void start_anew_(http_call_t *call)
 {
-	call->soiled = false;
+	call->unsuitable = false;
 	call->fresh = true;
 	curl_multi_remove_handle(call->client->multi, call->easy);
 	curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 0L);
