Test: the ledger of run-once requests meets copied refusals and twin entries

Its upstreams now also refuse requests twice (five statuses, five places of the copy), six of eight have a second entry with their address, and its route allows three attempts.

--- a/tests/scenarios/once_ledger.lua
+++ b/tests/scenarios/once_ledger.lua
@@ -6,7 +6,11 @@
 local RATE = tonumber(os.getenv("KCF_LEDGER_RATE") or "300")
 math.randomseed(tonumber(os.getenv("KCF_SEED") or "1"))
 local f = start_site()
-for i = 3, 8 do start_runner(f, "counter-" .. i, "counter", "dc-" .. i % 3 + 1, { slots = 64 }) end
+configure(f, 2, { route("/hold/", "non_idempotent", "counter", { max_attempts = 3 }) })
+for i = 3, 8 do
+	local r = start_runner(f, "counter-" .. i, "counter", "dc-" .. i % 3 + 1, { slots = 64, also = "twin-" .. i })
+	announce(f, { name = "twin-" .. i, service = r.service, dc = r.dc, address = r.address, born = r.born })
+end
 for i = #f.gateways + 1, NODES do
 	local g = { name = "g" .. i, dc = "dc-" .. (i - 1) % 3 + 1, callers = address(4, i, 8001), readiness = address(4, i, 8002),
 		    directory = address(4, i, 8003), admin = address(4, i, 8004), peers = address(4, i, 8005) }
@@ -23,6 +27,9 @@
 
 local modes = { "shed", "other", "close", "reset", "cut", "extra", "extra_late", "copy", "copy_late", "error", "busy",
 		"garbage", "crossed", "stale_refusal", "unframed_reset" }
+for _, status in ipairs { 421, 503, 429, 408, 400 } do
+	for _, place in ipairs { "behind", "before", "pieces", "with", "after" } do modes[#modes + 1] = "refuse " .. status .. " " .. place end
+end
 local ends = now_ms() + SECONDS * 1000
 while now_ms() < ends do
 	for _ = 1, 3 do
