Metrics: which faults retries follow, and what the retry budget did

kcf_retries_by_fault_total (11 values), kcf_retries_uncharged_total, kcf_retries_over_budget_total, kcf_second_writes_stopped_total and the gauge kcf_sharing_nodes. Behaviour is unchanged.

--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -18,6 +18,30 @@
 	[COUNTER_RESUMES_ONLY] = "kcf_resumes_total{version=\"only_one\"}",
 	[COUNTER_RESPONSES_MISMATCHED] = "kcf_crossed_answers_total",
 	[COUNTER_RETRIES] = "kcf_retries_total",
+	[COUNTER_RETRIES_CONNECT] =
+		"kcf_retries_by_fault_total{fault=\"cannot_connect\"}",
+	[COUNTER_RETRIES_SHED] = "kcf_retries_by_fault_total{fault=\"shed\"}",
+	[COUNTER_RETRIES_INSTANCE] =
+		"kcf_retries_by_fault_total{fault=\"other_start\"}",
+	[COUNTER_RETRIES_DISCONNECT] =
+		"kcf_retries_by_fault_total{fault=\"connection_broke\"}",
+	[COUNTER_RETRIES_TIMEOUT] =
+		"kcf_retries_by_fault_total{fault=\"timed_out\"}",
+	[COUNTER_RETRIES_MISMATCH] =
+		"kcf_retries_by_fault_total{fault=\"crossed_answer\"}",
+	[COUNTER_RETRIES_ERROR] =
+		"kcf_retries_by_fault_total{fault=\"upstream_error\"}",
+	[COUNTER_RETRIES_RESUME] =
+		"kcf_retries_by_fault_total{fault=\"resume_refused\"}",
+	[COUNTER_RETRIES_UNBOUNDED] =
+		"kcf_retries_by_fault_total{fault=\"answer_without_end\"}",
+	[COUNTER_RETRIES_STALLED] =
+		"kcf_retries_by_fault_total{fault=\"stream_stalled\"}",
+	[COUNTER_RETRIES_INCOMPLETE] =
+		"kcf_retries_by_fault_total{fault=\"stream_ended_early\"}",
+	[COUNTER_RETRIES_UNCHARGED] = "kcf_retries_uncharged_total",
+	[COUNTER_RETRIES_OVER_BUDGET] = "kcf_retries_over_budget_total",
+	[COUNTER_SECOND_WRITES_STOPPED] = "kcf_second_writes_stopped_total",
 	[COUNTER_OWNER_WAITS] = "kcf_owner_waits_total",
 	[COUNTER_REFUSED_INPUT] = "kcf_refusals_total{reason=\"input\"}",
 	[COUNTER_REFUSED_AUTH] = "kcf_refusals_total{reason=\"auth\"}",
@@ -62,6 +86,7 @@
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
+	[GAUGE_SHARING_NODES] = "kcf_sharing_nodes",
 	[GAUGE_OWNED_UPSTREAMS] = "kcf_owned_upstreams",
 	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
 	[GAUGE_QUARANTINE_HOLDS] = "kcf_quarantine_holds",
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -31,6 +31,9 @@
 	"stream ended early",
 };
 
+G_STATIC_ASSERT(COUNTER_RETRIES_INCOMPLETE - COUNTER_RETRIES_CONNECT + 1 ==
+		FAULT_COUNT);
+
 static void on_request_(void *ctx, http_request_t *req);
 static void on_closed_(void *ctx, http_request_t *req, bool whole);
 static void on_deadline_(struct ev_loop *loop, ev_timer *w, int revents);
@@ -291,10 +294,22 @@
 		return false;
 	if (!has_attempt_left_(f) || !gateway_data_is_current(g))
 		return false;
-	if (why == FAULT_CONNECT && !f->deliveries)
+	if (why == FAULT_CONNECT && !f->deliveries) {
+		counter_add(COUNTER_RETRIES_UNCHARGED, 1);
+		return true;
+	}
+	if (retry_budget_spend(service_budget_(f), &g->conf->retries,
+			       gateway_peers_sharing_count(g), clock_now()))
 		return true;
-	return retry_budget_spend(service_budget_(f), &g->conf->retries,
-				  gateway_peers_sharing_count(g), clock_now());
+	counter_add(COUNTER_RETRIES_OVER_BUDGET, 1);
+	return false;
+}
+
+static void count_retry_(const forward_t *f, fault_t why)
+{
+	counter_add(COUNTER_RETRIES, 1);
+	counter_add((counter_t)(COUNTER_RETRIES_CONNECT + why), 1);
+	counter_add(COUNTER_STREAMS_RESUMED, f->stream_begun);
 }
 
 bool forward_retry(forward_t *f, fault_t why)
@@ -303,9 +318,7 @@
 		f->may_have_run = true;
 	if (!may_retry_(f, why))
 		return false;
-	counter_add(COUNTER_RETRIES, 1);
-	if (f->stream_begun)
-		counter_add(COUNTER_STREAMS_RESUMED, 1);
+	count_retry_(f, why);
 	return start_attempt_(f);
 }
 
@@ -326,8 +339,7 @@
 		return false;
 	}
 	http_call_cancel(call);
-	counter_add(COUNTER_RETRIES, 1);
-	counter_add(COUNTER_STREAMS_RESUMED, f->stream_begun);
+	count_retry_(f, why);
 	balance_end_request(previous, BALANCE_FAILED, -1, now);
 	shares_add_outstanding(&f->gateway->shares, f->service,
 			       share_customer_(f), -1, now);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -302,6 +302,7 @@
 	version_record_tick(g, now);
 	stream_log_tick(g, now);
 	counter_set(GAUGE_MEMBERS_LIVE, g->ranking->len);
+	counter_set(GAUGE_SHARING_NODES, gateway_peers_sharing_count(g));
 }
 
 const member_t *gateway_peers_at_rank(const gateway_t *g, guint rank)
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -25,6 +25,7 @@
 	FAULT_UNBOUNDED,  /* more bytes than any response may have */
 	FAULT_STALLED,	  /* a stream without events */
 	FAULT_INCOMPLETE, /* ended without an error, but not whole */
+	FAULT_COUNT,
 } fault_t;
 
 /* Parallel to fault_t. */
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -4,6 +4,7 @@
 #include <assert.h>
 #include <curl/curl.h>
 #include <errno.h>
+#include <kcf/counter.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -520,8 +521,10 @@
 	struct in_addr remote;
 
 	(void)local_ip;
-	if (call->sends && call->single)
+	if (call->sends && call->single) {
+		counter_add(COUNTER_SECOND_WRITES_STOPPED, 1);
 		return CURL_PREREQFUNC_ABORT;
+	}
 	if (inet_pton(AF_INET, remote_ip, &remote) == 1)
 		connection = find_connection_(call->client,
 					      ends_(ntohl(remote.s_addr),
