Sharing: which nodes share limits is decided in pure code

The count of nodes that share limits was spread over packages/gateway/peers.c. It is packages/decide/sharing.c now, so that it can be tested without sockets.

--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -218,7 +218,7 @@
 			    json_integer(gateway_peers_serving_count(g, now)));
 	if (!gateway_recently_started(g, now)) {
 		json_object_set_new(root, "nodes",
-				    json_integer(g->sharing_nodes));
+				    json_integer(g->sharing.heard));
 		if (!from[FEED_UPSTREAMS])
 			json_object_set_new(root, "addresses",
 					    encode_serving_(g));
@@ -594,8 +594,7 @@
 {
 	gateway_peers_set_serving_count(g, read_count_(root, "serving"), now);
 	apply_serving_(g, json_object_get(root, "addresses"));
-	g->start_sharing_nodes =
-		MAX(g->start_sharing_nodes, (int)read_count_(root, "nodes"));
+	sharing_tell(&g->sharing, (int)read_count_(root, "nodes"));
 }
 
 /* Whether another node knew of this node's epoch when it responded. */
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -286,6 +286,7 @@
 static bool may_retry_(forward_t *f, fault_t why)
 {
 	gateway_t *g = f->gateway;
+	mstime_t now = clock_now();
 	mstime_t held_ms;
 
 	if (!never_executed_(why) && !is_retryable_(f))
@@ -298,8 +299,10 @@
 		counter_add(COUNTER_RETRIES_UNCHARGED, 1);
 		return true;
 	}
-	if (retry_budget_spend(service_budget_(f), &g->conf->retries,
-			       gateway_peers_sharing_count(g), clock_now()))
+	if (retry_budget_spend(
+		    service_budget_(f), &g->conf->retries,
+		    sharing_parts(&g->sharing, g->conf->retries.window_ms, now),
+		    now))
 		return true;
 	counter_add(COUNTER_RETRIES_OVER_BUDGET, 1);
 	return false;
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -8,12 +8,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/*
- * Assumed number of nodes that share limits, for a recently started node that
- * has no sync response yet. With a low number, a large fleet that starts at
- * once would exceed the limits several times over.
- */
-#define SHARING_NODES_UNKNOWN 64
 /* For membership and gossip: the limit on control traffic. */
 #define CONTROL_BYTES_PER_S 4096
 /*
@@ -70,7 +64,7 @@
 	g->start_serving = g_ptr_array_new_with_free_func(g_free);
 	g->ranking = g_array_new(FALSE, FALSE, sizeof(fleet_roles_node_t));
 	g->own_rank = -1;
-	g->sharing_nodes = 1;
+	sharing_init(&g->sharing, g->started_at);
 	members_init(&g->members, &self, (guint32)g->incarnation, &member_ops,
 		     g, clock_now());
 	for (guint i = 0; i < c->seeds->len; i++) {
@@ -87,6 +81,7 @@
 	close(g->socket);
 	g_array_unref(g->ranking);
 	g_ptr_array_unref(g->start_serving);
+	sharing_finish(&g->sharing);
 	members_finish(&g->members);
 }
 
@@ -229,28 +224,46 @@
 	member_log_change(m, before);
 }
 
+static void see_sharing_(gateway_t *g)
+{
+	GArray *others = g_array_new(FALSE, FALSE, sizeof(sharing_member_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+		sharing_member_t other = { m->key, m->state == MEMBER_DEAD,
+					   m->state == MEMBER_LEAVING };
+
+		if (m != g->members.self)
+			g_array_append_val(others, other);
+	}
+	sharing_see(&g->sharing, (const sharing_member_t *)(void *)others->data,
+		    others->len, clock_now());
+	g_array_unref(others);
+}
+
 static void update_ranking_(gateway_t *g)
 {
 	GHashTableIter iter;
 	gpointer value;
-	int sharing_nodes = 0;
 
 	if (!g->ranking_stale)
 		return;
 	g->ranking_stale = false;
+	see_sharing_(g);
 	g_array_set_size(g->ranking, 0);
 	g_hash_table_iter_init(&iter, g->members.by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const member_t *m = value;
 		fleet_roles_node_t node = { m->key, m->data_centre, m, 0 };
 
-		sharing_nodes += m->state != MEMBER_DEAD;
 		if (m->state == MEMBER_LIVE)
 			g_array_append_val(g->ranking, node);
 	}
 	fleet_roles_rank((fleet_roles_node_t *)(void *)g->ranking->data,
 			 g->ranking->len);
-	g->sharing_nodes = MAX(1, sharing_nodes);
 	g->own_rank = -1;
 	for (guint i = 0; i < g->ranking->len; i++) {
 		if (gateway_peers_at_rank(g, i) == g->members.self)
@@ -398,10 +411,5 @@
 
 int gateway_peers_sharing_count(const gateway_t *g)
 {
-	int assumed = g->start_sharing_nodes ? g->start_sharing_nodes
-					     : SHARING_NODES_UNKNOWN;
-
-	if (gateway_recently_started(g, clock_now()))
-		return MAX(g->sharing_nodes, assumed);
-	return g->sharing_nodes;
+	return sharing_nodes(&g->sharing, clock_now());
 }
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -28,11 +28,11 @@
 #include <kcf/origins.h>
 #include <kcf/quarantine_gossip.h>
 #include <kcf/shares.h>
+#include <kcf/sharing.h>
 
 /* Callers use at most this many addresses of a directory response. */
 #define GATEWAY_DIRECTORY_MAX 64
-/* Time within which a starting node discovers most others. */
-#define GATEWAY_DISCOVERY_MS 4000
+#define GATEWAY_DISCOVERY_MS SHARING_DISCOVERY_MS
 
 typedef struct gateway gateway_t;
 
@@ -159,8 +159,7 @@
 	members_t members;
 	GArray *ranking;	  /* fleet_roles_node_t, live nodes by rank */
 	int own_rank;		  /* -1 while this node is not live */
-	int sharing_nodes;	  /* nodes that share limits */
-	int start_sharing_nodes;  /* the same from a sync source, 0 if unset */
+	sharing_t sharing;	  /* nodes that share limits */
 	GPtrArray *start_serving; /* char *, callers' addresses of serving
 				     nodes, from a sync source */
 	bool ranking_stale;
