Retry budget: a retry is free again only after a whole window

Cause: a window had 10 buckets, the newest of which is not over, so that what was spent late in a bucket was free again 9 to 10 s later. A node alone could send 86 retries in 10 s, 54 allowed; no membership, no fault of another part is needed. The margin of a fifth that was meant for this is too small for it.

Change: retries are counted over one bucket more, at least a whole window, and requests over at most a whole one. 20 buckets, so that a window of retries is 10 to 10.5 s long. The fifth stays as a margin for retries that arrive late.

Ruled out: a larger margin (it would have to be half of the budget).

--- a/include/kcf/retry_budget.h
+++ b/include/kcf/retry_budget.h
@@ -12,7 +12,9 @@
 #include <stdbool.h>
 
 /* Buckets into which the window is divided. */
-#define RETRY_BUDGET_BUCKETS 10
+#define RETRY_BUDGET_BUCKETS 20
+/* With the one that a window ends in; it also covers a part of the oldest. */
+#define RETRY_BUDGET_BUCKETS_KEPT (RETRY_BUDGET_BUCKETS + 1)
 
 typedef struct retry_budget_conf {
 	double ratio;	    /* retries allowed per request */
@@ -22,8 +24,8 @@
 
 typedef struct retry_budget {
 	mstime_t bucket; /* index of the newest bucket since time 0 */
-	int requests[RETRY_BUDGET_BUCKETS];
-	int retries[RETRY_BUDGET_BUCKETS];
+	int requests[RETRY_BUDGET_BUCKETS_KEPT];
+	int retries[RETRY_BUDGET_BUCKETS_KEPT];
 } retry_budget_t;
 
 /*
