Retry budget: the shares of all nodes never pass the whole burst

Cause: each node divided the burst by the nodes that it held for not dead. Nodes that are cut off, frozen or have just started see fewer and spent more, all together up to a whole burst each; a node that was killed and started again forgot what it had spent.

Change (packages/decide/sharing.c, no new message; the count that a sync source tells has the shares in it that are kept for silent nodes): - a node that falls silent keeps the share it had for 15 min, the others divide the rest; one that had announced its stop, until its stop limit - less is taken at once, more only after a window and 4 s - a node that starts has nothing of the burst until it knows the others, then a fourth of its share and of the ratio for a window and 4 s; one that knows addresses of others and hears none has nothing of the burst for 15 min - kcf_retry_burst_parts shows the parts at each node Limits for cold rates and crash reports are divided as before.

Ruled out: uncharged retries.

--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -87,6 +87,7 @@
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
 	[GAUGE_SHARING_NODES] = "kcf_sharing_nodes",
+	[GAUGE_BURST_PARTS] = "kcf_retry_burst_parts",
 	[GAUGE_OWNED_UPSTREAMS] = "kcf_owned_upstreams",
 	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
 	[GAUGE_QUARANTINE_HOLDS] = "kcf_quarantine_holds",
--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -217,8 +217,9 @@
 	json_object_set_new(root, "serving",
 			    json_integer(gateway_peers_serving_count(g, now)));
 	if (!gateway_recently_started(g, now)) {
-		json_object_set_new(root, "nodes",
-				    json_integer(sharing_report(&g->sharing)));
+		json_object_set_new(
+			root, "nodes",
+			json_integer(sharing_report(&g->sharing, now)));
 		if (!from[FEED_UPSTREAMS])
 			json_object_set_new(root, "addresses",
 					    encode_serving_(g));
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -287,6 +287,7 @@
 {
 	gateway_t *g = f->gateway;
 	mstime_t now = clock_now();
+	retry_budget_conf_t own;
 	mstime_t held_ms;
 
 	if (!never_executed_(why) && !is_retryable_(f))
@@ -299,10 +300,8 @@
 		counter_add(COUNTER_RETRIES_UNCHARGED, 1);
 		return true;
 	}
-	if (retry_budget_spend(
-		    service_budget_(f), &g->conf->retries,
-		    sharing_parts(&g->sharing, g->conf->retries.window_ms, now),
-		    now))
+	own = sharing_budget(&g->sharing, &g->conf->retries, now);
+	if (retry_budget_spend(service_budget_(f), &own, 1, now))
 		return true;
 	counter_add(COUNTER_RETRIES_OVER_BUDGET, 1);
 	return false;
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -64,7 +64,7 @@
 	g->start_serving = g_ptr_array_new_with_free_func(g_free);
 	g->ranking = g_array_new(FALSE, FALSE, sizeof(fleet_roles_node_t));
 	g->own_rank = -1;
-	sharing_init(&g->sharing, g->started_at);
+	sharing_init(&g->sharing, c->stop_limit_ms, g->started_at);
 	members_init(&g->members, &self, (guint32)g->incarnation, &member_ops,
 		     g, clock_now());
 	for (guint i = 0; i < c->seeds->len; i++) {
@@ -308,6 +308,7 @@
 	members_set_applied(&g->members, g->table ? g->table->version : 0);
 	members_tick(&g->members, now);
 	update_ranking_(g);
+	sharing_expect(&g->sharing, g->members.seeds->len > 0);
 	send_gossip_(g, now);
 	gateway_peers_share_rates(g, now);
 	crashes_tick(g, now);
@@ -316,6 +317,9 @@
 	stream_log_tick(g, now);
 	counter_set(GAUGE_MEMBERS_LIVE, g->ranking->len);
 	counter_set(GAUGE_SHARING_NODES, gateway_peers_sharing_count(g));
+	counter_set(
+		GAUGE_BURST_PARTS,
+		sharing_parts(&g->sharing, g->conf->retries.window_ms, now));
 }
 
 const member_t *gateway_peers_at_rank(const gateway_t *g, guint rank)
