--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -1,6 +1,7 @@
 -- Words for nodes on the users' platform: a store, runners and gateways.
 
 HOST, KEY1, KEY_BETA = "site.example", "key-one", "key-beta"
+PEER_KEY = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
 
 -- Routes of a manifest; fields given go before these.
 function route(prefix, kind, service, o)
@@ -75,7 +76,7 @@
 admin = "%s"
 peers = "%s"
 [peers]
-key = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+key = "%s"
 seeds = [%s]
 [store]
 address = "%s"
@@ -83,7 +84,7 @@
 ratio = %g
 burst = %d
 window_s = 10
-]], g.name, g.dc, f.stop_s, g.callers, g.readiness, g.directory, g.admin, g.peers, table.concat(seeds, ", "),
+]], g.name, g.dc, f.stop_s, g.callers, g.readiness, g.directory, g.admin, g.peers, g.peer_key or PEER_KEY, table.concat(seeds, ", "),
 		g.store or f.store.address, f.retry_ratio, f.retry_burst)
 end
 
