Gateway: a health check after a crash has a connection of its own

Upstreams that go on were taken for crashed ones and the reverse, and requests that may run once were answered 502 though they ran, where an answer too many met a health check.

Cause: answers of the health path bear no id, and checks went out on pooled connections. A late second answer to an earlier check passes for that of the next one; the copy of a refusal ends a check without an answer; and a second answer to a check comes at the next request on its connection, which fails.

The check gets a connection of its own, which is closed behind it.

Ruled out: a tag (each later check needs a new connection then as well, and the requests behind a check keep its copies); `single`, which sees only bytes that are there before the check is written.

The runner stand-in takes {"health": "copied"} and {"health": "down"}, and a copy that is due on a connection comes at checks, too.

--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -92,11 +92,15 @@
 {
 	end_check_t *c = g_new0(end_check_t, 1);
 	char *url = g_strdup_printf("http://%s/", u->address);
-	http_call_spec_t spec = { .method = "GET",
-				  .url = url,
-				  .target = path,
-				  .deadline = now + CHECK_MAX_MS,
-				  .bare = true };
+	http_call_spec_t spec = {
+		.method = "GET",
+		.url = url,
+		.target = path,
+		.deadline = now + CHECK_MAX_MS,
+		.bare = true,
+		/* Nothing tells whose answer a late one is. */
+		.fresh = true
+	};
 
 	c->gateway = g;
 	c->key = u->key;
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -4,7 +4,8 @@
  * It writes its answers byte by byte on a socket, a thread a connection, since
  * no HTTP library gives wrong answers on purpose. It counts how often each
  * request ran. Faults come with POST /fault {"mode": ..., "count": N}; a
- * count of -1 lasts until the next one.
+ * count of -1 lasts until the next one. {"health": ...} is that of the health
+ * path.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -71,6 +72,8 @@
 	int connections;
 	char mode[MODE_MAX];
 	int count;
+	char health[MODE_MAX]; /* "copied" or "down", until the next one */
+	int copies_at_checks;  /* that came before a health answer */
 } state;
 
 static gchar *listen_address;
@@ -213,10 +216,16 @@
 {
 	json_t *f = json_loadb(r->body->str, r->body->len, 0, NULL);
 	const char *mode = json_string_value(json_object_get(f, "mode"));
+	const char *health = json_string_value(json_object_get(f, "health"));
 
 	g_mutex_lock(&state.lock);
-	g_strlcpy(state.mode, mode ? mode : "", sizeof(state.mode));
-	state.count = (int)json_integer_value(json_object_get(f, "count"));
+	if (health) {
+		g_strlcpy(state.health, health, sizeof(state.health));
+	} else {
+		g_strlcpy(state.mode, mode ? mode : "", sizeof(state.mode));
+		state.count =
+			(int)json_integer_value(json_object_get(f, "count"));
+	}
 	g_mutex_unlock(&state.lock);
 	json_decref(f);
 }
@@ -226,10 +235,11 @@
 	json_t *o;
 
 	g_mutex_lock(&state.lock);
-	o = json_pack("{s:O,s:O,s:i,s:i,s:i,s:i}", "runs", state.runs,
+	o = json_pack("{s:O,s:O,s:i,s:i,s:i,s:i,s:i}", "runs", state.runs,
 		      "arrivals", state.arrivals, "running", state.running,
 		      "most", state.most, "aborted", state.aborted,
-		      "connections", state.connections);
+		      "connections", state.connections, "copies_at_checks",
+		      state.copies_at_checks);
 	o = json_deep_copy(o);
 	g_mutex_unlock(&state.lock);
 	return o;
@@ -615,6 +625,26 @@
 	send_(fd, "%s", copy->text + half);
 }
 
+static void answer_check_(int fd, copy_t *copy)
+{
+	char health[MODE_MAX];
+	char *text;
+
+	g_mutex_lock(&state.lock);
+	g_strlcpy(health, state.health, sizeof(health));
+	state.copies_at_checks += copy->text != NULL;
+	g_mutex_unlock(&state.lock);
+	send_copy_before_(fd, copy);
+	g_clear_pointer(&copy->text, g_free);
+	text = g_strdup_printf("HTTP/1.1 %d Status\r\nInstance-Id: %s\r\n"
+			       "Content-Length: 0\r\n\r\n",
+			       strcmp(health, "down") ? 200 : 500, own_id);
+	send_(fd, "%s", text);
+	if (!strcmp(health, "copied"))
+		*copy = (copy_t){ g_strdup(text), COPY_BEFORE };
+	g_free(text);
+}
+
 static bool run_(int fd, const request_t *r, const char *mode)
 {
 	bool kept;
@@ -675,10 +705,7 @@
 		return true;
 	}
 	if (!strcmp(r->target, "/healthz")) {
-		send_(fd,
-		      "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\n"
-		      "Content-Length: 0\r\n\r\n",
-		      own_id);
+		answer_check_(fd, copy);
 		return true;
 	}
 	note_arrival_(r);
