Node: a repeated request is kept off connections on which it was refused

A caller that sent a request again with its id, after a refusal, was answered 503 with "ran": "no" while the second try ran.

Callers choose X-Request-Id and repeat it, jobs run under one id, and this node resumes a stream at the upstream where it ended early; all of these come to the same pooled connection, where a second copy of the first refusal bears the right id.

Calls to upstreams have the tag of their request, and one that ends with a refusal, an error or an unfinished stream keeps the request off its connection. Requests that may run once have connections of their own as before. Calls to other nodes have no tag: nodes answer once.

Not covered: streams and jobs have no test of their own here.

--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -328,11 +328,21 @@
 						   : FAILURE_CONNECTION_LOST);
 }
 
+/* Callers, jobs and this node send a request again with the same id. */
+static bool may_come_again_(const exchange_t *x, int status, bool streamed)
+{
+	return x->rejected || status >= 400 ||
+	       (streamed && !x->stream_finished);
+}
+
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
 	exchange_t *x = ctx;
 	bool streamed = x->streaming && is_stream_(call);
 
+	if (!err && x->placement.verdict == SCHED_RUN &&
+	    may_come_again_(x, status, streamed))
+		http_call_keep_off(call);
 	x->call = NULL;
 	ev_timer_stop(x->relay->task.loop, &x->check_timer);
 	if (x->rejected) {
--- a/packages/node/send.c
+++ b/packages/node/send.c
@@ -139,6 +139,10 @@
 		.fresh = x->run_once,
 	};
 
+	/* Nodes answer once; an upstream's refusal may come twice. */
+	if (x->placement.verdict == SCHED_RUN)
+		spec.tag = str_hash64(str_of(x->request_id), 0) | 1;
+
 	x->attempts++;
 	/* Assumed until a failure proves the contrary. */
 	x->maybe_sent_before = x->maybe_sent;
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -79,6 +79,8 @@
 static gchar *listen_address;
 static gchar *own_id;
 static gchar *second_id;
+static gchar *id_header;
+static gchar *refusal_body;
 static gint events = 5;
 static gint gap_ms = 10;
 static gint delay_ms = 5;
@@ -93,6 +95,10 @@
 	{ "id", 0, 0, G_OPTION_ARG_STRING, &own_id, "Id of this start", "ID" },
 	{ "also", 0, 0, G_OPTION_ARG_STRING, &second_id,
 	  "Another id that it answers to", "ID" },
+	{ "id-header", 0, 0, G_OPTION_ARG_STRING, &id_header,
+	  "Header of a request's id, Attempt-Id if not given", "NAME" },
+	{ "refusal-body", 0, 0, G_OPTION_ARG_STRING, &refusal_body,
+	  "Body of refusals", "TEXT" },
 	{ "events", 0, 0, G_OPTION_ARG_INT, &events, "Events of a stream",
 	  "N" },
 	{ "gap-ms", 0, 0, G_OPTION_ARG_INT, &gap_ms, "Between events", "MS" },
@@ -149,7 +155,7 @@
 
 	r->method = g_strdup(words[0]);
 	r->target = g_strdup(words[1] ? words[1] : "");
-	r->id = header_(r, "Attempt-Id");
+	r->id = header_(r, id_header);
 	r->last_event = *last ? g_ascii_strtoll(last, NULL, 10) : 0;
 	r->stream = strstr(r->target, "/stream/") != NULL;
 	g_free(last);
@@ -318,7 +324,7 @@
 
 static void head_(int fd, const request_t *r, int status, const char *mode)
 {
-	send_(fd, "HTTP/1.1 %d Status\r\nAttempt-Id: %s\r\n", status,
+	send_(fd, "HTTP/1.1 %d Status\r\n%s: %s\r\n", status, id_header,
 	      strcmp(mode, "crossed") ? r->id : "another");
 	if (strcmp(mode, "unsigned") != 0)
 		send_(fd, "Response-Signature: sig-%s-%s\r\n", own_id, r->id);
@@ -528,9 +534,9 @@
 
 static char *own_head_(const request_t *r)
 {
-	return g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+	return g_strdup_printf("HTTP/1.1 200 OK\r\n%s: %s\r\n"
 			       "Response-Signature: sig-%s-%s\r\n",
-			       r->id, own_id, r->id);
+			       id_header, r->id, own_id, r->id);
 }
 
 /* False when the mode is none of these. */
@@ -565,9 +571,10 @@
 static char *refusal_text_(const char *id, int status)
 {
 	return g_strdup_printf("HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\n"
-			       "%s%s%sContent-Length: 0\r\n\r\n",
-			       status, id ? "Attempt-Id: " : "", id ? id : "",
-			       id ? "\r\n" : "");
+			       "%s%s%s%sContent-Length: %zu\r\n\r\n%s",
+			       status, id ? id_header : "", id ? ": " : "",
+			       id ? id : "", id ? "\r\n" : "",
+			       strlen(refusal_body), refusal_body);
 }
 
 static void refuse_(int fd, const char *id, int status)
@@ -704,6 +711,11 @@
 		send_json_(fd, json_object());
 		return true;
 	}
+	if (!strcmp(r->target, "/load")) {
+		send_json_(fd, json_pack("{s:i,s:i}", "outstanding",
+					 state.running, "start_id", getpid()));
+		return true;
+	}
 	if (!strcmp(r->target, "/healthz")) {
 		answer_check_(fd, copy);
 		return true;
@@ -791,6 +803,10 @@
 	    !listen_address || !own_id)
 		return 2;
 	g_option_context_free(context);
+	if (!id_header)
+		id_header = g_strdup("Attempt-Id");
+	if (!refusal_body)
+		refusal_body = g_strdup("");
 	signal(SIGPIPE, SIG_IGN);
 	state.runs = json_object();
 	state.arrivals = json_array();
