Test: jobs whose refusal comes twice run once

A job runs under one id until it is served; at nodes with owners it came to the same pooled connection, where a copy of its first refusal passed for its answer. No logic changes.

--- a/tests/scenarios/copies_at_repeats.lua
+++ b/tests/scenarios/copies_at_repeats.lua
@@ -46,3 +46,18 @@
 end
 expect(met > 0, "no request ran when it came again")
 expect(#problems == 0, "%s", table.concat(problems, "\n"))
+
+-- A job runs under one id until it is served.
+for i = 1, ROUNDS do
+	fault(u, { mode = "refuse 503 before", count = 1 })
+	local order = call_request(n, "mostrador", "GET", "/x", { id = "order-" .. i .. "-" .. now_ms() })
+	order.headers.Prefer = "respond-async"
+	local taken = http(order)
+	expect(taken.status == 202, "a job was answered %s %s", taken.status, taken.body)
+	local job = json_decode(taken.body).job
+	wait_for("the job is done", 15000, function()
+		local a = http { url = "http://" .. n.callers .. "/v1/jobs/" .. job, headers = { Authorization = "Bearer " .. KEY } }
+		return a.status == 200 and json_decode(a.body).state == "done"
+	end)
+	expect(stats(u).runs[job] == 1, "job %d was refused once and ran %s times", i, stats(u).runs[job])
+end
