Test: nodes that lose their links to upstreams serve their callers

No test cut single nodes from upstreams: on loopback all nodes come from 127.0.0.1.

Change: kcf-source.so, loaded into a node with LD_PRELOAD (field source of a gateway in gateway_words.lua), binds its connections to an address of its own. kcf-runner takes POST /cut {"source", "how"}: silent, reset, new_refused, one_way, "" to lift it; what it held back is lost, and these connections are reset.

Limits of the stand-in: loss of packets can't be played on loopback. In a silent cut the kernel still acknowledges bytes, so TCP_USER_TIMEOUT and keep-alive see a sound link. What is sent into a cut never comes later. Reset and new_refused let a new connection open before they reset it.

--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -95,7 +95,12 @@
 	out:close()
 	g.out = f.dir .. "/" .. g.name .. ".out"
 	g.started = now_ms()
-	g.pid = spawn({ (g.bin or bin) .. "/kingcupforkd", "--gateway", path }, f.dir .. "/" .. g.name .. ".err", g.out)
+	local argv = { (g.bin or bin) .. "/kingcupforkd", "--gateway", path }
+	if g.source then
+		table.move({ "/usr/bin/env", "LD_PRELOAD=" .. bin .. "/kcf-source.so", "KCF_SOURCE=" .. g.source,
+			     table.unpack(argv) }, 1, #argv + 3, 1, argv)
+	end
+	g.pid = spawn(argv, f.dir .. "/" .. g.name .. ".err", g.out)
 end
 
 function is_ready(g) return http { url = "http://" .. g.readiness .. "/api/readyz", timeout_ms = 500 }.status == 200 end
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -6,7 +6,14 @@
  * request ran. Faults come with POST /fault {"mode": ..., "count": N}; a
  * count of -1 lasts until the next one. {"health": ...} is that of the health
  * path.
+ *
+ * POST /cut {"source": "IP", "how": ...} cuts the link to a node, which is
+ * known by the address its connections come from. "" lifts the cut:
+ *   silent (nothing passes, new connections open), reset (open ones, and new
+ *   ones), new_refused (open ones go on, new ones are reset), one_way
+ *   (requests come, answers do not pass)
  */
+#include <arpa/inet.h>
 #include <glib.h>
 #include <jansson.h>
 #include <kcf/address.h>
@@ -30,6 +37,23 @@
 #define ENDLESS_BLOCK 16384
 #define MODE_MAX 128
 
+typedef enum cut {
+	CUT_NONE,
+	CUT_SILENT,
+	CUT_RESET,
+	CUT_NEW_REFUSED,
+	CUT_ONE_WAY,
+} cut_t;
+
+static const char *const cut_words[] = { "", "silent", "reset", "new_refused",
+					 "one_way" };
+
+typedef struct connection {
+	int fd;
+	struct in_addr source;
+	bool lost; /* bytes were held back: it ends with the cut */
+} connection_t;
+
 typedef struct request {
 	GString *head;
 	GString *body;
@@ -74,8 +98,14 @@
 	int count;
 	char health[MODE_MAX]; /* "copied" or "down", until the next one */
 	int copies_at_checks;  /* that came before a health answer */
+	GHashTable *cuts; /* source address to cut_t */
+	GPtrArray *open;  /* connection_t */
+	GCond lifted;
 } state;
 
+/* Of this thread. */
+static _Thread_local connection_t *own;
+
 static gchar *listen_address;
 static gchar *own_id;
 static gchar *second_id;
@@ -137,12 +167,52 @@
 	return g_strndup(at, strcspn(at, "\r"));
 }
 
+/* Under the lock. */
+static cut_t cut_of_(struct in_addr source)
+{
+	return (cut_t)GPOINTER_TO_INT(g_hash_table_lookup(
+		state.cuts, GUINT_TO_POINTER(source.s_addr)));
+}
+
+static cut_t own_cut_(void)
+{
+	cut_t cut;
+
+	g_mutex_lock(&state.lock);
+	cut = cut_of_(own->source);
+	g_mutex_unlock(&state.lock);
+	return cut;
+}
+
+static bool is_lost_(void)
+{
+	bool lost;
+
+	g_mutex_lock(&state.lock);
+	lost = own->lost;
+	g_mutex_unlock(&state.lock);
+	return lost;
+}
+
+/* Waits while nothing passes; false when the connection is lost. */
+static bool passes_(void)
+{
+	bool lost;
+
+	g_mutex_lock(&state.lock);
+	while (cut_of_(own->source) == CUT_SILENT)
+		g_cond_wait(&state.lifted, &state.lock);
+	lost = own->lost;
+	g_mutex_unlock(&state.lock);
+	return !lost;
+}
+
 static bool fill_(int fd, GString *in)
 {
 	char data[4096];
 	ssize_t n = recv(fd, data, sizeof(data), 0);
 
-	if (n <= 0)
+	if (!passes_() || n <= 0)
 		return false;
 	g_string_append_len(in, data, n);
 	return true;
@@ -195,10 +265,16 @@
 static bool send_(int fd, const char *fmt, ...)
 {
 	va_list args;
+	cut_t cut = own_cut_();
 	char *text;
 	size_t len;
 	bool ok;
 
+	/* As into the buffer of a socket whose bytes do not arrive. */
+	if (cut == CUT_SILENT || cut == CUT_ONE_WAY)
+		return true;
+	if (is_lost_())
+		return false;
 	va_start(args, fmt);
 	text = g_strdup_vprintf(fmt, args);
 	va_end(args);
@@ -236,6 +312,57 @@
 	json_decref(f);
 }
 
+static void reset_(int fd)
+{
+	struct linger now = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+/* Under the lock. Their threads wake up and close them with a reset. */
+static void lose_connections_(struct in_addr source)
+{
+	for (guint i = 0; i < state.open->len; i++) {
+		connection_t *c = state.open->pdata[i];
+
+		if (c->source.s_addr != source.s_addr)
+			continue;
+		c->lost = true;
+		reset_(c->fd);
+		shutdown(c->fd, SHUT_RD);
+	}
+}
+
+static bool set_cut_(const request_t *r)
+{
+	json_t *f = json_loadb(r->body->str, r->body->len, 0, NULL);
+	const char *from = json_string_value(json_object_get(f, "source"));
+	const char *how = json_string_value(json_object_get(f, "how"));
+	struct in_addr source;
+	size_t cut = 0;
+	cut_t before;
+	bool ok;
+
+	while (how && cut < G_N_ELEMENTS(cut_words) &&
+	       strcmp(cut_words[cut], how) != 0)
+		cut++;
+	ok = how && cut < G_N_ELEMENTS(cut_words) && from &&
+	     inet_pton(AF_INET, from, &source) == 1;
+	if (ok) {
+		g_mutex_lock(&state.lock);
+		before = cut_of_(source);
+		g_hash_table_insert(state.cuts, GUINT_TO_POINTER(source.s_addr),
+				    GINT_TO_POINTER((int)cut));
+		if (before == CUT_SILENT || before == CUT_ONE_WAY ||
+		    cut == CUT_RESET)
+			lose_connections_(source);
+		g_cond_broadcast(&state.lifted);
+		g_mutex_unlock(&state.lock);
+	}
+	json_decref(f);
+	return ok;
+}
+
 static json_t *stats_(void)
 {
 	json_t *o;
@@ -276,12 +403,16 @@
 		"X-Own",	   "X-Hop",	    "Request-Priority",
 		"Kv-Fetch",	   "Resumes"
 	};
+	char from[INET_ADDRSTRLEN];
 	json_t *o = json_pack("{s:s,s:s,s:s,s:I,s:s%}", "id", r->id, "method",
 			      r->method, "target", r->target, "at",
 			      (json_int_t)clock_now(), "body", r->body->str,
 			      r->body->len);
 
 	json_object_set_new(o, "reused", json_boolean(r->reused));
+	json_object_set_new(o, "from",
+			    json_string(inet_ntop(AF_INET, &own->source, from,
+						  sizeof(from))));
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
 		char *v = header_(r, names[i]);
 
@@ -318,8 +449,17 @@
 static bool pause_(int fd, int ms)
 {
 	struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+	mstime_t ends = clock_now() + ms;
 
-	return poll(&p, 1, ms) == 0;
+	if (poll(&p, 1, ms) == 0)
+		return true;
+	if (own_cut_() != CUT_SILENT)
+		return false;
+	/* A close does not come through a silent link. */
+	if (ms < 0)
+		return passes_() && false;
+	g_usleep((gulong)MAX(ends - clock_now(), 0) * G_TIME_SPAN_MILLISECOND);
+	return !is_lost_();
 }
 
 static void head_(int fd, const request_t *r, int status, const char *mode)
@@ -338,13 +478,6 @@
 	      state.running, slots);
 }
 
-static void reset_(int fd)
-{
-	struct linger now = { 1, 0 };
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-}
-
 /* The whole plain answer; false when the connection must end. */
 static bool plain_(int fd, const request_t *r, const char *mode)
 {
@@ -716,6 +849,12 @@
 					 state.running, "start_id", getpid()));
 		return true;
 	}
+	if (!strcmp(r->target, "/cut")) {
+		if (!set_cut_(r))
+			return false;
+		send_json_(fd, json_object());
+		return true;
+	}
 	if (!strcmp(r->target, "/healthz")) {
 		answer_check_(fd, copy);
 		return true;
@@ -758,24 +897,51 @@
 	return kept;
 }
 
+/* False when it is refused. */
+static bool note_connection_(connection_t *c)
+{
+	cut_t cut;
+
+	g_mutex_lock(&state.lock);
+	state.connections++;
+	cut = cut_of_(c->source);
+	if (cut == CUT_RESET || cut == CUT_NEW_REFUSED)
+		c->lost = true;
+	else
+		g_ptr_array_add(state.open, c);
+	g_mutex_unlock(&state.lock);
+	return !c->lost;
+}
+
+static void end_connection_(connection_t *c)
+{
+	g_mutex_lock(&state.lock);
+	g_ptr_array_remove_fast(state.open, c);
+	if (c->lost)
+		reset_(c->fd);
+	close(c->fd);
+	g_mutex_unlock(&state.lock);
+	g_free(c);
+}
+
 static gpointer connection_(gpointer data)
 {
-	int fd = GPOINTER_TO_INT(data);
 	GString *in = g_string_new(NULL);
 	copy_t copy = { 0 };
 	request_t r;
 	bool kept = true;
 	bool reused = false;
 
-	while (kept && read_request_(fd, in, &r)) {
+	own = data;
+	while (kept && read_request_(own->fd, in, &r)) {
 		r.reused = reused;
 		reused = true;
-		kept = serve_(fd, &r, &copy);
+		kept = serve_(own->fd, &r, &copy);
 		request_clear_(&r);
 	}
 	g_free(copy.text);
 	g_string_free(in, TRUE);
-	close(fd);
+	end_connection_(own);
 	return NULL;
 }
 
@@ -810,21 +976,29 @@
 	signal(SIGPIPE, SIG_IGN);
 	state.runs = json_object();
 	state.arrivals = json_array();
+	state.cuts = g_hash_table_new(NULL, NULL);
+	state.open = g_ptr_array_new();
 	fd = listen_();
 	if (fd < 0)
 		return 1;
 	for (;;) {
-		int peer = accept(fd, NULL, NULL);
+		struct sockaddr_in peer = { 0 };
+		socklen_t len = sizeof(peer);
+		connection_t *c;
 		int on = 1;
+		int one = accept(fd, (struct sockaddr *)&peer, &len);
 
-		if (peer < 0)
+		if (one < 0)
 			continue;
 		/* Head and body are written apart. */
-		setsockopt(peer, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		g_mutex_lock(&state.lock);
-		state.connections++;
-		g_mutex_unlock(&state.lock);
-		g_thread_unref(g_thread_new("connection", connection_,
-					    GINT_TO_POINTER(peer)));
+		setsockopt(one, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		c = g_new0(connection_t, 1);
+		c->fd = one;
+		c->source = peer.sin_addr;
+		if (note_connection_(c))
+			g_thread_unref(
+				g_thread_new("connection", connection_, c));
+		else
+			end_connection_(c);
 	}
 }
