Reach: whether a node is cut off from upstreams, or they are down

Cause: a node that reaches no upstream cannot tell a cut of its own links from an outage. In the one its requests are served through other nodes, in the other nowhere.

The module `reach` decides it from this node's silent attempts, its answers, and the answers that other nodes report. A silent attempt is covered by a report if its upstream answered another node after it began (by more than 50 ms, so that an echo of an own answer does not count) and none has answered this node since. One covered attempt makes the node doubtful. It is cut if two upstreams have covered attempts and one of these began after a report that covers another, or if three at one upstream each began after the report of the one before. An answer ends both at once; a cut also ends after 5 s without reports. Nothing calls it yet.

Ruled out: two covered upstreams without the order of attempts and reports. Not run, by reasoning alone: one covered and one uncovered upstream; a crashed and a slow one look like that.

--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -35,6 +35,7 @@
 	{ "quarantine", quarantine_suite },
 	{ "rank", rank_suite },
 	{ "rate_limit", rate_limit_suite },
+	{ "reach", reach_suite },
 	{ "schema", schema_suite },
 	{ "sched", sched_suite },
 	{ "served_model", served_model_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -33,6 +33,7 @@
 Suite *rank_suite(void);
 Suite *rate_limit_suite(void);
 Suite *retry_budget_suite(void);
+Suite *reach_suite(void);
 Suite *routing_suite(void);
 Suite *schema_suite(void);
 Suite *sched_suite(void);
