A node that is cut from upstreams passes requests through another node

Cause: a node had no way for a request but an upstream.

Change: once reach.c says that this node is cut, each request goes over TCP to the datagram address of one other node that has reported loads within 3 s, and that node sends it to an upstream as if its own caller had asked. While it is in doubt, only retries after silence take that way. A header with a keyed hash over time, id, method, host, target and the node's name keeps callers off that way (403). Its nonce comes back with the response and matches it to this try, not to the id alone. One hop: what came from a node is never passed on.

The helping node does placement, version, resume, caps, rates, retry budget and crash reports; the cut node counts none of them, and once a request has been passed on it is never sent directly. The response tells how many upstreams may have had it, so that max_attempts holds over both nodes. "unable" (cut, not ready, stopping, 512 requests of others) is no run: the next of at most three nodes is asked at once. A hop that is lost after the request was written may have run; only requests that may run again are retried then, out of the budget. A refusal is passed on as it is, unless an earlier try may have run.

Ruled out: a second copy of the response's machinery; answer.c serves both, with f->selected NULL. Only other nodes of the own region are asked; of two random ones that of another data centre, then the one with fewer of this node's requests.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -129,8 +129,8 @@
 /*
  * http_call_keep_off - keeps later calls with the tag of this one off its
  * connection, where a second copy of its answer may still arrive. Nothing in
- * the copy would tell it from their own answer. For a call that has a tag and
- * is done.
+ * the copy would tell it from their own answer. For a call that is done; does
+ * nothing without a tag.
  */
 void http_call_keep_off(const http_call_t *call);
 
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -42,6 +42,7 @@
 	mstime_t remaining_ms;
 	int urgency;	       /* 0 is most urgent, -1 if unset */
 	int64_t last_event_id; /* a stream resumes after it, -1 for none */
+	const char *omit;      /* header that is not passed on */
 } outbound_request_t;
 
 /* What the headers of an upstream's response say. */
@@ -85,6 +86,13 @@
 	 */
 	GPtrArray *(*build_request_headers)(const http_request_t *req,
 					    const outbound_request_t *out);
+	/*
+	 * The same for another node: all that its caller would send to it, with
+	 * the time that is left. Only remaining_ms, last_event_id and omit of
+	 * out are used.
+	 */
+	GPtrArray *(*build_relay_headers)(const http_request_t *req,
+					  const outbound_request_t *out);
 	void (*parse_response)(http_call_t *call, int status, str_t request_id,
 			       upstream_response_t *response);
 	/* Whether a response to a health check shows that this upstream serves.
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -39,6 +39,8 @@
 		"kcf_retries_by_fault_total{fault=\"stream_stalled\"}",
 	[COUNTER_RETRIES_INCOMPLETE] =
 		"kcf_retries_by_fault_total{fault=\"stream_ended_early\"}",
+	[COUNTER_RETRIES_UNABLE] =
+		"kcf_retries_by_fault_total{fault=\"other_node_unable\"}",
 	[COUNTER_RETRIES_UNCHARGED] = "kcf_retries_uncharged_total",
 	[COUNTER_RETRIES_OVER_BUDGET] = "kcf_retries_over_budget_total",
 	[COUNTER_SECOND_WRITES_STOPPED] = "kcf_second_writes_stopped_total",
@@ -83,6 +85,10 @@
 	[COUNTER_LEAVES_ANNOUNCED] = "kcf_leaves_announced_total",
 	[COUNTER_RATES_NAMED] = "kcf_upstream_rates_total{change=\"named\"}",
 	[COUNTER_RATES_ENDED] = "kcf_upstream_rates_total{change=\"ended\"}",
+	[COUNTER_RELAYS_SENT] = "kcf_relays_total{side=\"sent\"}",
+	[COUNTER_RELAYS_SERVED] = "kcf_relays_total{side=\"served\"}",
+	[COUNTER_RELAYS_UNABLE] = "kcf_relays_total{side=\"unable\"}",
+	[COUNTER_CUTS] = "kcf_cuts_total",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
@@ -91,6 +97,7 @@
 	[GAUGE_OWNED_UPSTREAMS] = "kcf_owned_upstreams",
 	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
 	[GAUGE_QUARANTINE_HOLDS] = "kcf_quarantine_holds",
+	[GAUGE_REACH_STATE] = "kcf_reach_state",
 };
 
 void counter_add(counter_t c, int64_t n)
--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -78,8 +78,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		json_array_append_new(list, upstream_json_(value, now));
 	gateway_reply_json_tree(
-		req, json_pack("{s:s,s:s,s:I,s:o}", "node", g->conf->name,
-			       "phase", phase_string[g->phase], "config",
+		req, json_pack("{s:s,s:s,s:s,s:I,s:o}", "node", g->conf->name,
+			       "phase", phase_string[g->phase], "reach",
+			       reach_state_string[g->reach.state], "config",
 			       g->table ? (json_int_t)g->table->version : -1,
 			       "upstreams", list));
 }
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -56,7 +56,8 @@
 	http_header_t header = { name, value };
 
 	if (!l->forward->gateway->protocol->forwards_response_header(name) ||
-	    http_hop_header(name, l->connection))
+	    http_hop_header(name, l->connection) ||
+	    !g_ascii_strcasecmp(name, RELAY_HEADER))
 		return;
 	g_array_append_val(l->headers, header);
 }
@@ -70,14 +71,21 @@
 		       : FRAMING_CONNECTION;
 }
 
-/* Headers for the caller; their strings belong to the call. */
-static GArray *response_headers_(const forward_t *f, http_call_t *call)
+/* Headers for the caller; their strings belong to the call or the request. */
+static GArray *response_headers_(forward_t *f, http_call_t *call,
+				 unsigned int status)
 {
 	static const http_header_t closing = { "Connection", "close" };
 	header_list_t l = { f, http_call_header(call, "Connection"),
 			    g_array_new(TRUE, TRUE, sizeof(http_header_t)) };
 
 	http_call_each_header(call, add_header_, &l);
+	if (f->order) {
+		http_header_t answer = { RELAY_HEADER,
+					 relays_answer_header(f, status) };
+
+		g_array_append_val(l.headers, answer);
+	}
 	if (f->gateway->phase == GATEWAY_STOPPING)
 		g_array_append_val(l.headers, closing);
 	return l.headers;
@@ -147,6 +155,12 @@
 	f->progress_at = clock_now();
 	f->progress_bytes = -1;
 	f->no_alternative = false;
+	if (!f->selected)
+		return;
+	if (f->order)
+		f->order->silent = false;
+	reach_record_answer(&f->gateway->reach, f->selected->key,
+			    f->progress_at);
 }
 
 /* Whether bytes arrive without an event or a part of the body. */
@@ -190,7 +204,8 @@
 		abort_attempt_(f, FAULT_STALLED);
 		return;
 	}
-	if (f->no_alternative ||
+	/* The node that sends to the upstream moves it. */
+	if (f->way || f->no_alternative ||
 	    (double)stalled < STALL_MOVE_FRACTION * (double)limit ||
 	    !forward_can_retry(f))
 		return;
@@ -284,6 +299,8 @@
 	f->gateway->protocol->parse_response(call, status, f->in.id,
 					     &f->response);
 	f->framing = framing_(call);
+	if (f->way && !relays_parse_response(f, call))
+		f->response.mismatched = true;
 	if (f->response.mismatched || f->response.encoded ||
 	    (is_success_(status) && !f->response.has_signature)) {
 		f->failing = true;
@@ -291,7 +308,8 @@
 		return false;
 	}
 	record_progress_(f);
-	record_upstream_state_(f);
+	if (f->selected)
+		record_upstream_state_(f);
 	return true;
 }
 
@@ -302,7 +320,7 @@
 
 	if (f->stream_begun)
 		return;
-	headers = response_headers_(f, call);
+	headers = response_headers_(f, call, 200);
 	f->stream_begun = true;
 	http_stream_begin(f->req, 200,
 			  (const http_header_t *)(void *)headers->data);
@@ -314,7 +332,7 @@
 {
 	if (!e->comment) {
 		record_progress_(f);
-		if (!f->event_seen)
+		if (!f->event_seen && f->selected)
 			crashes_record_answer(f);
 		f->event_seen = true;
 	}
@@ -326,7 +344,7 @@
 	}
 	if (!e->comment)
 		f->event_missing = false;
-	if (!f->origin_noted)
+	if (!f->origin_noted && f->selected)
 		resumes_bind(f);
 	begin_stream_(f, call);
 	http_stream_write(f->req, e->raw);
@@ -382,10 +400,16 @@
  * Callers take these statuses to mean that the request has not run. Unless the
  * upstream confirms that in a header, it may have run.
  */
-static bool is_unconfirmed_refusal_(const upstream_response_t *a)
+static bool is_unconfirmed_refusal_(const forward_t *f)
 {
-	return !a->not_executed && (a->status == 408 || a->status == 421 ||
-				    a->status == 429 || a->status == 503);
+	const upstream_response_t *a = &f->response;
+	/* Another node passes on none that is unconfirmed, but knows only its
+	 * own attempts.
+	 */
+	bool confirmed = f->way ? !f->may_have_run : a->not_executed;
+
+	return !confirmed && (a->status == 408 || a->status == 421 ||
+			      a->status == 429 || a->status == 503);
 }
 
 static str_t buffered_body_(const forward_t *f)
@@ -397,19 +421,19 @@
 {
 	GArray *headers;
 
-	if (f->stream_begun || is_unconfirmed_refusal_(&f->response)) {
+	if (f->stream_begun || is_unconfirmed_refusal_(f)) {
 		f->may_have_run = true;
 		forward_release(f, BALANCE_FAILED);
 		forward_refuse(f, 502, "upstream failed",
 			       COUNTER_REFUSED_UPSTREAM, 0);
 		return;
 	}
-	headers = response_headers_(f, call);
+	headers = response_headers_(f, call, (unsigned int)f->response.status);
 	http_reply(f->req, (unsigned int)f->response.status,
 		   (const http_header_t *)(void *)headers->data,
 		   buffered_body_(f));
 	g_array_unref(headers);
-	if (is_success_(f->response.status))
+	if (is_success_(f->response.status) && f->selected)
 		crashes_record_answer(f);
 	forward_complete(f, (unsigned int)f->response.status, "answered");
 	forward_release(f,
@@ -496,7 +520,7 @@
 		handle_incomplete_(f);
 	else if (is_stream_(f))
 		finish_stream_(f, call);
-	else if (f->response.status >= 500)
+	else if (f->response.status >= 500 && !f->way)
 		handle_upstream_error_(f, call);
 	else
 		send_response_(f, call);
@@ -535,6 +559,8 @@
 		fail_now_(f);
 	} else if (err != HTTP_OK) {
 		handle_error_(f, err);
+	} else if (f->way && f->way->unable) {
+		forward_attempt_failed(f, relays_fault(f));
 	} else if (f->response.wrong_instance) {
 		forward_attempt_failed(f, FAULT_INSTANCE);
 	} else if (f->response.not_executed) {
--- a/packages/gateway/crashes.c
+++ b/packages/gateway/crashes.c
@@ -49,12 +49,13 @@
 static const quarantine_gossip_ops_t gossip_ops = { random_peer_,
 						    send_report_ };
 
-/* A health check to learn whether an upstream goes on. */
+/* A health check to learn whether an upstream goes on, or can be reached. */
 typedef struct end_check {
 	gateway_t *gateway;
 	uint32_t key;
 	char upstream_id[64];
 	mstime_t sent_at;
+	bool probe;
 } end_check_t;
 
 static void on_checked_(void *ctx, http_call_t *call, int err, int status)
@@ -64,13 +65,17 @@
 	bool alive = !err;
 
 	(void)call;
-	LOG_EVENT(LOG_NOTICE, "quarantine.checked",
+	LOG_EVENT(LOG_NOTICE, c->probe ? "reach.probed" : "quarantine.checked",
 		  F_STR("upstream", c->upstream_id), F_INT("alive", alive),
 		  F_INT("status", status),
 		  F_STR("error", http_err_string[-err]));
-	if (alive)
+	if (alive) {
 		quarantine_record_alive(&g->quarantine, c->key, c->sent_at,
 					clock_now());
+		reach_record_answer(&g->reach, c->key, clock_now());
+	} else if (!status) {
+		relays_record_silence(g, c->key, c->sent_at, clock_now());
+	}
 	g_free(c);
 }
 
@@ -88,7 +93,7 @@
 					   .dropped = g_free };
 
 static void start_check_(gateway_t *g, const balance_upstream_t *u,
-			 const char *path, mstime_t now)
+			 const char *path, bool probe, mstime_t now)
 {
 	end_check_t *c = g_new0(end_check_t, 1);
 	char *url = g_strdup_printf("http://%s/", u->address);
@@ -105,12 +110,24 @@
 	c->gateway = g;
 	c->key = u->key;
 	c->sent_at = now;
+	c->probe = probe;
 	g_strlcpy(c->upstream_id, u->id, sizeof(c->upstream_id));
-	counter_add(COUNTER_CRASH_CHECKS, 1);
+	if (!probe)
+		counter_add(COUNTER_CRASH_CHECKS, 1);
 	http_call_start(&g->upstreams, &spec, &check_ops, c);
 	g_free(url);
 }
 
+void crashes_ask_health(gateway_t *g, const balance_upstream_t *u, bool probe,
+			mstime_t now)
+{
+	const routing_service_t *s = route_table_service(g->table, u->service);
+
+	/* A cold upstream has no room for checks. */
+	if (s && s->health_path && now >= u->cold_until)
+		start_check_(g, u, s->health_path, probe, now);
+}
+
 static void start_checks_(gateway_t *g, mstime_t now)
 {
 	uint32_t key;
@@ -118,12 +135,9 @@
 	while (quarantine_next_check(&g->quarantine, now, &key)) {
 		const balance_upstream_t *u =
 			balance_find_key(&g->balance, key);
-		const routing_service_t *s =
-			u ? route_table_service(g->table, u->service) : NULL;
 
-		/* A cold upstream has no room for checks. */
-		if (s && s->health_path && now >= u->cold_until)
-			start_check_(g, u, s->health_path, now);
+		if (u)
+			crashes_ask_health(g, u, false, now);
 	}
 }
 
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -28,10 +28,10 @@
 	"timed out",	      "crossed answer",
 	"upstream error",     "resume refused",
 	"answer without end", "stream stalled",
-	"stream ended early",
+	"stream ended early", "other node unable",
 };
 
-G_STATIC_ASSERT(COUNTER_RETRIES_INCOMPLETE - COUNTER_RETRIES_CONNECT + 1 ==
+G_STATIC_ASSERT(COUNTER_RETRIES_UNABLE - COUNTER_RETRIES_CONNECT + 1 ==
 		FAULT_COUNT);
 
 static void on_request_(void *ctx, http_request_t *req);
@@ -79,6 +79,9 @@
 	ev_timer_stop(loop, &f->overdue_timer);
 	ev_timer_stop(loop, &f->resume_timer);
 	g_hash_table_remove(f->gateway->forwards, f);
+	f->gateway->relayed -= f->order != NULL;
+	g_free(f->order);
+	g_free(f->way);
 	route_table_unref(f->table);
 	f->gateway->buffered_bytes -= f->body->len;
 	g_string_free(f->body, TRUE);
@@ -113,6 +116,8 @@
 		  F_STR("service", f->service ? f->service : "-"),
 		  F_STR("customer", f->customer ? f->customer->name : "-"),
 		  F_STR("upstream", f->upstream_id[0] ? f->upstream_id : "-"),
+		  F_STR("via", f->way ? f->way->via : "-"),
+		  F_STR("relayed_by", f->order ? f->order->from : "-"),
 		  F_STR("version", f->version[0] ? f->version : "-"),
 		  F_VIEW("resumes", f->in.resumes),
 		  F_INT("after", f->in.last_event_id),
@@ -151,7 +156,7 @@
 			   mstime_t retry_ms)
 {
 	char retry_after[32];
-	http_header_t headers[4] = { { "Content-Type",
+	http_header_t headers[5] = { { "Content-Type",
 				       "application/problem+json" } };
 	int n = 1;
 	char *text = json_text(json_pack("{s:i,s:s,s:s}", "status", (int)status,
@@ -164,6 +169,10 @@
 	}
 	if (f->gateway->phase == GATEWAY_STOPPING)
 		headers[n++] = (http_header_t){ "Connection", "close" };
+	if (f->order)
+		headers[n++] =
+			(http_header_t){ RELAY_HEADER,
+					 relays_answer_header(f, status) };
 	http_reply(f->req, status, headers, str_of(text));
 	g_free(text);
 }
@@ -271,7 +280,8 @@
 /* Whether a fault proves that the request did not reach the upstream. */
 static bool never_delivered_(fault_t why)
 {
-	return why == FAULT_CONNECT || why == FAULT_INSTANCE;
+	return why == FAULT_CONNECT || why == FAULT_INSTANCE ||
+	       why == FAULT_UNABLE;
 }
 
 static bool never_executed_(fault_t why)
@@ -296,7 +306,9 @@
 		return false;
 	if (!has_attempt_left_(f) || !gateway_data_is_current(g))
 		return false;
-	if (why == FAULT_CONNECT && !f->deliveries) {
+	/* Nor does one that another node has not sent to any. */
+	if ((why == FAULT_CONNECT && !f->deliveries) ||
+	    (f->way && never_delivered_(why))) {
 		counter_add(COUNTER_RETRIES_UNCHARGED, 1);
 		return true;
 	}
@@ -314,6 +326,27 @@
 	counter_add(COUNTER_STREAMS_RESUMED, f->stream_begun);
 }
 
+/* Whether the attempt may have met a lost link of this node. */
+static bool met_silence_(const forward_t *f, fault_t why)
+{
+	return (why == FAULT_CONNECT || why == FAULT_DISCONNECT ||
+		why == FAULT_TIMEOUT) &&
+	       !f->response.status;
+}
+
+/* Sends the request again, to an upstream or through another node. */
+static bool start_again_(forward_t *f, fault_t why)
+{
+	const gateway_t *g = f->gateway;
+
+	if (f->way || relays_is_cut(g))
+		return relays_start(f);
+	if (g->reach.state == REACH_DOUBTFUL && met_silence_(f, why) &&
+	    relays_start(f))
+		return true;
+	return start_attempt_(f);
+}
+
 bool forward_retry(forward_t *f, fault_t why)
 {
 	if (!never_executed_(why))
@@ -321,7 +354,7 @@
 	if (!may_retry_(f, why))
 		return false;
 	count_retry_(f, why);
-	return start_attempt_(f);
+	return start_again_(f, why);
 }
 
 bool forward_move(forward_t *f, fault_t why)
@@ -335,7 +368,7 @@
 		return false;
 	f->selected = NULL;
 	f->call = NULL;
-	if (!start_attempt_(f)) {
+	if (!start_again_(f, why)) {
 		f->selected = previous;
 		f->call = call;
 		return false;
@@ -356,8 +389,8 @@
 		return;
 	}
 	forward_refuse(f, 503, fault_string[why], COUNTER_REFUSED_UPSTREAM,
-		       f->pick.upstream ? RETRY_AFTER_FAILURE_MS
-					: f->pick.retry_ms);
+		       f->pick.upstream || f->way ? RETRY_AFTER_FAILURE_MS
+						  : f->pick.retry_ms);
 }
 
 /* What the upstream had sent in this attempt. */
@@ -398,8 +431,12 @@
 {
 	mstime_t now = clock_now();
 
+	if (f->way)
+		relays_record_fault(f, why);
 	if (!f->selected)
 		return;
+	if (met_silence_(f, why))
+		forward_record_silence(f);
 	forward_log_fault(f, f->selected->id, why);
 	f->suspect = crashes_record(f, why) || f->suspect;
 	if (why == FAULT_CONNECT)
@@ -427,6 +464,8 @@
 	(void)revents;
 	if (f->done)
 		return;
+	if (f->call)
+		forward_record_silence(f);
 	forward_cancel(f, f->first_at ? BALANCE_ABANDONED : BALANCE_FAILED);
 	f->may_have_run = true;
 	forward_refuse(f, 504, "deadline has passed", COUNTER_REFUSED_DEADLINE,
@@ -502,9 +541,20 @@
 
 void forward_place(forward_t *f)
 {
+	if (relays_is_cut(f->gateway)) {
+		if (!relays_start(f))
+			forward_refuse(f, 503, "no way to upstreams",
+				       COUNTER_REFUSED_UPSTREAM,
+				       RETRY_AFTER_FAILURE_MS);
+		return;
+	}
 	retry_budget_count_request(service_budget_(f),
 				   &f->gateway->conf->retries, f->received_at);
-	if (!start_attempt_(f))
+	if (start_attempt_(f))
+		return;
+	/* All may only be out of reach of this node. */
+	if (f->gateway->reach.state != REACH_DOUBTFUL ||
+	    f->pick.reason != BALANCE_NO_UPSTREAM || !relays_start(f))
 		refuse_unplaced_(f);
 }
 
@@ -533,6 +583,8 @@
 						     : RETRY_AFTER_PAUSE_MS);
 		return;
 	}
+	if (!relays_admit(f))
+		return;
 	f->table = route_table_ref(g->table);
 	if (!identify_(f))
 		return;
@@ -545,15 +597,19 @@
 			       RETRY_AFTER_STOPPING_MS);
 		return;
 	}
+	if (f->order) {
+		f->order->accepted = true;
+		counter_add(COUNTER_RELAYS_SERVED, 1);
+	}
 	if (crashes_refuse_held(f))
 		return;
-	if (resumes_resolve(f))
+	/* Another node that it is passed to finds its version. */
+	if (relays_is_cut(g) || resumes_resolve(f))
 		forward_place(f);
 }
 
-static void on_request_(void *ctx, http_request_t *req)
+void forward_accept(gateway_t *g, http_request_t *req, relay_order_t *order)
 {
-	gateway_t *g = ctx;
 	forward_t *f = forward_new_(g, req);
 
 	counter_add(COUNTER_REQUESTS, 1);
@@ -561,9 +617,23 @@
 	g->last_request_at = f->received_at;
 	http_request_ends_with_connection(req);
 	g->protocol->parse_request(req, &f->in);
+	if (order) {
+		f->order = order;
+		f->deliveries = order->arrivals;
+		f->may_have_run = order->may_have_run;
+		g->relayed++;
+		/* The node that passes it on is its caller's own try. */
+		if (order->began && !f->in.resumes.len)
+			f->in.resumes = f->in.id;
+	}
 	handle_request_(f);
 }
 
+static void on_request_(void *ctx, http_request_t *req)
+{
+	forward_accept(ctx, req, NULL);
+}
+
 static void on_closed_(void *ctx, http_request_t *req, bool whole)
 {
 	forward_t *f = http_request_user(req);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -40,6 +40,10 @@
 #define AUX_BODY_MAX_BYTES 4096
 /* Request bodies of all callers: a fifth of the smallest host's memory. */
 #define BODIES_MAX_BYTES (32 * 1024 * 1024)
+/* Other nodes' requests have this part of the room of callers. */
+#define RELAY_FRACTION 2
+/* What another node adds to the headers of a request. */
+#define RELAY_HEADER_BYTES 1024
 
 const char *const phase_string[] = { "starting", "ready", "stopping" };
 
@@ -206,11 +210,11 @@
 
 	if (since >= g->conf->stop_limit_ms) {
 		forwards_end(g);
-		return !g->callers.open ||
+		return (!g->callers.open && !g->relays.open) ||
 		       since >= g->conf->stop_limit_ms + STOP_WRITE_MS;
 	}
 	/* Requests that are still being read are not in forwards yet. */
-	return since >= STOP_MIN_MS && !g->callers.open &&
+	return since >= STOP_MIN_MS && !g->callers.open && !g->relays.open &&
 	       !g_hash_table_size(g->forwards) &&
 	       now - g->last_request_at >= STOP_QUIET_MS;
 }
@@ -306,6 +310,41 @@
 	const char *name;
 } listener_t;
 
+/* Requests of callers, or of other nodes for theirs. */
+static bool takes_requests_(const gateway_t *g, const http_server_t *s)
+{
+	return s == &g->callers || s == &g->relays;
+}
+
+static bool listen_at_(gateway_t *g, const listener_t *l)
+{
+	const gateway_conf_t *c = g->conf;
+	bool requests = takes_requests_(g, l->server);
+	http_server_conf_t conf = {
+		.address = l->address,
+		.max_body = requests ? (size_t)c->max_body : AUX_BODY_MAX_BYTES,
+		.max_bodies = requests ? BODIES_MAX_BYTES : 0,
+		.max_header = (size_t)c->max_header,
+		.max_connections = requests ? (unsigned int)c->max_connections
+					    : AUX_CONNECTIONS_MAX,
+		.idle_timeout_s = requests ? CALLER_IDLE_S : AUX_IDLE_S,
+	};
+	int err;
+
+	if (l->server == &g->relays) {
+		conf.max_bodies /= RELAY_FRACTION;
+		conf.max_connections /= RELAY_FRACTION;
+		conf.max_header += RELAY_HEADER_BYTES;
+	}
+	err = http_server_init(l->server, g->loop, &conf, l->ops, g);
+	if (!err)
+		return true;
+	LOG_EVENT(LOG_ERR, "node.listen", F_STR("interface", l->name),
+		  F_STR("address", l->address),
+		  F_STR("error", http_server_err_string[-err]));
+	return false;
+}
+
 static bool listen_(gateway_t *g)
 {
 	const gateway_conf_t *c = g->conf;
@@ -315,33 +354,15 @@
 		{ &g->directory, c->directory, &directory_ops, "directory" },
 		{ &g->admin, c->admin, &admin_server_ops, "admin" },
 		{ &g->metrics, c->metrics, &metrics_server_ops, "metrics" },
+		{ &g->relays, c->peers, &relays_server_ops, "relays" },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(listeners); i++) {
 		const listener_t *l = &listeners[i];
-		bool callers = l->server == &g->callers;
-		http_server_conf_t conf = {
-			.address = l->address,
-			.max_body = callers ? (size_t)c->max_body
-					    : AUX_BODY_MAX_BYTES,
-			.max_bodies = callers ? BODIES_MAX_BYTES : 0,
-			.max_header = (size_t)c->max_header,
-			.max_connections =
-				callers ? (unsigned int)c->max_connections
-					: AUX_CONNECTIONS_MAX,
-			.idle_timeout_s = callers ? CALLER_IDLE_S : AUX_IDLE_S,
-		};
-		int err;
-
-		if (!l->address)
-			continue;
-		err = http_server_init(l->server, g->loop, &conf, l->ops, g);
-		if (!err)
-			continue;
-		LOG_EVENT(LOG_ERR, "node.listen", F_STR("interface", l->name),
-			  F_STR("address", l->address),
-			  F_STR("error", http_server_err_string[-err]));
-		return false;
+
+		/* Without that one the node serves its own callers. */
+		if (l->address && !listen_at_(g, l) && l->server != &g->relays)
+			return false;
 	}
 	return true;
 }
@@ -367,6 +388,7 @@
 	crashes_init(g);
 	versions_init(&g->versions, g->started_at);
 	resumes_init(g);
+	relays_init(g);
 	stream_log_init(g);
 	http_client_init(&g->upstreams, g->loop);
 	http_client_init(&g->store, g->loop);
@@ -381,6 +403,7 @@
 {
 	feed_sync_stop(g);
 	http_server_finish(&g->callers);
+	http_server_finish(&g->relays);
 	http_server_finish(&g->readiness);
 	http_server_finish(&g->directory);
 	http_server_finish(&g->admin);
@@ -399,6 +422,7 @@
 	}
 	crashes_finish(g);
 	stream_log_finish(g);
+	relays_finish(g);
 	resumes_finish(g);
 	versions_finish(&g->versions);
 	balance_finish(&g->balance);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -131,6 +131,7 @@
 		decode_rate_(l->limit, &load);
 
 		balance_apply_gossip(&g->balance, &load, now);
+		reach_record_report(&g->reach, load.key, now - load.age_ms);
 	}
 }
 
@@ -155,7 +156,8 @@
 
 	/* Reports of other nodes are forwarded by those nodes themselves. */
 	if (now < g->next_gossip_at ||
-	    now - g->load_reported_at > GOSSIP_REPORT_MAX_AGE_MS)
+	    now - g->load_reported_at > GOSSIP_REPORT_MAX_AGE_MS ||
+	    relays_is_cut(g))
 		return;
 	/* Ticks are coarser than the interval: a late message shortens the next
 	 * interval.
@@ -189,6 +191,8 @@
 	gateway_t *g = ctx;
 
 	apply_gossip_(g, m);
+	if (proc == PEER_LOADS && m->loads.loads_len)
+		relays_hear(g, from, clock_now());
 	members_receive(&g->members, clock_now(), from, proc, m);
 }
 
@@ -311,6 +315,7 @@
 	sharing_expect(&g->sharing, g->members.seeds->len > 0);
 	send_gossip_(g, now);
 	gateway_peers_share_rates(g, now);
+	relays_tick(g, now);
 	crashes_tick(g, now);
 	resumes_tick(g, now);
 	version_record_tick(g, now);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -25,6 +25,7 @@
 	FAULT_UNBOUNDED,  /* more bytes than any response may have */
 	FAULT_STALLED,	  /* a stream without events */
 	FAULT_INCOMPLETE, /* ended without an error, but not whole */
+	FAULT_UNABLE,	  /* another node cannot help, not executed */
 	FAULT_COUNT,
 } fault_t;
 
@@ -45,6 +46,36 @@
 	RESUME_WAITS_FOR_LOG,
 } resume_wait_t;
 
+/* Tells nodes of requests that one passes on; callers can't form it. */
+#define RELAY_HEADER "X-Kcf-Relay"
+/* A request is passed to at most this many nodes, one after the other. */
+#define RELAY_HELPERS_MAX 3
+/* Hexadecimal digits of a nonce and the closing zero. */
+#define RELAY_NONCE_SIZE 17
+#define RELAY_ANSWER_MAX 64
+
+/* A request of another node's caller, which that node has passed on. */
+typedef struct relay_order {
+	char from[64]; /* that node's name */
+	char nonce[RELAY_NONCE_SIZE];
+	int arrivals;		       /* that upstreams may have had before */
+	bool may_have_run;	       /* before */
+	bool began;		       /* its stream, in this request */
+	bool accepted;		       /* else nothing has been done for it */
+	bool silent;		       /* the last attempt met silence */
+	char answer[RELAY_ANSWER_MAX]; /* value of the response's header */
+} relay_order_t;
+
+/* The way of a request through another node. */
+typedef struct relay_way {
+	relay_helper_t *helper; /* counts it as outstanding, or NULL */
+	char via[MEMBER_ADDRESS_MAX];
+	char nonce[RELAY_NONCE_SIZE];	   /* of the current try */
+	bool unable;			   /* what that node said of itself */
+	uint32_t tried[RELAY_HELPERS_MAX]; /* keys of nodes */
+	int tried_count;
+} relay_way_t;
+
 typedef struct forward {
 	gateway_t *gateway;
 	http_request_t *req;
@@ -79,6 +110,13 @@
 	int asked_count;    /* homes that have not replied yet */
 	ev_timer resume_timer;
 
+	/* passed from node to node, see relays.c */
+	relay_order_t *order; /* NULL for this node's own callers */
+	/* NULL while it is sent to upstreams directly; once it is not, it never
+	 * is again.
+	 */
+	relay_way_t *way;
+
 	/* the current attempt */
 	balance_upstream_t
 		*selected; /* counts the request as outstanding, or NULL */
@@ -115,6 +153,12 @@
 
 /* forward.c */
 
+/*
+ * forward_accept - begins to serve a request.
+ * @order: of the node that has passed it on, taken over; or NULL
+ */
+void forward_accept(gateway_t *g, http_request_t *req, relay_order_t *order);
+
 /*
  * forward_attempt_failed - records a failed attempt, then retries or ends the
  * request.
@@ -209,6 +253,47 @@
  */
 void crashes_record_answer(forward_t *f);
 
+/* relays.c */
+
+/*
+ * relays_start - sends the request to another node that reaches upstreams.
+ *
+ * Return: false if there is none, or the request has come from another node.
+ */
+bool relays_start(forward_t *f);
+
+/*
+ * relays_end_call - the current call to another node is over.
+ */
+void relays_end_call(forward_t *f);
+
+/*
+ * relays_record_fault - logs a failed attempt through another node.
+ */
+void relays_record_fault(forward_t *f, fault_t why);
+
+/*
+ * relays_parse_response - takes what another node says of its response.
+ *
+ * Return: false if the response is not to this try.
+ */
+bool relays_parse_response(forward_t *f, http_call_t *call);
+
+/*
+ * relays_fault - what the response of a node that cannot help amounts to.
+ */
+fault_t relays_fault(const forward_t *f);
+
+/*
+ * relays_admit - refuses a request of another node if this one cannot help.
+ */
+bool relays_admit(forward_t *f);
+
+/*
+ * relays_answer_header - value of RELAY_HEADER in the response to another node.
+ */
+const char *relays_answer_header(forward_t *f, unsigned int status);
+
 /* resumes.c */
 
 /*
@@ -234,6 +319,17 @@
  */
 void forward_send(forward_t *f);
 
+/*
+ * forward_start_call - begins an attempt.
+ */
+void forward_start_call(forward_t *f, const http_call_spec_t *spec);
+
+/*
+ * forward_record_silence - records that the upstream of the current attempt
+ * has sent nothing.
+ */
+void forward_record_silence(forward_t *f);
+
 /*
  * forward_end_call - cancels the current call; the request still counts as
  * outstanding at the upstream.
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -14,6 +14,7 @@
  * forward.c    one request: routing, retries, final response
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
+ * relays.c      requests that pass through one other node, at both of them
  * admin.c      operators' interface and metrics
  */
 #ifndef KCF_PRIVATE_GATEWAY_H
@@ -27,6 +28,7 @@
 #include <kcf/member.h>
 #include <kcf/origins.h>
 #include <kcf/quarantine_gossip.h>
+#include <kcf/reach.h>
 #include <kcf/shares.h>
 #include <kcf/sharing.h>
 
@@ -117,6 +119,13 @@
 /* Parallel to phase_t. */
 extern const char *const phase_string[];
 
+/* Another node as a way to upstreams. */
+typedef struct relay_helper {
+	mstime_t heard_at;    /* its last report of loads */
+	mstime_t avoid_until; /* it could not help */
+	int outstanding;      /* requests of this node that it has */
+} relay_helper_t;
+
 struct gateway {
 	gateway_conf_t *conf;
 	const char *conf_file;
@@ -127,6 +136,7 @@
 	http_server_t directory;
 	http_server_t admin;
 	http_server_t metrics;
+	http_server_t relays; /* other nodes' requests */
 	http_client_t upstreams;
 	http_client_t store; /* the platform and other nodes */
 	feed_client_t feed_client;
@@ -197,6 +207,9 @@
 	route_table_t *table; /* NULL before the first */
 	latency_t latency_first_byte[ROUTE_KIND_COUNT];
 	latency_t latency_total[ROUTE_KIND_COUNT];
+	reach_t reach;
+	GHashTable *helpers; /* char *, node's address to relay_helper_t * */
+	int relayed;	     /* open requests of other nodes */
 	GHashTable *retry_budgets; /* service to retry_budget_t * */
 	GRand *rand;
 	GHashTable *forwards;  /* forward_t *, open requests of callers */
@@ -374,6 +387,27 @@
 void crashes_receive(gateway_t *g, const peer_crash_report_t *m,
 		     const char *from);
 
+/*
+ * crashes_ask_health - asks an upstream's health path; an answer shows that the
+ * upstream goes on and that this node reaches it.
+ * @probe: the question is whether this node reaches upstreams
+ */
+void crashes_ask_health(gateway_t *g, const balance_upstream_t *u, bool probe,
+			mstime_t now);
+
+/* relays.c */
+void relays_init(gateway_t *g);
+void relays_finish(gateway_t *g);
+void relays_tick(gateway_t *g, mstime_t now);
+/* Load reports have come from a node: it reaches upstreams. */
+void relays_hear(gateway_t *g, const char *from, mstime_t now);
+/* Whether this node has lost its own links to upstreams. */
+bool relays_is_cut(const gateway_t *g);
+/* An attempt or a probe has met silence. */
+void relays_record_silence(gateway_t *g, uint32_t upstream, mstime_t sent_at,
+			   mstime_t now);
+extern const http_server_ops_t relays_server_ops;
+
 /* resumes.c */
 void resumes_init(gateway_t *g);
 void resumes_finish(gateway_t *g);
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -1,5 +1,6 @@
 #include "private/forward.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -20,6 +21,8 @@
 #define OVERDUE_MEAN_FACTOR 4
 #define OVERDUE_OBJECTIVE_FACTOR_PLAIN 1
 #define OVERDUE_OBJECTIVE_FACTOR_STREAM 2
+/* Another node tries other upstreams in that time. */
+#define OVERDUE_RELAY_FACTOR 2
 
 static void on_overdue_(struct ev_loop *loop, ev_timer *w, int revents);
 
@@ -48,8 +51,10 @@
 				  ? OVERDUE_OBJECTIVE_FACTOR_STREAM
 				  : OVERDUE_OBJECTIVE_FACTOR_PLAIN;
 
-	return MAX((mstime_t)(mean * OVERDUE_MEAN_FACTOR),
-		   f->route->latency_objective_ms * factor);
+	mstime_t ms = MAX((mstime_t)(mean * OVERDUE_MEAN_FACTOR),
+			  f->route->latency_objective_ms * factor);
+
+	return f->way ? ms * OVERDUE_RELAY_FACTOR : ms;
 }
 
 static void start_overdue_timer_(forward_t *f)
@@ -64,6 +69,32 @@
 	ev_timer_start(f->gateway->loop, &f->overdue_timer);
 }
 
+void forward_start_call(forward_t *f, const http_call_spec_t *spec)
+{
+	mstime_t now = clock_now();
+
+	assert(f && spec && !f->call);
+	f->deliveries++;
+	f->sent_at = now;
+	f->first_at = 0;
+	f->failing = false;
+	f->event_missing =
+		f->event_missing || sse_ends_inside_event(sse_rest(&f->sse));
+	f->event_seen = false;
+	f->framing = FRAMING_CONNECTION;
+	f->response = (upstream_response_t){ 0 };
+	f->connection = 0;
+	f->connection_order = 0;
+	forward_drop_body(f);
+	f->progress_at = now;
+	f->progress_bytes = -1;
+	f->no_alternative = false;
+	sse_reset(&f->sse);
+	f->call = http_call_start(&f->gateway->upstreams, spec,
+				  &forward_call_ops, f);
+	start_overdue_timer_(f);
+}
+
 void forward_send(forward_t *f)
 {
 	gateway_t *g = f->gateway;
@@ -80,6 +111,7 @@
 		.remaining_ms = MAX(1, f->deadline - now),
 		.urgency = urgency_(f),
 		.last_event_id = f->last_event_id,
+		.omit = RELAY_HEADER,
 	};
 	GPtrArray *headers = g->protocol->build_request_headers(f->req, &out);
 	http_call_spec_t spec = {
@@ -97,24 +129,7 @@
 	};
 
 	snprintf(url, sizeof(url), "http://%s/", f->selected->address);
-	f->deliveries++;
-	f->sent_at = now;
-	f->first_at = 0;
-	f->failing = false;
-	f->event_missing =
-		f->event_missing || sse_ends_inside_event(sse_rest(&f->sse));
-	f->event_seen = false;
-	f->framing = FRAMING_CONNECTION;
-	f->response = (upstream_response_t){ 0 };
-	f->connection = 0;
-	f->connection_order = 0;
-	forward_drop_body(f);
-	f->progress_at = now;
-	f->progress_bytes = -1;
-	f->no_alternative = false;
-	sse_reset(&f->sse);
-	f->call = http_call_start(&g->upstreams, &spec, &forward_call_ops, f);
-	start_overdue_timer_(f);
+	forward_start_call(f, &spec);
 	g_ptr_array_unref(headers);
 	g_free(method);
 	g_free(target);
@@ -124,6 +139,7 @@
 {
 	ev_timer_stop(f->gateway->loop, &f->overdue_timer);
 	ev_timer_stop(f->gateway->loop, &f->deferred_timer);
+	relays_end_call(f);
 	if (!f->call)
 		return;
 	f->connection = http_call_connection(f->call, &f->connection_order);
@@ -137,6 +153,16 @@
 	forward_release(f, outcome);
 }
 
+void forward_record_silence(forward_t *f)
+{
+	if (!f->selected || f->response.status)
+		return;
+	if (f->order)
+		f->order->silent = true;
+	relays_record_silence(f->gateway, f->selected->key, f->sent_at,
+			      clock_now());
+}
+
 /* Whether other upstreams of the service are likely to respond in time. */
 static bool others_meet_objective_(const forward_t *f)
 {
@@ -155,10 +181,14 @@
 
 	(void)loop;
 	(void)revents;
-	if (!f->call || f->first_at || !f->selected)
+	if (!f->call || f->first_at || (!f->selected && !f->way))
+		return;
+	forward_record_silence(f);
+	if (f->selected)
+		balance_count_overdue(f->selected);
+	if (!f->way && !relays_is_cut(f->gateway) && !others_meet_objective_(f))
 		return;
-	balance_count_overdue(f->selected);
-	if (!others_meet_objective_(f) || !forward_can_retry(f))
+	if (!forward_can_retry(f))
 		return;
 	forward_end_call(f);
 	forward_attempt_failed(f, FAULT_TIMEOUT);
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -291,9 +291,9 @@
 {
 	connection_t *connection;
 
-	assert(call && call->tag);
+	assert(call);
 	connection = connection_of_(call);
-	if (!connection)
+	if (!connection || !call->tag)
 		return;
 	if (!connection->kept_off)
 		connection->kept_off =
