Relay: a node without an upstream in reach says so, whatever its state

Cause: a helping node whose own upstreams of the service were out of reach, but not all upstreams, gave its 503 as an answer; the node that asked passed it on instead of asking the next one.

Change: a 503 for want of an upstream, or after attempts that met silence, says "unable". Nothing was sent, so the next node costs one hop. 502 and 504 do so only in doubt, as before: they may have run, and the helping node has made its retries.

--- a/packages/gateway/relays.c
+++ b/packages/gateway/relays.c
@@ -455,9 +455,12 @@
 		return true;
 	if (status < 502)
 		return false;
-	if (f->gateway->reach.state != REACH_DOUBTFUL)
-		return relays_is_cut(f->gateway);
-	return o->silent || f->pick.reason == BALANCE_NO_UPSTREAM;
+	if (relays_is_cut(f->gateway))
+		return true;
+	/* Nothing was sent: another node may reach other upstreams. */
+	if (status == 503)
+		return o->silent || f->pick.reason == BALANCE_NO_UPSTREAM;
+	return o->silent && f->gateway->reach.state == REACH_DOUBTFUL;
 }
 
 const char *relays_answer_header(forward_t *f, unsigned int status)
