Relay: a helping node that connects to no upstream gives up after two

Cause: a helping node that is out of reach of most upstreams itself, but not of all, tried up to eight of them, 300 ms each, on the time of a caller of another node.

Change: after two upstreams that it could not connect to, with nothing sent, it says that it is unable, and the next node is asked.

--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -21,6 +21,11 @@
 /* An upstream that cannot be reached is ejected for this long. */
 #define EJECT_CONNECT_MS 400
 #define EJECT_INSTANCE_MS 3000
+/*
+ * Upstreams that a request of another node's caller is tried at while none can
+ * be connected to; then that node asks another one.
+ */
+#define RELAYED_CONNECTS_MAX 2
 
 const char *const fault_string[] = {
 	"cannot connect",     "shed",
@@ -306,6 +311,9 @@
 		return false;
 	if (!has_attempt_left_(f) || !gateway_data_is_current(g))
 		return false;
+	if (why == FAULT_CONNECT && f->order &&
+	    f->attempt_count >= RELAYED_CONNECTS_MAX)
+		return false;
 	/* Nor does one that another node has not sent to any. */
 	if ((why == FAULT_CONNECT && !f->deliveries) ||
 	    (f->way && never_delivered_(why))) {
