Relay: a request that two nodes send is counted in one retry budget

Cause: a node that tries a request and then passes it on has counted it in its own budget, and the node that helps counted it once more, so that both may repeat a fifth of it.

Change: the order tells whether the sending node has counted the request.

Ruled out: counting at the helping node alone, since the first one has spent from its own for the tries before.

scenario_relayed_requests, cut_from_upstreams and gateway_charges pass.

--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -556,8 +556,11 @@
 				       RETRY_AFTER_FAILURE_MS);
 		return;
 	}
-	retry_budget_count_request(service_budget_(f),
-				   &f->gateway->conf->retries, f->received_at);
+	if (!f->counted)
+		retry_budget_count_request(service_budget_(f),
+					   &f->gateway->conf->retries,
+					   f->received_at);
+	f->counted = true;
 	if (start_attempt_(f))
 		return;
 	/* All may only be out of reach of this node. */
@@ -629,6 +632,7 @@
 		f->order = order;
 		f->deliveries = order->arrivals;
 		f->may_have_run = order->may_have_run;
+		f->counted = order->counted;
 		g->relayed++;
 		/* The node that passes it on is its caller's own try. */
 		if (order->began && !f->in.resumes.len)
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -61,6 +61,7 @@
 	int arrivals;		       /* that upstreams may have had before */
 	bool may_have_run;	       /* before */
 	bool began;		       /* its stream, in this request */
+	bool counted;		       /* in that node's retry budget */
 	bool accepted;		       /* else nothing has been done for it */
 	bool silent;		       /* the last attempt met silence */
 	char answer[RELAY_ANSWER_MAX]; /* value of the response's header */
@@ -116,6 +117,7 @@
 	 * is again.
 	 */
 	relay_way_t *way;
+	bool counted; /* in the retry budget of the node that tried it first */
 
 	/* the current attempt */
 	balance_upstream_t
--- a/packages/gateway/relays.c
+++ b/packages/gateway/relays.c
@@ -221,9 +221,9 @@
 /* Signed fields: time, nonce, arrivals, flags and name of the sending node. */
 static void format_fields_(const relay_order_t *o, mstime_t wall, char *out)
 {
-	snprintf(out, ORDER_TEXT_MAX, "%" G_GINT64_FORMAT " %s %d %d %d %s",
+	snprintf(out, ORDER_TEXT_MAX, "%" G_GINT64_FORMAT " %s %d %d %d %d %s",
 		 wall, o->nonce, o->arrivals, o->may_have_run, o->began,
-		 o->from);
+		 o->counted, o->from);
 }
 
 static char *order_line_(const forward_t *f)
@@ -231,7 +231,8 @@
 	const gateway_t *g = f->gateway;
 	relay_order_t o = { .arrivals = f->deliveries,
 			    .may_have_run = f->may_have_run,
-			    .began = f->stream_begun };
+			    .began = f->stream_begun,
+			    .counted = f->counted };
 	char fields[ORDER_TEXT_MAX];
 	char mac[MAC_SIZE];
 
@@ -387,6 +388,7 @@
 	relay_order_t o = { 0 };
 	int may_have_run;
 	int began;
+	int counted;
 	mstime_t wall;
 
 	if (header.len <= MAC_SIZE || header.len >= sizeof(text))
@@ -396,13 +398,15 @@
 	sign_(g, in, fields, expected);
 	if (sodium_memcmp(text, expected, MAC_SIZE - 1) != 0)
 		return NULL;
-	if (sscanf(fields, "%" G_GINT64_FORMAT " %16s %d %d %d %63[^\n]", &wall,
-		   o.nonce, &o.arrivals, &may_have_run, &began, o.from) != 6)
+	if (sscanf(fields, "%" G_GINT64_FORMAT " %16s %d %d %d %d %63[^\n]",
+		   &wall, o.nonce, &o.arrivals, &may_have_run, &began, &counted,
+		   o.from) != 7)
 		return NULL;
 	if (llabs(clock_wall() - wall) > DATAGRAM_AGE_MAX_MS)
 		return NULL;
 	o.may_have_run = may_have_run;
 	o.began = began;
+	o.counted = counted;
 	return g_memdup2(&o, sizeof(o));
 }
 
--- a/tests/scenarios/relayed_requests.lua
+++ b/tests/scenarios/relayed_requests.lua
@@ -94,7 +94,7 @@
 
 -- What callers send to the address for nodes goes nowhere.
 do
-	local order = string.format("%s %d %s 0 0 0 g1", string.rep("0", 32), wall_ms(), string.rep("a", 16))
+	local order = string.format("%s %d %s 0 0 0 0 g1", string.rep("0", 32), wall_ms(), string.rep("a", 16))
 	for _, value in ipairs { "", "x", order, order .. string.rep("g", 300) } do
 		local id = fresh_id()
 		local q = ask(g2, "/hold/forged", { id = id, headers = { ["X-Kcf-Relay"] = value } })
