HTTP client: a call that begins anew keeps its deadline

Cause: libcurl sends a request again when a reused connection ends without an answer. If it comes to a connection off which the request is kept, the call begins anew, and libcurl counts its time from there. Until then calls began anew only before anything was sent, when no time had passed.

The time that is left is set again.

--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -49,6 +49,7 @@
 	bool head_seen;
 	bool single;
 	bool fresh;
+	mstime_t deadline;
 	uint64_t tag;
 	int fd; /* of the connection that the request was sent on */
 	uint64_t connection_id; /* its number, or 0 */
@@ -172,11 +173,21 @@
 	}
 }
 
+/* libcurl counts from when the call is added. */
+static void limit_time_(http_call_t *call)
+{
+	mstime_t left;
+
+	if (call->deadline == MSTIME_NEVER)
+		return;
+	left = MAX(1, call->deadline - clock_now());
+	curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)left);
+}
+
 http_call_t *http_call_start(http_client_t *c, const http_call_spec_t *spec,
 			     const http_call_ops_t *ops, void *ctx)
 {
 	http_call_t *call = g_new0(http_call_t, 1);
-	mstime_t left = spec->deadline;
 
 	assert(ops && ops->done);
 	call->client = c;
@@ -188,6 +199,7 @@
 		call->headers = curl_slist_append(call->headers, *h);
 	call->headers = curl_slist_append(call->headers, "Expect:");
 	call->single = spec->single;
+	call->deadline = spec->deadline;
 	call->tag = spec->tag;
 	call->fresh = spec->fresh;
 	if (spec->bare)
@@ -231,10 +243,7 @@
 		curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
 		curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 1L);
 	}
-	if (left != MSTIME_NEVER) {
-		left = MAX(1, left - clock_now());
-		curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, (long)left);
-	}
+	limit_time_(call);
 	set_method_(call, spec);
 	g_hash_table_add(c->calls, call);
 	curl_multi_add_handle(c->multi, call->easy);
@@ -637,7 +646,10 @@
 	}
 }
 
-/* Nothing was sent yet: the call goes on with a connection of its own. */
+/*
+ * Nothing was sent yet, or libcurl was to send again what may be sent twice:
+ * the call goes on with a connection of its own.
+ */
 static void start_anew_(http_call_t *call)
 {
 	call->unsuitable = false;
@@ -645,6 +657,7 @@
 	curl_multi_remove_handle(call->client->multi, call->easy);
 	curl_easy_setopt(call->easy, CURLOPT_FORBID_REUSE, 0L);
 	curl_easy_setopt(call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	limit_time_(call);
 	curl_multi_add_handle(call->client->multi, call->easy);
 }
 
