--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -98,8 +98,8 @@
 	int count;
 	char health[MODE_MAX]; /* "copied" or "down", until the next one */
 	int copies_at_checks;  /* that came before a health answer */
-	GHashTable *cuts; /* source address to cut_t */
-	GPtrArray *open;  /* connection_t */
+	GHashTable *cuts;      /* source address to cut_t */
+	GPtrArray *open;       /* connection_t */
 	GCond lifted;
 } state;
 
