Stand-in: a runner that has room for so many requests, and one that is brittle

POST /fault {"brittle": N, "waits": M} makes it name N in all its answers, health checks and refusals too; 3 s later only M may wait, and with more than N refusals for want of room in one second it falls over: the listening socket and all connections are reset, and it is back after 3 s as the same start. /stats has falls and turned_away.

Ruled out: a new process after a fall (its counts would be gone).

--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -12,6 +12,12 @@
  *   silent (nothing passes, new connections open), reset (open ones, and new
  *   ones), new_refused (open ones go on, new ones are reset), one_way
  *   (requests come, answers do not pass)
+ *
+ * With --waits it has room for as many requests as it has slots, and for so
+ * many that wait; it refuses the others at once. POST /fault {"brittle": N,
+ * "waits": M} makes it say that it is brittle, 0 ends it. Some time after
+ * that M may wait, and it falls over when it refuses more than N for want of
+ * room in one second.
  */
 #include <arpa/inet.h>
 #include <glib.h>
@@ -36,6 +42,10 @@
 #define DRIP_MS 100
 #define ENDLESS_BLOCK 16384
 #define MODE_MAX 128
+/* From the first answer that says that it is brittle until it is. */
+#define BRITTLE_LEAD_MS 3000
+#define BRITTLE_WINDOW_MS 1000
+#define FALLEN_MS 3000
 
 typedef enum cut {
 	CUT_NONE,
@@ -101,6 +111,16 @@
 	GHashTable *cuts;      /* source address to cut_t */
 	GPtrArray *open;       /* connection_t */
 	GCond lifted;
+	int waiting;
+	GCond room;  /* a slot is free, or connections were lost */
+	int brittle; /* N, 0 while it is not */
+	int brittle_waits;
+	mstime_t brittle_from;
+	GArray *turned_at; /* mstime_t, refusals of the last second */
+	int turned_away;   /* for want of room, since the start */
+	int falls;
+	int listener;
+	mstime_t fallen_until;
 } state;
 
 /* Of this thread. */
@@ -115,6 +135,7 @@
 static gint gap_ms = 10;
 static gint delay_ms = 5;
 static gint slots = 8;
+static gint waits = -1;
 static gchar *crash_segment;
 static gchar *crash_body;
 static gchar *version;
@@ -135,6 +156,8 @@
 	{ "delay-ms", 0, 0, G_OPTION_ARG_INT, &delay_ms, "Time of a call",
 	  "MS" },
 	{ "slots", 0, 0, G_OPTION_ARG_INT, &slots, "Told to callers", "N" },
+	{ "waits", 0, 0, G_OPTION_ARG_INT, &waits,
+	  "Requests that may wait for a slot, -1: room for all", "N" },
 	{ "crash-segment", 0, 0, G_OPTION_ARG_STRING, &crash_segment,
 	  "Crashes when it answers a prompt with this segment", "ID" },
 	{ "crash-body", 0, 0, G_OPTION_ARG_STRING, &crash_body,
@@ -299,9 +322,16 @@
 	json_t *f = json_loadb(r->body->str, r->body->len, 0, NULL);
 	const char *mode = json_string_value(json_object_get(f, "mode"));
 	const char *health = json_string_value(json_object_get(f, "health"));
+	json_t *brittle = json_object_get(f, "brittle");
 
 	g_mutex_lock(&state.lock);
-	if (health) {
+	if (brittle) {
+		state.brittle = (int)json_integer_value(brittle);
+		state.brittle_waits =
+			(int)json_integer_value(json_object_get(f, "waits"));
+		state.brittle_from = clock_now() + BRITTLE_LEAD_MS;
+		g_array_set_size(state.turned_at, 0);
+	} else if (health) {
 		g_strlcpy(state.health, health, sizeof(state.health));
 	} else {
 		g_strlcpy(state.mode, mode ? mode : "", sizeof(state.mode));
@@ -319,13 +349,16 @@
 	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
 }
 
-/* Under the lock. Their threads wake up and close them with a reset. */
-static void lose_connections_(struct in_addr source)
+/*
+ * Under the lock. Their threads wake up and close them with a reset.
+ * source: NULL for all
+ */
+static void lose_connections_(const struct in_addr *source)
 {
 	for (guint i = 0; i < state.open->len; i++) {
 		connection_t *c = state.open->pdata[i];
 
-		if (c->source.s_addr != source.s_addr)
+		if (source && c->source.s_addr != source->s_addr)
 			continue;
 		c->lost = true;
 		reset_(c->fd);
@@ -355,7 +388,7 @@
 				    GINT_TO_POINTER((int)cut));
 		if (before == CUT_SILENT || before == CUT_ONE_WAY ||
 		    cut == CUT_RESET)
-			lose_connections_(source);
+			lose_connections_(&source);
 		g_cond_broadcast(&state.lifted);
 		g_mutex_unlock(&state.lock);
 	}
@@ -368,11 +401,12 @@
 	json_t *o;
 
 	g_mutex_lock(&state.lock);
-	o = json_pack("{s:O,s:O,s:i,s:i,s:i,s:i,s:i}", "runs", state.runs,
-		      "arrivals", state.arrivals, "running", state.running,
-		      "most", state.most, "aborted", state.aborted,
-		      "connections", state.connections, "copies_at_checks",
-		      state.copies_at_checks);
+	o = json_pack("{s:O,s:O,s:i,s:i,s:i,s:i,s:i,s:i,s:i}", "runs",
+		      state.runs, "arrivals", state.arrivals, "running",
+		      state.running, "most", state.most, "aborted",
+		      state.aborted, "connections", state.connections,
+		      "copies_at_checks", state.copies_at_checks, "turned_away",
+		      state.turned_away, "falls", state.falls);
 	o = json_deep_copy(o);
 	g_mutex_unlock(&state.lock);
 	return o;
@@ -425,16 +459,82 @@
 	g_mutex_unlock(&state.lock);
 }
 
-static void begin_run_(const request_t *r)
+/* Under the lock. */
+static void fall_(mstime_t now)
+{
+	state.falls++;
+	state.fallen_until = now + FALLEN_MS;
+	g_array_set_size(state.turned_at, 0);
+	lose_connections_(NULL);
+	g_cond_broadcast(&state.room);
+	/* Wakes up the thread that accepts. */
+	shutdown(state.listener, SHUT_RDWR);
+}
+
+/* Under the lock. */
+static void turn_away_(mstime_t now)
+{
+	mstime_t after = now - BRITTLE_WINDOW_MS;
+	GArray *at = state.turned_at;
+
+	state.turned_away++;
+	if (!state.brittle || now < state.brittle_from)
+		return;
+	g_array_append_val(at, now);
+	while (g_array_index(at, mstime_t, 0) <= after)
+		g_array_remove_index(at, 0);
+	if (at->len > (guint)state.brittle && now >= state.fallen_until)
+		fall_(now);
+}
+
+/* Under the lock. */
+static int waits_allowed_(mstime_t now)
+{
+	return state.brittle && now >= state.brittle_from ? state.brittle_waits
+							  : waits;
+}
+
+typedef enum room {
+	ROOM_FOUND,
+	ROOM_NONE,
+	ROOM_LOST, /* the connection was, meanwhile */
+} room_t;
+
+/* Under the lock. Waits for a slot, if one more may wait. */
+static room_t find_room_(void)
+{
+	mstime_t now = clock_now();
+
+	if (waits < 0 || state.running < slots)
+		return ROOM_FOUND;
+	if (state.waiting >= waits_allowed_(now)) {
+		turn_away_(now);
+		return ROOM_NONE;
+	}
+	state.waiting++;
+	while (state.running >= slots && !own->lost)
+		g_cond_wait(&state.room, &state.lock);
+	state.waiting--;
+	return own->lost ? ROOM_LOST : ROOM_FOUND;
+}
+
+static room_t begin_run_(const request_t *r)
 {
 	json_int_t n;
+	room_t room;
 
 	g_mutex_lock(&state.lock);
+	room = find_room_();
+	if (room != ROOM_FOUND) {
+		g_mutex_unlock(&state.lock);
+		return room;
+	}
 	n = json_integer_value(json_object_get(state.runs, r->id));
 	json_object_set_new(state.runs, r->id, json_integer(n + 1));
 	state.running++;
 	state.most = MAX(state.most, state.running);
 	g_mutex_unlock(&state.lock);
+	return ROOM_FOUND;
 }
 
 static void end_run_(bool aborted)
@@ -442,6 +542,8 @@
 	g_mutex_lock(&state.lock);
 	state.running--;
 	state.aborted += aborted;
+	/* All, as one that is signalled may have lost its connection. */
+	g_cond_broadcast(&state.room);
 	g_mutex_unlock(&state.lock);
 }
 
@@ -462,8 +564,21 @@
 	return !is_lost_();
 }
 
+/* "Server-Brittle" as all answers name it, to be freed. */
+static char *brittle_line_(void)
+{
+	int n;
+
+	g_mutex_lock(&state.lock);
+	n = state.brittle;
+	g_mutex_unlock(&state.lock);
+	return n ? g_strdup_printf("Server-Brittle: %d\r\n", n) : g_strdup("");
+}
+
 static void head_(int fd, const request_t *r, int status, const char *mode)
 {
+	char *brittle = brittle_line_();
+
 	send_(fd, "HTTP/1.1 %d Status\r\n%s: %s\r\n", status, id_header,
 	      strcmp(mode, "crossed") ? r->id : "another");
 	if (strcmp(mode, "unsigned") != 0)
@@ -474,8 +589,9 @@
 		send_(fd, "Server-Limit: %s\r\n", mode + 5);
 	if (!strncmp(mode, "leaving", 7))
 		send_(fd, "Server-Leaving: %s\r\n", mode + 7);
-	send_(fd, "Server-Load: %d,0,%d\r\nKeep-Alive: timeout=5\r\n",
-	      state.running, slots);
+	send_(fd, "%sServer-Load: %d,%d,%d\r\nKeep-Alive: timeout=5\r\n",
+	      brittle, state.running, state.waiting, slots);
+	g_free(brittle);
 }
 
 /* The whole plain answer; false when the connection must end. */
@@ -703,11 +819,15 @@
 /* id: of the request, or NULL for a refusal that came too late for its own */
 static char *refusal_text_(const char *id, int status)
 {
-	return g_strdup_printf("HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\n"
-			       "%s%s%s%sContent-Length: %zu\r\n\r\n%s",
-			       status, id ? id_header : "", id ? ": " : "",
-			       id ? id : "", id ? "\r\n" : "",
-			       strlen(refusal_body), refusal_body);
+	char *brittle = brittle_line_();
+	char *text = g_strdup_printf(
+		"HTTP/1.1 %d Refused\r\nNot-Executed: 1\r\n"
+		"%s%s%s%s%sContent-Length: %zu\r\n\r\n%s",
+		status, id ? id_header : "", id ? ": " : "", id ? id : "",
+		id ? "\r\n" : "", brittle, strlen(refusal_body), refusal_body);
+
+	g_free(brittle);
+	return text;
 }
 
 static void refuse_(int fd, const char *id, int status)
@@ -718,6 +838,13 @@
 	g_free(text);
 }
 
+static bool refuse_full_(int fd, const request_t *r)
+{
+	head_(fd, r, 503, "");
+	return send_(fd, "Not-Executed: 1\r\nContent-Length: %zu\r\n\r\n%s",
+		     strlen(refusal_body), refusal_body);
+}
+
 static copy_place_t copy_place_(const char *name)
 {
 	copy_place_t place = COPY_NONE;
@@ -768,6 +895,7 @@
 static void answer_check_(int fd, copy_t *copy)
 {
 	char health[MODE_MAX];
+	char *brittle = brittle_line_();
 	char *text;
 
 	g_mutex_lock(&state.lock);
@@ -777,8 +905,10 @@
 	send_copy_before_(fd, copy);
 	g_clear_pointer(&copy->text, g_free);
 	text = g_strdup_printf("HTTP/1.1 %d Status\r\nInstance-Id: %s\r\n"
-			       "Content-Length: 0\r\n\r\n",
-			       strcmp(health, "down") ? 200 : 500, own_id);
+			       "%sContent-Length: 0\r\n\r\n",
+			       strcmp(health, "down") ? 200 : 500, own_id,
+			       brittle);
+	g_free(brittle);
 	send_(fd, "%s", text);
 	if (!strcmp(health, "copied"))
 		*copy = (copy_t){ g_strdup(text), COPY_BEFORE };
@@ -787,9 +917,11 @@
 
 static bool run_(int fd, const request_t *r, const char *mode)
 {
+	room_t room = begin_run_(r);
 	bool kept;
 
-	begin_run_(r);
+	if (room != ROOM_FOUND)
+		return room == ROOM_NONE && refuse_full_(fd, r);
 	if (!strcmp(mode, "hang")) {
 		end_run_(!pause_(fd, -1));
 		return false;
@@ -905,7 +1037,8 @@
 	g_mutex_lock(&state.lock);
 	state.connections++;
 	cut = cut_of_(c->source);
-	if (cut == CUT_RESET || cut == CUT_NEW_REFUSED)
+	if (cut == CUT_RESET || cut == CUT_NEW_REFUSED ||
+	    clock_now() < state.fallen_until)
 		c->lost = true;
 	else
 		g_ptr_array_add(state.open, c);
@@ -959,6 +1092,49 @@
 	return fd;
 }
 
+/* Waits while it has fallen over, and listens again. */
+static int get_up_(int fd)
+{
+	mstime_t until;
+
+	g_mutex_lock(&state.lock);
+	until = state.fallen_until;
+	g_mutex_unlock(&state.lock);
+	if (clock_now() >= until)
+		return fd;
+	close(fd);
+	while (clock_now() < until)
+		g_usleep((gulong)(until - clock_now()) *
+			 G_TIME_SPAN_MILLISECOND);
+	fd = listen_();
+	g_mutex_lock(&state.lock);
+	state.listener = fd;
+	g_mutex_unlock(&state.lock);
+	return fd;
+}
+
+/* Accepts one connection; none when the listening socket is shut down. */
+static void accept_(int fd)
+{
+	struct sockaddr_in peer = { 0 };
+	socklen_t len = sizeof(peer);
+	connection_t *c;
+	int on = 1;
+	int one = accept(fd, (struct sockaddr *)&peer, &len);
+
+	if (one < 0)
+		return;
+	/* Head and body are written apart. */
+	setsockopt(one, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	c = g_new0(connection_t, 1);
+	c->fd = one;
+	c->source = peer.sin_addr;
+	if (note_connection_(c))
+		g_thread_unref(g_thread_new("connection", connection_, c));
+	else
+		end_connection_(c);
+}
+
 int main(int argc, char **argv)
 {
 	GOptionContext *context = g_option_context_new(NULL);
@@ -978,27 +1154,10 @@
 	state.arrivals = json_array();
 	state.cuts = g_hash_table_new(NULL, NULL);
 	state.open = g_ptr_array_new();
+	state.turned_at = g_array_new(FALSE, FALSE, sizeof(mstime_t));
 	fd = listen_();
-	if (fd < 0)
-		return 1;
-	for (;;) {
-		struct sockaddr_in peer = { 0 };
-		socklen_t len = sizeof(peer);
-		connection_t *c;
-		int on = 1;
-		int one = accept(fd, (struct sockaddr *)&peer, &len);
-
-		if (one < 0)
-			continue;
-		/* Head and body are written apart. */
-		setsockopt(one, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		c = g_new0(connection_t, 1);
-		c->fd = one;
-		c->source = peer.sin_addr;
-		if (note_connection_(c))
-			g_thread_unref(
-				g_thread_new("connection", connection_, c));
-		else
-			end_connection_(c);
-	}
+	state.listener = fd;
+	for (; fd >= 0; fd = get_up_(fd))
+		accept_(fd);
+	return 1;
 }
