--- a/tests/standin/caller.c
+++ b/tests/standin/caller.c
@@ -91,12 +91,14 @@
 	int other;   /* another status to the end */
 	int failed;  /* no whole answer */
 	int events;
-	int joined;	   /* streams with events of two versions */
-	int disordered;	   /* events that do not follow the one before */
-	int resumed;	   /* streams whose resume was answered */
-	int resumed_whole; /* of these, those that went on to the end */
-	GArray *ms;	   /* double, of whole ones */
-	json_t *promised;  /* ids of requests refused as not run */
+	int joined;	    /* streams with events of two versions */
+	int disordered;	    /* events that do not follow the one before */
+	int resumed;	    /* streams whose resume was answered */
+	int resumed_whole;  /* of these, those that went on to the end */
+	GArray *ms;	    /* double, of whole ones */
+	GArray *refused_ms; /* double, of refused ones */
+	int timeless;	    /* refused without the time to come back */
+	json_t *promised;   /* ids of requests refused as not run */
 } all;
 
 static double since_ms_(const struct timespec *t)
@@ -172,7 +174,8 @@
 	g_free(c);
 }
 
-static void count_end_(const caller_t *c, int err, int status)
+static void count_end_(const caller_t *c, http_call_t *call, int err,
+		       int status)
 {
 	double ms = since_ms_(&c->came);
 
@@ -187,6 +190,8 @@
 		g_array_append_val(all.ms, ms);
 	} else if (status == 503 || status == 429) {
 		all.refused++;
+		all.timeless += !http_call_header(call, "Retry-After").len;
+		g_array_append_val(all.refused_ms, ms);
 		json_array_append_new(all.promised, json_string(c->id));
 	} else {
 		all.other++;
@@ -205,7 +210,6 @@
 {
 	caller_t *c = ctx;
 
-	(void)call;
 	c->resumed = c->resumed || (c->resumes && status);
 	if (may_try_again_(c, err, status)) {
 		ev_timer_set(&c->again, pause_ms / 1e3, 0);
@@ -213,7 +217,7 @@
 		return;
 	}
 	all.open--;
-	count_end_(c, err, status);
+	count_end_(c, call, err, status);
 	caller_free_(c);
 	close_if_over_();
 }
@@ -306,14 +310,21 @@
 	ev_timer_start(loop, w);
 }
 
-static double at_(double share)
+static double at_(const GArray *ms, double share)
 {
-	const double *values = (const double *)(void *)all.ms->data;
+	const double *values = (const double *)(void *)ms->data;
 
-	if (!all.ms->len)
+	if (!ms->len)
 		return 0;
-	return gsl_stats_quantile_from_sorted_data(values, 1, all.ms->len,
-						   share);
+	return gsl_stats_quantile_from_sorted_data(values, 1, ms->len, share);
+}
+
+static json_t *quantiles_(GArray *ms)
+{
+	gsl_sort((double *)(void *)ms->data, 1, ms->len);
+	return json_pack("{s:f,s:f,s:f,s:f}", "p50", at_(ms, 0.5), "p95",
+			 at_(ms, 0.95), "p99", at_(ms, 0.99), "max",
+			 at_(ms, 1.0));
 }
 
 static void report_(void)
@@ -321,16 +332,16 @@
 	json_t *report;
 	char *text;
 
-	gsl_sort((double *)(void *)all.ms->data, 1, all.ms->len);
-	report = json_pack(
-		"{s:O,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,"
-		"s:{s:f,s:f,s:f,s:f}}",
-		"promised", all.promised, "sent", all.sent, "whole", all.whole,
-		"refused", all.refused, "other", all.other, "failed",
-		all.failed, "events", all.events, "joined", all.joined,
-		"disordered", all.disordered, "resumed", all.resumed,
-		"resumed_whole", all.resumed_whole, "ms", "p50", at_(0.5),
-		"p95", at_(0.95), "p99", at_(0.99), "max", at_(1.0));
+	report =
+		json_pack("{s:O,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,"
+			  "s:i,s:o,s:o}",
+			  "promised", all.promised, "sent", all.sent, "whole",
+			  all.whole, "refused", all.refused, "other", all.other,
+			  "failed", all.failed, "events", all.events, "joined",
+			  all.joined, "disordered", all.disordered, "resumed",
+			  all.resumed, "resumed_whole", all.resumed_whole,
+			  "timeless", all.timeless, "ms", quantiles_(all.ms),
+			  "refused_ms", quantiles_(all.refused_ms));
 	text = json_dumps(report, JSON_COMPACT);
 	puts(text);
 	free(text);
@@ -368,6 +379,7 @@
 	for (int i = 0; i < body_bytes; i++)
 		g_string_append_c(all.body, (char)('a' + i % 26));
 	all.ms = g_array_new(FALSE, FALSE, sizeof(double));
+	all.refused_ms = g_array_new(FALSE, FALSE, sizeof(double));
 	all.promised = json_array();
 	all.rng = gsl_rng_alloc(gsl_rng_mt19937);
 	gsl_rng_set(all.rng, (gulong)seed);
@@ -380,6 +392,7 @@
 	http_client_finish(&all.http);
 	gsl_rng_free(all.rng);
 	g_array_unref(all.ms);
+	g_array_unref(all.refused_ms);
 	json_decref(all.promised);
 	g_string_free(all.body, TRUE);
 	g_strfreev(all.nodes);
