--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -5,6 +5,7 @@
 #include <curl/curl.h>
 #include <errno.h>
 #include <kcf/counter.h>
+#include <kcf/socket_times.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -21,14 +22,8 @@
  * single lines only. Servers' usual bound for a head is 8 to 32 KiB.
  */
 #define HEAD_MAX_BYTES (64 * 1024)
-/* Data unacknowledged for so long shows a connection that has gone silent. */
-#define UNACKED_MAX_MS 1500
 /* Requests kept off one connection; one with more is replaced. */
 #define KEPT_OFF_MAX 64
-/* Probes of a connection on which nothing is in flight. */
-#define KEEPALIVE_IDLE_S 1
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 2
 
 /* An open connection, whoever uses it. */
 typedef struct connection {
@@ -553,29 +548,14 @@
 
 static int on_open_(void *userp, curl_socket_t fd, curlsocktype purpose)
 {
-	static const struct {
-		int level;
-		int name;
-		int value;
-	} options[] = {
-		{ IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MAX_MS },
-		{ SOL_SOCKET, SO_KEEPALIVE, 1 },
-		{ IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
-		{ IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S },
-		{ IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES },
-	};
-
 	http_client_t *c = userp;
-
 	connection_t *connection = g_new(connection_t, 1);
 
 	(void)purpose;
 	*connection = (connection_t){ .fd = fd, .id = ++c->last_connection };
 	g_hash_table_insert(c->connections, GINT_TO_POINTER(fd), connection);
 	g_hash_table_add(c->opened, GINT_TO_POINTER(fd));
-	for (size_t i = 0; i < G_N_ELEMENTS(options); i++)
-		setsockopt(fd, options[i].level, options[i].name,
-			   &options[i].value, sizeof(options[i].value));
+	socket_times_set(fd, &socket_times_opened);
 	return CURL_SOCKOPT_OK;
 }
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,6 +1,7 @@
 #include <kcf/address.h>
 #include <kcf/http_server.h>
 #include <kcf/logline.h>
+#include <kcf/socket_times.h>
 
 #include <assert.h>
 #include <errno.h>
@@ -23,8 +24,6 @@
  * another writes it.
  */
 #define FINISH_PASSES 4
-/* Data unacknowledged for so long shows a connection that has gone silent. */
-#define UNACKED_MAX_MS 5000
 
 struct http_request {
 	http_server_t *server;
@@ -374,7 +373,6 @@
 {
 	struct sockaddr_in sa;
 	int one = 1;
-	int unacked_ms = UNACKED_MAX_MS;
 	int fd;
 
 	if (!address_parse(address, &sa))
@@ -385,8 +383,7 @@
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	/* Accepted connections inherit these. */
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
-		   sizeof(unacked_ms));
+	socket_times_set(fd, &socket_times_accepted);
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
 	    listen(fd, LISTEN_BACKLOG)) {
 		close(fd);
