Test socket_times: a sound upstream that is silent for 1.8 s is cut (red)

Beside them real connections of loopback: a socket filter at the peer loses what arrives, so that nothing is acknowledged (no tool or right is needed), and a peer that does not read. A link that is silent for good is given up within 4.6 s of the last byte, or of the data: with probes at whole seconds the first one after such a silence may go out 3 s after the last byte, so that nothing earlier than the next, 4 s, tells one from the other.

What the sockets have is read by getsockopt on both sides of an exchange: libcurl and libmicrohttpd leave the times as they are set.

Not shown: segments that are held and arrive after the silence (rules only), a link with real round-trip times, TLS.

--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -41,6 +41,7 @@
 	{ "served_model", served_model_suite },
 	{ "settings", settings_suite },
 	{ "shares", shares_suite },
+	{ "socket_times", socket_times_suite },
 	{ "sse", sse_suite },
 	{ "str", str_suite },
 	{ "view", view_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -40,6 +40,7 @@
 Suite *served_model_suite(void);
 Suite *settings_suite(void);
 Suite *shares_suite(void);
+Suite *socket_times_suite(void);
 Suite *sse_suite(void);
 Suite *str_suite(void);
 Suite *view_suite(void);
