Socket times: a sound upstream that is silent for 1.8 s keeps its connections

Retransmissions go out about 0.2, 0.6, 1.4 and 3.0 s after the write: none falls between a silence of 1.8 s and the end.

Change: 3,600 ms, twice the longest silence. As the waits double, a retransmission falls behind the silence within that time, whatever the first wait. Idle connections end at their fourth probe, 4 s after the last byte; three probes, so that the count says the same as the bound. The times of accepted connections (5,000 ms, no probes) hold as they are.

Ruled out: 2,500 ms. What it costs: a link that is silent for good is given up after 4.0 to 4.1 s instead of 2.0 (2.5 to 3.1 with 2,500 ms), later than contact_ms (3,000): before the answer to a probe that may go out at 3 s, TCP cannot tell. Streams and requests that may be repeated are moved earlier by their own times. Retransmissions without doubled waits (TCP_THIN_LINEAR_TIMEOUTS) would not end idle connections earlier; not tried.

--- a/packages/http/socket_times.c
+++ b/packages/http/socket_times.c
@@ -6,12 +6,18 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-/* Requests that wait on a connection that has gone silent have little time. */
-#define OPENED_UNACKED_MS 1500
-/* A pooled connection that has gone silent is found before it is used. */
+/* A sound peer may send and acknowledge nothing for so long and go on. */
+#define SILENCE_MAX_MS 1800
+/*
+ * The waits between retransmissions double, so that one falls behind the
+ * silence within twice its time. The same bound ends an idle connection at its
+ * fourth probe: the third may be the first one behind a silence.
+ */
+#define OPENED_UNACKED_MS (2 * SILENCE_MAX_MS)
+/* The least there are: a link that stays silent is to be given up soon. */
 #define OPENED_IDLE_S 1
 #define OPENED_INTERVAL_S 1
-#define OPENED_PROBES 2
+#define OPENED_PROBES 3
 /* Nothing but memory waits for a caller that has gone silent. */
 #define ACCEPTED_UNACKED_MS 5000
 
