Brittle upstreams: nodes divide their slots while they say so

Cause: Server-Brittle was not read. Nodes fill an upstream up to three requests a slot by estimates, so that one that lets few wait turns many away and falls.

Change: platform/ decodes the header. It is a state of the upstream like its named rate: kept under its start while its entry is away, ended by an answer to a later request that omits it, and told to the other nodes with load reports (peer_load_t.weight, 0 from older builds). packages/decide/brittle.c divides the slots among the serving nodes by rendezvous hashing; a node has at most its part outstanding, waits after a refusal, and keeps its part for 20 s when nodes go missing. What a brittle upstream refused is not sent to another one.

Open: nodes cut off from the others before it begins, in small fleets.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -12,6 +12,7 @@
 #define KCF_BALANCE_H
 
 #include <glib.h>
+#include <kcf/brittle.h>
 #include <kcf/clock.h>
 #include <kcf/placement.h>
 #include <kcf/rate_limit.h>
@@ -93,18 +94,23 @@
 	int outcome_count;    /* requests in failure_rate */
 	mstime_t idle_max_ms; /* it closes idle connections after this */
 	rate_limit_t rate_limit;
+	brittle_t brittle;
 	/* what the last reported answer says of it, see balance_load_t */
 	bool reports_rate;
 	double reported_per_s;
+	bool reports_brittle;
+	int reported_turned_per_s;
 } balance_upstream_t;
 
 /* A load report as nodes forward it to each other. */
 typedef struct balance_load {
-	uint32_t key;	  /* of the upstream */
-	int outstanding;  /* requests of all nodes */
-	mstime_t age_ms;  /* of the report */
-	bool states_rate; /* whether the answer's request rate is known */
-	double per_s;	  /* the rate that it names, below 0 for none */
+	uint32_t key;	     /* of the upstream */
+	int outstanding;     /* requests of all nodes */
+	mstime_t age_ms;     /* of the report */
+	bool states_rate;    /* whether the answer's request rate is known */
+	double per_s;	     /* the rate that it names, below 0 for none */
+	bool states_brittle; /* whether it is known if the answer names that */
+	int turned_per_s;    /* see brittle_name, below 0 for none */
 } balance_load_t;
 
 /* What an upstream's answers say of its start, kept while its entry is away. */
@@ -112,6 +118,7 @@
 	mstime_t kept_until;
 	bool leaving;
 	rate_limit_t rate_limit;
+	brittle_t brittle;
 } balance_statement_t;
 
 /* Limits that hold for all upstreams of a service. */
@@ -154,6 +161,7 @@
 	uint64_t exclude[BALANCE_EXCLUDE_MAX]; /* local_id of upstreams */
 	int exclude_count;
 	uint32_t version; /* key of the only one that fits, 0 for any */
+	bool no_brittle;  /* was refused by a brittle upstream */
 	bool over_share;  /* its customer uses more than its share */
 } balance_request_t;
 
@@ -263,12 +271,31 @@
 		       mstime_t now);
 
 /*
- * balance_share_rates - divides the named rates among the nodes.
+ * balance_name_brittle - records that an answer names its upstream brittle.
+ * @turned_per_s: see brittle_name
+ *
+ * Return: whether that is new or has changed.
+ */
+bool balance_name_brittle(balance_t *b, balance_upstream_t *u, int turned_per_s,
+			  mstime_t now);
+
+/*
+ * balance_omit_brittle - records that an answer does not.
+ * @sent_at: of its request
+ *
+ * Return: whether it ends.
+ */
+bool balance_omit_brittle(balance_t *b, balance_upstream_t *u, mstime_t sent_at,
+			  mstime_t now);
+
+/*
+ * balance_share_rates - divides the named rates and the slots of brittle
+ * upstreams among the nodes.
  * @keys: of the nodes that serve, in an order that they agree on
  * @own:  index of this node, or count if it does not serve
  */
 void balance_share_rates(balance_t *b, const uint64_t *keys, guint count,
-			 guint own);
+			 guint own, mstime_t now);
 
 /*
  * balance_set_service_limits - sets the limits of a service.
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -85,6 +85,10 @@
 	[COUNTER_LEAVES_ANNOUNCED] = "kcf_leaves_announced_total",
 	[COUNTER_RATES_NAMED] = "kcf_upstream_rates_total{change=\"named\"}",
 	[COUNTER_RATES_ENDED] = "kcf_upstream_rates_total{change=\"ended\"}",
+	[COUNTER_BRITTLE_NAMED] =
+		"kcf_upstream_brittle_total{change=\"named\"}",
+	[COUNTER_BRITTLE_ENDED] =
+		"kcf_upstream_brittle_total{change=\"ended\"}",
 	[COUNTER_RELAYS_SENT] = "kcf_relays_total{side=\"sent\"}",
 	[COUNTER_RELAYS_SERVED] = "kcf_relays_total{side=\"served\"}",
 	[COUNTER_RELAYS_UNABLE] = "kcf_relays_total{side=\"unable\"}",
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -114,6 +114,7 @@
 		return;
 	u->announced_leaving = s->leaving;
 	u->rate_limit = s->rate_limit;
+	u->brittle = s->brittle;
 }
 
 bool balance_put_upstream(balance_t *b, const balance_spec_t *spec,
@@ -163,8 +164,10 @@
 		return false;
 	s = g_hash_table_lookup(b->statements, GUINT_TO_POINTER(u->key));
 	/* What was spent of the rate since it was named. */
-	if (s)
+	if (s) {
 		s->rate_limit = u->rate_limit;
+		s->brittle = u->brittle;
+	}
 	g_hash_table_remove(b->by_key, GUINT_TO_POINTER(u->key));
 	return g_hash_table_remove(b->by_id, id);
 }
@@ -217,7 +220,8 @@
 		g_hash_table_insert(b->statements, GUINT_TO_POINTER(u->key), s);
 	}
 	*s = (balance_statement_t){ now + STATEMENT_KEEP_MS,
-				    u->announced_leaving, u->rate_limit };
+				    u->announced_leaving, u->rate_limit,
+				    u->brittle };
 }
 
 bool balance_name_rate(balance_t *b, balance_upstream_t *u, double per_s,
@@ -245,8 +249,33 @@
 	return true;
 }
 
+bool balance_name_brittle(balance_t *b, balance_upstream_t *u, int turned_per_s,
+			  mstime_t now)
+{
+	bool changed;
+
+	u = present_(b, u);
+	u->reports_brittle = true;
+	u->reported_turned_per_s = turned_per_s;
+	changed = brittle_name(&u->brittle, turned_per_s, now);
+	keep_statement_(b, u, now);
+	return changed;
+}
+
+bool balance_omit_brittle(balance_t *b, balance_upstream_t *u, mstime_t sent_at,
+			  mstime_t now)
+{
+	u = present_(b, u);
+	u->reports_brittle = true;
+	u->reported_turned_per_s = -1;
+	if (!brittle_omit(&u->brittle, sent_at))
+		return false;
+	keep_statement_(b, u, now);
+	return true;
+}
+
 void balance_share_rates(balance_t *b, const uint64_t *keys, guint count,
-			 guint own)
+			 guint own, mstime_t now)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -259,6 +288,9 @@
 		if (l->active)
 			l->holder_share = rate_limit_share(keys, count, own,
 							   u->key, l->per_s);
+		if (u->brittle.active)
+			brittle_share(&u->brittle, keys, count, own, u->key,
+				      u->slots, now);
 	}
 }
 
@@ -323,8 +355,10 @@
 	balance_count_own(u, -1, now);
 	if (outcome == BALANCE_OK || outcome == BALANCE_FAILED)
 		record_outcome_(u, outcome == BALANCE_FAILED);
-	if (outcome == BALANCE_SHED)
+	if (outcome == BALANCE_SHED) {
 		record_outcome_(u, true);
+		brittle_turned_away(&u->brittle, now);
+	}
 	if (latency_ms >= 0 && u->latency_ms > 0)
 		u->latency_ms +=
 			LATENCY_WEIGHT * ((double)latency_ms - u->latency_ms);
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -31,6 +31,10 @@
 #define HOT_LOAD_FRACTION 0.5
 /* Scales the upper 53 bits of a hash to the range from 0 to below 1. */
 #define HASH_TO_FRACTION (1.0 / 9007199254740992.0)
+/* Load of a brittle upstream, in parts of its slots, up to which nodes without
+ * a part try it.
+ */
+#define BRITTLE_TRY_LOAD 0.75
 /* Time until the upstream entries have been read again. */
 #define RETRY_NO_UPSTREAM_MS 300
 /* Time until a cold upstream may get its next request. */
@@ -165,6 +169,21 @@
 	       c->mean_load * BALANCE_LIMIT_FACTOR + BALANCE_LIMIT_SLACK;
 }
 
+/* Room by a report is that of slots: a brittle one may let none wait. */
+static bool brittle_has_room_(const balance_t *b,
+			      const balance_request_t *request,
+			      const candidates_t *c, guint i, mstime_t now)
+{
+	balance_upstream_t *u = c->list[i];
+	bool has_room = balance_has_fresh_report(u, now) &&
+			c->loads[i] < u->slots * BRITTLE_TRY_LOAD;
+
+	if (request->no_brittle && u->brittle.active)
+		return false;
+	return brittle_allows(&u->brittle, &b->place, u->key,
+			      u->own_outstanding, has_room, now);
+}
+
 static void rank_candidates_(balance_t *b, const balance_request_t *request,
 			     const candidates_t *c, mstime_t now, ranking_t *r)
 {
@@ -200,7 +219,8 @@
 			continue;
 		update_preferred_(r, (int)i, score);
 		if (is_full_(request, u, c->loads[i], now) ||
-		    (request->version && is_over_limit_(c, i, now))) {
+		    (request->version && is_over_limit_(c, i, now)) ||
+		    !brittle_has_room_(b, request, c, i, now)) {
 			r->any_full = true;
 			continue;
 		}
@@ -479,6 +499,9 @@
 					      pick.upstream->local_id, now);
 		if (balance_is_cold(b, pick.upstream, now))
 			pick.upstream->cold_tokens -= 1;
+		brittle_spend(&pick.upstream->brittle, &b->place,
+			      pick.upstream->key,
+			      pick.upstream->own_outstanding - 1, now);
 		rate_limit_spend(&pick.upstream->rate_limit, &b->place,
 				 pick.upstream->key, now);
 	}
--- a/packages/decide/balance_loads.c
+++ b/packages/decide/balance_loads.c
@@ -122,10 +122,14 @@
 		guint at = i < newest ? i : newest + b->gossip_cursor++ % rest;
 		const balance_upstream_t *u = list->pdata[at];
 
-		out[i] = (balance_load_t){
-			u->key, u->remote_outstanding + u->own_outstanding,
-			now - u->reported_at, u->reports_rate, u->reported_per_s
-		};
+		out[i] = (balance_load_t){ u->key,
+					   u->remote_outstanding +
+						   u->own_outstanding,
+					   now - u->reported_at,
+					   u->reports_rate,
+					   u->reported_per_s,
+					   u->reports_brittle,
+					   u->reported_turned_per_s };
 	}
 	g_ptr_array_unref(list);
 	return count;
@@ -145,6 +149,17 @@
 		balance_name_rate(b, u, load->per_s, at);
 }
 
+static void apply_brittle_(balance_t *b, balance_upstream_t *u,
+			   const balance_load_t *load, mstime_t at)
+{
+	if (!load->states_brittle)
+		u->reports_brittle = false;
+	else if (load->turned_per_s < 0)
+		balance_omit_brittle(b, u, at - RATE_SETTLE_MS, at);
+	else
+		balance_name_brittle(b, u, load->turned_per_s, at);
+}
+
 void balance_apply_gossip(balance_t *b, const balance_load_t *load,
 			  mstime_t now)
 {
@@ -157,4 +172,5 @@
 	balance_set_remote(
 		u, MAX(0, load->outstanding - own_outstanding_at_(u, at)), at);
 	apply_rate_(b, u, load, at);
+	apply_brittle_(b, u, load, at);
 }
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -269,6 +269,34 @@
 	gateway_peers_share_rates(f->gateway, now);
 }
 
+static void record_brittle_(const forward_t *f, mstime_t now)
+{
+	const upstream_response_t *a = &f->response;
+
+	if (a->mismatched || a->wrong_instance)
+		return;
+	if (!a->names_brittle) {
+		if (!balance_omit_brittle(&f->gateway->balance, f->selected,
+					  f->sent_at, now))
+			return;
+		counter_add(COUNTER_BRITTLE_ENDED, 1);
+		LOG_EVENT(LOG_NOTICE, "upstream.brittle_ended",
+			  F_STR("upstream", f->selected->id),
+			  F_VIEW("request", f->in.id));
+		return;
+	}
+	if (a->turned_per_s < 0 ||
+	    !balance_name_brittle(&f->gateway->balance, f->selected,
+				  a->turned_per_s, now))
+		return;
+	counter_add(COUNTER_BRITTLE_NAMED, 1);
+	LOG_EVENT(LOG_NOTICE, "upstream.brittle",
+		  F_STR("upstream", f->selected->id),
+		  F_INT("turned_per_s", a->turned_per_s),
+		  F_VIEW("request", f->in.id));
+	gateway_peers_share_rates(f->gateway, now);
+}
+
 /* Applies what the response headers say about the upstream. */
 static void record_upstream_state_(forward_t *f)
 {
@@ -290,6 +318,7 @@
 		f->selected->idle_max_ms = f->response.idle_max_ms;
 	record_leaving_(f, now);
 	record_rate_(f, now);
+	record_brittle_(f, now);
 }
 
 static bool on_head_(void *ctx, http_call_t *call, int status)
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -249,7 +249,8 @@
 {
 	gateway_t *g = f->gateway;
 	balance_request_t request = { .service = f->service,
-				      .version = f->bound_version };
+				      .version = f->bound_version,
+				      .no_brittle = f->met_brittle };
 	const char *customer = share_customer_(f);
 	mstime_t now = clock_now();
 
@@ -447,6 +448,8 @@
 		forward_record_silence(f);
 	forward_log_fault(f, f->selected->id, why);
 	f->suspect = crashes_record(f, why) || f->suspect;
+	if (why == FAULT_SHED && f->selected->brittle.active)
+		f->met_brittle = true;
 	if (why == FAULT_CONNECT)
 		balance_eject(f->selected, now + EJECT_CONNECT_MS);
 	if (why == FAULT_INSTANCE)
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -119,6 +119,20 @@
 	load->per_s = code > 1 ? (code - 2) / RATE_STEPS_PER_UNIT : -1;
 }
 
+/* 0: unknown, as older builds send it; 1: not brittle; else 2 and more. */
+static u_int encode_brittle_(const balance_load_t *load)
+{
+	if (!load->states_brittle)
+		return 0;
+	return load->turned_per_s < 0 ? 1 : 2 + (u_int)load->turned_per_s;
+}
+
+static void decode_brittle_(u_int code, balance_load_t *load)
+{
+	load->states_brittle = code > 0;
+	load->turned_per_s = code > 1 ? (int)MIN(code - 2, INT32_MAX) : -1;
+}
+
 static void apply_gossip_(gateway_t *g, const peer_message_t *m)
 {
 	mstime_t now = clock_now();
@@ -129,7 +143,7 @@
 					(mstime_t)l->stamp };
 
 		decode_rate_(l->limit, &load);
-
+		decode_brittle_(l->weight, &load);
 		balance_apply_gossip(&g->balance, &load, now);
 		reach_record_report(&g->reach, load.key, now - load.age_ms);
 	}
@@ -179,6 +193,7 @@
 			.outstanding = (u_int)loads[i].outstanding,
 			.stamp = (u_int)loads[i].age_ms,
 			.limit = encode_rate_(&loads[i]),
+			.weight = encode_brittle_(&loads[i]),
 		};
 	}
 	m.loads.loads_val = wire;
@@ -297,7 +312,7 @@
 		.count = known ? count : 0,
 		.wall_offset = clock_wall() - now,
 	};
-	balance_share_rates(&g->balance, keys, count, own);
+	balance_share_rates(&g->balance, keys, count, own, now);
 	g_free(keys);
 }
 
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -93,7 +93,8 @@
 	int attempt_count;
 	int deliveries; /* attempts that may have reached an upstream */
 	bool may_have_run;
-	bool suspect; /* its upstream crashed, maybe because of it */
+	bool met_brittle; /* a brittle upstream had no room for it */
+	bool suspect;	  /* its upstream crashed, maybe because of it */
 	balance_pick_t pick;
 	char upstream_id[64]; /* of the last attempt, for the log */
 	char version[64];     /* of that upstream's software */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -18,6 +18,7 @@
 	{ "platform", platform_suite },
 	{ "retry_budget", retry_budget_suite },
 	{ "routing", routing_suite },
+	{ "brittle", brittle_suite },
 	{ "config", config_suite },
 	{ "datagram", datagram_suite },
 	{ "fairq", fairq_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -31,6 +31,7 @@
 Suite *power_suite(void);
 Suite *quarantine_suite(void);
 Suite *rank_suite(void);
+Suite *brittle_suite(void);
 Suite *rate_limit_suite(void);
 Suite *retry_budget_suite(void);
 Suite *reach_suite(void);
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -684,6 +684,9 @@
 		if (lapse_cases[_i].names)
 			balance_name_rate(&b, old, 1.0,
 					  now == SAID_AFTER ? back : NOW);
+		if (lapse_cases[_i].names)
+			balance_name_brittle(&b, old, 4,
+					     now == SAID_AFTER ? back : NOW);
 		if (lapse_cases[_i].leaves)
 			balance_announce_leaving(
 				&b, old, now == SAID_AFTER ? back : NOW);
@@ -691,6 +694,7 @@
 	u = g_hash_table_lookup(b.by_id, "u-0");
 	ck_assert_int_eq(u->leaving, lapse_cases[_i].leaving);
 	ck_assert_int_eq(u->rate_limit.active, lapse_cases[_i].limited);
+	ck_assert_int_eq(u->brittle.active, lapse_cases[_i].limited);
 	balance_end_request(old, BALANCE_OK, 10, back);
 }
 END_TEST
@@ -712,6 +716,30 @@
 }
 END_TEST
 
+/* A brittle upstream gets no more than this node's part, and no retry after a
+ * refusal by another one.
+ */
+START_TEST(test_brittle_upstreams_get_parts)
+{
+	balance_request_t request = { .service = SERVICE };
+	const uint64_t keys[] = { 1, 2 };
+	int sent = 0;
+
+	put_upstreams_(2);
+	for (int i = 0; i < 2; i++)
+		balance_name_brittle(
+			&b, g_hash_table_lookup(b.by_id, i ? "u-1" : "u-0"), 4,
+			NOW);
+	ck_assert_ptr_null(choose_(0, NOW).upstream);
+	balance_share_rates(&b, keys, 2, 0, NOW);
+	request.no_brittle = true;
+	ck_assert_ptr_null(balance_choose(&b, &request, NOW).upstream);
+	while (choose_(0, NOW).upstream)
+		sent++;
+	ck_assert_int_eq(sent, 2 * 8 / 2);
+}
+END_TEST
+
 /* Nodes that held no share of a rate did not learn that it had ended. */
 START_TEST(test_rates_are_gossiped)
 {
@@ -731,20 +759,26 @@
 	}
 	balance_apply_report(u[0], 1, 8, 1000);
 	balance_name_rate(&nodes[0], u[0], 2.5, 1000);
+	balance_name_brittle(&nodes[0], u[0], 3, 1000);
 	ck_assert_uint_eq(balance_collect_gossip(&nodes[0], 1100, &load, 1), 1);
 	balance_apply_gossip(&nodes[1], &load, 1150);
 	ck_assert(u[1]->rate_limit.active);
 	ck_assert_double_eq(u[1]->rate_limit.per_s, 2.5);
+	ck_assert(u[1]->brittle.active);
+	ck_assert_int_eq(u[1]->brittle.turned_per_s, 3);
 	/* A report of before the rate does not end it, a later one does. */
-	load = (balance_load_t){ u[0]->key, 1, 10, true, -1 };
+	load = (balance_load_t){ u[0]->key, 1, 10, true, -1, true, -1 };
 	balance_apply_gossip(&nodes[1], &load, 1500);
 	ck_assert_int_eq(u[1]->rate_limit.ending_at, 0);
+	ck_assert(u[1]->brittle.active);
 	balance_apply_gossip(&nodes[1], &load, 4000);
 	ck_assert_int_eq(u[1]->rate_limit.ending_at, 3990);
+	ck_assert(!u[1]->brittle.active);
 	/* Nor does a report of an older build. */
 	load = (balance_load_t){ u[0]->key, 1, 10, false, 0 };
 	balance_apply_gossip(&nodes[0], &load, 5000);
 	ck_assert(u[0]->rate_limit.active && !u[0]->rate_limit.ending_at);
+	ck_assert(u[0]->brittle.active);
 	for (int i = 0; i < 2; i++)
 		balance_finish(&nodes[i]);
 }
@@ -756,6 +790,7 @@
 	TCase *c = tcase_create("balance");
 
 	tcase_add_checked_fixture(c, setup_, finish_);
+	tcase_add_test(c, test_brittle_upstreams_get_parts);
 	tcase_add_loop_test(c, test_statements_outlive_an_entry, 0,
 			    G_N_ELEMENTS(lapse_cases));
 	tcase_add_test(c, test_ended_rate_is_not_kept);
