Brittle upstreams: nodes that are missing keep their parts, also from before

Cause: a node that was cut off from the others shortly before the upstreams turned brittle divided the slots among those it saw.

Change: the largest number of nodes that served in the last 20 s divides the slots, whether or not anything was brittle then; it was kept with each brittle upstream before. A part found with all nodes known does not grow while some are missing.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -139,7 +139,9 @@
 	GHashTable *drained;	   /* set of data centres */
 	char *data_centre;	   /* of this node */
 	placement_t placement;
-	int node_count;		  /* nodes that share the limits */
+	int node_count;	  /* nodes that share the limits */
+	guint most_nodes; /* that have served lately */
+	mstime_t most_nodes_until;
 	rate_limit_place_t place; /* of this node among those that serve */
 	uint64_t last_local_id;
 	GRand *rand;
--- a/include/kcf/brittle.h
+++ b/include/kcf/brittle.h
@@ -18,13 +18,12 @@
 /* What this node knows of it; zeroed while the upstream is not brittle. */
 typedef struct brittle {
 	bool active;
-	int turned_per_s;     /* it may turn away so many, as named last */
-	mstime_t named_at;    /* by an answer */
-	int part;	      /* slots of this node there */
-	guint count;	      /* of serving nodes, for the parts */
-	mstime_t count_until; /* fewer nodes change nothing before */
-	int holders;	      /* nodes that may have a part */
-	rate_limit_t extra;   /* requests of nodes without a part */
+	int turned_per_s;   /* it may turn away so many, as named last */
+	mstime_t named_at;  /* by an answer */
+	int part;	    /* slots of this node there */
+	bool divided;	    /* the part was found with all nodes known */
+	int holders;	    /* nodes that may have a part */
+	rate_limit_t extra; /* requests of nodes without a part */
 	mstime_t held_until;
 	mstime_t hold_ms; /* that led to it */
 } brittle_t;
@@ -50,9 +49,11 @@
  * @keys: of the serving nodes
  * @own: index of this node, or count if it does not serve
  * @seed: of the upstream
+ * @nodes: that may serve, at least count; those that are missing may only be
+ * out of touch
  */
 void brittle_share(brittle_t *b, const uint64_t *keys, guint count, guint own,
-		   uint64_t seed, int slots, mstime_t now);
+		   uint64_t seed, int slots, guint nodes);
 
 /*
  * brittle_allows - whether this node may send a request now.
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -16,6 +16,11 @@
  * before this time; some serve on for many seconds.
  */
 #define STATEMENT_KEEP_MS 600000
+/*
+ * Serving nodes that are missing may only be out of touch: their parts of
+ * brittle upstreams stay theirs for this long.
+ */
+#define FEWER_NODES_MS 20000
 
 static void release_upstream_(gpointer p);
 
@@ -280,6 +285,10 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (count >= b->most_nodes || now >= b->most_nodes_until) {
+		b->most_nodes = count;
+		b->most_nodes_until = now + FEWER_NODES_MS;
+	}
 	g_hash_table_iter_init(&iter, b->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		balance_upstream_t *u = value;
@@ -290,7 +299,7 @@
 							   u->key, l->per_s);
 		if (u->brittle.active)
 			brittle_share(&u->brittle, keys, count, own, u->key,
-				      u->slots, now);
+				      u->slots, b->most_nodes);
 	}
 }
 
--- a/packages/decide/brittle.c
+++ b/packages/decide/brittle.c
@@ -8,11 +8,6 @@
  * Each may also cause the refusal of one within a part.
  */
 #define EXTRA_FRACTION 0.25
-/*
- * Nodes that are missing may only be out of touch: their parts stay theirs for
- * this long.
- */
-#define FEWER_MS 20000
 /*
  * After a refusal a node waits as if all holders sent in turn, as many a second
  * as may be turned away; twice as long with each one that comes before this
@@ -44,32 +39,31 @@
 
 /* Slots that do not divide go to the first nodes by rendezvous hashing. */
 static int part_(const uint64_t *keys, guint count, guint own, uint64_t seed,
-		 int slots)
+		 int slots, guint nodes)
 {
 	double score = rank_score(seed, keys[own], 1);
 	guint ahead = 0;
 
 	for (guint i = 0; i < count; i++)
 		ahead += rank_score(seed, keys[i], 1) > score;
-	return slots / (int)count + (ahead < (guint)slots % count);
+	return slots / (int)nodes + (ahead < (guint)slots % nodes);
 }
 
 void brittle_share(brittle_t *b, const uint64_t *keys, guint count, guint own,
-		   uint64_t seed, int slots, mstime_t now)
+		   uint64_t seed, int slots, guint nodes)
 {
-	int part;
+	int part = 0;
 
-	assert(keys || !count);
-	part = own < count ? part_(keys, count, own, seed, slots) : 0;
+	assert((keys || !count) && nodes >= count);
 	b->extra.holder_share =
 		rate_limit_share(keys, count, own, seed, b->extra.per_s);
-	if (count < b->count && now < b->count_until) {
-		b->part = MIN(b->part, part);
-		return;
-	}
-	b->count = count;
-	b->count_until = now + FEWER_MS;
-	b->holders = MIN((int)count, slots);
+	b->holders = MIN((int)nodes, slots);
+	if (own < count)
+		part = part_(keys, count, own, seed, slots, nodes);
+	/* Without the missing nodes it may rank too high. */
+	if (count < nodes && b->divided)
+		part = MIN(part, b->part);
+	b->divided = b->divided || (count == nodes && own < count);
 	b->part = part;
 }
 
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -740,6 +740,25 @@
 }
 END_TEST
 
+/* A node that was cut off just before takes no parts of the others. */
+START_TEST(test_missing_nodes_keep_their_parts)
+{
+	const uint64_t keys[] = { 1, 2, 3, 4 };
+	const balance_upstream_t *u;
+
+	put_upstreams_(1);
+	u = g_hash_table_lookup(b.by_id, "u-0");
+	balance_share_rates(&b, keys, 4, 0, NOW);
+	balance_share_rates(&b, keys, 1, 0, NOW + 10000);
+	balance_name_brittle(&b, g_hash_table_lookup(b.by_id, "u-0"), 4,
+			     NOW + 10000);
+	balance_share_rates(&b, keys, 1, 0, NOW + 10000);
+	ck_assert_int_eq(u->brittle.part, 2);
+	balance_share_rates(&b, keys, 1, 0, NOW + 20000);
+	ck_assert_int_eq(u->brittle.part, 8);
+}
+END_TEST
+
 /* Nodes that held no share of a rate did not learn that it had ended. */
 START_TEST(test_rates_are_gossiped)
 {
@@ -791,6 +810,7 @@
 
 	tcase_add_checked_fixture(c, setup_, finish_);
 	tcase_add_test(c, test_brittle_upstreams_get_parts);
+	tcase_add_test(c, test_missing_nodes_keep_their_parts);
 	tcase_add_loop_test(c, test_statements_outlive_an_entry, 0,
 			    G_N_ELEMENTS(lapse_cases));
 	tcase_add_test(c, test_ended_rate_is_not_kept);
--- a/tests/unit/test_brittle.c
+++ b/tests/unit/test_brittle.c
@@ -54,17 +54,21 @@
 	int run_ms;
 	double load;  /* offered, in multiples of what the slots run */
 	guint cuts;   /* nodes cut off, one after another */
+	guint apart;  /* nodes cut off all the time */
 	double least; /* fraction of the smaller of load and slots served */
 } cases[] = {
-	{ "small", 7, 6, 4, 4, 100, 1.7, 0, 0.6 },
-	{ "small, moderate load", 7, 6, 4, 4, 100, 0.6, 0, 0.6 },
-	{ "small, long runs", 7, 6, 8, 3, 1000, 1.7, 0, 0.8 },
-	{ "small, nodes cut off", 7, 6, 8, 3, 500, 1.7, 4, 0.75 },
-	{ "middle", 59, 50, 8, 4, 500, 1.7, 0, 0.8 },
-	{ "middle, nodes cut off", 59, 50, 8, 4, 500, 1.7, 4, 0.75 },
-	{ "large", 295, 250, 8, 4, 500, 1.7, 0, 0.8 },
-	{ "large, moderate load", 295, 250, 8, 4, 500, 0.6, 0, 0.8 },
-	{ "large, nodes cut off", 295, 250, 8, 4, 500, 1.7, 4, 0.75 },
+	{ "small", 7, 6, 4, 4, 100, 1.7, 0, 0, 0.6 },
+	{ "small, moderate load", 7, 6, 4, 4, 100, 0.6, 0, 0, 0.6 },
+	{ "small, long runs", 7, 6, 8, 3, 1000, 1.7, 0, 0, 0.8 },
+	{ "small, nodes cut off", 7, 6, 8, 3, 500, 1.7, 4, 0, 0.75 },
+	{ "small, nodes apart", 7, 6, 8, 3, 500, 1.7, 0, 3, 0.7 },
+	{ "middle", 59, 50, 8, 4, 500, 1.7, 0, 0, 0.8 },
+	{ "middle, nodes cut off", 59, 50, 8, 4, 500, 1.7, 4, 0, 0.75 },
+	{ "middle, nodes apart", 59, 50, 8, 4, 500, 1.7, 0, 3, 0.75 },
+	{ "large", 295, 250, 8, 4, 500, 1.7, 0, 0, 0.8 },
+	{ "large, moderate load", 295, 250, 8, 4, 500, 0.6, 0, 0, 0.8 },
+	{ "large, nodes cut off", 295, 250, 8, 4, 500, 1.7, 4, 0, 0.75 },
+	{ "large, nodes apart", 295, 250, 8, 4, 500, 1.7, 0, 3, 0.75 },
 };
 
 static struct {
@@ -94,7 +98,7 @@
 	for (guint k = 0; k < cases[c].upstreams; k++)
 		brittle_share(&n->views[k].brittle, cut ? &s.keys[i] : s.keys,
 			      n->place.count, n->place.index, KEY(k) ^ 77,
-			      cases[c].slots, now);
+			      cases[c].slots, cases[c].nodes);
 }
 
 static void start_(int c, guint32 seed)
@@ -110,8 +114,11 @@
 	for (guint k = 0; k < cases[c].upstreams; k++)
 		s.upstreams[k].turned_at =
 			g_array_new(FALSE, FALSE, sizeof(mstime_t));
-	for (guint i = 0; i < cases[c].nodes; i++)
+	for (guint i = 0; i < cases[c].nodes; i++) {
 		s.keys[i] = KEY(i);
+		if (i < cases[c].apart)
+			s.nodes[i].cut_until = RUN_MS;
+	}
 	for (guint i = 0; i < cases[c].nodes; i++) {
 		s.nodes[i].views = g_new0(view_t, cases[c].upstreams);
 		for (guint k = 0; k < cases[c].upstreams; k++)
@@ -313,7 +320,7 @@
 
 		brittle_name(&b, 4, 1000);
 		brittle_share(&b, keys, count, i, 77, division_cases[_i].slots,
-			      1000);
+			      count);
 		ck_assert(i < count || !b.part);
 		sum += b.part;
 	}
@@ -332,7 +339,7 @@
 	ck_assert(!brittle_name(&b, 4, 1100));
 	/* Its part is not known yet. */
 	ck_assert(!brittle_allows(&b, &unknown, 1, 0, true, 1100));
-	brittle_share(&b, (const uint64_t[]){ 5 }, 1, 0, 1, 8, 1100);
+	brittle_share(&b, (const uint64_t[]){ 5 }, 1, 0, 1, 8, 1);
 	ck_assert(brittle_allows(&b, &unknown, 1, 7, false, 1200));
 	ck_assert(!brittle_allows(&b, &unknown, 1, 8, false, 1200));
 	brittle_turned_away(&b, 1200);
