Streams: silences of one burst of questions count once

Questions to an upstream that were open at the same time and all timed out counted as that many silences in a row, so that an upstream whose reports take 400 ms counted as one that names no start after one burst, and a late heartbeat proved it. One silence in ASK_AGAIN_MS counts now.

--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -134,6 +134,9 @@
 
 static void note_silence_(balance_upstream_t *u, mstime_t now)
 {
+	/* Questions that were open at the same time are one silence. */
+	if (now < u->nameless_until)
+		return;
 	u->nameless_until =
 		++u->silences < SILENT_MAX ? now + ASK_AGAIN_MS : MSTIME_NEVER;
 }
