Warmth: nodes tell each other which upstreams have a prompt cached

A bounded table of prompts and upstreams, learnt from this node's own requests and from other nodes (datagram procedure 13). It names the source of a copy where this node knows none, and one of its upstreams is preferred for a prompt that is new to this node, within the spill limit. Active for a service once one of its upstreams reports its pace in the load header.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -17,6 +17,7 @@
 #include <kcf/placement.h>
 #include <kcf/rate_limit.h>
 #include <kcf/str.h>
+#include <kcf/warmth.h>
 
 #define BALANCE_EXCLUDE_MAX 8
 /*
@@ -140,7 +141,9 @@
 	GHashTable *statements; /* uint32_t key to balance_statement_t * */
 	guint gossip_cursor;	/* into the reports that are sent in rotation */
 	GHashTable *services;	/* char * to balance_service_t * */
-	GHashTable *affinities; /* affinity to balance_affinity_t * */
+	warmth_t *warmth;	/* what the fleet tells, or NULL */
+	GHashTable *warmth_services; /* set of char *, that use it */
+	GHashTable *affinities;	     /* affinity to balance_affinity_t * */
 	mstime_t affinities_swept_at;
 	GHashTable *last_retry_at; /* service to double *, in ms */
 	uint64_t prompt_count;	   /* requests with a prompt so far */
@@ -219,6 +222,8 @@
 	balance_reason_t reason;
 	/* Likely caches the prompt that the upstream lacks, or NULL. */
 	const balance_upstream_t *copy_source;
+	bool copy_told;	      /* another node told of that one */
+	bool place_told;      /* and of the chosen one */
 	mstime_t retry_ms;    /* for refusals: when capacity is likely */
 	int load;	      /* estimated outstanding requests there */
 	double mean_load;     /* per upstream of the service */
@@ -415,6 +420,14 @@
 void balance_mark_warm(balance_t *b, uint64_t affinity,
 		       const balance_upstream_t *u, mstime_t now);
 
+/*
+ * balance_share_warmth - from now on a service uses what nodes tell each other
+ * of upstreams that have prompts cached; b->warmth learns from its requests.
+ *
+ * Return: false if it did before.
+ */
+bool balance_share_warmth(balance_t *b, const char *service);
+
 /*
  * balance_end_request - records the end of a request; frees an upstream that
  * was removed and has no other.
--- a/include/kcf/datagram.h
+++ b/include/kcf/datagram.h
@@ -99,4 +99,14 @@
 			   peer_doubts_t *m);
 void datagram_free_doubts(peer_doubts_t *m);
 
+/*
+ * datagram_encode_warmth, datagram_decode_warmth, datagram_free_warmth - the
+ * same for PEER_WARMTH.
+ */
+int datagram_encode_warmth(const unsigned char *key, const peer_warmth_t *m,
+			   unsigned char *out, size_t *len);
+int datagram_decode_warmth(const unsigned char *key, str_t data, mstime_t wall,
+			   peer_warmth_t *m);
+void datagram_free_warmth(peer_warmth_t *m);
+
 #endif
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -17,6 +17,8 @@
 	void (*origins)(void *ctx, const peer_origins_t *m, const char *from);
 	/* The same. */
 	void (*doubts)(void *ctx, const peer_doubts_t *m);
+	/* The same. */
+	void (*warmth)(void *ctx, const peer_warmth_t *m, const char *from);
 } peer_socket_ops_t;
 
 /*
@@ -78,4 +80,13 @@
 void peer_socket_send_doubts(const peer_sender_t *s, const char *to,
 			     const peer_doubts_t *m);
 
+/*
+ * peer_socket_send_warmth - sends upstreams that have prompts cached, or asks
+ * for them, also when the budget is exhausted.
+ *
+ * Return: bytes sent, 0 when it was not sent.
+ */
+size_t peer_socket_send_warmth(const peer_sender_t *s, const char *to,
+			       const peer_warmth_t *m);
+
 #endif
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -56,11 +56,12 @@
 	bool encoded;	  /* has a content encoding: not the upstream's body */
 	bool leaving;	  /* it announces that this start of it leaves */
 	bool names_limit; /* on the requests of all nodes together */
-	double limit_per_s;   /* below 0 if it cannot be read */
-	bool names_brittle;   /* it falls over if it refuses more in a second */
-	int turned_per_s;     /* than this; below 0 if it cannot be read */
-	int outstanding;      /* reported load, -1 if unset */
-	int slots;	      /* requests that it runs at a time, 0 if unset */
+	double limit_per_s; /* below 0 if it cannot be read */
+	bool names_brittle; /* it falls over if it refuses more in a second */
+	int turned_per_s;   /* than this; below 0 if it cannot be read */
+	int outstanding;    /* reported load, -1 if unset */
+	int slots;	    /* requests that it runs at a time, 0 if unset */
+	int pace; /* time that work takes, 100 is normal, 0 if unset */
 	mstime_t idle_max_ms; /* it closes idle connections then, 0 if unset */
 } upstream_response_t;
 
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -39,6 +39,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	b->affinities = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					      g_free, g_free);
+	b->warmth_services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	b->last_retry_at =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->rand = g_rand_new_with_seed(seed);
@@ -62,6 +64,7 @@
 	g_hash_table_destroy(b->services);
 	g_hash_table_destroy(b->drained);
 	g_hash_table_destroy(b->affinities);
+	g_hash_table_destroy(b->warmth_services);
 	g_hash_table_destroy(b->last_retry_at);
 	g_free(b->data_centre);
 	g_rand_free(b->rand);
@@ -174,6 +177,8 @@
 		s->rate_limit = u->rate_limit;
 		s->brittle = u->brittle;
 	}
+	if (b->warmth)
+		warmth_remove_upstream(b->warmth, u->key);
 	g_hash_table_remove(b->by_key, GUINT_TO_POINTER(u->key));
 	return g_hash_table_remove(b->by_id, id);
 }
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -46,6 +46,9 @@
 	"over its share", "cold",     "rate limit",
 };
 
+static int copy_preference_(const balance_affinity_t *entry,
+			    const balance_upstream_t *u);
+
 typedef struct choice {
 	int index; /* -1 for none */
 	double slot_load;
@@ -97,12 +100,21 @@
 			    0.5));
 }
 
+/* Upstreams that have the prompt by what nodes tell, newest first. */
+typedef struct told {
+	uint32_t keys[WARMTH_PLACES];
+	int count;
+} told_t;
+
 typedef struct ranking {
 	int fanout; /* upstreams to spread the prompt over */
 	const balance_affinity_t *entry; /* of the prompt, or NULL */
 	choice_t preferred;		 /* highest score, at any load */
 	choice_t runner_up;		 /* second highest score */
 	choice_t first_fit; /* highest score within the spill limit */
+	told_t told;
+	choice_t told_fit; /* the same among those told of */
+	bool has_own;	   /* this node knows where the prompt is, by itself */
 	choice_t least_loaded;
 	choice_t least_loaded_any; /* unhealthy ones included */
 	int probe;		   /* unhealthy one due for a probe, or -1 */
@@ -184,6 +196,26 @@
 			      u->own_outstanding, has_room, now);
 }
 
+static told_t find_told_(const balance_t *b, const balance_request_t *request,
+			 mstime_t now)
+{
+	told_t told = { .count = 0 };
+
+	if (request->affinity && balance_shares_warmth(b, request->service))
+		told.count = warmth_find(b->warmth, request->affinity, now,
+					 told.keys);
+	return told;
+}
+
+static bool is_told_(const told_t *told, const balance_upstream_t *u)
+{
+	for (int i = 0; i < told->count; i++) {
+		if (told->keys[i] == u->key)
+			return true;
+	}
+	return false;
+}
+
 static void rank_candidates_(balance_t *b, const balance_request_t *request,
 			     const candidates_t *c, mstime_t now, ranking_t *r)
 {
@@ -203,6 +235,8 @@
 			  .preferred = { -1 },
 			  .runner_up = { -1 },
 			  .first_fit = { -1 },
+			  .told = find_told_(b, request, now),
+			  .told_fit = { -1 },
 			  .least_loaded = { -1 },
 			  .least_loaded_any = { -1 },
 			  .probe = -1,
@@ -220,6 +254,8 @@
 		     balance_trust(u, now) < request->least_trust))
 			continue;
 		update_preferred_(r, (int)i, score);
+		r->has_own =
+			r->has_own || (entry && copy_preference_(entry, u));
 		if (is_full_(request, u, c->loads[i], now) ||
 		    (request->version && is_over_limit_(c, i, now)) ||
 		    !brittle_has_room_(b, request, c, i, now)) {
@@ -248,8 +284,11 @@
 			continue;
 		}
 		keep_lower_load_(&r->least_loaded, (int)i, slot_load);
-		if (is_within_spill_limit_(c, (int)i, request->affinity))
-			keep_higher_score_(&r->first_fit, (int)i, score);
+		if (!is_within_spill_limit_(c, (int)i, request->affinity))
+			continue;
+		keep_higher_score_(&r->first_fit, (int)i, score);
+		if (is_told_(&r->told, u))
+			keep_higher_score_(&r->told_fit, (int)i, score);
 	}
 }
 
@@ -337,6 +376,11 @@
 		*reason = BALANCE_HOT;
 		return index;
 	}
+	/* Instead of one that would have to read the prompt again. */
+	if (!r->has_own && r->told_fit.index >= 0) {
+		*reason = BALANCE_FIRST;
+		return r->told_fit.index;
+	}
 	if (request->affinity && r->first_fit.index >= 0) {
 		*reason = r->first_fit.index == r->preferred.index
 				  ? BALANCE_FIRST
@@ -434,15 +478,35 @@
 					 : preference;
 }
 
+/* The upstream that others told of last, other than the chosen one, or NULL. */
+static const balance_upstream_t *told_source_(const balance_t *b,
+					      const told_t *told,
+					      const balance_upstream_t *chosen)
+{
+	const balance_upstream_t *leaving = NULL;
+
+	for (int i = 0; i < told->count; i++) {
+		const balance_upstream_t *u =
+			balance_find_key(b, told->keys[i]);
+
+		if (!u || u == chosen || strcmp(u->service, chosen->service))
+			continue;
+		if (!u->leaving)
+			return u;
+		leaving = leaving ? leaving : u;
+	}
+	return leaving;
+}
+
 /*
- * Upstream that the chosen one may copy the prompt from. Without a warm one
- * this is the best ranked other candidate; if no cache has the prompt, the
- * failed lookup costs little.
+ * Upstream that the chosen one may copy the prompt from: one that this node
+ * knows to be warm, or else one that others told of. Without any this is the
+ * best ranked other candidate; if no cache has the prompt, the failed lookup
+ * costs little.
  */
-static const balance_upstream_t *copy_source_(const balance_t *b,
-					      const candidates_t *c,
-					      const ranking_t *r,
-					      const balance_upstream_t *chosen)
+static const balance_upstream_t *
+copy_source_(const balance_t *b, const candidates_t *c, const ranking_t *r,
+	     const balance_upstream_t *chosen, bool *by_told)
 {
 	const choice_t *other = &r->preferred;
 	const balance_upstream_t *best = NULL;
@@ -461,6 +525,10 @@
 		best_preference = preference;
 		best = value;
 	}
+	if (!best) {
+		best = told_source_(b, &r->told, chosen);
+		*by_told = best;
+	}
 	if (best)
 		return best;
 	if (other->index >= 0 && c->list[other->index] == chosen)
@@ -490,8 +558,15 @@
 					   : -1;
 		balance_count_own(pick.upstream, 1, now);
 		if (request->affinity)
-			pick.copy_source =
-				copy_source_(b, &c, &r, pick.upstream);
+			pick.copy_source = copy_source_(
+				b, &c, &r, pick.upstream, &pick.copy_told);
+		pick.place_told = pick.reason == BALANCE_FIRST &&
+				  index == r.told_fit.index && !r.has_own;
+		/* Others may wait for this read rather than repeat it. */
+		if (request->affinity && !r.told.count && !r.has_own &&
+		    balance_shares_warmth(b, request->service))
+			warmth_learn(b->warmth, request->affinity,
+				     pick.upstream->key, now);
 		/* A spill leaves the preferred upstream as it is, and so does
 		 * a request that could not go to all.
 		 */
--- a/packages/decide/balance_prompts.c
+++ b/packages/decide/balance_prompts.c
@@ -94,4 +94,20 @@
 		(size_t)at * sizeof(entry->warm_ids[0]));
 	entry->warm_ids[0] = u->local_id;
 	entry->used_at = now;
+	/* An upstream that was removed since is not warm for anyone. */
+	if (balance_shares_warmth(b, u->service) && !u->removed)
+		warmth_learn(b->warmth, affinity, u->key, now);
+}
+
+bool balance_share_warmth(balance_t *b, const char *service)
+{
+	assert(b && service);
+	if (g_hash_table_contains(b->warmth_services, service))
+		return false;
+	return g_hash_table_add(b->warmth_services, g_strdup(service));
+}
+
+bool balance_shares_warmth(const balance_t *b, const char *service)
+{
+	return b->warmth && g_hash_table_contains(b->warmth_services, service);
 }
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -79,6 +79,12 @@
 void balance_set_preferred(balance_t *b, uint64_t affinity, uint64_t local_id,
 			   mstime_t now);
 
+/*
+ * balance_shares_warmth - whether requests to a service use what other nodes
+ * tell of prompts.
+ */
+bool balance_shares_warmth(const balance_t *b, const char *service);
+
 /*
  * balance_retry_delay - when the caller of a request refused for load may
  * retry. Retries are spaced at the rate at which capacity becomes free.
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -307,6 +307,8 @@
 {
 	mstime_t now = clock_now();
 
+	if (f->response.pace > 0)
+		gateway_peers_share_warmth(f->gateway, f->selected->service);
 	if (f->route->affinity && is_success_(f->response.status))
 		balance_mark_warm(&f->gateway->balance, f->in.affinity,
 				  f->selected, now);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -295,6 +295,8 @@
 		  f->pick.copy_source ? f->pick.copy_source->address : "",
 		  sizeof(f->copy_source));
 	f->pick.copy_source = NULL;
+	counter_add(COUNTER_WARMTH_COPIES, f->pick.copy_told);
+	counter_add(COUNTER_WARMTH_PLACED, f->pick.place_told);
 	shares_add_outstanding(&g->shares, f->service, customer, 1, now);
 	f->tried_ids[f->attempt_count++] = f->selected->local_id;
 	g_strlcpy(f->upstream_id, f->selected->id, sizeof(f->upstream_id));
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -35,7 +35,13 @@
 static void on_member_changed_(void *ctx, const member_t *m,
 			       member_state_t before);
 static void update_ranking_(gateway_t *g);
+static const char *warmth_peer_(void *ctx);
+static size_t send_warmth_(void *ctx, const char *to, const peer_warmth_t *m);
+static bool share_warmth_(void *ctx, uint32_t key);
+static mstime_t wall_(void *ctx);
 
+static const warmths_ops_t warmths_ops = { warmth_peer_, send_warmth_,
+					   share_warmth_, wall_ };
 static const member_ops_t member_ops = { send_message_, on_member_changed_ };
 
 bool gateway_peers_start(gateway_t *g)
@@ -64,6 +70,8 @@
 	g->start_serving = g_ptr_array_new_with_free_func(g_free);
 	g->ranking = g_array_new(FALSE, FALSE, sizeof(fleet_roles_node_t));
 	g->own_rank = -1;
+	warmths_init(&g->warmths, &warmths_ops, g);
+	g->balance.warmth = &g->warmths.table;
 	sharing_init(&g->sharing, c->stop_limit_ms, g->started_at);
 	members_init(&g->members, &self, (guint32)g->incarnation, &member_ops,
 		     g, clock_now());
@@ -82,6 +90,8 @@
 	g_array_unref(g->ranking);
 	g_ptr_array_unref(g->start_serving);
 	sharing_finish(&g->sharing);
+	g->balance.warmth = NULL;
+	warmths_finish(&g->warmths);
 	members_finish(&g->members);
 }
 
@@ -227,8 +237,57 @@
 	resumes_receive_doubts(ctx, m);
 }
 
-static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_,
-					      on_origins_, on_doubts_ };
+static void on_warmth_(void *ctx, const peer_warmth_t *m, const char *from)
+{
+	gateway_t *g = ctx;
+
+	warmths_receive(&g->warmths, m, from, clock_now());
+}
+
+static const peer_socket_ops_t socket_ops = {
+	on_message_, on_crashes_, on_origins_, on_doubts_, on_warmth_,
+};
+
+static const char *warmth_peer_(void *ctx)
+{
+	const member_t *m = select_gossip_target_(ctx, clock_now());
+
+	return m ? m->peer : NULL;
+}
+
+static size_t send_warmth_(void *ctx, const char *to, const peer_warmth_t *m)
+{
+	gateway_t *g = ctx;
+	/* The budgets of warmths hold instead of that of control traffic. */
+	byte_budget_t unused = { 0 };
+	peer_sender_t sender = { g->socket, g->conf->peer_key, &unused };
+
+	return peer_socket_send_warmth(&sender, to, m);
+}
+
+void gateway_peers_share_warmth(gateway_t *g, const char *service)
+{
+	if (!balance_share_warmth(&g->balance, service))
+		return;
+	warmths_activate(&g->warmths);
+	LOG_EVENT(LOG_NOTICE, "warmth.shared", F_STR("service", service));
+}
+
+static bool share_warmth_(void *ctx, uint32_t key)
+{
+	gateway_t *g = ctx;
+	const balance_upstream_t *u = balance_find_key(&g->balance, key);
+
+	if (u)
+		gateway_peers_share_warmth(g, u->service);
+	return u;
+}
+
+static mstime_t wall_(void *ctx)
+{
+	(void)ctx;
+	return clock_wall();
+}
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
@@ -337,6 +396,7 @@
 	gateway_peers_share_rates(g, now);
 	relays_tick(g, now);
 	crashes_tick(g, now);
+	warmths_tick(&g->warmths, now);
 	resumes_tick(g, now);
 	version_record_tick(g, now);
 	stream_log_tick(g, now);
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -15,12 +15,15 @@
  * forward.c    one request: routing, retries, final response
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
+ * warmths.c    upstreams that have prompts cached, between nodes
  * relays.c      requests that pass through one other node, at both of them
  * admin.c      operators' interface and metrics
  */
 #ifndef KCF_PRIVATE_GATEWAY_H
 #define KCF_PRIVATE_GATEWAY_H
 
+#include "warmths.h"
+
 #include <kcf/byte_budget.h>
 #include <kcf/counter.h>
 #include <kcf/fleet_roles.h>
@@ -189,6 +192,7 @@
 	quarantine_t quarantine;
 	bool crashes_hold_is_new; /* requests under way may be part of it */
 	quarantine_gossip_t crash_gossip;
+	warmths_t warmths;
 	versions_t versions;
 	origins_t origins;
 	byte_budget_t origins_budget;
@@ -364,6 +368,8 @@
 		     mstime_t requested_at, mstime_t now);
 
 /* peers.c */
+/* An upstream of the service has reported its pace. */
+void gateway_peers_share_warmth(gateway_t *g, const char *service);
 bool gateway_peers_start(gateway_t *g);
 void gateway_peers_stop(gateway_t *g);
 void gateway_peers_tick(gateway_t *g, mstime_t now);
--- a/packages/wire/datagram.c
+++ b/packages/wire/datagram.c
@@ -93,6 +93,14 @@
 		       out, len);
 }
 
+int datagram_encode_warmth(const unsigned char *key, const peer_warmth_t *m,
+			   unsigned char *out, size_t *len)
+{
+	assert(key && m && out && len);
+	return encode_(key, PEER_WARMTH, 0, (xdrproc_t)xdr_peer_warmth_t, m,
+		       out, len);
+}
+
 static bool decode_header_(XDR *xdrs, unsigned int *proc)
 {
 	char cred[MAX_AUTH_BYTES];
@@ -263,6 +271,26 @@
 	memset(m, 0, sizeof(*m));
 }
 
+int datagram_decode_warmth(const unsigned char *key, str_t data, mstime_t wall,
+			   peer_warmth_t *m)
+{
+	peer_warmth_t warmth = { 0 };
+	int err;
+
+	assert(key && m);
+	err = decode_call_(key, data, wall, PEER_WARMTH,
+			   (xdrproc_t)xdr_peer_warmth_t, &warmth, &warmth.sent);
+	if (!err)
+		*m = warmth;
+	return err;
+}
+
+void datagram_free_warmth(peer_warmth_t *m)
+{
+	xdr_free((xdrproc_t)xdr_peer_warmth_t, m);
+	memset(m, 0, sizeof(*m));
+}
+
 static void compute_mac_(const unsigned char *key, const unsigned char *data,
 			 size_t len, unsigned char *mac)
 {
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -13,6 +13,7 @@
 const PEER_ANSWERED_MAX = 16;
 const PEER_ORIGINS_MAX = 32;
 const PEER_DOUBTS_MAX = 16;
+const PEER_WARMTH_MAX = 64;
 
 /* Membership record of one node. */
 struct peer_update_t {
@@ -120,6 +121,20 @@
 	peer_doubt_t list<PEER_DOUBTS_MAX>;
 };
 
+/* An upstream that has a shared prompt cached. */
+struct peer_warm_t {
+	unsigned hyper prompt;
+	unsigned int upstream;
+	unsigned int age_ms;
+};
+
+/* A node that wants them has just started and is sent the newest. */
+struct peer_warmth_t {
+	unsigned hyper sent;
+	bool wanted;
+	peer_warm_t list<PEER_WARMTH_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		void PEER_PING(peer_message_t) = 1;
@@ -131,5 +146,6 @@
 		void PEER_CRASHES(peer_crash_report_t) = 7;
 		void PEER_ORIGINS(peer_origins_t) = 8;
 		void PEER_DOUBTS(peer_doubts_t) = 9;
+		void PEER_WARMTH(peer_warmth_t) = 13;
 	} = 1;
 } = 0x20004b43;
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -98,6 +98,22 @@
 	datagram_free_doubts(&m);
 }
 
+static void handle_warmth_(const unsigned char *key, str_t data,
+			   const char *from, const peer_socket_ops_t *ops,
+			   void *ctx)
+{
+	peer_warmth_t m = { 0 };
+	int err = datagram_decode_warmth(key, data, clock_wall(), &m);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	if (ops->warmth)
+		ops->warmth(ctx, &m, from);
+	datagram_free_warmth(&m);
+}
+
 void peer_socket_receive(int fd, const unsigned char *key,
 			 const peer_socket_ops_t *ops, void *ctx)
 {
@@ -124,6 +140,9 @@
 		case PEER_DOUBTS:
 			handle_doubts_(key, view, from, ops, ctx);
 			break;
+		case PEER_WARMTH:
+			handle_warmth_(key, view, from, ops, ctx);
+			break;
 		default:
 			handle_message_(key, view, from, ops, ctx);
 			break;
@@ -223,3 +242,19 @@
 	    !send_datagram_(s, &sa, data, len, true))
 		counter_add(COUNTER_CONTROL_DROPPED, 1);
 }
+
+size_t peer_socket_send_warmth(const peer_sender_t *s, const char *to,
+			       const peer_warmth_t *m)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && m);
+	if (address_parse(to, &sa) &&
+	    !datagram_encode_warmth(s->key, m, data, &len) &&
+	    send_datagram_(s, &sa, data, len, true))
+		return len + DATAGRAM_OVERHEAD;
+	counter_add(COUNTER_CONTROL_DROPPED, 1);
+	return 0;
+}
