--- a/include/kcf/warmth.h
+++ b/include/kcf/warmth.h
@@ -48,7 +48,7 @@
 typedef struct warmth {
 	GHashTable *entries; /* prompt to warmth_entry_t *, private */
 	GQueue order;	     /* most recently used first */
-	GQueue news;	     /* pairs to tell, newest first, private */
+	GQueue news;	     /* pairs to tell, in their order, private */
 } warmth_t;
 
 /*
--- a/packages/decide/warmth.c
+++ b/packages/decide/warmth.c
@@ -146,7 +146,8 @@
 	return !known && few;
 }
 
-static void add_news_(warmth_t *w, warmth_entry_t *e, uint32_t key,
+/* Pairs that are only told again wait until the new ones have been told. */
+static void add_news_(warmth_t *w, warmth_entry_t *e, uint32_t key, bool again,
 		      mstime_t now)
 {
 	warmth_news_t *n = g_new0(warmth_news_t, 1);
@@ -154,7 +155,10 @@
 	*n = (warmth_news_t){ e->prompt, key, WARMTH_PASSES, { 0 } };
 	n->link.data = n;
 	e->told_at = now;
-	g_queue_push_head_link(&w->news, &n->link);
+	if (again)
+		g_queue_push_tail_link(&w->news, &n->link);
+	else
+		g_queue_push_head_link(&w->news, &n->link);
 	if (w->news.length > WARMTH_NEWS_MAX)
 		drop_news_(w, w->news.tail->data);
 }
@@ -166,9 +170,11 @@
 	warmth_entry_t *e = get_entry_(w, prompt);
 	bool due = !e->told_at || now - e->told_at >= interval_ms;
 
-	if (!put_place_(e, key, at, now) && !due)
+	bool is_new = put_place_(e, key, at, now);
+
+	if (!is_new && !due)
 		return false;
-	add_news_(w, e, key, now);
+	add_news_(w, e, key, !is_new, now);
 	return true;
 }
 
