--- a/tests/scenarios/gateway_path.lua
+++ b/tests/scenarios/gateway_path.lua
@@ -122,6 +122,11 @@
 expect(http { url = "http://" .. g.admin .. "/metrics" }.body:find("kcf_requests_total"), "no metrics")
 expect(log_of(g):find("event=request.end request=" .. id:gsub("%-", "%%-")) or
        log_of(f.gateways[3]):find("event=request.end request=" .. id:gsub("%-", "%%-")), "no log line of a request")
+-- Upstreams that report no pace leave nodes without a word about prompts.
+for _, node in ipairs(f.gateways) do
+	local body = http { url = "http://" .. node.admin .. "/metrics" }.body
+	expect(body:find('kcf_warmth_pairs_total{change="told"} 0\n', 1, true), "%s told of prompts", node.name)
+end
 -- What never got as far as a choice has no placement, and the time that its caller gave.
 id = fresh_id()
 raw(id, "/none/a", {}, "x")
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -998,6 +998,174 @@
 }
 END_TEST
 
+/* What others tell of prompt 7, which this node has not seen. */
+typedef struct told_case {
+	const char *guards; /* against this failure */
+	bool shared;	    /* the service uses it */
+	int told;	 /* rank of the upstream among those for the prompt */
+	int own_load;	 /* requests of this node there */
+	int remote_load; /* reported by it */
+	bool leaving;
+	bool seen;   /* this node has had the prompt read elsewhere */
+	bool placed; /* on that upstream */
+	bool copied; /* from it */
+} told_case_t;
+
+static const told_case_t told_cases[] = {
+	{ "nodes decide otherwise while no pace is reported", false, 3, 0, 3,
+	  false, false, false, false },
+	{ "a prompt is read again beside a warm upstream", true, 3, 0, 3, false,
+	  false, true, false },
+	{ "a warm upstream above the spill limit gets more", true, 3, 0, 12,
+	  false, false, false, true },
+	{ "the load limit of this node's own requests is exceeded", true, 3, 12,
+	  3, false, false, false, true },
+	{ "a leaving upstream gets a request", true, 3, 0, 3, true, false,
+	  false, true },
+	{ "what others tell moves a prompt that is warm here", true, 3, 0, 3,
+	  false, true, false, false },
+	{ "the preferred upstream is named as its own source", true, 0, 0, 3,
+	  false, false, true, false },
+};
+
+/* The upstreams in the order in which the prompt is placed on them. */
+static balance_upstream_t *ranked_(uint64_t prompt, int rank)
+{
+	balance_request_t request = { .service = SERVICE, .affinity = prompt };
+	balance_upstream_t *u = NULL;
+	balance_t other;
+
+	/* Another node, so that this one has not seen the prompt. */
+	balance_init(&other, "dc-a", 1);
+	for (int i = 0; i < 9; i++) {
+		char id[16];
+		char address[24];
+		balance_spec_t spec = { .id = id,
+					.service = SERVICE,
+					.address = address,
+					.data_centre = "dc-a",
+					.slots = 8 };
+
+		g_snprintf(id, sizeof(id), "u-%d", i);
+		g_snprintf(address, sizeof(address), "127.0.0.1:%d", 9000 + i);
+		balance_put_upstream(&other, &spec, NOW);
+	}
+	for (int i = 0; i <= rank; i++) {
+		balance_affinity_t *entry =
+			g_hash_table_lookup(other.affinities, &prompt);
+
+		if (entry)
+			entry->preferred_id = 0;
+		u = balance_choose(&other, &request, NOW).upstream;
+		request.exclude[request.exclude_count++] = u->local_id;
+		balance_end_request(u, BALANCE_OK, 10, NOW);
+	}
+	u = g_hash_table_lookup(b.by_id, u->id);
+	balance_finish(&other);
+	return u;
+}
+
+START_TEST(test_told_upstream_is_used)
+{
+	const told_case_t *t = &told_cases[_i];
+	balance_upstream_t *u;
+	warmth_t warmth;
+	balance_pick_t p;
+
+	warmth_init(&warmth);
+	put_busy_upstreams_(9);
+	b.warmth = &warmth;
+	u = ranked_(7, t->told);
+	if (t->shared)
+		ck_assert(balance_share_warmth(&b, SERVICE));
+	if (t->seen) {
+		p = choose_(7, NOW);
+		balance_mark_warm(&b, 7, p.upstream, NOW);
+		balance_end_request(p.upstream, BALANCE_OK, 10, NOW);
+	}
+	warmth_apply(&warmth, &(warmth_pair_t){ 7, u->key, 100 }, NOW);
+	u->remote_outstanding = t->remote_load;
+	u->own_outstanding = t->own_load;
+	u->leaving = t->leaving;
+	p = choose_(7, NOW);
+	ck_assert_ptr_nonnull(p.upstream);
+	ck_assert_msg((p.upstream == u) == t->placed, "%s", t->guards);
+	ck_assert_msg((p.copy_source == u) == t->copied, "%s", t->guards);
+	ck_assert_int_eq(p.place_told, t->placed);
+	ck_assert_int_eq(p.copy_told, t->copied);
+	b.warmth = NULL;
+	warmth_finish(&warmth);
+}
+END_TEST
+
+/*
+ * Guards against wrong information that is used more than once: the prompt is
+ * not where others told. And against upstreams that left, or start again under
+ * the same id, as sources.
+ */
+START_TEST(test_wrong_warmth_is_used_once)
+{
+	balance_upstream_t *other;
+	balance_upstream_t *u;
+	warmth_t warmth;
+	balance_pick_t p;
+	uint32_t keys[WARMTH_PLACES];
+
+	warmth_init(&warmth);
+	put_busy_upstreams_(9);
+	b.warmth = &warmth;
+	balance_share_warmth(&b, SERVICE);
+	u = ranked_(7, 3);
+	u->remote_outstanding = 12;
+	warmth_apply(&warmth, &(warmth_pair_t){ 7, u->key, 100 }, NOW);
+	p = choose_(7, NOW);
+	ck_assert_ptr_eq(p.copy_source, u);
+	balance_mark_warm(&b, 7, p.upstream, NOW + 10);
+	balance_end_request(p.upstream, BALANCE_OK, 10, NOW + 10);
+	u->remote_outstanding = 3;
+	/* Requests with other prompts, so that this one is not hot. */
+	for (uint64_t i = 0; i < 30; i++)
+		balance_end_request(choose_(100 + i, NOW + 10).upstream,
+				    BALANCE_OK, 10, NOW + 10);
+	other = choose_(7, NOW + 20).upstream;
+	ck_assert_ptr_eq(other, p.upstream);
+	balance_end_request(other, BALANCE_OK, 10, NOW + 30);
+	warmth_apply(&warmth, &(warmth_pair_t){ 8, u->key, 0 }, NOW);
+	ck_assert_int_eq(warmth_find(&warmth, 8, NOW, keys), 1);
+	balance_remove_upstream(&b, u->id);
+	ck_assert_int_eq(warmth_find(&warmth, 8, NOW, keys), 0);
+	/* One whose entry this node has not read yet is passed over. */
+	warmth_apply(&warmth, &(warmth_pair_t){ 9, 12345, 0 }, NOW);
+	p = choose_(9, NOW);
+	ck_assert_ptr_nonnull(p.upstream);
+	ck_assert(!p.place_told && !p.copy_told);
+	b.warmth = NULL;
+	warmth_finish(&warmth);
+}
+END_TEST
+
+/* Guards against first requests at several nodes that each read a prompt. */
+START_TEST(test_first_read_is_told_when_sent)
+{
+	uint32_t keys[WARMTH_PLACES];
+	warmth_t warmth;
+	balance_pick_t p;
+
+	warmth_init(&warmth);
+	put_busy_upstreams_(9);
+	b.warmth = &warmth;
+	choose_(6, NOW);
+	ck_assert(!warmth_has_news(&warmth));
+	balance_share_warmth(&b, SERVICE);
+	p = choose_(7, NOW);
+	ck_assert_int_eq(warmth_find(&warmth, 7, NOW, keys), 1);
+	ck_assert_uint_eq(keys[0], p.upstream->key);
+	ck_assert(warmth_has_news(&warmth));
+	b.warmth = NULL;
+	warmth_finish(&warmth);
+}
+END_TEST
+
 Suite *balance_suite(void)
 {
 	Suite *s = suite_create("balance");
@@ -1044,6 +1212,10 @@
 			    G_N_ELEMENTS(reach_cases));
 	tcase_add_loop_test(c, test_stream_goes_on_where_the_start_is_proven, 0,
 			    G_N_ELEMENTS(trust_cases));
+	tcase_add_loop_test(c, test_told_upstream_is_used, 0,
+			    G_N_ELEMENTS(told_cases));
+	tcase_add_test(c, test_wrong_warmth_is_used_once);
+	tcase_add_test(c, test_first_read_is_told_when_sent);
 	suite_add_tcase(s, c);
 	return s;
 }
