--- a/include/kcf/served_model.h
+++ b/include/kcf/served_model.h
@@ -37,13 +37,16 @@
 	mstime_t restore_at; /* unless later than drain_at, never drained */
 	mstime_t add_at;     /* when engines with empty caches are added */
 	int added_engines;
+	bool copies;	   /* engines copy prompts from each other */
+	bool share_warmth; /* nodes tell each other of warm engines */
 } served_conf_t;
 
 typedef struct served_result {
 	int arrivals;
 	int refused;
-	int warm_hits;		 /* prompt was in the cache */
-	int over_limit;		 /* arrived at an engine above the load limit */
+	int warm_hits;	/* prompt was in the cache */
+	int reread;	/* read although another engine had it in the cache */
+	int over_limit; /* arrived at an engine above the load limit */
 	double over_limit_worst; /* highest fraction in five seconds */
 	int peak_load;		 /* highest load of an engine */
 	double first_p50_ms;	 /* time to the first token */
--- a/packages/ctl/cmd_experiment.c
+++ b/packages/ctl/cmd_experiment.c
@@ -20,6 +20,8 @@
 	double out_to_s;
 	double add_s;
 	int tell_ms;
+	gboolean copies;
+	gboolean tell_warmth;
 	char *plot;
 } experiment_t;
 
@@ -28,6 +30,7 @@
 	int arrivals;
 	int refused;
 	int warm;
+	int reread;
 	int over;
 	int broken; /* seeds that break the rule */
 	int peak;
@@ -73,6 +76,10 @@
 		  "Engines that are added", "N" },
 		{ "add-at", 0, 0, G_OPTION_ARG_DOUBLE, &x->add_s,
 		  "when they are added", "S" },
+		{ "copies", 0, 0, G_OPTION_ARG_NONE, &x->copies,
+		  "Engines copy prompts from each other", NULL },
+		{ "tell-warmth", 0, 0, G_OPTION_ARG_NONE, &x->tell_warmth,
+		  "Nodes tell each other of warm engines", NULL },
 		{ "plot", 0, 0, G_OPTION_ARG_FILENAME, &x->plot,
 		  "Write a picture of the first seed", "FILE.png" },
 		{ 0 },
@@ -119,6 +126,8 @@
 	c->drain_at = (mstime_t)(x->out_from_s * MSEC_PER_SEC);
 	c->restore_at = (mstime_t)(x->out_to_s * MSEC_PER_SEC);
 	c->add_at = (mstime_t)(x->add_s * MSEC_PER_SEC);
+	c->copies = x->copies;
+	c->share_warmth = x->tell_warmth;
 }
 
 static void add_(placement_sum_t *sum, const served_result_t *r)
@@ -126,6 +135,7 @@
 	sum->arrivals += r->arrivals;
 	sum->refused += r->refused;
 	sum->warm += r->warm_hits;
+	sum->reread += r->reread;
 	sum->over += r->over_limit;
 	sum->broken += r->over_limit_worst > RULE_SHARE;
 	sum->peak = MAX(sum->peak, r->peak_load);
@@ -159,15 +169,16 @@
 
 static void print_table_(const experiment_t *x, const placement_sum_t *sums)
 {
-	printf("%-13s %9s %8s %6s %8s %8s %5s %7s %7s\n", "placement",
-	       "arrivals", "refused", "warm", "over", "broken", "peak",
-	       "p50 ms", "p95 ms");
+	printf("%-13s %9s %8s %6s %8s %8s %8s %5s %7s %7s\n", "placement",
+	       "arrivals", "refused", "warm", "reread", "over", "broken",
+	       "peak", "p50 ms", "p95 ms");
 	for (int i = 0; i < PLACEMENT_COUNT; i++) {
 		const placement_sum_t *s = &sums[i];
 
-		printf("%-13s %9d %8d %6.3f %8.4f %4d/%-3d %5d %7.0f %7.0f\n",
+		printf("%-13s %9d %8d %6.3f %8d %8.4f %4d/%-3d %5d %7.0f "
+		       "%7.0f\n",
 		       placement_string[i], s->arrivals, s->refused,
-		       share_(s->warm, s->arrivals),
+		       share_(s->warm, s->arrivals), s->reread,
 		       share_(s->over, s->arrivals), s->broken, x->seeds,
 		       s->peak, s->first_p50_ms, s->first_p95_ms);
 	}
@@ -184,10 +195,11 @@
 
 		json_array_append_new(
 			items,
-			json_pack("{s:s,s:i,s:i,s:f,s:f,s:i,s:i,s:f,s:f}",
+			json_pack("{s:s,s:i,s:i,s:f,s:i,s:f,s:i,s:i,s:f,s:f}",
 				  "placement", placement_string[i], "arrivals",
 				  s->arrivals, "refused", s->refused, "warm",
-				  share_(s->warm, s->arrivals), "over",
+				  share_(s->warm, s->arrivals), "reread",
+				  s->reread, "over",
 				  share_(s->over, s->arrivals), "broken_seeds",
 				  s->broken, "peak", s->peak, "first_p50_ms",
 				  s->first_p50_ms, "first_p95_ms",
--- a/packages/model/private/served_engine.h
+++ b/packages/model/private/served_engine.h
@@ -15,6 +15,8 @@
 	mstime_t arrived_at;
 	double work_ms;
 	bool warm;
+	struct served_engine *source; /* it is told to copy from, or NULL */
+	bool copied;		      /* and that one had the prompt */
 	balance_upstream_t *upstream; /* the engine, in the node's balance_t */
 } served_request_t;
 
--- a/packages/model/served_engine.c
+++ b/packages/model/served_engine.c
@@ -29,6 +29,8 @@
 {
 	e->running++;
 	r->warm = lru_get(&e->cache, now, r->prompt) != NULL;
+	r->copied = !r->warm && r->source &&
+		    lru_get(&r->source->cache, now, r->prompt) != NULL;
 	lru_put(&e->cache, now, r->prompt, 0, 1);
 }
 
--- a/packages/model/served_model.c
+++ b/packages/model/served_model.c
@@ -45,11 +45,13 @@
 	served_result_t *result;
 	GArray *seconds;
 	gsl_rng *rng;
+	gsl_rng *tell_rng; /* so that arrivals are the same without it */
 	gsl_ran_discrete_t *prompts;
 	gsl_histogram *first_token_ms;
 	GSequence *events; /* event_t *, the next one first */
 	uint64_t next_order;
 	balance_t *nodes;
+	warmth_t *warmths; /* parallel to nodes */
 	served_engine_t *engines;
 	int engine_count;
 	mstime_t now;
@@ -179,15 +181,28 @@
 	m->result->over_limit++;
 }
 
+/* Whether another engine has the prompt of a request. */
+static bool is_cached_(const model_t *m, const served_request_t *r)
+{
+	for (int i = 0; i < m->engine_count; i++) {
+		if (i != r->engine &&
+		    lru_get(&m->engines[i].cache, m->now, r->prompt))
+			return true;
+	}
+	return false;
+}
+
 static void start_work_(model_t *m, served_request_t *r)
 {
-	double first_token_ms = r->warm ? m->conf->warm_ms : m->conf->cold_ms;
+	bool has = r->warm || r->copied;
+	double first_token_ms = has ? m->conf->warm_ms : m->conf->cold_ms;
 	mstime_t at = m->now + (mstime_t)first_token_ms;
 	served_second_t *second = get_second_(m, r->arrived_at);
 
 	if (second)
 		second->warm_hits += r->warm;
 	m->result->warm_hits += r->warm;
+	m->result->reread += !has && is_cached_(m, r);
 	schedule_(m, at, EVENT_FIRST_TOKEN, r->node, r);
 	schedule_(m, at + (mstime_t)r->work_ms + 1, EVENT_END, r->node, r);
 }
@@ -201,6 +216,8 @@
 		balance_choose(&m->nodes[r->node], &request, m->now);
 
 	r->upstream = pick.upstream;
+	if (m->conf->copies && pick.copy_source)
+		r->source = &m->engines[engine_index_(pick.copy_source)];
 	return pick.upstream ? engine_index_(pick.upstream) : -1;
 }
 
@@ -257,6 +274,9 @@
 	gsl_histogram_increment(m->first_token_ms,
 				MIN(ms, FIRST_TOKEN_MAX_MS - 1));
 	balance_apply_report(r->upstream, served_engine_load(e), 0, m->now);
+	if (m->conf->copies)
+		balance_mark_warm(&m->nodes[r->node], r->prompt, r->upstream,
+				  m->now);
 }
 
 static void on_end_(model_t *m, served_request_t *r)
@@ -270,6 +290,27 @@
 		start_work_(m, next);
 }
 
+/* As many as a node tells at this interval within its bytes. */
+#define WARMTH_PAIRS 16
+#define WARMTH_FANOUT 2
+
+static void tell_warmth_(model_t *m, int node)
+{
+	warmth_pair_t pairs[WARMTH_PAIRS];
+
+	for (int i = 0; i < WARMTH_FANOUT && m->conf->nodes > 1; i++) {
+		int to = (node + 1 +
+			  (int)gsl_rng_uniform_int(
+				  m->tell_rng, (gulong)m->conf->nodes - 1)) %
+			 m->conf->nodes;
+		guint n = warmth_take_news(&m->warmths[node], pairs,
+					   WARMTH_PAIRS, m->now);
+
+		for (guint k = 0; k < n; k++)
+			warmth_apply(&m->warmths[to], &pairs[k], m->now);
+	}
+}
+
 static void on_gossip_(model_t *m, int node)
 {
 	balance_load_t loads[BALANCE_GOSSIP_MAX];
@@ -281,6 +322,8 @@
 
 	for (u_int i = 0; i < n; i++)
 		balance_apply_gossip(to, &loads[i], m->now);
+	if (m->conf->share_warmth)
+		tell_warmth_(m, node);
 	if (m->now < m->conf->arrivals_ms)
 		schedule_(m, m->now + m->conf->gossip_interval_ms, EVENT_GOSSIP,
 			  node, NULL);
@@ -347,6 +390,8 @@
 	};
 	m->rng = gsl_rng_alloc(gsl_rng_mt19937);
 	gsl_rng_set(m->rng, c->seed);
+	m->tell_rng = gsl_rng_alloc(gsl_rng_mt19937);
+	gsl_rng_set(m->tell_rng, c->seed);
 	set_prompts_(m);
 	m->first_token_ms =
 		gsl_histogram_alloc(FIRST_TOKEN_MAX_MS / FIRST_TOKEN_BUCKET_MS);
@@ -354,6 +399,7 @@
 					 FIRST_TOKEN_MAX_MS);
 	m->events = g_sequence_new(g_free);
 	m->nodes = g_new0(balance_t, c->nodes);
+	m->warmths = g_new0(warmth_t, c->nodes);
 	m->engines = g_new0(served_engine_t, c->engines + c->added_engines);
 	m->window_end = LIMIT_WINDOW_MS;
 	for (int n = 0; n < c->nodes; n++) {
@@ -365,6 +411,10 @@
 			     c->seed + 1 + (guint32)n);
 		m->nodes[n].node_count = c->nodes;
 		m->nodes[n].placement = c->placement;
+		warmth_init(&m->warmths[n]);
+		m->nodes[n].warmth = &m->warmths[n];
+		if (c->share_warmth)
+			balance_share_warmth(&m->nodes[n], SERVICE);
 	}
 	for (int i = 0; i < c->engines; i++)
 		add_engine_(m, m->engine_count++);
@@ -404,16 +454,20 @@
 	close_window_(m);
 	m->result->first_p50_ms = quantile_(m->first_token_ms, 0.5);
 	m->result->first_p95_ms = quantile_(m->first_token_ms, 0.95);
-	for (int n = 0; n < m->conf->nodes; n++)
+	for (int n = 0; n < m->conf->nodes; n++) {
 		balance_finish(&m->nodes[n]);
+		warmth_finish(&m->warmths[n]);
+	}
 	for (int i = 0; i < m->engine_count; i++)
 		served_engine_finish(&m->engines[i]);
 	g_free(m->nodes);
+	g_free(m->warmths);
 	g_free(m->engines);
 	g_sequence_free(m->events);
 	gsl_histogram_free(m->first_token_ms);
 	gsl_ran_discrete_free(m->prompts);
 	gsl_rng_free(m->rng);
+	gsl_rng_free(m->tell_rng);
 }
 
 void served_run(const served_conf_t *conf, served_result_t *result,
