--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -489,7 +489,8 @@
 		const balance_upstream_t *u =
 			balance_find_key(b, told->keys[i]);
 
-		if (!u || u == chosen || strcmp(u->service, chosen->service))
+		if (!u || u == chosen ||
+		    strcmp(u->service, chosen->service) != 0)
 			continue;
 		if (!u->leaving)
 			return u;
