--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -155,6 +155,16 @@
 	return c->loads[index] + 1 <= spill_limit_(c, c->list[index], affinity);
 }
 
+/*
+ * What is told reaches many nodes at once, each with first requests that the
+ * others' reports don't show yet: the lowest spill limit holds for all prompts.
+ */
+static bool is_within_told_limit_(const candidates_t *c, int index)
+{
+	return c->loads[index] + 1 <=
+	       c->mean_load * SPILL_MIN_FACTOR + SPILL_MIN_SLACK;
+}
+
 /* Load that is only estimated must not lead to a refusal. */
 static bool is_full_(const balance_request_t *request,
 		     const balance_upstream_t *u, int load, mstime_t now)
@@ -287,7 +297,7 @@
 		if (!is_within_spill_limit_(c, (int)i, request->affinity))
 			continue;
 		keep_higher_score_(&r->first_fit, (int)i, score);
-		if (is_told_(&r->told, u))
+		if (is_told_(&r->told, u) && is_within_told_limit_(c, (int)i))
 			keep_higher_score_(&r->told_fit, (int)i, score);
 	}
 }
