--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -55,6 +55,20 @@
 	datagram_free_doubts(&m);
 }
 
+static void fuzz_warmth_(const uint8_t *data, size_t size)
+{
+	peer_warmth_t m = { 0 };
+	XDR xdrs;
+
+	if (!datagram_decode_warmth(key, view_(data, size), 0, &m))
+		datagram_free_warmth(&m);
+	m = (peer_warmth_t){ 0 };
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	(void)xdr_peer_warmth_t(&xdrs, &m);
+	xdr_destroy(&xdrs);
+	datagram_free_warmth(&m);
+}
+
 static void fuzz_crash_report_(const uint8_t *data, size_t size)
 {
 	peer_crash_report_t r = { 0 };
@@ -90,6 +104,7 @@
 	fuzz_crash_report_(data, size);
 	fuzz_origins_(data, size);
 	fuzz_doubts_(data, size);
+	fuzz_warmth_(data, size);
 	return 0;
 }
 
--- a/tests/unit/test_datagram.c
+++ b/tests/unit/test_datagram.c
@@ -113,6 +113,44 @@
 }
 END_TEST
 
+/*
+ * Guards against an older build that takes warm prompts for a message it knows:
+ * it decodes calls of unknown procedures as that. And against changes on the
+ * way between builds that both know them.
+ */
+START_TEST(test_warmth)
+{
+	static const u_int lengths[] = { 0, 1, 15, 16, 40, PEER_WARMTH_MAX };
+	unsigned char data[DATAGRAM_MAX];
+	peer_warm_t list[PEER_WARMTH_MAX];
+	peer_warmth_t m = { .sent = WALL,
+			    .wanted = !lengths[_i],
+			    .list = { lengths[_i], list } };
+	peer_warmth_t got = { 0 };
+	peer_message_t older = { 0 };
+	unsigned int proc;
+	size_t len = 0;
+	str_t view;
+
+	for (u_int i = 0; i < lengths[_i]; i++)
+		list[i] = (peer_warm_t){ UINT64_MAX - i, i, 60000 };
+	ck_assert_int_eq(datagram_encode_warmth(key, &m, data, &len),
+			 DATAGRAM_OK);
+	view = (str_t){ (char *)data, len };
+	ck_assert_uint_eq(datagram_proc(view), 13);
+	ck_assert_int_ne(datagram_decode(key, view, WALL, &proc, &older),
+			 DATAGRAM_OK);
+	ck_assert_int_eq(datagram_decode_warmth(key, view, WALL, &got),
+			 DATAGRAM_OK);
+	ck_assert_int_eq(got.wanted, !lengths[_i]);
+	ck_assert_uint_eq(got.list.list_len, lengths[_i]);
+	for (u_int i = 0; i < lengths[_i]; i++)
+		ck_assert(got.list.list_val[i].prompt == UINT64_MAX - i &&
+			  got.list.list_val[i].upstream == i);
+	datagram_free_warmth(&got);
+}
+END_TEST
+
 Suite *datagram_suite(void)
 {
 	Suite *s = suite_create("datagram");
@@ -122,6 +160,7 @@
 	tcase_add_test(t, test_changed_byte);
 	tcase_add_test(t, test_name_too_long);
 	tcase_add_test(t, test_loads_message_size);
+	tcase_add_loop_test(t, test_warmth, 0, 6);
 	suite_add_tcase(s, t);
 	return s;
 }
