--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -222,8 +222,8 @@
 	balance_reason_t reason;
 	/* Likely caches the prompt that the upstream lacks, or NULL. */
 	const balance_upstream_t *copy_source;
-	bool copy_told;	      /* another node told of that one */
-	bool place_told;      /* and of the chosen one */
+	bool copy_told;	      /* known only from what nodes tell each other */
+	bool place_told;      /* the same of the chosen one */
 	mstime_t retry_ms;    /* for refusals: when capacity is likely */
 	int load;	      /* estimated outstanding requests there */
 	double mean_load;     /* per upstream of the service */
--- a/packages/decide/warmth.c
+++ b/packages/decide/warmth.c
@@ -169,7 +169,6 @@
 {
 	warmth_entry_t *e = get_entry_(w, prompt);
 	bool due = !e->told_at || now - e->told_at >= interval_ms;
-
 	bool is_new = put_place_(e, key, at, now);
 
 	if (!is_new && !due)
