Balance: choose by expected time to the first output where upstreams report a pace

A node counts the prompt tokens that its requests make each upstream prefill, learns the prefill rate from the times of answers, and leaves the upstream that the existing rules choose if another one within the spill limit is expected to answer sooner by more than a margin. Without a reported pace nothing changes.

Run: unit suites balance, platform, peer_socket, datagram, served_model.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -17,6 +17,7 @@
 #include <kcf/placement.h>
 #include <kcf/rate_limit.h>
 #include <kcf/str.h>
+#include <kcf/work.h>
 
 #define BALANCE_EXCLUDE_MAX 8
 /*
@@ -108,6 +109,7 @@
 	double reported_per_s;
 	bool reports_brittle;
 	int reported_turned_per_s;
+	work_state_t work;
 } balance_upstream_t;
 
 /* A load report as nodes forward it to each other. */
@@ -143,6 +145,7 @@
 	GHashTable *affinities; /* affinity to balance_affinity_t * */
 	mstime_t affinities_swept_at;
 	GHashTable *last_retry_at; /* service to double *, in ms */
+	GHashTable *work_rates;	   /* char * service to work_rate_t * */
 	uint64_t prompt_count;	   /* requests with a prompt so far */
 	GHashTable *drained;	   /* set of data centres */
 	char *data_centre;	   /* of this node */
@@ -194,6 +197,8 @@
 	balance_trust_t least_trust; /* of those of that version */
 	bool no_brittle;	     /* was refused by a brittle upstream */
 	bool over_share;	     /* its customer uses more than its share */
+	work_tokens_t tokens;
+	mstime_t objective_ms; /* of its latency, 0 if unset */
 } balance_request_t;
 
 typedef enum balance_reason {
@@ -208,6 +213,7 @@
 	BALANCE_OVER_SHARE,   /* the rest is reserved for other customers */
 	BALANCE_COLD,	      /* only cold ones are left, at their rate limit */
 	BALANCE_RATE_LIMITED, /* the rest takes no more requests a second */
+	BALANCE_WORK,	      /* the first output is expected sooner there */
 	BALANCE_REASON_COUNT,
 } balance_reason_t;
 
@@ -223,6 +229,8 @@
 	int load;	      /* estimated outstanding requests there */
 	double mean_load;     /* per upstream of the service */
 	mstime_t load_age_ms; /* of the last report, -1 without one */
+	work_request_t work;  /* to be ended before balance_end_request */
+	int expected_ms;      /* until the first output, -1 without a pace */
 } balance_pick_t;
 
 typedef enum balance_outcome {
@@ -423,6 +431,56 @@
 void balance_end_request(balance_upstream_t *u, balance_outcome_t outcome,
 			 mstime_t latency_ms, mstime_t now);
 
+/*
+ * balance_record_output - records that the first output of a request has come,
+ * and learns from its time.
+ * @work: of the pick
+ * @sent_at: of the request
+ */
+void balance_record_output(balance_t *b, balance_upstream_t *u,
+			   work_request_t *work, mstime_t sent_at,
+			   mstime_t now);
+
+/*
+ * balance_end_work - records that a request no longer occupies its upstream;
+ * called before balance_end_request.
+ * @work: of the pick
+ */
+void balance_end_work(balance_t *b, balance_upstream_t *u, work_request_t *work,
+		      mstime_t now);
+
+/*
+ * balance_report_pace - applies the pace that an upstream's answer names.
+ * @pace: ignored unless above 0
+ */
+void balance_report_pace(balance_upstream_t *u, int pace, mstime_t now);
+
+/*
+ * balance_collect_work - selects reports about pending tokens and paces for
+ * another node: upstreams with most pending tokens of this node first, then
+ * those whose pace is newest.
+ * @out: WORK_GOSSIP_MAX entries
+ *
+ * Return: number of entries written; 0 while no upstream reports a pace.
+ */
+u_int balance_collect_work(const balance_t *b, mstime_t now, work_entry_t *out);
+
+/*
+ * balance_apply_work - applies a report of another node. Entries of upstreams
+ * that are not known are ignored.
+ * @node: key of that node
+ */
+void balance_apply_work(balance_t *b, uint64_t node, const work_entry_t *entry,
+			mstime_t now);
+
+/*
+ * balance_work_totals - pending tokens of this node's requests and mean
+ * expected pace of the upstreams that report one.
+ * @pace: receives 0 when there is none
+ */
+void balance_work_totals(const balance_t *b, mstime_t now, double *tokens,
+			 double *pace);
+
 /*
  * balance_count_overdue - counts a failure for a request that has had no answer
  * in due time; the request stays outstanding.
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -14,6 +14,7 @@
 #include <jansson.h>
 #include <kcf/quarantine.h>
 #include <kcf/route_table.h>
+#include <kcf/work.h>
 
 /* A request as its caller sent it; the views are valid as long as it is. */
 typedef struct inbound_request {
@@ -30,7 +31,8 @@
 	bool generation;       /* names a model */
 	uint64_t affinity;     /* hash of the shared prompt segments, or 0 */
 	quarantine_prompt_t prompt; /* keys of the shared prompt segments */
-	bool well_formed;	    /* its headers could be parsed */
+	work_tokens_t tokens;
+	bool well_formed; /* its headers could be parsed */
 } inbound_request_t;
 
 /* What the gateway adds to a request for an upstream. */
@@ -61,6 +63,7 @@
 	int turned_per_s;     /* than this; below 0 if it cannot be read */
 	int outstanding;      /* reported load, -1 if unset */
 	int slots;	      /* requests that it runs at a time, 0 if unset */
+	int pace;	      /* see WORK_PACE_NORMAL, 0 if unset */
 	mstime_t idle_max_ms; /* it closes idle connections then, 0 if unset */
 } upstream_response_t;
 
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -65,6 +65,7 @@
 	[COUNTER_PLACED_FIRST] = "kcf_placed_total{rank=\"first\"}",
 	[COUNTER_PLACED_WARM] = "kcf_placed_total{rank=\"warm\"}",
 	[COUNTER_PLACED_SPILL] = "kcf_placed_total{rank=\"spill\"}",
+	[COUNTER_PLACED_WORK] = "kcf_placed_total{rank=\"work\"}",
 	[COUNTER_QUEUED] = "kcf_queued_total",
 	[COUNTER_CONFIG_APPLIED] = "kcf_config_applied_total",
 	[COUNTER_CONFIG_REJECTED] = "kcf_config_rejected_total",
@@ -105,6 +106,8 @@
 	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
 	[GAUGE_QUARANTINE_HOLDS] = "kcf_quarantine_holds",
 	[GAUGE_REACH_STATE] = "kcf_reach_state",
+	[GAUGE_WORK_PENDING] = "kcf_work_pending_tokens",
+	[GAUGE_WORK_PACE] = "kcf_work_pace",
 };
 
 void counter_add(counter_t c, int64_t n)
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -41,6 +41,8 @@
 					      g_free, g_free);
 	b->last_retry_at =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	b->work_rates =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	b->rand = g_rand_new_with_seed(seed);
 }
 
@@ -63,6 +65,7 @@
 	g_hash_table_destroy(b->drained);
 	g_hash_table_destroy(b->affinities);
 	g_hash_table_destroy(b->last_retry_at);
+	g_hash_table_destroy(b->work_rates);
 	g_free(b->data_centre);
 	g_rand_free(b->rand);
 }
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -43,7 +43,7 @@
 const char *const balance_reason_string[] = {
 	"first",	  "spill",    "hot",	     "least",
 	"trial",	  "baseline", "no upstream", "full",
-	"over its share", "cold",     "rate limit",
+	"over its share", "cold",     "rate limit",  "work",
 };
 
 typedef struct choice {
@@ -402,6 +402,35 @@
 	[PLACEMENT_HASH] = choose_hash_,
 };
 
+/*
+ * Healthy upstreams within the spill limit. Only these may replace the choice
+ * of the rules above, so that those rules hold for the replacement as well.
+ */
+static int choose_by_work_(balance_t *b, const balance_request_t *request,
+			   const candidates_t *c, const ranking_t *r,
+			   int chosen, mstime_t now, balance_reason_t *reason)
+{
+	work_choice_t w = { .request = request,
+			    .candidates = c,
+			    .entry = r->entry,
+			    .preferred = r->preferred.index,
+			    .allowed = g_new(int, r->eligible_count + 1) };
+	int best;
+
+	for (guint i = 0; i < r->eligible_count; i++) {
+		int index = r->eligible[i];
+
+		if (!balance_is_unhealthy(c, c->list[index]) &&
+		    is_within_spill_limit_(c, index, request->affinity))
+			w.allowed[w.allowed_count++] = index;
+	}
+	best = balance_choose_by_work(b, &w, chosen, now);
+	g_free(w.allowed);
+	if (best != chosen)
+		*reason = BALANCE_WORK;
+	return best;
+}
+
 static int choose_index_(balance_t *b, const balance_request_t *request,
 			 const candidates_t *c, const ranking_t *r,
 			 mstime_t now, balance_reason_t *reason)
@@ -409,8 +438,14 @@
 	bool probe = r->probe >= 0 && !request->exclude_count &&
 		     b->placement == PLACEMENT_BOUNDED;
 
-	if (!probe)
-		return placements[b->placement](b, request, c, r, reason);
+	if (!probe) {
+		int index = placements[b->placement](b, request, c, r, reason);
+
+		if (index < 0 || b->placement != PLACEMENT_BOUNDED ||
+		    request->version || !balance_work_is_active(c, now))
+			return index;
+		return choose_by_work_(b, request, c, r, index, now, reason);
+	}
 	c->list[r->probe]->next_probe_at = now + PROBE_INTERVAL_MS;
 	*reason = BALANCE_PROBE;
 	return r->probe;
@@ -474,6 +509,7 @@
 	balance_pick_t pick = { 0 };
 	candidates_t c;
 	ranking_t r;
+	work_choice_t w;
 	int index;
 
 	assert(b && request && request->service);
@@ -492,6 +528,11 @@
 		if (request->affinity)
 			pick.copy_source =
 				copy_source_(b, &c, &r, pick.upstream);
+		w = (work_choice_t){ .request = request,
+				     .candidates = &c,
+				     .entry = r.entry,
+				     .preferred = r.preferred.index };
+		balance_begin_work(b, &w, index, now, &pick);
 		/* A spill leaves the preferred upstream as it is, and so does
 		 * a request that could not go to all.
 		 */
--- /dev/null
+++ b/packages/decide/balance_work.c
@@ -0,0 +1,286 @@
+/*
+ * Choice by expected time to the first output, and the gossip about it.
+ */
+#include "private/balance.h"
+
+#include <assert.h>
+#include <kcf/rank.h>
+#include <math.h>
+#include <string.h>
+
+/*
+ * An upstream must be better than the chosen one by this part of the route's
+ * latency objective before a request leaves a warm cache for it. Smaller
+ * differences are within the error of what a node knows.
+ */
+#define MARGIN_FRACTION 0.05
+/* Objective of routes that state none. */
+#define OBJECTIVE_DEFAULT_MS 500
+
+static work_rate_t *get_rate_(balance_t *b, const char *service)
+{
+	work_rate_t *r = g_hash_table_lookup(b->work_rates, service);
+
+	if (!r) {
+		r = g_new0(work_rate_t, 1);
+		g_hash_table_insert(b->work_rates, g_strdup(service), r);
+	}
+	return r;
+}
+
+static double tokens_per_ms_(balance_t *b, const char *service)
+{
+	return work_rate_tokens_per_ms(get_rate_(b, service));
+}
+
+bool balance_work_is_active(const candidates_t *c, mstime_t now)
+{
+	for (guint i = 0; i < c->count; i++) {
+		if (work_is_reported(&c->list[i]->work, now))
+			return true;
+	}
+	return false;
+}
+
+static bool is_cached_at_(const balance_affinity_t *entry,
+			  const balance_upstream_t *u)
+{
+	for (int i = 0; entry && i < BALANCE_WARM_MAX; i++) {
+		if (entry->warm_ids[i] == u->local_id)
+			return true;
+	}
+	return false;
+}
+
+static bool is_cached_anywhere_(const balance_affinity_t *entry)
+{
+	return entry && entry->warm_ids[0];
+}
+
+/* What a request costs at one upstream before its first output. */
+typedef struct cost {
+	double prefill; /* expected tokens */
+	double copy_ms;
+} cost_t;
+
+/*
+ * The shared parts are cached where this node has seen them. Other upstreams
+ * copy them from there. A prompt that is new to this node may have been read
+ * for other nodes, at the upstream ranked first: the others copy from it.
+ */
+static cost_t cost_at_(const work_choice_t *w, const work_rate_t *rate,
+		       int index)
+{
+	const work_tokens_t *tokens = &w->request->tokens;
+	const balance_upstream_t *u = w->candidates->list[index];
+	double cold =
+		is_cached_anywhere_(w->entry) ? 0 : work_cold_fraction(rate);
+	cost_t cost = { tokens->own, 0 };
+
+	if (is_cached_at_(w->entry, u))
+		return cost;
+	if (!w->request->affinity)
+		cold = 1;
+	cost.prefill += cold * tokens->shared;
+	if (index != w->preferred || is_cached_anywhere_(w->entry))
+		cost.copy_ms = work_copy_ms((1 - cold) * tokens->shared);
+	return cost;
+}
+
+static double expected_ms_(const work_choice_t *w, const work_rate_t *rate,
+			   int index, mstime_t now)
+{
+	cost_t cost = cost_at_(w, rate, index);
+
+	return work_expected_ms(&w->candidates->list[index]->work, cost.prefill,
+				work_rate_tokens_per_ms(rate), now) +
+	       cost.copy_ms;
+}
+
+/* Order in which upstreams are used that are about equally good. */
+static double rank_(const work_choice_t *w, int index)
+{
+	const candidates_t *c = w->candidates;
+	const balance_upstream_t *u = c->list[index];
+
+	if (!w->request->affinity)
+		return -(double)c->loads[index] / u->slots;
+	if (is_cached_at_(w->entry, u))
+		return HUGE_VAL;
+	return rank_score(w->request->affinity, u->hash, 1);
+}
+
+/*
+ * All nodes take the first in the order of the prompt that is about as good as
+ * the best, so that a prompt moves to few upstreams.
+ */
+int balance_choose_by_work(balance_t *b, const work_choice_t *w, int chosen,
+			   mstime_t now)
+{
+	const work_rate_t *rate;
+	mstime_t objective = w->request->objective_ms;
+	double margin =
+		MARGIN_FRACTION *
+		(double)(objective > 0 ? objective : OBJECTIVE_DEFAULT_MS);
+	double best_rank = -HUGE_VAL;
+	double least = HUGE_VAL;
+	int best = chosen;
+
+	assert(b && w && chosen >= 0);
+	rate = get_rate_(b, w->request->service);
+	for (guint i = 0; i < w->allowed_count; i++)
+		least = MIN(least, expected_ms_(w, rate, w->allowed[i], now));
+	if (expected_ms_(w, rate, chosen, now) <= least + margin)
+		return chosen;
+	for (guint i = 0; i < w->allowed_count; i++) {
+		int index = w->allowed[i];
+		double rank = rank_(w, index);
+
+		if (rank <= best_rank ||
+		    expected_ms_(w, rate, index, now) > least + margin)
+			continue;
+		best = index;
+		best_rank = rank;
+	}
+	return best;
+}
+
+void balance_begin_work(balance_t *b, const work_choice_t *w, int index,
+			mstime_t now, balance_pick_t *pick)
+{
+	const work_tokens_t *tokens = &w->request->tokens;
+	balance_upstream_t *u = w->candidates->list[index];
+	const work_rate_t *rate;
+
+	pick->expected_ms = -1;
+	pick->work = (work_request_t){ 0 };
+	if (!balance_work_is_active(w->candidates, now))
+		return;
+	rate = get_rate_(b, w->request->service);
+	pick->expected_ms =
+		(int)MIN(expected_ms_(w, rate, index, now), G_MAXINT);
+	pick->work.known_cached = is_cached_at_(w->entry, u);
+	pick->work.first = index == w->preferred;
+	pick->work.may_copy = is_cached_anywhere_(w->entry);
+	work_begin(&u->work, tokens, cost_at_(w, rate, index).prefill,
+		   work_rate_tokens_per_ms(rate), now, &pick->work);
+}
+
+void balance_record_output(balance_t *b, balance_upstream_t *u,
+			   work_request_t *work, mstime_t sent_at, mstime_t now)
+{
+	work_rate_t *rate;
+
+	assert(b && u && work);
+	if (!work->waiting)
+		return;
+	rate = get_rate_(b, u->service);
+	work_learn(rate, work, MAX(0, now - sent_at), u->work.pace);
+	work_first_output(&u->work, work, work_rate_tokens_per_ms(rate), now);
+}
+
+void balance_end_work(balance_t *b, balance_upstream_t *u, work_request_t *work,
+		      mstime_t now)
+{
+	assert(b && u && work);
+	work_end(&u->work, work, tokens_per_ms_(b, u->service), now);
+}
+
+void balance_report_pace(balance_upstream_t *u, int pace, mstime_t now)
+{
+	assert(u);
+	work_report_pace(&u->work, pace, now);
+}
+
+typedef struct report {
+	const balance_upstream_t *upstream;
+	double tokens;
+} report_t;
+
+/* Those with much work of this node first, then those with a new pace. */
+static gint more_work_first_(gconstpointer a, gconstpointer b)
+{
+	const report_t *ra = a;
+	const report_t *rb = b;
+	mstime_t at_a = ra->upstream->work.pace_at;
+	mstime_t at_b = rb->upstream->work.pace_at;
+
+	if (ra->tokens != rb->tokens)
+		return ra->tokens > rb->tokens ? -1 : 1;
+	return (at_b > at_a) - (at_b < at_a);
+}
+
+u_int balance_collect_work(const balance_t *b, mstime_t now, work_entry_t *out)
+{
+	GArray *reports = g_array_new(FALSE, FALSE, sizeof(report_t));
+	GHashTableIter iter;
+	gpointer value;
+	guint count;
+
+	assert(b && out);
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+		const work_rate_t *rate =
+			g_hash_table_lookup(b->work_rates, u->service);
+		report_t r = { u, 0 };
+
+		if (!rate || !work_is_reported(&u->work, now))
+			continue;
+		r.tokens = work_own_pending(&u->work,
+					    work_rate_tokens_per_ms(rate), now);
+		if (r.tokens < WORK_REPORT_MIN_TOKENS)
+			r.tokens = 0;
+		g_array_append_val(reports, r);
+	}
+	g_array_sort(reports, more_work_first_);
+	count = MIN(reports->len, WORK_GOSSIP_MAX);
+	for (guint i = 0; i < count; i++) {
+		const report_t *r = &g_array_index(reports, report_t, i);
+		const work_state_t *s = &r->upstream->work;
+
+		out[i] = (work_entry_t){ r->upstream->key, (int)r->tokens,
+					 s->pace, now - s->pace_at };
+	}
+	g_array_unref(reports);
+	return count;
+}
+
+void balance_apply_work(balance_t *b, uint64_t node, const work_entry_t *entry,
+			mstime_t now)
+{
+	balance_upstream_t *u =
+		g_hash_table_lookup(b->by_key, GUINT_TO_POINTER(entry->key));
+
+	if (!u)
+		return;
+	if (entry->pace > 0 && entry->pace_age_ms >= 0)
+		work_report_pace(&u->work, entry->pace,
+				 now - entry->pace_age_ms);
+	if (entry->tokens > 0)
+		work_report_pending(&u->work, node, entry->tokens, now);
+}
+
+void balance_work_totals(const balance_t *b, mstime_t now, double *tokens,
+			 double *pace)
+{
+	GHashTableIter iter;
+	gpointer value;
+	int count = 0;
+
+	assert(b && tokens && pace);
+	*tokens = 0;
+	*pace = 0;
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		*tokens += u->work.own_pending;
+		if (!work_is_reported(&u->work, now))
+			continue;
+		*pace += work_pace(&u->work, now);
+		count++;
+	}
+	if (count)
+		*pace /= count;
+}
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -120,6 +120,39 @@
  */
 void balance_count_own(balance_upstream_t *u, int change, mstime_t now);
 
+/* What the choice by work depends on, and the upstreams that it may choose. */
+typedef struct work_choice {
+	const balance_request_t *request;
+	const candidates_t *candidates;
+	const balance_affinity_t *entry; /* of the prompt, or NULL */
+	int preferred; /* candidate ranked first for the prompt, or -1 */
+	int *allowed;  /* indices of candidates */
+	guint allowed_count;
+} work_choice_t;
+
+/*
+ * balance_work_is_active - whether a candidate has reported its pace lately.
+ */
+bool balance_work_is_active(const candidates_t *c, mstime_t now);
+
+/*
+ * balance_choose_by_work - compares the expected time to the first output at
+ * the chosen upstream with that at the allowed ones.
+ * @chosen: index of a candidate, allowed or not
+ *
+ * Return: chosen, or an allowed one that is better by more than a margin.
+ */
+int balance_choose_by_work(balance_t *b, const work_choice_t *w, int chosen,
+			   mstime_t now);
+
+/*
+ * balance_begin_work - counts the tokens of a request at the chosen upstream
+ * and fills in work and expected_ms of the pick, whose copy_source is set.
+ * @index: of the chosen candidate
+ */
+void balance_begin_work(balance_t *b, const work_choice_t *w, int index,
+			mstime_t now, balance_pick_t *pick);
+
 /*
  * balance_free_if_unused - frees an upstream that was removed, once none of
  * this node's requests are outstanding there.
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -318,6 +318,8 @@
 		f->gateway->load_reported_at = now;
 		balance_apply_report(f->selected, f->response.outstanding,
 				     f->response.slots, now);
+		if (!f->response.wrong_instance)
+			balance_report_pace(f->selected, f->response.pace, now);
 	}
 	if (f->response.idle_max_ms)
 		f->selected->idle_max_ms = f->response.idle_max_ms;
@@ -414,6 +416,9 @@
 	if (f->first_at)
 		return;
 	f->first_at = clock_now();
+	if (f->selected)
+		balance_record_output(&f->gateway->balance, f->selected,
+				      &f->pick.work, f->sent_at, f->first_at);
 	ev_timer_stop(f->gateway->loop, &f->overdue_timer);
 }
 
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -133,6 +133,9 @@
 		  F_INT("load", f->pick.load),
 		  F_REAL("mean", f->pick.mean_load),
 		  F_INT("load_age_ms", f->pick.load_age_ms),
+		  F_INT("shared_tokens", f->in.tokens.shared),
+		  F_INT("own_tokens", f->in.tokens.own),
+		  F_INT("expected_ms", f->pick.expected_ms),
 		  F_INT("config", f->table ? (int64_t)f->table->version : -1),
 		  F_INT("first_ms",
 			f->first_at ? f->first_at - f->received_at : -1),
@@ -207,6 +210,7 @@
 
 	if (!f->selected)
 		return;
+	balance_end_work(&f->gateway->balance, f->selected, &f->pick.work, now);
 	balance_end_request(f->selected, outcome, latency, now);
 	shares_add_outstanding(&f->gateway->shares, f->service,
 			       share_customer_(f), -1, now);
@@ -255,6 +259,8 @@
 					.no_brittle = f->met_brittle };
 	if (f->route->affinity)
 		request->affinity = f->in.affinity;
+	request->tokens = f->in.tokens;
+	request->objective_ms = f->route->latency_objective_ms;
 	for (int i = 0; i < f->attempt_count; i++)
 		request->exclude[request->exclude_count++] = f->tried_ids[i];
 }
@@ -306,6 +312,9 @@
 	case BALANCE_SPILL:
 		counter_add(COUNTER_PLACED_SPILL, 1);
 		break;
+	case BALANCE_WORK:
+		counter_add(COUNTER_PLACED_WORK, 1);
+		break;
 	default:
 		break;
 	}
@@ -429,6 +438,7 @@
 bool forward_move(forward_t *f, fault_t why)
 {
 	balance_upstream_t *previous = f->selected;
+	work_request_t work = f->pick.work;
 	http_call_t *call = f->call;
 	mstime_t now = clock_now();
 	bool moved;
@@ -444,10 +454,12 @@
 	f->moving = false;
 	if (!moved) {
 		f->selected = previous;
+		f->pick.work = work;
 		f->call = call;
 		return false;
 	}
 	http_call_cancel(call);
+	balance_end_work(&f->gateway->balance, previous, &work, now);
 	balance_end_request(previous, BALANCE_FAILED, -1, now);
 	shares_add_outstanding(&f->gateway->shares, f->service,
 			       share_customer_(f), -1, now);
