Gossip: pending prompt tokens and paces of upstreams, datagram procedure 12

Nothing is sent while no upstream reports a pace, or while half of the control budget is spent. Builds without the procedure reject the datagram.

--- a/include/kcf/datagram.h
+++ b/include/kcf/datagram.h
@@ -99,4 +99,14 @@
 			   peer_doubts_t *m);
 void datagram_free_doubts(peer_doubts_t *m);
 
+/*
+ * datagram_encode_work, datagram_decode_work, datagram_free_work - the same for
+ * PEER_WORK.
+ */
+int datagram_encode_work(const unsigned char *key, const peer_work_t *m,
+			 unsigned char *out, size_t *len);
+int datagram_decode_work(const unsigned char *key, str_t data, mstime_t wall,
+			 peer_work_t *m);
+void datagram_free_work(peer_work_t *m);
+
 #endif
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -17,6 +17,8 @@
 	void (*origins)(void *ctx, const peer_origins_t *m, const char *from);
 	/* The same. */
 	void (*doubts)(void *ctx, const peer_doubts_t *m);
+	/* The same. */
+	void (*work)(void *ctx, const peer_work_t *m);
 } peer_socket_ops_t;
 
 /*
@@ -78,4 +80,13 @@
 void peer_socket_send_doubts(const peer_sender_t *s, const char *to,
 			     const peer_doubts_t *m);
 
+/*
+ * peer_socket_send_work - sends pending tokens and paces, unless the budget is
+ * exhausted.
+ *
+ * Return: false when the message was not sent.
+ */
+bool peer_socket_send_work(const peer_sender_t *s, const char *to,
+			   const peer_work_t *m);
+
 #endif
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -38,6 +38,16 @@
 
 static const member_ops_t member_ops = { send_message_, on_member_changed_ };
 
+static u_int collect_work_(void *ctx, mstime_t now, work_entry_t *out);
+static void apply_work_(void *ctx, uint64_t node, const work_entry_t *entry,
+			mstime_t now);
+static const char *select_work_target_(void *ctx, mstime_t now);
+static void send_work_(void *ctx, const char *to, const peer_work_t *m);
+
+static const work_gossip_ops_t work_gossip_ops = { collect_work_, apply_work_,
+						   select_work_target_,
+						   send_work_ };
+
 bool gateway_peers_start(gateway_t *g)
 {
 	const gateway_conf_t *c = g->conf;
@@ -67,6 +77,8 @@
 	sharing_init(&g->sharing, c->stop_limit_ms, g->started_at);
 	members_init(&g->members, &self, (guint32)g->incarnation, &member_ops,
 		     g, clock_now());
+	work_gossip_init(&g->work_gossip, member_key(c->name), &work_gossip_ops,
+			 g);
 	for (guint i = 0; i < c->seeds->len; i++) {
 		members_add_seed(&g->members, c->seeds->pdata[i]);
 		g->is_seed =
@@ -149,12 +161,13 @@
 	}
 }
 
-static const member_t *select_gossip_target_(gateway_t *g, mstime_t now)
+static const member_t *select_gossip_target_(gateway_t *g, int *sent,
+					     mstime_t now)
 {
 	guint serving = gateway_peers_serving_count(g, now);
 	const member_t *m;
 
-	if (!serving || ++g->load_messages_sent % GOSSIP_RANDOM_ONE_IN == 0)
+	if (!serving || ++*sent % GOSSIP_RANDOM_ONE_IN == 0)
 		return gateway_peers_random(g);
 	m = gateway_peers_at_rank(
 		g, (guint)g_rand_int_range(g->rand, 0, (gint32)serving));
@@ -179,7 +192,7 @@
 	g->next_gossip_at =
 		MAX(g->next_gossip_at, now - BALANCE_GOSSIP_INTERVAL_MS) +
 		BALANCE_GOSSIP_INTERVAL_MS;
-	to = select_gossip_target_(g, now);
+	to = select_gossip_target_(g, &g->load_messages_sent, now);
 	if (!to)
 		return;
 	m.loads.loads_len = balance_collect_gossip(&g->balance, now, loads,
@@ -200,6 +213,53 @@
 	send_message_(g, to->peer, PEER_LOADS, &m, true);
 }
 
+static u_int collect_work_(void *ctx, mstime_t now, work_entry_t *out)
+{
+	gateway_t *g = ctx;
+
+	return relays_is_cut(g) ? 0
+				: balance_collect_work(&g->balance, now, out);
+}
+
+static void apply_work_(void *ctx, uint64_t node, const work_entry_t *entry,
+			mstime_t now)
+{
+	gateway_t *g = ctx;
+
+	balance_apply_work(&g->balance, node, entry, now);
+}
+
+static const char *select_work_target_(void *ctx, mstime_t now)
+{
+	gateway_t *g = ctx;
+	const member_t *m =
+		select_gossip_target_(g, &g->work_messages_sent, now);
+
+	return m ? m->peer : NULL;
+}
+
+/* Half of the budget is reserved for membership and counts of requests. */
+static void send_work_(void *ctx, const char *to, const peer_work_t *m)
+{
+	gateway_t *g = ctx;
+	peer_sender_t sender = { g->socket, g->conf->peer_key,
+				 &g->control_budget };
+
+	if (byte_budget_has_fraction(&g->control_budget, clock_now(),
+				     BUDGET_FULL_FRACTION))
+		peer_socket_send_work(&sender, to, m);
+}
+
+static void set_work_gauges_(const gateway_t *g, mstime_t now)
+{
+	double tokens;
+	double pace;
+
+	balance_work_totals(&g->balance, now, &tokens, &pace);
+	counter_set(GAUGE_WORK_PENDING, (int64_t)tokens);
+	counter_set(GAUGE_WORK_PACE, (int64_t)pace);
+}
+
 static void on_message_(void *ctx, unsigned int proc, const peer_message_t *m,
 			const char *from)
 {
@@ -227,8 +287,16 @@
 	resumes_receive_doubts(ctx, m);
 }
 
+static void on_work_(void *ctx, const peer_work_t *m)
+{
+	gateway_t *g = ctx;
+
+	work_gossip_receive(&g->work_gossip, m, clock_now());
+}
+
 static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_,
-					      on_origins_, on_doubts_ };
+					      on_origins_, on_doubts_,
+					      on_work_ };
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
@@ -334,6 +402,8 @@
 	update_ranking_(g);
 	sharing_expect(&g->sharing, g->members.seeds->len > 0);
 	send_gossip_(g, now);
+	work_gossip_tick(&g->work_gossip, now);
+	set_work_gauges_(g, now);
 	gateway_peers_share_rates(g, now);
 	relays_tick(g, now);
 	crashes_tick(g, now);
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -16,6 +16,7 @@
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
  * relays.c      requests that pass through one other node, at both of them
+ * work_gossip.c  pending prompt tokens and paces between nodes
  * admin.c      operators' interface and metrics
  */
 #ifndef KCF_PRIVATE_GATEWAY_H
@@ -33,6 +34,8 @@
 #include <kcf/shares.h>
 #include <kcf/sharing.h>
 
+#include "work_gossip.h"
+
 /* Callers use at most this many addresses of a directory response. */
 #define GATEWAY_DIRECTORY_MAX 64
 #define GATEWAY_DISCOVERY_MS SHARING_DISCOVERY_MS
@@ -181,10 +184,12 @@
 	mstime_t serving_received_at; /* from a sync source, 0 if unset */
 	mstime_t load_reported_at;    /* last report of an upstream */
 	int load_messages_sent;
+	int work_messages_sent;
 	byte_budget_t control_budget;
 	int socket;
 	ev_io socket_io;
 	mstime_t next_gossip_at;
+	work_gossip_t work_gossip;
 	uint64_t incarnation;
 	quarantine_t quarantine;
 	bool crashes_hold_is_new; /* requests under way may be part of it */
--- a/packages/wire/datagram.c
+++ b/packages/wire/datagram.c
@@ -263,6 +263,34 @@
 	memset(m, 0, sizeof(*m));
 }
 
+int datagram_encode_work(const unsigned char *key, const peer_work_t *m,
+			 unsigned char *out, size_t *len)
+{
+	assert(key && m && out && len);
+	return encode_(key, PEER_WORK, 0, (xdrproc_t)xdr_peer_work_t, m, out,
+		       len);
+}
+
+int datagram_decode_work(const unsigned char *key, str_t data, mstime_t wall,
+			 peer_work_t *m)
+{
+	peer_work_t work = { 0 };
+	int err;
+
+	assert(key && m);
+	err = decode_call_(key, data, wall, PEER_WORK,
+			   (xdrproc_t)xdr_peer_work_t, &work, &work.sent);
+	if (!err)
+		*m = work;
+	return err;
+}
+
+void datagram_free_work(peer_work_t *m)
+{
+	xdr_free((xdrproc_t)xdr_peer_work_t, m);
+	memset(m, 0, sizeof(*m));
+}
+
 static void compute_mac_(const unsigned char *key, const unsigned char *data,
 			 size_t len, unsigned char *mac)
 {
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -13,6 +13,7 @@
 const PEER_ANSWERED_MAX = 16;
 const PEER_ORIGINS_MAX = 32;
 const PEER_DOUBTS_MAX = 16;
+const PEER_WORK_MAX = 16;
 
 /* Membership record of one node. */
 struct peer_update_t {
@@ -120,6 +121,23 @@
 	peer_doubt_t list<PEER_DOUBTS_MAX>;
 };
 
+/*
+ * Pending prompt tokens of the sender's requests at one upstream, and the pace
+ * that it reported age_ms ago; a pace of 0 is unknown.
+ */
+struct peer_work_entry_t {
+	unsigned int upstream;
+	unsigned int tokens;
+	unsigned int pace;
+	unsigned int age_ms;
+};
+
+struct peer_work_t {
+	unsigned hyper sent;
+	unsigned int node;
+	peer_work_entry_t list<PEER_WORK_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		void PEER_PING(peer_message_t) = 1;
@@ -131,5 +149,6 @@
 		void PEER_CRASHES(peer_crash_report_t) = 7;
 		void PEER_ORIGINS(peer_origins_t) = 8;
 		void PEER_DOUBTS(peer_doubts_t) = 9;
+		void PEER_WORK(peer_work_t) = 12;
 	} = 1;
 } = 0x20004b43;
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -98,6 +98,21 @@
 	datagram_free_doubts(&m);
 }
 
+static void handle_work_(const unsigned char *key, str_t data, const char *from,
+			 const peer_socket_ops_t *ops, void *ctx)
+{
+	peer_work_t m = { 0 };
+	int err = datagram_decode_work(key, data, clock_wall(), &m);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	if (ops->work)
+		ops->work(ctx, &m);
+	datagram_free_work(&m);
+}
+
 void peer_socket_receive(int fd, const unsigned char *key,
 			 const peer_socket_ops_t *ops, void *ctx)
 {
@@ -124,6 +139,9 @@
 		case PEER_DOUBTS:
 			handle_doubts_(key, view, from, ops, ctx);
 			break;
+		case PEER_WORK:
+			handle_work_(key, view, from, ops, ctx);
+			break;
 		default:
 			handle_message_(key, view, from, ops, ctx);
 			break;
@@ -223,3 +241,19 @@
 	    !send_datagram_(s, &sa, data, len, true))
 		counter_add(COUNTER_CONTROL_DROPPED, 1);
 }
+
+bool peer_socket_send_work(const peer_sender_t *s, const char *to,
+			   const peer_work_t *m)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && m);
+	if (address_parse(to, &sa) &&
+	    !datagram_encode_work(s->key, m, data, &len) &&
+	    send_datagram_(s, &sa, data, len, false))
+		return true;
+	counter_add(COUNTER_CONTROL_DROPPED, 1);
+	return false;
+}
