Experiment: engines that prefill in chunks at a pace that changes

kcfctl experiment work plays policies in a model with three kinds of requests, prompt caches in tokens, copies between engines, and nodes that know of each other by gossip.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -150,6 +150,7 @@
 	GHashTable *drained;	   /* set of data centres */
 	char *data_centre;	   /* of this node */
 	placement_t placement;
+	bool least_work;  /* for comparison: always the least expected time */
 	int node_count;	  /* nodes that share the limits */
 	guint most_nodes; /* that have served lately */
 	mstime_t most_nodes_until;
--- a/packages/ctl/cmd_experiment.c
+++ b/packages/ctl/cmd_experiment.c
@@ -2,11 +2,13 @@
  * Placements side by side in the model of the served systems.
  */
 #include "private/ctl.h"
+#include "private/experiment_work.h"
 #include "private/plot.h"
 
 #include <kcf/served_model.h>
 #include <math.h>
 #include <stdio.h>
+#include <string.h>
 
 #define SEEDS_DEFAULT 20
 /* The users' rule: at most this share in five seconds meets a full engine. */
@@ -278,6 +280,8 @@
 	ctl_exit_t status = CTL_USAGE;
 	const char *wrong;
 
+	if (argc && !strcmp(argv[0], "work"))
+		return experiment_work(c, argc - 1, argv + 1);
 	served_conf_init(&x.conf);
 	x.length_s = (int)(x.conf.arrivals_ms / MSEC_PER_SEC);
 	x.tell_ms = (int)x.conf.gossip_interval_ms;
--- a/packages/decide/balance_work.c
+++ b/packages/decide/balance_work.c
@@ -110,6 +110,31 @@
 	return rank_score(w->request->affinity, u->hash, 1);
 }
 
+/* A policy for comparison, which ignores caches. */
+static int choose_least_work_(const work_choice_t *w, const work_rate_t *rate,
+			      int chosen, mstime_t now)
+{
+	const candidates_t *c = w->candidates;
+	double least = HUGE_VAL;
+	int best = chosen;
+
+	for (guint i = 0; i < w->allowed_count; i++) {
+		int index = w->allowed[i];
+		const balance_upstream_t *u = c->list[index];
+		/* Less than a millisecond for each request, for equal times. */
+		double ms =
+			work_expected_ms(&u->work, 0,
+					 work_rate_tokens_per_ms(rate), now) +
+			(double)c->loads[index] / u->slots;
+
+		if (ms >= least)
+			continue;
+		best = index;
+		least = ms;
+	}
+	return best;
+}
+
 /*
  * All nodes take the first in the order of the prompt that is about as good as
  * the best, so that a prompt moves to few upstreams.
@@ -128,6 +153,8 @@
 
 	assert(b && w && chosen >= 0);
 	rate = get_rate_(b, w->request->service);
+	if (b->least_work)
+		return choose_least_work_(w, rate, chosen, now);
 	for (guint i = 0; i < w->allowed_count; i++)
 		least = MIN(least, expected_ms_(w, rate, w->allowed[i], now));
 	if (expected_ms_(w, rate, chosen, now) <= least + margin)
