Gossip: tell the serving nodes of a long prefill at once

In the model (69 nodes, 60 engines) reports each 150 ms to one node change nothing: a prefill is over before most nodes hear of it. Periodic reports of pending tokens and paces go; the messages have a budget of 2 KB/s, of which 16 s may be saved up.

Run: unit suites balance, datagram, peer_socket, platform, served_model, feeds; scenario_gateway_path, gateway_load, gateway_streams.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -232,6 +232,7 @@
 	mstime_t load_age_ms; /* of the last report, -1 without one */
 	work_request_t work;  /* to be ended before balance_end_request */
 	int expected_ms;      /* until the first output, -1 without a pace */
+	int read_ms;	      /* part of it in which the prompt is prefilled */
 } balance_pick_t;
 
 typedef enum balance_outcome {
@@ -457,14 +458,11 @@
 void balance_report_pace(balance_upstream_t *u, int pace, mstime_t now);
 
 /*
- * balance_collect_work - selects reports about pending tokens and paces for
- * another node: upstreams with most pending tokens of this node first, then
- * those whose pace is newest.
- * @out: WORK_GOSSIP_MAX entries
- *
- * Return: number of entries written; 0 while no upstream reports a pace.
+ * balance_describe_work - fills in the report for other nodes about one
+ * upstream.
  */
-u_int balance_collect_work(const balance_t *b, mstime_t now, work_entry_t *out);
+void balance_describe_work(balance_t *b, const balance_upstream_t *u,
+			   mstime_t now, work_entry_t *out);
 
 /*
  * balance_apply_work - applies a report of another node. Entries of upstreams
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -41,7 +41,7 @@
 typedef struct peer_sender {
 	int fd;
 	const unsigned char *key; /* DATAGRAM_KEY_BYTES, shared by all nodes */
-	byte_budget_t *budget;	  /* of control traffic */
+	byte_budget_t *budget;	  /* NULL: the caller bounds what it sends */
 } peer_sender_t;
 
 /*
@@ -81,8 +81,7 @@
 			     const peer_doubts_t *m);
 
 /*
- * peer_socket_send_work - sends pending tokens and paces, unless the budget is
- * exhausted.
+ * peer_socket_send_work - sends pending tokens and paces.
  *
  * Return: false when the message was not sent.
  */
--- a/include/kcf/work.h
+++ b/include/kcf/work.h
@@ -21,13 +21,19 @@
 #define WORK_PACE_NORMAL 100
 /* Nodes whose pending tokens at one upstream are known at the same time. */
 #define WORK_REPORTS_MAX 4
-/* Upstreams in one message to other nodes. */
-#define WORK_GOSSIP_MAX 4
+/* Size of a message to another node about one upstream, on the network. */
+#define WORK_NOTICE_BYTES 116
 /*
- * Pending tokens of a node below this are not reported: they are prefilled
- * before a message can affect a decision.
+ * Budget of these messages, and what may be saved up: a node that starts meets
+ * many prompts that are cached nowhere.
  */
-#define WORK_REPORT_MIN_TOKENS 1500
+#define WORK_NOTICE_BYTES_PER_S 2048
+#define WORK_NOTICE_BURST_BYTES 32768
+/*
+ * Other nodes are told of a prefill that takes at least this long, a quarter of
+ * the objective of short requests. Shorter ones end before a message matters.
+ */
+#define WORK_NOTICE_MIN_MS 125
 
 /* Tokens of one request, 0 where unknown. */
 typedef struct work_tokens {
@@ -81,6 +87,12 @@
 	bool may_copy;	   /* the upstream was named another one to copy from */
 } work_request_t;
 
+/* Budget of messages to other nodes; zeroed at first, when it is full. */
+typedef struct work_notices {
+	int64_t spent; /* bytes that are not regained yet */
+	mstime_t refilled_at;
+} work_notices_t;
+
 /* A report to other nodes about one upstream. */
 typedef struct work_entry {
 	uint32_t key;	      /* of the upstream */
@@ -178,6 +190,20 @@
 double work_expected_ms(const work_state_t *s, double prefill, double rate,
 			mstime_t now);
 
+/*
+ * work_read_ms - expected time of a prefill alone.
+ */
+double work_read_ms(const work_state_t *s, double prefill, double rate,
+		    mstime_t now);
+
+/*
+ * work_notice_count - how many other nodes are told that an upstream begins a
+ * prefill, and takes the messages from the budget.
+ * @read_ms: expected time of the prefill
+ * @nodes: that may be told
+ */
+int work_notice_count(work_notices_t *n, int read_ms, int nodes, mstime_t now);
+
 /*
  * work_copy_ms - expected time to copy cached tokens from another upstream.
  */
--- a/include/kcf/work_model.h
+++ b/include/kcf/work_model.h
@@ -82,6 +82,7 @@
 	double shared_tokens_again; /* prefilled although cached elsewhere */
 	double shared_tokens_first; /* prefilled and cached nowhere */
 	double tokens_copied;
+	double notice_bytes; /* of messages about long prefills, all nodes */
 	GArray *first_ms[WORK_KIND_COUNT]; /* double, time to first output */
 	GArray *wait_ms[WORK_KIND_COUNT];  /* double, part before the prefill */
 } work_result_t;
--- a/packages/ctl/experiment_work.c
+++ b/packages/ctl/experiment_work.c
@@ -103,12 +103,14 @@
 			 work_result_t *r)
 {
 	json_t *item = json_pack(
-		"{s:s,s:i,s:i,s:f,s:f,s:f,s:f}", "policy",
+		"{s:s,s:i,s:i,s:f,s:f,s:f,s:f,s:f}", "policy",
 		work_policy_string[policy], "arrivals", r->arrivals, "refused",
 		r->refused, "over", share_(r->over_limit, r->arrivals),
 		"tokens_again", r->shared_tokens_again / x->seeds,
 		"tokens_first", r->shared_tokens_first / x->seeds,
-		"tokens_copied", r->tokens_copied / x->seeds);
+		"tokens_copied", r->tokens_copied / x->seeds,
+		"notice_bytes_per_s",
+		r->notice_bytes / x->seeds / x->conf.nodes / x->length_s);
 
 	for (int k = 0; k < WORK_KIND_COUNT; k++)
 		json_object_set_new(
@@ -129,14 +131,15 @@
 	const json_t *item;
 	size_t i;
 
-	printf("%-15s %8s %7s %7s %9s %9s %9s", "policy", "arrivals", "refused",
-	       "over", "again", "first", "copied");
+	printf("%-15s %8s %7s %7s %9s %9s %9s %7s", "policy", "arrivals",
+	       "refused", "over", "again", "first", "copied", "B/s");
 	for (int k = 0; k < WORK_KIND_COUNT; k++)
 		printf(" %6s p50 %5s %5s %6s", work_kind_string[k], "p95",
 		       "p99", "wait99");
 	puts("");
 	json_array_foreach (items, i, item) {
-		printf("%-15s %8d %7d %7.4f %9.0f %9.0f %9.0f",
+		printf("%-15s %8d %7d %7.4f %9.0f %9.0f %9.0f "
+		       "%7.0f",
 		       json_string_value(json_object_get(item, "policy")),
 		       (int)json_integer_value(
 			       json_object_get(item, "arrivals")),
@@ -145,7 +148,9 @@
 		       json_real_value(json_object_get(item, "over")),
 		       json_real_value(json_object_get(item, "tokens_again")),
 		       json_real_value(json_object_get(item, "tokens_first")),
-		       json_real_value(json_object_get(item, "tokens_copied")));
+		       json_real_value(json_object_get(item, "tokens_copied")),
+		       json_real_value(
+			       json_object_get(item, "notice_bytes_per_s")));
 		for (int k = 0; k < WORK_KIND_COUNT; k++) {
 			const json_t *t =
 				json_object_get(item, work_kind_string[k]);
--- a/packages/decide/balance_work.c
+++ b/packages/decide/balance_work.c
@@ -10,10 +10,11 @@
 
 /*
  * An upstream must be better than the chosen one by this part of the route's
- * latency objective before a request leaves a warm cache for it. Smaller
- * differences are within the error of what a node knows.
+ * latency objective before a request leaves a warm cache for it. Half of it
+ * gives about the same times in the model, and a third more tokens are
+ * prefilled again.
  */
-#define MARGIN_FRACTION 0.05
+#define MARGIN_FRACTION 0.1
 /* Objective of routes that state none. */
 #define OBJECTIVE_DEFAULT_MS 500
 
@@ -186,6 +187,10 @@
 	rate = get_rate_(b, w->request->service);
 	pick->expected_ms =
 		(int)MIN(expected_ms_(w, rate, index, now), G_MAXINT);
+	pick->read_ms = (int)MIN(
+		work_read_ms(&u->work, cost_at_(w, rate, index).prefill,
+			     work_rate_tokens_per_ms(rate), now),
+		G_MAXINT);
 	pick->work.known_cached = is_cached_at_(w->entry, u);
 	pick->work.first = index == w->preferred;
 	pick->work.may_copy = is_cached_anywhere_(w->entry);
@@ -219,58 +224,17 @@
 	work_report_pace(&u->work, pace, now);
 }
 
-typedef struct report {
-	const balance_upstream_t *upstream;
-	double tokens;
-} report_t;
-
-/* Those with much work of this node first, then those with a new pace. */
-static gint more_work_first_(gconstpointer a, gconstpointer b)
-{
-	const report_t *ra = a;
-	const report_t *rb = b;
-	mstime_t at_a = ra->upstream->work.pace_at;
-	mstime_t at_b = rb->upstream->work.pace_at;
-
-	if (ra->tokens != rb->tokens)
-		return ra->tokens > rb->tokens ? -1 : 1;
-	return (at_b > at_a) - (at_b < at_a);
-}
-
-u_int balance_collect_work(const balance_t *b, mstime_t now, work_entry_t *out)
+void balance_describe_work(balance_t *b, const balance_upstream_t *u,
+			   mstime_t now, work_entry_t *out)
 {
-	GArray *reports = g_array_new(FALSE, FALSE, sizeof(report_t));
-	GHashTableIter iter;
-	gpointer value;
-	guint count;
-
-	assert(b && out);
-	g_hash_table_iter_init(&iter, b->by_id);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const balance_upstream_t *u = value;
-		const work_rate_t *rate =
-			g_hash_table_lookup(b->work_rates, u->service);
-		report_t r = { u, 0 };
-
-		if (!rate || !work_is_reported(&u->work, now))
-			continue;
-		r.tokens = work_own_pending(&u->work,
-					    work_rate_tokens_per_ms(rate), now);
-		if (r.tokens < WORK_REPORT_MIN_TOKENS)
-			r.tokens = 0;
-		g_array_append_val(reports, r);
-	}
-	g_array_sort(reports, more_work_first_);
-	count = MIN(reports->len, WORK_GOSSIP_MAX);
-	for (guint i = 0; i < count; i++) {
-		const report_t *r = &g_array_index(reports, report_t, i);
-		const work_state_t *s = &r->upstream->work;
-
-		out[i] = (work_entry_t){ r->upstream->key, (int)r->tokens,
-					 s->pace, now - s->pace_at };
-	}
-	g_array_unref(reports);
-	return count;
+	double rate;
+
+	assert(b && u && out);
+	rate = tokens_per_ms_(b, u->service);
+	*out = (work_entry_t){ u->key,
+			       (int)work_own_pending(&u->work, rate, now),
+			       u->work.pace_at ? u->work.pace : 0,
+			       now - u->work.pace_at };
 }
 
 void balance_apply_work(balance_t *b, uint64_t node, const work_entry_t *entry,
--- a/packages/decide/work.c
+++ b/packages/decide/work.c
@@ -224,8 +224,31 @@
 double work_expected_ms(const work_state_t *s, double prefill, double rate,
 			mstime_t now)
 {
-	return (work_pending(s, rate, now) + prefill) / rate *
-	       work_pace(s, now) / WORK_PACE_NORMAL;
+	return work_read_ms(s, work_pending(s, rate, now) + prefill, rate, now);
+}
+
+double work_read_ms(const work_state_t *s, double prefill, double rate,
+		    mstime_t now)
+{
+	assert(s && rate > 0);
+	return prefill / rate * work_pace(s, now) / WORK_PACE_NORMAL;
+}
+
+int work_notice_count(work_notices_t *n, int read_ms, int nodes, mstime_t now)
+{
+	int64_t regained =
+		(now - n->refilled_at) * WORK_NOTICE_BYTES_PER_S / MSEC_PER_SEC;
+	int count;
+
+	assert(n && nodes >= 0);
+	if (read_ms < WORK_NOTICE_MIN_MS)
+		return 0;
+	n->spent = MAX(0, n->spent - regained);
+	n->refilled_at = now;
+	count = (int)MIN(nodes, (WORK_NOTICE_BURST_BYTES - n->spent) /
+					WORK_NOTICE_BYTES);
+	n->spent += (int64_t)count * WORK_NOTICE_BYTES;
+	return count;
 }
 
 double work_copy_ms(double tokens)
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -318,6 +318,7 @@
 	default:
 		break;
 	}
+	gateway_peers_notify_work(g, &f->pick);
 	starts_send(f);
 	return true;
 }
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -38,15 +38,15 @@
 
 static const member_ops_t member_ops = { send_message_, on_member_changed_ };
 
-static u_int collect_work_(void *ctx, mstime_t now, work_entry_t *out);
 static void apply_work_(void *ctx, uint64_t node, const work_entry_t *entry,
 			mstime_t now);
-static const char *select_work_target_(void *ctx, mstime_t now);
+static int count_work_targets_(void *ctx, mstime_t now);
+static const char *get_work_target_(void *ctx, int index);
 static void send_work_(void *ctx, const char *to, const peer_work_t *m);
 
-static const work_gossip_ops_t work_gossip_ops = { collect_work_, apply_work_,
-						   select_work_target_,
-						   send_work_ };
+static const work_gossip_ops_t work_gossip_ops = {
+	apply_work_, count_work_targets_, get_work_target_, send_work_
+};
 
 bool gateway_peers_start(gateway_t *g)
 {
@@ -161,19 +161,29 @@
 	}
 }
 
-static const member_t *select_gossip_target_(gateway_t *g, int *sent,
-					     mstime_t now)
+static const member_t *select_gossip_target_(gateway_t *g, mstime_t now)
 {
 	guint serving = gateway_peers_serving_count(g, now);
 	const member_t *m;
 
-	if (!serving || ++*sent % GOSSIP_RANDOM_ONE_IN == 0)
+	if (!serving || ++g->load_messages_sent % GOSSIP_RANDOM_ONE_IN == 0)
 		return gateway_peers_random(g);
 	m = gateway_peers_at_rank(
 		g, (guint)g_rand_int_range(g->rand, 0, (gint32)serving));
 	return m == g->members.self ? gateway_peers_random(g) : m;
 }
 
+void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick)
+{
+	mstime_t now = clock_now();
+	work_entry_t entry;
+
+	if (pick->read_ms < WORK_NOTICE_MIN_MS || relays_is_cut(g))
+		return;
+	balance_describe_work(&g->balance, pick->upstream, now, &entry);
+	work_gossip_notify(&g->work_gossip, &entry, pick->read_ms, now);
+}
+
 static void send_gossip_(gateway_t *g, mstime_t now)
 {
 	balance_load_t loads[BALANCE_GOSSIP_MAX];
@@ -192,7 +202,7 @@
 	g->next_gossip_at =
 		MAX(g->next_gossip_at, now - BALANCE_GOSSIP_INTERVAL_MS) +
 		BALANCE_GOSSIP_INTERVAL_MS;
-	to = select_gossip_target_(g, &g->load_messages_sent, now);
+	to = select_gossip_target_(g, now);
 	if (!to)
 		return;
 	m.loads.loads_len = balance_collect_gossip(&g->balance, now, loads,
@@ -213,14 +223,6 @@
 	send_message_(g, to->peer, PEER_LOADS, &m, true);
 }
 
-static u_int collect_work_(void *ctx, mstime_t now, work_entry_t *out)
-{
-	gateway_t *g = ctx;
-
-	return relays_is_cut(g) ? 0
-				: balance_collect_work(&g->balance, now, out);
-}
-
 static void apply_work_(void *ctx, uint64_t node, const work_entry_t *entry,
 			mstime_t now)
 {
@@ -229,25 +231,26 @@
 	balance_apply_work(&g->balance, node, entry, now);
 }
 
-static const char *select_work_target_(void *ctx, mstime_t now)
+/* The serving nodes, since others send hardly any requests. */
+static int count_work_targets_(void *ctx, mstime_t now)
 {
-	gateway_t *g = ctx;
-	const member_t *m =
-		select_gossip_target_(g, &g->work_messages_sent, now);
+	return (int)gateway_peers_serving_count(ctx, now);
+}
 
-	return m ? m->peer : NULL;
+static const char *get_work_target_(void *ctx, int index)
+{
+	const gateway_t *g = ctx;
+	const member_t *m = gateway_peers_at_rank(g, (guint)index);
+
+	return m && m != g->members.self ? m->peer : NULL;
 }
 
-/* Half of the budget is reserved for membership and counts of requests. */
 static void send_work_(void *ctx, const char *to, const peer_work_t *m)
 {
-	gateway_t *g = ctx;
-	peer_sender_t sender = { g->socket, g->conf->peer_key,
-				 &g->control_budget };
+	const gateway_t *g = ctx;
+	peer_sender_t sender = { g->socket, g->conf->peer_key, NULL };
 
-	if (byte_budget_has_fraction(&g->control_budget, clock_now(),
-				     BUDGET_FULL_FRACTION))
-		peer_socket_send_work(&sender, to, m);
+	peer_socket_send_work(&sender, to, m);
 }
 
 static void set_work_gauges_(const gateway_t *g, mstime_t now)
@@ -402,7 +405,6 @@
 	update_ranking_(g);
 	sharing_expect(&g->sharing, g->members.seeds->len > 0);
 	send_gossip_(g, now);
-	work_gossip_tick(&g->work_gossip, now);
 	set_work_gauges_(g, now);
 	gateway_peers_share_rates(g, now);
 	relays_tick(g, now);
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -184,7 +184,6 @@
 	mstime_t serving_received_at; /* from a sync source, 0 if unset */
 	mstime_t load_reported_at;    /* last report of an upstream */
 	int load_messages_sent;
-	int work_messages_sent;
 	byte_budget_t control_budget;
 	int socket;
 	ev_io socket_io;
@@ -369,6 +368,12 @@
 		     mstime_t requested_at, mstime_t now);
 
 /* peers.c */
+/*
+ * gateway_peers_notify_work - tells other nodes if a request begins a long
+ * prefill.
+ * @pick: of the request, with an upstream
+ */
+void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick);
 bool gateway_peers_start(gateway_t *g);
 void gateway_peers_stop(gateway_t *g);
 void gateway_peers_tick(gateway_t *g, mstime_t now);
--- a/packages/gateway/work_gossip.c
+++ b/packages/gateway/work_gossip.c
@@ -2,9 +2,6 @@
 
 #include <assert.h>
 #include <glib.h>
-#include <kcf/balance.h>
-
-G_STATIC_ASSERT(WORK_GOSSIP_MAX <= PEER_WORK_MAX);
 
 void work_gossip_init(work_gossip_t *w, uint32_t node,
 		      const work_gossip_ops_t *ops, void *ctx)
@@ -13,49 +10,38 @@
 	*w = (work_gossip_t){ .ops = ops, .ctx = ctx, .node = node };
 }
 
-static void send_(work_gossip_t *w, const work_entry_t *entries, u_int count,
-		  const char *to)
+void work_gossip_notify(work_gossip_t *w, const work_entry_t *entry,
+			int read_ms, mstime_t now)
 {
-	peer_work_entry_t wire[WORK_GOSSIP_MAX];
-	peer_work_t m = { .sent = (u_quad_t)clock_wall(),
-			  .node = w->node,
-			  .list = { count, wire } };
-
-	for (u_int i = 0; i < count; i++) {
-		const work_entry_t *e = &entries[i];
-		bool known = e->pace > 0 && e->pace_age_ms >= 0;
-
-		/* An age does not require synchronised clocks. */
-		wire[i] = (peer_work_entry_t){
-			.upstream = e->key,
-			.tokens = (u_int)MAX(0, e->tokens),
-			.pace = known ? (u_int)e->pace : 0,
-			.age_ms = known ? (u_int)e->pace_age_ms : 0,
-		};
-	}
-	w->ops->send(w->ctx, to, &m);
-}
-
-void work_gossip_tick(work_gossip_t *w, mstime_t now)
-{
-	work_entry_t entries[WORK_GOSSIP_MAX];
-	const char *to;
-	u_int count;
-
-	assert(w);
-	if (now < w->next_at)
+	bool known;
+	peer_work_entry_t wire;
+	peer_work_t m;
+	int nodes;
+	int left;
+
+	assert(w && entry);
+	nodes = w->ops->count(w->ctx, now);
+	left = work_notice_count(&w->notices, read_ms, nodes, now);
+	if (!left)
 		return;
-	/* Ticks are coarser than the interval: a late message shortens the next
-	 * interval.
-	 */
-	w->next_at = MAX(w->next_at, now - BALANCE_GOSSIP_INTERVAL_MS) +
-		     BALANCE_GOSSIP_INTERVAL_MS;
-	count = w->ops->collect(w->ctx, now, entries);
-	if (!count)
-		return;
-	to = w->ops->target(w->ctx, now);
-	if (to)
-		send_(w, entries, count, to);
+	known = entry->pace > 0 && entry->pace_age_ms >= 0;
+	/* An age does not require synchronised clocks. */
+	wire = (peer_work_entry_t){
+		.upstream = entry->key,
+		.tokens = (u_int)MAX(0, entry->tokens),
+		.pace = known ? (u_int)entry->pace : 0,
+		.age_ms = known ? (u_int)entry->pace_age_ms : 0,
+	};
+	m = (peer_work_t){ .sent = (u_quad_t)clock_wall(),
+			   .node = w->node,
+			   .list = { 1, &wire } };
+	for (; left; left--) {
+		const char *to = w->ops->target(
+			w->ctx, (int)(w->turn++ % (unsigned int)nodes));
+
+		if (to)
+			w->ops->send(w->ctx, to, &m);
+	}
 }
 
 void work_gossip_receive(work_gossip_t *w, const peer_work_t *m, mstime_t now)
--- a/packages/model/private/work_engine.h
+++ b/packages/model/private/work_engine.h
@@ -39,6 +39,8 @@
 	void (*ended)(void *ctx, work_job_t *job);
 	/* The shared part is not in the cache of the engine. */
 	void (*missed)(void *ctx, work_engine_t *e, work_job_t *job);
+	/* It is copied from another engine. */
+	void (*copied)(void *ctx, work_job_t *job);
 } work_step_ops_t;
 
 struct work_engine {
--- a/packages/model/work_engine.c
+++ b/packages/model/work_engine.c
@@ -68,6 +68,7 @@
 	    work_engine_has_cached(job->copy_source, job->prompt)) {
 		job->ready_at = now + c->copy_setup_ms +
 				job->tokens.shared / c->copy_tokens_per_ms;
+		ops->copied(ctx, job);
 		return false;
 	}
 	job->left += job->tokens.shared;
--- a/packages/model/work_model.c
+++ b/packages/model/work_model.c
@@ -46,7 +46,9 @@
 	uint64_t next_order;
 	balance_t *nodes;
 	work_engine_t *engines;
-	bool *lies; /* by engine */
+	work_notices_t *notices; /* by node */
+	unsigned int turn;	 /* of the next node that is told */
+	bool *lies;		 /* by engine */
 	double now;
 } model_t;
 
@@ -248,8 +250,16 @@
 		m->result->shared_tokens_first += job->tokens.shared;
 }
 
+static void on_copied_(void *ctx, work_job_t *job)
+{
+	const model_t *m = ctx;
+
+	if (job->measured)
+		m->result->tokens_copied += job->tokens.shared;
+}
+
 static const work_step_ops_t step_ops = { on_started_, on_first_output_,
-					  on_ended_, on_missed_ };
+					  on_ended_, on_missed_, on_copied_ };
 
 static void advance_(model_t *m, int index)
 {
@@ -325,6 +335,25 @@
 	return job;
 }
 
+/* Messages take less time than any decision that they affect. */
+static void notify_(model_t *m, const work_job_t *job, int read_ms)
+{
+	balance_t *from = &m->nodes[job->node];
+	int count = work_notice_count(&m->notices[job->node], read_ms,
+				      m->conf->nodes, now_ms_(m));
+	work_entry_t entry;
+
+	balance_describe_work(from, job->upstream, now_ms_(m), &entry);
+	m->result->notice_bytes += (double)count * WORK_NOTICE_BYTES;
+	for (; count; count--) {
+		int to = (int)(m->turn++ % (unsigned int)m->conf->nodes);
+
+		if (to != job->node && uniform_(m) >= m->conf->loss)
+			balance_apply_work(&m->nodes[to], (uint64_t)job->node,
+					   &entry, now_ms_(m));
+	}
+}
+
 static void on_arrive_(model_t *m, work_kind_t kind, int node)
 {
 	work_job_t *job = make_job_(m, kind, node);
@@ -348,6 +377,7 @@
 	job->work = pick.work;
 	if (pick.copy_source)
 		job->copy_source = &m->engines[engine_index_(pick.copy_source)];
+	notify_(m, job, pick.read_ms);
 	work_engine_submit(&m->engines[job->engine], job);
 	if (job->measured)
 		record_load_(m, &m->engines[job->engine]);
@@ -401,21 +431,9 @@
 		balance_apply_gossip(&m->nodes[to], &loads[i], now_ms_(m));
 }
 
-static void send_work_(model_t *m, int node)
-{
-	work_entry_t entries[WORK_GOSSIP_MAX];
-	int to = draw_target_(m, node);
-	u_int n = balance_collect_work(&m->nodes[node], now_ms_(m), entries);
-
-	for (u_int i = 0; to >= 0 && i < n; i++)
-		balance_apply_work(&m->nodes[to], (uint64_t)node, &entries[i],
-				   now_ms_(m));
-}
-
 static void on_gossip_(model_t *m, int node)
 {
 	send_loads_(m, node);
-	send_work_(m, node);
 	if (m->now < START_MS + (double)m->conf->arrivals_ms)
 		schedule_(m, m->now + (double)m->conf->gossip_interval_ms,
 			  EVENT_GOSSIP, node, 0);
@@ -496,6 +514,7 @@
 	m->nodes = g_new0(balance_t, c->nodes);
 	m->engines = g_new0(work_engine_t, c->engines);
 	m->lies = g_new0(bool, c->engines);
+	m->notices = g_new0(work_notices_t, c->nodes);
 	for (int n = 0; n < c->nodes; n++)
 		init_node_(m, n);
 	for (int i = 0; i < c->engines; i++)
@@ -526,6 +545,7 @@
 	g_free(m->nodes);
 	g_free(m->engines);
 	g_free(m->lies);
+	g_free(m->notices);
 	g_array_unref(m->heap);
 	gsl_rng_free(m->rng);
 }
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -13,7 +13,7 @@
 const PEER_ANSWERED_MAX = 16;
 const PEER_ORIGINS_MAX = 32;
 const PEER_DOUBTS_MAX = 16;
-const PEER_WORK_MAX = 16;
+const PEER_WORK_MAX = 4;
 
 /* Membership record of one node. */
 struct peer_update_t {
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -173,7 +173,8 @@
 {
 	int64_t bytes = (int64_t)len + DATAGRAM_OVERHEAD;
 
-	if (!byte_budget_spend(s->budget, clock_now(), bytes, force))
+	if (s->budget &&
+	    !byte_budget_spend(s->budget, clock_now(), bytes, force))
 		return false;
 	if (sendto(s->fd, data, len, 0, (const struct sockaddr *)to,
 		   sizeof(*to)) < 0)
@@ -252,7 +253,7 @@
 	assert(s && to && m);
 	if (address_parse(to, &sa) &&
 	    !datagram_encode_work(s->key, m, data, &len) &&
-	    send_datagram_(s, &sa, data, len, false))
+	    send_datagram_(s, &sa, data, len, true))
 		return true;
 	counter_add(COUNTER_CONTROL_DROPPED, 1);
 	return false;
