--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -47,6 +47,7 @@
 	{ "sse", sse_suite },
 	{ "str", str_suite },
 	{ "view", view_suite },
+	{ "work", work_suite },
 	{ "fleet_roles", fleet_roles_suite },
 };
 
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -46,5 +46,6 @@
 Suite *sse_suite(void);
 Suite *str_suite(void);
 Suite *view_suite(void);
+Suite *work_suite(void);
 
 #endif
--- a/tests/unit/test_datagram.c
+++ b/tests/unit/test_datagram.c
@@ -2,6 +2,7 @@
 
 #include <kcf/balance.h>
 #include <kcf/datagram.h>
+#include <kcf/work.h>
 #include <string.h>
 
 #define WALL 1796342000000
@@ -74,6 +75,36 @@
 }
 END_TEST
 
+/*
+ * A report about one upstream has the size that its budget is computed with,
+ * arrives unchanged, and is rejected by a build that does not know its
+ * procedure and decodes it as a message of members.
+ */
+START_TEST(test_work)
+{
+	unsigned char data[DATAGRAM_MAX];
+	peer_work_entry_t entry = { 7, 30000, 250, 40 };
+	peer_work_t m = { .sent = WALL, .node = 3, .list = { 1, &entry } };
+	peer_work_t got = { 0 };
+	peer_message_t other = { 0 };
+	unsigned int proc;
+	str_t view = { (char *)data, 0 };
+
+	ck_assert_int_eq(datagram_encode_work(key, &m, data, &view.len),
+			 DATAGRAM_OK);
+	ck_assert_uint_eq(view.len + DATAGRAM_OVERHEAD, WORK_NOTICE_BYTES);
+	ck_assert_uint_eq(datagram_proc(view), PEER_WORK);
+	ck_assert_int_eq(datagram_decode_work(key, view, WALL, &got),
+			 DATAGRAM_OK);
+	ck_assert_uint_eq(got.node, 3);
+	ck_assert_uint_eq(got.list.list_len, 1);
+	ck_assert_mem_eq(got.list.list_val, &entry, sizeof(entry));
+	datagram_free_work(&got);
+	ck_assert_int_ne(datagram_decode(key, view, WALL, &proc, &other),
+			 DATAGRAM_OK);
+}
+END_TEST
+
 START_TEST(test_name_too_long)
 {
 	unsigned char data[DATAGRAM_MAX];
@@ -121,6 +152,7 @@
 	tcase_add_test(t, test_round_trip);
 	tcase_add_test(t, test_changed_byte);
 	tcase_add_test(t, test_name_too_long);
+	tcase_add_test(t, test_work);
 	tcase_add_test(t, test_loads_message_size);
 	suite_add_tcase(s, t);
 	return s;
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -255,12 +255,76 @@
 }
 END_TEST
 
+/* Slots were lost when a further figure followed them. */
+static const struct {
+	const char *text;
+	int outstanding; /* -1 if malformed */
+	int slots;
+	int pace;
+} loads[] = {
+	{ "3,2,64", 5, 64, 0 },
+	{ "3,2,64,250", 5, 64, 250 },
+	{ "3,2,64,100,7", 5, 64, 100 },
+	{ "3,2,64,100,7,later", 5, 64, 100 },
+	{ "3,2,64,", 5, 64, 0 },
+	{ "3,2,64,odd", 5, 64, 0 },
+	{ "3,2,64,-5", 5, 64, 0 },
+	{ "3,2,,250", 5, 0, 250 },
+	{ "3,2", 5, 0, 0 },
+	{ "3", -1, 0, 0 },
+	{ "", -1, 0, 0 },
+};
+
+START_TEST(test_load)
+{
+	upstream_response_t r = { 0 };
+
+	platform_parse_load(str_of(loads[_i].text), &r);
+	ck_assert_int_eq(r.outstanding, loads[_i].outstanding);
+	ck_assert_int_eq(r.slots, loads[_i].slots);
+	ck_assert_int_eq(r.pace, loads[_i].pace);
+}
+END_TEST
+
+/* Headers that a caller omits or gets wrong must not give wild counts. */
+static const struct {
+	const char *prompt;
+	const char *usage;
+	const char *hint;
+	work_tokens_t tokens;
+} tokens[] = {
+	{ "a:10500,q:1300", "11800,500", "384", { 10500, 1300, 384 } },
+	{ "a:700,b:300,q:130", "1130,100", "384", { 1000, 130, 100 } },
+	{ "q:130", "130,100", "", { 0, 130, 100 } },
+	{ "a,q", "1130,100", "", { 0, 1130, 100 } },
+	{ "a:700,q", "1130,", "40", { 700, 430, 40 } },
+	{ "a:700,q:130", "", "", { 700, 130, 0 } },
+	{ "", "", "", { 0, 0, 0 } },
+	{ "a:-5,q:x", "-1,-1", "-3", { 0, 0, 0 } },
+	{ "a:99999999999,q:1", "odd", "1e9", { 10000000, 1, 0 } },
+};
+
+START_TEST(test_tokens)
+{
+	work_tokens_t t = { 0 };
+
+	platform_parse_tokens(str_of(tokens[_i].prompt),
+			      str_of(tokens[_i].usage), str_of(tokens[_i].hint),
+			      &t);
+	ck_assert_int_eq(t.shared, tokens[_i].tokens.shared);
+	ck_assert_int_eq(t.own, tokens[_i].tokens.own);
+	ck_assert_int_eq(t.output, tokens[_i].tokens.output);
+}
+END_TEST
+
 Suite *platform_suite(void)
 {
 	Suite *s = suite_create("platform");
 	TCase *c = tcase_create("platform");
 
 	tcase_add_loop_test(c, test_rate, 0, G_N_ELEMENTS(rates));
+	tcase_add_loop_test(c, test_load, 0, G_N_ELEMENTS(loads));
+	tcase_add_loop_test(c, test_tokens, 0, G_N_ELEMENTS(tokens));
 	tcase_add_loop_test(c, test_upstream_entry, 0, G_N_ELEMENTS(entries));
 	tcase_add_test(c, test_manifest);
 	tcase_add_loop_test(c, test_operator_change, 0, G_N_ELEMENTS(changes));
