--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -19,6 +19,8 @@
 	void (*doubts)(void *ctx, const peer_doubts_t *m);
 	/* The same. */
 	void (*warmth)(void *ctx, const peer_warmth_t *m, const char *from);
+	/* The same. */
+	void (*work)(void *ctx, const peer_work_t *m);
 } peer_socket_ops_t;
 
 /*
@@ -41,7 +43,7 @@
 typedef struct peer_sender {
 	int fd;
 	const unsigned char *key; /* DATAGRAM_KEY_BYTES, shared by all nodes */
-	byte_budget_t *budget;	  /* of control traffic */
+	byte_budget_t *budget;	  /* NULL: the caller bounds what it sends */
 } peer_sender_t;
 
 /*
@@ -89,4 +91,12 @@
 size_t peer_socket_send_warmth(const peer_sender_t *s, const char *to,
 			       const peer_warmth_t *m);
 
+/*
+ * peer_socket_send_work - sends pending tokens and paces.
+ *
+ * Return: false when the message was not sent.
+ */
+bool peer_socket_send_work(const peer_sender_t *s, const char *to,
+			   const peer_work_t *m);
+
 #endif
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -44,6 +44,16 @@
 					   share_warmth_, wall_ };
 static const member_ops_t member_ops = { send_message_, on_member_changed_ };
 
+static void apply_work_(void *ctx, uint64_t node, const work_entry_t *entry,
+			mstime_t now);
+static int count_work_targets_(void *ctx, mstime_t now);
+static const char *get_work_target_(void *ctx, int index);
+static void send_work_(void *ctx, const char *to, const peer_work_t *m);
+
+static const work_gossip_ops_t work_gossip_ops = {
+	apply_work_, count_work_targets_, get_work_target_, send_work_
+};
+
 bool gateway_peers_start(gateway_t *g)
 {
 	const gateway_conf_t *c = g->conf;
@@ -75,6 +85,8 @@
 	sharing_init(&g->sharing, c->stop_limit_ms, g->started_at);
 	members_init(&g->members, &self, (guint32)g->incarnation, &member_ops,
 		     g, clock_now());
+	work_gossip_init(&g->work_gossip, member_key(c->name), &work_gossip_ops,
+			 g);
 	for (guint i = 0; i < c->seeds->len; i++) {
 		members_add_seed(&g->members, c->seeds->pdata[i]);
 		g->is_seed =
@@ -171,6 +183,17 @@
 	return m == g->members.self ? gateway_peers_random(g) : m;
 }
 
+void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick)
+{
+	mstime_t now = clock_now();
+	work_entry_t entry;
+
+	if (pick->read_ms < WORK_NOTICE_MIN_MS || relays_is_cut(g))
+		return;
+	balance_describe_work(&g->balance, pick->upstream, now, &entry);
+	work_gossip_notify(&g->work_gossip, &entry, pick->read_ms, now);
+}
+
 static void send_gossip_(gateway_t *g, mstime_t now)
 {
 	balance_load_t loads[BALANCE_GOSSIP_MAX];
@@ -210,6 +233,46 @@
 	send_message_(g, to->peer, PEER_LOADS, &m, true);
 }
 
+static void apply_work_(void *ctx, uint64_t node, const work_entry_t *entry,
+			mstime_t now)
+{
+	gateway_t *g = ctx;
+
+	balance_apply_work(&g->balance, node, entry, now);
+}
+
+/* The serving nodes, since others send hardly any requests. */
+static int count_work_targets_(void *ctx, mstime_t now)
+{
+	return (int)gateway_peers_serving_count(ctx, now);
+}
+
+static const char *get_work_target_(void *ctx, int index)
+{
+	const gateway_t *g = ctx;
+	const member_t *m = gateway_peers_at_rank(g, (guint)index);
+
+	return m && m != g->members.self ? m->peer : NULL;
+}
+
+static void send_work_(void *ctx, const char *to, const peer_work_t *m)
+{
+	const gateway_t *g = ctx;
+	peer_sender_t sender = { g->socket, g->conf->peer_key, NULL };
+
+	peer_socket_send_work(&sender, to, m);
+}
+
+static void set_work_gauges_(const gateway_t *g, mstime_t now)
+{
+	double tokens;
+	double pace;
+
+	balance_work_totals(&g->balance, now, &tokens, &pace);
+	counter_set(GAUGE_WORK_PENDING, (int64_t)tokens);
+	counter_set(GAUGE_WORK_PACE, (int64_t)pace);
+}
+
 static void on_message_(void *ctx, unsigned int proc, const peer_message_t *m,
 			const char *from)
 {
@@ -237,6 +300,13 @@
 	resumes_receive_doubts(ctx, m);
 }
 
+static void on_work_(void *ctx, const peer_work_t *m)
+{
+	gateway_t *g = ctx;
+
+	work_gossip_receive(&g->work_gossip, m, clock_now());
+}
+
 static void on_warmth_(void *ctx, const peer_warmth_t *m, const char *from)
 {
 	gateway_t *g = ctx;
@@ -245,7 +315,7 @@
 }
 
 static const peer_socket_ops_t socket_ops = {
-	on_message_, on_crashes_, on_origins_, on_doubts_, on_warmth_,
+	on_message_, on_crashes_, on_origins_, on_doubts_, on_warmth_, on_work_,
 };
 
 static const char *warmth_peer_(void *ctx)
@@ -393,6 +463,7 @@
 	update_ranking_(g);
 	sharing_expect(&g->sharing, g->members.seeds->len > 0);
 	send_gossip_(g, now);
+	set_work_gauges_(g, now);
 	gateway_peers_share_rates(g, now);
 	relays_tick(g, now);
 	crashes_tick(g, now);
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -17,6 +17,7 @@
  * answer.c     one attempt: the response of an upstream
  * warmths.c    upstreams that have prompts cached, between nodes
  * relays.c      requests that pass through one other node, at both of them
+ * work_gossip.c  pending prompt tokens and paces between nodes
  * admin.c      operators' interface and metrics
  */
 #ifndef KCF_PRIVATE_GATEWAY_H
@@ -36,6 +37,8 @@
 #include <kcf/shares.h>
 #include <kcf/sharing.h>
 
+#include "work_gossip.h"
+
 /* Callers use at most this many addresses of a directory response. */
 #define GATEWAY_DIRECTORY_MAX 64
 #define GATEWAY_DISCOVERY_MS SHARING_DISCOVERY_MS
@@ -188,6 +191,7 @@
 	int socket;
 	ev_io socket_io;
 	mstime_t next_gossip_at;
+	work_gossip_t work_gossip;
 	uint64_t incarnation;
 	quarantine_t quarantine;
 	bool crashes_hold_is_new; /* requests under way may be part of it */
@@ -370,6 +374,13 @@
 /* peers.c */
 /* An upstream of the service has reported its pace. */
 void gateway_peers_share_warmth(gateway_t *g, const char *service);
+
+/*
+ * gateway_peers_notify_work - tells other nodes if a request begins a long
+ * prefill.
+ * @pick: of the request, with an upstream
+ */
+void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick);
 bool gateway_peers_start(gateway_t *g);
 void gateway_peers_stop(gateway_t *g);
 void gateway_peers_tick(gateway_t *g, mstime_t now);
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -14,6 +14,7 @@
 const PEER_ORIGINS_MAX = 32;
 const PEER_DOUBTS_MAX = 16;
 const PEER_WARMTH_MAX = 64;
+const PEER_WORK_MAX = 4;
 
 /* Membership record of one node. */
 struct peer_update_t {
@@ -135,6 +136,23 @@
 	peer_warm_t list<PEER_WARMTH_MAX>;
 };
 
+/*
+ * Pending prompt tokens of the sender's requests at one upstream, and the pace
+ * that it reported age_ms ago; a pace of 0 is unknown.
+ */
+struct peer_work_entry_t {
+	unsigned int upstream;
+	unsigned int tokens;
+	unsigned int pace;
+	unsigned int age_ms;
+};
+
+struct peer_work_t {
+	unsigned hyper sent;
+	unsigned int node;
+	peer_work_entry_t list<PEER_WORK_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		void PEER_PING(peer_message_t) = 1;
@@ -146,6 +164,7 @@
 		void PEER_CRASHES(peer_crash_report_t) = 7;
 		void PEER_ORIGINS(peer_origins_t) = 8;
 		void PEER_DOUBTS(peer_doubts_t) = 9;
+		void PEER_WORK(peer_work_t) = 12;
 		void PEER_WARMTH(peer_warmth_t) = 13;
 	} = 1;
 } = 0x20004b43;
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -114,6 +114,21 @@
 	datagram_free_warmth(&m);
 }
 
+static void handle_work_(const unsigned char *key, str_t data, const char *from,
+			 const peer_socket_ops_t *ops, void *ctx)
+{
+	peer_work_t m = { 0 };
+	int err = datagram_decode_work(key, data, clock_wall(), &m);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	if (ops->work)
+		ops->work(ctx, &m);
+	datagram_free_work(&m);
+}
+
 void peer_socket_receive(int fd, const unsigned char *key,
 			 const peer_socket_ops_t *ops, void *ctx)
 {
@@ -143,6 +158,9 @@
 		case PEER_WARMTH:
 			handle_warmth_(key, view, from, ops, ctx);
 			break;
+		case PEER_WORK:
+			handle_work_(key, view, from, ops, ctx);
+			break;
 		default:
 			handle_message_(key, view, from, ops, ctx);
 			break;
@@ -174,7 +192,8 @@
 {
 	int64_t bytes = (int64_t)len + DATAGRAM_OVERHEAD;
 
-	if (!byte_budget_spend(s->budget, clock_now(), bytes, force))
+	if (s->budget &&
+	    !byte_budget_spend(s->budget, clock_now(), bytes, force))
 		return false;
 	if (sendto(s->fd, data, len, 0, (const struct sockaddr *)to,
 		   sizeof(*to)) < 0)
@@ -258,3 +277,19 @@
 	counter_add(COUNTER_CONTROL_DROPPED, 1);
 	return 0;
 }
+
+bool peer_socket_send_work(const peer_sender_t *s, const char *to,
+			   const peer_work_t *m)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && m);
+	if (address_parse(to, &sa) &&
+	    !datagram_encode_work(s->key, m, data, &len) &&
+	    send_datagram_(s, &sa, data, len, true))
+		return true;
+	counter_add(COUNTER_CONTROL_DROPPED, 1);
+	return false;
+}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -48,6 +48,7 @@
 	{ "str", str_suite },
 	{ "view", view_suite },
 	{ "warmth", warmth_suite },
+	{ "work", work_suite },
 	{ "fleet_roles", fleet_roles_suite },
 };
 
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -47,5 +47,6 @@
 Suite *str_suite(void);
 Suite *view_suite(void);
 Suite *warmth_suite(void);
+Suite *work_suite(void);
 
 #endif
