Work and warmth: a prefill that begins is told with its prompt

Nodes tell which prompt an upstream begins to prefill, so that the other nodes know both where it will be cached and what is pending there. What is only being prefilled cannot be copied yet; to prefill it a second time counts its harm to those beside it. The first pace of a service is told to all. An upstream is not slow for what it was expected to take, nor below half of the objective.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -467,15 +467,29 @@
 /*
  * balance_report_pace - applies the pace that an upstream's answer names.
  * @pace: ignored unless above 0
+ *
+ * Return: whether it is the first one of its service.
+ */
+bool balance_report_pace(balance_t *b, balance_upstream_t *u, int pace,
+			 mstime_t now);
+
+/*
+ * balance_normal_latency - the time to the first output of a request without
+ * what its own prompt and those before it were expected to take. An upstream
+ * that was sent long prompts is not slow.
+ * @latency_ms: as measured, or -1
  */
-void balance_report_pace(balance_upstream_t *u, int pace, mstime_t now);
+mstime_t balance_normal_latency(balance_t *b, const balance_upstream_t *u,
+				const balance_pick_t *pick,
+				mstime_t latency_ms);
 
 /*
  * balance_describe_work - fills in the report for other nodes about one
  * upstream.
+ * @prompt: hash of the shared prompt that it begins to prefill, or 0
  */
 void balance_describe_work(balance_t *b, const balance_upstream_t *u,
-			   mstime_t now, work_entry_t *out);
+			   uint64_t prompt, mstime_t now, work_entry_t *out);
 
 /*
  * balance_apply_work - applies a report of another node. Entries of upstreams
--- a/include/kcf/warmth.h
+++ b/include/kcf/warmth.h
@@ -28,6 +28,8 @@
  * may be as old as the other half.
  */
 #define WARMTH_VALID_MS 60000
+/* Prefill of a long prompt of 30,000 tokens at a slow upstream. */
+#define WARMTH_PREFILL_MS 1000
 /* Interval at which a prompt in use is told again. */
 #define WARMTH_REFRESH_MS 30000
 /*
@@ -66,6 +68,13 @@
  */
 bool warmth_learn(warmth_t *w, uint64_t prompt, uint32_t key, mstime_t now);
 
+/*
+ * warmth_begin_prefill - the same for an upstream that begins to prefill the
+ * prompt now: for WARMTH_PREFILL_MS it cannot be copied from there.
+ */
+bool warmth_begin_prefill(warmth_t *w, uint64_t prompt, uint32_t key,
+			  mstime_t now);
+
 /*
  * warmth_apply - records what another node has told.
  *
@@ -73,6 +82,12 @@
  */
 bool warmth_apply(warmth_t *w, const warmth_pair_t *pair, mstime_t now);
 
+/*
+ * warmth_observe - records that an upstream begins to prefill a prompt, of
+ * which all nodes are told by another message, so that it is not passed on.
+ */
+void warmth_observe(warmth_t *w, uint64_t prompt, uint32_t key, mstime_t now);
+
 /*
  * warmth_find - the upstreams that have a prompt; the prompt counts as used.
  * @keys: room for WARMTH_PLACES, receives the newest information first
@@ -81,6 +96,13 @@
  */
 int warmth_find(warmth_t *w, uint64_t prompt, mstime_t now, uint32_t *keys);
 
+/*
+ * warmth_is_ready - whether an upstream that has a prompt is likely to have it
+ * whole, so that others can copy it.
+ */
+bool warmth_is_ready(const warmth_t *w, uint64_t prompt, uint32_t key,
+		     mstime_t now);
+
 /*
  * warmth_remove_upstream - forgets an upstream that left or starts again.
  */
--- a/include/kcf/work.h
+++ b/include/kcf/work.h
@@ -22,7 +22,7 @@
 /* Nodes whose pending tokens at one upstream are known at the same time. */
 #define WORK_REPORTS_MAX 4
 /* Size of a message to another node about one upstream, on the network. */
-#define WORK_NOTICE_BYTES 116
+#define WORK_NOTICE_BYTES 124
 /*
  * Budget of these messages, and what may be saved up: a node that starts meets
  * many prompts that are cached nowhere.
@@ -95,9 +95,11 @@
 
 /* A report to other nodes about one upstream. */
 typedef struct work_entry {
-	uint32_t key;	      /* of the upstream */
-	int tokens;	      /* pending, of the sender's requests */
-	int pace;	      /* 0 if unknown */
+	uint64_t prompt; /* hash of a shared prompt that it begins to prefill,
+			    or 0 */
+	uint32_t key;	 /* of the upstream */
+	int tokens;	 /* pending, of the sender's requests */
+	int pace;	 /* 0 if unknown */
 	mstime_t pace_age_ms; /* below 0 if unknown */
 } work_entry_t;
 
--- a/packages/decide/balance_candidates.c
+++ b/packages/decide/balance_candidates.c
@@ -17,6 +17,13 @@
 #define UNHEALTHY_FAILURE_RATE 0.25
 #define UNHEALTHY_FAILURE_FACTOR 2.0
 #define UNHEALTHY_LATENCY_FACTOR 3.0
+/*
+ * Where upstreams report their pace, an upstream is slow by itself only if it
+ * takes this part of a request's objective beyond what was expected. A node of
+ * a large fleet has few samples of each upstream, and leaving one makes others
+ * prefill its prompts again.
+ */
+#define HEALTHY_OBJECTIVE_FRACTION 0.5
 /* Lower latencies always count as healthy. */
 #define UNHEALTHY_LATENCY_MIN_MS 60
 /*
@@ -146,6 +153,11 @@
 		}
 		total++;
 	}
+	c->healthy_latency_ms = UNHEALTHY_LATENCY_MIN_MS;
+	if (balance_work_is_active(c, now))
+		c->healthy_latency_ms = MAX(UNHEALTHY_LATENCY_MIN_MS,
+					    (double)request->objective_ms *
+						    HEALTHY_OBJECTIVE_FRACTION);
 	remote = mean_remote_(b, c, now);
 	for (guint i = 0; i < c->count; i++)
 		c->loads[i] = estimate_load_(c->list[i], remote, now);
@@ -172,7 +184,7 @@
 		return true;
 	others_latency =
 		(others_latency * c->count - u->latency_ms) / (c->count - 1);
-	return u->latency_ms > UNHEALTHY_LATENCY_MIN_MS && others_latency > 0 &&
+	return u->latency_ms > c->healthy_latency_ms && others_latency > 0 &&
 	       u->latency_ms > UNHEALTHY_LATENCY_FACTOR * others_latency;
 }
 
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -104,6 +104,7 @@
 typedef struct told {
 	uint32_t keys[WARMTH_PLACES];
 	int count;
+	bool ready; /* it can be copied from one of them */
 } told_t;
 
 typedef struct ranking {
@@ -214,6 +215,10 @@
 	if (request->affinity && balance_shares_warmth(b, request->service))
 		told.count = warmth_find(b->warmth, request->affinity, now,
 					 told.keys);
+	for (int i = 0; i < told.count; i++)
+		told.ready = told.ready ||
+			     warmth_is_ready(b->warmth, request->affinity,
+					     told.keys[i], now);
 	return told;
 }
 
@@ -460,17 +465,30 @@
  * Healthy upstreams within the spill limit. Only these may replace the choice
  * of the rules above, so that those rules hold for the replacement as well.
  */
+static work_choice_t describe_choice_(const balance_t *b,
+				      const balance_request_t *request,
+				      const candidates_t *c, const ranking_t *r)
+{
+	return (work_choice_t){
+		.request = request,
+		.candidates = c,
+		.entry = r->entry,
+		.preferred = r->preferred.index,
+		.told_keys = r->told.keys,
+		.told_count = r->told.count,
+		.told_ready = r->told.ready,
+		.told_all = balance_shares_warmth(b, request->service),
+	};
+}
+
 static int choose_by_work_(balance_t *b, const balance_request_t *request,
 			   const candidates_t *c, const ranking_t *r,
 			   int chosen, mstime_t now, balance_reason_t *reason)
 {
-	work_choice_t w = { .request = request,
-			    .candidates = c,
-			    .entry = r->entry,
-			    .preferred = r->preferred.index,
-			    .allowed = g_new(int, r->eligible_count + 1) };
+	work_choice_t w = describe_choice_(b, request, c, r);
 	int best;
 
+	w.allowed = g_new(int, r->eligible_count + 1);
 	for (guint i = 0; i < r->eligible_count; i++) {
 		int index = r->eligible[i];
 
@@ -607,18 +625,15 @@
 		if (request->affinity)
 			pick.copy_source = copy_source_(
 				b, &c, &r, pick.upstream, &pick.copy_told);
-		w = (work_choice_t){ .request = request,
-				     .candidates = &c,
-				     .entry = r.entry,
-				     .preferred = r.preferred.index };
+		w = describe_choice_(b, request, &c, &r);
 		balance_begin_work(b, &w, index, now, &pick);
 		pick.place_told = pick.reason == BALANCE_FIRST &&
 				  index == r.told_fit.index && !r.has_own;
 		/* Others may wait for this read rather than repeat it. */
 		if (request->affinity && !r.told.count && !r.has_own &&
 		    balance_shares_warmth(b, request->service))
-			warmth_learn(b->warmth, request->affinity,
-				     pick.upstream->key, now);
+			warmth_begin_prefill(b->warmth, request->affinity,
+					     pick.upstream->key, now);
 		/* A spill leaves the preferred upstream as it is, and so does
 		 * a request that could not go to all.
 		 */
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -12,9 +12,10 @@
 	int *loads; /* estimated outstanding requests, parallel to list */
 	guint count;
 	double mean_load; /* of all upstreams of the service, listed or not */
-	int own_outstanding;	  /* requests of this node at those listed */
-	double mean_failure_rate; /* of those listed */
-	double mean_latency_ms;	  /* of those listed that have one */
+	int own_outstanding;	   /* requests of this node at those listed */
+	double mean_failure_rate;  /* of those listed */
+	double mean_latency_ms;	   /* of those listed that have one */
+	double healthy_latency_ms; /* lower ones always count as healthy */
 } candidates_t;
 
 /*
@@ -132,7 +133,12 @@
 	const candidates_t *candidates;
 	const balance_affinity_t *entry; /* of the prompt, or NULL */
 	int preferred; /* candidate ranked first for the prompt, or -1 */
-	int *allowed;  /* indices of candidates */
+	/* Upstreams that have the prompt by what other nodes tell. */
+	const uint32_t *told_keys;
+	int told_count;
+	bool told_ready; /* it can be copied from one of them */
+	bool told_all;	 /* nodes tell each other of all long prefills */
+	int *allowed;	 /* indices of candidates */
 	guint allowed_count;
 } work_choice_t;
 
--- a/packages/decide/warmth.c
+++ b/packages/decide/warmth.c
@@ -13,7 +13,8 @@
 
 typedef struct warmth_place {
 	uint32_t key;
-	mstime_t at; /* of the information, 0 for none */
+	mstime_t at;	   /* of the information, 0 for none */
+	mstime_t ready_at; /* when the prompt can be copied from there */
 } warmth_place_t;
 
 typedef struct warmth_entry {
@@ -119,30 +120,31 @@
 }
 
 /* The oldest place is dropped if there are too many. */
-static void insert_place_(warmth_entry_t *e, uint32_t key, mstime_t at)
+static void insert_place_(warmth_entry_t *e, const warmth_place_t *place)
 {
 	int i = WARMTH_PLACES - 1;
 
-	if (e->places[i].at >= at)
+	if (e->places[i].at >= place->at)
 		return;
-	for (; i > 0 && e->places[i - 1].at < at; i--)
+	for (; i > 0 && e->places[i - 1].at < place->at; i--)
 		e->places[i] = e->places[i - 1];
-	e->places[i] = (warmth_place_t){ key, at };
+	e->places[i] = *place;
 }
 
 /* Records a place; returns whether it was unknown, and few others are known. */
-static bool put_place_(warmth_entry_t *e, uint32_t key, mstime_t at,
-		       mstime_t now)
+static bool put_place_(warmth_entry_t *e, warmth_place_t place, mstime_t now)
 {
-	int i = find_place_(e, key);
+	int i = find_place_(e, place.key);
 	bool known = i < WARMTH_PLACES && is_valid_(&e->places[i], now);
 	bool few = count_valid_(e, now) < TOLD_PLACES;
 
+	if (known)
+		place.ready_at = MIN(place.ready_at, e->places[i].ready_at);
 	if (i < WARMTH_PLACES) {
-		at = MAX(at, e->places[i].at);
+		place.at = MAX(place.at, e->places[i].at);
 		remove_place_(e, i);
 	}
-	insert_place_(e, key, at);
+	insert_place_(e, &place);
 	return !known && few;
 }
 
@@ -164,33 +166,72 @@
 }
 
 /* Records a pair, and tells it if it is new or the prompt is due again. */
-static bool record_(warmth_t *w, uint64_t prompt, uint32_t key, mstime_t at,
+static bool record_(warmth_t *w, uint64_t prompt, const warmth_place_t *place,
 		    mstime_t interval_ms, mstime_t now)
 {
 	warmth_entry_t *e = get_entry_(w, prompt);
 	bool due = !e->told_at || now - e->told_at >= interval_ms;
-	bool is_new = put_place_(e, key, at, now);
+	bool is_new = put_place_(e, *place, now);
 
 	if (!is_new && !due)
 		return false;
-	add_news_(w, e, key, !is_new, now);
+	add_news_(w, e, place->key, !is_new, now);
 	return true;
 }
 
 bool warmth_learn(warmth_t *w, uint64_t prompt, uint32_t key, mstime_t now)
 {
 	assert(w && prompt && now > 0);
-	return record_(w, prompt, key, now, WARMTH_REFRESH_MS, now);
+	return record_(w, prompt, &(warmth_place_t){ key, now, now },
+		       WARMTH_REFRESH_MS, now);
+}
+
+bool warmth_begin_prefill(warmth_t *w, uint64_t prompt, uint32_t key,
+			  mstime_t now)
+{
+	warmth_place_t place = { key, now, now + WARMTH_PREFILL_MS };
+
+	assert(w && prompt && now > 0);
+	return record_(w, prompt, &place, WARMTH_REFRESH_MS, now);
 }
 
 bool warmth_apply(warmth_t *w, const warmth_pair_t *pair, mstime_t now)
 {
+	mstime_t at;
+
 	assert(w && pair);
 	if (!pair->prompt || pair->age_ms < 0 ||
 	    pair->age_ms >= WARMTH_VALID_MS || pair->age_ms >= now)
 		return false;
-	return record_(w, pair->prompt, pair->key, now - pair->age_ms,
-		       REPEAT_MS, now);
+	at = now - pair->age_ms;
+	return record_(
+		w, pair->prompt,
+		&(warmth_place_t){ pair->key, at, at + WARMTH_PREFILL_MS },
+		REPEAT_MS, now);
+}
+
+void warmth_observe(warmth_t *w, uint64_t prompt, uint32_t key, mstime_t now)
+{
+	warmth_entry_t *e;
+
+	assert(w && prompt && now > 0);
+	e = get_entry_(w, prompt);
+	put_place_(e, (warmth_place_t){ key, now, now + WARMTH_PREFILL_MS },
+		   now);
+	e->told_at = now;
+}
+
+bool warmth_is_ready(const warmth_t *w, uint64_t prompt, uint32_t key,
+		     mstime_t now)
+{
+	const warmth_entry_t *e;
+	int i;
+
+	assert(w);
+	e = g_hash_table_lookup(w->entries, &prompt);
+	i = e ? find_place_(e, key) : WARMTH_PLACES;
+	return i < WARMTH_PLACES && is_valid_(&e->places[i], now) &&
+	       now >= e->places[i].ready_at;
 }
 
 int warmth_find(warmth_t *w, uint64_t prompt, mstime_t now, uint32_t *keys)
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -302,6 +302,16 @@
 	gateway_peers_share_rates(f->gateway, now);
 }
 
+static void record_pace_(const forward_t *f, mstime_t now)
+{
+	gateway_t *g = f->gateway;
+
+	if (!f->response.wrong_instance &&
+	    balance_report_pace(&g->balance, f->selected, f->response.pace,
+				now))
+		gateway_peers_notify_pace(g, f->selected);
+}
+
 /* Applies what the response headers say about the upstream. */
 static void record_upstream_state_(forward_t *f)
 {
@@ -320,8 +330,7 @@
 		f->gateway->load_reported_at = now;
 		balance_apply_report(f->selected, f->response.outstanding,
 				     f->response.slots, now);
-		if (!f->response.wrong_instance)
-			balance_report_pace(f->selected, f->response.pace, now);
+		record_pace_(f, now);
 	}
 	if (f->response.idle_max_ms)
 		f->selected->idle_max_ms = f->response.idle_max_ms;
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -210,6 +210,8 @@
 
 	if (!f->selected)
 		return;
+	latency = balance_normal_latency(&f->gateway->balance, f->selected,
+					 &f->pick, latency);
 	balance_end_work(&f->gateway->balance, f->selected, &f->pick.work, now);
 	balance_end_request(f->selected, outcome, latency, now);
 	shares_add_outstanding(&f->gateway->shares, f->service,
@@ -320,7 +322,7 @@
 	default:
 		break;
 	}
-	gateway_peers_notify_work(g, &f->pick);
+	gateway_peers_notify_work(g, &f->pick, request.affinity);
 	starts_send(f);
 	return true;
 }
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -183,17 +183,29 @@
 	return m == g->members.self ? gateway_peers_random(g) : m;
 }
 
-void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick)
+void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick,
+			       uint64_t prompt)
 {
 	mstime_t now = clock_now();
 	work_entry_t entry;
 
 	if (pick->read_ms < WORK_NOTICE_MIN_MS || relays_is_cut(g))
 		return;
-	balance_describe_work(&g->balance, pick->upstream, now, &entry);
+	balance_describe_work(&g->balance, pick->upstream, prompt, now, &entry);
 	work_gossip_notify(&g->work_gossip, &entry, pick->read_ms, now);
 }
 
+void gateway_peers_notify_pace(gateway_t *g, const balance_upstream_t *u)
+{
+	mstime_t now = clock_now();
+	work_entry_t entry;
+
+	if (relays_is_cut(g))
+		return;
+	balance_describe_work(&g->balance, u, 0, now, &entry);
+	work_gossip_notify(&g->work_gossip, &entry, WORK_NOTICE_MIN_MS, now);
+}
+
 static void send_gossip_(gateway_t *g, mstime_t now)
 {
 	balance_load_t loads[BALANCE_GOSSIP_MAX];
@@ -238,6 +250,8 @@
 {
 	gateway_t *g = ctx;
 
+	if (entry->pace > 0)
+		share_warmth_(g, entry->key);
 	balance_apply_work(&g->balance, node, entry, now);
 }
 
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -378,9 +378,16 @@
 /*
  * gateway_peers_notify_work - tells other nodes if a request begins a long
  * prefill.
- * @pick: of the request, with an upstream
+ * @pick:   of the request, with an upstream
+ * @prompt: hash of its shared prompt, or 0
  */
-void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick);
+void gateway_peers_notify_work(gateway_t *g, const balance_pick_t *pick,
+			       uint64_t prompt);
+/*
+ * gateway_peers_notify_pace - tells other nodes of the first pace of a service,
+ * so that all choose by work from then on.
+ */
+void gateway_peers_notify_pace(gateway_t *g, const balance_upstream_t *u);
 bool gateway_peers_start(gateway_t *g);
 void gateway_peers_stop(gateway_t *g);
 void gateway_peers_tick(gateway_t *g, mstime_t now);
--- a/packages/gateway/work_gossip.c
+++ b/packages/gateway/work_gossip.c
@@ -27,6 +27,7 @@
 	known = entry->pace > 0 && entry->pace_age_ms >= 0;
 	/* An age does not require synchronised clocks. */
 	wire = (peer_work_entry_t){
+		.prompt = entry->prompt,
 		.upstream = entry->key,
 		.tokens = (u_int)MAX(0, entry->tokens),
 		.pace = known ? (u_int)entry->pace : 0,
@@ -52,6 +53,7 @@
 	for (u_int i = 0; i < m->list.list_len; i++) {
 		const peer_work_entry_t *p = &m->list.list_val[i];
 		work_entry_t entry = {
+			.prompt = p->prompt,
 			.key = p->upstream,
 			.tokens = (int)MIN(p->tokens, G_MAXINT),
 			.pace = (int)MIN(p->pace, G_MAXINT),
--- a/packages/model/work_model.c
+++ b/packages/model/work_model.c
@@ -194,7 +194,8 @@
 		pace = pace == WORK_PACE_NORMAL ? m->conf->slow_pace
 						: WORK_PACE_NORMAL;
 	if (m->conf->policy >= WORK_POLICY_LEAST_WORK)
-		balance_report_pace(job->upstream, pace, now_ms_(m));
+		balance_report_pace(&m->nodes[job->node], job->upstream, pace,
+				    now_ms_(m));
 }
 
 static void on_started_(void *ctx, work_job_t *job)
@@ -343,7 +344,7 @@
 				      m->conf->nodes, now_ms_(m));
 	work_entry_t entry;
 
-	balance_describe_work(from, job->upstream, now_ms_(m), &entry);
+	balance_describe_work(from, job->upstream, 0, now_ms_(m), &entry);
 	m->result->notice_bytes += (double)count * WORK_NOTICE_BYTES;
 	for (; count; count--) {
 		int to = (int)(m->turn++ % (unsigned int)m->conf->nodes);
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -138,9 +138,11 @@
 
 /*
  * Pending prompt tokens of the sender's requests at one upstream, and the pace
- * that it reported age_ms ago; a pace of 0 is unknown.
+ * that it reported age_ms ago; a pace of 0 is unknown. prompt is the hash of
+ * the shared prompt that the upstream begins to prefill, or 0.
  */
 struct peer_work_entry_t {
+	unsigned hyper prompt;
 	unsigned int upstream;
 	unsigned int tokens;
 	unsigned int pace;
