--- a/tests/unit/test_work.c
+++ b/tests/unit/test_work.c
@@ -108,7 +108,7 @@
 
 static void notify_(balance_upstream_t *u, int tokens, mstime_t now)
 {
-	work_entry_t entry = { u->key, tokens, 100, 0 };
+	work_entry_t entry = { 0, u->key, tokens, 100, 0 };
 
 	balance_apply_work(&b, OTHER_NODE, &entry, now);
 }
