--- a/include/kcf/work.h
+++ b/include/kcf/work.h
@@ -27,13 +27,13 @@
  * Budget of these messages, and what may be saved up: a node that starts meets
  * many prompts that are cached nowhere.
  */
-#define WORK_NOTICE_BYTES_PER_S 2048
-#define WORK_NOTICE_BURST_BYTES 32768
+#define WORK_NOTICE_BYTES_PER_S 4096
+#define WORK_NOTICE_BURST_BYTES 65536
 /*
- * Other nodes are told of a prefill that takes at least this long, a quarter of
+ * Other nodes are told of a prefill that takes at least this long, a tenth of
  * the objective of short requests. Shorter ones end before a message matters.
  */
-#define WORK_NOTICE_MIN_MS 125
+#define WORK_NOTICE_MIN_MS 50
 
 /* Tokens of one request, 0 where unknown. */
 typedef struct work_tokens {
