Roll-outs: evidence, steps and the gateway's part

The deciding node merges what all nodes have seen of both versions and moves the service's requests in steps; each node follows its share for a lease. The final state is written to the status topic at an expected end.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -191,6 +191,10 @@
 	uint64_t exclude[BALANCE_EXCLUDE_MAX]; /* local_id of upstreams */
 	int exclude_count;
 	uint32_t version; /* key of the only one that fits, 0 for any */
+	/* Key of a version that is excluded, 0 for none; or all others are. */
+	uint32_t avoid_version;
+	bool avoid_others;
+	uint32_t barred_version;     /* is excluded in any case, 0 for none */
 	balance_trust_t least_trust; /* of those of that version */
 	bool no_brittle;	     /* was refused by a brittle upstream */
 	bool over_share;	     /* its customer uses more than its share */
@@ -415,6 +419,13 @@
 void balance_mark_warm(balance_t *b, uint64_t affinity,
 		       const balance_upstream_t *u, mstime_t now);
 
+/*
+ * balance_is_warm - whether an upstream is one of those that last answered a
+ * request with a prompt.
+ */
+bool balance_is_warm(const balance_t *b, uint64_t affinity,
+		     const balance_upstream_t *u);
+
 /*
  * balance_end_request - records the end of a request; frees an upstream that
  * was removed and has no other.
--- a/include/kcf/datagram.h
+++ b/include/kcf/datagram.h
@@ -99,4 +99,26 @@
 			   peer_doubts_t *m);
 void datagram_free_doubts(peer_doubts_t *m);
 
+/*
+ * datagram_encode_evidence, datagram_decode_evidence, datagram_free_evidence -
+ * the same for PEER_ROLLOUT_EVIDENCE.
+ */
+int datagram_encode_evidence(const unsigned char *key,
+			     const peer_rollout_evidence_t *m,
+			     unsigned char *out, size_t *len);
+int datagram_decode_evidence(const unsigned char *key, str_t data,
+			     mstime_t wall, peer_rollout_evidence_t *m);
+void datagram_free_evidence(peer_rollout_evidence_t *m);
+
+/*
+ * datagram_encode_rollout, datagram_decode_rollout, datagram_free_rollout - the
+ * same for PEER_ROLLOUT_STATE.
+ */
+int datagram_encode_rollout(const unsigned char *key,
+			    const peer_rollout_state_t *m, unsigned char *out,
+			    size_t *len);
+int datagram_decode_rollout(const unsigned char *key, str_t data, mstime_t wall,
+			    peer_rollout_state_t *m);
+void datagram_free_rollout(peer_rollout_state_t *m);
+
 #endif
--- a/include/kcf/feed.h
+++ b/include/kcf/feed.h
@@ -32,6 +32,7 @@
 	FEED_EBAD = -2,	    /* malformed response */
 	FEED_EEXPIRED = -3, /* the requested history no longer exists */
 	FEED_EREFUSED = -4, /* the record was rejected */
+	FEED_EMOVED = -5,   /* another record was written before */
 } feed_err_t;
 
 /* Parallel to feed_err_t, indexed by the negated error. */
@@ -59,7 +60,10 @@
 	uint64_t epoch;	      /* of the log, 0 if unstated */
 } feed_batch_t;
 
-/* Receives a result; unless err is FEED_OK, batch only has the epoch. */
+/*
+ * Receives a result; unless err is FEED_OK, batch only has the epoch, and
+ * next_offset with FEED_EMOVED.
+ */
 typedef void (*feed_fn)(void *arg, int err, const feed_batch_t *batch);
 
 typedef struct feed_client feed_client_t;
@@ -79,6 +83,10 @@
 	http_call_t *(*put)(feed_client_t *c, feed_t feed, str_t key,
 			    str_t data, mstime_t deadline, feed_fn fn,
 			    void *arg);
+	/* The same, only if the feed still ends at an offset. */
+	http_call_t *(*put_at)(feed_client_t *c, feed_t feed, str_t key,
+			       str_t data, uint64_t end, mstime_t deadline,
+			       feed_fn fn, void *arg);
 } feed_client_ops_t;
 
 struct feed_client {
--- a/include/kcf/gateway.h
+++ b/include/kcf/gateway.h
@@ -11,6 +11,7 @@
 
 #include <kcf/placement.h>
 #include <kcf/retry_budget.h>
+#include <kcf/rollout.h>
 #include <kcf/settings.h>
 #include <kcf/protocol.h>
 
@@ -34,6 +35,7 @@
 	mstime_t stop_limit_ms;	 /* from SIGTERM to the latest exit */
 	mstime_t directory_ttl_max_ms;
 	retry_budget_conf_t retries;
+	rollout_bounds_t rollouts; /* no roll-outs if share is 0 */
 	placement_t placement;
 	int log_level;
 	int64_t max_body;   /* bytes */
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -17,6 +17,9 @@
 	void (*origins)(void *ctx, const peer_origins_t *m, const char *from);
 	/* The same. */
 	void (*doubts)(void *ctx, const peer_doubts_t *m);
+	/* The same. */
+	void (*evidence)(void *ctx, const peer_rollout_evidence_t *m);
+	void (*rollout)(void *ctx, const peer_rollout_state_t *m);
 } peer_socket_ops_t;
 
 /*
@@ -78,4 +81,13 @@
 void peer_socket_send_doubts(const peer_sender_t *s, const char *to,
 			     const peer_doubts_t *m);
 
+/*
+ * peer_socket_send_evidence, peer_socket_send_rollout - send what concerns a
+ * roll-out, also when the budget is exhausted.
+ */
+void peer_socket_send_evidence(const peer_sender_t *s, const char *to,
+			       const peer_rollout_evidence_t *m);
+void peer_socket_send_rollout(const peer_sender_t *s, const char *to,
+			      const peer_rollout_state_t *m);
+
 #endif
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -13,6 +13,7 @@
 #include <kcf/http_server.h>
 #include <jansson.h>
 #include <kcf/quarantine.h>
+#include <kcf/rollout.h>
 #include <kcf/route_table.h>
 
 /* A request as its caller sent it; the views are valid as long as it is. */
@@ -69,14 +70,36 @@
 	CHANGE_INVALID, /* a malformed record */
 	CHANGE_ROUTE_TABLE,
 	CHANGE_DATA_CENTRE,
+	CHANGE_ROLLOUT,
 } operator_change_kind_t;
 
+#define ROLLOUT_NAME_MAX 64
+
+/* An operator's order to move a service to a software version. */
+typedef struct rollout_order {
+	char service[ROLLOUT_NAME_MAX];
+	char to[ROLLOUT_NAME_MAX]; /* empty: the order is withdrawn */
+	mstime_t duration_ms;
+} rollout_order_t;
+
+/* The status of a roll-out in the platform's log. */
+typedef struct rollout_status {
+	char service[ROLLOUT_NAME_MAX];
+	char to[ROLLOUT_NAME_MAX];
+	rollout_phase_t phase; /* ROLLOUT_OBSERVE for all that is in progress */
+	uint64_t order;	       /* offset of the order that it is of */
+	mstime_t began_at;     /* wall time of the order, or of its reading */
+	uint32_t requests;     /* that the new version may have had */
+	const char *reason;    /* not read */
+} rollout_status_t;
+
 typedef struct operator_change {
 	operator_change_kind_t kind;
 	route_table_t *table; /* new reference, CHANGE_ROUTE_TABLE */
 	char data_centre[64]; /* CHANGE_DATA_CENTRE */
 	bool drained;
-	const char *error; /* CHANGE_INVALID */
+	rollout_order_t rollout; /* CHANGE_ROLLOUT */
+	const char *error;	 /* CHANGE_INVALID */
 } operator_change_t;
 
 /* Functions that encode and decode the formats of one platform. */
@@ -127,6 +150,15 @@
 	/* Body of a directory response; released with g_free. */
 	char *(*format_directory)(const GPtrArray *addresses,
 				  mstime_t valid_ms);
+	/* Key of a roll-out's status in FEED_NODES; released with g_free. */
+	char *(*rollout_status_key)(const char *service);
+	/* First key of all of them, or before it. */
+	const char *rollout_status_after;
+	/* Text of the status; released with g_free. */
+	char *(*format_rollout_status)(const rollout_status_t *status);
+	/* False for a record of another kind. */
+	bool (*parse_rollout_status)(const feed_record_t *r,
+				     rollout_status_t *out);
 	/* Value of Retry-After; out has at least 32 bytes. */
 	void (*format_retry_after)(mstime_t ms, char *out);
 } protocol_ops_t;
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -96,6 +96,12 @@
 	[COUNTER_RELAYS_SERVED] = "kcf_relays_total{side=\"served\"}",
 	[COUNTER_RELAYS_UNABLE] = "kcf_relays_total{side=\"unable\"}",
 	[COUNTER_CUTS] = "kcf_cuts_total",
+	[COUNTER_ROLLOUT_STEPS] = "kcf_rollout_steps_total",
+	[COUNTER_ROLLOUT_BAD_ANSWERS] = "kcf_rollout_bad_answers_total",
+	[COUNTER_ROLLOUT_LEASES_LOST] = "kcf_rollout_leases_lost_total",
+	[COUNTER_ROLLOUTS_COMPLETED] =
+		"kcf_rollouts_total{state=\"completed\"}",
+	[COUNTER_ROLLOUTS_REVERTED] = "kcf_rollouts_total{state=\"reverted\"}",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
@@ -105,6 +111,7 @@
 	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
 	[GAUGE_QUARANTINE_HOLDS] = "kcf_quarantine_holds",
 	[GAUGE_REACH_STATE] = "kcf_reach_state",
+	[GAUGE_ROLLOUT_SHARE] = "kcf_rollout_share_ppm",
 };
 
 void counter_add(counter_t c, int64_t n)
--- a/packages/decide/balance_candidates.c
+++ b/packages/decide/balance_candidates.c
@@ -35,13 +35,25 @@
 	return false;
 }
 
+/* Whether a request is kept off the version of an upstream. */
+static bool is_avoided_(const balance_request_t *request,
+			const balance_upstream_t *u)
+{
+	if (request->barred_version &&
+	    u->version_key == request->barred_version)
+		return true;
+	return request->avoid_version &&
+	       (u->version_key == request->avoid_version) !=
+		       request->avoid_others;
+}
+
 static bool is_available_(const balance_t *b, const balance_upstream_t *u,
 			  const balance_request_t *request, mstime_t now)
 {
 	return !u->leaving && now >= u->ejected_until &&
 	       !strcmp(u->service, request->service) &&
 	       !g_hash_table_contains(b->drained, u->data_centre) &&
-	       !is_excluded_(request, u);
+	       !is_avoided_(request, u) && !is_excluded_(request, u);
 }
 
 balance_trust_t balance_best_trust(const balance_t *b,
@@ -105,6 +117,7 @@
 		const balance_upstream_t *u = c->list[i];
 
 		c->mean_load += c->loads[i];
+		c->listed_load += c->loads[i];
 		c->mean_failure_rate += u->failure_rate;
 		if (u->latency_ms > 0) {
 			c->mean_latency_ms += u->latency_ms;
@@ -112,6 +125,7 @@
 		}
 	}
 	if (c->count) {
+		c->listed_load /= c->count;
 		c->mean_load /= total;
 		c->mean_failure_rate /= c->count;
 	}
@@ -130,7 +144,8 @@
 	int total = 0;
 
 	*c = (candidates_t){ .list = g_new(balance_upstream_t *, size + 1),
-			     .loads = g_new(int, size + 1) };
+			     .loads = g_new(int, size + 1),
+			     .restricted = request->avoid_version != 0 };
 	g_hash_table_iter_init(&iter, b->by_id);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const balance_upstream_t *u = value;
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -21,6 +21,13 @@
 #define SPILL_MIN_SLACK 2.0
 #define SPILL_MAX_FACTOR 1.6
 #define SPILL_MAX_SLACK 2.5
+/*
+ * While one version gets few requests, the mean load of all upstreams may be
+ * half of that of the others, and their load limit is no more than the load
+ * limit's slack above their own mean. They are kept within this of it.
+ */
+#define RESTRICTED_MIN_SLACK 0.5
+#define RESTRICTED_MAX_SLACK 2.0
 /* Outstanding requests per slot at which another one would wait too long. */
 #define FULL_PER_SLOT 3
 /* The same for a customer above its share; the rest is for other customers. */
@@ -133,6 +140,11 @@
 	uint64_t hash = str_hash64(
 		(str_t){ (const char *)&affinity, sizeof(affinity) }, u->hash);
 
+	/* The mean of all is far below the load of the few that are left. */
+	if (c->restricted) {
+		lowest = MAX(lowest, c->listed_load + RESTRICTED_MIN_SLACK);
+		highest = MAX(highest, c->listed_load + RESTRICTED_MAX_SLACK);
+	}
 	return lowest +
 	       (highest - lowest) * (double)(hash >> 11) * HASH_TO_FRACTION;
 }
@@ -496,7 +508,7 @@
 		 * a request that could not go to all.
 		 */
 		if (request->affinity && !request->version &&
-		    pick.reason == BALANCE_FIRST)
+		    !request->avoid_version && pick.reason == BALANCE_FIRST)
 			balance_set_preferred(b, request->affinity,
 					      pick.upstream->local_id, now);
 		if (balance_is_cold(b, pick.upstream, now))
--- a/packages/decide/balance_prompts.c
+++ b/packages/decide/balance_prompts.c
@@ -95,3 +95,17 @@
 	entry->warm_ids[0] = u->local_id;
 	entry->used_at = now;
 }
+
+bool balance_is_warm(const balance_t *b, uint64_t affinity,
+		     const balance_upstream_t *u)
+{
+	const balance_affinity_t *entry;
+
+	assert(b && u);
+	entry = g_hash_table_lookup(b->affinities, &affinity);
+	for (int i = 0; entry && i < BALANCE_WARM_MAX; i++) {
+		if (entry->warm_ids[i] == u->local_id)
+			return true;
+	}
+	return false;
+}
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -11,7 +11,9 @@
 	balance_upstream_t **list;
 	int *loads; /* estimated outstanding requests, parallel to list */
 	guint count;
-	double mean_load; /* of all upstreams of the service, listed or not */
+	double mean_load;   /* of all upstreams of the service, listed or not */
+	double listed_load; /* mean of those listed */
+	bool restricted;    /* those of some version are not listed */
 	int own_outstanding;	  /* requests of this node at those listed */
 	double mean_failure_rate; /* of those listed */
 	double mean_latency_ms;	  /* of those listed that have one */
--- a/packages/gateway/admin.c
+++ b/packages/gateway/admin.c
@@ -131,6 +131,9 @@
 			quarantine_report_json(&g->quarantine, clock_now()));
 	else if (str_eq(path, str_of("/v1/versions")))
 		reply_versions_(g, req);
+	else if (str_eq(path, str_of("/v1/rollouts")))
+		gateway_reply_json_tree(
+			req, rollouts_json(&g->rollouts, clock_now()));
 	else if (str_eq(path, str_of("/metrics")))
 		reply_metrics_(g, req);
 	else if (str_eq(path, str_of("/healthz")))
--- a/packages/gateway/conf.c
+++ b/packages/gateway/conf.c
@@ -69,6 +69,13 @@
 	{ 0 },
 };
 
+static const schema_field_t rollout_fields[] = {
+	{ "share", SCHEMA_REAL, .min = 0, .max = 1 },
+	{ "tolerance", SCHEMA_INT, .min = 0, .max = 1000000 },
+	{ "rollback_ms", SCHEMA_INT, .min = 100, .max = 600000 },
+	{ 0 },
+};
+
 static const schema_field_t placement_fields[] = {
 	{ "choice", SCHEMA_CHOICE, .choices = placement_string },
 	{ 0 },
@@ -87,6 +94,7 @@
 	{ "directory", SCHEMA_OBJECT, .sub = directory_fields },
 	{ "bounds", SCHEMA_OBJECT, .sub = bound_fields },
 	{ "retries", SCHEMA_OBJECT, .required = true, .sub = retry_fields },
+	{ "rollouts", SCHEMA_OBJECT, .sub = rollout_fields },
 	{ "placement", SCHEMA_OBJECT, .sub = placement_fields },
 	{ "log", SCHEMA_OBJECT, .sub = log_fields },
 	{ 0 },
@@ -152,6 +160,19 @@
 	c->peers = string_(listen, "peers");
 }
 
+/* Roll-outs are off where one of the limits is missing. */
+static void read_rollouts_(gateway_conf_t *c, const json_t *rollouts)
+{
+	double tolerance = real_(rollouts, "tolerance", -1);
+	double rollback_ms = real_(rollouts, "rollback_ms", 0);
+
+	if (tolerance < 0 || rollback_ms <= 0)
+		return;
+	c->rollouts.share = real_(rollouts, "share", 0);
+	c->rollouts.tolerance = (int)tolerance;
+	c->rollouts.rollback_ms = (mstime_t)rollback_ms;
+}
+
 static void read_settings_(gateway_conf_t *c, json_t *root)
 {
 	const json_t *node = json_object_get(root, "node");
@@ -180,6 +201,7 @@
 	c->retries.ratio = real_(retries, "ratio", 0);
 	c->retries.burst = real_(retries, "burst", 0);
 	c->retries.window_ms = duration_ms_(retries, "window_s", MSEC_PER_SEC);
+	read_rollouts_(c, json_object_get(root, "rollouts"));
 	c->placement = placement_parse(string_(placement, "choice"));
 	c->max_body = MAX_BODY_DEFAULT_BYTES;
 	c->max_header = MAX_HEADER_DEFAULT_BYTES;
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -35,6 +35,7 @@
 	"malformed response",
 	"history expired",
 	"record rejected",
+	"another record came first",
 };
 
 static void entry_free_(gpointer p)
@@ -129,6 +130,10 @@
 		balance_set_drained(&g->balance, change.data_centre,
 				    change.drained, now);
 		break;
+	case CHANGE_ROLLOUT:
+		rollouts_apply_order(&g->rollouts, &change.rollout, r->offset,
+				     s->loaded ? s->current_as_of : 0, now);
+		break;
 	}
 	return true;
 }
@@ -337,6 +342,8 @@
 			stream_log_apply(s->gateway, r->data, now);
 		return true;
 	case FEED_NODES:
+		rollouts_apply_status(&s->gateway->rollouts, r, now);
+		return true;
 	default:
 		return true;
 	}
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -207,6 +207,7 @@
 
 	if (!f->selected)
 		return;
+	rollout_note_end(f, outcome, now);
 	balance_end_request(f->selected, outcome, latency, now);
 	shares_add_outstanding(&f->gateway->shares, f->service,
 			       share_customer_(f), -1, now);
@@ -260,8 +261,8 @@
 }
 
 /* A stream goes on where the start is proven, or else where it can be. */
-static balance_pick_t choose_(forward_t *f, balance_request_t *request,
-			      mstime_t now)
+static balance_pick_t choose_trusted_(forward_t *f, balance_request_t *request,
+				      mstime_t now)
 {
 	balance_t *b = &f->gateway->balance;
 	balance_pick_t pick;
@@ -275,6 +276,20 @@
 	return balance_choose(b, request, now);
 }
 
+static balance_pick_t choose_(forward_t *f, balance_request_t *request,
+			      mstime_t now)
+{
+	rollouts_way_t way = rollout_direct(f, request, now);
+	balance_pick_t pick = { .reason = BALANCE_NO_UPSTREAM,
+				.retry_ms = RETRY_AFTER_FAILURE_MS };
+
+	if (way != ROLLOUTS_BARRED)
+		pick = choose_trusted_(f, request, now);
+	if (!pick.upstream && rollout_relax(f, request, way))
+		pick = choose_trusted_(f, request, now);
+	return pick;
+}
+
 /* Chooses an upstream and sends the request; false if none is eligible. */
 static bool start_attempt_(forward_t *f)
 {
@@ -291,6 +306,7 @@
 	if (!f->pick.upstream)
 		return false;
 	f->selected = f->pick.upstream;
+	rollout_note_sent(f, now);
 	g_strlcpy(f->copy_source,
 		  f->pick.copy_source ? f->pick.copy_source->address : "",
 		  sizeof(f->copy_source));
@@ -430,12 +446,16 @@
 {
 	balance_upstream_t *previous = f->selected;
 	http_call_t *call = f->call;
+	forward_rollout_t rollout = f->rollout;
 	mstime_t now = clock_now();
 	bool moved;
 
 	assert(previous && call);
 	if (!resumes_may_move(f) || !may_retry_(f, why))
 		return false;
+	f->rollout.fault = why;
+	rollout_note_end(f, BALANCE_FAILED, now);
+	rollout.judged = f->rollout.judged;
 	f->selected = NULL;
 	f->call = NULL;
 	/* No question: the current attempt would be lost with the answer. */
@@ -445,6 +465,7 @@
 	if (!moved) {
 		f->selected = previous;
 		f->call = call;
+		f->rollout = rollout;
 		return false;
 	}
 	http_call_cancel(call);
@@ -516,6 +537,7 @@
 		forward_record_silence(f);
 	forward_log_fault(f, f->selected->id, why);
 	f->suspect = crashes_record(f, why) || f->suspect;
+	f->rollout.fault = why;
 	if (why == FAULT_SHED && f->selected->brittle.active)
 		f->met_brittle = true;
 	if (why == FAULT_CONNECT)
@@ -784,6 +806,7 @@
 	g_hash_table_iter_init(&iter, g->forwards);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		forward_resume_read(key);
+		rollout_check_wait(key, now);
 		forward_check_progress(key, now);
 	}
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -389,6 +389,8 @@
 	crashes_init(g);
 	versions_init(&g->versions, g->started_at);
 	resumes_init(g);
+	rollouts_init(&g->rollouts, &gateway_rollouts_ops, g,
+		      &g->conf->rollouts);
 	relays_init(g);
 	stream_log_init(g);
 	http_client_init(&g->upstreams, g->loop);
@@ -414,6 +416,7 @@
 static void finish_(gateway_t *g)
 {
 	feed_sync_finish(g);
+	rollouts_finish(&g->rollouts);
 	http_client_finish(&g->upstreams);
 	http_client_finish(&g->store);
 	feeds_finish(g);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -10,6 +10,8 @@
 
 /* For membership and gossip: the limit on control traffic. */
 #define CONTROL_BYTES_PER_S 4096
+/* Apart from that: the deciding node of 300 sends a state to each. */
+#define ROLLOUT_BYTES_PER_S 262144
 /*
  * A recently started node with fewer serving nodes returns an empty directory:
  * callers then query another node or keep their cached response.
@@ -61,12 +63,14 @@
 	g->socket_io.data = g;
 	ev_io_start(g->loop, &g->socket_io);
 	g->control_budget.rate = CONTROL_BYTES_PER_S;
+	g->rollouts_budget.rate = ROLLOUT_BYTES_PER_S;
 	g->start_serving = g_ptr_array_new_with_free_func(g_free);
 	g->ranking = g_array_new(FALSE, FALSE, sizeof(fleet_roles_node_t));
 	g->own_rank = -1;
 	sharing_init(&g->sharing, c->stop_limit_ms, g->started_at);
 	members_init(&g->members, &self, (guint32)g->incarnation, &member_ops,
 		     g, clock_now());
+	rollouts_set_self(&g->rollouts, g->members.self->key, g->incarnation);
 	for (guint i = 0; i < c->seeds->len; i++) {
 		members_add_seed(&g->members, c->seeds->pdata[i]);
 		g->is_seed =
@@ -227,8 +231,23 @@
 	resumes_receive_doubts(ctx, m);
 }
 
-static const peer_socket_ops_t socket_ops = { on_message_, on_crashes_,
-					      on_origins_, on_doubts_ };
+static void on_evidence_(void *ctx, const peer_rollout_evidence_t *m)
+{
+	gateway_t *g = ctx;
+
+	rollouts_receive_evidence(&g->rollouts, m, clock_now());
+}
+
+static void on_rollout_(void *ctx, const peer_rollout_state_t *m)
+{
+	gateway_t *g = ctx;
+
+	rollouts_receive_state(&g->rollouts, m, clock_now());
+}
+
+static const peer_socket_ops_t socket_ops = { on_message_,  on_crashes_,
+					      on_origins_,  on_doubts_,
+					      on_evidence_, on_rollout_ };
 
 static void on_readable_(struct ev_loop *loop, ev_io *w, int revents)
 {
@@ -340,6 +359,7 @@
 	resumes_tick(g, now);
 	version_record_tick(g, now);
 	stream_log_tick(g, now);
+	rollouts_tick(&g->rollouts, now);
 	counter_set(GAUGE_MEMBERS_LIVE, g->ranking->len);
 	counter_set(GAUGE_SHARING_NODES, gateway_peers_sharing_count(g));
 	counter_set(
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -87,6 +87,17 @@
 	int tried_count;
 } relay_way_t;
 
+/* The current attempt as a roll-out counts it, see rollout_ops.c. */
+typedef struct forward_rollout {
+	bool counted; /* its service has a roll-out */
+	bool judged;  /* its answer is counted */
+	rollout_side_t side;
+	uint32_t upstream; /* key */
+	bool cold;
+	bool may_miss; /* the upstream may lack the prompt */
+	fault_t fault; /* why it failed, or FAULT_COUNT */
+} forward_rollout_t;
+
 typedef struct forward {
 	gateway_t *gateway;
 	http_request_t *req;
@@ -151,6 +162,7 @@
 	balance_upstream_t
 		*selected; /* counts the request as outstanding, or NULL */
 	http_call_t *call;
+	forward_rollout_t rollout;
 	mstime_t sent_at;
 	mstime_t first_at; /* first byte of the response, 0 before */
 	upstream_response_t response;
@@ -421,6 +433,36 @@
  */
 bool starts_may_ask(const forward_t *f);
 
+/* rollout_ops.c */
+
+/*
+ * rollout_direct - restricts what the balancer is asked to a version.
+ */
+rollouts_way_t rollout_direct(forward_t *f, balance_request_t *request,
+			      mstime_t now);
+
+/*
+ * rollout_relax - lifts the restriction if no upstream was found, where that is
+ * allowed.
+ */
+bool rollout_relax(forward_t *f, balance_request_t *request,
+		   rollouts_way_t way);
+
+/*
+ * rollout_note_sent - the request is sent to the selected upstream.
+ */
+void rollout_note_sent(forward_t *f, mstime_t now);
+
+/*
+ * rollout_note_end - the current attempt is over.
+ */
+void rollout_note_end(forward_t *f, balance_outcome_t outcome, mstime_t now);
+
+/*
+ * rollout_check_wait - counts an answer that has taken too long already.
+ */
+void rollout_check_wait(forward_t *f, mstime_t now);
+
 /* send.c */
 
 /* Time for which a connection to an upstream may be idle and is used again. */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -13,6 +13,7 @@
  * version_record.c  versions of each service in the platform's log
  * stream_log.c  versions that began streams in the platform's log
  * forward.c    one request: routing, retries, final response
+ * rollouts.c   roll-outs of new versions, rollout_ops.c what they need
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
  * relays.c      requests that pass through one other node, at both of them
@@ -33,6 +34,8 @@
 #include <kcf/shares.h>
 #include <kcf/sharing.h>
 
+#include "rollouts.h"
+
 /* Callers use at most this many addresses of a directory response. */
 #define GATEWAY_DIRECTORY_MAX 64
 #define GATEWAY_DISCOVERY_MS SHARING_DISCOVERY_MS
@@ -192,6 +195,8 @@
 	versions_t versions;
 	origins_t origins;
 	byte_budget_t origins_budget;
+	rollouts_t rollouts;
+	byte_budget_t rollouts_budget;
 	/* the record of versions in the platform's log */
 	bool record_wanted;  /* a request waits for it */
 	bool record_writing; /* record_change is being written */
@@ -476,6 +481,9 @@
 bool stream_log_read(gateway_t *g, mstime_t now);
 void stream_log_end_read(gateway_t *g, mstime_t now);
 
+/* rollout_ops.c */
+extern const rollouts_ops_t gateway_rollouts_ops;
+
 /* admin.c */
 extern const http_server_ops_t admin_server_ops;
 extern const http_server_ops_t metrics_server_ops;
--- a/packages/wire/datagram.c
+++ b/packages/wire/datagram.c
@@ -93,6 +93,24 @@
 		       out, len);
 }
 
+int datagram_encode_evidence(const unsigned char *key,
+			     const peer_rollout_evidence_t *m,
+			     unsigned char *out, size_t *len)
+{
+	assert(key && m && out && len);
+	return encode_(key, PEER_ROLLOUT_EVIDENCE, 0,
+		       (xdrproc_t)xdr_peer_rollout_evidence_t, m, out, len);
+}
+
+int datagram_encode_rollout(const unsigned char *key,
+			    const peer_rollout_state_t *m, unsigned char *out,
+			    size_t *len)
+{
+	assert(key && m && out && len);
+	return encode_(key, PEER_ROLLOUT_STATE, 0,
+		       (xdrproc_t)xdr_peer_rollout_state_t, m, out, len);
+}
+
 static bool decode_header_(XDR *xdrs, unsigned int *proc)
 {
 	char cred[MAX_AUTH_BYTES];
@@ -263,6 +281,48 @@
 	memset(m, 0, sizeof(*m));
 }
 
+int datagram_decode_evidence(const unsigned char *key, str_t data,
+			     mstime_t wall, peer_rollout_evidence_t *m)
+{
+	peer_rollout_evidence_t evidence = { 0 };
+	int err;
+
+	assert(key && m);
+	err = decode_call_(key, data, wall, PEER_ROLLOUT_EVIDENCE,
+			   (xdrproc_t)xdr_peer_rollout_evidence_t, &evidence,
+			   &evidence.sent);
+	if (!err)
+		*m = evidence;
+	return err;
+}
+
+void datagram_free_evidence(peer_rollout_evidence_t *m)
+{
+	xdr_free((xdrproc_t)xdr_peer_rollout_evidence_t, m);
+	memset(m, 0, sizeof(*m));
+}
+
+int datagram_decode_rollout(const unsigned char *key, str_t data, mstime_t wall,
+			    peer_rollout_state_t *m)
+{
+	peer_rollout_state_t state = { 0 };
+	int err;
+
+	assert(key && m);
+	err = decode_call_(key, data, wall, PEER_ROLLOUT_STATE,
+			   (xdrproc_t)xdr_peer_rollout_state_t, &state,
+			   &state.sent);
+	if (!err)
+		*m = state;
+	return err;
+}
+
+void datagram_free_rollout(peer_rollout_state_t *m)
+{
+	xdr_free((xdrproc_t)xdr_peer_rollout_state_t, m);
+	memset(m, 0, sizeof(*m));
+}
+
 static void compute_mac_(const unsigned char *key, const unsigned char *data,
 			 size_t len, unsigned char *mac)
 {
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -13,6 +13,7 @@
 const PEER_ANSWERED_MAX = 16;
 const PEER_ORIGINS_MAX = 32;
 const PEER_DOUBTS_MAX = 16;
+const PEER_ROLLOUT_ROUTES_MAX = 16;
 
 /* Membership record of one node. */
 struct peer_update_t {
@@ -120,6 +121,60 @@
 	peer_doubt_t list<PEER_DOUBTS_MAX>;
 };
 
+/* Answers of one version on one route since the order. */
+struct peer_rollout_counts_t {
+	unsigned int answered;
+	unsigned int failed;
+	unsigned int timed;
+	unsigned int slow;
+	unsigned int upstreams;
+	unsigned int first_ms;
+	unsigned int whole_ms;
+};
+
+struct peer_rollout_route_t {
+	unsigned int route;
+	peer_rollout_counts_t sides[2];
+};
+
+/* What one node has seen of a roll-out. All counts but the open ones grow. */
+struct peer_rollout_evidence_t {
+	unsigned hyper sent;
+	unsigned hyper order;
+	unsigned hyper offset;
+	unsigned int node;
+	unsigned hyper incarnation;
+	unsigned int age_ms;
+	unsigned int seq;
+	bool wants_state;
+	unsigned int requests[2];
+	unsigned int open_once;
+	unsigned int open_streams;
+	peer_rollout_route_t routes<PEER_ROLLOUT_ROUTES_MAX>;
+};
+
+/* Mean times of the old version on a route. */
+struct peer_rollout_pace_t {
+	unsigned int route;
+	unsigned int first_ms;
+	unsigned int whole_ms;
+};
+
+/* The state of a roll-out, from its deciding node or one that knows more. */
+struct peer_rollout_state_t {
+	unsigned hyper sent;
+	unsigned hyper order;
+	unsigned hyper offset;
+	unsigned int node;
+	unsigned int seq;
+	unsigned int phase;
+	bool recorded;
+	unsigned int share_ppm;
+	unsigned int age_ms;
+	unsigned int requests[2];
+	peer_rollout_pace_t paces<PEER_ROLLOUT_ROUTES_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		void PEER_PING(peer_message_t) = 1;
@@ -131,5 +186,7 @@
 		void PEER_CRASHES(peer_crash_report_t) = 7;
 		void PEER_ORIGINS(peer_origins_t) = 8;
 		void PEER_DOUBTS(peer_doubts_t) = 9;
+		void PEER_ROLLOUT_EVIDENCE(peer_rollout_evidence_t) = 10;
+		void PEER_ROLLOUT_STATE(peer_rollout_state_t) = 11;
 	} = 1;
 } = 0x20004b43;
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -98,6 +98,38 @@
 	datagram_free_doubts(&m);
 }
 
+static void handle_evidence_(const unsigned char *key, str_t data,
+			     const char *from, const peer_socket_ops_t *ops,
+			     void *ctx)
+{
+	peer_rollout_evidence_t m = { 0 };
+	int err = datagram_decode_evidence(key, data, clock_wall(), &m);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	if (ops->evidence)
+		ops->evidence(ctx, &m);
+	datagram_free_evidence(&m);
+}
+
+static void handle_rollout_(const unsigned char *key, str_t data,
+			    const char *from, const peer_socket_ops_t *ops,
+			    void *ctx)
+{
+	peer_rollout_state_t m = { 0 };
+	int err = datagram_decode_rollout(key, data, clock_wall(), &m);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	if (ops->rollout)
+		ops->rollout(ctx, &m);
+	datagram_free_rollout(&m);
+}
+
 void peer_socket_receive(int fd, const unsigned char *key,
 			 const peer_socket_ops_t *ops, void *ctx)
 {
@@ -124,6 +156,12 @@
 		case PEER_DOUBTS:
 			handle_doubts_(key, view, from, ops, ctx);
 			break;
+		case PEER_ROLLOUT_EVIDENCE:
+			handle_evidence_(key, view, from, ops, ctx);
+			break;
+		case PEER_ROLLOUT_STATE:
+			handle_rollout_(key, view, from, ops, ctx);
+			break;
 		default:
 			handle_message_(key, view, from, ops, ctx);
 			break;
@@ -223,3 +261,31 @@
 	    !send_datagram_(s, &sa, data, len, true))
 		counter_add(COUNTER_CONTROL_DROPPED, 1);
 }
+
+void peer_socket_send_evidence(const peer_sender_t *s, const char *to,
+			       const peer_rollout_evidence_t *m)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && m);
+	if (!address_parse(to, &sa) ||
+	    datagram_encode_evidence(s->key, m, data, &len) ||
+	    !send_datagram_(s, &sa, data, len, true))
+		counter_add(COUNTER_CONTROL_DROPPED, 1);
+}
+
+void peer_socket_send_rollout(const peer_sender_t *s, const char *to,
+			      const peer_rollout_state_t *m)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && m);
+	if (!address_parse(to, &sa) ||
+	    datagram_encode_rollout(s->key, m, data, &len) ||
+	    !send_datagram_(s, &sa, data, len, true))
+		counter_add(COUNTER_CONTROL_DROPPED, 1);
+}
