--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -88,8 +88,8 @@
 ratio = %g
 burst = %d
 window_s = 10
-]], g.name, g.dc, f.stop_s, g.callers, g.readiness, g.directory, g.admin, g.peers, g.peer_key or PEER_KEY, table.concat(seeds, ", "),
-		g.store or f.store.address, f.retry_ratio, f.retry_burst)
+%s]], g.name, g.dc, f.stop_s, g.callers, g.readiness, g.directory, g.admin, g.peers, g.peer_key or PEER_KEY, table.concat(seeds, ", "),
+		g.store or f.store.address, f.retry_ratio, f.retry_burst, f.more_settings or "")
 end
 
 function start_gateway(f, g)
@@ -117,7 +117,7 @@
 function start_site(o)
 	o = o or {}
 	local f = { runners = {}, gateways = {}, dir = work_dir, stop_s = o.stop_s or 8,
-		    retry_ratio = o.retry_ratio or 0.2, retry_burst = o.retry_burst or 54 }
+		    retry_ratio = o.retry_ratio or 0.2, retry_burst = o.retry_burst or 54, more_settings = o.more_settings }
 	f.store = { name = "store", address = address(9, 2, 9300) }
 	f.store.argv = { bin .. "/kcf-standin", "--mode", "store", "--listen", f.store.address }
 	f.store.pid = spawn(f.store.argv, f.dir .. "/store.log")
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -22,6 +22,11 @@
  * so many bytes of the request's body are in: a part of an answer without a
  * length, which ends at once ("end") or with a reset ("reset").
  *
+ * Mode "bad KIND PERCENT AFTER_MS LOAD PREFIX" is a bad version: from AFTER_MS
+ * after the fault on, and while at least LOAD requests run, so many of a hundred
+ * requests whose target begins with PREFIX fail (KIND "fail") or take eight
+ * times as long ("slow").
+ *
  * With --born it names its start in GET /api/report, else it refuses that.
  *
  * With --waits it has room for as many requests as it has slots, and for so
@@ -64,6 +69,7 @@
 #define BRITTLE_LEAD_MS 3000
 #define BRITTLE_WINDOW_MS 1000
 #define FALLEN_MS 3000
+#define SLOW_FACTOR 8
 
 typedef enum cut {
 	CUT_NONE,
@@ -126,6 +132,7 @@
 	int connections;
 	char mode[MODE_MAX];
 	int count;
+	mstime_t mode_at; /* when the mode was set */
 	char health[MODE_MAX]; /* "copied" or "down", until the next one */
 	int copies_at_checks;  /* that came before a health answer */
 	GHashTable *cuts;      /* source address to cut_t */
@@ -393,6 +400,7 @@
 		g_strlcpy(state.mode, mode ? mode : "", sizeof(state.mode));
 		state.count =
 			(int)json_integer_value(json_object_get(f, "count"));
+		state.mode_at = clock_now();
 	}
 	g_mutex_unlock(&state.lock);
 	json_decref(f);
@@ -1133,6 +1141,29 @@
 	return !report_ends || n % report_ends;
 }
 
+/* What mode "bad" comes to for a request; other modes stay as they are. */
+static const char *worsen_(const request_t *r, const char *mode)
+{
+	char kind[MODE_MAX];
+	char prefix[MODE_MAX];
+	int percent;
+	int after_ms;
+	int load;
+	bool bad;
+
+	if (sscanf(mode, "bad %s %d %d %d %s", kind, &percent, &after_ms, &load,
+		   prefix) != 5)
+		return mode;
+	g_mutex_lock(&state.lock);
+	bad = clock_now() - state.mode_at >= after_ms &&
+	      state.running >= load && g_str_has_prefix(r->target, prefix) &&
+	      (int)(g_str_hash(r->id) % 100) < percent;
+	g_mutex_unlock(&state.lock);
+	if (!bad)
+		return "";
+	return strcmp(kind, "slow") ? "error" : "slow";
+}
+
 static bool run_(int fd, const request_t *r, const char *mode)
 {
 	room_t room = begin_run_(r);
@@ -1144,6 +1175,9 @@
 		end_run_(!pause_(fd, -1));
 		return false;
 	}
+	mode = worsen_(r, mode);
+	if (!strcmp(mode, "slow"))
+		pause_(fd, delay_ms * (SLOW_FACTOR - 1));
 	if (!pause_(fd, strcmp(mode, "long") ? delay_ms : LONG_MS)) {
 		end_run_(true);
 		return false;
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -295,6 +295,12 @@
 	guint64 first = t->next;
 
 	s.appends++;
+	if (http_request_query(req, "at").len && number_(req, "at") != first) {
+		reply_json_(req, 412,
+			    json_pack("{s:I}", "end_offset",
+				      (json_int_t)first));
+		return;
+	}
 	while (body.len >= LENGTH_BYTES + 1) {
 		const unsigned char *p = (const unsigned char *)body.data;
 		size_t len = (size_t)p[0] << 24 | (size_t)p[1] << 16 |
