--- a/include/kcf/rollout.h
+++ b/include/kcf/rollout.h
@@ -208,7 +208,7 @@
 typedef struct rollout_view {
 	rollout_tally_t sum;
 	int new_upstreams; /* that serve */
-	int old_upstreams;
+	int old_slots;
 	int new_warm_slots; /* of those that are no longer cold */
 	double cold_per_s;  /* requests that the cold ones take */
 	double demand;	    /* outstanding requests of the service */
--- a/packages/ctl/cmd_resources.c
+++ b/packages/ctl/cmd_resources.c
@@ -307,6 +307,18 @@
 	return show_(c, "/v1/quarantine", cols);
 }
 
+ctl_exit_t cmd_rollouts(ctl_t *c, int argc, char **argv)
+{
+	static const char *const cols[] = { "service",	"to",	  "phase",
+					    "share",	"age_ms", "deciding",
+					    "recorded", "old",	  "new",
+					    "reason",	NULL };
+
+	(void)argc;
+	(void)argv;
+	return show_(c, "/v1/rollouts", cols);
+}
+
 /* Asks one node; false when it does not know the request. */
 static bool explain_at_(ctl_t *c, const char *address, const char *path)
 {
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -29,6 +29,8 @@
 	{ "nodes", cmd_nodes, true, false, "nodes of the fleet" },
 	{ "upstreams", cmd_upstreams, true, false, "loads as one node knows" },
 	{ "holds", cmd_holds, true, false, "prompts that are held back" },
+	{ "rollouts", cmd_rollouts, true, false,
+	  "new versions as one node knows them" },
 	{ "where", cmd_where, false, true, "which address to use" },
 	{ "send", cmd_send, false, true, "send one chat request" },
 	{ "load", cmd_load, false, true, "drive a workload and report" },
--- a/packages/ctl/private/ctl.h
+++ b/packages/ctl/private/ctl.h
@@ -87,6 +87,7 @@
 ctl_exit_t cmd_nodes(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_upstreams(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_holds(ctl_t *c, int argc, char **argv);
+ctl_exit_t cmd_rollouts(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_where(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_send(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_load(ctl_t *c, int argc, char **argv);
--- a/packages/decide/rollout.c
+++ b/packages/decide/rollout.c
@@ -70,6 +70,8 @@
 #define ANSWERED_WAIT_STEPS 3
 /* Room of warm upstreams, in multiples of what is outstanding. */
 #define ROOM_FACTOR 1.2
+/* As much room as the old ones have, but for a few, is enough in any case. */
+#define ROOM_PART 0.9
 /* Steps of the node before that this one may not have heard of. */
 #define SEQ_AHEAD 16
 /* A share that is held is held for this long: each change is told to all. */
@@ -275,8 +277,9 @@
 static bool has_room_(const rollout_t *r, const rollout_view_t *v, double share,
 		      mstime_t now)
 {
-	if (v->new_warm_slots > 0 &&
-	    v->new_warm_slots >= v->demand * share * ROOM_FACTOR)
+	double needed = MIN(v->demand * ROOM_FACTOR, v->old_slots * ROOM_PART);
+
+	if (v->new_warm_slots > 0 && v->new_warm_slots >= needed * share)
 		return true;
 	return v->cold_per_s > 0 &&
 	       v->cold_per_s >=
--- a/packages/gateway/rollout_ops.c
+++ b/packages/gateway/rollout_ops.c
@@ -96,7 +96,7 @@
 		if (u->leaving)
 			continue;
 		if (u->version_key != version) {
-			view->old_upstreams++;
+			view->old_slots += u->slots;
 			continue;
 		}
 		view->new_upstreams++;
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -7,6 +7,8 @@
 
 /* Evidence goes out this often, and at once after a bad answer. */
 #define EVIDENCE_MS 200
+/* Evidence of the old version alone is less urgent. */
+#define EVIDENCE_OLD_MS 400
 /* The deciding node repeats the state this often; more seldom in large fleets,
  * where each state takes one datagram to each node.
  */
@@ -64,6 +66,7 @@
 	mstime_t final_at;
 	rollout_tally_t own;
 	bool own_bad; /* a bad answer was not sent yet */
+	bool own_new; /* anything of the new version was not */
 	mstime_t evidence_at;
 	rollout_evidence_t evidence;
 	rollout_pace_t paces[ROLLOUT_ROUTES_MAX];
@@ -522,6 +525,7 @@
 			ops->send_evidence(e->owner->ctx, peer.address, &m);
 	}
 	e->own_bad = false;
+	e->own_new = false;
 	e->evidence_at = now;
 }
 
@@ -791,6 +795,14 @@
 		  F_INT("heard_ms", now - e->heard_at));
 }
 
+static mstime_t evidence_ms_(const entry_t *e)
+{
+	bool urgent = e->own_new || e->rollout.share >= 1 ||
+		      e->rollout.phase == ROLLOUT_UNKNOWN;
+
+	return urgent ? EVIDENCE_MS : EVIDENCE_OLD_MS;
+}
+
 static void tick_(entry_t *e, mstime_t now)
 {
 	if (e->withdrawn)
@@ -806,7 +818,7 @@
 	if (is_final_(e) && (e->deciding || e->wrote))
 		tell_final_(e, now);
 	if (!e->deciding && !(is_final_(e) && e->recorded) &&
-	    (e->own_bad || now - e->evidence_at >= EVIDENCE_MS))
+	    (e->own_bad || now - e->evidence_at >= evidence_ms_(e)))
 		send_evidence_(e, now);
 	counter_set(GAUGE_ROLLOUT_SHARE,
 		    (int64_t)((e->rollout.held ? 0 : e->rollout.share) *
@@ -898,6 +910,7 @@
 		return false;
 	*side = version == e->version ? ROLLOUT_NEW : ROLLOUT_OLD;
 	rollout_count_request(&e->own, *side);
+	e->own_new = e->own_new || *side == ROLLOUT_NEW;
 	return true;
 }
 
@@ -922,6 +935,7 @@
 		return;
 	slow = rollout_is_slow(pace_(e, a->route), a);
 	rollout_count_answer(&e->own, a, slow);
+	e->own_new = e->own_new || a->side == ROLLOUT_NEW;
 	if (a->side == ROLLOUT_NEW && (a->failed || slow)) {
 		e->own_bad = true;
 		counter_add(COUNTER_ROLLOUT_BAD_ANSWERS, 1);
--- a/tests/model/model_rollout.c
+++ b/tests/model/model_rollout.c
@@ -251,8 +251,8 @@
 	(void)service;
 	(void)version;
 	view->new_upstreams = UPSTREAMS;
-	view->old_upstreams = UPSTREAMS;
-	view->new_warm_slots = INT16_MAX;
+	view->old_slots = 16 * UPSTREAMS;
+	view->new_warm_slots = 16 * UPSTREAMS;
 }
 
 static void count_open_(void *ctx, const char *service, uint32_t version,
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -998,6 +998,89 @@
 }
 END_TEST
 
+/* Load: a version that is rolled out, or was reverted, beside the old one. */
+static const struct {
+	const char *avoid;
+	bool others;
+	const char *barred;
+	const char *chosen; /* NULL for none */
+} avoided[] = {
+	{ "new", false, NULL, "old" }, { "new", true, NULL, "new" },
+	{ "new", false, "old", NULL }, { "new", true, "old", "new" },
+	{ "other", true, NULL, NULL },
+};
+
+static void put_version_(int i, const char *version)
+{
+	char id[16];
+	balance_spec_t spec = { .id = id,
+				.service = SERVICE,
+				.address = "127.0.0.1:9000",
+				.data_centre = "dc-a",
+				.version = version,
+				.slots = 8 };
+
+	g_snprintf(id, sizeof(id), "%s-%d", version, i);
+	balance_put_upstream(&b, &spec, NOW);
+}
+
+static uint32_t key_(const char *version)
+{
+	return version ? versions_key(SERVICE, version) : 0;
+}
+
+START_TEST(test_version_is_avoided)
+{
+	balance_request_t request = {
+		.service = SERVICE,
+		.affinity = 7,
+		.avoid_version = key_(avoided[_i].avoid),
+		.avoid_others = avoided[_i].others,
+		.barred_version = key_(avoided[_i].barred),
+	};
+	balance_pick_t pick;
+
+	put_version_(1, "old");
+	put_version_(2, "new");
+	for (int i = 0; i < 10; i++) {
+		pick = balance_choose(&b, &request, NOW);
+		ck_assert_int_eq(pick.upstream != NULL,
+				 avoided[_i].chosen != NULL);
+		if (pick.upstream)
+			ck_assert_str_eq(pick.upstream->version,
+					 avoided[_i].chosen);
+	}
+}
+END_TEST
+
+/*
+ * Load: prompts, one of them hot, while half of the upstreams get nothing. The
+ * limit counts those, so that the others have to be kept even.
+ */
+START_TEST(test_others_stay_within_the_limit)
+{
+	balance_request_t request = { .service = SERVICE,
+				      .avoid_version = key_("new") };
+	int first = 0;
+
+	for (int i = 0; i < 6; i++) {
+		put_version_(i, "old");
+		put_version_(i, "new");
+	}
+	for (int i = 0; i < 72; i++) {
+		balance_pick_t pick;
+
+		request.affinity = i % 3 ? (uint64_t)i : 1000;
+		pick = balance_choose(&b, &request, NOW);
+		ck_assert_ptr_nonnull(pick.upstream);
+		first += pick.reason == BALANCE_FIRST;
+		check_max_outstanding_((int)(2.0 * (i + 1) / 12) + 3);
+	}
+	/* And caches are still used. */
+	ck_assert_int_gt(first, 72 / 4);
+}
+END_TEST
+
 Suite *balance_suite(void)
 {
 	Suite *s = suite_create("balance");
@@ -1034,6 +1117,9 @@
 	tcase_add_test(c, test_full);
 	tcase_add_loop_test(c, test_retries_are_spaced, 0,
 			    G_N_ELEMENTS(retry_cases));
+	tcase_add_loop_test(c, test_version_is_avoided, 0,
+			    G_N_ELEMENTS(avoided));
+	tcase_add_test(c, test_others_stay_within_the_limit);
 	tcase_add_test(c, test_removed_while_in_use);
 	tcase_add_test(c, test_new_start_is_another_upstream);
 	tcase_add_loop_test(c, test_version_of_an_earlier_start_is_not_trusted,
--- a/tests/unit/test_datagram.c
+++ b/tests/unit/test_datagram.c
@@ -113,6 +113,46 @@
 }
 END_TEST
 
+/* The largest evidence and state fit, and come out as they went in. */
+START_TEST(test_rollout_round_trip)
+{
+	unsigned char data[DATAGRAM_MAX];
+	peer_rollout_route_t routes[PEER_ROLLOUT_ROUTES_MAX] = { 0 };
+	peer_rollout_pace_t paces[PEER_ROLLOUT_ROUTES_MAX] = { 0 };
+	peer_rollout_evidence_t evidence = {
+		.sent = WALL,
+		.order = 1,
+		.requests = { 2, 3 },
+		.routes = { PEER_ROLLOUT_ROUTES_MAX, routes },
+	};
+	peer_rollout_state_t state = { .sent = WALL,
+				       .order = 4,
+				       .share_ppm = 5,
+				       .paces = { PEER_ROLLOUT_ROUTES_MAX,
+						  paces } };
+	peer_rollout_evidence_t evidence_out = { 0 };
+	peer_rollout_state_t state_out = { 0 };
+	str_t view = { (char *)data, 0 };
+
+	routes[PEER_ROLLOUT_ROUTES_MAX - 1].sides[1].slow = 6;
+	paces[PEER_ROLLOUT_ROUTES_MAX - 1].whole_ms = 7;
+	ck_assert(!datagram_encode_evidence(key, &evidence, data, &view.len));
+	ck_assert(!datagram_decode_evidence(key, view, WALL, &evidence_out));
+	ck_assert_uint_eq(evidence_out.requests[1], 3);
+	ck_assert_uint_eq(evidence_out.routes.routes_len,
+			  PEER_ROLLOUT_ROUTES_MAX);
+	ck_assert_mem_eq(evidence_out.routes.routes_val, routes,
+			 sizeof(routes));
+	ck_assert(datagram_decode_rollout(key, view, WALL, &state_out));
+	datagram_free_evidence(&evidence_out);
+	ck_assert(!datagram_encode_rollout(key, &state, data, &view.len));
+	ck_assert(!datagram_decode_rollout(key, view, WALL, &state_out));
+	ck_assert_uint_eq(state_out.share_ppm, 5);
+	ck_assert_mem_eq(state_out.paces.paces_val, paces, sizeof(paces));
+	datagram_free_rollout(&state_out);
+}
+END_TEST
+
 Suite *datagram_suite(void)
 {
 	Suite *s = suite_create("datagram");
@@ -122,6 +162,7 @@
 	tcase_add_test(t, test_changed_byte);
 	tcase_add_test(t, test_name_too_long);
 	tcase_add_test(t, test_loads_message_size);
+	tcase_add_test(t, test_rollout_round_trip);
 	suite_add_tcase(s, t);
 	return s;
 }
--- a/tests/unit/test_gateway_conf.c
+++ b/tests/unit/test_gateway_conf.c
@@ -62,6 +62,29 @@
 }
 END_TEST
 
+/* Roll-outs are off unless all limits are given. */
+static const struct {
+	const char *text;
+	double share;
+} rollouts[] = {
+	{ COMPLETE, 0 },
+	{ COMPLETE "[rollouts]\n\n\n\n", 0 },
+	{ COMPLETE "[rollouts]\nshare = 0.1\n", 0 },
+	{ COMPLETE "[rollouts]\nshare = 0.1\ntolerance = 50\n", 0 },
+	{ COMPLETE "[rollouts]\nshare = 0.1\ntolerance = 50\n"
+		   "rollback_ms = 5000\n",
+	  0.1 },
+};
+
+START_TEST(test_rollouts)
+{
+	ck_assert_int_eq(load_(rollouts[_i].text), SETTINGS_OK);
+	ck_assert(conf.rollouts.share == rollouts[_i].share);
+	ck_assert_int_eq(conf.rollouts.tolerance,
+			 rollouts[_i].share > 0 ? 50 : 0);
+}
+END_TEST
+
 START_TEST(test_complete_settings)
 {
 	ck_assert_int_eq(load_(COMPLETE "[log]\nlevel = \"debug\"\n"),
@@ -114,6 +137,7 @@
 	TCase *c = tcase_create("conf");
 
 	tcase_add_checked_fixture(c, setup_, teardown_);
+	tcase_add_loop_test(c, test_rollouts, 0, G_N_ELEMENTS(rollouts));
 	tcase_add_loop_test(c, test_placement, 0, G_N_ELEMENTS(placements));
 	tcase_add_test(c, test_complete_settings);
 	tcase_add_loop_test(c, test_invalid_settings_are_reported, 0,
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -188,6 +188,15 @@
 	{ "evacuate/dc-a", "", true, CHANGE_DATA_CENTRE, false },
 	{ "evacuate/", "{}", false, CHANGE_NONE },
 	{ "other", "{}", false, CHANGE_NONE },
+	{ "rollout/s", "{\"service\":\"s\",\"to\":\"v2\",\"duration_s\":12.5}",
+	  false, CHANGE_ROLLOUT },
+	{ "rollout/s", "", true, CHANGE_ROLLOUT },
+	{ "rollout/s", "{\"to\":\"v2\"}", false, CHANGE_INVALID },
+	{ "rollout/s", "{\"duration_s\":12}", false, CHANGE_INVALID },
+	{ "rollout/s", "{\"to\":\"v2\",\"duration_s\":-1}", false,
+	  CHANGE_INVALID },
+	{ "rollout/", "{\"to\":\"v2\",\"duration_s\":12}", false,
+	  CHANGE_INVALID },
 };
 
 START_TEST(test_operator_change)
@@ -204,6 +213,42 @@
 		ck_assert_str_eq(change.data_centre, "dc-a");
 	if (change.kind == CHANGE_INVALID)
 		ck_assert_ptr_nonnull(change.error);
+	if (change.kind != CHANGE_ROLLOUT)
+		return;
+	ck_assert_str_eq(change.rollout.service, "s");
+	ck_assert_str_eq(change.rollout.to, r.removed ? "" : "v2");
+	ck_assert_int_eq(change.rollout.duration_ms, r.removed ? 0 : 12500);
+}
+END_TEST
+
+/* What nodes write is read by others, and by their successors. */
+START_TEST(test_rollout_status)
+{
+	static const rollout_phase_t phases[] = { ROLLOUT_OBSERVE,
+						  ROLLOUT_COMPLETED,
+						  ROLLOUT_REVERTED };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(phases); i++) {
+		rollout_status_t s = { "s", "v2", phases[i], 7, 8, 9, "why" };
+		char *key = platform_rollout_status_key("s");
+		char *text = platform_format_rollout_status(&s);
+		feed_record_t r = { .key = str_of(key), .data = str_of(text) };
+		rollout_status_t out;
+
+		ck_assert(platform_parse_rollout_status(&r, &out));
+		ck_assert_str_eq(out.service, s.service);
+		ck_assert_str_eq(out.to, s.to);
+		ck_assert_int_eq(out.phase, s.phase);
+		ck_assert_uint_eq(out.order, s.order);
+		ck_assert_int_eq(out.began_at, s.began_at);
+		ck_assert_uint_eq(out.requests, s.requests);
+		r.data = str_of("{\"to\":\"v2\",\"state\":\"new word\"}");
+		ck_assert(!platform_parse_rollout_status(&r, &out));
+		r.key = str_of("seed/1");
+		ck_assert(!platform_parse_rollout_status(&r, &out));
+		g_free(key);
+		g_free(text);
+	}
 }
 END_TEST
 
@@ -263,6 +308,7 @@
 	tcase_add_loop_test(c, test_rate, 0, G_N_ELEMENTS(rates));
 	tcase_add_loop_test(c, test_upstream_entry, 0, G_N_ELEMENTS(entries));
 	tcase_add_test(c, test_manifest);
+	tcase_add_test(c, test_rollout_status);
 	tcase_add_loop_test(c, test_operator_change, 0, G_N_ELEMENTS(changes));
 	tcase_add_loop_test(c, test_log_records, 0, G_N_ELEMENTS(logs));
 	suite_add_tcase(s, c);
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -169,7 +169,7 @@
 		.sum = *news,
 		.new_upstreams = here ? UPSTREAMS : 0,
 
-		.old_upstreams = UPSTREAMS,
+		.old_slots = SLOTS,
 		.new_warm_slots =
 			here && (!cases[c].cold || now >= 3000) ? SLOTS : 0,
 		.demand = s.pending->len,
