--- a/include/kcf/rollout.h
+++ b/include/kcf/rollout.h
@@ -191,10 +191,14 @@
 	int ramp_step;
 	uint32_t seq;			    /* grows with each step */
 	uint32_t floor[ROLLOUT_SIDE_COUNT]; /* requests that are known of */
-	/* What was known when the step of the ramp began. A version that turns
-	 * bad under load is not to be judged by its good answers before.
+	/*
+	 * What was known when the step of the ramp began, or some time ago. A
+	 * version that turns bad is not to be judged by its good answers before
+	 * that.
 	 */
 	rollout_tally_t before;
+	rollout_tally_t window; /* replaces it */
+	mstime_t window_at;
 	mstime_t step_since;
 	mstime_t drain_ms;	 /* requests of the old version take it */
 	mstime_t observed_since; /* an upstream of the new version serves, or 0
--- a/packages/decide/rollout.c
+++ b/packages/decide/rollout.c
@@ -51,12 +51,14 @@
  * about 0.3 of it, and the requests of half a second at full share less than
  * the rest.
  */
-#define OBSERVE_PART 0.18
+#define OBSERVE_PART 0.16
 /* Largest share that is observed: both versions are to be compared. */
 #define OBSERVE_SHARE_MAX 0.34
 /* Requests ahead of an even use of the observation's part. */
 #define OBSERVE_AHEAD_MS 800
 #define OBSERVE_AHEAD 2.0
+/* The last answers are also judged alone, of one to two times this time. */
+#define WINDOW_MS 1500
 /* Parts of the observed share, and good answers before the next one. */
 static const struct {
 	double part;
@@ -382,7 +384,7 @@
 	bool single = v->new_upstreams < 2;
 	const char *fault = rollout_find_fault(&v->sum, NULL, single);
 
-	if (!fault && r->phase != ROLLOUT_OBSERVE)
+	if (!fault)
 		fault = rollout_find_fault(&v->sum, &r->before, single);
 	if (fault)
 		return fault;
@@ -393,6 +395,16 @@
 	return NULL;
 }
 
+/* Forgets the good answers of long ago. */
+static void move_window_(rollout_t *r, const rollout_view_t *v, mstime_t now)
+{
+	if (r->phase != ROLLOUT_OBSERVE || now - r->window_at < WINDOW_MS)
+		return;
+	r->before = r->window;
+	r->window = v->sum;
+	r->window_at = now;
+}
+
 static void measure_drain_(rollout_t *r, const rollout_view_t *v)
 {
 	mstime_t longest = 0;
@@ -418,6 +430,7 @@
 		return false;
 	rate = rate_(r, v, now);
 	measure_drain_(r, v);
+	move_window_(r, v, now);
 	for (int side = 0; side < ROLLOUT_SIDE_COUNT; side++)
 		r->floor[side] = requests_(r, v, side);
 	reason = revert_reason_(r, v, now);
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -23,9 +23,9 @@
  * length, which ends at once ("end") or with a reset ("reset").
  *
  * Mode "bad KIND PERCENT AFTER_MS LOAD PREFIX" is a bad version: from AFTER_MS
- * after the fault on, and while at least LOAD requests run, so many of a hundred
- * requests whose target begins with PREFIX fail (KIND "fail") or take eight
- * times as long ("slow").
+ * after the fault on, and while at least LOAD requests run, so many of a
+ * hundred requests whose target begins with PREFIX fail (KIND "fail") or take
+ * eight times as long ("slow").
  *
  * With --born it names its start in GET /api/report, else it refuses that.
  *
@@ -132,7 +132,7 @@
 	int connections;
 	char mode[MODE_MAX];
 	int count;
-	mstime_t mode_at; /* when the mode was set */
+	mstime_t mode_at;      /* when the mode was set */
 	char health[MODE_MAX]; /* "copied" or "down", until the next one */
 	int copies_at_checks;  /* that came before a health answer */
 	GHashTable *cuts;      /* source address to cut_t */
