--- a/include/kcf/rollout.h
+++ b/include/kcf/rollout.h
@@ -176,12 +176,19 @@
 const char *rollout_find_fault(const rollout_tally_t *t,
 			       const rollout_tally_t *before, bool single);
 
+/*
+ * rollout_is_doubtful - whether the evidence may yet come to be against the new
+ * version, on some route, so that a larger share should wait for more of it.
+ */
+bool rollout_is_doubtful(const rollout_tally_t *t);
+
 /* A roll-out at one node, the deciding one or another. */
 typedef struct rollout {
 	rollout_bounds_t bounds;
 	mstime_t duration_ms;
-	mstime_t started_at; /* of the order */
-	bool start_assumed;  /* this node does not know it */
+	mstime_t started_at;   /* of the order */
+	bool start_assumed;    /* this node does not know it */
+	mstime_t counted_from; /* all nodes may have started again before */
 	rollout_phase_t phase;
 	double share;
 	bool held; /* the allowance of the step is used up */
--- a/packages/decide/rollout.c
+++ b/packages/decide/rollout.c
@@ -32,6 +32,8 @@
 #define STEP_FRACTION 0.033
 #define STEP_MIN_MS 300
 #define STEP_MAX_MS 1000
+/* For a ramp that begins late, since upstreams were late or cold. */
+#define STEP_LATE_MS 200
 /* All requests are at the new version for this long before `completed`. */
 #define FULL_FRACTION 0.04
 #define FULL_MIN_MS 500
@@ -137,6 +139,7 @@
 	*r = (rollout_t){ .bounds = *bounds,
 			  .duration_ms = duration_ms,
 			  .started_at = now,
+			  .counted_from = now,
 			  .phase_since = now,
 			  .step_since = now,
 			  .reason = "order",
@@ -218,7 +221,7 @@
 /* Requests of the service a millisecond, 0 while unknown. */
 static double rate_(const rollout_t *r, const rollout_view_t *v, mstime_t now)
 {
-	mstime_t elapsed = now - r->started_at;
+	mstime_t elapsed = now - r->counted_from;
 
 	if (elapsed < MEASURE_MS)
 		return 0;
@@ -300,6 +303,21 @@
 	       now - r->step_since >= step_ms_(r) * ANSWERED_WAIT_STEPS;
 }
 
+/* Of a ramp that has begun. */
+static mstime_t ramp_step_ms_(const rollout_t *r)
+{
+	mstime_t left = last_at_(r) - r->drain_ms - r->phase_since;
+
+	return CLAMP(left / ((int)G_N_ELEMENTS(ramp_shares) - 1), STEP_LATE_MS,
+		     step_ms_(r));
+}
+
+/* Until when a step may wait, if so many others follow. */
+static mstime_t latest_(const rollout_t *r, int others)
+{
+	return last_at_(r) - r->drain_ms - others * STEP_LATE_MS;
+}
+
 /* The next share of the ramp that is above the present one. */
 static void ramp_up_(rollout_t *r, const rollout_view_t *v, mstime_t now)
 {
@@ -308,7 +326,8 @@
 
 	while (next < last && ramp_shares[next] <= r->share)
 		next++;
-	if (!has_room_(r, v, ramp_shares[next], now))
+	if (!has_room_(r, v, ramp_shares[next], now) ||
+	    (now < latest_(r, last - next) && rollout_is_doubtful(&v->sum)))
 		return;
 	r->ramp_step = next;
 	enter_(r, next < last ? ROLLOUT_RAMP : ROLLOUT_FULL, ramp_shares[next],
@@ -323,7 +342,7 @@
 
 	if (!r->observed_since && v->new_upstreams)
 		r->observed_since = now;
-	if (!r->observed_since || now - r->started_at < MEASURE_MS)
+	if (!r->observed_since || now - r->counted_from < MEASURE_MS)
 		return;
 	if (now >= ramp_at_(r) && now - r->observed_since >= OBSERVE_MIN_MS) {
 		ramp_up_(r, v, now);
@@ -354,7 +373,9 @@
 		return;
 	if (v->all_follow && !sum->open_once && !sum->open_streams &&
 	    now - r->phase_since >= least &&
-	    (step_answers_(r, v) >= FULL_ANSWERS || now >= write_at_(r)))
+	    ((step_answers_(r, v) >= FULL_ANSWERS &&
+	      !rollout_is_doubtful(sum)) ||
+	     now >= write_at_(r)))
 		reason = "all requests are at the new version";
 	else if (v->all_follow && !sum->open_once && now >= write_at_(r))
 		reason = "only streams are left at the old version";
@@ -441,7 +462,7 @@
 	if (r->phase == ROLLOUT_OBSERVE)
 		observe_(r, v, rate, now);
 	else if (r->phase == ROLLOUT_RAMP &&
-		 now - r->step_since >= step_ms_(r) &&
+		 now - r->step_since >= ramp_step_ms_(r) &&
 		 is_step_judged_(r, v, now))
 		ramp_up_(r, v, now);
 	else if (r->phase == ROLLOUT_FULL)
--- a/packages/decide/rollout_evidence.c
+++ b/packages/decide/rollout_evidence.c
@@ -29,9 +29,13 @@
  * a hundred sound answers of the old version.
  */
 #define CHANCE 3e-5
+/* At this probability there is a doubt: the next step waits for more answers.
+ */
+#define DOUBT 0.02
 /* Fewer bad answers prove nothing, whatever their share. */
 #define FAILURES_MIN 3
 #define SLOW_MIN 5
+#define DOUBT_MIN 2
 /* Least difference of the shares of slow answers: loads differ a little. */
 #define SLOW_DIFFERENCE 0.1
 /* Old answers on a route below which all routes are compared with. */
@@ -247,7 +251,8 @@
  * Whether k bad answers of n are more than chance explains if both versions are
  * alike (Fisher's exact test).
  */
-static bool is_higher_(uint32_t k, uint32_t n, uint32_t old_k, uint32_t old_n)
+static bool is_higher_(uint32_t k, uint32_t n, uint32_t old_k, uint32_t old_n,
+		       double chance)
 {
 	double all = (double)n + old_n;
 	double bad = (double)k + old_k;
@@ -258,11 +263,11 @@
 		return false;
 	p = exp(log_choose_(n, k) + log_choose_(old_n, old_k) -
 		log_choose_(all, bad));
-	for (double x = k; x <= MIN(n, bad) && tail <= CHANCE; x++) {
+	for (double x = k; x <= MIN(n, bad) && tail <= chance; x++) {
 		tail += p;
 		p *= (bad - x) * (n - x) / ((x + 1) * (old_n - bad + x + 1));
 	}
-	return tail <= CHANCE;
+	return tail <= chance;
 }
 
 static double share_(uint32_t k, uint32_t n)
@@ -305,10 +310,10 @@
 	if (!single && !is_of_several_(c, bad))
 		return NULL;
 	if (c->failed >= FAILURES_MIN &&
-	    is_higher_(c->failed, n, old->failed, old->answered))
+	    is_higher_(c->failed, n, old->failed, old->answered, CHANCE))
 		return "more failures than the old version";
 	if (c->slow >= SLOW_MIN &&
-	    is_higher_(c->slow, timed, old->slow, old->timed) &&
+	    is_higher_(c->slow, timed, old->slow, old->timed, CHANCE) &&
 	    share_(c->slow, timed) >
 		    share_(old->slow, old->timed) + SLOW_DIFFERENCE)
 		return "slower than the old version";
@@ -321,6 +326,17 @@
 	return NULL;
 }
 
+/* The same with less certainty. */
+static bool doubt_(const rollout_counts_t *old, const rollout_counts_t *c,
+		   double sent)
+{
+	uint32_t bad = c->failed + c->slow;
+
+	return bad >= DOUBT_MIN &&
+	       is_higher_(bad, (uint32_t)(c->answered * sent),
+			  old->failed + old->slow, old->answered, DOUBT);
+}
+
 static const rollout_counts_t *new_before_(const rollout_tally_t *t,
 					   uint32_t route)
 {
@@ -333,38 +349,68 @@
 	return &none;
 }
 
-const char *rollout_find_fault(const rollout_tally_t *t,
-			       const rollout_tally_t *before, bool single)
+typedef struct comparison {
+	rollout_counts_t old;
+	rollout_counts_t new;
+	double sent; /* see compare_ */
+} comparison_t;
+
+/*
+ * Fills in what is compared: each route, and all together.
+ *
+ * Return: number of comparisons, at most ROLLOUT_ROUTES_MAX + 1.
+ */
+static guint collect_(const rollout_tally_t *t, const rollout_tally_t *before,
+		      comparison_t *out)
 {
-	rollout_counts_t all[ROLLOUT_SIDE_COUNT] = { 0 };
-	uint32_t requests;
-	double sent;
+	comparison_t *all = &out[t->route_count];
+	uint32_t requests = t->requests[ROLLOUT_NEW];
 
-	assert(t);
-	requests = t->requests[ROLLOUT_NEW] -
-		   (before ? MIN(before->requests[ROLLOUT_NEW],
-				 t->requests[ROLLOUT_NEW])
-			   : 0);
+	if (before)
+		requests -= MIN(requests, before->requests[ROLLOUT_NEW]);
+	*all = (comparison_t){ 0 };
 	for (guint i = 0; i < t->route_count; i++) {
 		const rollout_route_t *r = &t->routes[i];
-		rollout_counts_t since = since_(&r->sides[ROLLOUT_NEW],
-						new_before_(before, r->route));
 
-		counts_add_(&all[ROLLOUT_OLD], &r->sides[ROLLOUT_OLD]);
-		counts_add_(&all[ROLLOUT_NEW], &since);
+		out[i].old = r->sides[ROLLOUT_OLD];
+		out[i].new = since_(&r->sides[ROLLOUT_NEW],
+				    new_before_(before, r->route));
+		counts_add_(&all->old, &out[i].old);
+		counts_add_(&all->new, &out[i].new);
 	}
-	sent = MAX(1, (double)requests / MAX(1, all[ROLLOUT_NEW].answered));
+	all->sent = MAX(1, (double)requests / MAX(1, all->new.answered));
 	for (guint i = 0; i < t->route_count; i++) {
-		const rollout_route_t *r = &t->routes[i];
-		const rollout_counts_t *old = &r->sides[ROLLOUT_OLD];
-		rollout_counts_t since = since_(&r->sides[ROLLOUT_NEW],
-						new_before_(before, r->route));
-		const char *reason = compare_(
-			old->answered < OLD_MIN ? &all[ROLLOUT_OLD] : old,
-			&since, sent, single);
-
-		if (reason)
-			return reason;
+		out[i].sent = all->sent;
+		if (out[i].old.answered < OLD_MIN)
+			out[i].old = all->old;
 	}
-	return compare_(&all[ROLLOUT_OLD], &all[ROLLOUT_NEW], sent, single);
+	return t->route_count + 1;
+}
+
+const char *rollout_find_fault(const rollout_tally_t *t,
+			       const rollout_tally_t *before, bool single)
+{
+	comparison_t list[ROLLOUT_ROUTES_MAX + 1];
+	const char *reason = NULL;
+	guint n;
+
+	assert(t);
+	n = collect_(t, before, list);
+	for (guint i = 0; i < n && !reason; i++)
+		reason = compare_(&list[i].old, &list[i].new, list[i].sent,
+				  single);
+	return reason;
+}
+
+bool rollout_is_doubtful(const rollout_tally_t *t)
+{
+	comparison_t list[ROLLOUT_ROUTES_MAX + 1];
+	bool doubtful = false;
+	guint n;
+
+	assert(t);
+	n = collect_(t, NULL, list);
+	for (guint i = 0; i < n && !doubtful; i++)
+		doubtful = doubt_(&list[i].old, &list[i].new, list[i].sent);
+	return doubtful;
 }
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -42,6 +42,7 @@
 	{ "good, both fail, small", 40, 14, true, .old = { 0.3, 0.1 } },
 	{ "good, cold", 740, 14, true, .cold = true },
 	{ "good, late", 740, 14, true, .cold = true, .late_ms = 3000 },
+	{ "good, very late", 740, 14, true, .late_ms = 8000 },
 	{ "no upstream", 740, 12, .none = true },
 	{ "fails at once", 740, 12, .new = { 1, 0 } },
 	{ "fails, small", 20, 12, .new = { 0.6, 0 } },
