--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -37,9 +37,12 @@
 #define UNKNOWN_MAX_MS 2500
 /* Pause after a call to the log that failed. */
 #define RETRY_MS 250
+#define RETRY_MAX_MS 2000
 /* Nodes of the next ranks read and write for one that the log turns away. */
 #define STAND_INS 3
 #define STAND_IN_MS 400
+/* The deciding node has written that the order is in progress by then. */
+#define UNRECORDED_MS 1000
 /*
  * An order that is read this soon after the last look at the operators' records
  * has just been written. One that is read later may have been written at any
@@ -82,7 +85,10 @@
 	bool read; /* the end of the log below is known */
 	uint64_t end;
 	bool in_progress_recorded;
-	bool recorded; /* the final state is */
+	mstime_t unrecorded_since; /* the deciding node lacks the log, or 0 */
+	bool stands_in; /* this node has called the log in its place */
+	int failures;	/* in a row */
+	bool recorded;	/* the final state is */
 	rollout_phase_t writing;
 	bool wrote; /* this node wrote the final state, so it tells of it */
 	mstime_t call_at; /* not before, after a failure */
@@ -353,7 +359,10 @@
 static void fail_call_(entry_t *e, const char *what, int err, mstime_t now)
 {
 	e->read = false;
-	e->call_at = now + RETRY_MS;
+	e->failures++;
+	e->call_at = now + MIN(RETRY_MAX_MS, RETRY_MS * e->failures);
+	if (is_final_(e) || e->rollout.phase == ROLLOUT_COMPLETING)
+		e->call_at = now + RETRY_MS;
 	LOG_EVENT(LOG_WARNING, "rollout.log", F_STR("call", what),
 		  F_STR("error", feed_err_string[-err]),
 		  F_STR("service", e->order.service));
@@ -396,9 +405,12 @@
 		return;
 	}
 	e->end = batch->next_offset;
-	if (e->writing == ROLLOUT_OBSERVE)
+	e->failures = 0;
+	e->stands_in = !e->deciding;
+	if (e->writing == ROLLOUT_OBSERVE) {
 		e->in_progress_recorded = true;
-	else {
+		e->unrecorded_since = 0;
+	} else {
 		e->wrote = true;
 		settle_(e, e->writing, now);
 	}
@@ -430,7 +442,7 @@
 
 	if (rank < 0 || rank > STAND_INS || e->call || now < e->call_at)
 		return false;
-	return e->deciding ||
+	return e->deciding || (e->stands_in && since) ||
 	       (rank && since && now - since >= rank * STAND_IN_MS);
 }
 
@@ -439,6 +451,7 @@
 	const rollouts_ops_t *ops = e->owner->ops;
 	rollout_phase_t phase = unrecorded_(e);
 	bool unknown = e->rollout.phase == ROLLOUT_UNKNOWN && !e->withdrawn;
+	mstime_t since;
 	rollout_status_t status = {
 		.phase = phase,
 		.order = e->offset,
@@ -450,8 +463,8 @@
 
 	if (!unknown && phase == ROLLOUT_UNKNOWN)
 		return;
-	/* Only the deciding node writes what is not final. */
-	if (!may_call_(e, unknown ? e->applied_at : e->wanted_at, now))
+	since = phase == ROLLOUT_OBSERVE ? e->unrecorded_since : e->wanted_at;
+	if (!may_call_(e, unknown ? e->applied_at : since, now))
 		return;
 	if (unknown && e->read)
 		return;
@@ -552,7 +565,8 @@
 		.node = e->owner->own_key,
 		.seq = o->seq,
 		.phase = (u_int)o->phase,
-		.recorded = e->recorded && !e->withdrawn,
+		.recorded =
+			is_final_(e) ? e->recorded : e->in_progress_recorded,
 		.share_ppm = o->held ? 0 : (u_int)(o->share * SHARE_PARTS),
 		.age_ms = (u_int)(now - o->started_at),
 		.paces = { e->pace_count, paces },
@@ -649,6 +663,11 @@
 	};
 
 	e->heard_at = now;
+	e->in_progress_recorded = e->in_progress_recorded || m->recorded;
+	if (e->in_progress_recorded)
+		e->unrecorded_since = 0;
+	else if (!e->unrecorded_since)
+		e->unrecorded_since = now + UNRECORDED_MS;
 	e->pace_count = MIN(m->paces.paces_len, ROLLOUT_ROUTES_MAX);
 	for (guint i = 0; i < e->pace_count; i++) {
 		const peer_rollout_pace_t *p = &m->paces.paces_val[i];
