--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -21,6 +21,10 @@
 	void (*warmth)(void *ctx, const peer_warmth_t *m, const char *from);
 	/* The same. */
 	void (*work)(void *ctx, const peer_work_t *m);
+	/* The same. */
+	void (*evidence)(void *ctx, const peer_rollout_evidence_t *m,
+			 const char *from);
+	void (*rollout)(void *ctx, const peer_rollout_state_t *m);
 } peer_socket_ops_t;
 
 /*
@@ -99,4 +103,13 @@
 bool peer_socket_send_work(const peer_sender_t *s, const char *to,
 			   const peer_work_t *m);
 
+/*
+ * peer_socket_send_evidence, peer_socket_send_rollout - send what concerns a
+ * roll-out, also when the budget is exhausted.
+ */
+void peer_socket_send_evidence(const peer_sender_t *s, const char *to,
+			       const peer_rollout_evidence_t *m);
+void peer_socket_send_rollout(const peer_sender_t *s, const char *to,
+			      const peer_rollout_state_t *m);
+
 #endif
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -101,6 +101,12 @@
 	[COUNTER_WARMTH_LEARNT] = "kcf_warmth_pairs_total{change=\"learnt\"}",
 	[COUNTER_WARMTH_COPIES] = "kcf_warmth_used_total{for=\"copy\"}",
 	[COUNTER_WARMTH_PLACED] = "kcf_warmth_used_total{for=\"placement\"}",
+	[COUNTER_ROLLOUT_STEPS] = "kcf_rollout_steps_total",
+	[COUNTER_ROLLOUT_BAD_ANSWERS] = "kcf_rollout_bad_answers_total",
+	[COUNTER_ROLLOUT_LEASES_LOST] = "kcf_rollout_leases_lost_total",
+	[COUNTER_ROLLOUTS_COMPLETED] =
+		"kcf_rollouts_total{state=\"completed\"}",
+	[COUNTER_ROLLOUTS_REVERTED] = "kcf_rollouts_total{state=\"reverted\"}",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
@@ -112,6 +118,7 @@
 	[GAUGE_REACH_STATE] = "kcf_reach_state",
 	[GAUGE_WORK_PENDING] = "kcf_work_pending_tokens",
 	[GAUGE_WORK_PACE] = "kcf_work_pace",
+	[GAUGE_ROLLOUT_SHARE] = "kcf_rollout_share_ppm",
 };
 
 void counter_add(counter_t c, int64_t n)
--- a/packages/decide/balance_prompts.c
+++ b/packages/decide/balance_prompts.c
@@ -111,3 +111,17 @@
 {
 	return b->warmth && g_hash_table_contains(b->warmth_services, service);
 }
+
+bool balance_is_warm(const balance_t *b, uint64_t affinity,
+		     const balance_upstream_t *u)
+{
+	const balance_affinity_t *entry;
+
+	assert(b && u);
+	entry = g_hash_table_lookup(b->affinities, &affinity);
+	for (int i = 0; entry && i < BALANCE_WARM_MAX; i++) {
+		if (entry->warm_ids[i] == u->local_id)
+			return true;
+	}
+	return false;
+}
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -210,6 +210,7 @@
 
 	if (!f->selected)
 		return;
+	rollout_note_end(f, outcome, now);
 	latency = balance_normal_latency(&f->gateway->balance, f->selected,
 					 &f->pick, latency);
 	balance_end_work(&f->gateway->balance, f->selected, &f->pick.work, now);
@@ -268,8 +269,8 @@
 }
 
 /* A stream goes on where the start is proven, or else where it can be. */
-static balance_pick_t choose_(forward_t *f, balance_request_t *request,
-			      mstime_t now)
+static balance_pick_t choose_trusted_(forward_t *f, balance_request_t *request,
+				      mstime_t now)
 {
 	balance_t *b = &f->gateway->balance;
 	balance_pick_t pick;
@@ -283,6 +284,20 @@
 	return balance_choose(b, request, now);
 }
 
+static balance_pick_t choose_(forward_t *f, balance_request_t *request,
+			      mstime_t now)
+{
+	rollouts_way_t way = rollout_direct(f, request, now);
+	balance_pick_t pick = { .reason = BALANCE_NO_UPSTREAM,
+				.retry_ms = RETRY_AFTER_FAILURE_MS };
+
+	if (way != ROLLOUTS_BARRED)
+		pick = choose_trusted_(f, request, now);
+	if (!pick.upstream && rollout_relax(f, request, way))
+		pick = choose_trusted_(f, request, now);
+	return pick;
+}
+
 /* Chooses an upstream and sends the request; false if none is eligible. */
 static bool start_attempt_(forward_t *f)
 {
@@ -299,6 +314,7 @@
 	if (!f->pick.upstream)
 		return false;
 	f->selected = f->pick.upstream;
+	rollout_note_sent(f, now);
 	g_strlcpy(f->copy_source,
 		  f->pick.copy_source ? f->pick.copy_source->address : "",
 		  sizeof(f->copy_source));
@@ -445,12 +461,16 @@
 	balance_upstream_t *previous = f->selected;
 	work_request_t work = f->pick.work;
 	http_call_t *call = f->call;
+	forward_rollout_t rollout = f->rollout;
 	mstime_t now = clock_now();
 	bool moved;
 
 	assert(previous && call);
 	if (!resumes_may_move(f) || !may_retry_(f, why))
 		return false;
+	f->rollout.fault = why;
+	rollout_note_end(f, BALANCE_FAILED, now);
+	rollout.judged = f->rollout.judged;
 	f->selected = NULL;
 	f->call = NULL;
 	/* No question: the current attempt would be lost with the answer. */
@@ -461,6 +481,7 @@
 		f->selected = previous;
 		f->pick.work = work;
 		f->call = call;
+		f->rollout = rollout;
 		return false;
 	}
 	http_call_cancel(call);
@@ -533,6 +554,7 @@
 		forward_record_silence(f);
 	forward_log_fault(f, f->selected->id, why);
 	f->suspect = crashes_record(f, why) || f->suspect;
+	f->rollout.fault = why;
 	if (why == FAULT_SHED && f->selected->brittle.active)
 		f->met_brittle = true;
 	if (why == FAULT_CONNECT)
@@ -801,6 +823,7 @@
 	g_hash_table_iter_init(&iter, g->forwards);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		forward_resume_read(key);
+		rollout_check_wait(key, now);
 		forward_check_progress(key, now);
 	}
 }
