--- a/packages/decide/work.c
+++ b/packages/decide/work.c
@@ -25,6 +25,11 @@
  */
 #define RATE_MIN 20.0
 #define RATE_MAX 250.0
+/*
+ * A prompt that seems to be prefilled faster than this multiple of the rate was
+ * cached, and its request has waited.
+ */
+#define COLD_RATE_FACTOR 1.5
 /* With fewer tokens, the time without prefill hides the rate. */
 #define RATE_SAMPLE_MIN_TOKENS 2000
 /* With fewer tokens, the prefill takes a few milliseconds. */
@@ -109,7 +114,8 @@
 	if (rate < RATE_MIN)
 		return;
 	if (request->first && !request->known_cached && !request->may_copy)
-		learn_cold_(r, rate <= RATE_MAX);
+		learn_cold_(r, rate <= COLD_RATE_FACTOR *
+					       work_rate_tokens_per_ms(r));
 	if (rate > RATE_MAX)
 		return;
 	if (request->may_copy && !request->known_cached)
