Streams: events may be held and written together

A stream of many small packets is late on a link that loses packets as often as one of them is lost. [streams] coalesce_ms (default 0, off) holds events after the first one so long at most, and never longer than half of the route's longest allowed pause since the last write. coalesce_on = "loss" (default) does so on connections whose kernel has sent segments again (TCP_INFO), "all" on all. A comment line and the end of a stream write what is held at once. The node that serves another node's caller holds nothing, so that no event is held twice.

--- a/include/kcf/gateway.h
+++ b/include/kcf/gateway.h
@@ -9,6 +9,7 @@
 #ifndef KCF_GATEWAY_H
 #define KCF_GATEWAY_H
 
+#include <kcf/coalesce.h>
 #include <kcf/placement.h>
 #include <kcf/retry_budget.h>
 #include <kcf/settings.h>
@@ -35,6 +36,7 @@
 	mstime_t directory_ttl_max_ms;
 	retry_budget_conf_t retries;
 	placement_t placement;
+	coalesce_conf_t coalesce;
 	int log_level;
 	int64_t max_body;   /* bytes */
 	int64_t max_header; /* bytes */
--- a/include/kcf/http_server.h
+++ b/include/kcf/http_server.h
@@ -176,6 +176,24 @@
  */
 void http_stream_write(http_request_t *r, str_t data);
 
+/*
+ * http_stream_hold - appends bytes that may wait for http_stream_flush, the
+ * next http_stream_write or the end. They are sent earlier if bytes before them
+ * are still being sent.
+ */
+void http_stream_hold(http_request_t *r, str_t data);
+
+/*
+ * http_stream_flush - sends bytes that wait.
+ */
+void http_stream_flush(http_request_t *r);
+
+/*
+ * http_request_lost - packets that the caller's connection has lost, see
+ * socket_loss_count.
+ */
+int64_t http_request_lost(const http_request_t *r);
+
 /*
  * http_stream_end - ends a stream.
  * @whole: false closes the connection so that the caller sees the cut
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -361,11 +361,78 @@
 	g_array_unref(headers);
 }
 
+static void on_flush_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	forward_t *f = w->data;
+
+	(void)loop;
+	(void)revents;
+	coalesce_flushed(&f->coalesce, clock_now());
+	http_stream_flush(f->req);
+}
+
+/* Writes text to the caller's stream, and what is held before it. */
+static void write_(forward_t *f, str_t text)
+{
+	if (f->coalesce.flush_at) {
+		ev_timer_stop(f->gateway->loop, &f->flush_timer);
+		coalesce_flushed(&f->coalesce, clock_now());
+	}
+	http_stream_write(f->req, text);
+}
+
 static void pass_on_(forward_t *f, str_t text)
 {
 	if (sse_pass_on(&f->sse))
-		http_stream_write(f->req, str_of("\n"));
-	http_stream_write(f->req, text);
+		write_(f, str_of("\n"));
+	write_(f, text);
+}
+
+/* Sticky: a link that has lost packets may lose more. */
+static bool is_lossy_(forward_t *f)
+{
+	f->lossy = f->lossy || http_request_lost(f->req) > 0;
+	return f->lossy;
+}
+
+/* Whether an event waits in the caller's stream for those that follow. */
+static bool holds_event_(forward_t *f, const sse_event_t *e)
+{
+	const coalesce_conf_t *conf = &f->gateway->conf->coalesce;
+	mstime_t now = clock_now();
+	mstime_t due = f->coalesce.flush_at;
+	coalesce_event_t event = {
+		.bytes = e->raw.len,
+		/* The node of the caller may hold what passes through it. */
+		.urgent = e->comment || f->order,
+		.max_gap_ms = f->route->stream_gap_ms,
+	};
+
+	if (!conf->hold_ms)
+		return false;
+	event.lossy = conf->on == COALESCE_ON_LOSS && is_lossy_(f);
+	if (!coalesce_add(&f->coalesce, conf, &event, now)) {
+		ev_timer_stop(f->gateway->loop, &f->flush_timer);
+		return false;
+	}
+	if (due)
+		return true;
+	ev_timer_init(&f->flush_timer, on_flush_,
+		      (double)(f->coalesce.flush_at - now) / MSEC_PER_SEC, 0);
+	f->flush_timer.data = f;
+	ev_timer_start(f->gateway->loop, &f->flush_timer);
+	return true;
+}
+
+static void pass_on_event_(forward_t *f, const sse_event_t *e)
+{
+	if (!holds_event_(f, e)) {
+		pass_on_(f, e->raw);
+		return;
+	}
+	if (sse_pass_on(&f->sse))
+		http_stream_hold(f->req, str_of("\n"));
+	http_stream_hold(f->req, e->raw);
 }
 
 /* The caller would miss an event, at this upstream or where it is resumed. */
@@ -406,7 +473,7 @@
 	if (!f->origin_noted && f->selected)
 		resumes_bind(f);
 	begin_stream_(f, call);
-	pass_on_(f, e->raw);
+	pass_on_event_(f, e);
 }
 
 static void record_first_byte_(forward_t *f)
@@ -450,7 +517,7 @@
 		return;
 	}
 	if (sse_take_lf(&f->sse))
-		http_stream_write(f->req, str_of("\n"));
+		write_(f, str_of("\n"));
 	while (!f->failing && sse_next(&f->sse, &event))
 		forward_event_(f, call, &event);
 	if (f->stream_begun && http_stream_pending(f->req) > STREAM_HIGH_BYTES)
--- a/packages/gateway/conf.c
+++ b/packages/gateway/conf.c
@@ -74,6 +74,12 @@
 	{ 0 },
 };
 
+static const schema_field_t stream_fields[] = {
+	{ "coalesce_ms", SCHEMA_INT, .min = 0, .max = COALESCE_HOLD_MAX_MS },
+	{ "coalesce_on", SCHEMA_CHOICE, .choices = coalesce_on_string },
+	{ 0 },
+};
+
 static const schema_field_t log_fields[] = {
 	{ "level", SCHEMA_CHOICE, .choices = levels },
 	{ 0 },
@@ -88,6 +94,7 @@
 	{ "bounds", SCHEMA_OBJECT, .sub = bound_fields },
 	{ "retries", SCHEMA_OBJECT, .required = true, .sub = retry_fields },
 	{ "placement", SCHEMA_OBJECT, .sub = placement_fields },
+	{ "streams", SCHEMA_OBJECT, .sub = stream_fields },
 	{ "log", SCHEMA_OBJECT, .sub = log_fields },
 	{ 0 },
 };
@@ -158,6 +165,7 @@
 	const json_t *peers = json_object_get(root, "peers");
 	const json_t *retries = json_object_get(root, "retries");
 	const json_t *placement = json_object_get(root, "placement");
+	const json_t *streams = json_object_get(root, "streams");
 	const char *level = string_(json_object_get(root, "log"), "level");
 
 	c->json = root;
@@ -181,6 +189,8 @@
 	c->retries.burst = real_(retries, "burst", 0);
 	c->retries.window_ms = duration_ms_(retries, "window_s", MSEC_PER_SEC);
 	c->placement = placement_parse(string_(placement, "choice"));
+	c->coalesce.hold_ms = (mstime_t)real_(streams, "coalesce_ms", 0);
+	c->coalesce.on = coalesce_parse_on(string_(streams, "coalesce_on"));
 	c->max_body = MAX_BODY_DEFAULT_BYTES;
 	c->max_header = MAX_HEADER_DEFAULT_BYTES;
 	c->log_level = level ? logline_parse_level(level) : LOG_INFO;
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -59,6 +59,7 @@
 	ev_init(&f->deadline_timer, on_deadline_);
 	f->deadline_timer.data = f;
 	ev_init(&f->deferred_timer, NULL);
+	ev_init(&f->flush_timer, NULL);
 	ev_init(&f->overdue_timer, NULL);
 	ev_init(&f->resume_timer, NULL);
 	http_request_set_user(req, f);
@@ -82,6 +83,7 @@
 
 	ev_timer_stop(loop, &f->deadline_timer);
 	ev_timer_stop(loop, &f->deferred_timer);
+	ev_timer_stop(loop, &f->flush_timer);
 	ev_timer_stop(loop, &f->overdue_timer);
 	ev_timer_stop(loop, &f->resume_timer);
 	g_hash_table_remove(f->gateway->forwards, f);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -7,6 +7,7 @@
 #define KCF_PRIVATE_FORWARD_H
 
 #include "gateway.h"
+#include <kcf/coalesce.h>
 #include <kcf/sse.h>
 
 /* Attempts of one request, whatever its route allows. */
@@ -173,6 +174,8 @@
 	bool event_missing; /* an upstream began one that did not come whole */
 	bool unnumbered;    /* no id that the stream could be resumed after */
 	bool done;
+	coalesce_t coalesce; /* events held in the caller's stream */
+	bool lossy;	     /* the caller's connection has lost packets */
 	bool paused;
 	mstime_t read_on_at;   /* end of the last pause, 0 before */
 	int64_t last_event_id; /* last one sent to the caller, -1 for none */
@@ -180,6 +183,7 @@
 
 	ev_timer deadline_timer;
 	ev_timer deferred_timer; /* acts on a call outside of its callbacks */
+	ev_timer flush_timer;	 /* writes the events that are held */
 	ev_timer overdue_timer;	 /* runs when the response is overdue */
 } forward_t;
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,6 +1,7 @@
 #include <kcf/address.h>
 #include <kcf/http_server.h>
 #include <kcf/logline.h>
+#include <kcf/socket_loss.h>
 #include <kcf/socket_times.h>
 
 #include <assert.h>
@@ -353,12 +354,25 @@
 	set_response_(r, response, status, headers);
 }
 
-void http_stream_write(http_request_t *r, str_t data)
+void http_stream_hold(http_request_t *r, str_t data)
+{
+	assert(r->streaming);
+	if (!r->stream_ended)
+		g_string_append_len(r->stream, data.data, (gssize)data.len);
+}
+
+void http_stream_flush(http_request_t *r)
 {
 	assert(r->streaming);
+	if (http_stream_pending(r))
+		wake_(r);
+}
+
+void http_stream_write(http_request_t *r, str_t data)
+{
 	if (!data.len || r->stream_ended)
 		return;
-	g_string_append_len(r->stream, data.data, (gssize)data.len);
+	http_stream_hold(r, data);
 	wake_(r);
 }
 
@@ -650,6 +664,11 @@
 		->connect_fd;
 }
 
+int64_t http_request_lost(const http_request_t *r)
+{
+	return socket_loss_count(socket_(r));
+}
+
 static void log_socket_error_(const char *call)
 {
 	LOG_EVENT(LOG_WARNING, "http.reset_failed", F_STR("call", call),
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -7,6 +7,7 @@
 #include <check.h>
 
 Suite *balance_suite(void);
+Suite *coalesce_suite(void);
 Suite *config_suite(void);
 Suite *datagram_suite(void);
 Suite *fairq_suite(void);
--- a/tests/unit/test_gateway_conf.c
+++ b/tests/unit/test_gateway_conf.c
@@ -77,6 +77,25 @@
 }
 END_TEST
 
+static const struct {
+	const char *text;
+	mstime_t hold_ms;
+	coalesce_on_t on;
+} streams[] = {
+	{ COMPLETE, 0, COALESCE_ON_LOSS },
+	{ COMPLETE "[streams]\ncoalesce_ms = 80\n", 80, COALESCE_ON_LOSS },
+	{ COMPLETE "[streams]\ncoalesce_ms = 60\ncoalesce_on = \"all\"\n", 60,
+	  COALESCE_ON_ALL },
+};
+
+START_TEST(test_streams)
+{
+	ck_assert_int_eq(load_(streams[_i].text), SETTINGS_OK);
+	ck_assert_int_eq(conf.coalesce.hold_ms, streams[_i].hold_ms);
+	ck_assert_int_eq(conf.coalesce.on, streams[_i].on);
+}
+END_TEST
+
 static const char *const invalid[] = {
 	"",
 	"[node",
@@ -88,6 +107,8 @@
 	COMPLETE "[placement]\nchoice = \"nearest\"\n",
 	COMPLETE "[placement]\nchoice = 1\n",
 	COMPLETE "[log]\nlevel = \"loud\"\n",
+	COMPLETE "[streams]\ncoalesce_ms = 101\n",
+	COMPLETE "[streams]\ncoalesce_on = \"some\"\n",
 	COMPLETE "[unknown]\nword = 1\n",
 	NODE LISTEN "[peers]\nkey = \"00\"\n" STORE RETRIES,
 	NODE LISTEN PEERS "[store]\naddress = \"host\"\n" RETRIES,
@@ -116,6 +137,7 @@
 	tcase_add_checked_fixture(c, setup_, teardown_);
 	tcase_add_loop_test(c, test_placement, 0, G_N_ELEMENTS(placements));
 	tcase_add_test(c, test_complete_settings);
+	tcase_add_loop_test(c, test_streams, 0, G_N_ELEMENTS(streams));
 	tcase_add_loop_test(c, test_invalid_settings_are_reported, 0,
 			    G_N_ELEMENTS(invalid));
 	tcase_add_test(c, test_missing_file);
