Gateway: bounds of what slow callers and upstreams make a node hold

A node held up to 256 KB of each stream, and the kernel some megabytes more, without a bound for all callers. Plain answers that waited for their callers took the room of all others: 8 callers that read nothing were enough for 502 at the rest. An upstream that read nothing had the room for requests.

[node] memory_mb, from the platform's limits.mem_limit_mb, sets a bound for all answers (half of it, less what connections take) and one for requests. What the kernel takes of an answer is bounded by TCP_NOTSENT_LOWAT, what it takes from an upstream by SO_RCVBUF. A stream of a slow caller is read on after a pause of one second, up to 4 MB. At the node's bound the caller with the greatest product of bytes and time without reading is cut with a reset. Without memory_mb all bounds stay as they were.

Bodies are no longer copied for libcurl nor for libmicrohttpd; streams wait in blocks that are freed as they are sent.

--- a/include/kcf/gateway.h
+++ b/include/kcf/gateway.h
@@ -41,6 +41,7 @@
 	int64_t max_body;   /* bytes */
 	int64_t max_header; /* bytes */
 	int64_t max_connections;
+	int64_t memory; /* bytes that the node may use, 0 if unknown */
 } gateway_conf_t;
 
 /*
--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -56,6 +56,7 @@
 	const char *url;
 	const char *const *headers; /* "Name: value" lines, NULL at the end */
 	str_t body;
+	bool body_stays;     /* in place until the call is over; else copied */
 	mstime_t deadline;   /* MSTIME_NEVER for none */
 	bool fresh;	     /* a connection of its own, never reused */
 	bool bare;	     /* only the given headers, and Host */
@@ -81,6 +82,10 @@
 	GHashTable *opened;    /* descriptors whose ends are not known yet */
 	GHashTable *by_remote; /* remote address to GPtrArray of open ones */
 	GHashTable *connected; /* ends of a connection to its descriptor */
+	int unsent_max;	       /* bytes of a request that the kernel takes and
+				  cannot send yet; 0 for its own bound */
+	int unread_max;	       /* bytes that it takes of an answer that is not
+				  read; 0 for its own bound */
 	const char *ca_file;   /* authority of https servers, or NULL */
 	int64_t bytes; /* sent and received by ended calls, headers counted */
 };
@@ -98,7 +103,7 @@
 
 /*
  * http_call_start - begins a call.
- * @spec: copied
+ * @spec: copied, but for a body that stays
  * @ops:  must outlive the call
  *
  * Return: the call; it lives until its done function returns or until
@@ -125,6 +130,17 @@
  */
 int64_t http_call_received(http_call_t *call);
 
+/*
+ * http_call_unread - bytes that have come on the call's connection and are not
+ * read yet; 0 if unknown.
+ */
+size_t http_call_unread(const http_call_t *call);
+
+/*
+ * http_call_unsent - bytes of the request's body that the kernel has not taken.
+ */
+size_t http_call_unsent(const http_call_t *call);
+
 /*
  * http_call_connection - number of the connection that the request was sent on,
  * 0 if it was not sent; each connection of a client has another.
--- a/include/kcf/http_server.h
+++ b/include/kcf/http_server.h
@@ -40,6 +40,11 @@
 	 * whole is false when the caller did not get the answer to its end.
 	 */
 	void (*closed)(void *ctx, http_request_t *r, bool whole);
+	/*
+	 * The connection has taken in bytes of a stream, or of a body that was
+	 * handed over. May be NULL; is not to write to any request.
+	 */
+	void (*taken)(void *ctx, http_request_t *r, size_t bytes);
 } http_server_ops_t;
 
 typedef struct http_server_conf {
@@ -49,6 +54,7 @@
 	size_t max_header;   /* bytes of request line and headers */
 	unsigned int max_connections;
 	unsigned int idle_timeout_s;
+	int unsent_max;	      /* see socket_bounds_set */
 	const char *tls_cert; /* PEM text, or NULL for plain TCP */
 	const char *tls_key;
 } http_server_conf_t;
@@ -66,6 +72,7 @@
 	size_t bodies; /* bytes held */
 	bool dirty;
 	bool finishing;
+	bool wrote;	       /* bytes of an answer, in the current pass */
 	GHashTable *suspended; /* http_request_t * */
 	int listen_fd;
 	unsigned int open;
@@ -107,6 +114,12 @@
  */
 void http_server_finish(http_server_t *s);
 
+/*
+ * http_server_connections - open connections, busy or idle; 0 of a server that
+ * has not been initialized.
+ */
+unsigned int http_server_connections(const http_server_t *s);
+
 /* Method, path without query, header, query argument and body of a request. */
 str_t http_request_method(const http_request_t *r);
 str_t http_request_path(const http_request_t *r);
@@ -164,6 +177,20 @@
 void http_reply(http_request_t *r, unsigned int status,
 		const http_header_t *headers, str_t body);
 
+/*
+ * http_reply_body - the same with a body that is handed over: freed as soon as
+ * it is copied to the connection's memory, or with the request.
+ */
+void http_reply_body(http_request_t *r, unsigned int status,
+		     const http_header_t *headers, GString *body);
+
+/*
+ * http_request_cut - ends an answer at once with a reset of its connection and
+ * drops what is not sent of it. What the caller has does not look complete. The
+ * closed function follows later.
+ */
+void http_request_cut(http_request_t *r);
+
 /*
  * http_stream_begin - answers with a stream of unknown length.
  * Precondition: the request has not been answered yet.
@@ -201,7 +228,8 @@
 void http_stream_end(http_request_t *r, bool whole);
 
 /*
- * http_stream_pending - bytes written to the stream and not yet taken.
+ * http_stream_pending - bytes written to the stream, or of a body that was
+ * handed over, and not yet taken by the connection.
  */
 size_t http_stream_pending(const http_request_t *r);
 
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -96,6 +96,8 @@
 	[COUNTER_RELAYS_SERVED] = "kcf_relays_total{side=\"served\"}",
 	[COUNTER_RELAYS_UNABLE] = "kcf_relays_total{side=\"unable\"}",
 	[COUNTER_CUTS] = "kcf_cuts_total",
+	[COUNTER_SLOW_CALLERS_CUT] = "kcf_slow_cut_total{reader=\"caller\"}",
+	[COUNTER_SLOW_REQUESTS_CUT] = "kcf_slow_cut_total{reader=\"upstream\"}",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
@@ -105,6 +107,8 @@
 	[GAUGE_QUEUE_LENGTH] = "kcf_queue_length",
 	[GAUGE_QUARANTINE_HOLDS] = "kcf_quarantine_holds",
 	[GAUGE_REACH_STATE] = "kcf_reach_state",
+	[GAUGE_HELD_ANSWERS] = "kcf_held_bytes{for=\"caller\"}",
+	[GAUGE_HELD_REQUESTS] = "kcf_held_bytes{for=\"upstream\"}",
 };
 
 void counter_add(counter_t c, int64_t n)
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Plain responses are buffered until complete: limit of one, limit of all. */
-#define RESPONSE_BODY_MAX_BYTES (4 * 1024 * 1024)
+#define RESPONSE_BODY_MAX_BYTES BACKLOG_ENTRY_MAX_BYTES
 #define RESPONSE_BODIES_MAX_BYTES (32 * 1024 * 1024)
 /*
  * An attempt fails if it receives more than this many bytes without an event or
@@ -25,11 +25,6 @@
  * upstream. The rest is left for the first event from there.
  */
 #define STALL_MOVE_FRACTION 0.6
-/* Watermarks of the bytes that wait for a slow caller: reading from the
- * upstream pauses above the first and resumes below the second.
- */
-#define STREAM_HIGH_BYTES (256 * 1024)
-#define STREAM_LOW_BYTES (64 * 1024)
 
 static bool on_head_(void *ctx, http_call_t *call, int status);
 static void on_data_(void *ctx, http_call_t *call, str_t data);
@@ -128,22 +123,69 @@
 		fail_now_(f);
 		return;
 	}
-	if (http_stream_pending(f->req) > STREAM_HIGH_BYTES) {
-		f->paused = true;
+	if (backlog_must_pause(&f->answer)) {
+		backlog_pause(&f->answer, clock_now());
 		http_call_pause(f->call, true);
 	}
 }
 
 void forward_resume_read(forward_t *f)
 {
-	if (!f->paused || !f->call ||
-	    http_stream_pending(f->req) > STREAM_LOW_BYTES)
+	backlog_t *b = &f->gateway->backlogs.answers;
+	mstime_t now = clock_now();
+
+	if (!f->answer.paused_at || !f->call)
 		return;
-	f->paused = false;
-	f->read_on_at = clock_now();
+	if (!backlog_read_on(b, &f->answer, now)) {
+		backlog_set_unread(b, &f->answer, http_call_unread(f->call));
+		return;
+	}
+	f->read_on_at = now;
 	http_call_pause(f->call, false);
 }
 
+void forward_on_taken(void *ctx, http_request_t *req, size_t bytes)
+{
+	forward_t *f = http_request_user(req);
+
+	(void)ctx;
+	if (f)
+		backlog_take(&f->gateway->backlogs.answers, &f->answer, bytes,
+			     clock_now());
+}
+
+void forward_check_upload(forward_t *f, mstime_t now)
+{
+	backlog_t *b = &f->gateway->backlogs.requests;
+	size_t unsent;
+
+	if (!f->unsent.member || !f->call)
+		return;
+	unsent = http_call_unsent(f->call);
+	backlog_take(b, &f->unsent, f->unsent.held - unsent, now);
+	if (!unsent)
+		backlog_leave(b, &f->unsent);
+}
+
+static void on_cut_answer_(void *owner, const backlogs_cut_t *cut)
+{
+	forward_t *f = owner;
+
+	LOG_EVENT(LOG_NOTICE, "caller.cut", F_VIEW("request", f->in.id),
+		  F_INT("held_bytes", (int64_t)cut->held),
+		  F_INT("idle_ms", cut->idle_ms),
+		  F_INT("node_bytes", (int64_t)cut->node_held),
+		  F_INT("node_max", (int64_t)cut->node_max),
+		  F_INT("connection_bytes", (int64_t)cut->connection_bytes),
+		  F_INT("callers", cut->node_entries),
+		  F_INT("last_event", f->last_event_id));
+	if (!f->done) {
+		forward_cancel(f, BALANCE_ABANDONED);
+		forward_complete(f, 0, "caller reads too slowly");
+	}
+	http_request_cut(f->req);
+}
+
 static bool is_stream_(const forward_t *f)
 {
 	return f->response.status == 200 && f->response.event_stream &&
@@ -194,6 +236,23 @@
 	forward_attempt_failed(f, why);
 }
 
+/* Another upstream may read it faster. */
+static void on_cut_request_(void *owner, const backlogs_cut_t *cut)
+{
+	forward_t *f = owner;
+
+	LOG_EVENT(LOG_NOTICE, "request.unread", F_VIEW("request", f->in.id),
+		  F_STR("upstream", f->upstream_id),
+		  F_INT("held_bytes", (int64_t)cut->held),
+		  F_INT("idle_ms", cut->idle_ms),
+		  F_INT("node_bytes", (int64_t)cut->node_held),
+		  F_INT("node_max", (int64_t)cut->node_max),
+		  F_INT("requests", cut->node_entries));
+	abort_attempt_(f, FAULT_TIMEOUT);
+}
+
+const backlogs_ops_t answer_backlogs_ops = { on_cut_answer_, on_cut_request_ };
+
 /* Moves a stalled stream while its caller still waits for the next event. */
 static void check_stall_(forward_t *f, mstime_t now)
 {
@@ -222,7 +281,7 @@
 
 void forward_check_progress(forward_t *f, mstime_t now)
 {
-	if (!f->call || f->failing || f->paused || f->done)
+	if (!f->call || f->failing || f->answer.paused_at || f->done)
 		return;
 	if (lacks_progress_(f, now))
 		abort_attempt_(f, FAULT_UNBOUNDED);
@@ -342,6 +401,7 @@
 		return false;
 	}
 	record_progress_(f);
+	backlog_leave(&f->gateway->backlogs.requests, &f->unsent);
 	if (f->selected)
 		record_upstream_state_(f);
 	return true;
@@ -356,6 +416,7 @@
 		return;
 	headers = response_headers_(f, call, 200);
 	f->stream_begun = true;
+	backlog_offer(&f->gateway->backlogs.answers, &f->answer, clock_now());
 	http_stream_begin(f->req, 200,
 			  (const http_header_t *)(void *)headers->data);
 	g_array_unref(headers);
@@ -371,6 +432,19 @@
 	http_stream_flush(f->req);
 }
 
+/* Appends text to the caller's stream, which may have ended meanwhile. */
+static void append_(forward_t *f, str_t text,
+		    void (*fn)(http_request_t *r, str_t text))
+{
+	backlogs_t *b = &f->gateway->backlogs;
+	size_t before = http_stream_pending(f->req);
+
+	fn(f->req, text);
+	backlog_add(&b->answers, &f->answer,
+		    http_stream_pending(f->req) - before);
+	backlogs_check(b);
+}
+
 /* Writes text to the caller's stream, and what is held before it. */
 static void write_(forward_t *f, str_t text)
 {
@@ -378,7 +452,7 @@
 		ev_timer_stop(f->gateway->loop, &f->flush_timer);
 		coalesce_flushed(&f->coalesce, clock_now());
 	}
-	http_stream_write(f->req, text);
+	append_(f, text, http_stream_write);
 }
 
 static void pass_on_(forward_t *f, str_t text)
@@ -431,8 +505,8 @@
 		return;
 	}
 	if (sse_pass_on(&f->sse))
-		http_stream_hold(f->req, str_of("\n"));
-	http_stream_hold(f->req, e->raw);
+		append_(f, str_of("\n"), http_stream_hold);
+	append_(f, e->raw, http_stream_hold);
 }
 
 /* The caller would miss an event, at this upstream or where it is resumed. */
@@ -495,6 +569,8 @@
 		return;
 	}
 	g->buffered_bytes += data.len;
+	backlog_add(&g->backlogs.answers, &f->answer, data.len);
+	backlogs_check(&g->backlogs);
 	g_string_append_len(f->body, data.data, (gssize)data.len);
 	record_progress_(f);
 	f->event_seen = true;
@@ -520,7 +596,7 @@
 		write_(f, str_of("\n"));
 	while (!f->failing && sse_next(&f->sse, &event))
 		forward_event_(f, call, &event);
-	if (f->stream_begun && http_stream_pending(f->req) > STREAM_HIGH_BYTES)
+	if (f->stream_begun && backlog_must_pause(&f->answer))
 		defer_(f);
 }
 
@@ -545,6 +621,25 @@
 	return (str_t){ f->body->str, f->body->len };
 }
 
+/*
+ * Replies with the buffered body. Where the node's memory bounds what is held
+ * for callers, answers that wait for theirs leave the room for others'.
+ */
+static void hand_over_body_(forward_t *f, const http_header_t *headers)
+{
+	gateway_t *g = f->gateway;
+	GString *body = f->body;
+
+	if (g->backlogs.answers.conf.node_max)
+		g->buffered_bytes -= body->len;
+	else
+		f->replied_bytes = body->len;
+	f->body = g_string_new(NULL);
+	backlog_offer(&g->backlogs.answers, &f->answer, clock_now());
+	http_reply_body(f->req, (unsigned int)f->response.status, headers,
+			body);
+}
+
 static void send_response_(forward_t *f, http_call_t *call)
 {
 	GArray *headers;
@@ -557,9 +652,7 @@
 		return;
 	}
 	headers = response_headers_(f, call, (unsigned int)f->response.status);
-	http_reply(f->req, (unsigned int)f->response.status,
-		   (const http_header_t *)(void *)headers->data,
-		   buffered_body_(f));
+	hand_over_body_(f, (const http_header_t *)(void *)headers->data);
 	g_array_unref(headers);
 	if (is_success_(f->response.status) && f->selected)
 		crashes_record_answer(f);
@@ -616,6 +709,9 @@
 	http_stream_end(f->req, true);
 	forward_complete(f, 200, "answered");
 	forward_release(f, BALANCE_OK);
+	/* The caller may take its time. */
+	sse_finish(&f->sse);
+	sse_init(&f->sse);
 }
 
 static void handle_error_(forward_t *f, int err)
--- a/packages/gateway/conf.c
+++ b/packages/gateway/conf.c
@@ -16,6 +16,7 @@
 /* Descriptors for files, connections to upstreams and peers. */
 #define DESCRIPTORS_RESERVED 1200
 #define DESCRIPTORS_DEFAULT 4096
+#define BYTES_PER_MB (1024 * 1024)
 
 static const char *const levels[] = { "error", "warning", "notice",
 				      "info",  "debug",	  NULL };
@@ -25,6 +26,7 @@
 	{ "data_centre", SCHEMA_STRING, .required = true, .min = 1, .max = 63 },
 	{ "region", SCHEMA_STRING, .required = true, .min = 1, .max = 63 },
 	{ "stop_s", SCHEMA_REAL, .min = 1, .max = 3600 },
+	{ "memory_mb", SCHEMA_REAL, .min = 0, .max = 1e6 },
 	{ "max_descriptors", SCHEMA_INT, .min = 1500, .max = 1e7 },
 	{ 0 },
 };
@@ -177,6 +179,7 @@
 	c->max_connections =
 		(int64_t)real_(node, "max_descriptors", DESCRIPTORS_DEFAULT) -
 		DESCRIPTORS_RESERVED;
+	c->memory = (int64_t)(real_(node, "memory_mb", 0) * BYTES_PER_MB);
 	read_listen_(c, json_object_get(root, "listen"));
 	c->store = string_(json_object_get(root, "store"), "address");
 	settings_read_key(c->peer_key, string_(peers, "key"));
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -44,7 +44,8 @@
 static void on_closed_(void *ctx, http_request_t *req, bool whole);
 static void on_deadline_(struct ev_loop *loop, ev_timer *w, int revents);
 
-const http_server_ops_t forward_server_ops = { on_request_, on_closed_ };
+const http_server_ops_t forward_server_ops = { on_request_, on_closed_,
+					       forward_on_taken };
 
 static forward_t *forward_new_(gateway_t *g, http_request_t *req)
 {
@@ -55,6 +56,7 @@
 	f->received_at = clock_now();
 	f->last_event_id = -1;
 	f->body = g_string_new(NULL);
+	backlog_join(&g->backlogs.answers, &f->answer, f);
 	sse_init(&f->sse);
 	ev_init(&f->deadline_timer, on_deadline_);
 	f->deadline_timer.data = f;
@@ -73,6 +75,7 @@
 	if (!f->body->len)
 		return;
 	f->gateway->buffered_bytes -= f->body->len;
+	backlog_drop(&f->gateway->backlogs.answers, &f->answer, f->body->len);
 	g_string_free(f->body, TRUE);
 	f->body = g_string_new(NULL);
 }
@@ -91,7 +94,8 @@
 	g_free(f->order);
 	g_free(f->way);
 	route_table_unref(f->table);
-	f->gateway->buffered_bytes -= f->body->len;
+	f->gateway->buffered_bytes -= f->body->len + f->replied_bytes;
+	backlog_leave(&f->gateway->backlogs.answers, &f->answer);
 	g_string_free(f->body, TRUE);
 	sse_finish(&f->sse);
 	g_free(f);
@@ -787,5 +791,10 @@
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		forward_resume_read(key);
 		forward_check_progress(key, now);
+		forward_check_upload(key, now);
 	}
+	backlog_set_connections(&g->backlogs.answers,
+				http_server_connections(&g->callers) +
+					http_server_connections(&g->relays));
+	backlogs_tick(&g->backlogs, now);
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -38,8 +38,11 @@
 /* Longer than any caller keeps an idle connection. */
 #define CALLER_IDLE_S 60
 #define AUX_BODY_MAX_BYTES 4096
-/* Request bodies of all callers: a fifth of the smallest host's memory. */
+/* Request bodies of all callers: a fifth of the smallest host's memory, or of a
+ * smaller one's.
+ */
 #define BODIES_MAX_BYTES (32 * 1024 * 1024)
+#define BODIES_DIVISOR 5
 /* Other nodes' requests have this part of the room of callers. */
 #define RELAY_FRACTION 2
 /* What another node adds to the headers of a request. */
@@ -317,6 +320,18 @@
 	return s == &g->callers || s == &g->relays;
 }
 
+static size_t bodies_max_(const gateway_conf_t *c)
+{
+	size_t part = (size_t)c->memory / BODIES_DIVISOR;
+
+	return part ? MIN(part, BODIES_MAX_BYTES) : BODIES_MAX_BYTES;
+}
+
+static backlog_limits_t backlog_limits_(const gateway_conf_t *c)
+{
+	return backlog_limits((size_t)c->memory, bodies_max_(c));
+}
+
 static bool listen_at_(gateway_t *g, const listener_t *l)
 {
 	const gateway_conf_t *c = g->conf;
@@ -324,11 +339,12 @@
 	http_server_conf_t conf = {
 		.address = l->address,
 		.max_body = requests ? (size_t)c->max_body : AUX_BODY_MAX_BYTES,
-		.max_bodies = requests ? BODIES_MAX_BYTES : 0,
+		.max_bodies = requests ? bodies_max_(c) : 0,
 		.max_header = (size_t)c->max_header,
 		.max_connections = requests ? (unsigned int)c->max_connections
 					    : AUX_CONNECTIONS_MAX,
 		.idle_timeout_s = requests ? CALLER_IDLE_S : AUX_IDLE_S,
+		.unsent_max = requests ? backlog_limits_(c).unsent_max : 0,
 	};
 	int err;
 
@@ -370,6 +386,8 @@
 
 static void init_(gateway_t *g)
 {
+	backlog_limits_t limits = backlog_limits_(g->conf);
+
 	g->loop = ev_default_loop(EVFLAG_AUTO);
 	g->started_at = clock_now();
 	g->data_valid_from = gateway_oldest_start_data(g);
@@ -391,7 +409,10 @@
 	resumes_init(g);
 	relays_init(g);
 	stream_log_init(g);
+	backlogs_init(&g->backlogs, g->loop, &limits, &answer_backlogs_ops);
 	http_client_init(&g->upstreams, g->loop);
+	g->upstreams.unsent_max = limits.unsent_max;
+	g->upstreams.unread_max = limits.unread_max;
 	http_client_init(&g->store, g->loop);
 	g->feed_client.http = &g->store;
 	g->feed_client.address = g->conf->store;
@@ -414,6 +435,7 @@
 static void finish_(gateway_t *g)
 {
 	feed_sync_finish(g);
+	backlogs_finish(&g->backlogs);
 	http_client_finish(&g->upstreams);
 	http_client_finish(&g->store);
 	feeds_finish(g);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -166,6 +166,8 @@
 	bool failing; /* to be ended outside of the client's callbacks */
 	fault_t failing_fault;
 	bool no_alternative; /* stalled, and no other upstream is available */
+	backlog_entry_t unsent; /* of the request, what the upstream has not
+				   read */
 	GString *body;
 	sse_t sse;
 
@@ -174,12 +176,13 @@
 	bool event_missing; /* an upstream began one that did not come whole */
 	bool unnumbered;    /* no id that the stream could be resumed after */
 	bool done;
-	coalesce_t coalesce; /* events held in the caller's stream */
-	bool lossy;	     /* the caller's connection has lost packets */
-	bool paused;
-	mstime_t read_on_at;   /* end of the last pause, 0 before */
-	int64_t last_event_id; /* last one sent to the caller, -1 for none */
-	const char *outcome;   /* for the log */
+	coalesce_t coalesce;	/* events held in the caller's stream */
+	bool lossy;		/* the caller's connection has lost packets */
+	backlog_entry_t answer; /* what is held for the caller */
+	size_t replied_bytes;	/* of a plain body, counted as buffered */
+	mstime_t read_on_at;	/* end of the last pause, 0 before */
+	int64_t last_event_id;	/* last one sent to the caller, -1 for none */
+	const char *outcome;	/* for the log */
 
 	ev_timer deadline_timer;
 	ev_timer deferred_timer; /* acts on a call outside of its callbacks */
@@ -469,8 +472,13 @@
 
 /*
  * forward_resume_read - resumes a paused response once its caller has read
- * enough.
+ * enough, or the pause has lasted too long.
  */
 void forward_resume_read(forward_t *f);
 
+/*
+ * forward_check_upload - notes what the upstream has read of the request.
+ */
+void forward_check_upload(forward_t *f, mstime_t now);
+
 #endif
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -15,12 +15,14 @@
  * forward.c    one request: routing, retries, final response
  * send.c       one attempt: the request to an upstream
  * answer.c     one attempt: the response of an upstream
+ * backlogs.c   bounds of what is held for slow callers and upstreams
  * relays.c      requests that pass through one other node, at both of them
  * admin.c      operators' interface and metrics
  */
 #ifndef KCF_PRIVATE_GATEWAY_H
 #define KCF_PRIVATE_GATEWAY_H
 
+#include "backlogs.h"
 #include <kcf/byte_budget.h>
 #include <kcf/counter.h>
 #include <kcf/fleet_roles.h>
@@ -216,7 +218,8 @@
 	int relayed;	     /* open requests of other nodes */
 	GHashTable *retry_budgets; /* service to retry_budget_t * */
 	GRand *rand;
-	GHashTable *forwards;  /* forward_t *, open requests of callers */
+	GHashTable *forwards; /* forward_t *, open requests of callers */
+	backlogs_t backlogs;
 	size_t buffered_bytes; /* of plain responses, see RESPONSE_BODY_* */
 	phase_t phase;
 	mstime_t started_at;
@@ -482,6 +485,13 @@
 
 /* forward.c */
 extern const http_server_ops_t forward_server_ops;
+/* What waits for a caller has been taken in by its connection. */
+void forward_on_taken(void *ctx, http_request_t *req, size_t bytes);
+
+/* answer.c */
+extern const backlogs_ops_t answer_backlogs_ops;
+
+/* forward.c */
 void forwards_tick(gateway_t *g);
 
 /*
--- a/packages/gateway/relays.c
+++ b/packages/gateway/relays.c
@@ -41,7 +41,8 @@
 static void on_request_(void *ctx, http_request_t *req);
 static void on_closed_(void *ctx, http_request_t *req, bool whole);
 
-const http_server_ops_t relays_server_ops = { on_request_, on_closed_ };
+const http_server_ops_t relays_server_ops = { on_request_, on_closed_,
+					      forward_on_taken };
 
 void relays_init(gateway_t *g)
 {
@@ -261,6 +262,7 @@
 		.url = url,
 		.target = target,
 		.body = http_request_body(f->req),
+		.body_stays = true,
 		.deadline = MSTIME_NEVER,
 		.bare = true,
 		.single = true,
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -23,6 +23,8 @@
 #define OVERDUE_OBJECTIVE_FACTOR_STREAM 2
 /* Another node tries other upstreams in that time. */
 #define OVERDUE_RELAY_FACTOR 2
+/* The kernel takes shorter requests at once. */
+#define UPLOAD_MIN_BYTES (64 * 1024)
 
 static void on_overdue_(struct ev_loop *loop, ev_timer *w, int revents);
 
@@ -69,6 +71,18 @@
 	ev_timer_start(f->gateway->loop, &f->overdue_timer);
 }
 
+static void begin_upload_(forward_t *f, size_t bytes, mstime_t now)
+{
+	backlog_t *b = &f->gateway->backlogs.requests;
+
+	backlog_leave(b, &f->unsent);
+	if (bytes < UPLOAD_MIN_BYTES)
+		return;
+	backlog_join(b, &f->unsent, f);
+	backlog_add(b, &f->unsent, bytes);
+	backlog_offer(b, &f->unsent, now);
+}
+
 void forward_start_call(forward_t *f, const http_call_spec_t *spec)
 {
 	mstime_t now = clock_now();
@@ -90,6 +104,8 @@
 	f->progress_bytes = -1;
 	f->no_alternative = false;
 	sse_reset(&f->sse);
+	backlog_restart(&f->gateway->backlogs.answers, &f->answer);
+	begin_upload_(f, spec->body.len, now);
 	f->call = http_call_start(&f->gateway->upstreams, spec,
 				  &forward_call_ops, f);
 	start_overdue_timer_(f);
@@ -120,6 +136,7 @@
 		.target = target,
 		.headers = (const char *const *)headers->pdata,
 		.body = http_request_body(f->req),
+		.body_stays = true,
 		.deadline = MSTIME_NEVER,
 		.bare = true,
 		.single = true,
@@ -139,6 +156,7 @@
 {
 	ev_timer_stop(f->gateway->loop, &f->overdue_timer);
 	ev_timer_stop(f->gateway->loop, &f->deferred_timer);
+	backlog_leave(&f->gateway->backlogs.requests, &f->unsent);
 	relays_end_call(f);
 	starts_end_question(f);
 	if (!f->call)
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <kcf/address.h>
 #include <kcf/counter.h>
+#include <kcf/socket_bounds.h>
 #include <kcf/socket_times.h>
 #include <linux/sockios.h>
 #include <linux/tcp.h>
@@ -324,6 +325,26 @@
 	return (int64_t)info.tcpi_bytes_received;
 }
 
+size_t http_call_unread(const http_call_t *call)
+{
+	int bytes = 0;
+
+	assert(call);
+	if (!connection_of_(call) || ioctl(call->fd, SIOCINQ, &bytes))
+		return 0;
+	return (size_t)MAX(0, bytes);
+}
+
+size_t http_call_unsent(const http_call_t *call)
+{
+	curl_off_t sent = 0;
+
+	assert(call);
+	if (curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &sent))
+		return 0;
+	return call->upload_bytes - MIN((size_t)sent, call->upload_bytes);
+}
+
 uint64_t http_call_connection(const http_call_t *call, uint64_t *order)
 {
 	assert(call && order);
@@ -411,7 +432,9 @@
 	call->upload_bytes = spec->body.len;
 	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
 			 (curl_off_t)spec->body.len);
-	curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS,
+	curl_easy_setopt(call->easy,
+			 spec->body_stays ? CURLOPT_POSTFIELDS
+					  : CURLOPT_COPYPOSTFIELDS,
 			 spec->body.len ? spec->body.data : "");
 }
 
@@ -747,6 +770,7 @@
 	g_hash_table_insert(c->connections, GINT_TO_POINTER(fd), connection);
 	g_hash_table_add(c->opened, GINT_TO_POINTER(fd));
 	socket_times_set(fd, &socket_times_opened);
+	socket_bounds_set(fd, c->unsent_max, c->unread_max);
 	return CURL_SOCKOPT_OK;
 }
 
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -1,6 +1,7 @@
 #include <kcf/address.h>
 #include <kcf/http_server.h>
 #include <kcf/logline.h>
+#include <kcf/socket_bounds.h>
 #include <kcf/socket_loss.h>
 #include <kcf/socket_times.h>
 
@@ -14,6 +15,12 @@
 
 #define LISTEN_BACKLOG 512
 #define STREAM_BLOCK_BYTES 16384
+/* Least size of a block of bytes that wait in a stream: as much as a few
+ * events, since a stream that is read at once holds one block at a time.
+ */
+#define BLOCK_MIN_BYTES 2048
+/* Shorter bodies are copied, and sent in one packet with their headers. */
+#define BODY_COPIED_MAX_BYTES (64 * 1024)
 #define MSEC_TO_SEC 0.001
 /* Upper bound between two looks at the daemon's own time-outs. */
 #define MAX_POLL_S 1.0
@@ -26,6 +33,15 @@
  */
 #define FINISH_PASSES 4
 
+/* Bytes of a stream that wait for their caller, in order. */
+typedef struct block {
+	struct block *next;
+	size_t size;
+	size_t len;
+	size_t taken;
+	char data[];
+} block_t;
+
 struct http_request {
 	http_server_t *server;
 	struct MHD_Connection *connection;
@@ -36,8 +52,11 @@
 	GByteArray *body;
 	struct MHD_Response *response;
 	unsigned int status;
-	GString *stream;
-	size_t stream_taken;
+	block_t *first; /* of the stream */
+	block_t *last;	/* or NULL */
+	size_t pending; /* bytes of the stream or of the reply */
+	char *reply;	/* body that was handed over, or NULL */
+	size_t reply_len;
 	void *user;
 	bool handled;
 	bool suspended;
@@ -71,6 +90,7 @@
 static void on_timer_(struct ev_loop *loop, ev_timer *w, int revents);
 static void on_prepare_(struct ev_loop *loop, ev_prepare *w, int revents);
 static ssize_t on_read_(void *cls, uint64_t pos, char *buf, size_t max);
+static ssize_t on_read_body_(void *cls, uint64_t pos, char *buf, size_t max);
 static void on_hangup_(struct ev_loop *loop, ev_io *w, int revents);
 static void suspend_(http_request_t *r);
 static void leave_(http_request_t *r);
@@ -78,7 +98,7 @@
 static void wake_(http_request_t *r);
 static void set_reset_on_close_(const http_request_t *r, bool on);
 static void reset_connection_(const http_request_t *r);
-static int listen_(const char *address);
+static int listen_(const char *address, int unsent_max);
 static void free_request_(http_request_t *r);
 static enum MHD_Result refuse_early_(http_request_t *r, unsigned int status,
 				     const char *detail);
@@ -160,7 +180,7 @@
 	s->conf = *conf;
 	s->conf.address = s->conf.tls_cert = s->conf.tls_key = NULL;
 	s->max_body = conf->max_body;
-	s->listen_fd = listen_(conf->address);
+	s->listen_fd = listen_(conf->address, conf->unsent_max);
 	if (s->listen_fd < 0) {
 		g_clear_pointer(&s->suspended, g_hash_table_destroy);
 		return s->listen_fd;
@@ -229,8 +249,12 @@
 	for (GList *l = waiting; l; l = l->next)
 		leave_(l->data);
 	g_list_free(waiting);
-	for (int i = 0; i < FINISH_PASSES; i++)
+	for (int i = 0; i < FINISH_PASSES; i++) {
+		s->wrote = false;
 		run_(s);
+		/* Long answers go out in blocks, one in a pass. */
+		i -= s->wrote;
+	}
 	assert(!g_hash_table_size(s->suspended));
 	ev_timer_stop(s->loop, &s->timer);
 }
@@ -247,6 +271,20 @@
 	g_clear_pointer(&s->suspended, g_hash_table_destroy);
 }
 
+unsigned int http_server_connections(const http_server_t *s)
+{
+	unsigned int count = 0;
+
+	for (guint i = 0; s->daemons && i < s->daemons->len; i++) {
+		const http_daemon_t *d = s->daemons->pdata[i];
+
+		count += MHD_get_daemon_info(
+				 d->mhd, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)
+				 ->num_connections;
+	}
+	return count;
+}
+
 str_t http_request_method(const http_request_t *r)
 {
 	return str_of(r->method);
@@ -340,6 +378,47 @@
 	set_response_(r, response, status, headers);
 }
 
+void http_reply_body(http_request_t *r, unsigned int status,
+		     const http_header_t *headers, GString *body)
+{
+	struct MHD_Response *response;
+
+	if (body->len <= BODY_COPIED_MAX_BYTES) {
+		http_reply(r, status, headers, (str_t){ body->str, body->len });
+		g_string_free(body, TRUE);
+		return;
+	}
+	response = MHD_create_response_from_callback(
+		body->len, STREAM_BLOCK_BYTES, on_read_body_, r, NULL);
+	/* Without the room for growth. */
+	r->reply_len = body->len;
+	r->reply = g_realloc(g_string_free(body, FALSE), r->reply_len);
+	r->pending = r->reply_len;
+	set_response_(r, response, status, headers);
+}
+
+static void drop_pending_(http_request_t *r)
+{
+	while (r->first) {
+		block_t *next = r->first->next;
+
+		g_free(r->first);
+		r->first = next;
+	}
+	r->last = NULL;
+	r->pending = 0;
+	g_clear_pointer(&r->reply, g_free);
+}
+
+void http_request_cut(http_request_t *r)
+{
+	drop_pending_(r);
+	r->stream_ended = true;
+	r->stream_cut = true;
+	reset_connection_(r);
+	wake_(r);
+}
+
 void http_stream_begin(http_request_t *r, unsigned int status,
 		       const http_header_t *headers)
 {
@@ -347,18 +426,43 @@
 		MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, on_read_, r, NULL);
 
 	r->streaming = true;
-	r->stream = g_string_new(NULL);
 	/* Also if the process is killed. */
 	if (r->no_chunks)
 		set_reset_on_close_(r, true);
 	set_response_(r, response, status, headers);
 }
 
+static block_t *append_block_(http_request_t *r, size_t len)
+{
+	size_t size = CLAMP(len, BLOCK_MIN_BYTES, STREAM_BLOCK_BYTES);
+	block_t *b = g_malloc(sizeof(*b) + size);
+
+	*b = (block_t){ .size = size };
+	if (r->last)
+		r->last->next = b;
+	else
+		r->first = b;
+	r->last = b;
+	return b;
+}
+
 void http_stream_hold(http_request_t *r, str_t data)
 {
 	assert(r->streaming);
-	if (!r->stream_ended)
-		g_string_append_len(r->stream, data.data, (gssize)data.len);
+	if (r->stream_ended)
+		return;
+	r->pending += data.len;
+	while (data.len) {
+		block_t *b = r->last;
+		size_t n;
+
+		if (!b || b->len == b->size)
+			b = append_block_(r, data.len);
+		n = MIN(data.len, b->size - b->len);
+		memcpy(b->data + b->len, data.data, n);
+		b->len += n;
+		data = str_skip(data, n);
+	}
 }
 
 void http_stream_flush(http_request_t *r)
@@ -386,10 +490,10 @@
 
 size_t http_stream_pending(const http_request_t *r)
 {
-	return r->stream ? r->stream->len - r->stream_taken : 0;
+	return r->pending;
 }
 
-static int listen_(const char *address)
+static int listen_(const char *address, int unsent_max)
 {
 	struct sockaddr_in sa;
 	int one = 1;
@@ -404,6 +508,7 @@
 	/* Accepted connections inherit these. */
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	socket_times_set(fd, &socket_times_accepted);
+	socket_bounds_set(fd, unsent_max, 0);
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
 	    listen(fd, LISTEN_BACKLOG)) {
 		close(fd);
@@ -615,8 +720,7 @@
 		ev_io_stop(r->server->loop, &r->hangup);
 	if (r->response)
 		MHD_destroy_response(r->response);
-	if (r->stream)
-		g_string_free(r->stream, TRUE);
+	drop_pending_(r);
 	r->server->bodies -= r->body->len;
 	g_byte_array_unref(r->body);
 	g_free(r->method);
@@ -625,13 +729,58 @@
 	g_free(r);
 }
 
+static void note_taken_(http_request_t *r, size_t bytes)
+{
+	http_server_t *s = r->server;
+
+	r->pending -= bytes;
+	s->wrote = true;
+	if (s->ops->taken)
+		s->ops->taken(s->ctx, r, bytes);
+}
+
+static ssize_t on_read_body_(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	http_request_t *r = cls;
+	size_t n;
+
+	if (!r->reply)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	n = MIN(max, r->reply_len - (size_t)pos);
+	memcpy(buf, r->reply + pos, n);
+	note_taken_(r, n);
+	return (ssize_t)n;
+}
+
+/* Copies bytes that wait in a stream and frees their blocks. */
+static size_t take_pending_(http_request_t *r, char *buf, size_t max)
+{
+	size_t n = 0;
+
+	while (r->first && n < max) {
+		block_t *b = r->first;
+		size_t part = MIN(max - n, b->len - b->taken);
+
+		memcpy(buf + n, b->data + b->taken, part);
+		b->taken += part;
+		n += part;
+		if (b->taken < b->len)
+			break;
+		r->first = b->next;
+		if (!r->first)
+			r->last = NULL;
+		g_free(b);
+	}
+	return n;
+}
+
 static ssize_t on_read_(void *cls, uint64_t pos, char *buf, size_t max)
 {
 	http_request_t *r = cls;
-	size_t n = http_stream_pending(r);
+	size_t n;
 
 	(void)pos;
-	if (!n) {
+	if (!r->pending) {
 		if (r->stream_cut ||
 		    (r->server->finishing && !r->stream_ended)) {
 			/* libmicrohttpd would send a FIN first. */
@@ -644,16 +793,8 @@
 		suspend_(r);
 		return 0;
 	}
-	n = MIN(n, max);
-	memcpy(buf, r->stream->str + r->stream_taken, n);
-	r->stream_taken += n;
-	if (r->stream_taken == r->stream->len) {
-		g_string_truncate(r->stream, 0);
-		r->stream_taken = 0;
-	} else if (r->stream_taken >= STREAM_BLOCK_BYTES) {
-		g_string_erase(r->stream, 0, (gssize)r->stream_taken);
-		r->stream_taken = 0;
-	}
+	n = take_pending_(r, buf, max);
+	note_taken_(r, n);
 	return (ssize_t)n;
 }
 
--- a/tests/runner/raw_socket_functions.c
+++ b/tests/runner/raw_socket_functions.c
@@ -1,6 +1,7 @@
 #include "functions.h"
 
 #include <kcf/address.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -76,6 +77,23 @@
 	return 3;
 }
 
+/* raw_drop(descriptor, whether): all that comes is lost */
+static int raw_drop_(lua_State *L)
+{
+	int fd = (int)luaL_checkinteger(L, 1);
+	struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+	struct sock_fprog program = { 1, &drop };
+	int none = 0;
+
+	if (lua_toboolean(L, 2))
+		setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+			   sizeof(program));
+	else
+		setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &none,
+			   sizeof(none));
+	return 0;
+}
+
 static int raw_half_close_(lua_State *L)
 {
 	shutdown((int)luaL_checkinteger(L, 1), SHUT_WR);
@@ -93,6 +111,7 @@
 	lua_register(L, "raw_open", raw_open_);
 	lua_register(L, "raw_send", raw_send_);
 	lua_register(L, "raw_read", raw_read_);
+	lua_register(L, "raw_drop", raw_drop_);
 	lua_register(L, "raw_half_close", raw_half_close_);
 	lua_register(L, "raw_close", raw_close_);
 }
--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -73,7 +73,7 @@
 data_centre = "%s"
 region = "r"
 stop_s = %g
-[listen]
+%s[listen]
 callers = "%s"
 readiness = "%s"
 directory = "%s"
@@ -88,8 +88,8 @@
 ratio = %g
 burst = %d
 window_s = 10
-]], g.name, g.dc, f.stop_s, g.callers, g.readiness, g.directory, g.admin, g.peers, g.peer_key or PEER_KEY, table.concat(seeds, ", "),
-		g.store or f.store.address, f.retry_ratio, f.retry_burst)
+%s]], g.name, g.dc, f.stop_s, g.node_settings or "", g.callers, g.readiness, g.directory, g.admin, g.peers, g.peer_key or PEER_KEY, table.concat(seeds, ", "),
+		g.store or f.store.address, f.retry_ratio, f.retry_burst, g.settings or "")
 end
 
 function start_gateway(f, g)
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -22,6 +22,8 @@
  * so many bytes of the request's body are in: a part of an answer without a
  * length, which ends at once ("end") or with a reset ("reset").
  *
+ * Mode "unread READ" reads so many bytes of the request's body and no more.
+ *
  * With --born it names its start in GET /api/report, else it refuses that.
  *
  * With --waits it has room for as many requests as it has slots, and for so
@@ -165,6 +167,7 @@
 static gint big_bytes;
 static gboolean marked;
 static gint event_bytes;
+static gint answer_bytes;
 static gint64 born;
 static gint report_ms;
 static gint report_ends;
@@ -200,6 +203,8 @@
 	  "Name the run at the end of each event", NULL },
 	{ "event-bytes", 0, 0, G_OPTION_ARG_INT, &event_bytes,
 	  "Added to the data of each event", "N" },
+	{ "answer-bytes", 0, 0, G_OPTION_ARG_INT, &answer_bytes,
+	  "Added to each plain answer", "N" },
 	{ "report-ms", 0, 0, G_OPTION_ARG_INT, &report_ms,
 	  "Time until GET /api/report is answered", "MS" },
 	{ "report-ends", 0, 0, G_OPTION_ARG_INT, &report_ends,
@@ -305,7 +310,8 @@
 
 	g_mutex_lock(&state.lock);
 	if (*r->id && state.count &&
-	    sscanf(state.mode, "early %lu", &early) == 1)
+	    (sscanf(state.mode, "early %lu", &early) == 1 ||
+	     sscanf(state.mode, "unread %lu", &early) == 1))
 		want = MIN(want, early);
 	g_mutex_unlock(&state.lock);
 	return want;
@@ -655,8 +661,9 @@
 /* The whole plain answer; false when the connection must end. */
 static bool plain_(int fd, const request_t *r, const char *mode)
 {
-	char *body = g_strdup_printf("{\"from\":\"%s\",\"id\":\"%s\"}", own_id,
-				     r->id);
+	char *more = g_strnfill((gsize)answer_bytes, ' ');
+	char *body = g_strdup_printf("{\"from\":\"%s\",\"id\":\"%s\"%s}",
+				     own_id, r->id, more);
 	int status = !strcmp(mode, "error") ? 500 : 200;
 	bool framed = strncmp(mode, "unframed", 8) != 0;
 	size_t len = strlen(body);
@@ -683,6 +690,7 @@
 		pause_(fd, LATE_MS);
 		reset_(fd);
 	}
+	g_free(more);
 	g_free(body);
 	return framed && strcmp(mode, "cut") != 0;
 }
@@ -1140,7 +1148,7 @@
 
 	if (room != ROOM_FOUND)
 		return room == ROOM_NONE && refuse_full_(fd, r);
-	if (!strcmp(mode, "hang")) {
+	if (!strcmp(mode, "hang") || g_str_has_prefix(mode, "unread ")) {
 		end_run_(!pause_(fd, -1));
 		return false;
 	}
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -19,6 +19,7 @@
 	{ "retry_budget", retry_budget_suite },
 	{ "routing", routing_suite },
 	{ "brittle", brittle_suite },
+	{ "backlog", backlog_suite },
 	{ "coalesce", coalesce_suite },
 	{ "config", config_suite },
 	{ "datagram", datagram_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -6,6 +6,7 @@
 
 #include <check.h>
 
+Suite *backlog_suite(void);
 Suite *balance_suite(void);
 Suite *coalesce_suite(void);
 Suite *config_suite(void);
--- a/tests/unit/test_gateway_conf.c
+++ b/tests/unit/test_gateway_conf.c
@@ -96,6 +96,27 @@
 }
 END_TEST
 
+static const struct {
+	const char *line;
+	int64_t memory;
+} memories[] = {
+	{ "", 0 },
+	{ "memory_mb = 0\n", 0 },
+	{ "memory_mb = 160\n", 160 * 1024 * 1024 },
+	{ "memory_mb = 0.5\n", 512 * 1024 },
+};
+
+START_TEST(test_memory)
+{
+	char *text = g_strconcat(NODE, memories[_i].line,
+				 LISTEN PEERS STORE RETRIES, NULL);
+
+	ck_assert_int_eq(load_(text), SETTINGS_OK);
+	ck_assert_int_eq(conf.memory, memories[_i].memory);
+	g_free(text);
+}
+END_TEST
+
 static const char *const invalid[] = {
 	"",
 	"[node",
@@ -109,6 +130,7 @@
 	COMPLETE "[log]\nlevel = \"loud\"\n",
 	COMPLETE "[streams]\ncoalesce_ms = 101\n",
 	COMPLETE "[streams]\ncoalesce_on = \"some\"\n",
+	NODE "memory_mb = -1\n" LISTEN PEERS STORE RETRIES,
 	COMPLETE "[unknown]\nword = 1\n",
 	NODE LISTEN "[peers]\nkey = \"00\"\n" STORE RETRIES,
 	NODE LISTEN PEERS "[store]\naddress = \"host\"\n" RETRIES,
@@ -137,6 +159,7 @@
 	tcase_add_checked_fixture(c, setup_, teardown_);
 	tcase_add_loop_test(c, test_placement, 0, G_N_ELEMENTS(placements));
 	tcase_add_test(c, test_complete_settings);
+	tcase_add_loop_test(c, test_memory, 0, G_N_ELEMENTS(memories));
 	tcase_add_loop_test(c, test_streams, 0, G_N_ELEMENTS(streams));
 	tcase_add_loop_test(c, test_invalid_settings_are_reported, 0,
 			    G_N_ELEMENTS(invalid));
