--- a/include/kcf/gateway.h
+++ b/include/kcf/gateway.h
@@ -9,6 +9,7 @@
 #ifndef KCF_GATEWAY_H
 #define KCF_GATEWAY_H
 
+#include <kcf/coalesce.h>
 #include <kcf/placement.h>
 #include <kcf/retry_budget.h>
 #include <kcf/rollout.h>
@@ -37,10 +38,12 @@
 	retry_budget_conf_t retries;
 	rollout_bounds_t rollouts; /* no roll-outs if share is 0 */
 	placement_t placement;
+	coalesce_conf_t coalesce;
 	int log_level;
 	int64_t max_body;   /* bytes */
 	int64_t max_header; /* bytes */
 	int64_t max_connections;
+	int64_t memory; /* bytes that the node may use, 0 if unknown */
 } gateway_conf_t;
 
 /*
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -107,6 +107,8 @@
 	[COUNTER_ROLLOUTS_COMPLETED] =
 		"kcf_rollouts_total{state=\"completed\"}",
 	[COUNTER_ROLLOUTS_REVERTED] = "kcf_rollouts_total{state=\"reverted\"}",
+	[COUNTER_SLOW_CALLERS_CUT] = "kcf_slow_cut_total{reader=\"caller\"}",
+	[COUNTER_SLOW_REQUESTS_CUT] = "kcf_slow_cut_total{reader=\"upstream\"}",
 	[GAUGE_OPEN_REQUESTS] = "kcf_open_requests",
 	[GAUGE_APPLIED_OFFSET] = "kcf_applied_offset",
 	[GAUGE_MEMBERS_LIVE] = "kcf_members_live",
@@ -119,6 +121,8 @@
 	[GAUGE_WORK_PENDING] = "kcf_work_pending_tokens",
 	[GAUGE_WORK_PACE] = "kcf_work_pace",
 	[GAUGE_ROLLOUT_SHARE] = "kcf_rollout_share_ppm",
+	[GAUGE_HELD_ANSWERS] = "kcf_held_bytes{for=\"caller\"}",
+	[GAUGE_HELD_REQUESTS] = "kcf_held_bytes{for=\"upstream\"}",
 };
 
 void counter_add(counter_t c, int64_t n)
--- a/packages/gateway/conf.c
+++ b/packages/gateway/conf.c
@@ -16,6 +16,7 @@
 /* Descriptors for files, connections to upstreams and peers. */
 #define DESCRIPTORS_RESERVED 1200
 #define DESCRIPTORS_DEFAULT 4096
+#define BYTES_PER_MB (1024 * 1024)
 
 static const char *const levels[] = { "error", "warning", "notice",
 				      "info",  "debug",	  NULL };
@@ -25,6 +26,7 @@
 	{ "data_centre", SCHEMA_STRING, .required = true, .min = 1, .max = 63 },
 	{ "region", SCHEMA_STRING, .required = true, .min = 1, .max = 63 },
 	{ "stop_s", SCHEMA_REAL, .min = 1, .max = 3600 },
+	{ "memory_mb", SCHEMA_REAL, .min = 0, .max = 1e6 },
 	{ "max_descriptors", SCHEMA_INT, .min = 1500, .max = 1e7 },
 	{ 0 },
 };
@@ -81,6 +83,12 @@
 	{ 0 },
 };
 
+static const schema_field_t stream_fields[] = {
+	{ "coalesce_ms", SCHEMA_INT, .min = 0, .max = COALESCE_HOLD_MAX_MS },
+	{ "coalesce_on", SCHEMA_CHOICE, .choices = coalesce_on_string },
+	{ 0 },
+};
+
 static const schema_field_t log_fields[] = {
 	{ "level", SCHEMA_CHOICE, .choices = levels },
 	{ 0 },
@@ -96,6 +104,7 @@
 	{ "retries", SCHEMA_OBJECT, .required = true, .sub = retry_fields },
 	{ "rollouts", SCHEMA_OBJECT, .sub = rollout_fields },
 	{ "placement", SCHEMA_OBJECT, .sub = placement_fields },
+	{ "streams", SCHEMA_OBJECT, .sub = stream_fields },
 	{ "log", SCHEMA_OBJECT, .sub = log_fields },
 	{ 0 },
 };
@@ -179,6 +188,7 @@
 	const json_t *peers = json_object_get(root, "peers");
 	const json_t *retries = json_object_get(root, "retries");
 	const json_t *placement = json_object_get(root, "placement");
+	const json_t *streams = json_object_get(root, "streams");
 	const char *level = string_(json_object_get(root, "log"), "level");
 
 	c->json = root;
@@ -190,6 +200,7 @@
 	c->max_connections =
 		(int64_t)real_(node, "max_descriptors", DESCRIPTORS_DEFAULT) -
 		DESCRIPTORS_RESERVED;
+	c->memory = (int64_t)(real_(node, "memory_mb", 0) * BYTES_PER_MB);
 	read_listen_(c, json_object_get(root, "listen"));
 	c->store = string_(json_object_get(root, "store"), "address");
 	settings_read_key(c->peer_key, string_(peers, "key"));
@@ -203,6 +214,8 @@
 	c->retries.window_ms = duration_ms_(retries, "window_s", MSEC_PER_SEC);
 	read_rollouts_(c, json_object_get(root, "rollouts"));
 	c->placement = placement_parse(string_(placement, "choice"));
+	c->coalesce.hold_ms = (mstime_t)real_(streams, "coalesce_ms", 0);
+	c->coalesce.on = coalesce_parse_on(string_(streams, "coalesce_on"));
 	c->max_body = MAX_BODY_DEFAULT_BYTES;
 	c->max_header = MAX_HEADER_DEFAULT_BYTES;
 	c->log_level = level ? logline_parse_level(level) : LOG_INFO;
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -44,7 +44,8 @@
 static void on_closed_(void *ctx, http_request_t *req, bool whole);
 static void on_deadline_(struct ev_loop *loop, ev_timer *w, int revents);
 
-const http_server_ops_t forward_server_ops = { on_request_, on_closed_ };
+const http_server_ops_t forward_server_ops = { on_request_, on_closed_,
+					       forward_on_taken };
 
 static forward_t *forward_new_(gateway_t *g, http_request_t *req)
 {
@@ -55,10 +56,12 @@
 	f->received_at = clock_now();
 	f->last_event_id = -1;
 	f->body = g_string_new(NULL);
+	backlog_join(&g->backlogs.answers, &f->answer, f);
 	sse_init(&f->sse);
 	ev_init(&f->deadline_timer, on_deadline_);
 	f->deadline_timer.data = f;
 	ev_init(&f->deferred_timer, NULL);
+	ev_init(&f->flush_timer, NULL);
 	ev_init(&f->overdue_timer, NULL);
 	ev_init(&f->resume_timer, NULL);
 	http_request_set_user(req, f);
@@ -72,6 +75,7 @@
 	if (!f->body->len)
 		return;
 	f->gateway->buffered_bytes -= f->body->len;
+	backlog_drop(&f->gateway->backlogs.answers, &f->answer, f->body->len);
 	g_string_free(f->body, TRUE);
 	f->body = g_string_new(NULL);
 }
@@ -82,6 +86,7 @@
 
 	ev_timer_stop(loop, &f->deadline_timer);
 	ev_timer_stop(loop, &f->deferred_timer);
+	ev_timer_stop(loop, &f->flush_timer);
 	ev_timer_stop(loop, &f->overdue_timer);
 	ev_timer_stop(loop, &f->resume_timer);
 	g_hash_table_remove(f->gateway->forwards, f);
@@ -89,7 +94,8 @@
 	g_free(f->order);
 	g_free(f->way);
 	route_table_unref(f->table);
-	f->gateway->buffered_bytes -= f->body->len;
+	f->gateway->buffered_bytes -= f->body->len + f->replied_bytes;
+	backlog_leave(&f->gateway->backlogs.answers, &f->answer);
 	g_string_free(f->body, TRUE);
 	sse_finish(&f->sse);
 	g_free(f);
@@ -825,5 +831,10 @@
 		forward_resume_read(key);
 		rollout_check_wait(key, now);
 		forward_check_progress(key, now);
+		forward_check_upload(key, now);
 	}
+	backlog_set_connections(&g->backlogs.answers,
+				http_server_connections(&g->callers) +
+					http_server_connections(&g->relays));
+	backlogs_tick(&g->backlogs, now);
 }
--- a/packages/gateway/rollout_ops.c
+++ b/packages/gateway/rollout_ops.c
@@ -275,7 +275,7 @@
 	rollout_answer_t a;
 
 	if (!f->rollout.counted || f->rollout.judged || !f->call ||
-	    !f->selected || f->paused)
+	    !f->selected || f->answer.paused_at)
 		return;
 	a = answer_(f, now);
 	if (!rollouts_is_slow(&f->gateway->rollouts, f->service, &a))
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -26,6 +26,7 @@
  * after the fault on, and while at least LOAD requests run, so many of a
  * hundred requests whose target begins with PREFIX fail (KIND "fail") or take
  * eight times as long ("slow").
+ * Mode "unread READ" reads so many bytes of the request's body and no more.
  *
  * With --born it names its start in GET /api/report, else it refuses that.
  *
@@ -62,6 +63,7 @@
 /* One stream in so many has long events. */
 #define BIG_EVERY 5
 #define ENDLESS_BLOCK 16384
+#define SEND_BUFFER 65536
 #define MODE_MAX 128
 /* Of each request; all of them are in each answer to /stats. */
 #define BODY_NOTED_MAX_BYTES 4096
@@ -173,6 +175,8 @@
 static gint big_bytes;
 static gboolean marked;
 static gint event_bytes;
+static gint answer_bytes;
+static gint unread_ms;
 static gint64 born;
 static gint report_ms;
 static gint report_ends;
@@ -210,6 +214,10 @@
 	  "Name the run at the end of each event", NULL },
 	{ "event-bytes", 0, 0, G_OPTION_ARG_INT, &event_bytes,
 	  "Added to the data of each event", "N" },
+	{ "answer-bytes", 0, 0, G_OPTION_ARG_INT, &answer_bytes,
+	  "Added to each plain answer", "N" },
+	{ "unread-ms", 0, 0, G_OPTION_ARG_INT, &unread_ms,
+	  "End an answer of which nothing is read for so long", "MS" },
 	{ "report-ms", 0, 0, G_OPTION_ARG_INT, &report_ms,
 	  "Time until GET /api/report is answered", "MS" },
 	{ "report-ends", 0, 0, G_OPTION_ARG_INT, &report_ends,
@@ -315,7 +323,8 @@
 
 	g_mutex_lock(&state.lock);
 	if (*r->id && state.count &&
-	    sscanf(state.mode, "early %lu", &early) == 1)
+	    (sscanf(state.mode, "early %lu", &early) == 1 ||
+	     sscanf(state.mode, "unread %lu", &early) == 1))
 		want = MIN(want, early);
 	g_mutex_unlock(&state.lock);
 	return want;
@@ -669,8 +678,9 @@
 /* The whole plain answer; false when the connection must end. */
 static bool plain_(int fd, const request_t *r, const char *mode)
 {
-	char *body = g_strdup_printf("{\"from\":\"%s\",\"id\":\"%s\"}", own_id,
-				     r->id);
+	char *more = g_strnfill((gsize)answer_bytes, ' ');
+	char *body = g_strdup_printf("{\"from\":\"%s\",\"id\":\"%s\"%s}",
+				     own_id, r->id, more);
 	int status = !strcmp(mode, "error") ? 500 : 200;
 	bool framed = strncmp(mode, "unframed", 8) != 0;
 	size_t len = strlen(body);
@@ -697,6 +707,7 @@
 		pause_(fd, LATE_MS);
 		reset_(fd);
 	}
+	g_free(more);
 	g_free(body);
 	return framed && strcmp(mode, "cut") != 0;
 }
@@ -1177,7 +1188,7 @@
 
 	if (room != ROOM_FOUND)
 		return room == ROOM_NONE && refuse_full_(fd, r);
-	if (!strcmp(mode, "hang")) {
+	if (!strcmp(mode, "hang") || g_str_has_prefix(mode, "unread ")) {
 		end_run_(!pause_(fd, -1));
 		return false;
 	}
@@ -1319,6 +1330,18 @@
 	g_free(c);
 }
 
+/* A small buffer, so that what is not read is seen soon. */
+static void bound_sends_(int fd)
+{
+	struct timeval most = { unread_ms / 1000, unread_ms % 1000 * 1000 };
+	int size = SEND_BUFFER;
+
+	if (!unread_ms)
+		return;
+	setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &most, sizeof(most));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+}
+
 static gpointer connection_(gpointer data)
 {
 	GString *in = g_string_new(NULL);
@@ -1328,6 +1351,7 @@
 	bool reused = false;
 
 	own = data;
+	bound_sends_(own->fd);
 	while (kept && read_request_(own->fd, in, &r)) {
 		r.reused = reused;
 		reused = true;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -20,6 +20,8 @@
 	{ "rollout", rollout_suite },
 	{ "routing", routing_suite },
 	{ "brittle", brittle_suite },
+	{ "backlog", backlog_suite },
+	{ "coalesce", coalesce_suite },
 	{ "config", config_suite },
 	{ "datagram", datagram_suite },
 	{ "fairq", fairq_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -6,7 +6,9 @@
 
 #include <check.h>
 
+Suite *backlog_suite(void);
 Suite *balance_suite(void);
+Suite *coalesce_suite(void);
 Suite *config_suite(void);
 Suite *datagram_suite(void);
 Suite *fairq_suite(void);
