--- a/include/kcf/http_server.h
+++ b/include/kcf/http_server.h
@@ -221,6 +221,12 @@
  */
 int64_t http_request_lost(const http_request_t *r);
 
+/*
+ * http_request_unacked - bytes written to the caller that it has not
+ * acknowledged; see socket_unacked.
+ */
+int http_request_unacked(const http_request_t *r, int64_t *rtt_ms);
+
 /*
  * http_stream_end - ends a stream.
  * @whole: false closes the connection so that the caller sees the cut
--- a/include/kcf/socket_loss.h
+++ b/include/kcf/socket_loss.h
@@ -14,4 +14,12 @@
  */
 int64_t socket_loss_count(int fd);
 
+/*
+ * socket_unacked - bytes that are written and not acknowledged.
+ * @rtt_ms: receives the smoothed round-trip time
+ *
+ * Return: -1 if it cannot be read.
+ */
+int socket_unacked(int fd, int64_t *rtt_ms);
+
 #endif
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -483,10 +483,25 @@
 	write_(f, text);
 }
 
-/* Sticky: a link that has lost packets may lose more. */
-static bool is_lossy_(forward_t *f)
+/*
+ * Whether the links to callers lose packets. A kernel's count of one connection
+ * comes too late for its stream, so all connections of the node count together.
+ */
+static bool is_lossy_(forward_t *f, mstime_t now)
 {
-	f->lossy = f->lossy || http_request_lost(f->req) > 0;
+	link_loss_t *l = &f->gateway->link_loss;
+	int64_t rtt_ms = 0;
+	int unacked;
+
+	link_loss_count_write(l);
+	if (now >= f->watch.next_at && f->coalesce.written_at) {
+		unacked = http_request_unacked(f->req, &rtt_ms);
+		link_loss_watch(l, &f->watch, unacked, rtt_ms,
+				f->coalesce.written_at, now);
+	}
+	/* Sticky: a link that has lost packets may lose more. */
+	f->lossy = f->lossy || link_loss_is_lossy(l) ||
+		   http_request_lost(f->req) > 0;
 	return f->lossy;
 }
 
@@ -505,7 +520,7 @@
 
 	if (!conf->hold_ms)
 		return false;
-	event.lossy = conf->on == COALESCE_ON_LOSS && is_lossy_(f);
+	event.lossy = conf->on == COALESCE_ON_LOSS && is_lossy_(f, now);
 	if (!coalesce_add(&f->coalesce, conf, &event, now)) {
 		ev_timer_stop(f->gateway->loop, &f->flush_timer);
 		return false;
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -191,6 +191,7 @@
 	bool done;
 	coalesce_t coalesce;	/* events held in the caller's stream */
 	bool lossy;		/* the caller's connection has lost packets */
+	link_watch_t watch;	/* of that connection */
 	backlog_entry_t answer; /* what is held for the caller */
 	size_t replied_bytes;	/* of a plain body, counted as buffered */
 	mstime_t read_on_at;	/* end of the last pause, 0 before */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -32,6 +32,7 @@
 #include <kcf/fleet_roles.h>
 #include <kcf/gateway.h>
 #include <kcf/latency.h>
+#include <kcf/link_loss.h>
 #include <kcf/member.h>
 #include <kcf/origins.h>
 #include <kcf/quarantine_gossip.h>
@@ -231,6 +232,7 @@
 	GRand *rand;
 	GHashTable *forwards; /* forward_t *, open requests of callers */
 	backlogs_t backlogs;
+	link_loss_t link_loss; /* of the links to callers */
 	size_t buffered_bytes; /* of plain responses, see RESPONSE_BODY_* */
 	phase_t phase;
 	mstime_t started_at;
--- a/packages/http/server.c
+++ b/packages/http/server.c
@@ -810,6 +810,11 @@
 	return socket_loss_count(socket_(r));
 }
 
+int http_request_unacked(const http_request_t *r, int64_t *rtt_ms)
+{
+	return socket_unacked(socket_(r), rtt_ms);
+}
+
 static void log_socket_error_(const char *call)
 {
 	LOG_EVENT(LOG_WARNING, "http.reset_failed", F_STR("call", call),
