--- a/tests/unit/test_coalesce.c
+++ b/tests/unit/test_coalesce.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <kcf/coalesce.h>
+#include <kcf/link_loss.h>
 
 #define START 5000
 #define EVENTS 40
@@ -137,6 +138,47 @@
 }
 END_TEST
 
+/*
+ * Guards against links without loss on which events are held, and against
+ * lossy ones that are not noticed.
+ */
+static const struct {
+	const char *links;
+	int writes; /* before the last look */
+	int every;  /* each such write stays unacknowledged, 0: none */
+	int rtt_ms;
+	int held_ms; /* for so long */
+	bool lossy;
+} links[] = {
+	{ "no loss", 10000, 0, 5, 0, false },
+	{ "one packet in a thousand", 10000, 1000, 5, 250, true },
+	{ "one packet in ten thousand", 30000, 10000, 5, 250, false },
+	{ "acknowledgements that are delayed", 10000, 10, 5, 50, false },
+	{ "a long way", 10000, 10, 80, 250, false },
+};
+
+START_TEST(test_links)
+{
+	link_loss_t l = { 0 };
+	link_watch_t w = { 0 };
+	mstime_t now = 1000000;
+
+	for (int i = 1; i <= links[_i].writes; i++) {
+		bool held = links[_i].every && i % links[_i].every == 0;
+
+		link_loss_count_write(&l);
+		link_loss_watch(&l, &w, 0, links[_i].rtt_ms, now, now + 50);
+		now += 50;
+		for (int t = 50; held && t <= links[_i].held_ms; t += 50)
+			link_loss_watch(&l, &w, 90, links[_i].rtt_ms, now,
+					now + t);
+		now += held ? links[_i].held_ms : 0;
+	}
+	ck_assert_msg(link_loss_is_lossy(&l) == links[_i].lossy, "%s",
+		      links[_i].links);
+}
+END_TEST
+
 Suite *coalesce_suite(void)
 {
 	Suite *s = suite_create("coalesce");
@@ -145,6 +187,7 @@
 	tcase_add_loop_test(t, test_stream, 0, G_N_ELEMENTS(streams));
 	tcase_add_test(t, test_comment_writes_all);
 	tcase_add_test(t, test_names);
+	tcase_add_loop_test(t, test_links, 0, G_N_ELEMENTS(links));
 	suite_add_tcase(s, t);
 	return s;
 }
