--- a/include/kcf/link_loss.h
+++ b/include/kcf/link_loss.h
@@ -24,6 +24,7 @@
 /* Of one connection; zeroed at first. */
 typedef struct link_watch {
 	mstime_t unacked_from; /* 0 while all is acknowledged */
+	bool counted;	       /* as a loss, since then */
 	mstime_t next_at;
 } link_watch_t;
 
--- a/packages/decide/link_loss.c
+++ b/packages/decide/link_loss.c
@@ -32,15 +32,16 @@
 	w->next_at = now + LINK_LOSS_INTERVAL_MS;
 	if (unacked <= 0 || rtt_ms * RTT_FACTOR >= UNACKED_MS) {
 		w->unacked_from = 0;
+		w->counted = false;
 		return;
 	}
 	if (!w->unacked_from)
 		w->unacked_from = written_at;
-	if (now - w->unacked_from < UNACKED_MS)
+	/* What is written meanwhile is held up by the same loss. */
+	if (w->counted || now - w->unacked_from < UNACKED_MS)
 		return;
 	l->losses++;
-	/* What is written meanwhile is held up by the same loss. */
-	w->unacked_from = now;
+	w->counted = true;
 }
 
 bool link_loss_is_lossy(const link_loss_t *l)
