--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -12,6 +12,7 @@
 #define KCF_BALANCE_H
 
 #include <glib.h>
+#include <kcf/admission.h>
 #include <kcf/brittle.h>
 #include <kcf/clock.h>
 #include <kcf/placement.h>
@@ -99,6 +100,7 @@
 	mstime_t reported_at; /* time of the last report, 0 before the first */
 	double failure_rate;  /* moving mean, 0 to 1 */
 	double latency_ms;    /* moving mean, 0 before the first answer */
+	double hold_ms; /* mean time that a request runs, 0 before one ended */
 	int outcome_count;    /* requests in failure_rate */
 	mstime_t idle_max_ms; /* it closes idle connections after this */
 	rate_limit_t rate_limit;
@@ -153,6 +155,7 @@
 	rate_limit_place_t place; /* of this node among those that serve */
 	uint64_t last_local_id;
 	mstime_t entries_alive_at; /* alive_at of all, or before */
+	bool pace_reported; /* an upstream has; admission_decide is in force */
 	GRand *rand;
 } balance_t;
 
@@ -194,6 +197,7 @@
 	balance_trust_t least_trust; /* of those of that version */
 	bool no_brittle;	     /* was refused by a brittle upstream */
 	bool over_share;	     /* its customer uses more than its share */
+	admission_claim_t claim;     /* see admission_decide */
 } balance_request_t;
 
 typedef enum balance_reason {
@@ -208,6 +212,8 @@
 	BALANCE_OVER_SHARE,   /* the rest is reserved for other customers */
 	BALANCE_COLD,	      /* only cold ones are left, at their rate limit */
 	BALANCE_RATE_LIMITED, /* the rest takes no more requests a second */
+	BALANCE_RESERVED,     /* the rest is for more urgent requests */
+	BALANCE_LATE,	      /* no upstream can answer before its deadline */
 	BALANCE_REASON_COUNT,
 } balance_reason_t;
 
@@ -423,6 +429,13 @@
 void balance_end_request(balance_upstream_t *u, balance_outcome_t outcome,
 			 mstime_t latency_ms, mstime_t now);
 
+/*
+ * balance_record_hold - records how long a request was at an upstream, before
+ * balance_end_request.
+ * @total_ms: from when it was sent to the end of its response
+ */
+void balance_record_hold(balance_upstream_t *u, mstime_t total_ms);
+
 /*
  * balance_count_overdue - counts a failure for a request that has had no answer
  * in due time; the request stays outstanding.
--- a/include/kcf/protocol.h
+++ b/include/kcf/protocol.h
@@ -61,6 +61,8 @@
 	int turned_per_s;     /* than this; below 0 if it cannot be read */
 	int outstanding;      /* reported load, -1 if unset */
 	int slots;	      /* requests that it runs at a time, 0 if unset */
+	int pace;	      /* 100 is normal, 250 that work takes 2.5 times
+				 as long; 0 if unset */
 	mstime_t idle_max_ms; /* it closes idle connections then, 0 if unset */
 } upstream_response_t;
 
--- /dev/null
+++ b/packages/decide/admission.c
@@ -0,0 +1,332 @@
+#include <kcf/admission.h>
+
+#include <assert.h>
+#include <math.h>
+
+/*
+ * Time constant of the customers' rates. A node of a large fleet sees about one
+ * request of a customer in this time.
+ */
+#define RATE_WINDOW_MS 8000.0
+/* Weight of the last request that no longer makes its customer active. */
+#define RATE_WEIGHT_MIN 0.05
+/* Interval of the search for customers that are no longer active. */
+#define SWEEP_INTERVAL_MS 1000
+/* Multiple of an even share that each customer may send, */
+#define SHARE_FACTOR 2.0
+/* and requests in the window that say nothing of a customer: one clump. */
+#define SHARE_MIN 3.0
+/* A class of urgency counts as present this long after its last request. */
+#define KIND_ACTIVE_MS 10000
+/* Further ones of a service count as the last that was added. */
+#define KINDS_MAX 16
+
+/*
+ * The response time that a request is admitted with, as a fraction of its
+ * objective. Reports are up to half a second old, in which an upstream may
+ * become 2.5 times slower.
+ */
+#define OBJECTIVE_FRACTION 0.5
+/*
+ * Requests waiting per slot up to which one without an objective is admitted:
+ * then three outstanding requests per slot, as without admission.
+ */
+#define WAITING_PER_SLOT 2.0
+/* Lowest limit of a request, as a fraction of the highest of its urgency. */
+#define LIMIT_SPREAD 0.5
+/*
+ * Fraction of the limit that is kept from a request for those that are more
+ * urgent. With half of the spread, less urgent ones are still admitted at a load
+ * at which half of the more urgent ones are rejected.
+ */
+#define RESERVE 0.25
+/* Classes of urgency that have a reserve. */
+#define RESERVES_MAX 2
+/* What a request gains that has waited for all of its time. */
+#define WAITED_BONUS 0.5
+/* Use of the slots up to which a customer may exceed its share. */
+#define SURPLUS_USE_MAX 0.75
+/* Callers accept at most this fraction of the time they have left. */
+#define RETRY_FRACTION (1.0 / 3)
+/* Round trip and timer resolution of callers. */
+#define RETRY_MIN_MS 50
+/* For requests without a deadline; as without admission. */
+#define RETRY_MAX_MS 2000
+/* Scales the upper 53 bits of a hash to the range from 0 to below 1. */
+#define HASH_TO_FRACTION (1.0 / 9007199254740992.0)
+/* Multipliers that make independent draws from one hash (odd constants). */
+#define DRAW_LIMIT 0x9e3779b97f4a7c15ULL
+#define DRAW_SURPLUS 0xc2b2ae3d27d4eb4fULL
+#define DRAW_RETRY 0x165667b19e3779f9ULL
+
+/* A sum that decays with RATE_WINDOW_MS. */
+typedef struct decaying {
+	double sum;
+	mstime_t at;
+} decaying_t;
+
+/* Requests of one route at one urgency. */
+typedef struct kind_demand {
+	char *name;
+	int urgency;
+	mstime_t seen_at;
+	mstime_t longest_ms; /* most time that a caller had left */
+} kind_demand_t;
+
+typedef struct service_demand {
+	GHashTable *customers; /* char * to decaying_t * */
+	decaying_t all;
+	mstime_t swept_at;
+	kind_demand_t kinds[KINDS_MAX];
+	int kind_count;
+} service_demand_t;
+
+static void free_service_(gpointer p)
+{
+	service_demand_t *s = p;
+
+	g_hash_table_destroy(s->customers);
+	for (int i = 0; i < s->kind_count; i++)
+		g_free(s->kinds[i].name);
+	g_free(s);
+}
+
+void admission_init(admission_t *a)
+{
+	assert(a);
+	a->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    free_service_);
+}
+
+void admission_finish(admission_t *a)
+{
+	assert(a);
+	g_hash_table_destroy(a->services);
+}
+
+static double draw_(uint64_t hash, uint64_t multiplier)
+{
+	uint64_t mixed = (hash ^ (hash >> 32)) * multiplier;
+
+	mixed = (mixed ^ (mixed >> 29)) * multiplier;
+	return (double)(mixed >> 11) * HASH_TO_FRACTION;
+}
+
+static double decayed_(const decaying_t *d, mstime_t now)
+{
+	return d->sum * exp(-(double)(now - d->at) / RATE_WINDOW_MS);
+}
+
+static void add_(decaying_t *d, double size, mstime_t now)
+{
+	d->sum = decayed_(d, now) + size;
+	d->at = now;
+}
+
+static service_demand_t *get_service_(admission_t *a, const char *name)
+{
+	service_demand_t *s = g_hash_table_lookup(a->services, name);
+
+	if (s)
+		return s;
+	s = g_new0(service_demand_t, 1);
+	s->customers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(a->services, g_strdup(name), s);
+	return s;
+}
+
+static decaying_t *get_customer_(service_demand_t *s, const char *name)
+{
+	decaying_t *d = g_hash_table_lookup(s->customers, name);
+
+	if (d)
+		return d;
+	d = g_new0(decaying_t, 1);
+	g_hash_table_insert(s->customers, g_strdup(name), d);
+	return d;
+}
+
+static gboolean is_inactive_(gpointer key, gpointer value, gpointer arg)
+{
+	const mstime_t *now = arg;
+
+	(void)key;
+	return decayed_(value, *now) < RATE_WEIGHT_MIN;
+}
+
+static void sweep_(service_demand_t *s, mstime_t now)
+{
+	if (now - s->swept_at < SWEEP_INTERVAL_MS)
+		return;
+	s->swept_at = now;
+	g_hash_table_foreach_remove(s->customers, is_inactive_, &now);
+}
+
+static kind_demand_t *get_kind_(service_demand_t *s, const char *name,
+				int urgency)
+{
+	kind_demand_t *k = s->kinds;
+
+	for (int i = 0; i < s->kind_count; i++) {
+		k = &s->kinds[i];
+		if (k->urgency == urgency && !g_strcmp0(k->name, name))
+			return k;
+	}
+	if (s->kind_count == KINDS_MAX)
+		return k;
+	k = &s->kinds[s->kind_count++];
+	*k = (kind_demand_t){ .name = g_strdup(name), .urgency = urgency };
+	return k;
+}
+
+/* Number of more urgent classes among the kinds seen lately. */
+static int outranked_(const service_demand_t *s, int urgency, mstime_t now)
+{
+	bool seen[ADMISSION_URGENCY_LAST + 1] = { false };
+	int count = 0;
+
+	for (int i = 0; i < s->kind_count; i++) {
+		const kind_demand_t *k = &s->kinds[i];
+
+		if (k->urgency >= urgency || seen[k->urgency] ||
+		    now - k->seen_at > KIND_ACTIVE_MS)
+			continue;
+		seen[k->urgency] = true;
+		count++;
+	}
+	return count;
+}
+
+/*
+ * Fraction of a customer's recent requests that exceeds what each customer may
+ * send. Half a window's requests are too few for a reliable rate, so that the
+ * least allowed is a clump.
+ */
+static double surplus_(const service_demand_t *s, const decaying_t *customer,
+		       mstime_t now)
+{
+	double even =
+		decayed_(&s->all, now) / g_hash_table_size(s->customers);
+	double allowed = MAX(SHARE_FACTOR * even, SHARE_MIN);
+	double sent = decayed_(customer, now);
+
+	/* The only active one is not above its share. */
+	if (g_hash_table_size(s->customers) < 2)
+		return 0;
+	return sent > allowed ? 1 - allowed / sent : 0;
+}
+
+void admission_record_arrival(admission_t *a,
+			      const admission_arrival_t *arrival, mstime_t now,
+			      admission_claim_t *claim)
+{
+	service_demand_t *s;
+	decaying_t *customer;
+	kind_demand_t *kind;
+	mstime_t left = arrival->deadline - now;
+	int urgency = CLAMP(arrival->urgency, 0, ADMISSION_URGENCY_LAST);
+
+	assert(a && arrival->service && arrival->customer && claim);
+	s = get_service_(a, arrival->service);
+	sweep_(s, now);
+	customer = get_customer_(s, arrival->customer);
+	add_(customer, arrival->size, now);
+	add_(&s->all, arrival->size, now);
+	kind = get_kind_(s, arrival->kind, urgency);
+	kind->seen_at = now;
+	kind->longest_ms = MAX(kind->longest_ms, left);
+	claim->hash = arrival->hash;
+	claim->deadline = arrival->deadline;
+	claim->outranked = outranked_(s, urgency, now);
+	claim->surplus = draw_(arrival->hash, DRAW_SURPLUS) <
+			 surplus_(s, customer, now);
+	claim->waited =
+		kind->longest_ms > 0
+			? CLAMP(1 - (double)left / (double)kind->longest_ms, 0,
+				1)
+			: 0;
+}
+
+/* Time until a request that comes now gets a slot. */
+static double wait_ms_(const admission_view_t *view)
+{
+	int ahead = view->load + 1 - view->slots;
+
+	return ahead > 0 ? ahead * view->hold_ms / view->slots : 0;
+}
+
+/* Longest wait with which the most favoured request is admitted. */
+static double wait_max_ms_(const admission_claim_t *claim,
+			   const admission_view_t *view)
+{
+	double most = WAITING_PER_SLOT * view->hold_ms;
+
+	if (!claim->objective_ms)
+		return most;
+	/* If the objective cannot be met, late responses are the best there
+	 * are, so that a queue of one request per slot is allowed.
+	 */
+	return CLAMP((double)claim->objective_ms * OBJECTIVE_FRACTION -
+			     view->hold_ms,
+		     view->hold_ms, most);
+}
+
+static double reserve_(const admission_claim_t *claim)
+{
+	return RESERVE * MIN(claim->outranked, RESERVES_MAX);
+}
+
+/* Part of the longest wait with which this request is admitted. */
+static double limit_(const admission_claim_t *claim)
+{
+	double limit = 1 - LIMIT_SPREAD * draw_(claim->hash, DRAW_LIMIT) +
+		       WAITED_BONUS * claim->waited;
+
+	return MIN(limit, 1);
+}
+
+admission_verdict_t admission_decide(const admission_claim_t *claim,
+				     const admission_view_t *view, mstime_t now)
+{
+	double wait;
+	double part;
+
+	assert(claim && view && view->slots > 0 && view->hold_ms > 0);
+	wait = wait_ms_(view);
+	if (claim->deadline &&
+	    wait + view->hold_ms > (double)(claim->deadline - now))
+		return ADMISSION_LATE;
+	if (claim->surplus &&
+	    (wait > 0 || view->service_load >=
+				 view->service_slots * SURPLUS_USE_MAX))
+		return ADMISSION_SURPLUS;
+	part = wait / wait_max_ms_(claim, view);
+	if (part > limit_(claim))
+		return ADMISSION_BUSY;
+	if (wait > 0 && part > limit_(claim) - reserve_(claim))
+		return ADMISSION_RESERVED;
+	return ADMISSION_ADMIT;
+}
+
+mstime_t admission_retry_ms(const admission_claim_t *claim,
+			    const admission_view_t *view, mstime_t now)
+{
+	double excess;
+	double first;
+	double last = RETRY_MAX_MS;
+	double left = (double)(claim->deadline - now);
+
+	assert(claim && view && view->slots > 0);
+	excess = view->service_load - view->service_slots;
+	first = MAX(excess, 0) * view->hold_ms / MAX(view->service_slots, 1) +
+		MAX(view->hold_ms, RETRY_MIN_MS);
+	if (claim->deadline)
+		last = MAX(left * RETRY_FRACTION, 1);
+	if (first >= last)
+		/* Callers come back if a slot may be free by their deadline. */
+		return (mstime_t)(first < left || !claim->deadline ? last
+								   : first);
+	return (mstime_t)(first +
+			  (last - first) * draw_(claim->hash, DRAW_RETRY));
+}
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -499,6 +499,16 @@
 	balance_free_if_unused(u);
 }
 
+void balance_record_hold(balance_upstream_t *u, mstime_t total_ms)
+{
+	/* Of that time it waited while others were in the slots. */
+	int load = MAX(u->slots, u->own_outstanding + u->remote_outstanding);
+	double ms = MAX(1.0, (double)total_ms * u->slots / load);
+
+	assert(total_ms >= 0);
+	u->hold_ms += (u->hold_ms > 0 ? LATENCY_WEIGHT : 1) * (ms - u->hold_ms);
+}
+
 void balance_count_overdue(balance_upstream_t *u)
 {
 	record_outcome_(u, true);
--- a/packages/decide/balance_candidates.c
+++ b/packages/decide/balance_candidates.c
@@ -100,12 +100,16 @@
 static void compute_means_(candidates_t *c, int total)
 {
 	int with_latency = 0;
+	int with_hold = 0;
 
 	for (guint i = 0; i < c->count; i++) {
 		const balance_upstream_t *u = c->list[i];
 
 		c->mean_load += c->loads[i];
 		c->mean_failure_rate += u->failure_rate;
+		c->slots += u->slots;
+		c->mean_hold_ms += u->hold_ms;
+		with_hold += u->hold_ms > 0;
 		if (u->latency_ms > 0) {
 			c->mean_latency_ms += u->latency_ms;
 			with_latency++;
@@ -117,6 +121,8 @@
 	}
 	if (with_latency)
 		c->mean_latency_ms /= with_latency;
+	if (with_hold)
+		c->mean_hold_ms /= with_hold;
 }
 
 void balance_collect_candidates(const balance_t *b,
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -43,7 +43,7 @@
 const char *const balance_reason_string[] = {
 	"first",	  "spill",    "hot",	     "least",
 	"trial",	  "baseline", "no upstream", "full",
-	"over its share", "cold",     "rate limit",
+	"over its share", "cold",     "rate limit", "reserved", "late",
 };
 
 typedef struct choice {
@@ -112,6 +112,7 @@
 	bool any_rate_limited;
 	mstime_t rate_wait_ms; /* shortest of those */
 	bool any_full;
+	admission_verdict_t verdict; /* the mildest of those */
 } ranking_t;
 
 static void update_preferred_(ranking_t *r, int index, double score)
@@ -184,6 +185,36 @@
 			      u->own_outstanding, has_room, now);
 }
 
+static admission_view_t admission_view_(const candidates_t *c, int load,
+					int slots)
+{
+	return (admission_view_t){ .load = load,
+				   .slots = slots,
+				   .service_load = c->mean_load * c->count,
+				   .service_slots = c->slots,
+				   .hold_ms = c->mean_hold_ms };
+}
+
+/* Whether an upstream takes a request; keeps the mildest reason against it. */
+static bool admits_(const balance_t *b, const balance_request_t *request,
+		    const candidates_t *c, guint i, mstime_t now,
+		    admission_verdict_t *mildest)
+{
+	const balance_upstream_t *u = c->list[i];
+	bool fresh = balance_has_fresh_report(u, now);
+	admission_view_t view = admission_view_(
+		c, fresh ? c->loads[i] : u->own_outstanding, u->slots);
+	admission_verdict_t verdict;
+
+	if (!b->pace_reported || c->mean_hold_ms <= 0)
+		return !is_full_(request, u, c->loads[i], now);
+	verdict = admission_decide(&request->claim, &view, now);
+	if (verdict != ADMISSION_ADMIT &&
+	    (*mildest == ADMISSION_ADMIT || verdict < *mildest))
+		*mildest = verdict;
+	return verdict == ADMISSION_ADMIT;
+}
+
 static void rank_candidates_(balance_t *b, const balance_request_t *request,
 			     const candidates_t *c, mstime_t now, ranking_t *r)
 {
@@ -220,7 +251,7 @@
 		     balance_trust(u, now) < request->least_trust))
 			continue;
 		update_preferred_(r, (int)i, score);
-		if (is_full_(request, u, c->loads[i], now) ||
+		if (!admits_(b, request, c, i, now, &r->verdict) ||
 		    (request->version && is_over_limit_(c, i, now)) ||
 		    !brittle_has_room_(b, request, c, i, now)) {
 			r->any_full = true;
@@ -253,6 +284,24 @@
 	}
 }
 
+static balance_pick_t refuse_admission_(const balance_request_t *request,
+					const candidates_t *c,
+					const ranking_t *r, mstime_t now)
+{
+	static const balance_reason_t reasons[] = {
+		[ADMISSION_BUSY] = BALANCE_FULL,
+		[ADMISSION_RESERVED] = BALANCE_RESERVED,
+		[ADMISSION_SURPLUS] = BALANCE_OVER_SHARE,
+		[ADMISSION_LATE] = BALANCE_LATE,
+	};
+	admission_view_t view = admission_view_(
+		c, (int)c->mean_load, c->slots / (int)MAX(c->count, 1));
+
+	return (balance_pick_t){ .reason = reasons[r->verdict],
+				 .retry_ms = admission_retry_ms(
+					 &request->claim, &view, now) };
+}
+
 static balance_pick_t refuse_(balance_t *b, const balance_request_t *request,
 			      const candidates_t *c, const ranking_t *r,
 			      mstime_t now)
@@ -263,6 +312,8 @@
 	if (r->any_rate_limited)
 		return (balance_pick_t){ .reason = BALANCE_RATE_LIMITED,
 					 .retry_ms = r->rate_wait_ms };
+	if (r->verdict != ADMISSION_ADMIT)
+		return refuse_admission_(request, c, r, now);
 	if (r->any_full)
 		return (balance_pick_t){ .reason = request->over_share
 							   ? BALANCE_OVER_SHARE
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -15,6 +15,8 @@
 	int own_outstanding;	  /* requests of this node at those listed */
 	double mean_failure_rate; /* of those listed */
 	double mean_latency_ms;	  /* of those listed that have one */
+	double mean_hold_ms;	  /* the same */
+	int slots;		  /* of those listed */
 } candidates_t;
 
 /*
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -319,6 +319,8 @@
 		balance_apply_report(f->selected, f->response.outstanding,
 				     f->response.slots, now);
 	}
+	if (f->response.pace)
+		f->gateway->balance.pace_reported = true;
 	if (f->response.idle_max_ms)
 		f->selected->idle_max_ms = f->response.idle_max_ms;
 	record_leaving_(f, now);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -207,6 +207,8 @@
 
 	if (!f->selected)
 		return;
+	if (outcome == BALANCE_OK)
+		balance_record_hold(f->selected, now - f->sent_at);
 	balance_end_request(f->selected, outcome, latency, now);
 	shares_add_outstanding(&f->gateway->shares, f->service,
 			       share_customer_(f), -1, now);
@@ -248,9 +250,36 @@
 	return r;
 }
 
+/* 0 is most urgent. */
+static int priority_(const forward_t *f)
+{
+	return f->customer && f->customer->priority >= 0
+		       ? f->customer->priority
+		       : f->route->priority;
+}
+
+/* Counted once, not for each upstream that it is sent to. */
+static void record_arrival_(forward_t *f, mstime_t now)
+{
+	admission_arrival_t arrival = { .service = f->service,
+					.customer = share_customer_(f),
+					.kind = f->route->name,
+					.urgency = priority_(f),
+					.size = 1,
+					.deadline = f->deadline,
+					.hash = str_hash64(f->in.id, 0) };
+
+	if (f->claim.hash)
+		return;
+	admission_record_arrival(&f->gateway->admission, &arrival, now,
+				 &f->claim);
+	f->claim.objective_ms = f->route->latency_objective_ms;
+}
+
 void forward_describe(const forward_t *f, balance_request_t *request)
 {
 	*request = (balance_request_t){ .service = f->service,
+					.claim = f->claim,
 					.version = f->bound_version,
 					.no_brittle = f->met_brittle };
 	if (f->route->affinity)
@@ -283,6 +312,7 @@
 	const char *customer = share_customer_(f);
 	mstime_t now = clock_now();
 
+	record_arrival_(f, now);
 	forward_describe(f, &request);
 	request.over_share =
 		shares_check_request(&g->shares, f->service, customer, now);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -386,6 +386,7 @@
 	balance_init(&g->balance, g->conf->data_centre, g_rand_int(g->rand));
 	g->balance.placement = g->conf->placement;
 	shares_init(&g->shares);
+	admission_init(&g->admission);
 	crashes_init(g);
 	versions_init(&g->versions, g->started_at);
 	resumes_init(g);
@@ -428,6 +429,7 @@
 	versions_finish(&g->versions);
 	balance_finish(&g->balance);
 	shares_finish(&g->shares);
+	admission_finish(&g->admission);
 	route_table_unref(g->table);
 	g_hash_table_destroy(g->retry_budgets);
 	g_hash_table_destroy(g->forwards);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -105,6 +105,7 @@
 	bool may_have_run;
 	bool met_brittle; /* a brittle upstream had no room for it */
 	bool suspect;	  /* its upstream crashed, maybe because of it */
+	admission_claim_t claim; /* zeroed before it is placed */
 	balance_pick_t pick;
 	/* Address of the pick's copy_source, which may go before it is used. */
 	char copy_source[MEMBER_ADDRESS_MAX];
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -208,6 +208,7 @@
 	guint stream_log_slot;	     /* of the next batch */
 	balance_t balance;
 	shares_t shares;      /* outstanding requests of each customer */
+	admission_t admission; /* recent requests of each service */
 	route_table_t *table; /* NULL before the first */
 	latency_t latency_first_byte[ROUTE_KIND_COUNT];
 	latency_t latency_total[ROUTE_KIND_COUNT];
