--- a/include/kcf/admission.h
+++ b/include/kcf/admission.h
@@ -6,8 +6,8 @@
  * for which a request holds a slot, and what the request says of itself. The
  * limit of a request lies between two bounds and is drawn from its id, so that
  * all nodes together turn requests away gradually as the load rises, although
- * their reports are up to half a second old. Pure logic: no socket, no clock, no
- * random source.
+ * their reports are up to half a second old. Pure logic: no socket, no clock,
+ * no random source.
  *
  * Load: a plain service of few slots (18) meets more requests than it can run
  * for some seconds, or one customer sends a multiple of what others send. Each
@@ -37,6 +37,8 @@
 	const char *kind;     /* name of its route */
 	int urgency;	      /* 0 is most urgent */
 	double size;	      /* in mean requests, 1 if unknown */
+	bool stream;
+	mstime_t objective_ms; /* latency objective, 0 if unset */
 	mstime_t deadline;
 	uint64_t hash; /* of its id */
 } admission_arrival_t;
@@ -48,7 +50,8 @@
 	mstime_t deadline;     /* 0 if unset */
 	int outranked;	       /* more urgent classes seen lately */
 	bool surplus;	       /* is above the share of its customer */
-	double waited; /* fraction of its caller's time that is over, 0..1 */
+	bool late;	       /* came back, and its objective has passed */
+	bool stream; /* its objective is for the first part of its response */
 } admission_claim_t;
 
 /* A service and one of its upstreams, as the node knows them. */
@@ -81,7 +84,7 @@
 /*
  * admission_record_arrival - records a request and compares it with the others
  * of the last seconds.
- * @claim: receives all but objective_ms
+ * @claim: receives all
  */
 void admission_record_arrival(admission_t *a,
 			      const admission_arrival_t *arrival, mstime_t now,
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -59,6 +59,7 @@
 		"kcf_refusals_total{reason=\"quarantine\"}",
 	[COUNTER_REFUSED_RESUME] = "kcf_refusals_total{reason=\"resume\"}",
 	[COUNTER_REFUSED_RATE] = "kcf_refusals_total{reason=\"rate\"}",
+	[COUNTER_REFUSED_RESERVED] = "kcf_refusals_total{reason=\"reserved\"}",
 	[COUNTER_CALLERS_DISCONNECTED] = "kcf_callers_gone_total",
 	[COUNTER_CACHED_TOKENS] = "kcf_cached_tokens_total",
 	[COUNTER_PROMPT_TOKENS] = "kcf_prompt_tokens_total",
--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -21,31 +21,38 @@
 /* Further ones of a service count as the last that was added. */
 #define KINDS_MAX 16
 
+/* Time left from which a request counts as a first try, of the longest. */
+#define FIRST_LEFT_MIN 0.9
+/* Fraction of first tries from which the others count as further tries. */
+#define FIRST_SHARE_MIN 0.5
+/* Weight of one request in the means of its kind. */
+#define FIRST_WEIGHT 0.02
 /*
- * The response time that a request is admitted with, as a fraction of its
- * objective. Reports are up to half a second old, in which an upstream may
- * become 2.5 times slower.
+ * Requests waiting per slot up to which one may be admitted: with those that
+ * run, three outstanding per slot, as without admission.
  */
-#define OBJECTIVE_FRACTION 0.5
+#define WAITING_PER_SLOT 2.0
 /*
- * Requests waiting per slot up to which one without an objective is admitted:
- * then three outstanding requests per slot, as without admission.
+ * The limit of a request is drawn from this fraction of the highest one up to
+ * it. Between the two, the fraction of requests that is admitted falls from all
+ * to none, also of less urgent ones.
  */
-#define WAITING_PER_SLOT 2.0
-/* Lowest limit of a request, as a fraction of the highest of its urgency. */
-#define LIMIT_SPREAD 0.5
+#define LIMIT_SPREAD 0.3
 /*
- * Fraction of the limit that is kept from a request for those that are more
- * urgent. With half of the spread, less urgent ones are still admitted at a load
- * at which half of the more urgent ones are rejected.
+ * Fraction of the limit that is kept from a request for each class that is more
+ * urgent. It is a third of the spread, so that less urgent requests are still
+ * admitted at a load at which a half of the more urgent ones is rejected.
  */
-#define RESERVE 0.25
+#define RESERVE 0.1
 /* Classes of urgency that have a reserve. */
 #define RESERVES_MAX 2
-/* What a request gains that has waited for all of its time. */
-#define WAITED_BONUS 0.5
-/* Use of the slots up to which a customer may exceed its share. */
-#define SURPLUS_USE_MAX 0.75
+/*
+ * Fraction of its mean time in a slot that a request takes at least. Times vary
+ * by a factor of two; only what surely misses its deadline is rejected for it.
+ */
+#define HOLD_MIN_FRACTION 0.5
+/* Fraction of the limit for what exceeds a customer's share. */
+#define SURPLUS_LIMIT 0.25
 /* Callers accept at most this fraction of the time they have left. */
 #define RETRY_FRACTION (1.0 / 3)
 /* Round trip and timer resolution of callers. */
@@ -70,7 +77,8 @@
 	char *name;
 	int urgency;
 	mstime_t seen_at;
-	mstime_t longest_ms; /* most time that a caller had left */
+	double longest_ms;  /* time that a caller has left at its first try */
+	double first_share; /* moving fraction of requests with about that */
 } kind_demand_t;
 
 typedef struct service_demand {
@@ -176,7 +184,9 @@
 	if (s->kind_count == KINDS_MAX)
 		return k;
 	k = &s->kinds[s->kind_count++];
-	*k = (kind_demand_t){ .name = g_strdup(name), .urgency = urgency };
+	*k = (kind_demand_t){ .name = g_strdup(name),
+			      .urgency = urgency,
+			      .first_share = 1 };
 	return k;
 }
 
@@ -206,8 +216,7 @@
 static double surplus_(const service_demand_t *s, const decaying_t *customer,
 		       mstime_t now)
 {
-	double even =
-		decayed_(&s->all, now) / g_hash_table_size(s->customers);
+	double even = decayed_(&s->all, now) / g_hash_table_size(s->customers);
 	double allowed = MAX(SHARE_FACTOR * even, SHARE_MIN);
 	double sent = decayed_(customer, now);
 
@@ -217,6 +226,28 @@
 	return sent > allowed ? 1 - allowed / sent : 0;
 }
 
+/*
+ * Whether a request came back after a rejection and is past its objective. The
+ * time left tells where most callers of a kind begin with the same.
+ */
+static bool is_late_(kind_demand_t *k, const admission_arrival_t *arrival,
+		     mstime_t now)
+{
+	double left = (double)(arrival->deadline - now);
+	bool first;
+
+	if (!arrival->objective_ms || !arrival->deadline)
+		return false;
+	if (left > k->longest_ms)
+		k->longest_ms = left;
+	else
+		k->longest_ms -= FIRST_WEIGHT * (k->longest_ms - left);
+	first = left >= FIRST_LEFT_MIN * k->longest_ms;
+	k->first_share += FIRST_WEIGHT * ((first ? 1 : 0) - k->first_share);
+	return !first && k->first_share > FIRST_SHARE_MIN &&
+	       k->longest_ms - left > (double)arrival->objective_ms;
+}
+
 void admission_record_arrival(admission_t *a,
 			      const admission_arrival_t *arrival, mstime_t now,
 			      admission_claim_t *claim)
@@ -224,7 +255,6 @@
 	service_demand_t *s;
 	decaying_t *customer;
 	kind_demand_t *kind;
-	mstime_t left = arrival->deadline - now;
 	int urgency = CLAMP(arrival->urgency, 0, ADMISSION_URGENCY_LAST);
 
 	assert(a && arrival->service && arrival->customer && claim);
@@ -235,17 +265,16 @@
 	add_(&s->all, arrival->size, now);
 	kind = get_kind_(s, arrival->kind, urgency);
 	kind->seen_at = now;
-	kind->longest_ms = MAX(kind->longest_ms, left);
-	claim->hash = arrival->hash;
-	claim->deadline = arrival->deadline;
-	claim->outranked = outranked_(s, urgency, now);
-	claim->surplus = draw_(arrival->hash, DRAW_SURPLUS) <
-			 surplus_(s, customer, now);
-	claim->waited =
-		kind->longest_ms > 0
-			? CLAMP(1 - (double)left / (double)kind->longest_ms, 0,
-				1)
-			: 0;
+	*claim = (admission_claim_t){
+		.hash = arrival->hash,
+		.objective_ms = arrival->objective_ms,
+		.deadline = arrival->deadline,
+		.stream = arrival->stream,
+		.outranked = outranked_(s, urgency, now),
+		.surplus = draw_(arrival->hash, DRAW_SURPLUS) <
+			   surplus_(s, customer, now),
+		.late = is_late_(kind, arrival, now),
+	};
 }
 
 /* Time until a request that comes now gets a slot. */
@@ -262,14 +291,14 @@
 {
 	double most = WAITING_PER_SLOT * view->hold_ms;
 
-	if (!claim->objective_ms)
+	/* Engines start the most urgent of the streams that wait. */
+	if (!claim->objective_ms || claim->stream)
 		return most;
 	/* If the objective cannot be met, late responses are the best there
 	 * are, so that a queue of one request per slot is allowed.
 	 */
-	return CLAMP((double)claim->objective_ms * OBJECTIVE_FRACTION -
-			     view->hold_ms,
-		     view->hold_ms, most);
+	return CLAMP((double)claim->objective_ms - view->hold_ms, view->hold_ms,
+		     most);
 }
 
 static double reserve_(const admission_claim_t *claim)
@@ -280,33 +309,37 @@
 /* Part of the longest wait with which this request is admitted. */
 static double limit_(const admission_claim_t *claim)
 {
-	double limit = 1 - LIMIT_SPREAD * draw_(claim->hash, DRAW_LIMIT) +
-		       WAITED_BONUS * claim->waited;
+	return 1 - LIMIT_SPREAD * draw_(claim->hash, DRAW_LIMIT);
+}
 
-	return MIN(limit, 1);
+static bool misses_deadline_(const admission_claim_t *claim,
+			     const admission_view_t *view, mstime_t now)
+{
+	return claim->deadline &&
+	       wait_ms_(view) + HOLD_MIN_FRACTION * view->hold_ms >
+		       (double)(claim->deadline - now);
 }
 
 admission_verdict_t admission_decide(const admission_claim_t *claim,
 				     const admission_view_t *view, mstime_t now)
 {
-	double wait;
 	double part;
+	double limit;
 
 	assert(claim && view && view->slots > 0 && view->hold_ms > 0);
-	wait = wait_ms_(view);
-	if (claim->deadline &&
-	    wait + view->hold_ms > (double)(claim->deadline - now))
+	if (misses_deadline_(claim, view, now))
 		return ADMISSION_LATE;
-	if (claim->surplus &&
-	    (wait > 0 || view->service_load >=
-				 view->service_slots * SURPLUS_USE_MAX))
-		return ADMISSION_SURPLUS;
-	part = wait / wait_max_ms_(claim, view);
-	if (part > limit_(claim))
+	part = wait_ms_(view) / wait_max_ms_(claim, view);
+	limit = limit_(claim);
+	if (part <= 0)
+		return ADMISSION_ADMIT;
+	/* Served late, it would make those behind it late too. */
+	if (claim->late || part > limit)
 		return ADMISSION_BUSY;
-	if (wait > 0 && part > limit_(claim) - reserve_(claim))
-		return ADMISSION_RESERVED;
-	return ADMISSION_ADMIT;
+	if (claim->surplus && part > SURPLUS_LIMIT * limit)
+		return ADMISSION_SURPLUS;
+	return part > limit - reserve_(claim) ? ADMISSION_RESERVED
+					      : ADMISSION_ADMIT;
 }
 
 mstime_t admission_retry_ms(const admission_claim_t *claim,
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -41,9 +41,9 @@
 #define RETRY_COLD_MS 150
 
 const char *const balance_reason_string[] = {
-	"first",	  "spill",    "hot",	     "least",
-	"trial",	  "baseline", "no upstream", "full",
-	"over its share", "cold",     "rate limit", "reserved", "late",
+	"first",      "spill",	     "hot",  "least",	       "trial",
+	"baseline",   "no upstream", "full", "over its share", "cold",
+	"rate limit", "reserved",    "late",
 };
 
 typedef struct choice {
@@ -298,8 +298,8 @@
 		c, (int)c->mean_load, c->slots / (int)MAX(c->count, 1));
 
 	return (balance_pick_t){ .reason = reasons[r->verdict],
-				 .retry_ms = admission_retry_ms(
-					 &request->claim, &view, now) };
+				 .retry_ms = admission_retry_ms(&request->claim,
+								&view, now) };
 }
 
 static balance_pick_t refuse_(balance_t *b, const balance_request_t *request,
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -319,8 +319,12 @@
 		balance_apply_report(f->selected, f->response.outstanding,
 				     f->response.slots, now);
 	}
-	if (f->response.pace)
+	if (f->response.pace && !f->gateway->balance.pace_reported) {
 		f->gateway->balance.pace_reported = true;
+		LOG_EVENT(LOG_NOTICE, "admission.active",
+			  F_STR("upstream", f->selected->id),
+			  F_INT("pace", f->response.pace));
+	}
 	if (f->response.idle_max_ms)
 		f->selected->idle_max_ms = f->response.idle_max_ms;
 	record_leaving_(f, now);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -253,27 +253,29 @@
 /* 0 is most urgent. */
 static int priority_(const forward_t *f)
 {
-	return f->customer && f->customer->priority >= 0
-		       ? f->customer->priority
-		       : f->route->priority;
+	return f->customer && f->customer->priority >= 0 ? f->customer->priority
+							 : f->route->priority;
 }
 
 /* Counted once, not for each upstream that it is sent to. */
 static void record_arrival_(forward_t *f, mstime_t now)
 {
-	admission_arrival_t arrival = { .service = f->service,
-					.customer = share_customer_(f),
-					.kind = f->route->name,
-					.urgency = priority_(f),
-					.size = 1,
-					.deadline = f->deadline,
-					.hash = str_hash64(f->in.id, 0) };
+	admission_arrival_t arrival = {
+		.service = f->service,
+		.customer = share_customer_(f),
+		.kind = f->route->name,
+		.urgency = priority_(f),
+		.size = 1,
+		.stream = f->route->kind == ROUTE_KIND_STREAM,
+		.objective_ms = f->route->latency_objective_ms,
+		.deadline = f->deadline,
+		.hash = str_hash64(f->in.id, 0) | 1
+	};
 
 	if (f->claim.hash)
 		return;
 	admission_record_arrival(&f->gateway->admission, &arrival, now,
 				 &f->claim);
-	f->claim.objective_ms = f->route->latency_objective_ms;
 }
 
 void forward_describe(const forward_t *f, balance_request_t *request)
@@ -640,6 +642,10 @@
 		return COUNTER_REFUSED_UPSTREAM;
 	case BALANCE_RATE_LIMITED:
 		return COUNTER_REFUSED_RATE;
+	case BALANCE_RESERVED:
+		return COUNTER_REFUSED_RESERVED;
+	case BALANCE_LATE:
+		return COUNTER_REFUSED_DEADLINE;
 	default:
 		return COUNTER_REFUSED_LOAD;
 	}
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -103,8 +103,8 @@
 	int attempt_count;
 	int deliveries; /* attempts that may have reached an upstream */
 	bool may_have_run;
-	bool met_brittle; /* a brittle upstream had no room for it */
-	bool suspect;	  /* its upstream crashed, maybe because of it */
+	bool met_brittle;	 /* a brittle upstream had no room for it */
+	bool suspect;		 /* its upstream crashed, maybe because of it */
 	admission_claim_t claim; /* zeroed before it is placed */
 	balance_pick_t pick;
 	/* Address of the pick's copy_source, which may go before it is used. */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -207,9 +207,9 @@
 	mstime_t stream_log_read_at; /* 0 if not read yet */
 	guint stream_log_slot;	     /* of the next batch */
 	balance_t balance;
-	shares_t shares;      /* outstanding requests of each customer */
+	shares_t shares;       /* outstanding requests of each customer */
 	admission_t admission; /* recent requests of each service */
-	route_table_t *table; /* NULL before the first */
+	route_table_t *table;  /* NULL before the first */
 	latency_t latency_first_byte[ROUTE_KIND_COUNT];
 	latency_t latency_total[ROUTE_KIND_COUNT];
 	reach_t reach;
