--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -8,6 +8,7 @@
 	const char *name;
 	Suite *(*make)(void);
 } suites[] = {
+	{ "admission", admission_suite },
 	{ "feed_epochs", feed_epochs_suite },
 	{ "feed_outage", feed_outage_suite },
 	{ "feed_scan", feed_scan_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -6,6 +6,7 @@
 
 #include <check.h>
 
+Suite *admission_suite(void);
 Suite *balance_suite(void);
 Suite *config_suite(void);
 Suite *datagram_suite(void);
