--- a/include/kcf/admission.h
+++ b/include/kcf/admission.h
@@ -37,6 +37,8 @@
 	const char *kind;     /* name of its route */
 	int urgency;	      /* 0 is most urgent */
 	double size;	      /* in mean requests, 1 if unknown */
+	/* What the service can run, this node's part of it; 0 if unknown. */
+	double capacity_per_s;
 	bool stream;
 	mstime_t objective_ms; /* latency objective, 0 if unset */
 	mstime_t deadline;
@@ -50,6 +52,7 @@
 	mstime_t deadline;     /* 0 if unset */
 	int outranked;	       /* more urgent classes seen lately */
 	bool surplus;	       /* is above the share of its customer */
+	bool above_even;       /* its customer sends more than most others */
 	bool late;	       /* came back, and its objective has passed */
 	bool stream; /* its objective is for the first part of its response */
 } admission_claim_t;
--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -4,18 +4,30 @@
 #include <math.h>
 
 /*
- * Time constant of the customers' rates. A node of a large fleet sees about one
- * request of a customer in this time.
+ * Time constants of the customers' rates. A node of a large fleet sees about
+ * one request of a customer in the longer one. The shorter one follows a
+ * customer of which a node sees enough requests in it.
  */
-#define RATE_WINDOW_MS 8000.0
+#define LONG_WINDOW_MS 8000.0
+#define SHORT_WINDOW_MS 1000.0
+#define SHORT_WINDOW_MIN 10.0
 /* Weight of the last request that no longer makes its customer active. */
 #define RATE_WEIGHT_MIN 0.05
 /* Interval of the search for customers that are no longer active. */
 #define SWEEP_INTERVAL_MS 1000
 /* Multiple of an even share that each customer may send, */
 #define SHARE_FACTOR 2.0
-/* and requests in the window that say nothing of a customer: one clump. */
-#define SHARE_MIN 3.0
+/* multiple from which those that send less are preferred, as sizes differ, */
+#define EVEN_FACTOR 1.5
+/* and rate that says nothing of a customer: one clump in the longer window. */
+#define SHARE_MIN_PER_S (3.0 * MSEC_PER_SEC / LONG_WINDOW_MS)
+/*
+ * Fraction of the capacity that is divided among the customers; the rest is for
+ * what exceeds their shares.
+ */
+#define SHARED_USE 0.9
+/* Steps in which the division is found. */
+#define LEVEL_PASSES 4
 /* A class of urgency counts as present this long after its last request. */
 #define KIND_ACTIVE_MS 10000
 /* Further ones of a service count as the last that was added. */
@@ -46,6 +58,8 @@
 #define RESERVE 0.1
 /* Classes of urgency that have a reserve. */
 #define RESERVES_MAX 2
+/* The same for customers that send more than an even share. */
+#define SHARE_RESERVE 0.3
 /*
  * Fraction of its mean time in a slot that a request takes at least. Times vary
  * by a factor of two; only what surely misses its deadline is rejected for it.
@@ -66,11 +80,12 @@
 #define DRAW_SURPLUS 0xc2b2ae3d27d4eb4fULL
 #define DRAW_RETRY 0x165667b19e3779f9ULL
 
-/* A sum that decays with RATE_WINDOW_MS. */
-typedef struct decaying {
-	double sum;
+/* Requests, each counting less as time passes. */
+typedef struct demand {
+	double long_sum;
+	double short_sum;
 	mstime_t at;
-} decaying_t;
+} demand_t;
 
 /* Requests of one route at one urgency. */
 typedef struct kind_demand {
@@ -82,8 +97,8 @@
 } kind_demand_t;
 
 typedef struct service_demand {
-	GHashTable *customers; /* char * to decaying_t * */
-	decaying_t all;
+	GHashTable *customers; /* char * to demand_t * */
+	demand_t all;
 	mstime_t swept_at;
 	kind_demand_t kinds[KINDS_MAX];
 	int kind_count;
@@ -120,14 +135,35 @@
 	return (double)(mixed >> 11) * HASH_TO_FRACTION;
 }
 
-static double decayed_(const decaying_t *d, mstime_t now)
+static double remaining_(const demand_t *d, double window_ms, mstime_t now)
+{
+	return exp(-(double)(now - d->at) / window_ms);
+}
+
+static double long_sum_(const demand_t *d, mstime_t now)
+{
+	return d->long_sum * remaining_(d, LONG_WINDOW_MS, now);
+}
+
+static double short_sum_(const demand_t *d, mstime_t now)
+{
+	return d->short_sum * remaining_(d, SHORT_WINDOW_MS, now);
+}
+
+static double per_s_(const demand_t *d, mstime_t now)
 {
-	return d->sum * exp(-(double)(now - d->at) / RATE_WINDOW_MS);
+	double slow = long_sum_(d, now) / LONG_WINDOW_MS;
+	double fast = short_sum_(d, now);
+
+	if (fast < SHORT_WINDOW_MIN)
+		return slow * MSEC_PER_SEC;
+	return MAX(slow, fast / SHORT_WINDOW_MS) * MSEC_PER_SEC;
 }
 
-static void add_(decaying_t *d, double size, mstime_t now)
+static void add_(demand_t *d, double size, mstime_t now)
 {
-	d->sum = decayed_(d, now) + size;
+	d->long_sum = long_sum_(d, now) + size;
+	d->short_sum = short_sum_(d, now) + size;
 	d->at = now;
 }
 
@@ -144,13 +180,13 @@
 	return s;
 }
 
-static decaying_t *get_customer_(service_demand_t *s, const char *name)
+static demand_t *get_customer_(service_demand_t *s, const char *name)
 {
-	decaying_t *d = g_hash_table_lookup(s->customers, name);
+	demand_t *d = g_hash_table_lookup(s->customers, name);
 
 	if (d)
 		return d;
-	d = g_new0(decaying_t, 1);
+	d = g_new0(demand_t, 1);
 	g_hash_table_insert(s->customers, g_strdup(name), d);
 	return d;
 }
@@ -160,7 +196,7 @@
 	const mstime_t *now = arg;
 
 	(void)key;
-	return decayed_(value, *now) < RATE_WEIGHT_MIN;
+	return long_sum_(value, *now) < RATE_WEIGHT_MIN;
 }
 
 static void sweep_(service_demand_t *s, mstime_t now)
@@ -208,24 +244,66 @@
 	return count;
 }
 
+/*
+ * What each customer may send so that all together send no more than a total:
+ * those that send less leave the rest to the others.
+ */
+static double level_(const service_demand_t *s, double total, mstime_t now)
+{
+	double level = total / g_hash_table_size(s->customers);
+
+	for (int pass = 0; pass < LEVEL_PASSES; pass++) {
+		double rest = total;
+		int above = 0;
+		GHashTableIter iter;
+		gpointer value;
+
+		g_hash_table_iter_init(&iter, s->customers);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			double sent = per_s_(value, now);
+
+			above += sent > level;
+			rest -= sent > level ? 0 : sent;
+		}
+		if (!above)
+			return HUGE_VAL;
+		level = rest / above;
+	}
+	return level;
+}
+
 /*
  * Fraction of a customer's recent requests that exceeds what each customer may
- * send. Half a window's requests are too few for a reliable rate, so that the
- * least allowed is a clump.
+ * send: a multiple of an even share, or, if all send more than the service can
+ * run, its part of that.
  */
-static double surplus_(const service_demand_t *s, const decaying_t *customer,
-		       mstime_t now)
+static double surplus_(const service_demand_t *s, const demand_t *customer,
+		       double capacity_per_s, mstime_t now)
 {
-	double even = decayed_(&s->all, now) / g_hash_table_size(s->customers);
-	double allowed = MAX(SHARE_FACTOR * even, SHARE_MIN);
-	double sent = decayed_(customer, now);
+	double sent = per_s_(customer, now);
+	double all = per_s_(&s->all, now);
+	double total = capacity_per_s * SHARED_USE;
+	double allowed = SHARE_FACTOR * all / g_hash_table_size(s->customers);
 
 	/* The only active one is not above its share. */
 	if (g_hash_table_size(s->customers) < 2)
 		return 0;
+	/* A rate of few requests would tell an overload where there is none. */
+	if (total > 0 && all > total &&
+	    short_sum_(&s->all, now) >= SHORT_WINDOW_MIN)
+		allowed = MIN(allowed, level_(s, total, now));
+	allowed = MAX(allowed, SHARE_MIN_PER_S);
 	return sent > allowed ? 1 - allowed / sent : 0;
 }
 
+static bool is_above_even_(const service_demand_t *s, const demand_t *customer,
+			   mstime_t now)
+{
+	double even = per_s_(&s->all, now) / g_hash_table_size(s->customers);
+
+	return per_s_(customer, now) > MAX(EVEN_FACTOR * even, SHARE_MIN_PER_S);
+}
+
 /*
  * Whether a request came back after a rejection and is past its objective. The
  * time left tells where most callers of a kind begin with the same.
@@ -253,7 +331,7 @@
 			      admission_claim_t *claim)
 {
 	service_demand_t *s;
-	decaying_t *customer;
+	demand_t *customer;
 	kind_demand_t *kind;
 	int urgency = CLAMP(arrival->urgency, 0, ADMISSION_URGENCY_LAST);
 
@@ -272,7 +350,8 @@
 		.stream = arrival->stream,
 		.outranked = outranked_(s, urgency, now),
 		.surplus = draw_(arrival->hash, DRAW_SURPLUS) <
-			   surplus_(s, customer, now),
+			   surplus_(s, customer, arrival->capacity_per_s, now),
+		.above_even = is_above_even_(s, customer, now),
 		.late = is_late_(kind, arrival, now),
 	};
 }
@@ -303,7 +382,8 @@
 
 static double reserve_(const admission_claim_t *claim)
 {
-	return RESERVE * MIN(claim->outranked, RESERVES_MAX);
+	return RESERVE * MIN(claim->outranked, RESERVES_MAX) +
+	       (claim->above_even ? SHARE_RESERVE : 0);
 }
 
 /* Part of the longest wait with which this request is admitted. */
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -565,3 +565,25 @@
 	}
 	return n ? sum / n : 0;
 }
+
+double balance_capacity(const balance_t *b, const char *service)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double hold_ms = 0;
+	int slots = 0;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		if (u->leaving || strcmp(u->service, service) != 0)
+			continue;
+		slots += u->slots;
+		hold_ms += u->hold_ms;
+		n += u->hold_ms > 0;
+	}
+	return n ? slots * MSEC_PER_SEC / (hold_ms / n) / MAX(1, b->node_count)
+		 : 0;
+}
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -266,6 +266,8 @@
 		.kind = f->route->name,
 		.urgency = priority_(f),
 		.size = 1,
+		.capacity_per_s =
+			balance_capacity(&f->gateway->balance, f->service),
 		.stream = f->route->kind == ROUTE_KIND_STREAM,
 		.objective_ms = f->route->latency_objective_ms,
 		.deadline = f->deadline,
