--- a/include/kcf/peak_model.h
+++ b/include/kcf/peak_model.h
@@ -80,4 +80,9 @@
  */
 void peak_run(const peak_conf_t *conf, peak_result_t *out);
 
+/*
+ * peak_tally_add - adds the counts of another run.
+ */
+void peak_tally_add(peak_tally_t *sum, const peak_tally_t *t);
+
 #endif
--- a/packages/ctl/main.c
+++ b/packages/ctl/main.c
@@ -34,6 +34,8 @@
 	{ "load", cmd_load, false, true, "drive a workload and report" },
 	{ "experiment", cmd_experiment, false, false,
 	  "placements side by side in the model" },
+	{ "peak", cmd_peak, false, false,
+	  "a service of few slots in a peak, in the model" },
 };
 
 static ctl_t ctl;
--- a/packages/ctl/private/ctl.h
+++ b/packages/ctl/private/ctl.h
@@ -91,5 +91,6 @@
 ctl_exit_t cmd_send(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_load(ctl_t *c, int argc, char **argv);
 ctl_exit_t cmd_experiment(ctl_t *c, int argc, char **argv);
+ctl_exit_t cmd_peak(ctl_t *c, int argc, char **argv);
 
 #endif
--- a/packages/model/peak_model.c
+++ b/packages/model/peak_model.c
@@ -403,6 +403,18 @@
 	}
 }
 
+void peak_tally_add(peak_tally_t *sum, const peak_tally_t *t)
+{
+	sum->requests += t->requests;
+	sum->in_time += t->in_time;
+	sum->late += t->late;
+	sum->rejected += t->rejected;
+	sum->lost += t->lost;
+	sum->rejections += t->rejections;
+	sum->tries_in_time += t->tries_in_time;
+	sum->worth += t->worth;
+}
+
 void peak_run(const peak_conf_t *conf, peak_result_t *out)
 {
 	peak_t *p = g_new0(peak_t, 1);
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -380,18 +380,6 @@
 	{ "twice, one customer eight times", 2, 8, { 1, 2 } },
 };
 
-static void add_(peak_tally_t *sum, const peak_tally_t *t)
-{
-	sum->requests += t->requests;
-	sum->in_time += t->in_time;
-	sum->late += t->late;
-	sum->rejected += t->rejected;
-	sum->lost += t->lost;
-	sum->rejections += t->rejections;
-	sum->tries_in_time += t->tries_in_time;
-	sum->worth += t->worth;
-}
-
 static peak_result_t play_(int i, bool admission, double large_factor)
 {
 	peak_result_t sum = { 0 };
@@ -409,9 +397,9 @@
 		conf.seed = (guint32)seed;
 		peak_run(&conf, &r);
 		for (int k = 0; k < PEAK_KINDS; k++)
-			add_(&sum.kinds[k], &r.kinds[k]);
-		add_(&sum.large, &r.large);
-		add_(&sum.others, &r.others);
+			peak_tally_add(&sum.kinds[k], &r.kinds[k]);
+		peak_tally_add(&sum.large, &r.large);
+		peak_tally_add(&sum.others, &r.others);
 	}
 	return sum;
 }
