Starting nodes name a Retry-After that callers accept

800 ms is above a third of the time left of callers with less than 2.4 s, which then did not come back although nodes are ready in 0.2 to 0.3 s.

--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -12,6 +12,8 @@
  * together take up to this long to become ready.
  */
 #define RETRY_AFTER_STARTING_MS 800
+/* Callers accept at most one part in this many of the time they have left. */
+#define RETRY_AFTER_PARTS 3
 /* The same for a node whose process was paused. */
 #define RETRY_AFTER_PAUSE_MS 400
 /* Other nodes can serve the request at once. */
@@ -710,15 +712,29 @@
 	return str_hash64(http_request_body(f->req), hash) | 1;
 }
 
+/*
+ * A starting node may be ready long before its usual time. A caller with little
+ * time left would not come back at that, and so is told an earlier one.
+ */
+static mstime_t not_ready_retry_ms_(const forward_t *f)
+{
+	mstime_t ms = f->gateway->phase == GATEWAY_STARTING
+			      ? RETRY_AFTER_STARTING_MS
+			      : RETRY_AFTER_PAUSE_MS;
+
+	if (!f->in.well_formed || f->in.remaining_ms < RETRY_AFTER_PARTS)
+		return ms;
+	return MIN(ms, f->in.remaining_ms / RETRY_AFTER_PARTS);
+}
+
 static void handle_request_(forward_t *f)
 {
 	gateway_t *g = f->gateway;
 
 	if (!gateway_data_is_current(g)) {
-		forward_refuse(
-			f, 503, "node is not ready", COUNTER_REFUSED_NOT_READY,
-			g->phase == GATEWAY_STARTING ? RETRY_AFTER_STARTING_MS
-						     : RETRY_AFTER_PAUSE_MS);
+		forward_refuse(f, 503, "node is not ready",
+			       COUNTER_REFUSED_NOT_READY,
+			       not_ready_retry_ms_(f));
 		return;
 	}
 	if (!relays_admit(f))
