Admission: requests that were begun, engines that order by urgency

A stream that is taken up has little time left and was taken for a late one; a short request at a service of long ones was taken for one that misses its deadline.

--- a/include/kcf/admission.h
+++ b/include/kcf/admission.h
@@ -39,7 +39,7 @@
 	double size;	      /* in mean requests, 1 if unknown */
 	/* What the service can run, this node's part of it; 0 if unknown. */
 	double capacity_per_s;
-	bool stream;
+	bool ordered;	       /* see admission_claim_t */
 	mstime_t objective_ms; /* latency objective, 0 if unset */
 	mstime_t deadline;
 	uint64_t hash; /* of its id */
@@ -54,7 +54,9 @@
 	bool surplus;	       /* is above the share of its customer */
 	bool above_even;       /* its customer sends more than most others */
 	bool late;	       /* came back, and its objective has passed */
-	bool stream; /* its objective is for the first part of its response */
+	bool ordered; /* upstreams start the most urgent of those that wait */
+	bool begun; /* has been sent to an upstream before, or delivered in part
+		     */
 } admission_claim_t;
 
 /* A service and one of its upstreams, as the node knows them. */
@@ -63,7 +65,9 @@
 	int slots; /* of the upstream */
 	double service_load;
 	int service_slots;
-	double hold_ms; /* mean time for which a request holds a slot */
+	double hold_ms;	 /* mean time for which a request holds a slot */
+	double least_ms; /* time that the quickest requests take, 0 if unknown
+			  */
 } admission_view_t;
 
 typedef enum admission_verdict {
--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -100,6 +100,7 @@
 	mstime_t reported_at; /* time of the last report, 0 before the first */
 	double failure_rate;  /* moving mean, 0 to 1 */
 	double latency_ms;    /* moving mean, 0 before the first answer */
+	double least_ms;      /* moving minimum of the same, without waiting */
 	double hold_ms; /* mean time that a request runs, 0 before one ended */
 	int outcome_count;    /* requests in failure_rate */
 	mstime_t idle_max_ms; /* it closes idle connections after this */
--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -60,11 +60,6 @@
 #define RESERVES_MAX 2
 /* The same for customers that send more than an even share. */
 #define SHARE_RESERVE 0.3
-/*
- * Fraction of its mean time in a slot that a request takes at least. Times vary
- * by a factor of two; only what surely misses its deadline is rejected for it.
- */
-#define HOLD_MIN_FRACTION 0.5
 /* Fraction of the limit for what exceeds a customer's share. */
 #define SURPLUS_LIMIT 0.25
 /* Callers accept at most this fraction of the time they have left. */
@@ -314,7 +309,8 @@
 	double left = (double)(arrival->deadline - now);
 	bool first;
 
-	if (!arrival->objective_ms || !arrival->deadline)
+	/* Streams that are taken up have less time left, too. */
+	if (!arrival->objective_ms || !arrival->deadline || arrival->ordered)
 		return false;
 	if (left > k->longest_ms)
 		k->longest_ms = left;
@@ -347,7 +343,7 @@
 		.hash = arrival->hash,
 		.objective_ms = arrival->objective_ms,
 		.deadline = arrival->deadline,
-		.stream = arrival->stream,
+		.ordered = arrival->ordered,
 		.outranked = outranked_(s, urgency, now),
 		.surplus = draw_(arrival->hash, DRAW_SURPLUS) <
 			   surplus_(s, customer, arrival->capacity_per_s, now),
@@ -370,8 +366,8 @@
 {
 	double most = WAITING_PER_SLOT * view->hold_ms;
 
-	/* Engines start the most urgent of the streams that wait. */
-	if (!claim->objective_ms || claim->stream)
+	/* Its wait follows from its urgency rather than from the queue. */
+	if (!claim->objective_ms || claim->ordered)
 		return most;
 	/* If the objective cannot be met, late responses are the best there
 	 * are, so that a queue of one request per slot is allowed.
@@ -395,9 +391,8 @@
 static bool misses_deadline_(const admission_claim_t *claim,
 			     const admission_view_t *view, mstime_t now)
 {
-	return claim->deadline &&
-	       wait_ms_(view) + HOLD_MIN_FRACTION * view->hold_ms >
-		       (double)(claim->deadline - now);
+	return claim->deadline && wait_ms_(view) + view->least_ms >
+					  (double)(claim->deadline - now);
 }
 
 admission_verdict_t admission_decide(const admission_claim_t *claim,
@@ -413,6 +408,9 @@
 	limit = limit_(claim);
 	if (part <= 0)
 		return ADMISSION_ADMIT;
+	/* Another rejection would waste what has been done for it. */
+	if (claim->begun)
+		return part > 1 ? ADMISSION_BUSY : ADMISSION_ADMIT;
 	/* Served late, it would make those behind it late too. */
 	if (claim->late || part > limit)
 		return ADMISSION_BUSY;
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -9,6 +9,8 @@
 /* Weights of the newest sample in the moving means. */
 #define OUTCOME_WEIGHT 0.15
 #define LATENCY_WEIGHT 0.15
+/* Growth of the least time per request, so that it follows slower upstreams. */
+#define LEAST_GROWTH 1.02
 /* Slow start of the upstreams of a data centre that was drained. */
 #define DRAIN_SLOW_START_MS 3000
 /*
@@ -506,6 +508,8 @@
 	double ms = MAX(1.0, (double)total_ms * u->slots / load);
 
 	assert(total_ms >= 0);
+	u->least_ms =
+		u->least_ms > 0 ? MIN(u->least_ms * LEAST_GROWTH, ms) : ms;
 	u->hold_ms += (u->hold_ms > 0 ? LATENCY_WEIGHT : 1) * (ms - u->hold_ms);
 }
 
--- a/packages/decide/balance_candidates.c
+++ b/packages/decide/balance_candidates.c
@@ -110,6 +110,9 @@
 		c->slots += u->slots;
 		c->mean_hold_ms += u->hold_ms;
 		with_hold += u->hold_ms > 0;
+		if (u->least_ms > 0 &&
+		    (c->least_ms <= 0 || u->least_ms < c->least_ms))
+			c->least_ms = u->least_ms;
 		if (u->latency_ms > 0) {
 			c->mean_latency_ms += u->latency_ms;
 			with_latency++;
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -192,7 +192,8 @@
 				   .slots = slots,
 				   .service_load = c->mean_load * c->count,
 				   .service_slots = c->slots,
-				   .hold_ms = c->mean_hold_ms };
+				   .hold_ms = c->mean_hold_ms,
+				   .least_ms = c->least_ms };
 }
 
 /* Whether an upstream takes a request; keeps the mildest reason against it. */
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -270,7 +270,8 @@
 		.size = 1,
 		.capacity_per_s =
 			balance_capacity(&f->gateway->balance, f->service),
-		.stream = f->route->kind == ROUTE_KIND_STREAM,
+		.ordered =
+			f->in.generation || f->route->kind == ROUTE_KIND_STREAM,
 		.objective_ms = f->route->latency_objective_ms,
 		.deadline = f->deadline,
 		.hash = str_hash64(f->in.id, 0) | 1
@@ -288,6 +289,7 @@
 					.claim = f->claim,
 					.version = f->bound_version,
 					.no_brittle = f->met_brittle };
+	request->claim.begun = f->attempt_count || f->last_event_id >= 0;
 	if (f->route->affinity)
 		request->affinity = f->in.affinity;
 	for (int i = 0; i < f->attempt_count; i++)
--- a/packages/model/peak_model.c
+++ b/packages/model/peak_model.c
@@ -290,6 +290,7 @@
 		balance_apply_report(pick.upstream, outstanding_(u),
 				     p->conf->slots, now);
 		balance_end_request(pick.upstream, BALANCE_SHED, -1, now);
+		request.claim.begun = true;
 		request.exclude[request.exclude_count++] =
 			pick.upstream->local_id;
 	}
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -8,6 +8,7 @@
 #define SERVICE "plain"
 #define NOW 1000000
 #define HOLD_MS 60
+#define LEAST_MS 25
 #define SLOTS 6
 #define UPSTREAMS 3
 #define NODES 69
@@ -21,7 +22,8 @@
 				   .slots = SLOTS,
 				   .service_load = service_load,
 				   .service_slots = SLOTS * UPSTREAMS,
-				   .hold_ms = HOLD_MS };
+				   .hold_ms = HOLD_MS,
+				   .least_ms = LEAST_MS };
 }
 
 static uint64_t hash_(int i)
@@ -74,8 +76,8 @@
 	  SLOTS + 2,
 	  1,
 	  1 },
-	{ "a stream's objective does not count what runs",
-	  { .objective_ms = 20, .stream = true },
+	{ "upstreams that order by urgency wait less for it",
+	  { .objective_ms = 20, .ordered = true },
 	  2 * SLOTS,
 	  1,
 	  1 },
@@ -97,6 +99,33 @@
 	  0,
 	  0,
 	  ADMISSION_BUSY },
+	{ "the rest of a stream is not surplus, late or outranked",
+	  { .objective_ms = 300,
+	    .begun = true,
+	    .late = true,
+	    .surplus = true,
+	    .outranked = 2,
+	    .above_even = true },
+	  SLOTS * 3 - 2,
+	  1,
+	  1 },
+	{ "the rest of a stream, no room",
+	  { .objective_ms = 300, .begun = true },
+	  SLOTS * 3,
+	  0,
+	  0,
+	  ADMISSION_BUSY },
+	{ "a deadline that short requests can meet",
+	  { .objective_ms = 300, .deadline = NOW + 30 },
+	  0,
+	  1,
+	  1 },
+	{ "a customer above an even share leaves a reserve",
+	  { .objective_ms = 300, .above_even = true },
+	  SLOTS * 2 + 2,
+	  0,
+	  0.8,
+	  ADMISSION_RESERVED },
 	{ "a deadline before the end of the wait",
 	  { .objective_ms = 300, .deadline = NOW + 80 },
 	  SLOTS + 6,
@@ -150,7 +179,7 @@
 			.outranked = i % 5,
 			.surplus = i & 4,
 			.late = i & 8,
-			.stream = i & 16,
+			.ordered = i & 16,
 		};
 		admission_view_t view =
 			view_(i % SLOTS, SLOTS * UPSTREAMS / 2.0 - 1);
@@ -308,6 +337,14 @@
  */
 START_TEST(test_late)
 {
+	admission_arrival_t stream = { .service = SERVICE,
+				       .customer = "a",
+				       .kind = "stream",
+				       .size = 1,
+				       .ordered = true,
+				       .objective_ms = 300,
+				       .hash = 1 };
+	admission_claim_t claim;
 	admission_t a;
 
 	admission_init(&a);
@@ -319,6 +356,12 @@
 	for (int i = 0; i < 300; i++)
 		arrive_(&a, "a", 0, 1000 + i * 37 % 3000, NOW + 4 + i);
 	ck_assert(!arrive_(&a, "a", 0, 2000, NOW + 400).late);
+	/* Streams that are taken up have less time left. */
+	for (int i = 0; i < 20; i++) {
+		stream.deadline = NOW + 500 + (i < 19 ? 4000 : 1000);
+		admission_record_arrival(&a, &stream, NOW + 500, &claim);
+		ck_assert(!claim.late);
+	}
 	admission_finish(&a);
 }
 END_TEST
