--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -30,9 +30,8 @@
 #define LEVEL_PASSES 4
 /* A class of urgency counts as present this long after its last request. */
 #define KIND_ACTIVE_MS 10000
-/* Further ones of a service count as the last that was added. */
+/* Of a service, at a time; the one seen longest ago is forgotten. */
 #define KINDS_MAX 16
-
 /* Time left from which a request counts as a first try, of the longest. */
 #define FIRST_LEFT_MIN 0.9
 /* Fraction of first tries from which the others count as further tries. */
@@ -202,19 +201,32 @@
 	g_hash_table_foreach_remove(s->customers, is_inactive_, &now);
 }
 
+/* A place for a kind: a free one, or that of the one seen longest ago. */
+static kind_demand_t *get_place_(service_demand_t *s)
+{
+	kind_demand_t *oldest = s->kinds;
+
+	if (s->kind_count < KINDS_MAX)
+		return &s->kinds[s->kind_count++];
+	for (int i = 1; i < KINDS_MAX; i++) {
+		if (s->kinds[i].seen_at < oldest->seen_at)
+			oldest = &s->kinds[i];
+	}
+	g_free(oldest->name);
+	return oldest;
+}
+
 static kind_demand_t *get_kind_(service_demand_t *s, const char *name,
 				int urgency)
 {
-	kind_demand_t *k = s->kinds;
+	kind_demand_t *k;
 
 	for (int i = 0; i < s->kind_count; i++) {
 		k = &s->kinds[i];
 		if (k->urgency == urgency && !g_strcmp0(k->name, name))
 			return k;
 	}
-	if (s->kind_count == KINDS_MAX)
-		return k;
-	k = &s->kinds[s->kind_count++];
+	k = get_place_(s);
 	*k = (kind_demand_t){ .name = g_strdup(name),
 			      .urgency = urgency,
 			      .first_share = 1 };
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -244,6 +244,22 @@
 	ck_assert_int_eq(arrive_(&a, "b", 2, 4000, NOW + 3).outranked, 1);
 	ck_assert_int_eq(arrive_(&a, "b", 99, 4000, NOW + 4).outranked, 3);
 	ck_assert_int_eq(arrive_(&a, "b", 3, 4000, NOW + 60000).outranked, 0);
+	/* Names that no longer come make room for others. */
+	for (int i = 0; i < 100; i++) {
+		char name[16];
+		admission_arrival_t other = { .service = SERVICE,
+					      .customer = "a",
+					      .kind = name,
+					      .urgency = 1,
+					      .size = 1,
+					      .hash = 1 };
+		admission_claim_t claim;
+
+		snprintf(name, sizeof(name), "r-%d", i);
+		admission_record_arrival(&a, &other, NOW + 70000, &claim);
+		ck_assert_int_eq(claim.outranked, 0);
+	}
+	ck_assert_int_eq(arrive_(&a, "b", 3, 4000, NOW + 70001).outranked, 1);
 	admission_finish(&a);
 }
 END_TEST
