--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -488,8 +488,8 @@
 double balance_mean_latency(const balance_t *b, const char *service);
 
 /*
- * balance_capacity - requests a second that the upstreams of a service can run,
- * divided by the number of nodes; 0 if unknown.
+ * balance_capacity - requests a second that the upstreams of a service can run;
+ * 0 if unknown.
  */
 double balance_capacity(const balance_t *b, const char *service);
 
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -588,6 +588,5 @@
 		hold_ms += u->hold_ms;
 		n += u->hold_ms > 0;
 	}
-	return n ? slots * MSEC_PER_SEC / (hold_ms / n) / MAX(1, b->node_count)
-		 : 0;
+	return n ? slots * MSEC_PER_SEC / (hold_ms / n) : 0;
 }
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -259,6 +259,21 @@
 							 : f->route->priority;
 }
 
+/*
+ * What the service can run a second, this node's part of it. 0 while the number
+ * of nodes that callers are sent to is not known.
+ */
+static double capacity_(const forward_t *f, mstime_t now)
+{
+	const gateway_t *g = f->gateway;
+	guint nodes = MIN(g->serving.count, g->ranking->len);
+
+	if (!g->balance.pace_reported || !nodes ||
+	    gateway_recently_started(g, now))
+		return 0;
+	return balance_capacity(&g->balance, f->service) / nodes;
+}
+
 /* Counted once, not for each upstream that it is sent to. */
 static void record_arrival_(forward_t *f, mstime_t now)
 {
@@ -268,12 +283,6 @@
 		.kind = f->route->name,
 		.urgency = priority_(f),
 		.size = 1,
-		/* Until then the number of nodes is not known. */
-		.capacity_per_s =
-			gateway_recently_started(f->gateway, now)
-				? 0
-				: balance_capacity(&f->gateway->balance,
-						   f->service),
 		.ordered =
 			f->in.generation || f->route->kind == ROUTE_KIND_STREAM,
 		.objective_ms = f->route->latency_objective_ms,
@@ -283,6 +292,7 @@
 
 	if (f->claim.hash)
 		return;
+	arrival.capacity_per_s = capacity_(f, now);
 	admission_record_arrival(&f->gateway->admission, &arrival, now,
 				 &f->claim);
 }
