--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -1,6 +1,7 @@
 #include "suites.h"
 
 #include <kcf/admission.h>
+#include <kcf/balance.h>
 #include <kcf/peak_model.h>
 #include <kcf/str.h>
 #include <stdio.h>
@@ -424,6 +425,71 @@
 }
 END_TEST
 
+static const struct {
+	const char *label;
+	bool pace;
+	int load;
+	admission_claim_t claim;
+	balance_reason_t reason;
+} picks[] = {
+	{ "no pace, surplus",
+	  false,
+	  16,
+	  { .surplus = true },
+	  BALANCE_LEAST_LOADED },
+	{ "no pace, late",
+	  false,
+	  4,
+	  { .deadline = NOW + 1 },
+	  BALANCE_LEAST_LOADED },
+	{ "no pace, full", false, 24, { 0 }, BALANCE_FULL },
+	{ "pace, room", true, 7, { .surplus = true }, BALANCE_LEAST_LOADED },
+	{ "pace, surplus", true, 16, { .surplus = true }, BALANCE_OVER_SHARE },
+	{ "pace, late", true, 4, { .deadline = NOW + 1 }, BALANCE_LATE },
+	{ "pace, outranked", true, 21, { .outranked = 2 }, BALANCE_RESERVED },
+	{ "pace, full", true, 24, { 0 }, BALANCE_FULL },
+};
+
+/*
+ * Guards against decisions that change at upstreams that report no pace, and
+ * against reasons and return times that get lost on the way.
+ */
+START_TEST(test_balance_asks)
+{
+	balance_spec_t spec = { .id = "u-0",
+				.service = SERVICE,
+				.address = "127.0.0.1:1",
+				.data_centre = "dc-a",
+				.slots = 8 };
+	balance_request_t request = { .service = SERVICE,
+				      .claim = picks[_i].claim };
+	balance_pick_t pick;
+	balance_t b;
+
+	balance_init(&b, "dc-a", 1);
+	balance_put_upstream(&b, &spec, NOW - 1000);
+	pick = balance_choose(&b, &(balance_request_t){ .service = SERVICE },
+			      NOW - 100);
+	balance_record_hold(pick.upstream, HOLD_MS);
+	balance_apply_report(pick.upstream, picks[_i].load + 1, 8, NOW);
+	balance_end_request(pick.upstream, BALANCE_OK, HOLD_MS, NOW);
+	b.pace_reported = picks[_i].pace;
+	pick = balance_choose(&b, &request, NOW);
+	if (picks[_i].reason == BALANCE_LEAST_LOADED) {
+		ck_assert_msg(pick.upstream, "%s: %s", picks[_i].label,
+			      balance_reason_string[pick.reason]);
+		balance_end_request(pick.upstream, BALANCE_OK, 1, NOW);
+	} else {
+		ck_assert_msg(!pick.upstream, "%s", picks[_i].label);
+		ck_assert_msg(pick.reason == picks[_i].reason, "%s: %s",
+			      picks[_i].label,
+			      balance_reason_string[pick.reason]);
+		ck_assert_int_gt(pick.retry_ms, 0);
+	}
+	balance_finish(&b);
+}
+END_TEST
+
 static const struct {
 	const char *label;
 	double factor;
@@ -534,6 +600,7 @@
 	tcase_add_test(c, test_clump_is_no_surplus);
 	tcase_add_test(c, test_late);
 	tcase_add_loop_test(c, test_retry_times, 0, G_N_ELEMENTS(retries));
+	tcase_add_loop_test(c, test_balance_asks, 0, G_N_ELEMENTS(picks));
 	tcase_add_loop_test(c, test_peak, 0, G_N_ELEMENTS(peaks));
 	suite_add_tcase(s, c);
 	return s;
