--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -57,9 +57,15 @@
 #define RESERVE 0.1
 /* Classes of urgency that have a reserve. */
 #define RESERVES_MAX 2
-/* The same for customers that send more than an even share. */
+/*
+ * The same for customers that send more than an even share: the whole spread,
+ * so that smaller ones are still admitted where these are rejected.
+ */
 #define SHARE_RESERVE 0.3
-/* Fraction of the limit for what exceeds a customer's share. */
+/*
+ * Fraction of the limit for what exceeds a customer's share: half a waiting
+ * request per slot, which keeps slots in use although reports are late.
+ */
 #define SURPLUS_LIMIT 0.25
 /* Callers accept at most this fraction of the time they have left. */
 #define RETRY_FRACTION (1.0 / 3)
