--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -12,6 +12,7 @@
 #define KCF_BALANCE_H
 
 #include <glib.h>
+#include <kcf/admission.h>
 #include <kcf/brittle.h>
 #include <kcf/clock.h>
 #include <kcf/placement.h>
@@ -101,6 +102,8 @@
 	mstime_t reported_at; /* time of the last report, 0 before the first */
 	double failure_rate;  /* moving mean, 0 to 1 */
 	double latency_ms;    /* moving mean, 0 before the first answer */
+	double least_ms;      /* moving minimum of the same, without waiting */
+	double hold_ms; /* mean time that a request runs, 0 before one ended */
 	int outcome_count;    /* requests in failure_rate */
 	mstime_t idle_max_ms; /* it closes idle connections after this */
 	rate_limit_t rate_limit;
@@ -160,6 +163,7 @@
 	rate_limit_place_t place; /* of this node among those that serve */
 	uint64_t last_local_id;
 	mstime_t entries_alive_at; /* alive_at of all, or before */
+	bool pace_reported; /* an upstream has; admission_decide is in force */
 	GRand *rand;
 } balance_t;
 
@@ -206,7 +210,8 @@
 	bool no_brittle;	     /* was refused by a brittle upstream */
 	bool over_share;	     /* its customer uses more than its share */
 	work_tokens_t tokens;
-	mstime_t objective_ms; /* of its latency, 0 if unset */
+	mstime_t objective_ms;	 /* of its latency, 0 if unset */
+	admission_claim_t claim; /* see admission_decide */
 } balance_request_t;
 
 typedef enum balance_reason {
@@ -221,6 +226,8 @@
 	BALANCE_OVER_SHARE,   /* the rest is reserved for other customers */
 	BALANCE_COLD,	      /* only cold ones are left, at their rate limit */
 	BALANCE_RATE_LIMITED, /* the rest takes no more requests a second */
+	BALANCE_RESERVED,     /* the rest is for more urgent requests */
+	BALANCE_LATE,	      /* no upstream can answer before its deadline */
 	BALANCE_WORK,	      /* the first output is expected sooner there */
 	BALANCE_REASON_COUNT,
 } balance_reason_t;
@@ -518,6 +525,13 @@
 void balance_work_totals(const balance_t *b, mstime_t now, double *tokens,
 			 double *pace);
 
+/*
+ * balance_record_hold - records how long a request was at an upstream, before
+ * balance_end_request.
+ * @total_ms: from when it was sent to the end of its response
+ */
+void balance_record_hold(balance_upstream_t *u, mstime_t total_ms);
+
 /*
  * balance_count_overdue - counts a failure for a request that has had no answer
  * in due time; the request stays outstanding.
@@ -568,4 +582,10 @@
  */
 double balance_mean_latency(const balance_t *b, const char *service);
 
+/*
+ * balance_capacity - requests a second that the upstreams of a service can run;
+ * 0 if unknown.
+ */
+double balance_capacity(const balance_t *b, const char *service);
+
 #endif
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -9,6 +9,8 @@
 /* Weights of the newest sample in the moving means. */
 #define OUTCOME_WEIGHT 0.15
 #define LATENCY_WEIGHT 0.15
+/* Growth of the least time per request, so that it follows slower upstreams. */
+#define LEAST_GROWTH 1.02
 /* Slow start of the upstreams of a data centre that was drained. */
 #define DRAIN_SLOW_START_MS 3000
 /*
@@ -507,6 +509,18 @@
 	balance_free_if_unused(u);
 }
 
+void balance_record_hold(balance_upstream_t *u, mstime_t total_ms)
+{
+	/* Of that time it waited while others were in the slots. */
+	int load = MAX(u->slots, u->own_outstanding + u->remote_outstanding);
+	double ms = MAX(1.0, (double)total_ms * u->slots / load);
+
+	assert(total_ms >= 0);
+	u->least_ms =
+		u->least_ms > 0 ? MIN(u->least_ms * LEAST_GROWTH, ms) : ms;
+	u->hold_ms += (u->hold_ms > 0 ? LATENCY_WEIGHT : 1) * (ms - u->hold_ms);
+}
+
 void balance_count_overdue(balance_upstream_t *u)
 {
 	record_outcome_(u, true);
@@ -563,3 +577,24 @@
 	}
 	return n ? sum / n : 0;
 }
+
+double balance_capacity(const balance_t *b, const char *service)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double hold_ms = 0;
+	int slots = 0;
+	int n = 0;
+
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		if (u->leaving || strcmp(u->service, service) != 0)
+			continue;
+		slots += u->slots;
+		hold_ms += u->hold_ms;
+		n += u->hold_ms > 0;
+	}
+	return n ? slots * MSEC_PER_SEC / (hold_ms / n) : 0;
+}
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -399,6 +399,12 @@
 				     f->response.slots, now);
 		record_pace_(f, now);
 	}
+	if (f->response.pace && !f->gateway->balance.pace_reported) {
+		f->gateway->balance.pace_reported = true;
+		LOG_EVENT(LOG_NOTICE, "admission.active",
+			  F_STR("upstream", f->selected->id),
+			  F_INT("pace", f->response.pace));
+	}
 	if (f->response.idle_max_ms)
 		f->selected->idle_max_ms = f->response.idle_max_ms;
 	record_leaving_(f, now);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -12,6 +12,8 @@
  * together take up to this long to become ready.
  */
 #define RETRY_AFTER_STARTING_MS 800
+/* Callers accept at most one part in this many of the time they have left. */
+#define RETRY_AFTER_PARTS 3
 /* The same for a node whose process was paused. */
 #define RETRY_AFTER_PAUSE_MS 400
 /* Other nodes can serve the request at once. */
@@ -220,6 +222,8 @@
 	latency = balance_normal_latency(&f->gateway->balance, f->selected,
 					 &f->pick, latency);
 	balance_end_work(&f->gateway->balance, f->selected, &f->pick.work, now);
+	if (outcome == BALANCE_OK)
+		balance_record_hold(f->selected, now - f->sent_at);
 	balance_end_request(f->selected, outcome, latency, now);
 	shares_add_outstanding(&f->gateway->shares, f->service,
 			       share_customer_(f), -1, now);
@@ -261,11 +265,58 @@
 	return r;
 }
 
+/* 0 is most urgent. */
+static int priority_(const forward_t *f)
+{
+	return f->customer && f->customer->priority >= 0 ? f->customer->priority
+							 : f->route->priority;
+}
+
+/*
+ * What the service can run a second, this node's part of it. 0 while the number
+ * of nodes that callers are sent to is not known.
+ */
+static double capacity_(const forward_t *f, mstime_t now)
+{
+	const gateway_t *g = f->gateway;
+	guint nodes = MIN(g->serving.count, g->ranking->len);
+
+	if (!g->balance.pace_reported || !nodes ||
+	    gateway_recently_started(g, now))
+		return 0;
+	return balance_capacity(&g->balance, f->service) / nodes;
+}
+
+/* Counted once, not for each upstream that it is sent to. */
+static void record_arrival_(forward_t *f, mstime_t now)
+{
+	admission_arrival_t arrival = {
+		.service = f->service,
+		.customer = share_customer_(f),
+		.kind = f->route->name,
+		.urgency = priority_(f),
+		.size = 1,
+		.ordered =
+			f->in.generation || f->route->kind == ROUTE_KIND_STREAM,
+		.objective_ms = f->route->latency_objective_ms,
+		.deadline = f->deadline,
+		.hash = str_hash64(f->in.id, 0) | 1
+	};
+
+	if (f->claim.hash)
+		return;
+	arrival.capacity_per_s = capacity_(f, now);
+	admission_record_arrival(&f->gateway->admission, &arrival, now,
+				 &f->claim);
+}
+
 void forward_describe(const forward_t *f, balance_request_t *request)
 {
 	*request = (balance_request_t){ .service = f->service,
+					.claim = f->claim,
 					.version = f->bound_version,
 					.no_brittle = f->met_brittle };
+	request->claim.begun = f->attempt_count || f->last_event_id >= 0;
 	if (f->route->affinity)
 		request->affinity = f->in.affinity;
 	request->tokens = f->in.tokens;
@@ -312,6 +363,7 @@
 	const char *customer = share_customer_(f);
 	mstime_t now = clock_now();
 
+	record_arrival_(f, now);
 	forward_describe(f, &request);
 	request.over_share =
 		shares_check_request(&g->shares, f->service, customer, now);
@@ -655,6 +707,10 @@
 		return COUNTER_REFUSED_UPSTREAM;
 	case BALANCE_RATE_LIMITED:
 		return COUNTER_REFUSED_RATE;
+	case BALANCE_RESERVED:
+		return COUNTER_REFUSED_RESERVED;
+	case BALANCE_LATE:
+		return COUNTER_REFUSED_DEADLINE;
 	default:
 		return COUNTER_REFUSED_LOAD;
 	}
@@ -717,15 +773,29 @@
 	return str_hash64(http_request_body(f->req), hash) | 1;
 }
 
+/*
+ * A starting node may be ready long before its usual time. A caller with little
+ * time left would not come back at that, and so is told an earlier one.
+ */
+static mstime_t not_ready_retry_ms_(const forward_t *f)
+{
+	mstime_t ms = f->gateway->phase == GATEWAY_STARTING
+			      ? RETRY_AFTER_STARTING_MS
+			      : RETRY_AFTER_PAUSE_MS;
+
+	if (!f->in.well_formed || f->in.remaining_ms < RETRY_AFTER_PARTS)
+		return ms;
+	return MIN(ms, f->in.remaining_ms / RETRY_AFTER_PARTS);
+}
+
 static void handle_request_(forward_t *f)
 {
 	gateway_t *g = f->gateway;
 
 	if (!gateway_data_is_current(g)) {
-		forward_refuse(
-			f, 503, "node is not ready", COUNTER_REFUSED_NOT_READY,
-			g->phase == GATEWAY_STARTING ? RETRY_AFTER_STARTING_MS
-						     : RETRY_AFTER_PAUSE_MS);
+		forward_refuse(f, 503, "node is not ready",
+			       COUNTER_REFUSED_NOT_READY,
+			       not_ready_retry_ms_(f));
 		return;
 	}
 	if (!relays_admit(f))
