--- a/tests/model/model_rollout.c
+++ b/tests/model/model_rollout.c
@@ -542,8 +542,11 @@
 		if (m.recorded_at && m.record.phase == ROLLOUT_COMPLETED)
 			break;
 		disturb_(kill_at);
-		for (due += m.per_s * STEP_MS / MSEC_PER_SEC; due >= 1; due--)
+		due += m.per_s * STEP_MS / MSEC_PER_SEC;
+		while (due >= 1) {
 			send_request_();
+			due--;
+		}
 		handle_events_();
 		for (int i = 0; i < m.nodes; i++) {
 			node_t *n = &m.node[i];
