--- a/packages/decide/rollout.c
+++ b/packages/decide/rollout.c
@@ -66,7 +66,9 @@
 	double part;
 	uint32_t answers;
 } observe_steps[] = { { 0.5, 3 }, { 1.0, 10 }, { 1.5, UINT32_MAX } };
-static const double ramp_shares[] = { 0.1, 0.25, 0.5, 1.0 };
+static const double ramp_shares[] = { 0.08, 0.2, 0.45, 1.0 };
+/* The step that a doubt at full share leads back to. */
+#define DOUBT_STEP 1
 /* A step of the ramp may use this much more than its share. */
 #define RAMP_EXCESS 1.3
 /* One answer in this many requests must be in before the next step. */
@@ -335,6 +337,20 @@
 	begin_step_(r, v);
 }
 
+/* Goes back to a smaller share until a doubt is over, if there is time left. */
+static bool ramp_down_(rollout_t *r, const rollout_view_t *v, mstime_t now)
+{
+	int last = (int)G_N_ELEMENTS(ramp_shares) - 1;
+
+	if (now >= latest_(r, last - DOUBT_STEP) ||
+	    !rollout_is_doubtful(&v->sum))
+		return false;
+	r->ramp_step = DOUBT_STEP;
+	enter_(r, ROLLOUT_RAMP, ramp_shares[DOUBT_STEP], "in doubt", now);
+	begin_step_(r, v);
+	return true;
+}
+
 static void observe_(rollout_t *r, const rollout_view_t *v, double rate,
 		     mstime_t now)
 {
@@ -465,7 +481,7 @@
 		 now - r->step_since >= ramp_step_ms_(r) &&
 		 is_step_judged_(r, v, now))
 		ramp_up_(r, v, now);
-	else if (r->phase == ROLLOUT_FULL)
+	else if (r->phase == ROLLOUT_FULL && !ramp_down_(r, v, now))
 		full_(r, v, now);
 	held = r->share > 0 && !is_allowance_left_(r, v, rate, now);
 	if (held && !r->held)
--- a/packages/decide/rollout_evidence.c
+++ b/packages/decide/rollout_evidence.c
@@ -215,7 +215,7 @@
 	}
 	known->incarnation = node->incarnation;
 	known->heard_at = node->heard_at;
-	known->seq = MAX(known->seq, node->seq);
+	known->seq = node->seq;
 	rollout_tally_max(&known->tally, &node->tally);
 }
 
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -9,6 +9,10 @@
  * last wrote; upstreams do so once a second.
  */
 #define DROP_OLDER_MS 6000
+/* Data of this age, in parts of the limit for platform changes, is as recent as
+ * reads and copies make it; older data is of an outage.
+ */
+#define CURRENT_AGE_FRACTION 0.8
 /* A restored log may bring back an upstream's entry from some seconds ago. */
 #define REMOVAL_KEEP_MS 60000
 /* Upstreams write their entries each second or so, and an entry lapses after
@@ -102,6 +106,20 @@
 	return true;
 }
 
+/*
+ * All records written before this time were known when the present one was
+ * read, 0 at the start. Reads that wait for a record bring it at once.
+ */
+static mstime_t unread_since_(const feed_state_t *s, mstime_t now)
+{
+	mstime_t age_max =
+		gateway_limit_fraction_ms(s->gateway, CURRENT_AGE_FRACTION);
+
+	if (!s->loaded)
+		return 0;
+	return now - s->current_as_of <= age_max ? now : s->current_as_of;
+}
+
 /* False if the record is rejected, and the one before it stays in force. */
 static bool apply_operator_record_(feed_state_t *s, const feed_record_t *r,
 				   mstime_t now)
@@ -132,7 +150,7 @@
 		break;
 	case CHANGE_ROLLOUT:
 		rollouts_apply_order(&g->rollouts, &change.rollout, r->offset,
-				     s->loaded ? s->current_as_of : 0, now);
+				     unread_since_(s, now), now);
 		break;
 	}
 	return true;
--- a/packages/gateway/rollout_ops.c
+++ b/packages/gateway/rollout_ops.c
@@ -267,6 +267,9 @@
 	/* The wait for the answer was too long, which its time shows. */
 	a.failed =
 		outcome == BALANCE_FAILED && f->rollout.fault != FAULT_TIMEOUT;
+	if (f->rollout.fault == FAULT_TIMEOUT &&
+	    !rollouts_is_slow(&f->gateway->rollouts, f->service, &a))
+		return;
 	rollouts_count_answer(&f->gateway->rollouts, f->service, &a);
 }
 
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -616,6 +616,10 @@
 				     &route->sides[s]);
 	}
 	rollout_evidence_put(&e->evidence, &node);
+	/* Another node has decided meanwhile, whose steps are not of this one.
+	 */
+	if (e->deciding && m->seq > e->rollout.seq)
+		e->rollout.seq = m->seq + 1;
 	/* Another node may have read the order earlier. */
 	if (!is_final_(e) && m->age_ms)
 		e->rollout.started_at =
@@ -642,12 +646,18 @@
 	e->state_at = now;
 }
 
-static bool is_from_decider_(const entry_t *e, uint32_t node, mstime_t now)
+/* Whether a state is to be followed: of the deciding node, or of a later one.
+ */
+static bool leads_(const entry_t *e, const peer_rollout_state_t *m,
+		   mstime_t now)
 {
 	rollouts_peer_t first;
 
+	/* Another node has decided while this one stood still. */
+	if (e->deciding)
+		return m->seq > e->rollout.seq;
 	if (e->owner->ops->node_at(e->owner->ctx, 0, &first) &&
-	    first.key == node)
+	    first.key == m->node)
 		return true;
 	return now - e->heard_at > SILENCE_MS;
 }
@@ -696,8 +706,7 @@
 		if (!e->recorded || e->rollout.phase != m->phase)
 			settle_(e, (rollout_phase_t)m->phase, now);
 	} else if (m->phase == ROLLOUT_REVERTED ||
-		   (m->phase != ROLLOUT_COMPLETED && !e->deciding &&
-		    is_from_decider_(e, m->node, now))) {
+		   (m->phase != ROLLOUT_COMPLETED && leads_(e, m, now))) {
 		follow_(e, m, now);
 	}
 	/* The deciding node may not reach all. */
@@ -721,7 +730,7 @@
 		node = g_hash_table_lookup(e->evidence.nodes,
 					   GUINT_TO_POINTER(peer.key));
 		if (!node || now - node->heard_at > FOLLOW_MAX_MS ||
-		    node->seq < e->rollout.seq)
+		    node->seq != e->rollout.seq)
 			return false;
 	}
 	return !ops->is_recent(e->owner->ctx);
--- a/tests/model/model_rollout.c
+++ b/tests/model/model_rollout.c
@@ -30,6 +30,7 @@
 #define DEATH_MAX_MS 2500
 #define DARK_MS 800
 #define SILENT_MS 3000
+#define PAUSE_MS 3000
 /* An order reaches all nodes within this time. */
 #define ORDER_MAX_MS 300
 #define UPSTREAMS 8
@@ -45,12 +46,13 @@
 	MISHAP_ALL,	   /* are killed, and start again */
 	MISHAP_LOG_SILENT, /* at the order */
 	MISHAP_LOG_HALF,   /* of the nodes are turned away */
+	MISHAP_PAUSE,	   /* of the deciding node's process */
 	MISHAP_COUNT,
 } mishap_t;
 
-static const char *const mishap_string[] = { "none", "decider killed",
-					     "all killed", "log silent",
-					     "log for half" };
+static const char *const mishap_string[] = { "none",	     "decider killed",
+					     "all killed",   "log silent",
+					     "log for half", "decider paused" };
 
 /* What becomes of requests of the new version. */
 static const struct {
@@ -78,6 +80,8 @@
 	bool live;
 	mstime_t killed_at;
 	mstime_t gone_at; /* from the ranking */
+	mstime_t paused_until;
+	mstime_t back_at; /* in the ranking */
 	mstime_t order_at;
 	bool ordered;
 	guint open_once;
@@ -170,6 +174,8 @@
 
 static bool is_ranked_(const node_t *n)
 {
+	if (m.now < n->back_at)
+		return m.now < n->gone_at;
 	return n->live || m.now < n->gone_at;
 }
 
@@ -365,7 +371,7 @@
 	int factor;
 	event_t *e;
 
-	if (!n->live)
+	if (!n->live || m.now < n->paused_until)
 		return;
 	if (draw_(0.5))
 		request.affinity = 1 + g_rand_int(m.rand) % 100;
@@ -465,7 +471,8 @@
 	for (guint i = 0; i < m.events->len; i++) {
 		event_t *e = m.events->pdata[i];
 
-		if (e->at > m.now && !is_overdue_(e))
+		if (m.now < m.node[e->node].paused_until ||
+		    (e->at > m.now && !is_overdue_(e)))
 			continue;
 		handle_(e);
 		g_ptr_array_remove_index_fast(m.events, i--);
@@ -523,6 +530,13 @@
 {
 	if (m.mishap == MISHAP_DECIDER && m.now == kill_at)
 		kill_node_(&m.node[0]);
+	if (m.mishap == MISHAP_PAUSE && m.now == kill_at) {
+		node_t *n = &m.node[0];
+
+		n->gone_at = m.now + DEATH_MIN_MS;
+		n->paused_until = m.now + PAUSE_MS;
+		n->back_at = m.now + PAUSE_MS + ORDER_MAX_MS;
+	}
 	if (m.mishap != MISHAP_ALL)
 		return;
 	for (int i = 0; i < m.nodes; i++) {
@@ -551,7 +565,7 @@
 		for (int i = 0; i < m.nodes; i++) {
 			node_t *n = &m.node[i];
 
-			if (!n->live)
+			if (!n->live || m.now < n->paused_until)
 				continue;
 			if (!n->ordered && m.now >= n->order_at)
 				apply_order_(n);
