--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -570,8 +570,7 @@
 	ck_assert_double_ge(worth_(second), 0.9 * worth_(first));
 	/* What exceeds a customer's share is rejected for others: those gain.
 	 */
-	ck_assert_double_ge(worth, (peaks[_i].large_factor > 1 ? 0.95 : 0.98) *
-					   worth_before);
+	ck_assert_double_ge(worth, 0.98 * worth_before);
 	if (peaks[_i].large_factor > 1) {
 		peak_result_t calm = play_(_i, true, 1);
 
