--- a/include/kcf/work.h
+++ b/include/kcf/work.h
@@ -30,10 +30,11 @@
 #define WORK_NOTICE_BYTES_PER_S 4096
 #define WORK_NOTICE_BURST_BYTES 65536
 /*
- * Other nodes are told of a prefill that takes at least this long, a tenth of
- * the objective of short requests. Shorter ones end before a message matters.
+ * Other nodes are told of a prefill that takes at least this long, many times
+ * the way of a message. Shorter ones cost short requests little of their
+ * objective of some 500 ms.
  */
-#define WORK_NOTICE_MIN_MS 50
+#define WORK_NOTICE_MIN_MS 75
 
 /* Tokens of one request, 0 where unknown. */
 typedef struct work_tokens {
