--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -780,7 +780,6 @@
 	{ "{{region}}", "r" },
 	{ "{{bounds.grace_s}}", "8" },
 	{ "{{limits.max_fds}}", "4100" },
-	{ "{{limits.mem_limit_mb}}", "160" },
 	{ "{{port_range.0}}", "7340" },
 	{ "{{bounds.ttl_max_s}}", "5" },
 	{ "{{bounds.drain_ms}}", "2000" },
