--- a/tests/scenarios/relayed_requests.lua
+++ b/tests/scenarios/relayed_requests.lua
@@ -54,12 +54,25 @@
 end
 
 -- The node that helps with a request, by the log of the one that asks.
+local function open_requests(g)
+	return tonumber(http { url = "http://" .. g.admin .. "/metrics" }.body:match("\nkcf_open_requests (%d+)"))
+end
+
+-- Without this, an answer to stir() that has just ended may be taken for the request of interest.
+local function none_open()
+	wait_for("no request is open", 2000, function()
+		for _, g in ipairs(others) do
+			if not g.gone and open_requests(g) > 0 then return false end
+		end
+		return true
+	end)
+end
+
 local function helper_of(id)
 	local name
 	wait_for("the helping node is known", 2000, function()
 		for _, g in ipairs(others) do
-			local text = http { url = "http://" .. g.admin .. "/metrics" }.body
-			if tonumber(text:match("\nkcf_open_requests (%d+)")) > 0 then name = g end
+			if open_requests(g) > 0 then name = g end
 		end
 		return name
 	end)
@@ -155,6 +168,7 @@
 	stir()
 	everywhere(counters, "hang", 1)
 	local held = fresh_id()
+	none_open()
 	local h = http_start { ask(g1, "/hold/lost", { id = held, left = LONG_MS, timeout_ms = LONG_MS }) }
 	local helper = helper_of(held)
 	kill(helper)
@@ -172,6 +186,7 @@
 	end)
 
 	local id = fresh_id()
+	none_open()
 	h = http_start { ask(g1, "/stream/lost", { id = id, left = LONG_MS, timeout_ms = LONG_MS }) }
 	sleep_ms(400)
 	helper = helper_of(id)
