--- a/include/kcf/gateway.h
+++ b/include/kcf/gateway.h
@@ -38,6 +38,8 @@
 	retry_budget_conf_t retries;
 	rollout_bounds_t rollouts; /* no roll-outs if share is 0 */
 	placement_t placement;
+	bool admission; /* late requests are rejected where a pace is reported
+			 */
 	coalesce_conf_t coalesce;
 	int log_level;
 	int64_t max_body;   /* bytes */
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -399,7 +399,8 @@
 				     f->response.slots, now);
 		record_pace_(f, now);
 	}
-	if (f->response.pace && !f->gateway->balance.pace_reported) {
+	if (f->gateway->conf->admission && f->response.pace &&
+	    !f->gateway->balance.pace_reported) {
 		f->gateway->balance.pace_reported = true;
 		LOG_EVENT(LOG_NOTICE, "admission.active",
 			  F_STR("upstream", f->selected->id),
--- a/packages/gateway/conf.c
+++ b/packages/gateway/conf.c
@@ -80,6 +80,7 @@
 
 static const schema_field_t placement_fields[] = {
 	{ "choice", SCHEMA_CHOICE, .choices = placement_string },
+	{ "admission", SCHEMA_BOOL },
 	{ 0 },
 };
 
@@ -214,6 +215,7 @@
 	c->retries.window_ms = duration_ms_(retries, "window_s", MSEC_PER_SEC);
 	read_rollouts_(c, json_object_get(root, "rollouts"));
 	c->placement = placement_parse(string_(placement, "choice"));
+	c->admission = json_is_true(json_object_get(placement, "admission"));
 	c->coalesce.hold_ms = (mstime_t)real_(streams, "coalesce_ms", 0);
 	c->coalesce.on = coalesce_parse_on(string_(streams, "coalesce_on"));
 	c->max_body = MAX_BODY_DEFAULT_BYTES;
--- a/tests/scenarios/admission.lua
+++ b/tests/scenarios/admission.lua
@@ -3,7 +3,7 @@
 -- when to come back; nothing is rejected while the service has room, and what
 -- cannot be answered by its deadline is rejected at once.
 dofile(scenarios .. "/gateway_words.lua")
-local f = start_site { counter = { slots = 6, delay_ms = 100, waits = 24, pace = 100 } }
+local f = start_site { more_settings = "[placement]\nadmission = true\n", counter = { slots = 6, delay_ms = 100, waits = 24, pace = 100 } }
 local to = callers_of(f)
 for i = 1, 2 do announce(f, f["counter-" .. i], { slot_count = 6, sequence = 2 }) end
 sleep_ms(1500)
--- a/tests/scenarios/all_start_at_load.lua
+++ b/tests/scenarios/all_start_at_load.lua
@@ -3,7 +3,7 @@
 -- just started, and know no loads, reject nothing for load.
 dofile(scenarios .. "/gateway_words.lua")
 local RATE, SLOTS, EVENTS, GAP_MS = 420, 64, 10, 40
-local f = start_site { gateways = 7, engine = { slots = SLOTS, events = EVENTS, gap_ms = GAP_MS, pace = 100 },
+local f = start_site { more_settings = "[placement]\nadmission = true\n", gateways = 7, engine = { slots = SLOTS, events = EVENTS, gap_ms = GAP_MS, pace = 100 },
 		       counter = { slots = 24, delay_ms = 60, pace = 100 } }
 for i = 1, 3 do announce(f, f["engine-" .. i], { slot_count = SLOTS, sequence = 2 }) end
 for i = 1, 2 do announce(f, f["counter-" .. i], { slot_count = 24, sequence = 2 }) end
