--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -13,6 +13,8 @@
  * reads and copies make it; older data is of an outage.
  */
 #define CURRENT_AGE_FRACTION 0.8
+/* A read that takes longer has waited for a record. */
+#define WAITED_MIN_MS 60
 /* A restored log may bring back an upstream's entry from some seconds ago. */
 #define REMOVAL_KEEP_MS 60000
 /* Upstreams write their entries each second or so, and an entry lapses after
@@ -106,18 +108,21 @@
 	return true;
 }
 
-/*
- * All records written before this time were known when the present one was
- * read, 0 at the start. Reads that wait for a record bring it at once.
- */
-static mstime_t unread_since_(const feed_state_t *s, mstime_t now)
+static rollouts_news_t news_(const feed_state_t *s, const feed_record_t *r,
+			     mstime_t now)
 {
 	mstime_t age_max =
 		gateway_limit_fraction_ms(s->gateway, CURRENT_AGE_FRACTION);
+	mstime_t waited = now - s->requested_at;
 
-	if (!s->loaded)
-		return 0;
-	return now - s->current_as_of <= age_max ? now : s->current_as_of;
+	return (rollouts_news_t){
+		.offset = r->offset,
+		.fresh = s->loaded && now - s->current_as_of <= age_max,
+		/* A read that waits is answered when a record is written. */
+		.prompt = s->loaded && s->source == FEED_FROM_PLATFORM &&
+			  !s->scanning && waited >= WAITED_MIN_MS,
+		.written_after = s->loaded ? s->current_as_of : 0,
+	};
 }
 
 /* False if the record is rejected, and the one before it stays in force. */
@@ -126,6 +131,7 @@
 {
 	gateway_t *g = s->gateway;
 	operator_change_t change;
+	rollouts_news_t news;
 
 	g->protocol->parse_operator_record(r, &change);
 	switch (change.kind) {
@@ -149,8 +155,8 @@
 				    change.drained, now);
 		break;
 	case CHANGE_ROLLOUT:
-		rollouts_apply_order(&g->rollouts, &change.rollout, r->offset,
-				     unread_since_(s, now), now);
+		news = news_(s, r, now);
+		rollouts_apply_order(&g->rollouts, &change.rollout, &news, now);
 		break;
 	}
 	return true;
--- a/packages/gateway/private/rollouts.h
+++ b/packages/gateway/private/rollouts.h
@@ -76,15 +76,22 @@
 /* Sets what identifies this node in messages. */
 void rollouts_set_self(rollouts_t *r, uint32_t key, uint64_t incarnation);
 
+/* How an order was read. */
+typedef struct rollouts_news {
+	uint64_t offset; /* of its record */
+	/* It was written while this node had recent data, so that it has no
+	 * state that this node does not know.
+	 */
+	bool fresh;
+	bool prompt;		/* it was written just now */
+	mstime_t written_after; /* if not, then later than this; 0: unknown */
+} rollouts_news_t;
+
 /*
  * rollouts_apply_order - an order was read, or was withdrawn.
- * @offset: of its record
- * @unread_since: all records written before this time were known, 0 if this
- *                node has just started. An order that was written just now has
- *                no state that this node does not know.
  */
 void rollouts_apply_order(rollouts_t *r, const rollout_order_t *order,
-			  uint64_t offset, mstime_t unread_since, mstime_t now);
+			  const rollouts_news_t *news, mstime_t now);
 
 /* A record of FEED_NODES was read, maybe a status. */
 void rollouts_apply_status(rollouts_t *r, const feed_record_t *record,
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -43,12 +43,9 @@
 #define STAND_IN_MS 400
 /* The deciding node has written that the order is in progress by then. */
 #define UNRECORDED_MS 1000
-/*
- * An order that is read this soon after the last look at the operators' records
- * has just been written. One that is read later may have been written at any
- * time since; it is taken to have used up at most this part of its duration.
+/* An order that is read late is taken to have used up at most this part of its
+ * duration.
  */
-#define FRESH_MAX_MS 1500
 #define LATE_FRACTION 0.3
 /* Old upstreams are avoided for this long after `completed`; they stop. */
 #define COMPLETED_MS 10000
@@ -280,14 +277,25 @@
 	e->final_at = now;
 }
 
+/* An order that was not read at once may be older. */
+static void assume_start_(entry_t *e, const rollouts_news_t *news, mstime_t now)
+{
+	mstime_t part =
+		(mstime_t)(LATE_FRACTION * (double)e->order.duration_ms);
+
+	if (news->prompt)
+		return;
+	e->rollout.start_assumed = true;
+	e->rollout.started_at = MAX(news->written_after, now - part);
+}
+
 void rollouts_apply_order(rollouts_t *r, const rollout_order_t *order,
-			  uint64_t offset, mstime_t unread_since, mstime_t now)
+			  const rollouts_news_t *news, mstime_t now)
 {
 	entry_t *known = find_(r, order->service);
 	entry_t *e;
-	bool fresh;
 
-	assert(r && order);
+	assert(r && order && news);
 	if (r->bounds.share <= 0)
 		return;
 	if (!*order->to) {
@@ -296,28 +304,23 @@
 		return;
 	}
 	if (known && known->id == order_id_(order) && !known->withdrawn &&
-	    (!is_final_(known) || offset <= known->offset)) {
+	    (!is_final_(known) || news->offset <= known->offset)) {
 		/* A repetition begins nothing anew. */
-		known->offset = MAX(known->offset, offset);
+		known->offset = MAX(known->offset, news->offset);
 		return;
 	}
-	e = entry_new_(r, order, offset, now);
-	fresh = unread_since && now - unread_since < FRESH_MAX_MS;
-	if (!fresh) {
-		e->rollout.start_assumed = true;
-		e->rollout.started_at =
-			MAX(unread_since,
-			    now - (mstime_t)(LATE_FRACTION *
-					     (double)order->duration_ms));
-	}
+	e = entry_new_(r, order, news->offset, now);
+	assume_start_(e, news, now);
 	if (known && barred_by_(known) != e->version)
 		e->barred = barred_by_(known);
-	if (fresh)
+	if (news->fresh)
 		rollout_begin(&e->rollout, now);
 	LOG_EVENT(LOG_NOTICE, "rollout.order", F_STR("service", order->service),
 		  F_STR("to", order->to),
 		  F_INT("duration_ms", order->duration_ms),
-		  F_INT("offset", (int64_t)offset), F_INT("fresh", fresh),
+		  F_INT("offset", (int64_t)news->offset),
+		  F_INT("fresh", news->fresh),
+		  F_INT("age_ms", now - e->rollout.started_at),
 		  F_INT("replaces", known != NULL));
 	g_hash_table_replace(r->by_service, g_strdup(order->service), e);
 }
@@ -621,9 +624,15 @@
 	if (e->deciding && m->seq > e->rollout.seq)
 		e->rollout.seq = m->seq + 1;
 	/* Another node may have read the order earlier. */
-	if (!is_final_(e) && m->age_ms)
+	if (!is_final_(e) && m->age_ms) {
+		mstime_t at = now - (mstime_t)m->age_ms;
+
 		e->rollout.started_at =
-			MIN(e->rollout.started_at, now - (mstime_t)m->age_ms);
+			e->rollout.start_assumed
+				? at
+				: MIN(e->rollout.started_at, at);
+		e->rollout.start_assumed = false;
+	}
 	if (m->wants_state && (e->deciding || is_final_(e)))
 		send_state_to_(e, from, now);
 }
--- a/tests/model/model_rollout.c
+++ b/tests/model/model_rollout.c
@@ -515,15 +515,20 @@
 
 static void apply_order_(node_t *n)
 {
-	static const char service[] = SERVICE;
-	rollout_order_t order = { .duration_ms = m.duration_ms };
-	mstime_t unread = m.mishap == MISHAP_LOG_SILENT ? START - 1 : m.now - 1;
+	rollout_order_t order = { .service = SERVICE,
+				  .to = "new",
+				  .duration_ms = m.duration_ms };
+	bool known = n->rollouts.incarnation == 1;
+	rollouts_news_t news = {
+		.offset = 1,
+		.fresh = known && m.mishap != MISHAP_LOG_SILENT,
+		.prompt = known && m.mishap != MISHAP_LOG_SILENT &&
+			  index_(n) % 2 == 0,
+		.written_after = known ? START - 500 : 0,
+	};
 
-	g_strlcpy(order.service, service, sizeof(order.service));
-	g_strlcpy(order.to, "new", sizeof(order.to));
 	n->ordered = true;
-	rollouts_apply_order(&n->rollouts, &order, 1,
-			     n->rollouts.incarnation > 1 ? 0 : unread, m.now);
+	rollouts_apply_order(&n->rollouts, &order, &news, m.now);
 }
 
 static void disturb_(mstime_t kill_at)
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -296,9 +296,9 @@
 
 	s.appends++;
 	if (http_request_query(req, "at").len && number_(req, "at") != first) {
-		reply_json_(req, 412,
-			    json_pack("{s:I}", "end_offset",
-				      (json_int_t)first));
+		reply_json_(
+			req, 412,
+			json_pack("{s:I}", "end_offset", (json_int_t)first));
 		return;
 	}
 	while (body.len >= LENGTH_BYTES + 1) {
