--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -55,6 +55,26 @@
 	datagram_free_doubts(&m);
 }
 
+static void fuzz_rollout_(const uint8_t *data, size_t size)
+{
+	peer_rollout_evidence_t evidence = { 0 };
+	peer_rollout_state_t state = { 0 };
+	XDR xdrs;
+
+	if (!datagram_decode_evidence(key, view_(data, size), 0, &evidence))
+		datagram_free_evidence(&evidence);
+	if (!datagram_decode_rollout(key, view_(data, size), 0, &state))
+		datagram_free_rollout(&state);
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	(void)xdr_peer_rollout_evidence_t(&xdrs, &evidence);
+	xdr_destroy(&xdrs);
+	datagram_free_evidence(&evidence);
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	(void)xdr_peer_rollout_state_t(&xdrs, &state);
+	xdr_destroy(&xdrs);
+	datagram_free_rollout(&state);
+}
+
 static void fuzz_crash_report_(const uint8_t *data, size_t size)
 {
 	peer_crash_report_t r = { 0 };
@@ -90,6 +110,7 @@
 	fuzz_crash_report_(data, size);
 	fuzz_origins_(data, size);
 	fuzz_doubts_(data, size);
+	fuzz_rollout_(data, size);
 	return 0;
 }
 
