--- a/packages/decide/balance_work.c
+++ b/packages/decide/balance_work.c
@@ -11,10 +11,9 @@
 /*
  * An upstream must be better than the chosen one by this part of the route's
  * latency objective before a request leaves a warm cache for it. Smaller
- * margins gain nothing in the model and have more tokens prefilled again, twice
- * as many at half of it.
+ * differences are within the error of what a node knows.
  */
-#define MARGIN_FRACTION 0.2
+#define MARGIN_FRACTION 0.1
 /* Objective of routes that state none. */
 #define OBJECTIVE_DEFAULT_MS 500
 
