--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -525,10 +525,6 @@
 	[PLACEMENT_HASH] = choose_hash_,
 };
 
-/*
- * Healthy upstreams within the spill limit. Only these may replace the choice
- * of the rules above, so that those rules hold for the replacement as well.
- */
 static work_choice_t describe_choice_(const balance_t *b,
 				      const balance_request_t *request,
 				      const candidates_t *c, const ranking_t *r)
@@ -545,6 +541,10 @@
 	};
 }
 
+/*
+ * Healthy upstreams within the spill limit. Only these may replace the choice
+ * of the rules above, so that those rules hold for the replacement as well.
+ */
 static int choose_by_work_(balance_t *b, const balance_request_t *request,
 			   const candidates_t *c, const ranking_t *r,
 			   int chosen, mstime_t now, balance_reason_t *reason)
