Balance: the work of each candidate is computed once a choice

The expected time with its harm was computed two to three times for each allowed upstream, its cost twice in each, and whether any pace is known three times a request. One array and one flag hold them now; the choices are the same. Arrivals are recorded for admission only where it is switched on; nothing else reads them.

--- a/packages/decide/balance_candidates.c
+++ b/packages/decide/balance_candidates.c
@@ -178,7 +178,8 @@
 		total++;
 	}
 	c->healthy_latency_ms = UNHEALTHY_LATENCY_MIN_MS;
-	if (balance_work_is_active(c, now))
+	c->work_known = balance_work_is_active(c, now);
+	if (c->work_known)
 		c->healthy_latency_ms = MAX(UNHEALTHY_LATENCY_MIN_MS,
 					    (double)request->objective_ms *
 						    HEALTHY_OBJECTIVE_FRACTION);
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -578,7 +578,7 @@
 		int index = placements[b->placement](b, request, c, r, reason);
 
 		if (index < 0 || b->placement != PLACEMENT_BOUNDED ||
-		    request->version || !balance_work_is_active(c, now))
+		    request->version || !c->work_known)
 			return index;
 		return choose_by_work_(b, request, c, r, index, now, reason);
 	}
--- a/packages/decide/balance_work.c
+++ b/packages/decide/balance_work.c
@@ -124,9 +124,12 @@
 static double harm_ms_(const work_choice_t *w, const work_rate_t *rate,
 		       int index, mstime_t now)
 {
-	return expected_ms_(w, rate, index, now) +
-	       cost_at_(w, rate, index).repeated /
-		       work_rate_tokens_per_ms(rate);
+	cost_t cost = cost_at_(w, rate, index);
+	double tokens_per_ms = work_rate_tokens_per_ms(rate);
+
+	return work_expected_ms(&w->candidates->list[index]->work, cost.prefill,
+				tokens_per_ms, now) +
+	       cost.copy_ms + cost.repeated / tokens_per_ms;
 }
 
 /* Order in which upstreams are used that are about equally good. */
@@ -167,6 +170,27 @@
 	return best;
 }
 
+/* The first in the order of the prompt among the allowed up to a limit. */
+static int first_within_(const work_choice_t *w, const double *harm_ms,
+			 double limit_ms, int chosen)
+{
+	double best_rank = -HUGE_VAL;
+	int best = chosen;
+
+	for (guint i = 0; i < w->allowed_count; i++) {
+		double rank;
+
+		if (harm_ms[i] > limit_ms)
+			continue;
+		rank = rank_(w, w->allowed[i]);
+		if (rank <= best_rank)
+			continue;
+		best = w->allowed[i];
+		best_rank = rank;
+	}
+	return best;
+}
+
 /*
  * All nodes take the first in the order of the prompt that is about as good as
  * the best, so that a prompt moves to few upstreams.
@@ -179,28 +203,22 @@
 	double margin =
 		MARGIN_FRACTION *
 		(double)(objective > 0 ? objective : OBJECTIVE_DEFAULT_MS);
-	double best_rank = -HUGE_VAL;
 	double least = HUGE_VAL;
+	double *harm_ms;
 	int best = chosen;
 
 	assert(b && w && chosen >= 0);
 	rate = get_rate_(b, w->request->service);
 	if (b->least_work)
 		return choose_least_work_(w, rate, chosen, now);
-	for (guint i = 0; i < w->allowed_count; i++)
-		least = MIN(least, harm_ms_(w, rate, w->allowed[i], now));
-	if (harm_ms_(w, rate, chosen, now) <= least + margin)
-		return chosen;
+	harm_ms = g_new(double, w->allowed_count + 1);
 	for (guint i = 0; i < w->allowed_count; i++) {
-		int index = w->allowed[i];
-		double rank = rank_(w, index);
-
-		if (rank <= best_rank ||
-		    harm_ms_(w, rate, index, now) > least + margin)
-			continue;
-		best = index;
-		best_rank = rank;
+		harm_ms[i] = harm_ms_(w, rate, w->allowed[i], now);
+		least = MIN(least, harm_ms[i]);
 	}
+	if (harm_ms_(w, rate, chosen, now) > least + margin)
+		best = first_within_(w, harm_ms, least + margin, chosen);
+	g_free(harm_ms);
 	return best;
 }
 
@@ -213,7 +231,7 @@
 
 	pick->expected_ms = -1;
 	pick->work = (work_request_t){ 0 };
-	if (!balance_work_is_active(w->candidates, now))
+	if (!w->candidates->work_known)
 		return;
 	rate = get_rate_(b, w->request->service);
 	pick->expected_ms =
--- a/packages/decide/private/balance.h
+++ b/packages/decide/private/balance.h
@@ -18,6 +18,7 @@
 	double mean_failure_rate;  /* of those listed */
 	double mean_latency_ms;	   /* of those listed that have one */
 	double healthy_latency_ms; /* lower ones always count as healthy */
+	bool work_known;	   /* see balance_work_is_active */
 	double mean_hold_ms;	   /* the same */
 	double least_ms;	   /* least time of a request at one of them */
 	int slots;		   /* of those listed */
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -303,7 +303,7 @@
 		.hash = str_hash64(f->in.id, 0) | 1
 	};
 
-	if (f->claim.hash)
+	if (!f->gateway->conf->admission || f->claim.hash)
 		return;
 	arrival.capacity_per_s = capacity_(f, now);
 	admission_record_arrival(&f->gateway->admission, &arrival, now,
