Tests: upstreams that end under streams without framing, and clocks that go back

The runner answers a share of its requests without length and chunks; stream_order has the kinds ends and ends_renamed; a start's clock may be behind the one before.

--- a/tests/scenarios/stream_order.lua
+++ b/tests/scenarios/stream_order.lua
@@ -1,14 +1,18 @@
 -- Guards against streams whose callers miss an event, get one twice or torn, get events of two versions or (on a route
 -- that may not be resumed) of two runs, or see an end as whole before the last event.
 -- KCF_PLAY: one kind alone, for KCF_PLAY_S seconds. plays: the kinds that are played else. gateways: number of nodes.
--- upstreams: number of each version. play_s: time of each play. KCF_UNNAMED: upstreams do not name their start. KCF_GATEWAYS,
--- KCF_UPSTREAMS: numbers of nodes, and of upstreams of each version. With the folder of an older build (--old DIR) each second
+-- upstreams: number of each version. unframed: of a hundred answers of upstreams, have neither length nor chunks. play_s: time of each play. KCF_UNNAMED: upstreams do not name their start. KCF_GATEWAYS,
+-- KCF_UPSTREAMS: numbers of nodes, and of upstreams of each version. KCF_UNFRAMED, KCF_CLOCK_BACK_MS: as unframed, and
+-- clock_back_max_ms of version_words. With the folder of an older build (--old DIR) each second
 -- node is of that build.
 local EVENTS = 16
 if os.getenv("KCF_UNNAMED") then names_start = false end
 gateways = tonumber(os.getenv("KCF_GATEWAYS")) or gateways
 upstreams = tonumber(os.getenv("KCF_UPSTREAMS")) or upstreams
+unframed = tonumber(os.getenv("KCF_UNFRAMED")) or unframed
+clock_back_max_ms = tonumber(os.getenv("KCF_CLOCK_BACK_MS")) or clock_back_max_ms
 upstream_options = { events = EVENTS, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
+if unframed then upstream_options.unframed = unframed end
 site_options = { gateways = gateways or 4, each = function(f)
 	for i, g in ipairs(f.gateways) do
 		g.source = g.callers:match("[%d.]+")
@@ -162,6 +166,8 @@
 	same_id_often = { troubled = true, leave = LEAVE, every(600, 2400, again(false)) },
 	same_id_nodes = { troubled = true, leave = LEAVE, every(600, 2400, again(false)), every(600, 2400, hurt_one) },
 	same_id_all_killed = { troubled = true, leave = LEAVE, every(600, 2400, again(false)), every(600, 2400, hurt_one_or_all) },
+	ends = { every(600, 2400, again(false)) },
+	ends_renamed = { every(600, 2400, again(true)) },
 	same_id_leave = { leave = LEAVE, every(200, 800, again(false)) },
 	cut = { every(600, 2400, cut_two) },
 }
--- a/tests/scenarios/version_words.lua
+++ b/tests/scenarios/version_words.lua
@@ -90,12 +90,14 @@
 	end
 end
 
--- With the other version, at the same address; under its id, or under one of its own.
+-- With the other version, at the same address; under its id, or under one of its own. A scenario may set clock_back_max_ms: by so
+-- much at most the new start's clock is behind the start before.
 function start_again(r, renamed)
 	kill(r)
 	r.version = r.version == "v1" and "v1.1" or "v1"
 	local check_in_ms = check_in_max_ms and math.random(0, check_in_max_ms) or CHECK_IN_MS
-	r.born, r.sequence, r.beat_at = wall_ms(), 0, now_ms() + check_in_ms
+	r.born = clock_back_max_ms and r.born - math.random(clock_back_max_ms) or wall_ms()
+	r.sequence, r.beat_at = 0, now_ms() + check_in_ms
 	if renamed then
 		if r.before then store_drop(f, "keyed.servers", r.before) end
 		serial = serial + 1
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -180,6 +180,7 @@
 static gint64 born;
 static gint report_ms;
 static gint report_ends;
+static gint unframed;
 
 static const GOptionEntry entries[] = {
 	{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_address, "Address",
@@ -222,6 +223,8 @@
 	  "Time until GET /api/report is answered", "MS" },
 	{ "report-ends", 0, 0, G_OPTION_ARG_INT, &report_ends,
 	  "End the connection after each Nth GET /api/report", "N" },
+	{ "unframed", 0, 0, G_OPTION_ARG_INT, &unframed,
+	  "Of a hundred answers, have neither a length nor chunks", "N" },
 	{ "born", 0, 0, G_OPTION_ARG_INT64, &born, "Wall time of its start",
 	  "MS" },
 	{ 0 },
@@ -675,6 +678,13 @@
 	g_free(brittle);
 }
 
+/* Whether the answer's end is marked by more than that of its connection. */
+static bool is_framed_(const request_t *r, const char *mode)
+{
+	return strncmp(mode, "unframed", 8) != 0 &&
+	       (int)(g_str_hash(r->id) / BIG_EVERY % 100) >= unframed;
+}
+
 /* The whole plain answer; false when the connection must end. */
 static bool plain_(int fd, const request_t *r, const char *mode)
 {
@@ -682,7 +692,7 @@
 	char *body = g_strdup_printf("{\"from\":\"%s\",\"id\":\"%s\"%s}",
 				     own_id, r->id, more);
 	int status = !strcmp(mode, "error") ? 500 : 200;
-	bool framed = strncmp(mode, "unframed", 8) != 0;
+	bool framed = is_framed_(r, mode);
 	size_t len = strlen(body);
 
 	if (!strcmp(mode, "busy"))
@@ -903,7 +913,7 @@
 
 static bool stream_(int fd, const request_t *r, const char *mode)
 {
-	bool framed = strncmp(mode, "unframed", 8) != 0;
+	bool framed = is_framed_(r, mode);
 	plight_t plight = draw_plight_(r, mode);
 	bool whole = false;
 
