Log: answers whose end only that of their connection marks

answer.unframed and kcf_answers_unframed_total: upstream, its start by the entry and as named on the connection, last event.

--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -14,6 +14,7 @@
 	[COUNTER_FORWARDED] = "kcf_forwarded_total",
 	[COUNTER_STREAMS_RESUMED] = "kcf_streams_resumed_total",
 	[COUNTER_STREAMS_INCOMPLETE] = "kcf_streams_incomplete_total",
+	[COUNTER_ANSWERS_UNFRAMED] = "kcf_answers_unframed_total",
 	[COUNTER_RESUMES_TOLD] = "kcf_resumes_total{version=\"told\"}",
 	[COUNTER_STREAMS_UNSURE] = "kcf_streams_unsure_total",
 	[COUNTER_STARTS_ASKED] = "kcf_starts_asked_total",
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -26,6 +26,9 @@
  */
 #define STALL_MOVE_FRACTION 0.6
 
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
 static bool on_head_(void *ctx, http_call_t *call, int status);
 static void on_data_(void *ctx, http_call_t *call, str_t data);
 static void on_done_(void *ctx, http_call_t *call, int err, int status);
@@ -789,8 +792,33 @@
 		send_response_(f, call);
 }
 
+/* Whether only the end of the connection marked that of the response. */
+static bool is_unframed_(const forward_t *f)
+{
+	return f->framing == FRAMING_CONNECTION &&
+	       f->response.status != STATUS_NO_CONTENT &&
+	       f->response.status != STATUS_NOT_MODIFIED &&
+	       !str_eq(f->in.method, str_of("HEAD"));
+}
+
+static void log_unframed_(const forward_t *f, http_call_t *call)
+{
+	const balance_upstream_t *u = f->selected;
+
+	counter_add(COUNTER_ANSWERS_UNFRAMED, 1);
+	LOG_EVENT(LOG_INFO, "answer.unframed", F_VIEW("request", f->in.id),
+		  F_STR("upstream", f->upstream_id),
+		  F_INT("start", u ? (int64_t)u->start_id : -1),
+		  F_INT("named", (int64_t)http_call_peer(call).start),
+		  F_INT("stream", is_stream_(f)),
+		  F_INT("last_event", f->last_event_id),
+		  F_INT("idle_ms", clock_now() - f->progress_at));
+}
+
 static void handle_response_(forward_t *f, http_call_t *call)
 {
+	if (is_unframed_(f))
+		log_unframed_(f, call);
 	if (!is_whole_(f))
 		handle_incomplete_(f);
 	else if (is_stream_(f))
