--- a/tests/scenarios/stream_order.lua
+++ b/tests/scenarios/stream_order.lua
@@ -166,8 +166,8 @@
 	same_id_often = { troubled = true, leave = LEAVE, every(600, 2400, again(false)) },
 	same_id_nodes = { troubled = true, leave = LEAVE, every(600, 2400, again(false)), every(600, 2400, hurt_one) },
 	same_id_all_killed = { troubled = true, leave = LEAVE, every(600, 2400, again(false)), every(600, 2400, hurt_one_or_all) },
-	ends = { every(600, 2400, again(false)) },
-	ends_renamed = { every(600, 2400, again(true)) },
+	ends = { leave = LEAVE, every(600, 2400, again(false)) },
+	ends_renamed = { leave = LEAVE, every(600, 2400, again(true)) },
 	same_id_leave = { leave = LEAVE, every(200, 800, again(false)) },
 	cut = { every(600, 2400, cut_two) },
 }
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -26,6 +26,7 @@
  * after the fault on, and while at least LOAD requests run, so many of a
  * hundred requests whose target begins with PREFIX fail (KIND "fail") or take
  * eight times as long ("slow").
+ * Mode "unframed_stall" sends half of an answer without framing, and no more.
  * Mode "unread READ" reads so many bytes of the request's body and no more.
  *
  * With --born it names its start in GET /api/report, else it refuses that.
@@ -700,7 +701,8 @@
 	head_(fd, r, status, mode);
 	if (framed)
 		send_(fd, "Content-Length: %zu\r\n", len);
-	if (!strcmp(mode, "cut") || !strcmp(mode, "unframed_reset"))
+	if (!strcmp(mode, "cut") || !strcmp(mode, "unframed_reset") ||
+	    !strcmp(mode, "unframed_stall"))
 		len /= 2;
 	send_(fd, "\r\n%.*s", (int)len, body);
 	if (g_str_has_suffix(mode, "_late"))
@@ -717,6 +719,8 @@
 		pause_(fd, LATE_MS);
 		reset_(fd);
 	}
+	if (!strcmp(mode, "unframed_stall"))
+		pause_(fd, -1);
 	g_free(more);
 	g_free(body);
 	return framed && strcmp(mode, "cut") != 0;
@@ -939,6 +943,8 @@
 			return false;
 		}
 		g_free(event);
+		if (i == events / 2 && !strcmp(mode, "unframed_stall"))
+			return pause_(fd, -1) && false;
 		if (i == plight.event && !suffer_(fd, &plight, &whole))
 			return whole && framed && send_(fd, "0\r\n\r\n");
 		if (i > events / 2 && !strcmp(mode, "drip")) {
