Gateway: an answer without framing is whole once its upstream is known to go on

Callers saw: 200 and a sound end, without the last events of a stream or the rest of a plain answer, when the upstream's process ended in the middle of it. Cause: an end between two events was taken for the end of the stream, and any end of a plain answer for its end, if the connection ended soundly. The kernel closes the sockets of a process that is gone in just that way, unless unread bytes are left. Class: one sign for two ends (as streams to callers over HTTP/1.0).

Change: such an end waits until the upstream is asked for its start. It is whole if that start names itself again, or the answer comes on a connection older than the request. All ends of one upstream that are seen at once share a question.

What comes with a length or in chunks asks nothing.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -148,6 +148,13 @@
  */
 uint64_t http_call_connection(const http_call_t *call, uint64_t *order);
 
+/*
+ * http_call_silence - milliseconds from the last bytes that the kernel took in
+ * on the connection of a call that is done until it was closed, -1 if it is
+ * open or this is unknown.
+ */
+int64_t http_call_silence(const http_call_t *call);
+
 /* What is known of the process at the other end of a connection. */
 typedef struct http_peer {
 	mstime_t since; /* the connection has reached it, MSTIME_NEVER for none
--- a/packages/base/counter.c
+++ b/packages/base/counter.c
@@ -15,6 +15,7 @@
 	[COUNTER_STREAMS_RESUMED] = "kcf_streams_resumed_total",
 	[COUNTER_STREAMS_INCOMPLETE] = "kcf_streams_incomplete_total",
 	[COUNTER_ANSWERS_UNFRAMED] = "kcf_answers_unframed_total",
+	[COUNTER_ENDS_UNPROVEN] = "kcf_ends_unproven_total",
 	[COUNTER_RESUMES_TOLD] = "kcf_resumes_total{version=\"told\"}",
 	[COUNTER_STREAMS_UNSURE] = "kcf_streams_unsure_total",
 	[COUNTER_STARTS_ASKED] = "kcf_starts_asked_total",
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -26,6 +26,8 @@
  */
 #define STALL_MOVE_FRACTION 0.6
 
+/* The headers of most answers. */
+#define HEADERS_CHUNK_BYTES 512
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 
@@ -694,10 +696,30 @@
 			body);
 }
 
-static void send_response_(forward_t *f, http_call_t *call)
+void answer_drop_headers(forward_t *f)
 {
-	GArray *headers;
+	if (f->headers)
+		g_array_unref(f->headers);
+	if (f->strings)
+		g_string_chunk_free(f->strings);
+	f->headers = NULL;
+	f->strings = NULL;
+}
+
+/* For a body whose end waits until the call is gone. */
+static void copy_headers_(forward_t *f)
+{
+	f->strings = g_string_chunk_new(HEADERS_CHUNK_BYTES);
+	for (guint i = 0; i < f->headers->len; i++) {
+		http_header_t *h = &g_array_index(f->headers, http_header_t, i);
 
+		h->name = g_string_chunk_insert(f->strings, h->name);
+		h->value = g_string_chunk_insert(f->strings, h->value);
+	}
+}
+
+static void send_response_(forward_t *f)
+{
 	if (f->stream_begun || is_unconfirmed_refusal_(f)) {
 		f->may_have_run = true;
 		forward_release(f, BALANCE_FAILED);
@@ -705,9 +727,8 @@
 			       COUNTER_REFUSED_UPSTREAM, 0);
 		return;
 	}
-	headers = response_headers_(f, call, (unsigned int)f->response.status);
-	hand_over_body_(f, (const http_header_t *)(void *)headers->data);
-	g_array_unref(headers);
+	hand_over_body_(f, (const http_header_t *)(void *)f->headers->data);
+	answer_drop_headers(f);
 	if (is_success_(f->response.status) && f->selected)
 		crashes_record_answer(f);
 	forward_complete(f, (unsigned int)f->response.status, "answered");
@@ -756,9 +777,8 @@
 	forward_attempt_failed(f, FAULT_INCOMPLETE);
 }
 
-static void finish_stream_(forward_t *f, http_call_t *call)
+static void finish_stream_(forward_t *f)
 {
-	begin_stream_(f, call);
 	pass_on_(f, sse_rest(&f->sse));
 	http_stream_end(f->req, true);
 	forward_complete(f, 200, "answered");
@@ -781,15 +801,15 @@
 /* A server error may not recur at another upstream: retries before reporting
  * it to the caller.
  */
-static void handle_upstream_error_(forward_t *f, http_call_t *call)
+static void handle_upstream_error_(forward_t *f)
 {
 	if (!forward_can_retry(f)) {
-		send_response_(f, call);
+		send_response_(f);
 		return;
 	}
 	forward_record_fault(f, FAULT_ERROR);
 	if (!forward_retry(f, FAULT_ERROR))
-		send_response_(f, call);
+		send_response_(f);
 }
 
 /* Whether only the end of the connection marked that of the response. */
@@ -801,32 +821,48 @@
 	       !str_eq(f->in.method, str_of("HEAD"));
 }
 
-static void log_unframed_(const forward_t *f, http_call_t *call)
+void answer_end(forward_t *f, bool whole)
 {
-	const balance_upstream_t *u = f->selected;
+	if (!whole)
+		handle_incomplete_(f);
+	else if (is_stream_(f))
+		finish_stream_(f);
+	else if (f->response.status >= 500 && !f->way)
+		handle_upstream_error_(f);
+	else
+		send_response_(f);
+}
 
-	counter_add(COUNTER_ANSWERS_UNFRAMED, 1);
-	LOG_EVENT(LOG_INFO, "answer.unframed", F_VIEW("request", f->in.id),
-		  F_STR("upstream", f->upstream_id),
-		  F_INT("start", u ? (int64_t)u->start_id : -1),
-		  F_INT("named", (int64_t)http_call_peer(call).start),
-		  F_INT("stream", is_stream_(f)),
-		  F_INT("last_event", f->last_event_id),
-		  F_INT("idle_ms", clock_now() - f->progress_at));
+/* Prepares the head of a response that is passed on now or once it is proven.
+ */
+static void prepare_head_(forward_t *f, http_call_t *call)
+{
+	if (is_stream_(f)) {
+		begin_stream_(f, call);
+		return;
+	}
+	answer_drop_headers(f);
+	f->headers =
+		response_headers_(f, call, (unsigned int)f->response.status);
 }
 
 static void handle_response_(forward_t *f, http_call_t *call)
 {
-	if (is_unframed_(f))
-		log_unframed_(f, call);
-	if (!is_whole_(f))
+	bool unframed = is_unframed_(f);
+
+	/* Other nodes mark the ends of what they pass on. */
+	if (!is_whole_(f) || (unframed && !f->selected)) {
 		handle_incomplete_(f);
-	else if (is_stream_(f))
-		finish_stream_(f, call);
-	else if (f->response.status >= 500 && !f->way)
-		handle_upstream_error_(f, call);
-	else
-		send_response_(f, call);
+		return;
+	}
+	prepare_head_(f, call);
+	if (!unframed) {
+		answer_end(f, true);
+		return;
+	}
+	if (f->headers)
+		copy_headers_(f);
+	ends_check(f, call);
 }
 
 /* Whether the request is not sent again, by this node or through it. */
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -99,6 +99,7 @@
 	f->gateway->buffered_bytes -= f->body->len + f->replied_bytes;
 	backlog_leave(&f->gateway->backlogs.answers, &f->answer);
 	g_string_free(f->body, TRUE);
+	answer_drop_headers(f);
 	sse_finish(&f->sse);
 	g_free(f);
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -406,6 +406,7 @@
 	shares_init(&g->shares);
 	admission_init(&g->admission);
 	crashes_init(g);
+	ends_init(g);
 	versions_init(&g->versions, g->started_at);
 	resumes_init(g);
 	rollouts_init(&g->rollouts, &gateway_rollouts_ops, g,
@@ -440,6 +441,7 @@
 	feed_sync_finish(g);
 	rollouts_finish(&g->rollouts);
 	backlogs_finish(&g->backlogs);
+	ends_finish(g);
 	http_client_finish(&g->upstreams);
 	http_client_finish(&g->store);
 	feeds_finish(g);
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -99,6 +99,17 @@
 	fault_t fault; /* why it failed, or FAULT_COUNT */
 } forward_rollout_t;
 
+typedef struct end_check end_check_t;
+
+/* The end of an answer that only its connection marked, see ends.c. */
+typedef struct answer_end {
+	end_check_t *check;  /* while it waits for its proof, or NULL */
+	uint64_t start;	     /* that answered, as far as is known */
+	mstime_t at;	     /* when it was seen */
+	mstime_t until;	     /* it is proven, or does not count */
+	mstime_t silence_ms; /* before it, -1 if unknown */
+} answer_end_t;
+
 typedef struct forward {
 	gateway_t *gateway;
 	http_request_t *req;
@@ -183,6 +194,9 @@
 	backlog_entry_t unsent; /* of the request, what the upstream has not
 				   read */
 	GString *body;
+	answer_end_t end;
+	GArray *headers;       /* of a plain answer, or NULL */
+	GStringChunk *strings; /* copies of them, or NULL */
 	sse_t sse;
 
 	/* the response to the caller */
@@ -506,9 +520,34 @@
  */
 void forward_cancel(forward_t *f, balance_outcome_t outcome);
 
+/* ends.c */
+
+/*
+ * ends_check - finds out whether the selected upstream, which has ended its
+ * answer with the connection of a call that is done, goes on. answer_end is
+ * called later.
+ */
+void ends_check(forward_t *f, const http_call_t *call);
+
+/*
+ * ends_cancel - the request does not wait any more.
+ */
+void ends_cancel(forward_t *f);
+
 /* answer.c */
 extern const http_call_ops_t forward_call_ops;
 
+/*
+ * answer_end - ends an answer for which ends_check was called.
+ * @whole: false if it has failed
+ */
+void answer_end(forward_t *f, bool whole);
+
+/*
+ * answer_drop_headers - frees the headers of a body whose end waits.
+ */
+void answer_drop_headers(forward_t *f);
+
 /*
  * forward_check_progress - ends an attempt that receives bytes but makes no
  * progress, and ends or moves a stalled stream.
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -198,6 +198,7 @@
 	work_gossip_t work_gossip;
 	uint64_t incarnation;
 	quarantine_t quarantine;
+	GHashTable *end_checks;	  /* key of an upstream to end_check_t */
 	bool crashes_hold_is_new; /* requests under way may be part of it */
 	quarantine_gossip_t crash_gossip;
 	warmths_t warmths;
@@ -437,6 +438,10 @@
 void crashes_ask_health(gateway_t *g, const balance_upstream_t *u, bool probe,
 			mstime_t now);
 
+/* ends.c */
+void ends_init(gateway_t *g);
+void ends_finish(gateway_t *g);
+
 /* relays.c */
 void relays_init(gateway_t *g);
 void relays_finish(gateway_t *g);
@@ -483,6 +488,16 @@
  * that the next heartbeats prove.
  */
 void starts_open(gateway_t *g, uint32_t version);
+/* Asks an upstream for its start, on whatever connection there is. */
+http_call_t *starts_ask(gateway_t *g, const balance_upstream_t *u,
+			const http_call_ops_t *ops, void *ctx);
+/*
+ * starts_take_answer - takes an answer to starts_ask, which has no error.
+ *
+ * Return: the start that it names, or 0.
+ */
+uint64_t starts_take_answer(gateway_t *g, balance_upstream_t *u,
+			    http_call_t *call, int status);
 
 /* version_record.c */
 /* Writes what the record lacks; one reader does for the whole fleet. */
--- a/packages/gateway/send.c
+++ b/packages/gateway/send.c
@@ -160,6 +160,7 @@
 	backlog_leave(&f->gateway->backlogs.requests, &f->unsent);
 	relays_end_call(f);
 	starts_end_question(f);
+	ends_cancel(f);
 	if (!f->call)
 		return;
 	f->connection = http_call_connection(f->call, &f->connection_order);
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -87,9 +87,10 @@
 		f->selected->refuted || can_ask_(f));
 }
 
+/* start: connections to another one are not used; 0 for any */
 static http_call_t *ask_(gateway_t *g, const balance_upstream_t *u,
-			 const char *target, const http_call_ops_t *ops,
-			 void *ctx)
+			 const char *target, uint64_t start,
+			 const http_call_ops_t *ops, void *ctx)
 {
 	char url[URL_MAX];
 	http_call_spec_t spec = {
@@ -99,7 +100,7 @@
 		.deadline = clock_now() + QUESTION_MAX_MS,
 		.bare = true,
 		.single = true,
-		.peer_start = u->start_id,
+		.peer_start = start,
 		.connect_max_ms = CONNECT_MAX_MS,
 		.idle_max_ms = send_idle_max(u),
 	};
@@ -170,6 +171,19 @@
 	return kept && start == u->start_id;
 }
 
+http_call_t *starts_ask(gateway_t *g, const balance_upstream_t *u,
+			const http_call_ops_t *ops, void *ctx)
+{
+	return ask_(g, u, g->protocol->state_target, 0, ops, ctx);
+}
+
+uint64_t starts_take_answer(gateway_t *g, balance_upstream_t *u,
+			    http_call_t *call, int status)
+{
+	take_answer_(g, u, call, HTTP_OK, status);
+	return g->protocol->parse_state(http_call_body(call));
+}
+
 static void on_answer_(void *ctx, http_call_t *call, int err, int status)
 {
 	forward_t *f = ctx;
@@ -205,9 +219,9 @@
 	f->first_at = 0;
 	f->event_seen = false;
 	f->response = (upstream_response_t){ 0 };
-	f->question =
-		ask_(f->gateway, f->selected,
-		     f->gateway->protocol->state_target, &question_ops, f);
+	f->question = ask_(f->gateway, f->selected,
+			   f->gateway->protocol->state_target,
+			   f->selected->start_id, &question_ops, f);
 }
 
 void starts_send(forward_t *f)
@@ -306,7 +320,7 @@
 	/* Answers to questions may end their connections. */
 	if (clock_now() < u->nameless_until && s && s->health_path)
 		target = s->health_path;
-	ask_(g, u, target, &opening_ops, o);
+	ask_(g, u, target, u->start_id, &opening_ops, o);
 }
 
 void starts_open(gateway_t *g, uint32_t version)
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -70,6 +70,7 @@
 	uint64_t peer_start;	/* the only one that may get it, or 0 */
 	size_t head_bytes;
 	size_t upload_bytes; /* of the request's body */
+	int64_t silence_ms;  /* before its connection was closed, or -1 */
 	bool unacked; /* the connection closed before all of it was received */
 	bool broken;  /* the connection is, which libcurl was not told */
 	int sends;    /* connections on which the request was begun */
@@ -225,6 +226,7 @@
 	call->tag = spec->tag;
 	call->peer = (http_peer_t){ MSTIME_NEVER, MSTIME_NEVER, 0 };
 	call->peer_start = spec->peer_start;
+	call->silence_ms = -1;
 	call->fresh = spec->fresh;
 	if (spec->bare)
 		omit_default_headers_(call, spec);
@@ -352,6 +354,12 @@
 	return call->connection_id;
 }
 
+int64_t http_call_silence(const http_call_t *call)
+{
+	assert(call);
+	return call->silence_ms;
+}
+
 http_peer_t http_call_peer(const http_call_t *call)
 {
 	assert(call);
@@ -784,14 +792,25 @@
 		call->unacked = bytes > 0;
 }
 
+static void note_silence_(http_call_t *call, int fd)
+{
+	struct tcp_info info = { 0 };
+	socklen_t len = sizeof(info);
+
+	if (!getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
+		call->silence_ms = info.tcpi_last_data_recv;
+}
+
 static int on_close_(void *userp, curl_socket_t fd)
 {
 	http_client_t *c = userp;
 	connection_t *connection =
 		g_hash_table_lookup(c->connections, GINT_TO_POINTER(fd));
 
-	if (connection && connection->call)
+	if (connection && connection->call) {
 		note_unacked_(connection->call, fd);
+		note_silence_(connection->call, fd);
+	}
 	if (connection && connection->remote)
 		remove_remote_(c, connection);
 	forget_socket_(c, fd);
