Feeds: a correction of another node is no heartbeat

Callers saw streams whose events are of two versions, where upstreams start again and do not name their start. Cause: what a node ignores as an old write it passes on as a correction: the content in force, at the offset of the ignored write. A node that knows the log's end took that for a write of the start in force after the end, and so for a proof that this start lived then.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -201,7 +201,9 @@
 	balance_t *b = &s->gateway->balance;
 	const balance_upstream_t *u = g_hash_table_lookup(b->by_id, id);
 
-	if (s->end_at && r->offset >= s->end_offset && epoch_(s, r) == s->epoch)
+	/* What is corrected was not written at its offset. */
+	if (s->end_at && !r->corrected && r->offset >= s->end_offset &&
+	    epoch_(s, r) == s->epoch)
 		balance_record_alive(b, u->key, s->end_at);
 }
 
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -789,6 +789,30 @@
 }
 END_TEST
 
+/* Guards against heartbeats that are read out of corrections of other nodes. */
+START_TEST(test_correction_is_no_heartbeat)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_record_t r = { .key = str_of("u"),
+			    .data = str_of(ENTRY("ready", 5, 2)),
+			    .offset = 40 };
+	const balance_upstream_t *u;
+
+	feeds_apply_record(s, &r, NOW);
+	feeds_set_end(s, 41, NOW);
+	r.offset = 41;
+	r.corrected = true;
+	feeds_apply_record(s, &r, NOW);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u && u->alive_at < NOW);
+	r.offset = 42;
+	r.corrected = false;
+	r.data = str_of(ENTRY("ready", 5, 3));
+	feeds_apply_record(s, &r, NOW);
+	ck_assert(u->alive_at == NOW);
+}
+END_TEST
+
 /* A node that started from the older copy takes what another one still knows.
  */
 START_TEST(test_copy_corrects_a_restored_log)
@@ -874,6 +898,7 @@
 			    G_N_ELEMENTS(late_cases));
 	tcase_add_test(c, test_copy_corrects_a_late_write);
 	tcase_add_test(c, test_copy_corrects_a_restored_log);
+	tcase_add_test(c, test_correction_is_no_heartbeat);
 	tcase_add_test(c, test_missing_after_a_restore);
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
