Feeds: a start whose clock went back comes into force

Class: one clock's order taken for the order of events. Also: such an upstream was never used again once its entry had lapsed.

Change: start_order. The clock's order stands for single writes, as the platform may carry one out late; a start that writes again, 1 s or more later with a higher count, while the one in force has written nothing, is the later one. It is known as such to nodes that copy ("overruled"), and the start before it as a former one, whose late writes do not bring it back. While the last write under an id is not of the start in force, the entry does not tell that this one lives.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -85,6 +85,7 @@
 	/* What ties the entry to the process that answers at its address. */
 	mstime_t alive_at; /* it wrote its entry then, or later */
 	bool proven;	   /* the next request is known to reach it */
+	bool contested;	   /* another start has written its entry last */
 	bool refuted;	   /* a later start has answered */
 	/* It does not name its start when it is asked before, or has not. */
 	mstime_t nameless_until;
@@ -288,6 +289,12 @@
  */
 bool balance_remove_upstream(balance_t *b, const char *id);
 
+/*
+ * balance_set_contested - whether the last write under the id of an upstream is
+ * not of the start in force, so that its entry does not tell that it lives.
+ */
+void balance_set_contested(balance_t *b, const char *id, bool contested);
+
 /*
  * balance_record_alive - records that a start of an upstream wrote its entry
  * then, or later.
--- a/include/kcf/feed.h
+++ b/include/kcf/feed.h
@@ -48,6 +48,8 @@
 	 * an older copy.
 	 */
 	bool corrected;
+	/* Its start is the latest, though not by its clock, see start_order. */
+	bool overruled;
 	uint64_t start_id;  /* of a removed upstream, 0 if unknown */
 	uint64_t heartbeat; /* its last one */
 } feed_record_t;
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -197,9 +197,21 @@
 		u->alive_at = MAX(u->alive_at, at);
 }
 
+void balance_set_contested(balance_t *b, const char *id, bool contested)
+{
+	balance_upstream_t *u;
+
+	assert(b && id);
+	u = g_hash_table_lookup(b->by_id, id);
+	if (u)
+		u->contested = contested;
+}
+
 static mstime_t alive_at_(const balance_t *b, const balance_upstream_t *u)
 {
-	return u->removed ? u->alive_at : MAX(u->alive_at, b->entries_alive_at);
+	return u->removed || u->contested
+		       ? u->alive_at
+		       : MAX(u->alive_at, b->entries_alive_at);
 }
 
 bool balance_is_start(const balance_t *b, const balance_upstream_t *u,
--- /dev/null
+++ b/packages/decide/start_order.c
@@ -0,0 +1,68 @@
+#include <kcf/start_order.h>
+
+#include <assert.h>
+
+/*
+ * Between two writes that are no repetition; upstreams write a little less
+ * often.
+ */
+#define WRITES_APART_MIN_MS 1000
+
+static bool is_former_(const start_order_t *o, uint64_t start_id)
+{
+	for (int i = 0; start_id && i < START_ORDER_FORMER_MAX; i++) {
+		if (o->former[i] == start_id)
+			return true;
+	}
+	return false;
+}
+
+int start_order_compare(const start_order_t *o, uint64_t start_id,
+			uint64_t heartbeat)
+{
+	assert(o);
+	if (start_id != o->start_id)
+		return start_id < o->start_id || is_former_(o, start_id) ? -1
+									 : 1;
+	if (heartbeat != o->heartbeat)
+		return heartbeat < o->heartbeat ? -1 : 1;
+	return 0;
+}
+
+bool start_order_contend(start_order_t *o, uint64_t start_id,
+			 uint64_t heartbeat, mstime_t now)
+{
+	assert(o && start_id != o->start_id);
+	if (start_id != o->rival) {
+		o->rival = start_id;
+		o->rival_heartbeat = heartbeat;
+		o->rival_since = now;
+		return false;
+	}
+	return heartbeat > o->rival_heartbeat &&
+	       now - o->rival_since >= WRITES_APART_MIN_MS;
+}
+
+static void add_former_(start_order_t *o, uint64_t start_id)
+{
+	if (!start_id)
+		return;
+	o->former[o->former_next] = start_id;
+	o->former_next = (o->former_next + 1) % START_ORDER_FORMER_MAX;
+}
+
+void start_order_put(start_order_t *o, uint64_t start_id, uint64_t heartbeat)
+{
+	assert(o);
+	if (start_id != o->start_id) {
+		o->overruled = start_order_compare(o, start_id, heartbeat) < 0;
+		for (int i = 0; i < START_ORDER_FORMER_MAX; i++) {
+			if (o->former[i] == start_id)
+				o->former[i] = 0;
+		}
+		add_former_(o, o->start_id);
+	}
+	o->start_id = start_id;
+	o->heartbeat = heartbeat;
+	o->rival = 0;
+}
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -223,8 +223,7 @@
 		remove_upstream_(s, e->key, r->offset, "entry unreadable");
 	} else {
 		spec.id = e->key;
-		e->start_id = spec.start_id;
-		e->heartbeat = spec.heartbeat;
+		start_order_put(&e->order, spec.start_id, spec.heartbeat);
 		changed = balance_put_upstream(&g->balance, &spec, now);
 		record_alive_(s, spec.id, r);
 		resumes_observe(g, e->key, now);
@@ -258,10 +257,8 @@
 	if (!r->removed)
 		return apply_upstream_entry_(s, e, r, now);
 	e->removed_at = now;
-	if (r->start_id) {
-		e->start_id = r->start_id;
-		e->heartbeat = r->heartbeat;
-	}
+	if (r->start_id)
+		start_order_put(&e->order, r->start_id, r->heartbeat);
 	if (!g_hash_table_contains(s->gateway->balance.by_id, e->key))
 		return true;
 	if (!defer_removal_(s, e->key, now))
@@ -297,20 +294,31 @@
 }
 
 /* Order against what is known: by start, then by heartbeat. */
-static int compare_word_(const upstream_word_t *w, const feed_entry_t *e)
+static int compare_word_(const upstream_word_t *w, const feed_entry_t *e,
+			 const feed_record_t *r)
+{
+	if (r->overruled && w->start_id != e->order.start_id)
+		return 1;
+	return start_order_compare(&e->order, w->start_id, w->heartbeat);
+}
+
+/*
+ * Whether the record is of a start that has come since, with a clock that is
+ * behind. Other nodes send what they have in force.
+ */
+static bool prevails_(const feed_state_t *s, feed_entry_t *e,
+		      const upstream_word_t *w, mstime_t now)
 {
-	if (w->start_id != e->start_id)
-		return w->start_id < e->start_id ? -1 : 1;
-	if (w->heartbeat != e->heartbeat)
-		return w->heartbeat < e->heartbeat ? -1 : 1;
-	return 0;
+	return s->source == FEED_FROM_PLATFORM &&
+	       w->start_id != e->order.start_id &&
+	       start_order_contend(&e->order, w->start_id, w->heartbeat, now);
 }
 
 /*
  * Whether an upstream has said something newer before. A write that the
  * platform did not answer may be carried out late, after later ones.
  */
-static bool is_overtaken_(const feed_state_t *s, const feed_entry_t *e,
+static bool is_overtaken_(const feed_state_t *s, feed_entry_t *e,
 			  const feed_record_t *r, mstime_t now)
 {
 	bool removed = e->removed_at && !e->data;
@@ -319,23 +327,23 @@
 
 	if (r->removed || !read_word_(s, r, now, &w))
 		return false;
-	order = compare_word_(&w, e);
-	if (order > 0)
+	order = compare_word_(&w, e, r);
+	if (order > 0 || (order < 0 && prevails_(s, e, &w, now)))
 		return false;
 	/* What an upstream said before its removal does not bring it back, if
 	 * it counts what it says.
 	 */
-	if (!order && !(removed && e->heartbeat))
+	if (!order && !(removed && e->order.heartbeat))
 		return false;
 	/* A start that has said so leaves, whenever that is read. */
-	if (!removed && w.leaving && w.start_id == e->start_id)
+	if (!removed && w.leaving && w.start_id == e->order.start_id)
 		return false;
 	LOG_EVENT(LOG_NOTICE, "upstream.overtaken", F_STR("upstream", e->key),
 		  F_INT("offset", (int64_t)r->offset),
 		  F_INT("start", (int64_t)w.start_id),
-		  F_INT("known_start", (int64_t)e->start_id),
+		  F_INT("known_start", (int64_t)e->order.start_id),
 		  F_INT("heartbeat", (int64_t)w.heartbeat),
-		  F_INT("known_heartbeat", (int64_t)e->heartbeat),
+		  F_INT("known_heartbeat", (int64_t)e->order.heartbeat),
 		  F_INT("removed", removed),
 		  F_STR("source", feed_source_string[s->source]));
 	return true;
@@ -392,6 +400,7 @@
 {
 	bool changed;
 	bool in_force = apply_content_(s, e, r, now, &changed);
+	bool was_corrected = e->corrected;
 
 	e->epoch = epoch_(s, r);
 	e->offset = r->offset;
@@ -400,7 +409,10 @@
 		r->corrected || (!in_force && (e->data || e->removed_at));
 	if (in_force)
 		store_data_(e, r);
-	if (changed || e->corrected)
+	if (s->feed == FEED_UPSTREAMS)
+		balance_set_contested(&s->gateway->balance, e->key,
+				      e->corrected);
+	if (changed || e->corrected || was_corrected)
 		record_change_(s, e);
 }
 
@@ -413,7 +425,7 @@
 
 	if (!read_word_(s, r, now, &w))
 		return true;
-	order = compare_word_(&w, e);
+	order = compare_word_(&w, e, r);
 	/* A removal comes after the last heartbeat. */
 	return r->removed ? order < 0 : order <= 0;
 }
@@ -480,6 +492,8 @@
 	}
 	/* The log's record is of an older copy. */
 	e->corrected = true;
+	if (s->feed == FEED_UPSTREAMS)
+		balance_set_contested(&s->gateway->balance, e->key, true);
 	record_change_(s, e);
 }
 
@@ -737,7 +751,8 @@
 
 bool feeds_is_recently_removed(const feed_entry_t *e, mstime_t now)
 {
-	return !e->data && e->start_id && now - e->removed_at < REMOVAL_KEEP_MS;
+	return !e->data && e->order.start_id &&
+	       now - e->removed_at < REMOVAL_KEEP_MS;
 }
 
 void feeds_observe_epoch(gateway_t *g, uint64_t epoch, mstime_t now)
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -39,6 +39,7 @@
 #include <kcf/reach.h>
 #include <kcf/shares.h>
 #include <kcf/sharing.h>
+#include <kcf/start_order.h>
 
 #include "rollouts.h"
 #include "work_gossip.h"
@@ -56,9 +57,7 @@
 	uint64_t epoch;
 	uint64_t offset;
 	bool corrected; /* newer than the log's record at this offset */
-	/* of an upstream, kept after its removal */
-	uint64_t start_id;
-	uint64_t heartbeat;
+	start_order_t order; /* of an upstream, kept after its removal */
 	mstime_t removed_at;
 	uint64_t change_offset; /* of the last record that was not only a
 				   heartbeat */
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -42,6 +42,7 @@
 	{ "rank", rank_suite },
 	{ "rate_limit", rate_limit_suite },
 	{ "reach", reach_suite },
+	{ "start_order", start_order_suite },
 	{ "schema", schema_suite },
 	{ "sched", sched_suite },
 	{ "served_model", served_model_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -48,6 +48,7 @@
 Suite *shares_suite(void);
 Suite *socket_times_suite(void);
 Suite *sse_suite(void);
+Suite *start_order_suite(void);
 Suite *str_suite(void);
 Suite *view_suite(void);
 Suite *warmth_suite(void);
--- /dev/null
+++ b/tests/unit/test_start_order.c
@@ -0,0 +1,105 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <kcf/start_order.h>
+
+#define WRITES_MAX 8
+
+/* A write, and the start that is in force after it. */
+typedef struct write {
+	mstime_t at;
+	uint64_t start;
+	uint64_t heartbeat;
+	uint64_t in_force;
+} write_t;
+
+static const struct {
+	const char *label;
+	write_t writes[WRITES_MAX]; /* up to one without a start */
+} cases[] = {
+	{ "starts whose clocks go on",
+	  { { 0, 5, 1, 5 }, { 1200, 5, 2, 5 }, { 2000, 6, 1, 6 } } },
+	{ "a write of the start before that is carried out late",
+	  { { 0, 5, 1, 5 },
+	    { 800, 6, 1, 6 },
+	    { 900, 5, 2, 6 },
+	    { 2000, 6, 2, 6 } } },
+	{ "two such writes at once, and no others for long",
+	  { { 0, 5, 1, 5 },
+	    { 800, 6, 1, 6 },
+	    { 4000, 5, 2, 6 },
+	    { 4010, 5, 3, 6 } } },
+	{ "the same write twice",
+	  { { 0, 6, 1, 6 }, { 900, 5, 2, 6 }, { 2500, 5, 2, 6 } } },
+	{ "a clock that went back",
+	  { { 0, 6, 1, 6 },
+	    { 1200, 6, 2, 6 },
+	    { 2000, 3, 1, 6 },
+	    { 3200, 3, 2, 3 },
+	    { 4400, 3, 3, 3 } } },
+	{ "late writes of the start before it",
+	  { { 0, 6, 1, 6 },
+	    { 700, 3, 1, 6 },
+	    { 1900, 3, 2, 3 },
+	    { 2000, 6, 2, 3 },
+	    { 3100, 3, 3, 3 },
+	    { 3900, 6, 3, 3 } } },
+	{ "the start in force goes on between the others' writes",
+	  { { 0, 6, 1, 6 },
+	    { 700, 3, 1, 6 },
+	    { 1200, 6, 2, 6 },
+	    { 1900, 3, 2, 6 },
+	    { 2400, 6, 3, 6 },
+	    { 3100, 3, 3, 6 } } },
+	{ "one that was taken for gone comes back into force",
+	  { { 0, 6, 1, 6 },
+	    { 700, 3, 1, 6 },
+	    { 1900, 3, 2, 3 },
+	    { 2500, 6, 2, 3 },
+	    { 3700, 6, 3, 6 } } },
+	{ "clocks that go back twice, and then on",
+	  { { 0, 9, 1, 9 },
+	    { 900, 5, 1, 9 },
+	    { 2100, 5, 2, 5 },
+	    { 3000, 4, 1, 5 },
+	    { 4200, 4, 2, 4 },
+	    { 5000, 7, 1, 7 } } },
+	{ "another start before the first has written twice",
+	  { { 0, 9, 1, 9 },
+	    { 900, 5, 1, 9 },
+	    { 2100, 4, 1, 9 },
+	    { 3300, 4, 2, 4 } } },
+	{ "upstreams that do not count what they write",
+	  { { 0, 9, 0, 9 },
+	    { 900, 5, 0, 9 },
+	    { 2100, 5, 0, 9 },
+	    { 2200, 9, 0, 9 } } },
+};
+
+START_TEST(test_start_in_force)
+{
+	start_order_t o = { 0 };
+
+	for (int i = 0; i < WRITES_MAX && cases[_i].writes[i].start; i++) {
+		const write_t *w = &cases[_i].writes[i];
+		int order = start_order_compare(&o, w->start, w->heartbeat);
+
+		if (order >= 0 ||
+		    (w->start != o.start_id &&
+		     start_order_contend(&o, w->start, w->heartbeat, w->at)))
+			start_order_put(&o, w->start, w->heartbeat);
+		ck_assert_msg(o.start_id == w->in_force, "%s: start %d at %d",
+			      cases[_i].label, (int)o.start_id, (int)w->at);
+	}
+}
+END_TEST
+
+Suite *start_order_suite(void)
+{
+	Suite *s = suite_create("start_order");
+	TCase *c = tcase_create("start_order");
+
+	tcase_add_loop_test(c, test_start_in_force, 0, G_N_ELEMENTS(cases));
+	suite_add_tcase(s, c);
+	return s;
+}
