Stand-in: an end does not pass a link that its answer did not pass

Plays with half of the answers unframed showed early ends that no node could have told: kind cut 20 of 965 (of answers whose bytes a cut link had swallowed the end of the connection still came, at once), kinds told and replaced 21 and 31 of 965 (an upstream that goes on ended unframed answers between two events, which is how it ends whole ones). The end of a swallowed answer now waits for the link and is a reset, and an unframed answer is broken off by a reset. Framed answers are broken off as before.

--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -88,7 +88,8 @@
 typedef struct connection {
 	int fd;
 	struct in_addr source;
-	bool lost; /* bytes were held back: it ends with the cut */
+	bool lost;	/* bytes were held back: it ends with the cut */
+	bool swallowed; /* some of an answer did not pass, nor does its end */
 } connection_t;
 
 typedef struct request {
@@ -373,8 +374,10 @@
 	bool ok;
 
 	/* As into the buffer of a socket whose bytes do not arrive. */
-	if (cut == CUT_SILENT || cut == CUT_ONE_WAY)
+	if (cut == CUT_SILENT || cut == CUT_ONE_WAY) {
+		own->swallowed = true;
 		return true;
+	}
 	if (is_lost_())
 		return false;
 	va_start(args, fmt);
@@ -807,6 +810,9 @@
 					   events + 1);
 		p.silent_ms = g_rand_int_range(rand, SILENT_MIN_MS,
 					       SILENT_MAX_MS + 1);
+		/* Nothing would tell such an end from that of the stream. */
+		if (p.trouble == TROUBLE_END && !is_framed_(r, mode))
+			p.trouble = TROUBLE_RESET;
 	}
 	g_rand_free(rand);
 	return p;
@@ -1338,8 +1344,12 @@
 static void end_connection_(connection_t *c)
 {
 	g_mutex_lock(&state.lock);
+	while (c->swallowed && !c->lost &&
+	       (cut_of_(c->source) == CUT_SILENT ||
+		cut_of_(c->source) == CUT_ONE_WAY))
+		g_cond_wait(&state.lifted, &state.lock);
 	g_ptr_array_remove_fast(state.open, c);
-	if (c->lost)
+	if (c->lost || c->swallowed)
 		reset_(c->fd);
 	close(c->fd);
 	g_mutex_unlock(&state.lock);
