End proof: the verdict is pure logic with a table of cases; checks are kept by upstream

The verdict on an unframed end moves to packages/decide/end_proof (13 cases). Checks were found by an upstream's key, which an entry that lapses and comes back has again: a request at the new one would have waited with the old one's check, whose upstream is freed with its last request (by reading). They are found by the local id, which is never used again.

--- /dev/null
+++ b/packages/decide/end_proof.c
@@ -0,0 +1,32 @@
+#include <kcf/end_proof.h>
+
+#include <assert.h>
+
+/*
+ * An end that was lost on the way is sent again later than this, and one that
+ * waited for a paused process is seen later.
+ */
+#define PROMPT_MAX_MS 100
+
+const char *const end_verdict_string[] = { "unproven", "alive", "gone" };
+
+static bool is_prompt_(const end_seen_t *end)
+{
+	return end->silence_ms >= 0 && end->silence_ms <= PROMPT_MAX_MS;
+}
+
+end_verdict_t end_proof_judge(const end_seen_t *end, const end_reply_t *reply)
+{
+	assert(end && reply);
+	if (reply->refused)
+		return END_GONE;
+	if (!reply->received)
+		return END_UNPROVEN;
+	/* A process takes its connections with it. */
+	if (reply->since <= end->sent_at)
+		return END_ALIVE;
+	if (reply->named)
+		return reply->named == end->start ? END_ALIVE : END_GONE;
+	/* The next process needs longer until it answers. */
+	return reply->nameless && is_prompt_(end) ? END_ALIVE : END_UNPROVEN;
+}
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -3,10 +3,6 @@
  * a length or chunks. The kernel ends the connections of a process that is gone
  * in the same way, so such an end counts once the start that answered is known
  * to have lived after it: the upstream is asked.
- *
- * A start that names itself proves its own end. Of others the answer on a
- * connection that is older than the request tells, as a process takes its
- * connections with it; if there is none, that something answers at once.
  */
 #include "private/forward.h"
 
@@ -18,33 +14,12 @@
 /* Callers wait for the end of a stream at least twice as long. */
 #define PROOF_MAX_MS 1000
 #define ASK_AGAIN_MS 50
-/* An end that was lost on the way is sent again later than this. */
-#define PROMPT_MAX_MS 100
-
-typedef enum verdict {
-	VERDICT_NONE, /* it may be asked again */
-	VERDICT_ALIVE,
-	VERDICT_GONE,
-} verdict_t;
-
-/* Parallel to verdict_t. */
-static const char *const verdict_string[] = { "unproven", "alive", "gone" };
-
-/* What a question brought. */
-typedef struct reply {
-	bool received;
-	bool refused;	/* nobody listens there */
-	bool nameless;	/* its start will not be named */
-	uint64_t named; /* start, or 0 */
-	mstime_t since; /* the connection has reached the process */
-} reply_t;
 
 /* The requests whose answers one upstream has ended, while it is asked. */
 struct end_check {
 	gateway_t *gateway;
-	uint32_t key; /* of the upstream */
-	balance_upstream_t *upstream;
-	http_call_t *call;  /* NULL between questions */
+	balance_upstream_t *upstream; /* kept by the requests that wait */
+	http_call_t *call;	      /* NULL between questions */
 	GPtrArray *waiting; /* forward_t *, by the time of their ends */
 	guint asked; /* that many of them had ended before the question */
 	ev_timer again;
@@ -73,44 +48,28 @@
 	g_hash_table_destroy(g->end_checks);
 }
 
-static void log_end_(const forward_t *f, const reply_t *r, verdict_t verdict)
+static void log_end_(const forward_t *f, const end_reply_t *r,
+		     end_verdict_t verdict)
 {
-	LOG_EVENT(verdict == VERDICT_ALIVE ? LOG_INFO : LOG_NOTICE,
+	LOG_EVENT(verdict == END_ALIVE ? LOG_INFO : LOG_NOTICE,
 		  "answer.unframed", F_VIEW("request", f->in.id),
 		  F_STR("upstream", f->upstream_id),
-		  F_STR("outcome", verdict_string[verdict]),
-		  F_INT("start", (int64_t)f->end.start),
+		  F_STR("outcome", end_verdict_string[verdict]),
+		  F_INT("start", (int64_t)f->end.seen.start),
 		  F_INT("named", (int64_t)r->named),
 		  F_INT("older", r->received && r->since <= f->sent_at),
 		  F_INT("last_event", f->last_event_id),
-		  F_INT("silence_ms", f->end.silence_ms),
+		  F_INT("silence_ms", f->end.seen.silence_ms),
 		  F_INT("ms", clock_now() - f->end.at));
 }
 
-static verdict_t judge_(const forward_t *f, const reply_t *r)
-{
-	if (r->refused)
-		return VERDICT_GONE;
-	if (!r->received)
-		return VERDICT_NONE;
-	if (r->since <= f->sent_at)
-		return VERDICT_ALIVE;
-	if (r->named)
-		return r->named == f->end.start ? VERDICT_ALIVE : VERDICT_GONE;
-	/* The next process needs longer to answer than a prompt end to come. */
-	return r->nameless && f->end.silence_ms >= 0 &&
-			       f->end.silence_ms <= PROMPT_MAX_MS
-		       ? VERDICT_ALIVE
-		       : VERDICT_NONE;
-}
-
-static void conclude_(forward_t *f, const reply_t *r, verdict_t verdict)
+static void conclude_(forward_t *f, const end_reply_t *r, end_verdict_t verdict)
 {
 	ends_cancel(f);
-	if (verdict != VERDICT_ALIVE)
+	if (verdict != END_ALIVE)
 		counter_add(COUNTER_ENDS_UNPROVEN, 1);
 	log_end_(f, r, verdict);
-	answer_end(f, verdict == VERDICT_ALIVE);
+	answer_end(f, verdict == END_ALIVE);
 }
 
 static void on_again_(struct ev_loop *loop, ev_timer *w, int revents)
@@ -121,10 +80,10 @@
 }
 
 /* Judges those whose ends came before the question, and asks for the others. */
-static void apply_(end_check_t *c, const reply_t *r)
+static void apply_(end_check_t *c, const end_reply_t *r)
 {
 	gateway_t *g = c->gateway;
-	uint32_t key = c->key;
+	uint64_t key = c->upstream->local_id;
 	mstime_t now = clock_now();
 	GPtrArray *judged = g_ptr_array_new();
 
@@ -132,15 +91,15 @@
 		g_ptr_array_add(judged, c->waiting->pdata[i]);
 	for (guint i = 0; i < judged->len; i++) {
 		forward_t *f = judged->pdata[i];
-		verdict_t verdict = judge_(f, r);
+		end_verdict_t verdict = end_proof_judge(&f->end.seen, r);
 
-		if (verdict == VERDICT_NONE && now < f->end.until)
+		if (verdict == END_UNPROVEN && now < f->end.until)
 			continue;
 		conclude_(f, r, verdict);
 	}
 	g_ptr_array_unref(judged);
 	/* The last one has taken the check with it. */
-	c = g_hash_table_lookup(g->end_checks, GUINT_TO_POINTER(key));
+	c = g_hash_table_lookup(g->end_checks, GSIZE_TO_POINTER(key));
 	if (!c || c->call || ev_is_active(&c->again))
 		return;
 	ev_timer_set(&c->again,
@@ -159,7 +118,8 @@
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
 	end_check_t *c = ctx;
-	reply_t reply = { .received = !err, .refused = err == HTTP_EREFUSED };
+	end_reply_t reply = { .received = !err,
+			      .refused = err == HTTP_EREFUSED };
 
 	c->call = NULL;
 	/* An idle connection may have ended just then. */
@@ -186,19 +146,19 @@
 
 static end_check_t *check_of_(gateway_t *g, balance_upstream_t *u)
 {
-	end_check_t *c =
-		g_hash_table_lookup(g->end_checks, GUINT_TO_POINTER(u->key));
+	end_check_t *c = g_hash_table_lookup(g->end_checks,
+					     GSIZE_TO_POINTER(u->local_id));
 
 	if (c)
 		return c;
 	c = g_new0(end_check_t, 1);
 	c->gateway = g;
-	c->key = u->key;
 	c->upstream = u;
 	c->waiting = g_ptr_array_new();
 	ev_timer_init(&c->again, on_again_, 0, 0);
 	c->again.data = c;
-	g_hash_table_insert(g->end_checks, GUINT_TO_POINTER(c->key), c);
+	g_hash_table_insert(g->end_checks,
+			    GSIZE_TO_POINTER(c->upstream->local_id), c);
 	/* Ends that are seen in the same turn of the loop share a question. */
 	ev_timer_start(g->loop, &c->again);
 	return c;
@@ -214,10 +174,10 @@
 	f->may_have_run = true;
 	f->end = (answer_end_t){
 		.check = check_of_(f->gateway, f->selected),
-		.start = peer.start ? peer.start : f->selected->start_id,
+		.seen = { peer.start ? peer.start : f->selected->start_id,
+			  f->sent_at, http_call_silence(call) },
 		.at = now,
 		.until = now + PROOF_MAX_MS,
-		.silence_ms = http_call_silence(call),
 	};
 	g_ptr_array_add(f->end.check->waiting, f);
 }
@@ -234,5 +194,5 @@
 	c->asked -= i < c->asked;
 	if (!c->waiting->len)
 		g_hash_table_remove(f->gateway->end_checks,
-				    GUINT_TO_POINTER(c->key));
+				    GSIZE_TO_POINTER(c->upstream->local_id));
 }
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -8,6 +8,7 @@
 
 #include "gateway.h"
 #include <kcf/coalesce.h>
+#include <kcf/end_proof.h>
 #include <kcf/sse.h>
 
 /* Attempts of one request, whatever its route allows. */
@@ -103,11 +104,10 @@
 
 /* The end of an answer that only its connection marked, see ends.c. */
 typedef struct answer_end {
-	end_check_t *check;  /* while it waits for its proof, or NULL */
-	uint64_t start;	     /* that answered, as far as is known */
-	mstime_t at;	     /* when it was seen */
-	mstime_t until;	     /* it is proven, or does not count */
-	mstime_t silence_ms; /* before it, -1 if unknown */
+	end_check_t *check; /* while it waits for its proof, or NULL */
+	end_seen_t seen;
+	mstime_t at;	/* when it was seen */
+	mstime_t until; /* it is proven, or does not count */
 } answer_end_t;
 
 typedef struct forward {
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -56,7 +56,7 @@
 	GBytes *data; /* NULL once the key is removed */
 	uint64_t epoch;
 	uint64_t offset;
-	bool corrected; /* newer than the log's record at this offset */
+	bool corrected;	     /* newer than the log's record at this offset */
 	start_order_t order; /* of an upstream, kept after its removal */
 	mstime_t removed_at;
 	uint64_t change_offset; /* of the last record that was not only a
@@ -197,7 +197,7 @@
 	work_gossip_t work_gossip;
 	uint64_t incarnation;
 	quarantine_t quarantine;
-	GHashTable *end_checks;	  /* key of an upstream to end_check_t */
+	GHashTable *end_checks;	  /* local_id of an upstream to end_check_t */
 	bool crashes_hold_is_new; /* requests under way may be part of it */
 	quarantine_gossip_t crash_gossip;
 	warmths_t warmths;
--- a/tests/unit/main.c
+++ b/tests/unit/main.c
@@ -41,6 +41,7 @@
 	{ "quarantine", quarantine_suite },
 	{ "rank", rank_suite },
 	{ "rate_limit", rate_limit_suite },
+	{ "end_proof", end_proof_suite },
 	{ "reach", reach_suite },
 	{ "start_order", start_order_suite },
 	{ "schema", schema_suite },
--- a/tests/unit/suites.h
+++ b/tests/unit/suites.h
@@ -12,6 +12,7 @@
 Suite *coalesce_suite(void);
 Suite *config_suite(void);
 Suite *datagram_suite(void);
+Suite *end_proof_suite(void);
 Suite *fairq_suite(void);
 Suite *feed_epochs_suite(void);
 Suite *feed_outage_suite(void);
--- /dev/null
+++ b/tests/unit/test_end_proof.c
@@ -0,0 +1,80 @@
+#include "suites.h"
+
+#include <glib.h>
+#include <kcf/end_proof.h>
+
+#define SENT 1000
+#define OLDER 900
+#define YOUNGER 1300
+
+static const struct {
+	const char *label;
+	end_seen_t end;
+	end_reply_t reply;
+	end_verdict_t verdict;
+} cases[] = {
+	{ "the start names itself again",
+	  { 5, SENT, 3 },
+	  { .received = true, .named = 5, .since = YOUNGER },
+	  END_ALIVE },
+	{ "also after a pause",
+	  { 5, SENT, 2000 },
+	  { .received = true, .named = 5, .since = YOUNGER },
+	  END_ALIVE },
+	{ "a later start",
+	  { 5, SENT, 3 },
+	  { .received = true, .named = 6, .since = YOUNGER },
+	  END_GONE },
+	{ "another start whose clock is behind",
+	  { 5, SENT, 3 },
+	  { .received = true, .named = 4, .since = YOUNGER },
+	  END_GONE },
+	{ "a start that has not checked in, on an older connection",
+	  { 5, SENT, 3 },
+	  { .received = true, .named = 6, .since = OLDER },
+	  END_ALIVE },
+	{ "no name, on an older connection",
+	  { 5, SENT, 3 },
+	  { .received = true, .nameless = true, .since = OLDER },
+	  END_ALIVE },
+	{ "the same after a pause",
+	  { 5, SENT, 2000 },
+	  { .received = true, .nameless = true, .since = OLDER },
+	  END_ALIVE },
+	{ "no name, at once",
+	  { 5, SENT, 100 },
+	  { .received = true, .nameless = true, .since = YOUNGER },
+	  END_ALIVE },
+	{ "no name, an end that came late",
+	  { 5, SENT, 101 },
+	  { .received = true, .nameless = true, .since = YOUNGER },
+	  END_UNPROVEN },
+	{ "no name, nothing known of the end",
+	  { 5, SENT, -1 },
+	  { .received = true, .nameless = true, .since = YOUNGER },
+	  END_UNPROVEN },
+	{ "busy, may name itself later",
+	  { 5, SENT, 3 },
+	  { .received = true, .since = YOUNGER },
+	  END_UNPROVEN },
+	{ "nobody listens", { 5, SENT, 3 }, { .refused = true }, END_GONE },
+	{ "no answer", { 5, SENT, 3 }, { .nameless = true }, END_UNPROVEN },
+};
+
+START_TEST(test_verdict)
+{
+	ck_assert_msg(end_proof_judge(&cases[_i].end, &cases[_i].reply) ==
+			      cases[_i].verdict,
+		      "%s", cases[_i].label);
+}
+END_TEST
+
+Suite *end_proof_suite(void)
+{
+	Suite *s = suite_create("end_proof");
+	TCase *c = tcase_create("end_proof");
+
+	tcase_add_loop_test(c, test_verdict, 0, G_N_ELEMENTS(cases));
+	suite_add_tcase(s, c);
+	return s;
+}
