Nodes with owners: a plain answer without framing is whole once its upstream is known to go on

Callers saw: 200 and a part of the answer, when the upstream's process ended in the middle of a plain answer with neither length nor chunks. The part of a run-once answer was kept under its key and replayed to later tries; deferred jobs take their answers on the same way. Cause: any sound end of the connection was taken for the end of the answer, as in for nodes on the users' platform.

Change: such an answer is held until the upstream was asked for its load, which names its start. Whole: the start is the one that began the answer (named in the answer, on its connection, or last reported when the request was placed), or the question came on a connection older than the request. Not whole: another start, nobody listens, nothing for 1 s. Where no start was known yet, a prompt end (100 ms) and any answer count, as at the other nodes. What is not whole fails as a connection that broke: it is tried again elsewhere, held back or 502 as before; a run-once try is told as one that may have run. Refusals for load are passed over: their text is not passed on.

Ruled out: streams, which need their [DONE]; answers of other nodes, which have a length or chunks.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -211,6 +211,12 @@
  */
 str_t http_call_header(http_call_t *call, const char *name);
 
+/*
+ * http_call_unframed - whether only the end of its connection marks the end of
+ * the answer. For a call whose head is in.
+ */
+bool http_call_unframed(http_call_t *call);
+
 /*
  * http_call_each_header - calls fn for each header of the answer.
  */
--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -75,6 +75,7 @@
 	char upstream[SCHED_NAME_MAX];
 	char address[SCHED_NAME_MAX];
 	uint32_t key;
+	uint64_t start_id; /* as last reported, or 0 */
 	bool warm; /* the chat's prefix is assumed to be cached there */
 	/* SCHED_FORWARD */
 	char node[SCHED_NAME_MAX];
--- a/packages/decide/place.c
+++ b/packages/decide/place.c
@@ -223,6 +223,7 @@
 			MAX(1, r->prompt_tokens));
 	g_strlcpy(d.upstream, u->config->name, sizeof(d.upstream));
 	g_strlcpy(d.address, u->config->address, sizeof(d.address));
+	d.start_id = u->start_id;
 	d.key = u->key;
 	d.hop = r->hop;
 	d.warm = p->warm;
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -891,10 +891,13 @@
 	curl_multi_add_handle(call->client->multi, call->easy);
 }
 
-static bool ends_with_connection_(http_call_t *call, long status)
+bool http_call_unframed(http_call_t *call)
 {
 	str_t encoding = http_call_header(call, "Transfer-Encoding");
+	long status = 0;
 
+	assert(call);
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	if (call->bodyless || status == STATUS_NO_CONTENT ||
 	    status == STATUS_NOT_MODIFIED)
 		return false;
@@ -908,9 +911,9 @@
  * that closes before it has received its request was not done with it; an end
  * that looks sound can be that of a connection that broke.
  */
-static bool is_cut_(http_call_t *call, long status, curl_off_t uploaded)
+static bool is_cut_(http_call_t *call, curl_off_t uploaded)
 {
-	return ends_with_connection_(call, status) &&
+	return http_call_unframed(call) &&
 	       (call->broken || call->unacked ||
 		(size_t)uploaded < call->upload_bytes);
 }
@@ -929,7 +932,7 @@
 	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
 	curl_easy_getinfo(call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
 	call->client->bytes += request_size + header_size + up + down;
-	if (code == CURLE_OK && is_cut_(call, status, up))
+	if (code == CURLE_OK && is_cut_(call, up))
 		code = CURLE_PARTIAL_FILE;
 	/* Taken out first, so that the owner may start new calls. */
 	curl_multi_remove_handle(call->client->multi, call->easy);
--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -3,6 +3,7 @@
  */
 #include "private/exchange.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -253,17 +254,84 @@
 					 STR_NONE, "");
 }
 
-static void reply_buffered_(exchange_t *x, http_call_t *call, int status)
+static const char *content_type_(const http_header_t *headers)
+{
+	for (const http_header_t *h = headers; h->name; h++) {
+		if (!strcmp(h->name, "Content-Type"))
+			return h->value;
+	}
+	return "";
+}
+
+static void pass_answer_on_(exchange_t *x, int status,
+			    const http_header_t *headers)
 {
-	http_header_t headers[ANSWER_HEADERS_MAX];
 	str_t body = { x->body->str, x->body->len };
-	char *type = str_dup(http_call_header(call, "Content-Type"));
 
-	collect_headers_(x, call, headers);
+	exchange_release_permit(x, SCHED_DONE);
+	if (status == 200)
+		exchange_report_answered(x);
+	exchange_trace(x, "answered status=%d bytes=%zu", status, x->body->len);
 	if (x->holds_claim)
-		report_once_end_(x, status, body, type);
+		report_once_end_(x, status, body, content_type_(headers));
 	http_reply(x->req, (unsigned int)status, headers, body);
-	g_free(type);
+}
+
+static void hold_answer_(exchange_t *x, http_call_t *call, int status)
+{
+	http_header_t headers[ANSWER_HEADERS_MAX];
+	size_t n = collect_headers_(x, call, headers);
+	uint64_t start = x->reported_start_id;
+
+	if (!start)
+		start = http_call_peer(call).start;
+	x->held = g_new(held_answer_t, 1);
+	*x->held = (held_answer_t){
+		.status = status,
+		.headers = g_new0(http_header_t, n + 1),
+		.start_id = start ? start : x->placement.start_id,
+		.silence_ms = http_call_silence(call),
+		.ended_at = clock_now(),
+	};
+	for (size_t i = 0; i < n; i++)
+		x->held->headers[i] =
+			(http_header_t){ headers[i].name,
+					 g_strdup(headers[i].value) };
+}
+
+void exchange_drop_held(exchange_t *x)
+{
+	if (!x->held)
+		return;
+	for (http_header_t *h = x->held->headers; h->name; h++)
+		g_free((char *)h->value);
+	g_free(x->held->headers);
+	g_clear_pointer(&x->held, g_free);
+}
+
+void exchange_end_held(exchange_t *x, bool whole)
+{
+	assert(x->held && !x->call);
+	if (!whole) {
+		exchange_drop_held(x);
+		exchange_handle_failure(x, FAILURE_CONNECTION_LOST);
+		return;
+	}
+	pass_answer_on_(x, x->held->status, x->held->headers);
+}
+
+static void handle_answer_(exchange_t *x, http_call_t *call, int status)
+{
+	http_header_t headers[ANSWER_HEADERS_MAX];
+
+	/* Other nodes mark the ends of what they pass on. */
+	if (x->placement.verdict == SCHED_RUN && http_call_unframed(call)) {
+		hold_answer_(x, call, status);
+		exchange_check_end(x);
+		return;
+	}
+	collect_headers_(x, call, headers);
+	pass_answer_on_(x, status, headers);
 }
 
 static bool is_refusal_(int status)
@@ -383,12 +451,7 @@
 		 */
 		exchange_handle_failure(x, FAILURE_RESUME_REFUSED);
 	} else {
-		exchange_release_permit(x, SCHED_DONE);
-		if (status == 200)
-			exchange_report_answered(x);
-		exchange_trace(x, "answered status=%d bytes=%zu", status,
-			       x->body->len);
-		reply_buffered_(x, call, status);
+		handle_answer_(x, call, status);
 	}
 }
 
@@ -416,6 +479,7 @@
 		http_call_cancel(x->call);
 		x->call = NULL;
 	}
+	exchange_drop_held(x);
 	exchange_release_permit(x, result);
 }
 
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -60,6 +60,15 @@
 /* Indexed by failure_t; written to the trace and the log. */
 extern const char *const failure_string[];
 
+/* An answer that is passed on once it is known to be whole. */
+typedef struct held_answer {
+	int status;
+	http_header_t *headers; /* with values of their own */
+	uint64_t start_id;	/* of the upstream that began it, or 0 */
+	mstime_t silence_ms;	/* from its last bytes to its end, or -1 */
+	mstime_t ended_at;
+} held_answer_t;
+
 typedef struct exchange {
 	uint64_t id;
 	relay_t *relay;
@@ -111,12 +120,14 @@
 	bool has_permit; /* the control task counts the request as running */
 	int unreachable_nodes;	 /* failed attempts to connect to a node */
 	mstime_t owner_deadline; /* end of the wait for an owner; 0 if unset */
-	ev_timer retry_timer;	 /* active during the wait for an owner */
+	ev_timer retry_timer;	 /* active during the wait for an owner, or
+				    before an upstream is asked again */
 	const char *reason;	 /* "reason" of a refusal, or NULL */
 
 	/* send and relay */
 	http_call_t *call;
 	GString *body;	      /* of an answer that is not streamed */
+	held_answer_t *held;  /* NULL for none */
 	sse_t sse;	      /* parser of the upstream's stream */
 	bool streaming;	      /* the head of a stream was sent to the caller */
 	bool stream_finished; /* the last event was received */
@@ -255,6 +266,22 @@
  */
 void exchange_abort(exchange_t *x, sched_result_t result);
 
+/*
+ * exchange_check_end - finds out whether the upstream goes on whose answer is
+ * held; ends with exchange_end_held. Meanwhile x->call is the call that asks.
+ */
+void exchange_check_end(exchange_t *x);
+
+/*
+ * exchange_end_held - passes the held answer on, or fails the attempt.
+ */
+void exchange_end_held(exchange_t *x, bool whole);
+
+/*
+ * exchange_drop_held - forgets the held answer, if there is one.
+ */
+void exchange_drop_held(exchange_t *x);
+
 /* Callbacks of the call to an upstream or another node. */
 extern const http_call_ops_t exchange_call_ops;
 
