Plays of streams: held events, slow callers, preemption, late bodies, losses

Stand-ins and options for kinds that stream_order did not have: KCF_SET gives the settings of the nodes (coalesce, memory, descriptors), the size of streams and bodies, callers that rest long with little room in their kernel, and lost packets (a filter on their sockets); upstreams stop in the middle of streams and go on (mode preempts), are frozen as a whole (kinds frozen, frozen_nodes), or read the body of a request between the events of its answer (mode reads_late). An event with event_bytes keeps its mark.

Two faults of the stand-in itself, seen on the way and not counted: a stream that is not preempted ended at the drawn event, and an unframed answer whose body was not read was reset.

--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -104,6 +104,9 @@
 		table.move({ "/usr/bin/env", "LD_PRELOAD=" .. bin .. "/kcf-source.so", "KCF_SOURCE=" .. g.source,
 			     table.unpack(argv) }, 1, #argv + 3, 1, argv)
 	end
+	if g.descriptors_max then
+		argv = { "/bin/sh", "-c", 'ulimit -n ' .. g.descriptors_max .. '; exec "$@"', "sh", table.unpack(argv) }
+	end
 	g.pid = spawn(argv, f.dir .. "/" .. g.name .. ".err", g.out)
 end
 
@@ -214,7 +217,9 @@
 
 -- Starts callers in the background; finish_callers gives their report.
 function start_callers(f, o)
-	local argv = { bin .. "/kcf-caller" }
+	local argv = { table.unpack(o.env or {}) }
+	argv[#argv + 1] = bin .. "/kcf-caller"
+	o.env = nil
 	for k, v in pairs(o) do
 		argv[#argv + 1] = "--" .. k:gsub("_", "-")
 		if v ~= "" then argv[#argv + 1] = tostring(v) end
--- a/tests/scenarios/stream_order.lua
+++ b/tests/scenarios/stream_order.lua
@@ -5,24 +5,44 @@
 -- KCF_UPSTREAMS: numbers of nodes, and of upstreams of each version. KCF_UNFRAMED, KCF_CLOCK_BACK_MS: as unframed, and
 -- clock_back_max_ms of version_words. With the folder of an older build (--old DIR) each second
 -- node is of that build.
-local EVENTS = 16
+-- KCF_SET: NAME=VALUE,... of play_options, which a scenario may set before: events, gap_ms, event_bytes of each stream; mode of
+-- the upstreams; coalesce ("loss", "all"), memory_mb, descriptors, descriptors_max (of the process) of each node; rate, slow, read_ms, rest_ms, rest_spread,
+-- receive_bytes, body_bytes, patience_ms and loss (of 1000 packets) of the callers; timeout_ms and attempts of the routes.
+play_options = play_options or {}
+for k, v in (os.getenv("KCF_SET") or ""):gmatch("([%w_]+)=([^,]*)") do play_options[k] = tonumber(v) or v end
+local set = play_options
+local EVENTS = set.events or 16
 if os.getenv("KCF_UNNAMED") then names_start = false end
 gateways = tonumber(os.getenv("KCF_GATEWAYS")) or gateways
 upstreams = tonumber(os.getenv("KCF_UPSTREAMS")) or upstreams
 unframed = tonumber(os.getenv("KCF_UNFRAMED")) or unframed
 clock_back_max_ms = tonumber(os.getenv("KCF_CLOCK_BACK_MS")) or clock_back_max_ms
-upstream_options = { events = EVENTS, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
+upstream_options = { events = EVENTS, gap_ms = set.gap_ms, event_bytes = set.event_bytes, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
 if unframed then upstream_options.unframed = unframed end
-site_options = { gateways = gateways or 4, each = function(f)
+local settings = ""
+if set.coalesce then settings = string.format('[streams]\ncoalesce_ms = %d\ncoalesce_on = "%s"\n', set.coalesce_ms or 100, set.coalesce) end
+site_options = { gateways = gateways or 4, more_settings = settings, each = function(f)
 	for i, g in ipairs(f.gateways) do
+		if set.memory_mb then g.node_settings = string.format("max_descriptors = %d\nmemory_mb = %d\n", set.descriptors or 4100, set.memory_mb) end
+		g.descriptors_max = set.descriptors_max
 		g.source = g.callers:match("[%d.]+")
 		g.bin = i % 2 == 0 and old or nil
 	end
 end }
 dofile(scenarios .. "/version_words.lua")
+if set.coalesce or set.timeout_ms then
+	local o = { timeout_ms = set.timeout_ms or 3000, target_itl_ms = 300 }
+	local once = { max_attempts = 1 }
+	for k, v in pairs(o) do once[k] = v end
+	o.stream_resume = true
+	o.max_attempts = set.attempts
+	local list = routes()
+	list[4], list[5] = route("/stream/", "streaming", "engines", o), route("/once/stream/", "streaming", "engines", once)
+	configure(f, 2, list)
+end
 local PLAY_S, MIX_S = tonumber(os.getenv("KCF_PLAY_S") or "40"), 6
-local RATE, ONCE_RATE, SLOW, LEAVE = 26, 13, 0.25, 0.4
-local TRIES, PAUSE_MS, PATIENCE_MS = 12, 250, 7000
+local RATE, ONCE_RATE, SLOW, LEAVE = set.rate or 26, (set.rate or 26) / 2, set.slow or 0.25, 0.4
+local TRIES, PAUSE_MS, PATIENCE_MS = 12, 250, set.patience_ms or 7000
 local DARK_MAX_MS, ALL_DARK_MAX_MS = 2800, 1000
 local CUTS = { "silent", "reset", "new_refused", "one_way" }
 
@@ -104,7 +124,7 @@
 local function again(renamed)
 	return function()
 		local r = engines[math.random(#engines)]
-		if not may_start_again(engines, r) then return end
+		if r.thaw_at or not may_start_again(engines, r) then return end
 		note("%s ends", r.name)
 		start_again(r, renamed)
 		note("%s answers, of %s", r.name, r.version)
@@ -112,6 +132,25 @@
 	end
 end
 
+-- All of its streams stop, and go on.
+local function freeze_one()
+	local r = engines[math.random(#engines)]
+	if r.thaw_at then return end
+	freeze(r)
+	r.thaw_at = now_ms() + 200 + math.random(2600)
+	note("%s frozen", r.name)
+end
+
+local function thaw_upstreams(now)
+	for _, r in ipairs(engines) do
+		if r.thaw_at and now >= r.thaw_at then
+			thaw(r)
+			r.thaw_at = nil
+			note("%s goes on", r.name)
+		end
+	end
+end
+
 -- Links from nodes to upstreams.
 
 local function set_cut(cut, how)
@@ -148,6 +187,7 @@
 local function turn(now)
 	check_in(engines, now)
 	lift(now)
+	thaw_upstreams(now)
 	for _, g in ipairs(f.gateways) do mend(g, now) end
 	sleep_ms(20)
 end
@@ -170,6 +210,11 @@
 	ends_renamed = { leave = LEAVE, every(600, 2400, again(true)) },
 	same_id_leave = { leave = LEAVE, every(200, 800, again(false)) },
 	cut = { every(600, 2400, cut_two) },
+	calm = {},
+	all = { troubled = true, leave = LEAVE, every(600, 2400, hurt_one_or_all), every(600, 2400, again(false)), every(1500, 3000, cut_two) },
+	all_sound = { leave = LEAVE, every(600, 2400, hurt_one), every(600, 2400, again(false)) },
+	frozen = { leave = LEAVE, every(600, 2400, freeze_one) },
+	frozen_nodes = { leave = LEAVE, every(600, 2400, freeze_one), every(600, 2400, hurt_one), every(900, 2400, again(false)) },
 }
 local serial = 0
 
@@ -178,13 +223,15 @@
 	o.to, o.duration_ms, o.seed = callers_of(f), ms, upstream_options.seed * 1000 + serial
 	o.timeout_ms, o.tries, o.pause_ms = PATIENCE_MS, TRIES, PAUSE_MS
 	o.slow, o.events, o.marked, o.distinct = SLOW, EVENTS, "", ""
+	o.rest_ms, o.read_ms, o.rest_spread, o.receive_bytes, o.body_bytes = set.rest_ms, set.read_ms, set.rest_spread, set.receive_bytes, set.body_bytes
+	o.env = set.loss and { "/usr/bin/env", "LD_PRELOAD=" .. bin .. "/kcf-source.so", "KCF_LOSS=" .. set.loss }
 	return start_callers(f, o)
 end
 
 local function is_over(load) return read_file(load.path .. ".out") ~= "" end
 
 local function play(name, kind, ms)
-	trouble(engines, kind.troubled and "troubled" or "")
+	trouble(engines, set.mode or kind.troubled and "troubled" or "")
 	local loads = { start_load(ms, { path = "/stream/long", rate = RATE, resume = "", leave = kind.leave or 0 }),
 			start_load(ms, { path = "/once/stream/long", rate = ONCE_RATE }) }
 	local ends, next_at = now_ms() + ms, {}
@@ -199,7 +246,19 @@
 		turn(now)
 	end
 	for _, g in ipairs(f.gateways) do g.back_at = 0 end
+	for _, r in ipairs(engines) do r.thaw_at = r.thaw_at and 0 end
 	while not (is_over(loads[1]) and is_over(loads[2])) do turn(now_ms()) end
+	for _, g in ipairs(f.gateways) do
+		local status = read_file("/proc/" .. g.pid .. "/status")
+		local stat = read_file("/proc/" .. g.pid .. "/stat"):gsub("^.*%) ", "")
+		local n, ticks = 0, 0
+		for w in stat:gmatch("%S+") do
+			n = n + 1
+			if n == 12 or n == 13 then ticks = ticks + tonumber(w) end
+		end
+		note("%s peak %s kB, size table %s descriptors, %d ms of processor time", g.name, status:match("VmHWM:%s+(%d+)"),
+		     status:match("FDSize:%s+(%d+)"), ticks * 10)
+	end
 	return finish_callers(loads[1]), finish_callers(loads[2])
 end
 
--- a/tests/standin/caller.c
+++ b/tests/standin/caller.c
@@ -34,6 +34,10 @@
 static gdouble slow;
 static gint events_whole;
 static gboolean marked;
+static gint read_ms = 30;
+static gint rest_ms = 250;
+static gdouble rest_spread;
+static gint receive_bytes;
 
 static const GOptionEntry entries[] = {
 	{ "to", 0, 0, G_OPTION_ARG_STRING, &to, "Addresses, in turn",
@@ -62,6 +66,14 @@
 	  "SHARE" },
 	{ "slow", 0, 0, G_OPTION_ARG_DOUBLE, &slow,
 	  "Of the callers, read slowly", "SHARE" },
+	{ "read-ms", 0, 0, G_OPTION_ARG_INT, &read_ms,
+	  "A caller that reads slowly reads for so long", "MS" },
+	{ "rest-ms", 0, 0, G_OPTION_ARG_INT, &rest_ms,
+	  "It rests for so long at most", "MS" },
+	{ "rest-spread", 0, 0, G_OPTION_ARG_DOUBLE, &rest_spread,
+	  "Up to this part less, drawn for each caller", "SHARE" },
+	{ "receive-bytes", 0, 0, G_OPTION_ARG_INT, &receive_bytes,
+	  "The kernel takes in for it, 0: its own bound", "N" },
 	{ "events", 0, 0, G_OPTION_ARG_INT, &events_whole,
 	  "Of a whole stream, 0: not checked", "N" },
 	{ "marked", 0, 0, G_OPTION_ARG_NONE, &marked,
@@ -72,9 +84,6 @@
 
 #define ID_MAX 48
 #define RUN_MARK " run="
-/* A caller that reads slowly reads and rests in turn. */
-#define SLOW_READ_MS 30
-#define SLOW_REST_MS 250
 
 typedef struct caller {
 	struct timespec came; /* milliseconds are too coarse for loopback */
@@ -93,6 +102,7 @@
 	int disordered;	  /* events that do not follow the one before */
 	int leaves_after; /* events; 0 to stay */
 	bool reads_slowly;
+	int rest_ms;
 	bool rests;
 	bool early;   /* ended as whole before the last event */
 	bool joined;  /* events of two versions */
@@ -361,7 +371,8 @@
 
 	(void)revents;
 	c->rests = !c->rests;
-	ev_timer_set(w, (c->rests ? SLOW_REST_MS : SLOW_READ_MS) / 1e3, 0);
+	/* A caller that reads slowly reads and rests in turn. */
+	ev_timer_set(w, (c->rests ? c->rest_ms : read_ms) / 1e3, 0);
 	ev_timer_start(loop, w);
 	http_call_pause(c->call, c->rests);
 }
@@ -419,7 +430,7 @@
 	c->call = http_call_start(&all.http, &spec, &call_ops, c);
 	if (c->reads_slowly) {
 		c->rests = false;
-		ev_timer_set(&c->turn, SLOW_READ_MS / 1e3, 0);
+		ev_timer_set(&c->turn, read_ms / 1e3, 0);
 		ev_timer_start(all.loop, &c->turn);
 	}
 	g_ptr_array_unref(lines);
@@ -450,6 +461,10 @@
 			1 + (int)gsl_rng_uniform_int(all.rng,
 						     (gulong)events_whole - 1);
 	c->reads_slowly = slow > 0 && gsl_rng_uniform(all.rng) < slow;
+	c->rest_ms = rest_ms;
+	if (c->reads_slowly && rest_spread > 0)
+		c->rest_ms -=
+			(int)(gsl_rng_uniform(all.rng) * rest_spread * rest_ms);
 	clock_gettime(CLOCK_MONOTONIC, &c->came);
 	all.open++;
 	try_(c);
@@ -544,6 +559,7 @@
 	all.rng = gsl_rng_alloc(gsl_rng_mt19937);
 	gsl_rng_set(all.rng, (gulong)seed);
 	http_client_init(&all.http, all.loop);
+	all.http.unread_max = receive_bytes;
 	all.ends = clock_now() + duration_ms;
 	ev_timer_init(&all.arrival, on_arrival_, 0, 0);
 	ev_timer_start(all.loop, &all.arrival);
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -26,8 +26,12 @@
  * after the fault on, and while at least LOAD requests run, so many of a
  * hundred requests whose target begins with PREFIX fail (KIND "fail") or take
  * eight times as long ("slow").
- * Mode "unframed_stall" sends half of an answer without framing, and no more.
- * Mode "unread READ" reads so many bytes of the request's body and no more.
+ * Mode "preempts PERCENT MIN MAX" makes so many of a hundred streams stop once
+ * in the middle, for MIN to MAX ms, and go on. Mode "reads_late READ" reads so
+ * many bytes of a stream's request's body before it answers, and the others
+ * between its events. Mode "unframed_stall" sends half of an answer without
+ * framing, and no more. Mode "unread READ" reads so many bytes of the request's
+ * body and no more.
  *
  * With --born it names its start in GET /api/report, else it refuses that.
  *
@@ -100,8 +104,9 @@
 	char *id;
 	int64_t last_event;
 	bool stream;
-	bool reused;		   /* not the first on its connection */
-	bool big;		   /* has long events */
+	bool reused; /* not the first on its connection */
+	bool big;    /* has long events */
+	size_t rest; /* bytes of the body that have not been read */
 	const char *before_answer; /* sent right before it, or NULL */
 } request_t;
 
@@ -158,6 +163,8 @@
 /* Of this thread. */
 static _Thread_local connection_t *own;
 static _Thread_local int own_run; /* number of the run of its request */
+static _Thread_local request_t *own_request;
+static _Thread_local GString *own_in; /* what follows it */
 
 static gchar *listen_address;
 static gchar *own_id;
@@ -322,7 +329,7 @@
 }
 
 /* Bytes of the body that are read before the request is served. */
-static size_t read_before_(const request_t *r, size_t want)
+static size_t read_before_(request_t *r, size_t want)
 {
 	unsigned long early;
 
@@ -331,6 +338,11 @@
 	    (sscanf(state.mode, "early %lu", &early) == 1 ||
 	     sscanf(state.mode, "unread %lu", &early) == 1))
 		want = MIN(want, early);
+	if (r->stream && state.count && want > 0 &&
+	    sscanf(state.mode, "reads_late %lu", &early) == 1) {
+		r->rest = want - MIN(want, early);
+		want -= r->rest;
+	}
 	g_mutex_unlock(&state.lock);
 	return want;
 }
@@ -363,6 +375,22 @@
 	return true;
 }
 
+/* Reads so many of the bytes that are left of the body. */
+static bool read_rest_(int fd, size_t bytes)
+{
+	request_t *r = own_request;
+	GString *in = own_in;
+
+	bytes = MIN(bytes, r->rest);
+	while (in->len < bytes) {
+		if (!fill_(fd, in))
+			return false;
+	}
+	g_string_erase(in, 0, (gssize)bytes);
+	r->rest -= bytes;
+	return true;
+}
+
 static bool send_(int fd, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
 static bool send_(int fd, const char *fmt, ...)
@@ -767,6 +795,8 @@
 		for (int n = 0; n < big_bytes; n++)
 			g_string_append_c(text, 'x');
 	}
+	if (marked && event_bytes)
+		g_string_append_c(text, ' ');
 	for (int n = 0; n < event_bytes; n++)
 		g_string_append_c(text, '.');
 	if (marked)
@@ -798,7 +828,24 @@
 {
 	plight_t p = { 0 };
 	GRand *rand;
-
+	int percent;
+	int min_ms;
+	int max_ms;
+
+	if (r->last_event < events && sscanf(mode, "preempts %d %d %d",
+					     &percent, &min_ms, &max_ms) == 3) {
+		rand = g_rand_new_with_seed(g_str_hash(r->id) ^
+					    g_str_hash(own_id) ^ (guint32)seed);
+		if (g_rand_int_range(rand, 0, 100) < percent) {
+			p.trouble = TROUBLE_SILENT;
+			p.event = g_rand_int_range(
+				rand, (gint32)r->last_event + 1, events + 1);
+			p.silent_ms =
+				g_rand_int_range(rand, min_ms, max_ms + 1);
+		}
+		g_rand_free(rand);
+		return p;
+	}
 	if (strcmp(mode, "troubled") != 0 || r->last_event >= events)
 		return p;
 	rand = g_rand_new_with_seed(g_str_hash(r->id) ^ g_str_hash(own_id) ^
@@ -925,6 +972,7 @@
 {
 	bool framed = is_framed_(r, mode);
 	plight_t plight = draw_plight_(r, mode);
+	size_t late_bytes = r->rest / (size_t)events + 1;
 	bool whole = false;
 
 	head_(fd, r, 200, mode);
@@ -944,7 +992,8 @@
 			event[strlen(event) / 2] = '\0';
 		if (i == plight.event && is_inside_(plight.trouble))
 			event[strlen(event) / 2] = '\0';
-		if (!piece_(fd, framed, event) || !pause_(fd, gap_ms)) {
+		if (!piece_(fd, framed, event) || !pause_(fd, gap_ms) ||
+		    !read_rest_(fd, late_bytes)) {
 			g_free(event);
 			return false;
 		}
@@ -966,7 +1015,8 @@
 			return false;
 		}
 	}
-	return framed && send_(fd, "0\r\n\r\n");
+	/* With bytes that are not read the end would be a reset. */
+	return read_rest_(fd, r->rest) && framed && send_(fd, "0\r\n\r\n");
 }
 
 /* Bytes that come until the other side closes: what comes before them, and
@@ -1377,11 +1427,14 @@
 	bool reused = false;
 
 	own = data;
+	own_in = in;
 	bound_sends_(own->fd);
 	while (kept && read_request_(own->fd, in, &r)) {
 		r.reused = reused;
 		reused = true;
-		kept = serve_(own->fd, &r, &copy);
+		own_request = &r;
+		kept = serve_(own->fd, &r, &copy) &&
+		       read_rest_(own->fd, r.rest);
 		request_clear_(&r);
 	}
 	g_free(copy.text);
--- a/tests/standin/source.c
+++ b/tests/standin/source.c
@@ -1,11 +1,14 @@
 /*
  * source - loaded into a node with LD_PRELOAD, it lets the node's connections
  * come from the address in KCF_SOURCE, so that stand-ins know whose they are.
+ * Of the packets that come on a connection, KCF_LOSS in 1000 are lost.
  */
 #include <arpa/inet.h>
 #include <dlfcn.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -43,12 +46,33 @@
 	return !bind(fd, (struct sockaddr *)&source, sizeof(source));
 }
 
+static void lose_some_(int fd)
+{
+	const char *text = getenv("KCF_LOSS");
+	unsigned int share = text ? (unsigned int)atoi(text) : 0;
+	struct sock_filter code[] = {
+		BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
+			 (unsigned int)SKF_AD_OFF + SKF_AD_RANDOM),
+		BPF_JUMP(BPF_JMP | BPF_JGE | BPF_K, UINT32_MAX / 1000 * share,
+			 1, 0),
+		BPF_STMT(BPF_RET | BPF_K, 0),
+		BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+	};
+	struct sock_fprog program = { sizeof(code) / sizeof(*code), code };
+
+	if (share)
+		setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+			   sizeof(program));
+}
+
 int connect(int fd, const struct sockaddr *to, socklen_t len)
 {
 	void *next = dlsym(RTLD_NEXT, "connect");
 	connect_t real;
 
 	memcpy(&real, &next, sizeof(real));
+	if (to->sa_family == AF_INET && is_stream_(fd))
+		lose_some_(fd);
 	if (to->sa_family == AF_INET && is_stream_(fd) && !is_bound_(fd) &&
 	    !bind_source_(fd))
 		return -1;
