Ends without framing: an end that waited behind unread bytes proves nothing

Cause: of a start that names nothing and has no older connection, an end within 100 ms of the last bytes counted as prompt, and so as older than the next process. While a node does not read (a slow caller's stream pauses; the node itself stood) the socket fills up and the rest stays with the sender's kernel, which delivers it, and the end right behind it, as the node reads on: between these two there is no silence, however long both waited.

Now such an end is no proof where reading of the answer has paused since the request was sent, or the node's loop stood for 100 ms more than its tick. answer.unframed names it (waited=1). Named starts and older connections prove as before: they do not depend on when the end is seen.

Remains: a link between upstream and node that is so slow or loses so much that bytes wait at the sender though the node reads at once.

--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -84,9 +84,16 @@
 		  F_INT("older", r->received && r->since <= f->sent_at),
 		  F_INT("last_event", f->last_event_id),
 		  F_INT("silence_ms", f->end.silence_ms),
+		  F_INT("waited", f->end.waited),
 		  F_INT("ms", clock_now() - f->end.at));
 }
 
+static bool is_prompt_(const forward_t *f)
+{
+	return !f->end.waited && f->end.silence_ms >= 0 &&
+	       f->end.silence_ms <= PROMPT_MAX_MS;
+}
+
 static verdict_t judge_(const forward_t *f, const reply_t *r)
 {
 	if (r->refused)
@@ -98,10 +105,7 @@
 	if (r->named)
 		return r->named == f->end.start ? VERDICT_ALIVE : VERDICT_GONE;
 	/* The next process needs longer to answer than a prompt end to come. */
-	return r->nameless && f->end.silence_ms >= 0 &&
-			       f->end.silence_ms <= PROMPT_MAX_MS
-		       ? VERDICT_ALIVE
-		       : VERDICT_NONE;
+	return r->nameless && is_prompt_(f) ? VERDICT_ALIVE : VERDICT_NONE;
 }
 
 static void conclude_(forward_t *f, const reply_t *r, verdict_t verdict)
@@ -218,6 +222,10 @@
 		.at = now,
 		.until = now + PROOF_MAX_MS,
 		.silence_ms = http_call_silence(call),
+		/* What a full socket holds back at its sender comes late, and
+		 * the end right behind it.
+		 */
+		.waited = MAX(f->read_on_at, f->gateway->late_at) >= f->sent_at,
 	};
 	g_ptr_array_add(f->end.check->waiting, f);
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -7,6 +7,8 @@
 /* A longer time between two iterations of the loop is a pause of the process.
  */
 #define PAUSE_MIN_MS 1000
+/* An idle loop goes on each TICK_S. */
+#define LATE_MIN_MS 200
 /* Time for which callers cache a directory response. */
 #define DIRECTORY_TTL_MS 2000
 #define DIRECTORY_TTL_START_MS 500
@@ -161,6 +163,8 @@
 	mstime_t gap = g->last_iteration_at ? now - g->last_iteration_at : 0;
 
 	g->last_iteration_at = now;
+	if (gap >= LATE_MIN_MS)
+		g->late_at = now;
 	if (gap < PAUSE_MIN_MS)
 		return;
 	g->data_valid_from = now;
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -56,7 +56,7 @@
 	GBytes *data; /* NULL once the key is removed */
 	uint64_t epoch;
 	uint64_t offset;
-	bool corrected; /* newer than the log's record at this offset */
+	bool corrected;	     /* newer than the log's record at this offset */
 	start_order_t order; /* of an upstream, kept after its removal */
 	mstime_t removed_at;
 	uint64_t change_offset; /* of the last record that was not only a
@@ -241,6 +241,7 @@
 	bool ended; /* its loop has, no request is begun any more */
 	mstime_t last_request_at;
 	mstime_t last_iteration_at;
+	mstime_t late_at; /* the loop went on after it had stood for a while */
 	mstime_t data_valid_from; /* older data must be read again before use */
 	ev_timer tick;
 	ev_check iteration;
