--- a/include/kcf/end_proof.h
+++ b/include/kcf/end_proof.h
@@ -17,6 +17,10 @@
 	uint64_t start; /* of the upstream that answered, as far as is known */
 	mstime_t sent_at;    /* of the request */
 	mstime_t silence_ms; /* from its last bytes to its end, -1 if unknown */
+	/* Reading has paused: what a full socket holds back at its sender comes
+	 * late, and the end right behind it.
+	 */
+	bool waited;
 } end_seen_t;
 
 /* What a question after the end has brought. */
--- a/packages/decide/end_proof.c
+++ b/packages/decide/end_proof.c
@@ -12,7 +12,8 @@
 
 static bool is_prompt_(const end_seen_t *end)
 {
-	return end->silence_ms >= 0 && end->silence_ms <= PROMPT_MAX_MS;
+	return !end->waited && end->silence_ms >= 0 &&
+	       end->silence_ms <= PROMPT_MAX_MS;
 }
 
 end_verdict_t end_proof_judge(const end_seen_t *end, const end_reply_t *reply)
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -60,6 +60,7 @@
 		  F_INT("older", r->received && r->since <= f->sent_at),
 		  F_INT("last_event", f->last_event_id),
 		  F_INT("silence_ms", f->end.seen.silence_ms),
+		  F_INT("waited", f->end.seen.waited),
 		  F_INT("ms", clock_now() - f->end.at));
 }
 
@@ -174,8 +175,14 @@
 	f->may_have_run = true;
 	f->end = (answer_end_t){
 		.check = check_of_(f->gateway, f->selected),
-		.seen = { peer.start ? peer.start : f->selected->start_id,
-			  f->sent_at, http_call_silence(call) },
+		.seen = {
+			.start = peer.start ? peer.start
+					    : f->selected->start_id,
+			.sent_at = f->sent_at,
+			.silence_ms = http_call_silence(call),
+			.waited = MAX(f->read_on_at, f->gateway->late_at) >=
+				  f->sent_at,
+		},
 		.at = now,
 		.until = now + PROOF_MAX_MS,
 	};
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -241,6 +241,7 @@
 	bool ended; /* its loop has, no request is begun any more */
 	mstime_t last_request_at;
 	mstime_t last_iteration_at;
+	mstime_t late_at; /* the loop went on after it had stood for a while */
 	mstime_t data_valid_from; /* older data must be read again before use */
 	ev_timer tick;
 	ev_check iteration;
