Gateway: a question about an end goes to the upstream that ended it, at once

Seen in review: (1) a node ends by a use after free (ASan: send_idle_max, from on_again_ in ends.c). Checks were found by the key of an upstream, which a new entry of the same start has too (another version, zone or address): a later request joined the check of the former entry, whose memory goes with the last request to it. (2) 200 and half of an answer, of an upstream that names no start: its process ended while a question about an earlier end was open, that question broke, and the one for both 50 ms later reached the next process. The head of the file says "at once", nothing made sure of it.

Change: a check is for the ends that are seen before it is first asked; ends that come later have one of their own, at once. It is found by the upstream itself, which those who wait keep. That something answers proves only ends less than 50 ms before the question.

--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -32,6 +32,7 @@
 
 /* What a question brought. */
 typedef struct reply {
+	mstime_t asked_at;
 	bool received;
 	bool refused;	/* nobody listens there */
 	bool nameless;	/* its start will not be named */
@@ -39,14 +40,13 @@
 	mstime_t since; /* the connection has reached the process */
 } reply_t;
 
-/* The requests whose answers one upstream has ended, while it is asked. */
+/* Requests whose answers one upstream has ended before it is first asked. */
 struct end_check {
 	gateway_t *gateway;
-	uint32_t key; /* of the upstream */
-	balance_upstream_t *upstream;
-	http_call_t *call;  /* NULL between questions */
-	GPtrArray *waiting; /* forward_t *, by the time of their ends */
-	guint asked; /* that many of them had ended before the question */
+	balance_upstream_t *upstream; /* those who wait keep it */
+	http_call_t *call;	      /* NULL between questions */
+	GPtrArray *waiting;	      /* forward_t * */
+	mstime_t asked_at;	      /* last, 0 before the first question */
 	ev_timer again;
 };
 
@@ -65,7 +65,7 @@
 
 void ends_init(gateway_t *g)
 {
-	g->end_checks = g_hash_table_new_full(NULL, NULL, NULL, check_free_);
+	g->end_checks = g_hash_table_new_full(NULL, NULL, check_free_, NULL);
 }
 
 void ends_finish(gateway_t *g)
@@ -87,6 +87,13 @@
 		  F_INT("ms", clock_now() - f->end.at));
 }
 
+/* The next process needs longer to answer than such an end and its question. */
+static bool is_prompt_(const forward_t *f, const reply_t *r)
+{
+	return f->end.silence_ms >= 0 && f->end.silence_ms <= PROMPT_MAX_MS &&
+	       r->asked_at - f->end.at < ASK_AGAIN_MS;
+}
+
 static verdict_t judge_(const forward_t *f, const reply_t *r)
 {
 	if (r->refused)
@@ -97,11 +104,7 @@
 		return VERDICT_ALIVE;
 	if (r->named)
 		return r->named == f->end.start ? VERDICT_ALIVE : VERDICT_GONE;
-	/* The next process needs longer to answer than a prompt end to come. */
-	return r->nameless && f->end.silence_ms >= 0 &&
-			       f->end.silence_ms <= PROMPT_MAX_MS
-		       ? VERDICT_ALIVE
-		       : VERDICT_NONE;
+	return r->nameless && is_prompt_(f, r) ? VERDICT_ALIVE : VERDICT_NONE;
 }
 
 static void conclude_(forward_t *f, const reply_t *r, verdict_t verdict)
@@ -120,31 +123,25 @@
 	ask_(w->data);
 }
 
-/* Judges those whose ends came before the question, and asks for the others. */
+/* Judges those that wait, and asks again for the others. */
 static void apply_(end_check_t *c, const reply_t *r)
 {
 	gateway_t *g = c->gateway;
-	uint32_t key = c->key;
 	mstime_t now = clock_now();
-	GPtrArray *judged = g_ptr_array_new();
+	GPtrArray *judged = g_ptr_array_copy(c->waiting, NULL, NULL);
 
-	for (guint i = 0; i < c->asked; i++)
-		g_ptr_array_add(judged, c->waiting->pdata[i]);
 	for (guint i = 0; i < judged->len; i++) {
 		forward_t *f = judged->pdata[i];
 		verdict_t verdict = judge_(f, r);
 
-		if (verdict == VERDICT_NONE && now < f->end.until)
-			continue;
-		conclude_(f, r, verdict);
+		if (verdict != VERDICT_NONE || now >= f->end.until)
+			conclude_(f, r, verdict);
 	}
 	g_ptr_array_unref(judged);
 	/* The last one has taken the check with it. */
-	c = g_hash_table_lookup(g->end_checks, GUINT_TO_POINTER(key));
-	if (!c || c->call || ev_is_active(&c->again))
+	if (!g_hash_table_contains(g->end_checks, c))
 		return;
-	ev_timer_set(&c->again,
-		     c->asked ? (double)ASK_AGAIN_MS / MSEC_PER_SEC : 0, 0);
+	ev_timer_set(&c->again, (double)ASK_AGAIN_MS / MSEC_PER_SEC, 0);
 	ev_timer_start(g->loop, &c->again);
 }
 
@@ -159,7 +156,9 @@
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
 	end_check_t *c = ctx;
-	reply_t reply = { .received = !err, .refused = err == HTTP_EREFUSED };
+	reply_t reply = { .asked_at = c->asked_at,
+			  .received = !err,
+			  .refused = err == HTTP_EREFUSED };
 
 	c->call = NULL;
 	/* An idle connection may have ended just then. */
@@ -180,26 +179,37 @@
 
 static void ask_(end_check_t *c)
 {
-	c->asked = c->waiting->len;
+	c->asked_at = clock_now();
 	c->call = starts_ask(c->gateway, c->upstream, &call_ops, c);
 }
 
-static end_check_t *check_of_(gateway_t *g, balance_upstream_t *u)
+static end_check_t *check_new_(gateway_t *g, balance_upstream_t *u)
 {
-	end_check_t *c =
-		g_hash_table_lookup(g->end_checks, GUINT_TO_POINTER(u->key));
+	end_check_t *c = g_new0(end_check_t, 1);
 
-	if (c)
-		return c;
-	c = g_new0(end_check_t, 1);
 	c->gateway = g;
-	c->key = u->key;
 	c->upstream = u;
 	c->waiting = g_ptr_array_new();
 	ev_timer_init(&c->again, on_again_, 0, 0);
 	c->again.data = c;
-	g_hash_table_insert(g->end_checks, GUINT_TO_POINTER(c->key), c);
-	/* Ends that are seen in the same turn of the loop share a question. */
+	g_hash_table_add(g->end_checks, c);
+	return c;
+}
+
+/* Ends that are seen in the same turn of the loop share a question. */
+static end_check_t *check_of_(gateway_t *g, balance_upstream_t *u)
+{
+	GHashTableIter iter;
+	gpointer key;
+	end_check_t *c;
+
+	g_hash_table_iter_init(&iter, g->end_checks);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		c = key;
+		if (c->upstream == u && !c->asked_at)
+			return c;
+	}
+	c = check_new_(g, u);
 	ev_timer_start(g->loop, &c->again);
 	return c;
 }
@@ -225,14 +235,11 @@
 void ends_cancel(forward_t *f)
 {
 	end_check_t *c = f->end.check;
-	guint i;
 
-	if (!c || !g_ptr_array_find(c->waiting, f, &i))
+	if (!c)
 		return;
 	f->end.check = NULL;
-	g_ptr_array_remove_index(c->waiting, i);
-	c->asked -= i < c->asked;
+	g_ptr_array_remove(c->waiting, f);
 	if (!c->waiting->len)
-		g_hash_table_remove(f->gateway->end_checks,
-				    GUINT_TO_POINTER(c->key));
+		g_hash_table_remove(f->gateway->end_checks, c);
 }
