Client: one rule for answers that end with their connection

Seen in review: 200 and half of an answer whose upstream's process ended, where the head has "Transfer-Encoding: identity" or a length that no number holds. libcurl reads both to the end of the connection; the gateway took the headers' presence for framing, by a second copy of the client's rule (which had identity right, the length not).

Change: the client tells, for both uses; lengths that cannot be read count as none.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -148,6 +148,12 @@
  */
 uint64_t http_call_connection(const http_call_t *call, uint64_t *order);
 
+/*
+ * http_call_ends_with_connection - whether only the end of the connection marks
+ * that of the answer, whose head has been received.
+ */
+bool http_call_ends_with_connection(http_call_t *call);
+
 /*
  * http_call_silence - milliseconds from the last bytes that the kernel took in
  * on the connection of a call that is done until it was closed, -1 if it is
--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -28,8 +28,6 @@
 
 /* The headers of most answers. */
 #define HEADERS_CHUNK_BYTES 512
-#define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
 
 static bool on_head_(void *ctx, http_call_t *call, int status);
 static void on_data_(void *ctx, http_call_t *call, str_t data);
@@ -64,11 +62,10 @@
 
 static framing_t framing_(http_call_t *call)
 {
-	if (http_call_header(call, "Transfer-Encoding").len)
-		return FRAMING_CHUNKS;
-	return http_call_header(call, "Content-Length").len
-		       ? FRAMING_LENGTH
-		       : FRAMING_CONNECTION;
+	if (http_call_ends_with_connection(call))
+		return FRAMING_CONNECTION;
+	return http_call_header(call, "Transfer-Encoding").len ? FRAMING_CHUNKS
+							       : FRAMING_LENGTH;
 }
 
 /* Headers for the caller; their strings belong to the call or the request. */
@@ -812,15 +809,6 @@
 		send_response_(f);
 }
 
-/* Whether only the end of the connection marked that of the response. */
-static bool is_unframed_(const forward_t *f)
-{
-	return f->framing == FRAMING_CONNECTION &&
-	       f->response.status != STATUS_NO_CONTENT &&
-	       f->response.status != STATUS_NOT_MODIFIED &&
-	       !str_eq(f->in.method, str_of("HEAD"));
-}
-
 void answer_end(forward_t *f, bool whole)
 {
 	if (!whole)
@@ -848,7 +836,7 @@
 
 static void handle_response_(forward_t *f, http_call_t *call)
 {
-	bool unframed = is_unframed_(f);
+	bool unframed = f->framing == FRAMING_CONNECTION;
 
 	/* Other nodes mark the ends of what they pass on. */
 	if (!is_whole_(f) || (unframed && !f->selected)) {
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -408,6 +408,27 @@
 	return str_of(h->value);
 }
 
+bool http_call_ends_with_connection(http_call_t *call)
+{
+	str_t encoding;
+	str_t length;
+	long status = 0;
+
+	assert(call);
+	encoding = http_call_header(call, "Transfer-Encoding");
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (call->bodyless || status == STATUS_NO_CONTENT ||
+	    status == STATUS_NOT_MODIFIED)
+		return false;
+	if (encoding.data)
+		return !strcasestr(encoding.data, "chunked");
+	/* libcurl reads on to the end where it cannot hold the number. */
+	length = http_call_header(call, "Content-Length");
+	return !length.len ||
+	       !g_ascii_string_to_unsigned(length.data, 10, 0, INT64_MAX, NULL,
+					   NULL);
+}
+
 void http_call_each_header(http_call_t *call,
 			   void (*fn)(void *arg, const char *name,
 				      const char *value),
@@ -891,26 +912,14 @@
 	curl_multi_add_handle(call->client->multi, call->easy);
 }
 
-static bool ends_with_connection_(http_call_t *call, long status)
-{
-	str_t encoding = http_call_header(call, "Transfer-Encoding");
-
-	if (call->bodyless || status == STATUS_NO_CONTENT ||
-	    status == STATUS_NOT_MODIFIED)
-		return false;
-	if (encoding.data)
-		return !strcasestr(encoding.data, "chunked");
-	return !http_call_header(call, "Content-Length").data;
-}
-
 /*
  * Whether an answer that ends with its connection ended too early. A server
  * that closes before it has received its request was not done with it; an end
  * that looks sound can be that of a connection that broke.
  */
-static bool is_cut_(http_call_t *call, long status, curl_off_t uploaded)
+static bool is_cut_(http_call_t *call, curl_off_t uploaded)
 {
-	return ends_with_connection_(call, status) &&
+	return http_call_ends_with_connection(call) &&
 	       (call->broken || call->unacked ||
 		(size_t)uploaded < call->upload_bytes);
 }
@@ -929,7 +938,7 @@
 	curl_easy_getinfo(call->easy, CURLINFO_SIZE_UPLOAD_T, &up);
 	curl_easy_getinfo(call->easy, CURLINFO_SIZE_DOWNLOAD_T, &down);
 	call->client->bytes += request_size + header_size + up + down;
-	if (code == CURLE_OK && is_cut_(call, status, up))
+	if (code == CURLE_OK && is_cut_(call, up))
 		code = CURLE_PARTIAL_FILE;
 	/* Taken out first, so that the owner may start new calls. */
 	curl_multi_remove_handle(call->client->multi, call->easy);
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -26,7 +26,9 @@
  * after the fault on, and while at least LOAD requests run, so many of a
  * hundred requests whose target begins with PREFIX fail (KIND "fail") or take
  * eight times as long ("slow").
- * Mode "unframed_stall" sends half of an answer without framing, and no more.
+ * Mode "unframed_stall" sends half of an answer without framing, and no more;
+ * "unframed_identity_stall" and "unframed_overlong_stall" also name a transfer
+ * coding that marks no end, and a length beyond any number.
  * Mode "unread READ" reads so many bytes of the request's body and no more.
  *
  * With --born it names its start in GET /api/report, else it refuses that.
@@ -670,6 +672,10 @@
 		send_(fd, "Response-Signature: sig-%s-%s\r\n", own_id, r->id);
 	if (!strcmp(mode, "encoded"))
 		send_(fd, "Content-Encoding: gzip\r\n");
+	if (strstr(mode, "identity"))
+		send_(fd, "Transfer-Encoding: identity\r\n");
+	if (strstr(mode, "overlong"))
+		send_(fd, "Content-Length: 99999999999999999999\r\n");
 	if (!strncmp(mode, "limit", 5))
 		send_(fd, "Server-Limit: %s\r\n", mode + 5);
 	if (!strncmp(mode, "leaving", 7))
@@ -689,6 +695,13 @@
 	       (int)(g_str_hash(r->id) / BIG_EVERY % 100) >= unframed;
 }
 
+/* Whether half of an answer without framing is sent, and no more. */
+static bool stalls_(const char *mode)
+{
+	return !strncmp(mode, "unframed", 8) &&
+	       g_str_has_suffix(mode, "_stall");
+}
+
 /* The whole plain answer; false when the connection must end. */
 static bool plain_(int fd, const request_t *r, const char *mode)
 {
@@ -705,7 +718,7 @@
 	if (framed)
 		send_(fd, "Content-Length: %zu\r\n", len);
 	if (!strcmp(mode, "cut") || !strcmp(mode, "unframed_reset") ||
-	    !strcmp(mode, "unframed_stall"))
+	    stalls_(mode))
 		len /= 2;
 	send_(fd, "\r\n%.*s", (int)len, body);
 	if (g_str_has_suffix(mode, "_late"))
@@ -722,7 +735,7 @@
 		pause_(fd, LATE_MS);
 		reset_(fd);
 	}
-	if (!strcmp(mode, "unframed_stall"))
+	if (stalls_(mode))
 		pause_(fd, -1);
 	g_free(more);
 	g_free(body);
@@ -949,7 +962,7 @@
 			return false;
 		}
 		g_free(event);
-		if (i == events / 2 && !strcmp(mode, "unframed_stall"))
+		if (i == events / 2 && stalls_(mode))
 			return pause_(fd, -1) && false;
 		if (i == plight.event && !suffer_(fd, &plight, &whole))
 			return whole && framed && send_(fd, "0\r\n\r\n");
