Gateway: an end also counts where its upstream takes long to name its start

Change: what an upstream's kernel has taken in, and not refused within the time of a question, went to a process that lives: it counts as an answer that names no start.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -161,6 +161,12 @@
  */
 int64_t http_call_silence(const http_call_t *call);
 
+/*
+ * http_call_acked - whether the other end's kernel had taken in all that was
+ * written on the connection of a call that is done when it was closed.
+ */
+bool http_call_acked(const http_call_t *call);
+
 /* What is known of the process at the other end of a connection. */
 typedef struct http_peer {
 	mstime_t since; /* the connection has reached it, MSTIME_NEVER for none
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -6,7 +6,9 @@
  *
  * A start that names itself proves its own end. Of others the answer on a
  * connection that is older than the request tells, as a process takes its
- * connections with it; if there is none, that something answers at once.
+ * connections with it; if there is none, that something answers at once. Where
+ * the answer takes too long, that the question was taken in tells the same: the
+ * kernel refuses what is written to a process that is gone.
  */
 #include "private/forward.h"
 
@@ -35,6 +37,7 @@
 	mstime_t asked_at;
 	bool received;
 	bool refused;	/* nobody listens there */
+	bool silent;	/* it was taken in, and not answered in time */
 	bool nameless;	/* its start will not be named */
 	uint64_t named; /* start, or 0 */
 	mstime_t since; /* the connection has reached the process */
@@ -98,13 +101,12 @@
 {
 	if (r->refused)
 		return VERDICT_GONE;
-	if (!r->received)
-		return VERDICT_NONE;
-	if (r->since <= f->sent_at)
+	if ((r->received || r->silent) && r->since <= f->sent_at)
 		return VERDICT_ALIVE;
 	if (r->named)
 		return r->named == f->end.start ? VERDICT_ALIVE : VERDICT_GONE;
-	return r->nameless && is_prompt_(f, r) ? VERDICT_ALIVE : VERDICT_NONE;
+	return (r->nameless || r->silent) && is_prompt_(f, r) ? VERDICT_ALIVE
+							      : VERDICT_NONE;
 }
 
 static void conclude_(forward_t *f, const reply_t *r, verdict_t verdict)
@@ -158,7 +160,10 @@
 	end_check_t *c = ctx;
 	reply_t reply = { .asked_at = c->asked_at,
 			  .received = !err,
-			  .refused = err == HTTP_EREFUSED };
+			  .refused = err == HTTP_EREFUSED,
+			  .silent =
+				  err == HTTP_ETIMEOUT && http_call_acked(call),
+			  .since = http_call_peer(call).since };
 
 	c->call = NULL;
 	/* An idle connection may have ended just then. */
@@ -170,7 +175,6 @@
 		reply.named = starts_take_answer(c->gateway, c->upstream, call,
 						 status);
 		reply.nameless = c->upstream->nameless_until == MSTIME_NEVER;
-		reply.since = http_call_peer(call).since;
 	}
 	apply_(c, &reply);
 }
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -360,6 +360,12 @@
 	return call->silence_ms;
 }
 
+bool http_call_acked(const http_call_t *call)
+{
+	assert(call);
+	return call->silence_ms >= 0 && !call->unacked;
+}
+
 http_peer_t http_call_peer(const http_call_t *call)
 {
 	assert(call);
