Start order: writes without a start or a count

By reading, shown by unit tests: (1) one write that names no start came into force at once in place of a start that is named, since 0 also stands for no rival; (2) an upstream that does not raise its count from write to write (PROTOCOL tells of `sequence` only that it is there, and in GET /api/report that it counts orders) and starts again with a clock that went back stayed out of force as long as it lived, as its own writes keep the former entry from lapsing.

Change: 0 contends for nothing; the only one that has written for as long as an entry lasts is the one in force.

unit_start_order: before 2 of 13 failed, after 0; feeds, feed_epochs, feed_scan, feed_outage, balance pass.

--- a/packages/decide/start_order.c
+++ b/packages/decide/start_order.c
@@ -7,6 +7,8 @@
  * often.
  */
 #define WRITES_APART_MIN_MS 1000
+/* An entry lapses that has not been written for so long. */
+#define LAPSE_MS 4500
 
 static bool is_former_(const start_order_t *o, uint64_t start_id)
 {
@@ -33,12 +35,18 @@
 			 uint64_t heartbeat, mstime_t now)
 {
 	assert(o && start_id != o->start_id);
+	/* One that is not told is none that could be compared later. */
+	if (!start_id)
+		return false;
 	if (start_id != o->rival) {
 		o->rival = start_id;
 		o->rival_heartbeat = heartbeat;
 		o->rival_since = now;
 		return false;
 	}
+	/* Some do not count what they write. */
+	if (now - o->rival_since >= LAPSE_MS)
+		return true;
 	return heartbeat > o->rival_heartbeat &&
 	       now - o->rival_since >= WRITES_APART_MIN_MS;
 }
--- a/tests/unit/test_start_order.c
+++ b/tests/unit/test_start_order.c
@@ -74,8 +74,27 @@
 	    { 900, 5, 0, 9 },
 	    { 2100, 5, 0, 9 },
 	    { 2200, 9, 0, 9 } } },
+	{ "one that does not count, and the only one that writes",
+	  { { 0, 9, 0, 9 },
+	    { 900, 5, 0, 9 },
+	    { 2100, 5, 0, 9 },
+	    { 3300, 5, 0, 9 },
+	    { 4500, 5, 0, 9 },
+	    { 5700, 5, 0, 5 } } },
 };
 
+/* Guards against one write that names no start in place of one that does. */
+START_TEST(test_unnamed_write)
+{
+	start_order_t o = { 0 };
+
+	start_order_put(&o, 5, 1);
+	ck_assert(start_order_compare(&o, 0, 7) < 0);
+	ck_assert(!start_order_contend(&o, 0, 7, 5000));
+	ck_assert(!start_order_contend(&o, 0, 8, 7000));
+}
+END_TEST
+
 START_TEST(test_start_in_force)
 {
 	start_order_t o = { 0 };
@@ -100,6 +119,7 @@
 	TCase *c = tcase_create("start_order");
 
 	tcase_add_loop_test(c, test_start_in_force, 0, G_N_ELEMENTS(cases));
+	tcase_add_test(c, test_unnamed_write);
 	suite_add_tcase(s, c);
 	return s;
 }
