Feeds: what an older copy overruled is not in force in a later one

By reading, shown by unit_feed_epochs: a node that still has the log of before a restore, in which a start was found to be the latest against its clock, passed it on as the later one to nodes that read the restored log, whatever these knew: a start that leaves (born 7, epoch 2) gave way to one before it that was ready (born 3, epoch 1).

Change: overruled counts in the copy that it was found in, or a later one.

test_overruled_start_of_an_older_copy fails without it; feeds, feed_scan, feed_outage pass.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -293,11 +293,15 @@
 	return ok;
 }
 
-/* Order against what is known: by start, then by heartbeat. */
-static int compare_word_(const upstream_word_t *w, const feed_entry_t *e,
-			 const feed_record_t *r)
+/*
+ * Order against what is known: by start, then by heartbeat. What an older copy
+ * of the log held was overruled by nobody in this one.
+ */
+static int compare_word_(const feed_state_t *s, const upstream_word_t *w,
+			 const feed_entry_t *e, const feed_record_t *r)
 {
-	if (r->overruled && w->start_id != e->order.start_id)
+	if (r->overruled && epoch_(s, r) >= e->epoch &&
+	    w->start_id != e->order.start_id)
 		return 1;
 	return start_order_compare(&e->order, w->start_id, w->heartbeat);
 }
@@ -327,7 +331,7 @@
 
 	if (r->removed || !read_word_(s, r, now, &w))
 		return false;
-	order = compare_word_(&w, e, r);
+	order = compare_word_(s, &w, e, r);
 	if (order > 0 || (order < 0 && prevails_(s, e, &w, now)))
 		return false;
 	/* What an upstream said before its removal does not bring it back, if
@@ -425,7 +429,7 @@
 
 	if (!read_word_(s, r, now, &w))
 		return true;
-	order = compare_word_(&w, e, r);
+	order = compare_word_(s, &w, e, r);
 	/* A removal comes after the last heartbeat. */
 	return r->removed ? order < 0 : order <= 0;
 }
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -844,6 +844,29 @@
 }
 END_TEST
 
+/* Guards against a start that an older copy of the log brings back, as its
+ * clock had been overruled there. */
+START_TEST(test_overruled_start_of_an_older_copy)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_record_t r = { .key = str_of("u"),
+			    .data = str_of(ENTRY("draining", 7, 9)),
+			    .offset = 12 };
+	const balance_upstream_t *u;
+
+	feeds_observe_epoch(&one, 2, NOW);
+	feeds_apply_record(s, &r, NOW);
+	r = (feed_record_t){ .key = str_of("u"),
+			     .data = str_of(ENTRY("ready", 3, 40)),
+			     .epoch = 1,
+			     .offset = 40,
+			     .overruled = true };
+	feeds_apply_record(s, &r, NOW);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u && u->leaving && u->start_id == 7);
+}
+END_TEST
+
 /* What the restored log lacks is used until it had time to be written again. */
 START_TEST(test_missing_after_a_restore)
 {
@@ -899,6 +922,7 @@
 	tcase_add_test(c, test_copy_corrects_a_late_write);
 	tcase_add_test(c, test_copy_corrects_a_restored_log);
 	tcase_add_test(c, test_correction_is_no_heartbeat);
+	tcase_add_test(c, test_overruled_start_of_an_older_copy);
 	tcase_add_test(c, test_missing_after_a_restore);
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
