Gateway: one end_check_t

crashes.c has a type of that name as well, with the same tag and other members. The one of ends.c is end_proof_t. No change of logic; unframed_answers, _unnamed, _entry_changes pass.

--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -44,7 +44,7 @@
 } reply_t;
 
 /* Requests whose answers one upstream has ended before it is first asked. */
-struct end_check {
+struct end_proof {
 	gateway_t *gateway;
 	balance_upstream_t *upstream; /* those who wait keep it */
 	http_call_t *call;	      /* NULL between questions */
@@ -53,11 +53,11 @@
 	ev_timer again;
 };
 
-static void ask_(end_check_t *c);
+static void ask_(end_proof_t *c);
 
-static void check_free_(gpointer p)
+static void proof_free_(gpointer p)
 {
-	end_check_t *c = p;
+	end_proof_t *c = p;
 
 	if (c->call)
 		http_call_cancel(c->call);
@@ -68,12 +68,12 @@
 
 void ends_init(gateway_t *g)
 {
-	g->end_checks = g_hash_table_new_full(NULL, NULL, check_free_, NULL);
+	g->end_proofs = g_hash_table_new_full(NULL, NULL, proof_free_, NULL);
 }
 
 void ends_finish(gateway_t *g)
 {
-	g_hash_table_destroy(g->end_checks);
+	g_hash_table_destroy(g->end_proofs);
 }
 
 static void log_end_(const forward_t *f, const reply_t *r, verdict_t verdict)
@@ -126,7 +126,7 @@
 }
 
 /* Judges those that wait, and asks again for the others. */
-static void apply_(end_check_t *c, const reply_t *r)
+static void apply_(end_proof_t *c, const reply_t *r)
 {
 	gateway_t *g = c->gateway;
 	mstime_t now = clock_now();
@@ -140,8 +140,8 @@
 			conclude_(f, r, verdict);
 	}
 	g_ptr_array_unref(judged);
-	/* The last one has taken the check with it. */
-	if (!g_hash_table_contains(g->end_checks, c))
+	/* The last one has taken it along. */
+	if (!g_hash_table_contains(g->end_proofs, c))
 		return;
 	ev_timer_set(&c->again, (double)ASK_AGAIN_MS / MSEC_PER_SEC, 0);
 	ev_timer_start(g->loop, &c->again);
@@ -149,7 +149,7 @@
 
 static bool on_head_(void *ctx, http_call_t *call, int status)
 {
-	const end_check_t *c = ctx;
+	const end_proof_t *c = ctx;
 
 	(void)status;
 	return c->gateway->protocol->is_state_response(call);
@@ -157,7 +157,7 @@
 
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
-	end_check_t *c = ctx;
+	end_proof_t *c = ctx;
 	reply_t reply = { .asked_at = c->asked_at,
 			  .received = !err,
 			  .refused = err == HTTP_EREFUSED,
@@ -181,39 +181,39 @@
 
 static const http_call_ops_t call_ops = { .head = on_head_, .done = on_done_ };
 
-static void ask_(end_check_t *c)
+static void ask_(end_proof_t *c)
 {
 	c->asked_at = clock_now();
 	c->call = starts_ask(c->gateway, c->upstream, &call_ops, c);
 }
 
-static end_check_t *check_new_(gateway_t *g, balance_upstream_t *u)
+static end_proof_t *proof_new_(gateway_t *g, balance_upstream_t *u)
 {
-	end_check_t *c = g_new0(end_check_t, 1);
+	end_proof_t *c = g_new0(end_proof_t, 1);
 
 	c->gateway = g;
 	c->upstream = u;
 	c->waiting = g_ptr_array_new();
 	ev_timer_init(&c->again, on_again_, 0, 0);
 	c->again.data = c;
-	g_hash_table_add(g->end_checks, c);
+	g_hash_table_add(g->end_proofs, c);
 	return c;
 }
 
 /* Ends that are seen in the same turn of the loop share a question. */
-static end_check_t *check_of_(gateway_t *g, balance_upstream_t *u)
+static end_proof_t *proof_of_(gateway_t *g, balance_upstream_t *u)
 {
 	GHashTableIter iter;
 	gpointer key;
-	end_check_t *c;
+	end_proof_t *c;
 
-	g_hash_table_iter_init(&iter, g->end_checks);
+	g_hash_table_iter_init(&iter, g->end_proofs);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		c = key;
 		if (c->upstream == u && !c->asked_at)
 			return c;
 	}
-	c = check_new_(g, u);
+	c = proof_new_(g, u);
 	ev_timer_start(g->loop, &c->again);
 	return c;
 }
@@ -223,27 +223,27 @@
 	http_peer_t peer = http_call_peer(call);
 	mstime_t now = clock_now();
 
-	assert(f->selected && !f->end.check);
+	assert(f->selected && !f->end.proof);
 	counter_add(COUNTER_ANSWERS_UNFRAMED, 1);
 	f->may_have_run = true;
 	f->end = (answer_end_t){
-		.check = check_of_(f->gateway, f->selected),
+		.proof = proof_of_(f->gateway, f->selected),
 		.start = peer.start ? peer.start : f->selected->start_id,
 		.at = now,
 		.until = now + PROOF_MAX_MS,
 		.silence_ms = http_call_silence(call),
 	};
-	g_ptr_array_add(f->end.check->waiting, f);
+	g_ptr_array_add(f->end.proof->waiting, f);
 }
 
 void ends_cancel(forward_t *f)
 {
-	end_check_t *c = f->end.check;
+	end_proof_t *c = f->end.proof;
 
 	if (!c)
 		return;
-	f->end.check = NULL;
+	f->end.proof = NULL;
 	g_ptr_array_remove(c->waiting, f);
 	if (!c->waiting->len)
-		g_hash_table_remove(f->gateway->end_checks, c);
+		g_hash_table_remove(f->gateway->end_proofs, c);
 }
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -99,11 +99,11 @@
 	fault_t fault; /* why it failed, or FAULT_COUNT */
 } forward_rollout_t;
 
-typedef struct end_check end_check_t;
+typedef struct end_proof end_proof_t;
 
 /* The end of an answer that only its connection marked, see ends.c. */
 typedef struct answer_end {
-	end_check_t *check;  /* while it waits for its proof, or NULL */
+	end_proof_t *proof;  /* while it waits for its proof, or NULL */
 	uint64_t start;	     /* that answered, as far as is known */
 	mstime_t at;	     /* when it was seen */
 	mstime_t until;	     /* it is proven, or does not count */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -197,7 +197,7 @@
 	work_gossip_t work_gossip;
 	uint64_t incarnation;
 	quarantine_t quarantine;
-	GHashTable *end_checks;	  /* end_check_t * */
+	GHashTable *end_proofs;	  /* end_proof_t * */
 	bool crashes_hold_is_new; /* requests under way may be part of it */
 	quarantine_gossip_t crash_gossip;
 	warmths_t warmths;
