--- a/include/kcf/end_proof.h
+++ b/include/kcf/end_proof.h
@@ -16,6 +16,7 @@
 typedef struct end_seen {
 	uint64_t start; /* of the upstream that answered, as far as is known */
 	mstime_t sent_at;    /* of the request */
+	mstime_t at;	     /* when it was seen */
 	mstime_t silence_ms; /* from its last bytes to its end, -1 if unknown */
 	/* Reading has paused: what a full socket holds back at its sender comes
 	 * late, and the end right behind it.
@@ -25,7 +26,9 @@
 
 /* What a question after the end has brought. */
 typedef struct end_reply {
+	mstime_t asked_at;
 	bool received;
+	bool silent;	/* it was taken in, and not answered in time */
 	bool refused;	/* nobody listens there */
 	bool nameless;	/* the upstream does not name its start */
 	uint64_t named; /* start that has answered, or 0 */
--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -148,6 +148,12 @@
  */
 uint64_t http_call_connection(const http_call_t *call, uint64_t *order);
 
+/*
+ * http_call_ends_with_connection - whether only the end of the connection marks
+ * that of the answer, whose head has been received.
+ */
+bool http_call_ends_with_connection(http_call_t *call);
+
 /*
  * http_call_silence - milliseconds from the last bytes that the kernel took in
  * on the connection of a call that is done until it was closed, -1 if it is
@@ -155,6 +161,12 @@
  */
 int64_t http_call_silence(const http_call_t *call);
 
+/*
+ * http_call_acked - whether the other end's kernel had taken in all that was
+ * written on the connection of a call that is done when it was closed.
+ */
+bool http_call_acked(const http_call_t *call);
+
 /* What is known of the process at the other end of a connection. */
 typedef struct http_peer {
 	mstime_t since; /* the connection has reached it, MSTIME_NEVER for none
@@ -211,12 +223,6 @@
  */
 str_t http_call_header(http_call_t *call, const char *name);
 
-/*
- * http_call_unframed - whether only the end of its connection marks the end of
- * the answer. For a call whose head is in.
- */
-bool http_call_unframed(http_call_t *call);
-
 /*
  * http_call_each_header - calls fn for each header of the answer.
  */
--- a/include/kcf/sched.h
+++ b/include/kcf/sched.h
@@ -76,7 +76,7 @@
 	char address[SCHED_NAME_MAX];
 	uint32_t key;
 	uint64_t start_id; /* as last reported, or 0 */
-	bool warm; /* the chat's prefix is assumed to be cached there */
+	bool warm;	   /* the chat's prefix is assumed to be cached there */
 	/* SCHED_FORWARD */
 	char node[SCHED_NAME_MAX];
 	int hop;
--- a/packages/decide/end_proof.c
+++ b/packages/decide/end_proof.c
@@ -7,13 +7,19 @@
  * waited for a paused process is seen later.
  */
 #define PROMPT_MAX_MS 100
+#define ASKED_MAX_MS 50
 
 const char *const end_verdict_string[] = { "unproven", "alive", "gone" };
 
-static bool is_prompt_(const end_seen_t *end)
+/*
+ * Whether both the end and the question came at once: the next process needs
+ * longer until it is there.
+ */
+static bool is_prompt_(const end_seen_t *end, const end_reply_t *reply)
 {
 	return !end->waited && end->silence_ms >= 0 &&
-	       end->silence_ms <= PROMPT_MAX_MS;
+	       end->silence_ms <= PROMPT_MAX_MS &&
+	       reply->asked_at - end->at < ASKED_MAX_MS;
 }
 
 end_verdict_t end_proof_judge(const end_seen_t *end, const end_reply_t *reply)
@@ -21,13 +27,15 @@
 	assert(end && reply);
 	if (reply->refused)
 		return END_GONE;
-	if (!reply->received)
+	/* A kernel refuses what is written to a process that is gone. */
+	if (!reply->received && !reply->silent)
 		return END_UNPROVEN;
 	/* A process takes its connections with it. */
 	if (reply->since <= end->sent_at)
 		return END_ALIVE;
 	if (reply->named)
 		return reply->named == end->start ? END_ALIVE : END_GONE;
-	/* The next process needs longer until it answers. */
-	return reply->nameless && is_prompt_(end) ? END_ALIVE : END_UNPROVEN;
+	return (reply->nameless || reply->silent) && is_prompt_(end, reply)
+		       ? END_ALIVE
+		       : END_UNPROVEN;
 }
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -15,21 +15,21 @@
 #define PROOF_MAX_MS 1000
 #define ASK_AGAIN_MS 50
 
-/* The requests whose answers one upstream has ended, while it is asked. */
-struct end_check {
+/* Requests whose answers one upstream has ended before it is first asked. */
+struct end_wait {
 	gateway_t *gateway;
-	balance_upstream_t *upstream; /* kept by the requests that wait */
+	balance_upstream_t *upstream; /* those who wait keep it */
 	http_call_t *call;	      /* NULL between questions */
-	GPtrArray *waiting; /* forward_t *, by the time of their ends */
-	guint asked; /* that many of them had ended before the question */
+	GPtrArray *waiting;	      /* forward_t * */
+	mstime_t asked_at;	      /* last, 0 before the first question */
 	ev_timer again;
 };
 
-static void ask_(end_check_t *c);
+static void ask_(end_wait_t *c);
 
-static void check_free_(gpointer p)
+static void wait_free_(gpointer p)
 {
-	end_check_t *c = p;
+	end_wait_t *c = p;
 
 	if (c->call)
 		http_call_cancel(c->call);
@@ -40,12 +40,12 @@
 
 void ends_init(gateway_t *g)
 {
-	g->end_checks = g_hash_table_new_full(NULL, NULL, NULL, check_free_);
+	g->end_waits = g_hash_table_new_full(NULL, NULL, wait_free_, NULL);
 }
 
 void ends_finish(gateway_t *g)
 {
-	g_hash_table_destroy(g->end_checks);
+	g_hash_table_destroy(g->end_waits);
 }
 
 static void log_end_(const forward_t *f, const end_reply_t *r,
@@ -61,7 +61,7 @@
 		  F_INT("last_event", f->last_event_id),
 		  F_INT("silence_ms", f->end.seen.silence_ms),
 		  F_INT("waited", f->end.seen.waited),
-		  F_INT("ms", clock_now() - f->end.at));
+		  F_INT("ms", clock_now() - f->end.seen.at));
 }
 
 static void conclude_(forward_t *f, const end_reply_t *r, end_verdict_t verdict)
@@ -80,37 +80,31 @@
 	ask_(w->data);
 }
 
-/* Judges those whose ends came before the question, and asks for the others. */
-static void apply_(end_check_t *c, const end_reply_t *r)
+/* Judges those that wait, and asks again for the others. */
+static void apply_(end_wait_t *c, const end_reply_t *r)
 {
 	gateway_t *g = c->gateway;
-	uint64_t key = c->upstream->local_id;
 	mstime_t now = clock_now();
-	GPtrArray *judged = g_ptr_array_new();
+	GPtrArray *judged = g_ptr_array_copy(c->waiting, NULL, NULL);
 
-	for (guint i = 0; i < c->asked; i++)
-		g_ptr_array_add(judged, c->waiting->pdata[i]);
 	for (guint i = 0; i < judged->len; i++) {
 		forward_t *f = judged->pdata[i];
 		end_verdict_t verdict = end_proof_judge(&f->end.seen, r);
 
-		if (verdict == END_UNPROVEN && now < f->end.until)
-			continue;
-		conclude_(f, r, verdict);
+		if (verdict != END_UNPROVEN || now >= f->end.until)
+			conclude_(f, r, verdict);
 	}
 	g_ptr_array_unref(judged);
-	/* The last one has taken the check with it. */
-	c = g_hash_table_lookup(g->end_checks, GSIZE_TO_POINTER(key));
-	if (!c || c->call || ev_is_active(&c->again))
+	/* The last one has taken it along. */
+	if (!g_hash_table_contains(g->end_waits, c))
 		return;
-	ev_timer_set(&c->again,
-		     c->asked ? (double)ASK_AGAIN_MS / MSEC_PER_SEC : 0, 0);
+	ev_timer_set(&c->again, (double)ASK_AGAIN_MS / MSEC_PER_SEC, 0);
 	ev_timer_start(g->loop, &c->again);
 }
 
 static bool on_head_(void *ctx, http_call_t *call, int status)
 {
-	const end_check_t *c = ctx;
+	const end_wait_t *c = ctx;
 
 	(void)status;
 	return c->gateway->protocol->is_state_response(call);
@@ -118,9 +112,13 @@
 
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
-	end_check_t *c = ctx;
-	end_reply_t reply = { .received = !err,
-			      .refused = err == HTTP_EREFUSED };
+	end_wait_t *c = ctx;
+	end_reply_t reply = { .asked_at = c->asked_at,
+			      .received = !err,
+			      .refused = err == HTTP_EREFUSED,
+			      .silent = err == HTTP_ETIMEOUT &&
+					http_call_acked(call),
+			      .since = http_call_peer(call).since };
 
 	c->call = NULL;
 	/* An idle connection may have ended just then. */
@@ -132,35 +130,45 @@
 		reply.named = starts_take_answer(c->gateway, c->upstream, call,
 						 status);
 		reply.nameless = c->upstream->nameless_until == MSTIME_NEVER;
-		reply.since = http_call_peer(call).since;
 	}
 	apply_(c, &reply);
 }
 
 static const http_call_ops_t call_ops = { .head = on_head_, .done = on_done_ };
 
-static void ask_(end_check_t *c)
+static void ask_(end_wait_t *c)
 {
-	c->asked = c->waiting->len;
+	c->asked_at = clock_now();
 	c->call = starts_ask(c->gateway, c->upstream, &call_ops, c);
 }
 
-static end_check_t *check_of_(gateway_t *g, balance_upstream_t *u)
+static end_wait_t *wait_new_(gateway_t *g, balance_upstream_t *u)
 {
-	end_check_t *c = g_hash_table_lookup(g->end_checks,
-					     GSIZE_TO_POINTER(u->local_id));
+	end_wait_t *c = g_new0(end_wait_t, 1);
 
-	if (c)
-		return c;
-	c = g_new0(end_check_t, 1);
 	c->gateway = g;
 	c->upstream = u;
 	c->waiting = g_ptr_array_new();
 	ev_timer_init(&c->again, on_again_, 0, 0);
 	c->again.data = c;
-	g_hash_table_insert(g->end_checks,
-			    GSIZE_TO_POINTER(c->upstream->local_id), c);
-	/* Ends that are seen in the same turn of the loop share a question. */
+	g_hash_table_add(g->end_waits, c);
+	return c;
+}
+
+/* Ends that are seen in the same turn of the loop share a question. */
+static end_wait_t *wait_of_(gateway_t *g, balance_upstream_t *u)
+{
+	GHashTableIter iter;
+	gpointer key;
+	end_wait_t *c;
+
+	g_hash_table_iter_init(&iter, g->end_waits);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		c = key;
+		if (c->upstream == u && !c->asked_at)
+			return c;
+	}
+	c = wait_new_(g, u);
 	ev_timer_start(g->loop, &c->again);
 	return c;
 }
@@ -170,36 +178,33 @@
 	http_peer_t peer = http_call_peer(call);
 	mstime_t now = clock_now();
 
-	assert(f->selected && !f->end.check);
+	assert(f->selected && !f->end.wait);
 	counter_add(COUNTER_ANSWERS_UNFRAMED, 1);
 	f->may_have_run = true;
 	f->end = (answer_end_t){
-		.check = check_of_(f->gateway, f->selected),
+		.wait = wait_of_(f->gateway, f->selected),
+		.until = now + PROOF_MAX_MS,
 		.seen = {
 			.start = peer.start ? peer.start
 					    : f->selected->start_id,
 			.sent_at = f->sent_at,
+			.at = now,
 			.silence_ms = http_call_silence(call),
 			.waited = MAX(f->read_on_at, f->gateway->late_at) >=
 				  f->sent_at,
 		},
-		.at = now,
-		.until = now + PROOF_MAX_MS,
 	};
-	g_ptr_array_add(f->end.check->waiting, f);
+	g_ptr_array_add(f->end.wait->waiting, f);
 }
 
 void ends_cancel(forward_t *f)
 {
-	end_check_t *c = f->end.check;
-	guint i;
+	end_wait_t *c = f->end.wait;
 
-	if (!c || !g_ptr_array_find(c->waiting, f, &i))
+	if (!c)
 		return;
-	f->end.check = NULL;
-	g_ptr_array_remove_index(c->waiting, i);
-	c->asked -= i < c->asked;
+	f->end.wait = NULL;
+	g_ptr_array_remove(c->waiting, f);
 	if (!c->waiting->len)
-		g_hash_table_remove(f->gateway->end_checks,
-				    GSIZE_TO_POINTER(c->upstream->local_id));
+		g_hash_table_remove(f->gateway->end_waits, c);
 }
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -360,6 +360,12 @@
 	return call->silence_ms;
 }
 
+bool http_call_acked(const http_call_t *call)
+{
+	assert(call);
+	return call->silence_ms >= 0 && !call->unacked;
+}
+
 http_peer_t http_call_peer(const http_call_t *call)
 {
 	assert(call);
@@ -408,6 +414,27 @@
 	return str_of(h->value);
 }
 
+bool http_call_ends_with_connection(http_call_t *call)
+{
+	str_t encoding;
+	str_t length;
+	long status = 0;
+
+	assert(call);
+	encoding = http_call_header(call, "Transfer-Encoding");
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (call->bodyless || status == STATUS_NO_CONTENT ||
+	    status == STATUS_NOT_MODIFIED)
+		return false;
+	if (encoding.data)
+		return !strcasestr(encoding.data, "chunked");
+	/* libcurl reads on to the end where it cannot hold the number. */
+	length = http_call_header(call, "Content-Length");
+	return !length.len ||
+	       !g_ascii_string_to_unsigned(length.data, 10, 0, INT64_MAX, NULL,
+					   NULL);
+}
+
 void http_call_each_header(http_call_t *call,
 			   void (*fn)(void *arg, const char *name,
 				      const char *value),
@@ -891,21 +918,6 @@
 	curl_multi_add_handle(call->client->multi, call->easy);
 }
 
-bool http_call_unframed(http_call_t *call)
-{
-	str_t encoding = http_call_header(call, "Transfer-Encoding");
-	long status = 0;
-
-	assert(call);
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (call->bodyless || status == STATUS_NO_CONTENT ||
-	    status == STATUS_NOT_MODIFIED)
-		return false;
-	if (encoding.data)
-		return !strcasestr(encoding.data, "chunked");
-	return !http_call_header(call, "Content-Length").data;
-}
-
 /*
  * Whether an answer that ends with its connection ended too early. A server
  * that closes before it has received its request was not done with it; an end
@@ -913,7 +925,7 @@
  */
 static bool is_cut_(http_call_t *call, curl_off_t uploaded)
 {
-	return http_call_unframed(call) &&
+	return http_call_ends_with_connection(call) &&
 	       (call->broken || call->unacked ||
 		(size_t)uploaded < call->upload_bytes);
 }
--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -289,9 +289,12 @@
 	*x->held = (held_answer_t){
 		.status = status,
 		.headers = g_new0(http_header_t, n + 1),
-		.start_id = start ? start : x->placement.start_id,
-		.silence_ms = http_call_silence(call),
-		.ended_at = clock_now(),
+		.end = {
+			.start = start ? start : x->placement.start_id,
+			.sent_at = x->sent_at,
+			.at = clock_now(),
+			.silence_ms = http_call_silence(call),
+		},
 	};
 	for (size_t i = 0; i < n; i++)
 		x->held->headers[i] =
@@ -325,7 +328,8 @@
 	http_header_t headers[ANSWER_HEADERS_MAX];
 
 	/* Other nodes mark the ends of what they pass on. */
-	if (x->placement.verdict == SCHED_RUN && http_call_unframed(call)) {
+	if (x->placement.verdict == SCHED_RUN &&
+	    http_call_ends_with_connection(call)) {
 		hold_answer_(x, call, status);
 		exchange_check_end(x);
 		return;
--- a/packages/node/ends.c
+++ b/packages/node/ends.c
@@ -11,17 +11,6 @@
 
 #define PROOF_MAX_MS 1000
 #define ASK_AGAIN_MS 50
-/* An end that was lost on the way is sent again later than this. */
-#define PROMPT_MAX_MS 100
-
-typedef enum verdict {
-	VERDICT_NONE, /* it may be asked again */
-	VERDICT_ALIVE,
-	VERDICT_GONE,
-} verdict_t;
-
-/* Parallel to verdict_t. */
-static const char *const verdict_string[] = { "unproven", "alive", "gone" };
 
 static void ask_(exchange_t *x);
 
@@ -37,27 +26,6 @@
 	return (uint64_t)MAX(0, start);
 }
 
-static verdict_t judge_(const exchange_t *x, http_call_t *call, int err,
-			uint64_t start)
-{
-	if (err == HTTP_EREFUSED)
-		return VERDICT_GONE;
-	if (err)
-		return VERDICT_NONE;
-	/* A process takes its connections with it. */
-	if (http_call_peer(call).since <= x->sent_at)
-		return VERDICT_ALIVE;
-	/* The next process needs longer to answer than a prompt end to come. */
-	if (!x->held->start_id)
-		return x->held->silence_ms >= 0 &&
-				       x->held->silence_ms <= PROMPT_MAX_MS
-			       ? VERDICT_ALIVE
-			       : VERDICT_NONE;
-	if (!start)
-		return VERDICT_NONE;
-	return start == x->held->start_id ? VERDICT_ALIVE : VERDICT_GONE;
-}
-
 static void on_again_(struct ev_loop *loop, ev_timer *w, int revents)
 {
 	(void)loop;
@@ -74,19 +42,45 @@
 	ev_timer_start(x->relay->task.loop, &x->retry_timer);
 }
 
+static void log_end_(const exchange_t *x, const end_reply_t *reply,
+		     end_verdict_t verdict)
+{
+	const end_seen_t *end = &x->held->end;
+
+	LOG_EVENT(
+		verdict == END_ALIVE ? LOG_INFO : LOG_NOTICE, "answer.unframed",
+		F_STR("request", x->request_id),
+		F_STR("upstream", x->placement.upstream),
+		F_STR("outcome", end_verdict_string[verdict]),
+		F_INT("start", (int64_t)end->start),
+		F_INT("named", (int64_t)reply->named),
+		F_INT("older", reply->received && reply->since <= end->sent_at),
+		F_INT("silence_ms", end->silence_ms),
+		F_INT("ms", clock_now() - end->at));
+}
+
 static void on_done_(void *ctx, http_call_t *call, int err, int status)
 {
 	exchange_t *x = ctx;
+	const end_seen_t *end = &x->held->end;
 	uint64_t start = err ? 0 : start_of_(call);
-	verdict_t verdict = judge_(x, call, err, start);
-	mstime_t waited = clock_now() - x->held->ended_at;
+	end_reply_t reply = {
+		.asked_at = x->held->asked_at,
+		.received = !err,
+		.refused = err == HTTP_EREFUSED,
+		.nameless = !end->start,
+		/* What is named cannot be compared with nothing. */
+		.named = end->start ? start : 0,
+		.since = http_call_peer(call).since,
+	};
+	end_verdict_t verdict = end_proof_judge(end, &reply);
 
 	(void)status;
 	x->call = NULL;
 	/* For the requests that are sent on this connection. */
 	if (start)
 		http_call_name_peer(call, start);
-	if (verdict == VERDICT_NONE && waited < PROOF_MAX_MS) {
+	if (verdict == END_UNPROVEN && clock_now() - end->at < PROOF_MAX_MS) {
 		/* An idle connection may have ended just then. */
 		if (err == HTTP_ECUT && http_call_reused(call))
 			ask_(x);
@@ -94,19 +88,10 @@
 			ask_again_(x);
 		return;
 	}
-	if (verdict != VERDICT_ALIVE)
+	if (verdict != END_ALIVE)
 		counter_add(COUNTER_ENDS_UNPROVEN, 1);
-	LOG_EVENT(verdict == VERDICT_ALIVE ? LOG_INFO : LOG_NOTICE,
-		  "answer.unframed", F_STR("request", x->request_id),
-		  F_STR("upstream", x->placement.upstream),
-		  F_STR("outcome", verdict_string[verdict]),
-		  F_INT("start", (int64_t)x->held->start_id),
-		  F_INT("named", (int64_t)start),
-		  F_INT("older",
-			!err && http_call_peer(call).since <= x->sent_at),
-		  F_INT("silence_ms", x->held->silence_ms),
-		  F_INT("ms", waited));
-	exchange_end_held(x, verdict == VERDICT_ALIVE);
+	log_end_(x, &reply, verdict);
+	exchange_end_held(x, verdict == END_ALIVE);
 }
 
 static const http_call_ops_t call_ops = { .done = on_done_ };
@@ -117,10 +102,11 @@
 	http_call_spec_t spec = {
 		.method = "GET",
 		.url = url,
-		.deadline = x->held->ended_at + PROOF_MAX_MS,
+		.deadline = x->held->end.at + PROOF_MAX_MS,
 		.single = true,
 	};
 
+	x->held->asked_at = clock_now();
 	x->call = http_call_start(&x->relay->upstreams, &spec, &call_ops, x);
 	g_free(url);
 }
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -14,6 +14,7 @@
 
 #include "hop.h"
 #include "relay.h"
+#include <kcf/end_proof.h>
 #include <kcf/counter.h>
 #include <kcf/sse.h>
 
@@ -64,9 +65,8 @@
 typedef struct held_answer {
 	int status;
 	http_header_t *headers; /* with values of their own */
-	uint64_t start_id;	/* of the upstream that began it, or 0 */
-	mstime_t silence_ms;	/* from its last bytes to its end, or -1 */
-	mstime_t ended_at;
+	end_seen_t end;
+	mstime_t asked_at; /* its upstream, last */
 } held_answer_t;
 
 typedef struct exchange {
