--- a/tests/scenarios/events_without_ids.lua
+++ b/tests/scenarios/events_without_ids.lua
@@ -1,6 +1,6 @@
 -- Guards against pieces that come twice when a stream is sent again that had events without an id since the last one.
 dofile(scenarios .. "/gateway_words.lua")
-local ROUNDS = 12
+local MET_MIN, ROUNDS_MAX = 4, 80
 local f = start_site { gateways = 1, retry_ratio = 10, retry_burst = 300 }
 local g = f.gateways[1]
 local engines = { f["engine-1"], f["engine-2"], f["engine-3"] }
@@ -21,7 +21,8 @@
 local problems = {}
 for _, text in ipairs(texts) do
 	local met, wrong, seen_pieces = 0, 0, nil
-	for round = 1, ROUNDS do
+	for round = 1, ROUNDS_MAX do
+		if met >= MET_MIN then break end
 		-- One that breaks often gets less to do.
 		local broken = engines[round % 3 + 1]
 		for _, e in ipairs(engines) do set_fault(e, (e == broken and "breaks" or "ends") .. " chunks 0 " .. text, -1) end
@@ -37,7 +38,7 @@
 			end
 		end
 	end
-	expect(met > 0, "%q: no stream met the upstream that resets", text)
+	expect(met >= MET_MIN, "%q: %d streams met the upstream that resets", text, met)
 	if wrong > 0 then problems[#problems + 1] = string.format("%q: %d of %d: %s", text, wrong, met, seen_pieces) end
 end
 expect(#problems == 0, "%s", table.concat(problems, "\n"))
