Tests: streams while the store is restored, writes come late, nodes are apart from it

Kinds of stream_order for what had not been played about the store: it is restored from a copy some seconds old (ids that were left come back and lapse after 3.6 s), one or several writes of a start are carried out up to 6 s after its end, 40 in a hundred check-ins are late, nodes are cut off from the store for up to 6 s (silent, one way, refused, slow) beside upstreams that start again. KCF_CLOCK: clocks that are up to some seconds behind the true one ("either"), or stand still ("equal"). The other kinds draw the same numbers as before.

--- a/tests/scenarios/stream_order.lua
+++ b/tests/scenarios/stream_order.lua
@@ -3,7 +3,7 @@
 -- KCF_PLAY: one kind alone, for KCF_PLAY_S seconds. plays: the kinds that are played else. gateways: number of nodes.
 -- upstreams: number of each version. unframed: of a hundred answers of upstreams, have neither length nor chunks. play_s: time of each play. KCF_UNNAMED: upstreams do not name their start. KCF_GATEWAYS,
 -- KCF_UPSTREAMS: numbers of nodes, and of upstreams of each version. KCF_UNFRAMED, KCF_CLOCK_BACK_MS: as unframed, and
--- clock_back_max_ms of version_words. With the folder of an older build (--old DIR) each second
+-- clock_back_max_ms of version_words; KCF_CLOCK: as clock there. With the folder of an older build (--old DIR) each second
 -- node is of that build.
 local EVENTS = 16
 if os.getenv("KCF_UNNAMED") then names_start = false end
@@ -11,12 +11,22 @@
 upstreams = tonumber(os.getenv("KCF_UPSTREAMS")) or upstreams
 unframed = tonumber(os.getenv("KCF_UNFRAMED")) or unframed
 clock_back_max_ms = tonumber(os.getenv("KCF_CLOCK_BACK_MS")) or clock_back_max_ms
+clock = os.getenv("KCF_CLOCK") or clock
+-- Each node reaches the store through a proxy of its own, in the kinds in which some are cut off from it.
+local chosen = os.getenv("KCF_PLAY")
+local proxied = chosen and (chosen:match("^apart") or chosen == "all_of_it")
+local function start_proxy(f, g, i)
+	local p = { address = address(6, i, 9200), control = address(6, i, 9201) }
+	p.pid = spawn({ bin .. "/kcf-proxy", p.address, f.store.address, p.control }, f.dir .. "/proxy.log")
+	g.proxy, g.store = p, p.address
+end
 upstream_options = { events = EVENTS, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
 if unframed then upstream_options.unframed = unframed end
 site_options = { gateways = gateways or 4, each = function(f)
 	for i, g in ipairs(f.gateways) do
 		g.source = g.callers:match("[%d.]+")
 		g.bin = i % 2 == 0 and old or nil
+		if proxied then start_proxy(f, g, i) end
 	end
 end }
 dofile(scenarios .. "/version_words.lua")
@@ -24,12 +34,17 @@
 local RATE, ONCE_RATE, SLOW, LEAVE = 26, 13, 0.25, 0.4
 local TRIES, PAUSE_MS, PATIENCE_MS = 12, 250, 7000
 local DARK_MAX_MS, ALL_DARK_MAX_MS = 2800, 1000
+-- A write without an answer may be carried out this much later; an entry lapses; a node is cut off from the store.
+local LATE_MAX_MS, LAPSE_MS, APART_MAX_MS = 6000, 3600, 6000
+local STORE_CUTS = { "silent", "up", "down", "refuse", "delay 900" }
 local CUTS = { "silent", "reset", "new_refused", "one_way" }
 
 for _ = 4, upstreams or 3 do add("v1") end
 for _ = 1, upstreams or 3 do add("v1.1") end
 local engines = checking_in()
 local cuts, troubled = {}, ""
+-- Whether a copy of the store was taken; writes that are due; ids that were left, each with the time at which its entry lapses, or 0.
+local copied, writes, gone = false, {}, {}
 
 -- What is done when; beside the logs of the nodes.
 local log = assert(io.open(f.dir .. "/play.log", "w"))
@@ -106,6 +121,7 @@
 		local r = engines[math.random(#engines)]
 		if not may_start_again(engines, r) then return end
 		note("%s ends", r.name)
+		if renamed then gone[r.name] = 0 end
 		start_again(r, renamed)
 		note("%s answers, of %s", r.name, r.version)
 		trouble({ r }, troubled)
@@ -144,9 +160,104 @@
 	end
 end
 
+-- The store: a copy of it is taken, and some seconds later it is as the copy was. What it has lost for good is removed again.
+
+local function copy_or_restore()
+	fault(f.store, copied and { restore = true } or { copy = true })
+	note(copied and "restored" or "copied")
+	if copied then
+		for name, at in pairs(gone) do gone[name] = now_ms() + LAPSE_MS end
+	end
+	copied = not copied
+end
+
+local function lapse(now)
+	for name, at in pairs(gone) do
+		if at > 0 and now >= at then
+			store_drop(f, "keyed.servers", name)
+			gone[name] = 0
+		end
+	end
+end
+
+-- Writes of a start that the store carries out later, after its end.
+
+local function late_writes(count)
+	return function()
+		local r = engines[math.random(#engines)]
+		if not may_start_again(engines, r) then return end
+		local before = { version = r.version, born = r.born, address = r.address, slot_count = 32 }
+		local sequence, at = r.sequence, now_ms()
+		note("%s ends", r.name)
+		start_again(r, false)
+		note("%s answers, of %s", r.name, r.version)
+		trouble({ r }, troubled)
+		for i = 1, math.random(count) do
+			-- In the order of their counts, as one connection carries them.
+			at = at + math.random(i == 1 and LATE_MAX_MS - 1000 or 1500)
+			local fields = { sequence = sequence + i }
+			for k, v in pairs(before) do fields[k] = v end
+			writes[#writes + 1] = { at = at, r = r, fields = fields }
+		end
+	end
+end
+
+local announce_now = announce
+
+local function write_late(now)
+	for i = #writes, 1, -1 do
+		local w = writes[i]
+		if now >= w.at then
+			table.remove(writes, i)
+			announce_now(f, w.r, w.fields)
+			note("%s late: %s of %d, %d", w.r.name, w.fields.version, w.fields.born, w.fields.sequence)
+		end
+	end
+end
+
+-- Of a hundred check-ins, are carried out late.
+local late_percent = 0
+
+function announce(f, r, fields)
+	if late_percent == 0 or math.random(100) > late_percent then return announce_now(f, r, fields) end
+	local copy, writer = { born = r.born }, { name = r.name, service = r.service, address = r.address, dc = r.dc }
+	for k, v in pairs(fields) do copy[k] = v end
+	writes[#writes + 1] = { at = now_ms() + 1000 + math.random(LATE_MAX_MS - 1000), r = writer, fields = copy }
+end
+
+-- Nodes that are cut off from the store.
+
+local apart = {}
+
+local function set_store(g, how)
+	local fd = raw_open(g.proxy.control, how .. "\n")
+	raw_read(fd, 200)
+	raw_close(fd)
+	note("%s and the store: %s", g.name, how)
+end
+
+local function cut_from_store()
+	local g = f.gateways[math.random(#f.gateways)]
+	local how = STORE_CUTS[math.random(#STORE_CUTS)]
+	set_store(g, how)
+	apart[g] = now_ms() + 600 + math.random(APART_MAX_MS - 600)
+end
+
+local function rejoin(now)
+	for g, till in pairs(apart) do
+		if now >= till then
+			set_store(g, "pass")
+			apart[g] = nil
+		end
+	end
+end
+
 -- What is due now, and a short wait.
 local function turn(now)
 	check_in(engines, now)
+	write_late(now)
+	lapse(now)
+	rejoin(now)
 	lift(now)
 	for _, g in ipairs(f.gateways) do mend(g, now) end
 	sleep_ms(20)
@@ -170,6 +281,17 @@
 	ends_renamed = { leave = LEAVE, every(600, 2400, again(true)) },
 	same_id_leave = { leave = LEAVE, every(200, 800, again(false)) },
 	cut = { every(600, 2400, cut_two) },
+	restored = { leave = LEAVE, every(600, 2400, again(false)), every(500, 4000, copy_or_restore) },
+	restored_renamed = { leave = LEAVE, every(600, 2400, again(true)), every(500, 4000, copy_or_restore) },
+	restored_nodes = { leave = LEAVE, every(600, 2400, again(false)), every(500, 4000, copy_or_restore), every(600, 2400, hurt_one_or_all) },
+	late = { leave = LEAVE, every(600, 2400, late_writes(1)) },
+	late_several = { leave = LEAVE, every(600, 2400, late_writes(4)) },
+	late_nodes = { leave = LEAVE, every(600, 2400, late_writes(4)), every(600, 2400, hurt_one) },
+	late_all = { leave = LEAVE, late = 40, every(600, 2400, again(false)), every(600, 2400, hurt_one) },
+	apart = { leave = LEAVE, every(600, 2400, again(false)), every(600, 2400, cut_from_store) },
+	apart_nodes = { leave = LEAVE, every(600, 2400, again(false)), every(600, 2400, cut_from_store), every(600, 2400, hurt_one) },
+	apart_late = { leave = LEAVE, every(600, 2400, late_writes(4)), every(600, 2400, cut_from_store), every(600, 2400, hurt_one) },
+	all_of_it = { leave = LEAVE, every(600, 2400, late_writes(4)), every(600, 2400, cut_from_store), every(600, 2400, hurt_one), every(500, 4000, copy_or_restore) },
 }
 local serial = 0
 
@@ -185,6 +307,7 @@
 
 local function play(name, kind, ms)
 	trouble(engines, kind.troubled and "troubled" or "")
+	late_percent = kind.late or 0
 	local loads = { start_load(ms, { path = "/stream/long", rate = RATE, resume = "", leave = kind.leave or 0 }),
 			start_load(ms, { path = "/once/stream/long", rate = ONCE_RATE }) }
 	local ends, next_at = now_ms() + ms, {}
@@ -224,7 +347,6 @@
 	check(a.resumed > 0, "%s: no stream was taken up", name)
 end
 
-local chosen = os.getenv("KCF_PLAY")
 expect(not chosen or kinds[chosen], "no such play: %s", chosen)
 local ms = 1000 * (chosen and PLAY_S or play_s or MIX_S)
 for _ = 1, 100 do turn(now_ms()) end
--- a/tests/scenarios/version_words.lua
+++ b/tests/scenarios/version_words.lua
@@ -90,13 +90,21 @@
 	end
 end
 
--- With the other version, at the same address; under its id, or under one of its own. A scenario may set clock_back_max_ms: by so
--- much at most the new start's clock is behind the start before.
+-- A scenario may set clock_back_max_ms: by so much at most the new start's clock is behind the start before; with clock = "either"
+-- it is behind the true one, with "equal" it stands still.
+function born_again(r)
+	if not clock_back_max_ms then return wall_ms() end
+	if clock == "equal" then return r.born end
+	if clock == "either" then return wall_ms() - math.random(clock_back_max_ms) end
+	return r.born - math.random(clock_back_max_ms)
+end
+
+-- With the other version, at the same address; under its id, or under one of its own.
 function start_again(r, renamed)
 	kill(r)
 	r.version = r.version == "v1" and "v1.1" or "v1"
 	local check_in_ms = check_in_max_ms and math.random(0, check_in_max_ms) or CHECK_IN_MS
-	r.born = clock_back_max_ms and r.born - math.random(clock_back_max_ms) or wall_ms()
+	r.born = born_again(r)
 	r.sequence, r.beat_at = 0, now_ms() + check_in_ms
 	if renamed then
 		if r.before then store_drop(f, "keyed.servers", r.before) end
