Feeds: a start overrules the clocks of those that it came after, and no others

Cause: a node told others of a start whose clock went back by a mere flag ("overruled"), which counted against whatever they knew. After a restore of the store, records are compared by content over epochs, so that a node whose feed was of before the restore brought back a start that had ended, over a later one that had said that it leaves (unit case: start 9, then 5 with its clock behind, at one node; 12, draining, at the other: 5, ready, came into force there, and was passed on as a correction). The other way, a start that came after the one whose clock went back was not told as later than the first (9, 5, 7: nodes that knew 9 kept it), and a node that had learned of it from another told nobody in turn.

Change: the entry carries the last start by its clock that its own came after; a node takes it where the start that it knows is no later than that, and passes it on.

unit_feed_epochs: test_overruled_clock_of_an_older_epoch and two cases of test_overruled_clock_is_told fail before.

--- a/include/kcf/feed.h
+++ b/include/kcf/feed.h
@@ -48,8 +48,10 @@
 	 * an older copy.
 	 */
 	bool corrected;
-	/* Its start is the latest, though not by its clock, see start_order. */
-	bool overruled;
+	/* The last start by its clock that its own has come after all the same,
+	 * 0 for none, see start_order.
+	 */
+	uint64_t overruled;
 	uint64_t start_id;  /* of a removed upstream, 0 if unknown */
 	uint64_t heartbeat; /* its last one */
 } feed_record_t;
--- a/include/kcf/start_order.h
+++ b/include/kcf/start_order.h
@@ -25,7 +25,10 @@
 	uint64_t rival;
 	uint64_t rival_heartbeat;
 	mstime_t rival_since;
-	bool overruled; /* the clock, when start_id came into force */
+	/* The last start by its clock that start_id came after, though its own
+	 * clock says otherwise; 0 if it does not.
+	 */
+	uint64_t overruled;
 } start_order_t;
 
 /*
@@ -46,6 +49,12 @@
 bool start_order_contend(start_order_t *o, uint64_t start_id,
 			 uint64_t heartbeat, mstime_t now);
 
+/*
+ * start_order_tell - notes what another node knows: the last start by its clock
+ * that the one in force has come after, 0 for none.
+ */
+void start_order_tell(start_order_t *o, uint64_t overruled);
+
 /*
  * start_order_put - brings a write into force.
  */
--- a/packages/decide/start_order.c
+++ b/packages/decide/start_order.c
@@ -1,6 +1,7 @@
 #include <kcf/start_order.h>
 
 #include <assert.h>
+#include <glib.h>
 
 /*
  * Between two writes that are no repetition; upstreams write a little less
@@ -51,11 +52,24 @@
 	o->former_next = (o->former_next + 1) % START_ORDER_FORMER_MAX;
 }
 
+void start_order_tell(start_order_t *o, uint64_t overruled)
+{
+	assert(o);
+	o->overruled = MAX(o->overruled, overruled);
+}
+
 void start_order_put(start_order_t *o, uint64_t start_id, uint64_t heartbeat)
 {
 	assert(o);
 	if (start_id != o->start_id) {
-		o->overruled = start_order_compare(o, start_id, heartbeat) < 0;
+		bool overrules =
+			start_order_compare(o, start_id, heartbeat) < 0;
+		uint64_t last = MAX(o->overruled, o->start_id);
+
+		/* Others may still know any of the starts before. */
+		o->overruled = overrules		 ? MAX(last, start_id)
+			       : o->overruled > start_id ? o->overruled
+							 : 0;
 		for (int i = 0; i < START_ORDER_FORMER_MAX; i++) {
 			if (o->former[i] == start_id)
 				o->former[i] = 0;
--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -82,7 +82,9 @@
 	if (e->corrected)
 		json_object_set_new(entry, "corrected", json_true());
 	if (data && e->order.overruled)
-		json_object_set_new(entry, "overruled", json_true());
+		json_object_set_new(
+			entry, "overruled",
+			json_integer((json_int_t)e->order.overruled));
 	if (data) {
 		g_string_append_len(payload, data, (gssize)len);
 		json_object_set_new(entry, "bytes",
@@ -529,7 +531,7 @@
 		.epoch = read_number_(entry, "epoch"),
 		.removed = !json_object_get(entry, "bytes"),
 		.corrected = json_is_true(json_object_get(entry, "corrected")),
-		.overruled = json_is_true(json_object_get(entry, "overruled")),
+		.overruled = read_number_(entry, "overruled"),
 		.start_id = read_number_(entry, "start"),
 		.heartbeat = read_number_(entry, "heartbeat"),
 	};
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -224,6 +224,7 @@
 	} else {
 		spec.id = e->key;
 		start_order_put(&e->order, spec.start_id, spec.heartbeat);
+		start_order_tell(&e->order, r->overruled);
 		changed = balance_put_upstream(&g->balance, &spec, now);
 		record_alive_(s, spec.id, r);
 		resumes_observe(g, e->key, now);
@@ -297,7 +298,8 @@
 static int compare_word_(const upstream_word_t *w, const feed_entry_t *e,
 			 const feed_record_t *r)
 {
-	if (r->overruled && w->start_id != e->order.start_id)
+	if (r->overruled && r->overruled >= e->order.start_id &&
+	    w->start_id != e->order.start_id)
 		return 1;
 	return start_order_compare(&e->order, w->start_id, w->heartbeat);
 }
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -10,6 +10,7 @@
 
 static gateway_t one;
 static gateway_t two;
+static gateway_t third;
 
 static void init_(gateway_t *g)
 {
@@ -36,12 +37,14 @@
 	logline_setup("test", LOG_CRIT);
 	init_(&one);
 	init_(&two);
+	init_(&third);
 }
 
 static void teardown_(void)
 {
 	finish_(&one);
 	finish_(&two);
+	finish_(&third);
 }
 
 static void put_(gateway_t *g, int i, uint64_t offset)
@@ -813,6 +816,100 @@
 }
 END_TEST
 
+/* The record of an upstream, which is read after some time. */
+static void write_(gateway_t *g, const char *data, uint64_t offset,
+		   mstime_t after)
+{
+	feed_state_t *s = &g->feed_states[FEED_UPSTREAMS];
+	feed_record_t r = { .key = str_of("u"), .offset = offset };
+
+	r.removed = !data;
+	if (data)
+		r.data = str_of(data);
+	s->source = FEED_FROM_PLATFORM;
+	feeds_apply_record(s, &r, NOW + after);
+	feeds_set_current(s, NOW + after, offset + 1);
+}
+
+static bool in_service_(const gateway_t *g)
+{
+	const balance_upstream_t *u =
+		g_hash_table_lookup(g->balance.by_id, "u");
+
+	return u && !u->leaving;
+}
+
+static uint64_t start_of_(const gateway_t *g)
+{
+	const balance_upstream_t *u =
+		g_hash_table_lookup(g->balance.by_id, "u");
+
+	return u ? u->start_id : 0;
+}
+
+/* Guards against a start that one node knows to have come after another by its
+ * clock, and that counts as the latest at nodes that know a later one.
+ */
+START_TEST(test_overruled_clock_of_an_older_epoch)
+{
+	feeds_observe_epoch(&two, 1, NOW);
+	write_(&two, ENTRY("ready", 9, 1), 40, 0);
+	write_(&two, ENTRY("ready", 5, 1), 41, 1200);
+	write_(&two, ENTRY("ready", 5, 2), 42, 2400);
+	ck_assert_uint_eq(start_of_(&two), 5);
+	feeds_observe_epoch(&one, 2, NOW);
+	write_(&one, ENTRY("draining", 12, 3), 30, 2400);
+	sync_(&two, &one);
+	ck_assert_uint_eq(start_of_(&one), 12);
+	ck_assert(!in_service_(&one));
+}
+END_TEST
+
+/* What a node knows that is told by another one of a start whose clock went
+ * back, or of the one after it.
+ */
+static const struct {
+	const char *label;
+	const char *writes[3]; /* after ENTRY("ready", 9, 1) */
+	const char *known;
+	uint64_t in_force;
+} told_cases[] = {
+	{ "the start before",
+	  { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2) },
+	  ENTRY("ready", 9, 1),
+	  5 },
+	{ "a start before that",
+	  { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2) },
+	  ENTRY("ready", 7, 1),
+	  5 },
+	{ "the start before, and another has come after",
+	  { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2), ENTRY("ready", 7, 1) },
+	  ENTRY("ready", 9, 1),
+	  7 },
+	{ "nothing", { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2) }, NULL, 5 },
+};
+
+START_TEST(test_overruled_clock_is_told)
+{
+	uint64_t offset = 40;
+
+	write_(&one, ENTRY("ready", 9, 1), offset, 0);
+	if (told_cases[_i].known)
+		write_(&two, told_cases[_i].known, offset, 0);
+	for (int i = 0; i < 3 && told_cases[_i].writes[i]; i++)
+		write_(&one, told_cases[_i].writes[i], ++offset,
+		       1200 * (i + 1));
+	sync_(&one, &two);
+	ck_assert_msg(start_of_(&two) == told_cases[_i].in_force, "%s: %d",
+		      told_cases[_i].label, (int)start_of_(&two));
+	/* It tells others in turn. */
+	write_(&third, ENTRY("ready", 9, 1), 40, 0);
+	sync_(&two, &third);
+	ck_assert_msg(start_of_(&third) == told_cases[_i].in_force, "%s: %d",
+		      told_cases[_i].label, (int)start_of_(&third));
+}
+END_TEST
+
 /* A node that started from the older copy takes what another one still knows.
  */
 START_TEST(test_copy_corrects_a_restored_log)
@@ -899,6 +996,9 @@
 	tcase_add_test(c, test_copy_corrects_a_late_write);
 	tcase_add_test(c, test_copy_corrects_a_restored_log);
 	tcase_add_test(c, test_correction_is_no_heartbeat);
+	tcase_add_test(c, test_overruled_clock_of_an_older_epoch);
+	tcase_add_loop_test(c, test_overruled_clock_is_told, 0,
+			    G_N_ELEMENTS(told_cases));
 	tcase_add_test(c, test_missing_after_a_restore);
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
