Feeds: late writes of a start do not bring back an upstream that has left

Change: where the start in force has left or is gone, and where the other one is known to have been before it (by the clock and by the order of writes), it takes writes over 4.5 s, three that the one in force has missed. A start whose clock went back, under the id of one that has left, is so used some 5 s after its first check-in instead of 1.2 to 2.4 s. Ruled out: never (a node that has just started takes a late write of an unknown start whose clock was ahead for the later one; the living one would be lost).

--- a/include/kcf/start_order.h
+++ b/include/kcf/start_order.h
@@ -43,11 +43,14 @@
 /*
  * start_order_contend - notes a write of another start that counts as older.
  *
+ * @left: whether the one in force has said that it leaves, or is gone; what is
+ * late must not bring its upstream back.
+ *
  * Return: whether that start is the later one all the same, as it has written
  * more than once while the one in force has not.
  */
 bool start_order_contend(start_order_t *o, uint64_t start_id,
-			 uint64_t heartbeat, mstime_t now);
+			 uint64_t heartbeat, bool left, mstime_t now);
 
 /*
  * start_order_tell - notes what another node knows: the last start by its clock
--- a/packages/decide/start_order.c
+++ b/packages/decide/start_order.c
@@ -8,6 +8,11 @@
  * often.
  */
 #define WRITES_APART_MIN_MS 1000
+/*
+ * An upstream that lives does not miss as many writes in a row, and those that
+ * are carried out late seldom are as far apart.
+ */
+#define SILENCE_MIN_MS 4500
 
 static bool is_former_(const start_order_t *o, uint64_t start_id)
 {
@@ -30,9 +35,18 @@
 	return 0;
 }
 
+/* Whether both the clock and the order of writes put it before. */
+static bool is_past_(const start_order_t *o, uint64_t start_id)
+{
+	return start_id < o->start_id && is_former_(o, start_id);
+}
+
 bool start_order_contend(start_order_t *o, uint64_t start_id,
-			 uint64_t heartbeat, mstime_t now)
+			 uint64_t heartbeat, bool left, mstime_t now)
 {
+	mstime_t apart_ms = left || is_past_(o, start_id) ? SILENCE_MIN_MS
+							  : WRITES_APART_MIN_MS;
+
 	assert(o && start_id != o->start_id);
 	if (start_id != o->rival) {
 		o->rival = start_id;
@@ -41,7 +55,7 @@
 		return false;
 	}
 	return heartbeat > o->rival_heartbeat &&
-	       now - o->rival_since >= WRITES_APART_MIN_MS;
+	       now - o->rival_since >= apart_ms;
 }
 
 static void add_former_(start_order_t *o, uint64_t start_id)
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -311,9 +311,14 @@
 static bool prevails_(const feed_state_t *s, feed_entry_t *e,
 		      const upstream_word_t *w, mstime_t now)
 {
+	const balance_upstream_t *u =
+		g_hash_table_lookup(s->gateway->balance.by_id, e->key);
+	bool left = !u || u->leaving;
+
 	return s->source == FEED_FROM_PLATFORM &&
 	       w->start_id != e->order.start_id &&
-	       start_order_contend(&e->order, w->start_id, w->heartbeat, now);
+	       start_order_contend(&e->order, w->start_id, w->heartbeat, left,
+				   now);
 }
 
 /*
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -847,6 +847,26 @@
 	return u ? u->start_id : 0;
 }
 
+/* What a start that has left wrote last, NULL for its removal. */
+static const char *const left_cases[] = { ENTRY("draining", 9, 2), NULL };
+
+/* Guards against several late writes of the start before that bring back an
+ * upstream which has left.
+ */
+START_TEST(test_late_writes_after_leaving)
+{
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	write_(&one, left_cases[_i], 41, 1200);
+	write_(&one, ENTRY("ready", 4, 70), 42, 2000);
+	write_(&one, ENTRY("ready", 4, 71), 43, 3200);
+	write_(&one, ENTRY("ready", 4, 72), 44, 4400);
+	ck_assert(!in_service_(&one));
+	/* One that goes on is a start whose clock went back. */
+	write_(&one, ENTRY("ready", 4, 74), 45, 6800);
+	ck_assert(in_service_(&one));
+}
+END_TEST
+
 /* Guards against a start that one node knows to have come after another by its
  * clock, and that counts as the latest at nodes that know a later one.
  */
@@ -996,6 +1016,8 @@
 	tcase_add_test(c, test_copy_corrects_a_late_write);
 	tcase_add_test(c, test_copy_corrects_a_restored_log);
 	tcase_add_test(c, test_correction_is_no_heartbeat);
+	tcase_add_loop_test(c, test_late_writes_after_leaving, 0,
+			    G_N_ELEMENTS(left_cases));
 	tcase_add_test(c, test_overruled_clock_of_an_older_epoch);
 	tcase_add_loop_test(c, test_overruled_clock_is_told, 0,
 			    G_N_ELEMENTS(told_cases));
--- a/tests/unit/test_start_order.c
+++ b/tests/unit/test_start_order.c
@@ -69,6 +69,22 @@
 	    { 900, 5, 1, 9 },
 	    { 2100, 4, 1, 9 },
 	    { 3300, 4, 2, 4 } } },
+	{ "writes of the start before that are late, while the next is silent",
+	  { { 0, 5, 1, 5 },
+	    { 1200, 5, 2, 5 },
+	    { 2000, 6, 1, 6 },
+	    { 3200, 6, 2, 6 },
+	    { 4000, 5, 3, 6 },
+	    { 5200, 5, 4, 6 },
+	    { 6400, 5, 5, 6 } } },
+	{ "a late write of a start that was not known, whose clock was ahead",
+	  { { 0, 5, 1, 5 },
+	    { 600, 9, 7, 9 },
+	    { 1200, 5, 2, 9 },
+	    { 2400, 5, 3, 9 },
+	    { 4800, 5, 5, 9 },
+	    { 6000, 5, 6, 5 },
+	    { 7200, 5, 7, 5 } } },
 	{ "upstreams that do not count what they write",
 	  { { 0, 9, 0, 9 },
 	    { 900, 5, 0, 9 },
@@ -86,7 +102,8 @@
 
 		if (order >= 0 ||
 		    (w->start != o.start_id &&
-		     start_order_contend(&o, w->start, w->heartbeat, w->at)))
+		     start_order_contend(&o, w->start, w->heartbeat, false,
+					 w->at)))
 			start_order_put(&o, w->start, w->heartbeat);
 		ck_assert_msg(o.start_id == w->in_force, "%s: start %d at %d",
 			      cases[_i].label, (int)o.start_id, (int)w->at);
