Feeds: between a start and the clocks that it overruled, no clock counts

Change: a start whose clock is no later than the last one that the start in force has overruled counts as older: it is in force once it has written twice, as any whose clock is behind. Starts whose clock has caught up with that one are taken at once.

--- a/include/kcf/start_order.h
+++ b/include/kcf/start_order.h
@@ -26,7 +26,8 @@
 	uint64_t rival_heartbeat;
 	mstime_t rival_since;
 	/* The last start by its clock that start_id came after, though its own
-	 * clock says otherwise; 0 if it does not.
+	 * clock says otherwise; 0 if it does not. Between the two clocks tell
+	 * nothing.
 	 */
 	uint64_t overruled;
 } start_order_t;
--- a/packages/decide/start_order.c
+++ b/packages/decide/start_order.c
@@ -28,8 +28,10 @@
 {
 	assert(o);
 	if (start_id != o->start_id)
-		return start_id < o->start_id || is_former_(o, start_id) ? -1
-									 : 1;
+		return start_id < o->start_id || start_id <= o->overruled ||
+				       is_former_(o, start_id)
+			       ? -1
+			       : 1;
 	if (heartbeat != o->heartbeat)
 		return heartbeat < o->heartbeat ? -1 : 1;
 	return 0;
