Feeds: a start that another one disputes does not vouch by a single write

Causes, by stream.settled, upstream.overtaken and play.log:

- Nodes that copy were told only of the end of the contest, by that write, and let the entry vouch for the 4.5 s before it.
- A start that came back into force by two late writes was vouched for by its entry for a time in which the entry had been another start's (entry_age_ms=4601).

Change: once a rival has written, the start in force is disputed until it has written twice, 1 s or more apart, with nothing in between; until then its writes and its entry are no sign of life, here and at nodes that copy ("contested"). An entry vouches only for the time since it is that of its start. A correction of another node, which is no write, does not end a contest either.

Each of the new unit cases in unit_feed_epochs fails with its part left out.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -85,7 +85,9 @@
 	/* What ties the entry to the process that answers at its address. */
 	mstime_t alive_at; /* it wrote its entry then, or later */
 	bool proven;	   /* the next request is known to reach it */
-	bool contested;	   /* another start has written its entry last */
+	bool contested;	   /* another start has written its entry */
+	/* Its entry was that of another start until then, or 0. */
+	mstime_t replaced_at;
 	bool refuted;	   /* a later start has answered */
 	/* It does not name its start when it is asked before, or has not. */
 	mstime_t nameless_until;
@@ -290,8 +292,8 @@
 bool balance_remove_upstream(balance_t *b, const char *id);
 
 /*
- * balance_set_contested - whether the last write under the id of an upstream is
- * not of the start in force, so that its entry does not tell that it lives.
+ * balance_set_contested - whether another start has written under the id of an
+ * upstream, so that the entry does not tell that the one in force lives.
  */
 void balance_set_contested(balance_t *b, const char *id, bool contested);
 
--- a/include/kcf/feed.h
+++ b/include/kcf/feed.h
@@ -48,6 +48,8 @@
 	 * an older copy.
 	 */
 	bool corrected;
+	/* Another start has written as well, see start_order. */
+	bool contested;
 	/* The last start by its clock that its own has come after all the same,
 	 * 0 for none, see start_order.
 	 */
--- a/include/kcf/start_order.h
+++ b/include/kcf/start_order.h
@@ -25,6 +25,11 @@
 	uint64_t rival;
 	uint64_t rival_heartbeat;
 	mstime_t rival_since;
+	/* Another one that may be the later one has written since start_id was
+	 * last known to go on.
+	 */
+	bool disputed;
+	mstime_t goes_on_since; /* it has written after that, 0 if not */
 	/* The last start by its clock that start_id came after, though its own
 	 * clock says otherwise; 0 if it does not. Between the two clocks tell
 	 * nothing.
@@ -61,7 +66,10 @@
 
 /*
  * start_order_put - brings a write into force.
+ *
+ * @read_at: 0 if it is known from elsewhere, and nothing was written
  */
-void start_order_put(start_order_t *o, uint64_t start_id, uint64_t heartbeat);
+void start_order_put(start_order_t *o, uint64_t start_id, uint64_t heartbeat,
+		     mstime_t read_at);
 
 #endif
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -136,6 +136,7 @@
 	balance_upstream_t *u = g_hash_table_lookup(b->by_id, spec->id);
 	bool changed = !u || !is_same_entry_(u, spec) ||
 		       (spec->cold_until > now && u->cold_until <= now);
+	bool replaced = u && u->start_id != spec->start_id;
 
 	assert(spec->slots > 0);
 	if (u && (u->start_id != spec->start_id ||
@@ -158,6 +159,7 @@
 		u->start_id = spec->start_id;
 		u->hash = str_hash64(str_of(spec->id), 0);
 		u->nameless_until = spec->start_id ? 0 : MSTIME_NEVER;
+		u->replaced_at = replaced ? now : 0;
 		u->key = (uint32_t)str_hash64(str_of(spec->id), spec->start_id);
 		restore_statement_(b, u);
 		g_hash_table_insert(b->by_id, u->id, u);
@@ -209,9 +211,10 @@
 
 static mstime_t alive_at_(const balance_t *b, const balance_upstream_t *u)
 {
-	return u->removed || u->contested
-		       ? u->alive_at
-		       : MAX(u->alive_at, b->entries_alive_at);
+	bool vouches = !u->removed && !u->contested &&
+		       b->entries_alive_at >= u->replaced_at;
+
+	return vouches ? MAX(u->alive_at, b->entries_alive_at) : u->alive_at;
 }
 
 bool balance_is_start(const balance_t *b, const balance_upstream_t *u,
--- a/packages/decide/start_order.c
+++ b/packages/decide/start_order.c
@@ -50,6 +50,10 @@
 							  : WRITES_APART_MIN_MS;
 
 	assert(o && start_id != o->start_id);
+	if (!is_past_(o, start_id)) {
+		o->disputed = true;
+		o->goes_on_since = 0;
+	}
 	if (start_id != o->rival) {
 		o->rival = start_id;
 		o->rival_heartbeat = heartbeat;
@@ -74,10 +78,26 @@
 	o->overruled = MAX(o->overruled, overruled);
 }
 
-void start_order_put(start_order_t *o, uint64_t start_id, uint64_t heartbeat)
+/* A single write after a rival's may be one that is late. */
+static void go_on_(start_order_t *o, mstime_t now)
+{
+	o->rival = 0;
+	if (!o->disputed)
+		return;
+	if (!o->goes_on_since)
+		o->goes_on_since = now;
+	else if (now - o->goes_on_since >= WRITES_APART_MIN_MS)
+		o->disputed = false;
+}
+
+void start_order_put(start_order_t *o, uint64_t start_id, uint64_t heartbeat,
+		     mstime_t read_at)
 {
 	assert(o);
-	if (start_id != o->start_id) {
+	if (start_id == o->start_id) {
+		if (read_at)
+			go_on_(o, read_at);
+	} else {
 		bool overrules =
 			start_order_compare(o, start_id, heartbeat) < 0;
 		uint64_t last = MAX(o->overruled, o->start_id);
@@ -91,8 +111,9 @@
 				o->former[i] = 0;
 		}
 		add_former_(o, o->start_id);
+		o->disputed = false;
+		o->rival = 0;
 	}
 	o->start_id = start_id;
 	o->heartbeat = heartbeat;
-	o->rival = 0;
 }
--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -81,6 +81,8 @@
 				    json_integer((json_int_t)e->epoch));
 	if (e->corrected)
 		json_object_set_new(entry, "corrected", json_true());
+	else if (data && e->contested)
+		json_object_set_new(entry, "contested", json_true());
 	if (data && e->order.overruled)
 		json_object_set_new(
 			entry, "overruled",
@@ -531,6 +533,7 @@
 		.epoch = read_number_(entry, "epoch"),
 		.removed = !json_object_get(entry, "bytes"),
 		.corrected = json_is_true(json_object_get(entry, "corrected")),
+		.contested = json_is_true(json_object_get(entry, "contested")),
 		.overruled = read_number_(entry, "overruled"),
 		.start_id = read_number_(entry, "start"),
 		.heartbeat = read_number_(entry, "heartbeat"),
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -223,10 +223,13 @@
 		remove_upstream_(s, e->key, r->offset, "entry unreadable");
 	} else {
 		spec.id = e->key;
-		start_order_put(&e->order, spec.start_id, spec.heartbeat);
+		/* What is corrected was not written at its offset. */
+		start_order_put(&e->order, spec.start_id, spec.heartbeat,
+				r->corrected ? 0 : now);
 		start_order_tell(&e->order, r->overruled);
 		changed = balance_put_upstream(&g->balance, &spec, now);
-		record_alive_(s, spec.id, r);
+		if (!e->order.disputed)
+			record_alive_(s, spec.id, r);
 		resumes_observe(g, e->key, now);
 		if (changed)
 			log_entry_(s, &spec, r, now);
@@ -259,7 +262,7 @@
 		return apply_upstream_entry_(s, e, r, now);
 	e->removed_at = now;
 	if (r->start_id)
-		start_order_put(&e->order, r->start_id, r->heartbeat);
+		start_order_put(&e->order, r->start_id, r->heartbeat, now);
 	if (!g_hash_table_contains(s->gateway->balance.by_id, e->key))
 		return true;
 	if (!defer_removal_(s, e->key, now))
@@ -390,6 +393,13 @@
 	}
 }
 
+static void set_contested_(feed_state_t *s, feed_entry_t *e, bool contested)
+{
+	e->contested = contested;
+	if (s->feed == FEED_UPSTREAMS)
+		balance_set_contested(&s->gateway->balance, e->key, contested);
+}
+
 static void record_change_(feed_state_t *s, feed_entry_t *e)
 {
 	if (e->epoch != s->epoch)
@@ -407,7 +417,7 @@
 {
 	bool changed;
 	bool in_force = apply_content_(s, e, r, now, &changed);
-	bool was_corrected = e->corrected;
+	bool was_contested = e->contested;
 
 	e->epoch = epoch_(s, r);
 	e->offset = r->offset;
@@ -416,10 +426,8 @@
 		r->corrected || (!in_force && (e->data || e->removed_at));
 	if (in_force)
 		store_data_(e, r);
-	if (s->feed == FEED_UPSTREAMS)
-		balance_set_contested(&s->gateway->balance, e->key,
-				      e->corrected);
-	if (changed || e->corrected || was_corrected)
+	set_contested_(s, e, e->corrected || e->order.disputed || r->contested);
+	if (changed || e->corrected || e->contested != was_contested)
 		record_change_(s, e);
 }
 
@@ -499,8 +507,7 @@
 	}
 	/* The log's record is of an older copy. */
 	e->corrected = true;
-	if (s->feed == FEED_UPSTREAMS)
-		balance_set_contested(&s->gateway->balance, e->key, true);
+	set_contested_(s, e, true);
 	record_change_(s, e);
 }
 
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -882,6 +882,86 @@
 }
 END_TEST
 
+/* Guards against a correction that counts as a write of the start before, so
+ * that the next one, whose clock went back, does not come into force.
+ */
+START_TEST(test_correction_between_two_writes)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_record_t r = { .key = str_of("u"),
+			    .data = str_of(ENTRY("ready", 9, 1)),
+			    .offset = 42,
+			    .corrected = true };
+
+	write_(&one, r.data.data, 40, 0);
+	write_(&one, ENTRY("ready", 5, 1), 41, 600);
+	s->source = FEED_FROM_NODE;
+	feeds_apply_record(s, &r, NOW + 700);
+	ck_assert_uint_eq(start_of_(&one), 9);
+	write_(&one, ENTRY("ready", 5, 2), 43, 1800);
+	ck_assert_uint_eq(start_of_(&one), 5);
+}
+END_TEST
+
+/* Guards against a late write that counts as a sign of life of a start that
+ * has ended, while the next one, whose clock went back, is not in force yet.
+ */
+START_TEST(test_late_write_of_a_disputed_start)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	const balance_upstream_t *u;
+
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	write_(&one, ENTRY("ready", 5, 1), 41, 1200);
+	feeds_set_end(s, 42, NOW + 1200);
+	write_(&one, ENTRY("ready", 9, 2), 42, 1900);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u->alive_at < NOW + 1200 && u->contested);
+	feeds_set_end(s, 43, NOW + 1900);
+	write_(&one, ENTRY("ready", 9, 3), 43, 3100);
+	ck_assert(u->alive_at == NOW + 1900 && !u->contested);
+}
+END_TEST
+
+/* The same at a node that copies from the one that has read it. */
+START_TEST(test_dispute_is_told)
+{
+	const balance_upstream_t *u;
+
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	sync_(&one, &two);
+	write_(&one, ENTRY("ready", 5, 1), 41, 1200);
+	write_(&one, ENTRY("ready", 9, 2), 42, 1900);
+	sync_(&one, &two);
+	u = g_hash_table_lookup(two.balance.by_id, "u");
+	ck_assert(u && u->contested);
+	write_(&one, ENTRY("ready", 9, 3), 43, 3100);
+	sync_(&one, &two);
+	ck_assert(!u->contested);
+}
+END_TEST
+
+/* Guards against an entry that vouches for the time in which it was that of
+ * another start.
+ */
+START_TEST(test_entry_of_another_start)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	const balance_upstream_t *u;
+
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	write_(&one, ENTRY("ready", 5, 1), 41, 1200);
+	write_(&one, ENTRY("ready", 5, 2), 42, 2400);
+	write_(&one, ENTRY("ready", 9, 2), 43, 3600);
+	write_(&one, ENTRY("ready", 9, 3), 44, 4800);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u && u->start_id == 9);
+	ck_assert(!balance_is_start(&one.balance, u, NOW + 100, 0));
+	feeds_set_current(s, NOW + 10000, 45);
+	ck_assert(balance_is_start(&one.balance, u, NOW + 100, 0));
+}
+END_TEST
+
 /* Guards against a start that one node knows to have come after another by its
  * clock, and that counts as the latest at nodes that know a later one.
  */
@@ -1035,6 +1115,10 @@
 	tcase_add_loop_test(c, test_late_writes_after_leaving, 0,
 			    G_N_ELEMENTS(left_cases));
 	tcase_add_test(c, test_late_write_between_clocks);
+	tcase_add_test(c, test_correction_between_two_writes);
+	tcase_add_test(c, test_late_write_of_a_disputed_start);
+	tcase_add_test(c, test_dispute_is_told);
+	tcase_add_test(c, test_entry_of_another_start);
 	tcase_add_test(c, test_overruled_clock_of_an_older_epoch);
 	tcase_add_loop_test(c, test_overruled_clock_is_told, 0,
 			    G_N_ELEMENTS(told_cases));
--- a/tests/unit/test_start_order.c
+++ b/tests/unit/test_start_order.c
@@ -4,6 +4,7 @@
 #include <kcf/start_order.h>
 
 #define WRITES_MAX 8
+#define NOW 1000000
 
 /* A write, and the start that is in force after it. */
 typedef struct write {
@@ -100,31 +101,83 @@
 	    { 2200, 9, 0, 9 } } },
 };
 
+static void write_(start_order_t *o, const write_t *w)
+{
+	int order = start_order_compare(o, w->start, w->heartbeat);
+
+	if (order >= 0 || (w->start != o->start_id &&
+			   start_order_contend(o, w->start, w->heartbeat, false,
+					       NOW + w->at)))
+		start_order_put(o, w->start, w->heartbeat, NOW + w->at);
+}
+
 START_TEST(test_start_in_force)
 {
 	start_order_t o = { 0 };
 
 	for (int i = 0; i < WRITES_MAX && cases[_i].writes[i].start; i++) {
 		const write_t *w = &cases[_i].writes[i];
-		int order = start_order_compare(&o, w->start, w->heartbeat);
-
-		if (order >= 0 ||
-		    (w->start != o.start_id &&
-		     start_order_contend(&o, w->start, w->heartbeat, false,
-					 w->at)))
-			start_order_put(&o, w->start, w->heartbeat);
+		write_(&o, w);
 		ck_assert_msg(o.start_id == w->in_force, "%s: start %d at %d",
 			      cases[_i].label, (int)o.start_id, (int)w->at);
 	}
 }
 END_TEST
 
+/* Whether the start in force may be one that has ended, after all writes. */
+static const struct {
+	const char *label;
+	write_t writes[WRITES_MAX];
+	bool disputed;
+} dispute_cases[] = {
+	{ "one start", { { 0, 5, 1 }, { 1200, 5, 2 } }, false },
+	{ "a start whose clock is behind has written",
+	  { { 0, 6, 1 }, { 1200, 5, 1 } },
+	  true },
+	{ "a late write of the one in force after that",
+	  { { 0, 6, 1 }, { 1200, 5, 1 }, { 1300, 6, 2 } },
+	  true },
+	{ "two of them at once",
+	  { { 0, 6, 1 }, { 1200, 5, 1 }, { 1300, 6, 2 }, { 1310, 6, 3 } },
+	  true },
+	{ "the other one has written between them",
+	  { { 0, 6, 1 },
+	    { 1200, 5, 1 },
+	    { 1300, 6, 2 },
+	    { 2400, 5, 2 },
+	    { 2500, 6, 3 } },
+	  true },
+	{ "it goes on",
+	  { { 0, 6, 1 }, { 1200, 5, 1 }, { 1300, 6, 2 }, { 2500, 6, 3 } },
+	  false },
+	{ "the other one comes into force",
+	  { { 0, 6, 1 }, { 1200, 5, 1 }, { 2400, 5, 2 } },
+	  false },
+	{ "a late write of a start that the next one has followed",
+	  { { 0, 5, 1 }, { 800, 6, 1 }, { 900, 5, 2 } },
+	  false },
+};
+
+START_TEST(test_disputed_start)
+{
+	start_order_t o = { 0 };
+
+	for (int i = 0; i < WRITES_MAX && dispute_cases[_i].writes[i].start;
+	     i++)
+		write_(&o, &dispute_cases[_i].writes[i]);
+	ck_assert_msg(o.disputed == dispute_cases[_i].disputed, "%s",
+		      dispute_cases[_i].label);
+}
+END_TEST
+
 Suite *start_order_suite(void)
 {
 	Suite *s = suite_create("start_order");
 	TCase *c = tcase_create("start_order");
 
 	tcase_add_loop_test(c, test_start_in_force, 0, G_N_ELEMENTS(cases));
+	tcase_add_loop_test(c, test_disputed_start, 0,
+			    G_N_ELEMENTS(dispute_cases));
 	suite_add_tcase(s, c);
 	return s;
 }
