Feeds: a start whose clock went back is told again while others may copy in turn

Cause: a node that copies asks for what has changed since the offset to which it knows the log, at several nodes in turn. Where these differ in which start is in force, as after late writes that they read at different times, it has had the offset of a change from a node that differed, and the one that would set it right is not sent again: it holds a start that has ended, or none, until the entry changes.

Change: an entry whose start has overruled a clock counts as changed at each heartbeat for 10 s after it came into force. Entries of starts whose clocks go on are sent as before.

--- a/include/kcf/start_order.h
+++ b/include/kcf/start_order.h
@@ -35,6 +35,7 @@
 	 * nothing.
 	 */
 	uint64_t overruled;
+	mstime_t since; /* start_id came into force then, 0 if not known */
 } start_order_t;
 
 /*
--- a/packages/decide/start_order.c
+++ b/packages/decide/start_order.c
@@ -113,6 +113,7 @@
 		add_former_(o, o->start_id);
 		o->disputed = false;
 		o->rival = 0;
+		o->since = read_at;
 	}
 	o->start_id = start_id;
 	o->heartbeat = heartbeat;
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -21,6 +21,8 @@
  * three that are missing.
  */
 #define ENTRY_LAPSE_MS 4500
+/* A start whose clock went back is told again and again for this long. */
+#define RETOLD_MS 10000
 /* A node that starts, or sees a new epoch, asks for a copy for this long; then
  * there is no other node.
  */
@@ -400,6 +402,12 @@
 		balance_set_contested(&s->gateway->balance, e->key, contested);
 }
 
+/* Others may copy from nodes in turn that differ until then. */
+static bool is_retold_(const feed_entry_t *e, mstime_t now)
+{
+	return e->order.overruled && now - e->order.since < RETOLD_MS;
+}
+
 static void record_change_(feed_state_t *s, feed_entry_t *e)
 {
 	if (e->epoch != s->epoch)
@@ -427,7 +435,8 @@
 	if (in_force)
 		store_data_(e, r);
 	set_contested_(s, e, e->corrected || e->order.disputed || r->contested);
-	if (changed || e->corrected || e->contested != was_contested)
+	if (changed || e->corrected || e->contested != was_contested ||
+	    is_retold_(e, now))
 		record_change_(s, e);
 }
 
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -962,6 +962,109 @@
 }
 END_TEST
 
+#define FUZZ_SEEDS 2000
+#define FUZZ_WRITES_MAX 64
+#define FUZZ_EVENTS 24
+/* Writes of the start that lives on, until all know it. */
+#define FUZZ_LIVE_WRITES 10
+#define FUZZ_HEARTBEAT_MS 1200
+
+/* A log that two nodes read, and a third that copies from them. */
+typedef struct fuzz {
+	GRand *rand;
+	char *log[FUZZ_WRITES_MAX]; /* NULL for a removal */
+	uint64_t end;
+	uint64_t next[2]; /* of the readers */
+	uint64_t heartbeat;
+	mstime_t after;
+} fuzz_t;
+
+static const int fuzz_starts[] = { 4, 5, 7, 9, 12 };
+
+static void fuzz_write_(fuzz_t *z, int start, const char *state)
+{
+	z->log[z->end++] = g_strdup_printf(
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"zone\":\"z\",\"version\":\"v%d\",\"slot_count\":8,"
+		"\"state\":\"%s\",\"born\":%d,\"sequence\":%d}",
+		start, state, start, (int)++z->heartbeat);
+}
+
+static void fuzz_read_(fuzz_t *z, int reader)
+{
+	gateway_t *g = reader ? &two : &one;
+
+	for (; z->next[reader] < z->end; z->next[reader]++)
+		write_(g, z->log[z->next[reader]], z->next[reader], z->after);
+}
+
+static void fuzz_event_(fuzz_t *z)
+{
+	gateway_t *const nodes[] = { &one, &two, &third };
+	int from = g_rand_int_range(z->rand, 0, 2);
+	int start = g_rand_int_range(z->rand, 0, G_N_ELEMENTS(fuzz_starts));
+
+	switch (g_rand_int_range(z->rand, 0, 8)) {
+	case 0:
+	case 1:
+	case 2:
+		fuzz_write_(z, fuzz_starts[start],
+			    g_rand_int_range(z->rand, 0, 4) ? "ready"
+							    : "draining");
+		break;
+	case 3:
+		z->log[z->end++] = NULL;
+		break;
+	case 4:
+	case 5:
+		fuzz_read_(z, from);
+		break;
+	case 6:
+		sync_(nodes[from], &third);
+		break;
+	case 7:
+		/* One that is cut off from the platform copies. */
+		sync_(nodes[from ? 2 : 1], &one);
+		break;
+	}
+	z->after += g_rand_int_range(z->rand, 0, 1500);
+}
+
+/* Guards against starts that are lost for good, and nodes that go on to differ,
+ * whatever was written before.
+ */
+START_TEST(test_live_start_prevails)
+{
+	for (guint32 seed = 1; seed <= FUZZ_SEEDS; seed++) {
+		fuzz_t z = { .rand = g_rand_new_with_seed(seed) };
+		int live;
+
+		setup_();
+		for (int i = 0; i < FUZZ_EVENTS; i++)
+			fuzz_event_(&z);
+		live = fuzz_starts[g_rand_int_range(z.rand, 0,
+						    G_N_ELEMENTS(fuzz_starts))];
+		for (int i = 0; i < FUZZ_LIVE_WRITES; i++) {
+			fuzz_write_(&z, live, "ready");
+			z.after += FUZZ_HEARTBEAT_MS;
+			fuzz_read_(&z, 0);
+			fuzz_read_(&z, 1);
+			sync_(i % 2 ? &one : &two, &third);
+		}
+		ck_assert_msg(start_of_(&one) == (uint64_t)live &&
+				      start_of_(&two) == (uint64_t)live &&
+				      start_of_(&third) == (uint64_t)live,
+			      "seed %u: start %d, known %d, %d, %d", seed, live,
+			      (int)start_of_(&one), (int)start_of_(&two),
+			      (int)start_of_(&third));
+		for (uint64_t i = 0; i < z.end; i++)
+			g_free(z.log[i]);
+		g_rand_free(z.rand);
+		teardown_();
+	}
+}
+END_TEST
+
 /* Guards against a start that one node knows to have come after another by its
  * clock, and that counts as the latest at nodes that know a later one.
  */
@@ -1125,6 +1228,9 @@
 	tcase_add_test(c, test_missing_after_a_restore);
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
+	c = tcase_create("feed_epochs_any");
+	tcase_add_test(c, test_live_start_prevails);
+	suite_add_tcase(s, c);
 	return s;
 }
 
