Feeds: what writes again after a restore is told to nodes that copy

Cause: an entry that the restored store lacks is kept as of the older epoch until it had time to be written again, 6 s. Once its upstream writes again, the nodes that read the store know it as of the new epoch; as that is a mere heartbeat, those that copy were not told, and dropped it. The upstream, which lives on, was lost to them until its entry changed (its start, its leaving) or they started again.

scenario_written_again_after_restore (eight nodes; an upstream registers after the copy, the store is restored, all go on to write): g3 to g8 log feed.dropped and upstream.gone 6 s later on; fails at g3 as well. Where nothing else writes, the unit case passes on the old code, as the offset of the old change counts.

Change: a record that brings an entry into a later epoch counts as a change, once for each entry and restore. After: passes; the unit case fails before.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -502,6 +502,8 @@
 
 	if (later && newer) {
 		apply_(s, e, r, now);
+		/* Nodes that copy know it as of the older epoch. */
+		record_change_(s, e);
 		return;
 	}
 	if (!later && !newer)
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -1178,6 +1178,33 @@
 }
 END_TEST
 
+/* Guards against an upstream that nodes which copy drop, though it has written
+ * again what the restored log lacks.
+ */
+START_TEST(test_written_again_after_a_restore)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+
+	feeds_observe_epoch(&one, 1, NOW);
+	write_(&one, ENTRY("ready", 5, 1), 40, 0);
+	sync_(&one, &two);
+	feeds_observe_epoch(&one, 2, NOW);
+	feeds_begin_scan(s);
+	feeds_end_scan(s, 20, NOW, NOW);
+	feeds_observe_epoch(&two, 2, NOW);
+	sync_(&one, &two);
+	/* Others write before it. */
+	feeds_set_current(s, NOW, 45);
+	sync_(&one, &two);
+	ck_assert(knows_(&two, "u"));
+	write_(&one, ENTRY("ready", 5, 2), 45, 600);
+	sync_(&one, &two);
+	feeds_apply_deferred_removals(&two.feed_states[FEED_UPSTREAMS],
+				      NOW + 10000);
+	ck_assert(knows_(&two, "u"));
+}
+END_TEST
+
 /* A held request for changes was answered with offsets of another epoch. */
 START_TEST(test_changes_of_another_epoch_are_not_applied)
 {
@@ -1226,6 +1253,7 @@
 	tcase_add_loop_test(c, test_overruled_clock_is_told, 0,
 			    G_N_ELEMENTS(told_cases));
 	tcase_add_test(c, test_missing_after_a_restore);
+	tcase_add_test(c, test_written_again_after_a_restore);
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
 	c = tcase_create("feed_epochs_any");
