Feeds: a node that copies knows that a start is disputed when it begins to read

Cause, by the nodes' logs: g5 copied, knew from others that engine-1 was contested, and began to read the platform itself when these were cut off.

Change: what another node says of a contest counts as read. That an entry is no longer corrected is told at once again, not only when the contest is over.

--- a/include/kcf/start_order.h
+++ b/include/kcf/start_order.h
@@ -65,6 +65,12 @@
  */
 void start_order_tell(start_order_t *o, uint64_t overruled);
 
+/*
+ * start_order_set_disputed - notes what another node knows: whether the start
+ * in force is disputed.
+ */
+void start_order_set_disputed(start_order_t *o, bool disputed);
+
 /*
  * start_order_put - brings a write into force.
  *
--- a/packages/decide/start_order.c
+++ b/packages/decide/start_order.c
@@ -78,6 +78,13 @@
 	o->overruled = MAX(o->overruled, overruled);
 }
 
+void start_order_set_disputed(start_order_t *o, bool disputed)
+{
+	assert(o);
+	o->disputed = disputed;
+	o->goes_on_since = 0;
+}
+
 /* A single write after a rival's may be one that is late. */
 static void go_on_(start_order_t *o, mstime_t now)
 {
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -230,7 +230,7 @@
 				r->corrected ? 0 : now);
 		start_order_tell(&e->order, r->overruled);
 		changed = balance_put_upstream(&g->balance, &spec, now);
-		if (!e->order.disputed)
+		if (!e->order.disputed && !r->contested)
 			record_alive_(s, spec.id, r);
 		resumes_observe(g, e->key, now);
 		if (changed)
@@ -425,6 +425,7 @@
 {
 	bool changed;
 	bool in_force = apply_content_(s, e, r, now, &changed);
+	bool was_corrected = e->corrected;
 	bool was_contested = e->contested;
 
 	e->epoch = epoch_(s, r);
@@ -434,9 +435,12 @@
 		r->corrected || (!in_force && (e->data || e->removed_at));
 	if (in_force)
 		store_data_(e, r);
-	set_contested_(s, e, e->corrected || e->order.disputed || r->contested);
-	if (changed || e->corrected || e->contested != was_contested ||
-	    is_retold_(e, now))
+	if (s->source == FEED_FROM_NODE)
+		start_order_set_disputed(&e->order,
+					 e->corrected || r->contested);
+	set_contested_(s, e, e->corrected || e->order.disputed);
+	if (changed || e->corrected || was_corrected ||
+	    e->contested != was_contested || is_retold_(e, now))
 		record_change_(s, e);
 }
 
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -935,7 +935,12 @@
 	sync_(&one, &two);
 	u = g_hash_table_lookup(two.balance.by_id, "u");
 	ck_assert(u && u->contested);
-	write_(&one, ENTRY("ready", 9, 3), 43, 3100);
+	/* It begins to read by itself. */
+	feeds_set_end(&two.feed_states[FEED_UPSTREAMS], 43, NOW + 1900);
+	write_(&two, ENTRY("ready", 9, 3), 43, 2000);
+	ck_assert(u->alive_at < NOW + 1900 && u->contested);
+	write_(&one, ENTRY("ready", 9, 3), 43, 2000);
+	write_(&one, ENTRY("ready", 9, 4), 44, 3100);
 	sync_(&one, &two);
 	ck_assert(!u->contested);
 }
