Feeds: a start is disputed by what is read after a restore as well

Change: what counts as older by its epoch disputes the start in force where it is of another one. The unit case fails before.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -496,6 +496,16 @@
 	}
 }
 
+/* It is of an older copy, or of a start whose clock went back. */
+static bool is_of_other_start_(const feed_state_t *s, const feed_entry_t *e,
+			       const feed_record_t *r, mstime_t now)
+{
+	upstream_word_t w;
+
+	return s->feed == FEED_UPSTREAMS && read_word_(s, r, now, &w) &&
+	       w.start_id != e->order.start_id;
+}
+
 /* Merges a record of another epoch than its entry. */
 static void merge_(feed_state_t *s, feed_entry_t *e, const feed_record_t *r,
 		   mstime_t now)
@@ -520,6 +530,8 @@
 			return;
 		store_data_(e, r);
 	}
+	if (later && is_of_other_start_(s, e, r, now))
+		start_order_set_disputed(&e->order, true);
 	/* The log's record is of an older copy. */
 	e->corrected = true;
 	set_contested_(s, e, true);
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -923,6 +923,24 @@
 }
 END_TEST
 
+/* The same where the next start's first write is read after a restore. */
+START_TEST(test_dispute_after_a_restore)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	const balance_upstream_t *u;
+
+	feeds_observe_epoch(&one, 1, NOW);
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	feeds_observe_epoch(&one, 2, NOW);
+	write_(&one, ENTRY("ready", 5, 1), 20, 1200);
+	feeds_set_end(s, 21, NOW + 1200);
+	write_(&one, ENTRY("ready", 9, 2), 21, 1300);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u && u->start_id == 9);
+	ck_assert(u->alive_at < NOW + 1200 && u->contested);
+}
+END_TEST
+
 /* The same at a node that copies from the one that has read it. */
 START_TEST(test_dispute_is_told)
 {
@@ -1252,6 +1270,7 @@
 	tcase_add_test(c, test_late_write_between_clocks);
 	tcase_add_test(c, test_correction_between_two_writes);
 	tcase_add_test(c, test_late_write_of_a_disputed_start);
+	tcase_add_test(c, test_dispute_after_a_restore);
 	tcase_add_test(c, test_dispute_is_told);
 	tcase_add_test(c, test_entry_of_another_start);
 	tcase_add_test(c, test_overruled_clock_of_an_older_epoch);
