Feeds: nodes that differ in the start of an upstream compare again

Cause: a node that copies learns of a start once, when it comes into force at the node that is asked. Where that one knows nothing of the start before, as it has started since or the store was restored, it cannot say that the clock went back, and the copying node keeps the start that has ended until the entry changes.

Change: a node that was told of a start which it holds for an older one asks for all upstreams again after 5 s. What another node then still has in force, with later writes, and nobody disputes, is so: the same rule as for what is read, over 4.5 s.

Ruled out: telling each start for some time after a node has started (all entries of a large fleet at each heartbeat).

--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -744,12 +744,13 @@
 			  mstime_t now)
 {
 	const feed_state_t *operators = &g->feed_states[FEED_OPERATORS];
-	const feed_state_t *upstreams = &g->feed_states[FEED_UPSTREAMS];
+	feed_state_t *upstreams = &g->feed_states[FEED_UPSTREAMS];
 	bool start = !operators->complete || !upstreams->complete;
 	/* A node that has just started may have read an older copy of the log:
 	 * its first request asks for all.
 	 */
 	bool first = now < g->first_copy_until;
+	bool all = feeds_take_ask_all(upstreams, now) || first;
 	mstime_t hold = stale && !start
 				? 0
 				: gateway_limit_fraction_ms(g, HOLD_FRACTION);
@@ -766,7 +767,7 @@
 		"&upstreams=%" G_GUINT64_FORMAT "&epoch=%" G_GUINT64_FORMAT
 		"&hold_ms=%" G_GINT64_FORMAT,
 		address, GATEWAY_FEEDS_PATH, first ? 0 : operators->next_offset,
-		first ? 0 : upstreams->next_offset, operators->epoch, hold);
+		all ? 0 : upstreams->next_offset, operators->epoch, hold);
 
 	spec.url = url;
 	counter_add(COUNTER_FEED_CALLS, 1);
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -23,6 +23,10 @@
 #define ENTRY_LAPSE_MS 4500
 /* A start whose clock went back is told again and again for this long. */
 #define RETOLD_MS 10000
+/* Nodes that differ in the start of an upstream compare all they know after
+ * this; by then one that lives has written several times.
+ */
+#define DIFFER_MAX_MS 5000
 /* A node that starts, or sees a new epoch, asks for a copy for this long; then
  * there is no other node.
  */
@@ -311,18 +315,22 @@
 
 /*
  * Whether the record is of a start that has come since, with a clock that is
- * behind. Other nodes send what they have in force.
+ * behind. Other nodes send what they have in force; what they go on to send,
+ * and nobody disputes, is so.
  */
 static bool prevails_(const feed_state_t *s, feed_entry_t *e,
-		      const upstream_word_t *w, mstime_t now)
+		      const feed_record_t *r, const upstream_word_t *w,
+		      mstime_t now)
 {
 	const balance_upstream_t *u =
 		g_hash_table_lookup(s->gateway->balance.by_id, e->key);
-	bool left = !u || u->leaving;
+	bool told = s->source == FEED_FROM_NODE;
+	bool left = told || !u || u->leaving;
 
-	return s->source == FEED_FROM_PLATFORM &&
-	       w->start_id != e->order.start_id &&
-	       start_order_contend(&e->order, w->start_id, w->heartbeat, left,
+	if (w->start_id == e->order.start_id ||
+	    (told && (r->corrected || r->contested)))
+		return false;
+	return start_order_contend(&e->order, w->start_id, w->heartbeat, left,
 				   now);
 }
 
@@ -340,7 +348,7 @@
 	if (r->removed || !read_word_(s, r, now, &w))
 		return false;
 	order = compare_word_(&w, e, r);
-	if (order > 0 || (order < 0 && prevails_(s, e, &w, now)))
+	if (order > 0 || (order < 0 && prevails_(s, e, r, &w, now)))
 		return false;
 	/* What an upstream said before its removal does not bring it back, if
 	 * it counts what it says.
@@ -395,6 +403,14 @@
 	}
 }
 
+/* Another node has something else in force. */
+static void note_differs_(feed_state_t *s, mstime_t now)
+{
+	if (s->feed == FEED_UPSTREAMS && s->source == FEED_FROM_NODE &&
+	    !s->ask_all_at)
+		s->ask_all_at = now + DIFFER_MAX_MS;
+}
+
 static void set_contested_(feed_state_t *s, feed_entry_t *e, bool contested)
 {
 	e->contested = contested;
@@ -435,6 +451,8 @@
 		r->corrected || (!in_force && (e->data || e->removed_at));
 	if (in_force)
 		store_data_(e, r);
+	if (!in_force)
+		note_differs_(s, now);
 	if (s->source == FEED_FROM_NODE)
 		start_order_set_disputed(&e->order,
 					 e->corrected || r->contested);
@@ -530,6 +548,8 @@
 			return;
 		store_data_(e, r);
 	}
+	if (later)
+		note_differs_(s, now);
 	if (later && is_of_other_start_(s, e, r, now))
 		start_order_set_disputed(&e->order, true);
 	/* The log's record is of an older copy. */
@@ -790,6 +810,14 @@
 	s->fallback_at = 0;
 }
 
+bool feeds_take_ask_all(feed_state_t *s, mstime_t now)
+{
+	if (!s->ask_all_at || now < s->ask_all_at)
+		return false;
+	s->ask_all_at = 0;
+	return true;
+}
+
 bool feeds_is_recently_removed(const feed_entry_t *e, mstime_t now)
 {
 	return !e->data && e->order.start_id &&
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -91,6 +91,8 @@
 	 * or 0.
 	 */
 	mstime_t drop_older_at;
+	/* All is asked for then, as another node differs; 0 for never. */
+	mstime_t ask_all_at;
 	mstime_t current_as_of; /* all records written before are known */
 	/* Records from this offset on were written after this time. */
 	uint64_t end_offset;
@@ -290,6 +292,11 @@
  * @epoch: 0 is ignored
  */
 void feeds_observe_epoch(gateway_t *g, uint64_t epoch, mstime_t now);
+/*
+ * feeds_take_ask_all - whether the next request to another node is for all that
+ * it knows, as one differed before; once each time.
+ */
+bool feeds_take_ask_all(feed_state_t *s, mstime_t now);
 /* Whether copies still tell of the removal of an upstream. */
 bool feeds_is_recently_removed(const feed_entry_t *e, mstime_t now);
 /*
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -989,15 +989,17 @@
 #define FUZZ_WRITES_MAX 64
 #define FUZZ_EVENTS 24
 /* Writes of the start that lives on, until all know it. */
-#define FUZZ_LIVE_WRITES 10
+#define FUZZ_LIVE_WRITES 14
 #define FUZZ_HEARTBEAT_MS 1200
+#define FUZZ_MAX_S 30
 
 /* A log that two nodes read, and a third that copies from them. */
 typedef struct fuzz {
 	GRand *rand;
 	char *log[FUZZ_WRITES_MAX]; /* NULL for a removal */
 	uint64_t end;
-	uint64_t next[2]; /* of the readers */
+	uint64_t copied; /* end of the copy to which a restore goes back */
+	uint64_t epoch;
 	uint64_t heartbeat;
 	mstime_t after;
 } fuzz_t;
@@ -1013,12 +1015,60 @@
 		start, state, start, (int)++z->heartbeat);
 }
 
-static void fuzz_read_(fuzz_t *z, int reader)
+/* Reads the latest record, then what came after it. */
+static void fuzz_read_(fuzz_t *z, gateway_t *g)
 {
-	gateway_t *g = reader ? &two : &one;
+	feed_state_t *s = &g->feed_states[FEED_UPSTREAMS];
+	mstime_t now = NOW + z->after;
+
+	feeds_observe_epoch(g, z->epoch, now);
+	s->source = FEED_FROM_PLATFORM;
+	if (!s->complete) {
+		feeds_begin_scan(s);
+		if (z->end && z->log[z->end - 1])
+			write_(g, z->log[z->end - 1], z->end - 1, z->after);
+		feeds_end_scan(s, z->end, now, now);
+	}
+	while (s->next_offset < z->end)
+		write_(g, z->log[s->next_offset], s->next_offset, z->after);
+	feeds_apply_deferred_removals(s, now);
+}
+
+static void fuzz_copy_(gateway_t *from, gateway_t *to, mstime_t after)
+{
+	feed_state_t *s = &to->feed_states[FEED_UPSTREAMS];
+	const feed_state_t *source = &from->feed_states[FEED_UPSTREAMS];
+	GString *bytes = g_string_new(NULL);
+	mstime_t now = NOW + after;
+	json_t *feed;
+	str_t payload;
 
-	for (; z->next[reader] < z->end; z->next[reader]++)
-		write_(g, z->log[z->next[reader]], z->next[reader], z->after);
+	feeds_observe_epoch(from, s->epoch, now);
+	feed = feed_sync_encode(source,
+				s->epoch != source->epoch ||
+						feeds_take_ask_all(s, now)
+					? 0
+					: s->next_offset,
+				now, bytes);
+	payload = (str_t){ bytes->str, bytes->len };
+	feed_sync_apply(s, feed, &payload, now, now);
+	feeds_apply_deferred_removals(s, now);
+	json_decref(feed);
+	g_string_free(bytes, TRUE);
+}
+
+static void fuzz_restart_(gateway_t *g)
+{
+	finish_(g);
+	init_(g);
+}
+
+static void fuzz_restore_(fuzz_t *z)
+{
+	for (uint64_t i = z->copied; i < z->end; i++)
+		g_clear_pointer(&z->log[i], g_free);
+	z->end = z->copied;
+	z->epoch++;
 }
 
 static void fuzz_event_(fuzz_t *z)
@@ -1027,7 +1077,7 @@
 	int from = g_rand_int_range(z->rand, 0, 2);
 	int start = g_rand_int_range(z->rand, 0, G_N_ELEMENTS(fuzz_starts));
 
-	switch (g_rand_int_range(z->rand, 0, 8)) {
+	switch (g_rand_int_range(z->rand, 0, 11)) {
 	case 0:
 	case 1:
 	case 2:
@@ -1040,14 +1090,23 @@
 		break;
 	case 4:
 	case 5:
-		fuzz_read_(z, from);
+		fuzz_read_(z, nodes[from]);
 		break;
 	case 6:
-		sync_(nodes[from], &third);
+		fuzz_copy_(nodes[from], &third, z->after);
 		break;
 	case 7:
 		/* One that is cut off from the platform copies. */
-		sync_(nodes[from ? 2 : 1], &one);
+		fuzz_copy_(nodes[from ? 2 : 1], &one, z->after);
+		break;
+	case 8:
+		z->copied = z->end;
+		break;
+	case 9:
+		fuzz_restore_(z);
+		break;
+	case 10:
+		fuzz_restart_(nodes[g_rand_int_range(z->rand, 0, 3)]);
 		break;
 	}
 	z->after += g_rand_int_range(z->rand, 0, 1500);
@@ -1059,7 +1118,7 @@
 START_TEST(test_live_start_prevails)
 {
 	for (guint32 seed = 1; seed <= FUZZ_SEEDS; seed++) {
-		fuzz_t z = { .rand = g_rand_new_with_seed(seed) };
+		fuzz_t z = { .rand = g_rand_new_with_seed(seed), .epoch = 1 };
 		int live;
 
 		setup_();
@@ -1070,9 +1129,9 @@
 		for (int i = 0; i < FUZZ_LIVE_WRITES; i++) {
 			fuzz_write_(&z, live, "ready");
 			z.after += FUZZ_HEARTBEAT_MS;
-			fuzz_read_(&z, 0);
-			fuzz_read_(&z, 1);
-			sync_(i % 2 ? &one : &two, &third);
+			fuzz_read_(&z, &one);
+			fuzz_read_(&z, &two);
+			fuzz_copy_(i % 2 ? &one : &two, &third, z.after);
 		}
 		ck_assert_msg(start_of_(&one) == (uint64_t)live &&
 				      start_of_(&two) == (uint64_t)live &&
@@ -1281,6 +1340,7 @@
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
 	c = tcase_create("feed_epochs_any");
+	tcase_set_timeout(c, FUZZ_MAX_S);
 	tcase_add_test(c, test_live_start_prevails);
 	suite_add_tcase(s, c);
 	return s;
