--- a/packages/gateway/feed_sync.c
+++ b/packages/gateway/feed_sync.c
@@ -81,8 +81,12 @@
 				    json_integer((json_int_t)e->epoch));
 	if (e->corrected)
 		json_object_set_new(entry, "corrected", json_true());
+	else if (data && e->contested)
+		json_object_set_new(entry, "contested", json_true());
 	if (data && e->order.overruled)
-		json_object_set_new(entry, "overruled", json_true());
+		json_object_set_new(
+			entry, "overruled",
+			json_integer((json_int_t)e->order.overruled));
 	if (data) {
 		g_string_append_len(payload, data, (gssize)len);
 		json_object_set_new(entry, "bytes",
@@ -529,7 +533,8 @@
 		.epoch = read_number_(entry, "epoch"),
 		.removed = !json_object_get(entry, "bytes"),
 		.corrected = json_is_true(json_object_get(entry, "corrected")),
-		.overruled = json_is_true(json_object_get(entry, "overruled")),
+		.contested = json_is_true(json_object_get(entry, "contested")),
+		.overruled = read_number_(entry, "overruled"),
 		.start_id = read_number_(entry, "start"),
 		.heartbeat = read_number_(entry, "heartbeat"),
 	};
@@ -739,12 +744,13 @@
 			  mstime_t now)
 {
 	const feed_state_t *operators = &g->feed_states[FEED_OPERATORS];
-	const feed_state_t *upstreams = &g->feed_states[FEED_UPSTREAMS];
+	feed_state_t *upstreams = &g->feed_states[FEED_UPSTREAMS];
 	bool start = !operators->complete || !upstreams->complete;
 	/* A node that has just started may have read an older copy of the log:
 	 * its first request asks for all.
 	 */
 	bool first = now < g->first_copy_until;
+	bool all = feeds_take_ask_all(upstreams, now) || first;
 	mstime_t hold = stale && !start
 				? 0
 				: gateway_limit_fraction_ms(g, HOLD_FRACTION);
@@ -761,7 +767,7 @@
 		"&upstreams=%" G_GUINT64_FORMAT "&epoch=%" G_GUINT64_FORMAT
 		"&hold_ms=%" G_GINT64_FORMAT,
 		address, GATEWAY_FEEDS_PATH, first ? 0 : operators->next_offset,
-		first ? 0 : upstreams->next_offset, operators->epoch, hold);
+		all ? 0 : upstreams->next_offset, operators->epoch, hold);
 
 	spec.url = url;
 	counter_add(COUNTER_FEED_CALLS, 1);
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -21,6 +21,12 @@
  * three that are missing.
  */
 #define ENTRY_LAPSE_MS 4500
+/* A start whose clock went back is told again and again for this long. */
+#define RETOLD_MS 10000
+/* Nodes that differ in the start of an upstream compare all they know after
+ * this; by then one that lives has written several times.
+ */
+#define DIFFER_MAX_MS 5000
 /* A node that starts, or sees a new epoch, asks for a copy for this long; then
  * there is no other node.
  */
@@ -223,9 +229,13 @@
 		remove_upstream_(s, e->key, r->offset, "entry unreadable");
 	} else {
 		spec.id = e->key;
-		start_order_put(&e->order, spec.start_id, spec.heartbeat);
+		/* What is corrected was not written at its offset. */
+		start_order_put(&e->order, spec.start_id, spec.heartbeat,
+				r->corrected ? 0 : now);
+		start_order_tell(&e->order, r->overruled);
 		changed = balance_put_upstream(&g->balance, &spec, now);
-		record_alive_(s, spec.id, r);
+		if (!e->order.disputed && !r->contested)
+			record_alive_(s, spec.id, r);
 		resumes_observe(g, e->key, now);
 		if (changed)
 			log_entry_(s, &spec, r, now);
@@ -258,7 +268,7 @@
 		return apply_upstream_entry_(s, e, r, now);
 	e->removed_at = now;
 	if (r->start_id)
-		start_order_put(&e->order, r->start_id, r->heartbeat);
+		start_order_put(&e->order, r->start_id, r->heartbeat, now);
 	if (!g_hash_table_contains(s->gateway->balance.by_id, e->key))
 		return true;
 	if (!defer_removal_(s, e->key, now))
@@ -293,14 +303,11 @@
 	return ok;
 }
 
-/*
- * Order against what is known: by start, then by heartbeat. What an older copy
- * of the log held was overruled by nobody in this one.
- */
-static int compare_word_(const feed_state_t *s, const upstream_word_t *w,
-			 const feed_entry_t *e, const feed_record_t *r)
+/* Order against what is known: by start, then by heartbeat. */
+static int compare_word_(const upstream_word_t *w, const feed_entry_t *e,
+			 const feed_record_t *r)
 {
-	if (r->overruled && epoch_(s, r) >= e->epoch &&
+	if (r->overruled && r->overruled >= e->order.start_id &&
 	    w->start_id != e->order.start_id)
 		return 1;
 	return start_order_compare(&e->order, w->start_id, w->heartbeat);
@@ -308,14 +315,23 @@
 
 /*
  * Whether the record is of a start that has come since, with a clock that is
- * behind. Other nodes send what they have in force.
+ * behind. Other nodes send what they have in force; what they go on to send,
+ * and nobody disputes, is so.
  */
 static bool prevails_(const feed_state_t *s, feed_entry_t *e,
-		      const upstream_word_t *w, mstime_t now)
+		      const feed_record_t *r, const upstream_word_t *w,
+		      mstime_t now)
 {
-	return s->source == FEED_FROM_PLATFORM &&
-	       w->start_id != e->order.start_id &&
-	       start_order_contend(&e->order, w->start_id, w->heartbeat, now);
+	const balance_upstream_t *u =
+		g_hash_table_lookup(s->gateway->balance.by_id, e->key);
+	bool told = s->source == FEED_FROM_NODE;
+	bool left = told || !u || u->leaving;
+
+	if (w->start_id == e->order.start_id ||
+	    (told && (r->corrected || r->contested)))
+		return false;
+	return start_order_contend(&e->order, w->start_id, w->heartbeat, left,
+				   now);
 }
 
 /*
@@ -331,8 +347,8 @@
 
 	if (r->removed || !read_word_(s, r, now, &w))
 		return false;
-	order = compare_word_(s, &w, e, r);
-	if (order > 0 || (order < 0 && prevails_(s, e, &w, now)))
+	order = compare_word_(&w, e, r);
+	if (order > 0 || (order < 0 && prevails_(s, e, r, &w, now)))
 		return false;
 	/* What an upstream said before its removal does not bring it back, if
 	 * it counts what it says.
@@ -387,6 +403,27 @@
 	}
 }
 
+/* Another node has something else in force. */
+static void note_differs_(feed_state_t *s, mstime_t now)
+{
+	if (s->feed == FEED_UPSTREAMS && s->source == FEED_FROM_NODE &&
+	    !s->ask_all_at)
+		s->ask_all_at = now + DIFFER_MAX_MS;
+}
+
+static void set_contested_(feed_state_t *s, feed_entry_t *e, bool contested)
+{
+	e->contested = contested;
+	if (s->feed == FEED_UPSTREAMS)
+		balance_set_contested(&s->gateway->balance, e->key, contested);
+}
+
+/* Others may copy from nodes in turn that differ until then. */
+static bool is_retold_(const feed_entry_t *e, mstime_t now)
+{
+	return e->order.overruled && now - e->order.since < RETOLD_MS;
+}
+
 static void record_change_(feed_state_t *s, feed_entry_t *e)
 {
 	if (e->epoch != s->epoch)
@@ -405,6 +442,7 @@
 	bool changed;
 	bool in_force = apply_content_(s, e, r, now, &changed);
 	bool was_corrected = e->corrected;
+	bool was_contested = e->contested;
 
 	e->epoch = epoch_(s, r);
 	e->offset = r->offset;
@@ -413,10 +451,14 @@
 		r->corrected || (!in_force && (e->data || e->removed_at));
 	if (in_force)
 		store_data_(e, r);
-	if (s->feed == FEED_UPSTREAMS)
-		balance_set_contested(&s->gateway->balance, e->key,
-				      e->corrected);
-	if (changed || e->corrected || was_corrected)
+	if (!in_force)
+		note_differs_(s, now);
+	if (s->source == FEED_FROM_NODE)
+		start_order_set_disputed(&e->order,
+					 e->corrected || r->contested);
+	set_contested_(s, e, e->corrected || e->order.disputed);
+	if (changed || e->corrected || was_corrected ||
+	    e->contested != was_contested || is_retold_(e, now))
 		record_change_(s, e);
 }
 
@@ -429,7 +471,7 @@
 
 	if (!read_word_(s, r, now, &w))
 		return true;
-	order = compare_word_(s, &w, e, r);
+	order = compare_word_(&w, e, r);
 	/* A removal comes after the last heartbeat. */
 	return r->removed ? order < 0 : order <= 0;
 }
@@ -472,6 +514,16 @@
 	}
 }
 
+/* It is of an older copy, or of a start whose clock went back. */
+static bool is_of_other_start_(const feed_state_t *s, const feed_entry_t *e,
+			       const feed_record_t *r, mstime_t now)
+{
+	upstream_word_t w;
+
+	return s->feed == FEED_UPSTREAMS && read_word_(s, r, now, &w) &&
+	       w.start_id != e->order.start_id;
+}
+
 /* Merges a record of another epoch than its entry. */
 static void merge_(feed_state_t *s, feed_entry_t *e, const feed_record_t *r,
 		   mstime_t now)
@@ -482,6 +534,8 @@
 
 	if (later && newer) {
 		apply_(s, e, r, now);
+		/* Nodes that copy know it as of the older epoch. */
+		record_change_(s, e);
 		return;
 	}
 	if (!later && !newer)
@@ -494,10 +548,13 @@
 			return;
 		store_data_(e, r);
 	}
+	if (later)
+		note_differs_(s, now);
+	if (later && is_of_other_start_(s, e, r, now))
+		start_order_set_disputed(&e->order, true);
 	/* The log's record is of an older copy. */
 	e->corrected = true;
-	if (s->feed == FEED_UPSTREAMS)
-		balance_set_contested(&s->gateway->balance, e->key, true);
+	set_contested_(s, e, true);
 	record_change_(s, e);
 }
 
@@ -753,6 +810,14 @@
 	s->fallback_at = 0;
 }
 
+bool feeds_take_ask_all(feed_state_t *s, mstime_t now)
+{
+	if (!s->ask_all_at || now < s->ask_all_at)
+		return false;
+	s->ask_all_at = 0;
+	return true;
+}
+
 bool feeds_is_recently_removed(const feed_entry_t *e, mstime_t now)
 {
 	return !e->data && e->order.start_id &&
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -10,6 +10,7 @@
 
 static gateway_t one;
 static gateway_t two;
+static gateway_t third;
 
 static void init_(gateway_t *g)
 {
@@ -36,12 +37,14 @@
 	logline_setup("test", LOG_CRIT);
 	init_(&one);
 	init_(&two);
+	init_(&third);
 }
 
 static void teardown_(void)
 {
 	finish_(&one);
 	finish_(&two);
+	finish_(&third);
 }
 
 static void put_(gateway_t *g, int i, uint64_t offset)
@@ -813,6 +816,401 @@
 }
 END_TEST
 
+/* The record of an upstream, which is read after some time. */
+static void write_(gateway_t *g, const char *data, uint64_t offset,
+		   mstime_t after)
+{
+	feed_state_t *s = &g->feed_states[FEED_UPSTREAMS];
+	feed_record_t r = { .key = str_of("u"), .offset = offset };
+
+	r.removed = !data;
+	if (data)
+		r.data = str_of(data);
+	s->source = FEED_FROM_PLATFORM;
+	feeds_apply_record(s, &r, NOW + after);
+	feeds_set_current(s, NOW + after, offset + 1);
+}
+
+static bool in_service_(const gateway_t *g)
+{
+	const balance_upstream_t *u =
+		g_hash_table_lookup(g->balance.by_id, "u");
+
+	return u && !u->leaving;
+}
+
+static uint64_t start_of_(const gateway_t *g)
+{
+	const balance_upstream_t *u =
+		g_hash_table_lookup(g->balance.by_id, "u");
+
+	return u ? u->start_id : 0;
+}
+
+/* What a start that has left wrote last, NULL for its removal. */
+static const char *const left_cases[] = { ENTRY("draining", 9, 2), NULL };
+
+/* Guards against several late writes of the start before that bring back an
+ * upstream which has left.
+ */
+START_TEST(test_late_writes_after_leaving)
+{
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	write_(&one, left_cases[_i], 41, 1200);
+	write_(&one, ENTRY("ready", 4, 70), 42, 2000);
+	write_(&one, ENTRY("ready", 4, 71), 43, 3200);
+	write_(&one, ENTRY("ready", 4, 72), 44, 4400);
+	ck_assert(!in_service_(&one));
+	/* One that goes on is a start whose clock went back. */
+	write_(&one, ENTRY("ready", 4, 74), 45, 6800);
+	ck_assert(in_service_(&one));
+}
+END_TEST
+
+/* Guards against a single late write, of a start between two of which the
+ * second one's clock went back, that brings back an upstream which has left.
+ */
+START_TEST(test_late_write_between_clocks)
+{
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	write_(&one, ENTRY("ready", 5, 1), 41, 1200);
+	write_(&one, ENTRY("ready", 5, 2), 42, 2400);
+	write_(&one, ENTRY("draining", 5, 3), 43, 3600);
+	write_(&one, ENTRY("ready", 7, 4), 44, 4000);
+	ck_assert_uint_eq(start_of_(&one), 5);
+	ck_assert(!in_service_(&one));
+}
+END_TEST
+
+/* Guards against a correction that counts as a write of the start before, so
+ * that the next one, whose clock went back, does not come into force.
+ */
+START_TEST(test_correction_between_two_writes)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	feed_record_t r = { .key = str_of("u"),
+			    .data = str_of(ENTRY("ready", 9, 1)),
+			    .offset = 42,
+			    .corrected = true };
+
+	write_(&one, r.data.data, 40, 0);
+	write_(&one, ENTRY("ready", 5, 1), 41, 600);
+	s->source = FEED_FROM_NODE;
+	feeds_apply_record(s, &r, NOW + 700);
+	ck_assert_uint_eq(start_of_(&one), 9);
+	write_(&one, ENTRY("ready", 5, 2), 43, 1800);
+	ck_assert_uint_eq(start_of_(&one), 5);
+}
+END_TEST
+
+/* Guards against a late write that counts as a sign of life of a start that
+ * has ended, while the next one, whose clock went back, is not in force yet.
+ */
+START_TEST(test_late_write_of_a_disputed_start)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	const balance_upstream_t *u;
+
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	write_(&one, ENTRY("ready", 5, 1), 41, 1200);
+	feeds_set_end(s, 42, NOW + 1200);
+	write_(&one, ENTRY("ready", 9, 2), 42, 1900);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u->alive_at < NOW + 1200 && u->contested);
+	feeds_set_end(s, 43, NOW + 1900);
+	write_(&one, ENTRY("ready", 9, 3), 43, 3100);
+	ck_assert(u->alive_at == NOW + 1900 && !u->contested);
+}
+END_TEST
+
+/* The same where the next start's first write is read after a restore. */
+START_TEST(test_dispute_after_a_restore)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	const balance_upstream_t *u;
+
+	feeds_observe_epoch(&one, 1, NOW);
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	feeds_observe_epoch(&one, 2, NOW);
+	write_(&one, ENTRY("ready", 5, 1), 20, 1200);
+	feeds_set_end(s, 21, NOW + 1200);
+	write_(&one, ENTRY("ready", 9, 2), 21, 1300);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u && u->start_id == 9);
+	ck_assert(u->alive_at < NOW + 1200 && u->contested);
+}
+END_TEST
+
+/* The same at a node that copies from the one that has read it. */
+START_TEST(test_dispute_is_told)
+{
+	const balance_upstream_t *u;
+
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	sync_(&one, &two);
+	write_(&one, ENTRY("ready", 5, 1), 41, 1200);
+	write_(&one, ENTRY("ready", 9, 2), 42, 1900);
+	sync_(&one, &two);
+	u = g_hash_table_lookup(two.balance.by_id, "u");
+	ck_assert(u && u->contested);
+	/* It begins to read by itself. */
+	feeds_set_end(&two.feed_states[FEED_UPSTREAMS], 43, NOW + 1900);
+	write_(&two, ENTRY("ready", 9, 3), 43, 2000);
+	ck_assert(u->alive_at < NOW + 1900 && u->contested);
+	write_(&one, ENTRY("ready", 9, 3), 43, 2000);
+	write_(&one, ENTRY("ready", 9, 4), 44, 3100);
+	sync_(&one, &two);
+	ck_assert(!u->contested);
+}
+END_TEST
+
+/* Guards against an entry that vouches for the time in which it was that of
+ * another start.
+ */
+START_TEST(test_entry_of_another_start)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	const balance_upstream_t *u;
+
+	write_(&one, ENTRY("ready", 9, 1), 40, 0);
+	write_(&one, ENTRY("ready", 5, 1), 41, 1200);
+	write_(&one, ENTRY("ready", 5, 2), 42, 2400);
+	write_(&one, ENTRY("ready", 9, 2), 43, 3600);
+	write_(&one, ENTRY("ready", 9, 3), 44, 4800);
+	u = g_hash_table_lookup(one.balance.by_id, "u");
+	ck_assert(u && u->start_id == 9);
+	ck_assert(!balance_is_start(&one.balance, u, NOW + 100, 0));
+	feeds_set_current(s, NOW + 10000, 45);
+	ck_assert(balance_is_start(&one.balance, u, NOW + 100, 0));
+}
+END_TEST
+
+#define FUZZ_SEEDS 2000
+#define FUZZ_WRITES_MAX 64
+#define FUZZ_EVENTS 24
+/* Writes of the start that lives on, until all know it. */
+#define FUZZ_LIVE_WRITES 14
+#define FUZZ_HEARTBEAT_MS 1200
+#define FUZZ_MAX_S 30
+
+/* A log that two nodes read, and a third that copies from them. */
+typedef struct fuzz {
+	GRand *rand;
+	char *log[FUZZ_WRITES_MAX]; /* NULL for a removal */
+	uint64_t end;
+	uint64_t copied; /* end of the copy to which a restore goes back */
+	uint64_t epoch;
+	uint64_t heartbeat;
+	mstime_t after;
+} fuzz_t;
+
+static const int fuzz_starts[] = { 4, 5, 7, 9, 12 };
+
+static void fuzz_write_(fuzz_t *z, int start, const char *state)
+{
+	z->log[z->end++] = g_strdup_printf(
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+		"\"zone\":\"z\",\"version\":\"v%d\",\"slot_count\":8,"
+		"\"state\":\"%s\",\"born\":%d,\"sequence\":%d}",
+		start, state, start, (int)++z->heartbeat);
+}
+
+/* Reads the latest record, then what came after it. */
+static void fuzz_read_(fuzz_t *z, gateway_t *g)
+{
+	feed_state_t *s = &g->feed_states[FEED_UPSTREAMS];
+	mstime_t now = NOW + z->after;
+
+	feeds_observe_epoch(g, z->epoch, now);
+	s->source = FEED_FROM_PLATFORM;
+	if (!s->complete) {
+		feeds_begin_scan(s);
+		if (z->end && z->log[z->end - 1])
+			write_(g, z->log[z->end - 1], z->end - 1, z->after);
+		feeds_end_scan(s, z->end, now, now);
+	}
+	while (s->next_offset < z->end)
+		write_(g, z->log[s->next_offset], s->next_offset, z->after);
+	feeds_apply_deferred_removals(s, now);
+}
+
+static void fuzz_copy_(gateway_t *from, gateway_t *to, mstime_t after)
+{
+	feed_state_t *s = &to->feed_states[FEED_UPSTREAMS];
+	const feed_state_t *source = &from->feed_states[FEED_UPSTREAMS];
+	GString *bytes = g_string_new(NULL);
+	mstime_t now = NOW + after;
+	json_t *feed;
+	str_t payload;
+
+	feeds_observe_epoch(from, s->epoch, now);
+	feed = feed_sync_encode(source,
+				s->epoch != source->epoch ||
+						feeds_take_ask_all(s, now)
+					? 0
+					: s->next_offset,
+				now, bytes);
+	payload = (str_t){ bytes->str, bytes->len };
+	feed_sync_apply(s, feed, &payload, now, now);
+	feeds_apply_deferred_removals(s, now);
+	json_decref(feed);
+	g_string_free(bytes, TRUE);
+}
+
+static void fuzz_restart_(gateway_t *g)
+{
+	finish_(g);
+	init_(g);
+}
+
+static void fuzz_restore_(fuzz_t *z)
+{
+	for (uint64_t i = z->copied; i < z->end; i++)
+		g_clear_pointer(&z->log[i], g_free);
+	z->end = z->copied;
+	z->epoch++;
+}
+
+static void fuzz_event_(fuzz_t *z)
+{
+	gateway_t *const nodes[] = { &one, &two, &third };
+	int from = g_rand_int_range(z->rand, 0, 2);
+	int start = g_rand_int_range(z->rand, 0, G_N_ELEMENTS(fuzz_starts));
+
+	switch (g_rand_int_range(z->rand, 0, 11)) {
+	case 0:
+	case 1:
+	case 2:
+		fuzz_write_(z, fuzz_starts[start],
+			    g_rand_int_range(z->rand, 0, 4) ? "ready"
+							    : "draining");
+		break;
+	case 3:
+		z->log[z->end++] = NULL;
+		break;
+	case 4:
+	case 5:
+		fuzz_read_(z, nodes[from]);
+		break;
+	case 6:
+		fuzz_copy_(nodes[from], &third, z->after);
+		break;
+	case 7:
+		/* One that is cut off from the platform copies. */
+		fuzz_copy_(nodes[from ? 2 : 1], &one, z->after);
+		break;
+	case 8:
+		z->copied = z->end;
+		break;
+	case 9:
+		fuzz_restore_(z);
+		break;
+	case 10:
+		fuzz_restart_(nodes[g_rand_int_range(z->rand, 0, 3)]);
+		break;
+	}
+	z->after += g_rand_int_range(z->rand, 0, 1500);
+}
+
+/* Guards against starts that are lost for good, and nodes that go on to differ,
+ * whatever was written before.
+ */
+START_TEST(test_live_start_prevails)
+{
+	for (guint32 seed = 1; seed <= FUZZ_SEEDS; seed++) {
+		fuzz_t z = { .rand = g_rand_new_with_seed(seed), .epoch = 1 };
+		int live;
+
+		setup_();
+		for (int i = 0; i < FUZZ_EVENTS; i++)
+			fuzz_event_(&z);
+		live = fuzz_starts[g_rand_int_range(z.rand, 0,
+						    G_N_ELEMENTS(fuzz_starts))];
+		for (int i = 0; i < FUZZ_LIVE_WRITES; i++) {
+			fuzz_write_(&z, live, "ready");
+			z.after += FUZZ_HEARTBEAT_MS;
+			fuzz_read_(&z, &one);
+			fuzz_read_(&z, &two);
+			fuzz_copy_(i % 2 ? &one : &two, &third, z.after);
+		}
+		ck_assert_msg(start_of_(&one) == (uint64_t)live &&
+				      start_of_(&two) == (uint64_t)live &&
+				      start_of_(&third) == (uint64_t)live,
+			      "seed %u: start %d, known %d, %d, %d", seed, live,
+			      (int)start_of_(&one), (int)start_of_(&two),
+			      (int)start_of_(&third));
+		for (uint64_t i = 0; i < z.end; i++)
+			g_free(z.log[i]);
+		g_rand_free(z.rand);
+		teardown_();
+	}
+}
+END_TEST
+
+/* Guards against a start that one node knows to have come after another by its
+ * clock, and that counts as the latest at nodes that know a later one.
+ */
+START_TEST(test_overruled_clock_of_an_older_epoch)
+{
+	feeds_observe_epoch(&two, 1, NOW);
+	write_(&two, ENTRY("ready", 9, 1), 40, 0);
+	write_(&two, ENTRY("ready", 5, 1), 41, 1200);
+	write_(&two, ENTRY("ready", 5, 2), 42, 2400);
+	ck_assert_uint_eq(start_of_(&two), 5);
+	feeds_observe_epoch(&one, 2, NOW);
+	write_(&one, ENTRY("draining", 12, 3), 30, 2400);
+	sync_(&two, &one);
+	ck_assert_uint_eq(start_of_(&one), 12);
+	ck_assert(!in_service_(&one));
+}
+END_TEST
+
+/* What a node knows that is told by another one of a start whose clock went
+ * back, or of the one after it.
+ */
+static const struct {
+	const char *label;
+	const char *writes[4]; /* after ENTRY("ready", 9, 1) */
+	const char *known;
+	uint64_t in_force;
+} told_cases[] = {
+	{ "the start before",
+	  { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2) },
+	  ENTRY("ready", 9, 1),
+	  5 },
+	{ "a start before that",
+	  { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2) },
+	  ENTRY("ready", 7, 1),
+	  5 },
+	{ "the start before, and another has come after",
+	  { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2), ENTRY("ready", 7, 1),
+	    ENTRY("ready", 7, 2) },
+	  ENTRY("ready", 9, 1),
+	  7 },
+	{ "nothing", { ENTRY("ready", 5, 1), ENTRY("ready", 5, 2) }, NULL, 5 },
+};
+
+START_TEST(test_overruled_clock_is_told)
+{
+	uint64_t offset = 40;
+
+	write_(&one, ENTRY("ready", 9, 1), offset, 0);
+	if (told_cases[_i].known)
+		write_(&two, told_cases[_i].known, offset, 0);
+	for (int i = 0; i < 4 && told_cases[_i].writes[i]; i++)
+		write_(&one, told_cases[_i].writes[i], ++offset,
+		       1200 * (i + 1));
+	sync_(&one, &two);
+	ck_assert_msg(start_of_(&two) == told_cases[_i].in_force, "%s: %d",
+		      told_cases[_i].label, (int)start_of_(&two));
+	/* It tells others in turn. */
+	write_(&third, ENTRY("ready", 9, 1), 40, 0);
+	sync_(&two, &third);
+	ck_assert_msg(start_of_(&third) == told_cases[_i].in_force, "%s: %d",
+		      told_cases[_i].label, (int)start_of_(&third));
+}
+END_TEST
+
 /* A node that started from the older copy takes what another one still knows.
  */
 START_TEST(test_copy_corrects_a_restored_log)
@@ -860,7 +1258,7 @@
 			     .data = str_of(ENTRY("ready", 3, 40)),
 			     .epoch = 1,
 			     .offset = 40,
-			     .overruled = true };
+			     .overruled = 5 };
 	feeds_apply_record(s, &r, NOW);
 	u = g_hash_table_lookup(one.balance.by_id, "u");
 	ck_assert(u && u->leaving && u->start_id == 7);
@@ -885,6 +1283,33 @@
 }
 END_TEST
 
+/* Guards against an upstream that nodes which copy drop, though it has written
+ * again what the restored log lacks.
+ */
+START_TEST(test_written_again_after_a_restore)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+
+	feeds_observe_epoch(&one, 1, NOW);
+	write_(&one, ENTRY("ready", 5, 1), 40, 0);
+	sync_(&one, &two);
+	feeds_observe_epoch(&one, 2, NOW);
+	feeds_begin_scan(s);
+	feeds_end_scan(s, 20, NOW, NOW);
+	feeds_observe_epoch(&two, 2, NOW);
+	sync_(&one, &two);
+	/* Others write before it. */
+	feeds_set_current(s, NOW, 45);
+	sync_(&one, &two);
+	ck_assert(knows_(&two, "u"));
+	write_(&one, ENTRY("ready", 5, 2), 45, 600);
+	sync_(&one, &two);
+	feeds_apply_deferred_removals(&two.feed_states[FEED_UPSTREAMS],
+				      NOW + 10000);
+	ck_assert(knows_(&two, "u"));
+}
+END_TEST
+
 /* A held request for changes was answered with offsets of another epoch. */
 START_TEST(test_changes_of_another_epoch_are_not_applied)
 {
@@ -923,9 +1348,25 @@
 	tcase_add_test(c, test_copy_corrects_a_restored_log);
 	tcase_add_test(c, test_correction_is_no_heartbeat);
 	tcase_add_test(c, test_overruled_start_of_an_older_copy);
+	tcase_add_loop_test(c, test_late_writes_after_leaving, 0,
+			    G_N_ELEMENTS(left_cases));
+	tcase_add_test(c, test_late_write_between_clocks);
+	tcase_add_test(c, test_correction_between_two_writes);
+	tcase_add_test(c, test_late_write_of_a_disputed_start);
+	tcase_add_test(c, test_dispute_after_a_restore);
+	tcase_add_test(c, test_dispute_is_told);
+	tcase_add_test(c, test_entry_of_another_start);
+	tcase_add_test(c, test_overruled_clock_of_an_older_epoch);
+	tcase_add_loop_test(c, test_overruled_clock_is_told, 0,
+			    G_N_ELEMENTS(told_cases));
 	tcase_add_test(c, test_missing_after_a_restore);
+	tcase_add_test(c, test_written_again_after_a_restore);
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
+	c = tcase_create("feed_epochs_any");
+	tcase_set_timeout(c, FUZZ_MAX_S);
+	tcase_add_test(c, test_live_start_prevails);
+	suite_add_tcase(s, c);
 	return s;
 }
 
