Ends without framing: the question does not outlive the record that it is for

Cause: the requests whose unframed ends wait for one upstream share a question, which keeps the upstream's record of the first of them. An entry that is removed and comes back (it had lapsed, or was dropped by mistake) has the same key and another record; requests to it join the question. The former record is freed with its last request, and the next question reads its address there. Found by reading; the node ends or asks anywhere, and all of its streams are cut.

Now the question follows the first request that still waits; each of them keeps the record of its own.

--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -42,9 +42,9 @@
 /* The requests whose answers one upstream has ended, while it is asked. */
 struct end_check {
 	gateway_t *gateway;
-	uint32_t key; /* of the upstream */
-	balance_upstream_t *upstream;
-	http_call_t *call;  /* NULL between questions */
+	uint32_t key;		      /* of the upstream */
+	balance_upstream_t *upstream; /* of the first of those that wait */
+	http_call_t *call;	      /* NULL between questions */
 	GPtrArray *waiting; /* forward_t *, by the time of their ends */
 	guint asked; /* that many of them had ended before the question */
 	ev_timer again;
@@ -233,6 +233,7 @@
 void ends_cancel(forward_t *f)
 {
 	end_check_t *c = f->end.check;
+	const forward_t *first;
 	guint i;
 
 	if (!c || !g_ptr_array_find(c->waiting, f, &i))
@@ -240,7 +241,14 @@
 	f->end.check = NULL;
 	g_ptr_array_remove_index(c->waiting, i);
 	c->asked -= i < c->asked;
-	if (!c->waiting->len)
+	if (!c->waiting->len) {
 		g_hash_table_remove(f->gateway->end_checks,
 				    GUINT_TO_POINTER(c->key));
+		return;
+	}
+	/* An entry that was removed and came back has another record, and the
+	 * one before goes with its last request.
+	 */
+	first = c->waiting->pdata[0];
+	c->upstream = first->selected;
 }
