--- a/tests/scenarios/stream_order.lua
+++ b/tests/scenarios/stream_order.lua
@@ -5,7 +5,7 @@
 -- KCF_UPSTREAMS: numbers of nodes, and of upstreams of each version. KCF_UNFRAMED, KCF_CLOCK_BACK_MS: as unframed, and
 -- clock_back_max_ms of version_words. With the folder of an older build (--old DIR) each second
 -- node is of that build.
--- KCF_SET: NAME=VALUE,... of play_options, which a scenario may set before: events, gap_ms, event_bytes of each stream; mode of
+-- KCF_SET: NAME=VALUE,... of play_options, which a scenario may set before: events, gap_ms, event_bytes of each stream; mode, report_ms of
 -- the upstreams; coalesce ("loss", "all"), memory_mb, descriptors, descriptors_max (of the process) of each node; rate, slow, read_ms, rest_ms, rest_spread,
 -- receive_bytes, body_bytes, patience_ms and loss (of 1000 packets) of the callers; timeout_ms and attempts of the routes.
 play_options = play_options or {}
@@ -17,7 +17,7 @@
 upstreams = tonumber(os.getenv("KCF_UPSTREAMS")) or upstreams
 unframed = tonumber(os.getenv("KCF_UNFRAMED")) or unframed
 clock_back_max_ms = tonumber(os.getenv("KCF_CLOCK_BACK_MS")) or clock_back_max_ms
-upstream_options = { events = EVENTS, gap_ms = set.gap_ms, event_bytes = set.event_bytes, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
+upstream_options = { events = EVENTS, gap_ms = set.gap_ms, event_bytes = set.event_bytes, report_ms = set.report_ms, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
 if unframed then upstream_options.unframed = unframed end
 local settings = ""
 if set.coalesce then settings = string.format('[streams]\ncoalesce_ms = %d\ncoalesce_on = "%s"\n', set.coalesce_ms or 100, set.coalesce) end
