--- a/tests/scenarios/stream_order.lua
+++ b/tests/scenarios/stream_order.lua
@@ -5,7 +5,7 @@
 -- KCF_UPSTREAMS: numbers of nodes, and of upstreams of each version. KCF_UNFRAMED, KCF_CLOCK_BACK_MS: as unframed, and
 -- clock_back_max_ms of version_words; KCF_CLOCK: as clock there. With the folder of an older build (--old DIR) each second
 -- node is of that build.
--- KCF_SET: NAME=VALUE,... of play_options, which a scenario may set before: events, gap_ms, event_bytes of each stream; mode of
+-- KCF_SET: NAME=VALUE,... of play_options, which a scenario may set before: events, gap_ms, event_bytes of each stream; mode, report_ms of
 -- the upstreams; coalesce ("loss", "all"), memory_mb, descriptors, descriptors_max (of the process) of each node; rate, slow, read_ms, rest_ms, rest_spread,
 -- receive_bytes, body_bytes, patience_ms and loss (of 1000 packets) of the callers; timeout_ms and attempts of the routes.
 play_options = play_options or {}
@@ -26,7 +26,7 @@
 	p.pid = spawn({ bin .. "/kcf-proxy", p.address, f.store.address, p.control }, f.dir .. "/proxy.log")
 	g.proxy, g.store = p, p.address
 end
-upstream_options = { events = EVENTS, gap_ms = set.gap_ms, event_bytes = set.event_bytes, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
+upstream_options = { events = EVENTS, gap_ms = set.gap_ms, event_bytes = set.event_bytes, report_ms = set.report_ms, big_bytes = 6000, marked = "", seed = tonumber(os.getenv("KCF_SEED") or "1") }
 if unframed then upstream_options.unframed = unframed end
 local settings = ""
 if set.coalesce then settings = string.format('[streams]\ncoalesce_ms = %d\ncoalesce_on = "%s"\n', set.coalesce_ms or 100, set.coalesce) end
@@ -53,7 +53,6 @@
 local PLAY_S, MIX_S = tonumber(os.getenv("KCF_PLAY_S") or "40"), 6
 local RATE, ONCE_RATE, SLOW, LEAVE = set.rate or 26, (set.rate or 26) / 2, set.slow or 0.25, 0.4
 local TRIES, PAUSE_MS, PATIENCE_MS = 12, 250, set.patience_ms or 7000
-local DARK_MAX_MS, ALL_DARK_MAX_MS = 2800, 1000
 -- A write without an answer may be carried out this much later; an entry lapses; a node is cut off from the store.
 local LATE_MAX_MS, LAPSE_MS, APART_MAX_MS = 6000, 3600, 6000
 local STORE_CUTS = { "silent", "up", "down", "refuse", "delay 900" }
@@ -66,68 +65,7 @@
 -- Whether a copy of the store was taken; writes that are due; ids that were left, each with the time at which its entry lapses, or 0.
 local copied, writes, gone = false, {}, {}
 
--- What is done when; beside the logs of the nodes.
-local log = assert(io.open(f.dir .. "/play.log", "w"))
-log:setvbuf("line")
-local function note(fmt, ...) log:write(wall_ms(), " ", string.format(fmt, ...), "\n") end
-
--- Nodes: each is up, or comes back at a moment or once it has ended.
-
-local function hurt(g)
-	local how = math.random(3)
-	g.back_at = now_ms() + 100 + math.random(DARK_MAX_MS - 100)
-	if how == 1 then
-		kill(g)
-		g.hurt = "killed"
-	elseif how == 2 then
-		stop(g)
-		g.hurt = "stopped"
-	else
-		freeze(g)
-		g.hurt = "paused"
-	end
-	note("%s %s", g.name, g.hurt)
-end
-
-local function mend(g, now)
-	if g.hurt == "paused" and now >= g.back_at then
-		thaw(g)
-		g.hurt = nil
-		note("%s goes on", g.name)
-	elseif g.hurt == "stopped" and exited(g.pid) then
-		g.hurt = "killed"
-	end
-	if g.hurt == "killed" and now >= g.back_at then
-		note("%s starts", g.name)
-		start_gateway(f, g)
-		g.hurt = nil
-	end
-end
-
-local function hurt_one()
-	local up = {}
-	for _, g in ipairs(f.gateways) do
-		if not g.hurt then up[#up + 1] = g end
-	end
-	if #up > 1 then hurt(up[math.random(#up)]) end
-end
-
-local function kill_all()
-	local back_at = now_ms() + 100 + math.random(ALL_DARK_MAX_MS - 100)
-	local up = {}
-	for _, g in ipairs(f.gateways) do
-		if g.hurt ~= "killed" then up[#up + 1] = g end
-		g.hurt, g.back_at = "killed", back_at
-	end
-	note("all killed")
-	-- All at once; kill waits for the end of each.
-	for _, g in ipairs(up) do kill_process(g.pid, 9) end
-	for _, g in ipairs(up) do wait_exit(g, 5000) end
-end
-
-local function hurt_one_or_all()
-	if math.random(8) == 1 then kill_all() else hurt_one() end
-end
+dofile(scenarios .. "/harm_words.lua")
 
 -- Upstreams.
 
