--- a/tests/standin/caller.c
+++ b/tests/standin/caller.c
@@ -3,6 +3,9 @@
  * moments, whether or not earlier answers are there, and take them in whole.
  * They may send a request again, and take a stream up where it broke off. Some
  * may read slowly, or leave midway and take the stream up at the next node.
+ * With
+ * --silence-ms and --twice a stream is taken up beside an answer that goes on;
+ * each of the two answers is checked alone.
  *
  * Prints one JSON report: answers by status, events, times in milliseconds.
  */
@@ -31,8 +34,12 @@
 static gboolean distinct;
 static gboolean resume;
 static gdouble leave;
+static gdouble back;
+static gdouble twice;
+static gint silence_ms;
 static gdouble slow;
 static gint events_whole;
+static gint64 stride = 1;
 static gboolean marked;
 
 static const GOptionEntry entries[] = {
@@ -60,10 +67,21 @@
 	{ "leave", 0, 0, G_OPTION_ARG_DOUBLE, &leave,
 	  "Of the callers, leave midway once; with --resume and --events",
 	  "SHARE" },
+	{ "back", 0, 0, G_OPTION_ARG_DOUBLE, &back,
+	  "Of the tries with --resume, name an earlier event than the last one",
+	  "SHARE" },
+	{ "twice", 0, 0, G_OPTION_ARG_DOUBLE, &twice,
+	  "Of the callers, take a stream up at two nodes at once", "SHARE" },
+	{ "silence-ms", 0, 0, G_OPTION_ARG_INT, &silence_ms,
+	  "Come back once, with --resume, and read the silent answer on, 0: "
+	  "not",
+	  "MS" },
 	{ "slow", 0, 0, G_OPTION_ARG_DOUBLE, &slow,
 	  "Of the callers, read slowly", "SHARE" },
 	{ "events", 0, 0, G_OPTION_ARG_INT, &events_whole,
 	  "Of a whole stream, 0: not checked", "N" },
+	{ "stride", 0, 0, G_OPTION_ARG_INT64, &stride,
+	  "Between the ids of two events", "N" },
 	{ "marked", 0, 0, G_OPTION_ARG_NONE, &marked,
 	  "Check the marks of events: whole ones, without --resume of one run",
 	  NULL },
@@ -72,6 +90,8 @@
 
 #define ID_MAX 48
 #define RUN_MARK " run="
+/* Added to the number of each try of a second caller. */
+#define SECOND_TRIES 100
 /* A caller that reads slowly reads and rests in turn. */
 #define SLOW_READ_MS 30
 #define SLOW_REST_MS 250
@@ -98,6 +118,8 @@
 	bool joined;  /* events of two versions */
 	bool mixed;   /* events of two runs */
 	int torn;     /* events that are not whole */
+	bool second;  /* takes up what another caller reads on */
+	bool parted;  /* a second one has come for it, or may not */
 	bool resumes; /* the current try */
 	bool resumed; /* some node has answered such a try */
 	GString *line;
@@ -106,6 +128,7 @@
 	ev_timer again;
 	ev_timer away;
 	ev_timer turn;
+	ev_timer silence;
 } caller_t;
 
 static struct {
@@ -117,6 +140,7 @@
 	guint node_count;
 	GString *body;
 	mstime_t ends;
+	int serial; /* of the next caller */
 	int sent;
 	int open;
 	int whole;   /* 200 to the end */
@@ -129,6 +153,8 @@
 	int torn;	    /* events that are not whole */
 	int early;	    /* streams that ended as whole too early */
 	int left;	    /* callers that left midway */
+	int seconds;	    /* callers that came beside another one */
+	int backed;	    /* tries that named an earlier event */
 	int disordered;	    /* events that do not follow the one before */
 	json_t *faulty;	    /* the streams counted as such, in words */
 	int resumed;	    /* streams whose resume was answered */
@@ -213,6 +239,9 @@
 		end_event_(c);
 	} else if (g_str_has_prefix(line, "id: ")) {
 		c->event_id = g_ascii_strtoll(line + strlen("id: "), NULL, 10);
+		/* Another id than an upstream writes is that of no event. */
+		c->event_id = c->event_id % stride ? G_MAXINT64
+						   : c->event_id / stride;
 	} else if (g_str_has_prefix(line, "data: ")) {
 		read_version_(c, line + strlen("data: "));
 		if (marked)
@@ -226,6 +255,8 @@
 	caller_t *c = ctx;
 
 	(void)call;
+	if (ev_is_active(&c->silence))
+		ev_timer_again(all.loop, &c->silence);
 	for (size_t i = 0; i < data.len; i++) {
 		if (data.data[i] == '\n')
 			read_line_(c);
@@ -304,6 +335,7 @@
 	c->call = NULL;
 	ev_timer_stop(all.loop, &c->away);
 	ev_timer_stop(all.loop, &c->turn);
+	ev_timer_stop(all.loop, &c->silence);
 	g_string_append_printf(c->path, " %s to %" G_GINT64_FORMAT ";", how,
 			       c->last_event);
 }
@@ -378,6 +410,18 @@
 	va_end(args);
 }
 
+/* Names an earlier event than the last one. */
+static void go_back_(caller_t *c)
+{
+	if (c->last_event < 2 || back <= 0 || gsl_rng_uniform(all.rng) >= back)
+		return;
+	c->last_event = 1 + (int64_t)gsl_rng_uniform_int(
+				    all.rng, (gulong)c->last_event - 1);
+	g_string_append_printf(c->path, " back to %" G_GINT64_FORMAT ";",
+			       c->last_event);
+	all.backed++;
+}
+
 /* Sends a request for the first time, or once more at the next node. */
 static void try_(caller_t *c)
 {
@@ -398,8 +442,9 @@
 	g_snprintf(c->id, ID_MAX, "caller-%d-%d", seed, c->serial);
 	if (c->tries)
 		g_snprintf(c->id, ID_MAX, "caller-%d-%d-%d", seed, c->serial,
-			   c->tries);
+			   c->tries + (c->second ? SECOND_TRIES : 0));
 	c->tries++;
+	go_back_(c);
 	c->event_id = 0;
 	*c->read_version = *c->read_run = '\0';
 	g_string_truncate(c->line, 0);
@@ -409,7 +454,8 @@
 	add_line_(lines, "Attempt-Id: %s", c->id);
 	c->resumes = c->last_event > 0;
 	if (c->resumes) {
-		add_line_(lines, "Last-Event-Id: %d", (int)c->last_event);
+		add_line_(lines, "Last-Event-Id: %" G_GINT64_FORMAT,
+			  c->last_event * stride);
 		add_line_(lines, "Resumes: %s", c->first_id);
 	}
 	g_ptr_array_add(lines, NULL);
@@ -417,6 +463,8 @@
 	spec.headers = (const char *const *)lines->pdata;
 	g_string_append_printf(c->path, " %s", all.nodes[node]);
 	c->call = http_call_start(&all.http, &spec, &call_ops, c);
+	if (silence_ms && !c->parted)
+		ev_timer_again(all.loop, &c->silence);
 	if (c->reads_slowly) {
 		c->rests = false;
 		ev_timer_set(&c->turn, SLOW_READ_MS / 1e3, 0);
@@ -426,32 +474,81 @@
 	g_string_free(url, TRUE);
 }
 
+static void on_again_(struct ev_loop *loop, ev_timer *w, int revents);
+static void on_silence_(struct ev_loop *loop, ev_timer *w, int revents);
+
+static caller_t *caller_new_(void)
+{
+	caller_t *c = g_new0(caller_t, 1);
+
+	c->line = g_string_new(NULL);
+	c->path = g_string_new(NULL);
+	ev_init(&c->again, on_again_);
+	ev_timer_init(&c->away, on_away_, 0, 0);
+	ev_init(&c->turn, on_turn_);
+	ev_timer_init(&c->silence, on_silence_, 0, silence_ms / 1e3);
+	c->again.data = c->away.data = c->turn.data = c->silence.data = c;
+	all.sent++;
+	all.open++;
+	return c;
+}
+
+/* The same stream, from the same event, at the node after. */
+static void part_(caller_t *c)
+{
+	caller_t *o = caller_new_();
+
+	o->serial = c->serial;
+	o->tries = c->tries;
+	o->deadline = c->deadline;
+	o->came = c->came;
+	o->second = o->parted = c->parted = true;
+	o->last_event = c->last_event;
+	if (o->last_event) {
+		g_strlcpy(o->first_id, c->first_id, ID_MAX);
+		g_strlcpy(o->version, c->version, ID_MAX);
+		g_strlcpy(o->run, c->run, ID_MAX);
+	}
+	g_string_append_printf(o->path, "%s beside;", c->path->str);
+	all.seconds++;
+	try_(o);
+}
+
+static void on_silence_(struct ev_loop *loop, ev_timer *w, int revents)
+{
+	caller_t *c = w->data;
+
+	(void)revents;
+	ev_timer_stop(loop, w);
+	if (c->tries < tries)
+		part_(c);
+}
+
 static void on_again_(struct ev_loop *loop, ev_timer *w, int revents)
 {
+	caller_t *c = w->data;
+	bool parts = c->last_event && !c->parted && twice > 0 &&
+		     gsl_rng_uniform(all.rng) < twice;
+
 	(void)loop;
 	(void)revents;
-	try_(w->data);
+	try_(c);
+	if (parts)
+		part_(c);
 }
 
 static void come_(void)
 {
-	caller_t *c = g_new0(caller_t, 1);
+	caller_t *c = caller_new_();
 
-	c->serial = all.sent++;
+	c->serial = all.serial++;
 	c->deadline = clock_now() + timeout_ms;
-	c->line = g_string_new(NULL);
-	c->path = g_string_new(NULL);
-	ev_init(&c->again, on_again_);
-	ev_timer_init(&c->away, on_away_, 0, 0);
-	ev_init(&c->turn, on_turn_);
-	c->again.data = c->away.data = c->turn.data = c;
 	if (leave > 0 && gsl_rng_uniform(all.rng) < leave)
 		c->leaves_after =
 			1 + (int)gsl_rng_uniform_int(all.rng,
 						     (gulong)events_whole - 1);
 	c->reads_slowly = slow > 0 && gsl_rng_uniform(all.rng) < slow;
 	clock_gettime(CLOCK_MONOTONIC, &c->came);
-	all.open++;
 	try_(c);
 }
 
@@ -491,15 +588,16 @@
 
 	report = json_pack(
 		"{s:O,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,"
-		"s:i,s:i,s:i,s:i,s:i,s:O,s:o,s:o}",
+		"s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:O,s:o,s:o}",
 		"promised", all.promised, "sent", all.sent, "whole", all.whole,
 		"refused", all.refused, "other", all.other, "failed",
 		all.failed, "events", all.events, "joined", all.joined,
 		"disordered", all.disordered, "resumed", all.resumed,
 		"resumed_whole", all.resumed_whole, "timeless", all.timeless,
 		"mixed", all.mixed, "torn", all.torn, "early", all.early,
-		"left", all.left, "faulty", all.faulty, "ms",
-		quantiles_(all.ms), "refused_ms", quantiles_(all.refused_ms));
+		"left", all.left, "seconds", all.seconds, "backed", all.backed,
+		"faulty", all.faulty, "ms", quantiles_(all.ms), "refused_ms",
+		quantiles_(all.refused_ms));
 	text = json_dumps(report, JSON_COMPACT);
 	puts(text);
 	free(text);
@@ -518,7 +616,8 @@
 		fprintf(stderr, "kcf-caller: %s\n", error->message);
 		g_error_free(error);
 	} else if (!to || rate <= 0 || duration_ms <= 0 || body_bytes < 0 ||
-		   (leave > 0 && (!resume || events_whole < 2))) {
+		   (leave > 0 && (!resume || events_whole < 2)) ||
+		   ((back > 0 || twice > 0 || silence_ms) && !resume)) {
 		fprintf(stderr, "usage: kcf-caller --to IP:PORT,... [...]\n");
 		ok = false;
 	}
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -27,6 +27,10 @@
  * hundred requests whose target begins with PREFIX fail (KIND "fail") or take
  * eight times as long ("slow").
  * Mode "unframed_stall" sends half of an answer without framing, and no more.
+ * With --unread a part of the requests have the last byte of their body unread
+ * until the answer has ended, so that the process's end resets the connection.
+ * With --pieces each event comes in so many parts.
+ *
  * Mode "unread READ" reads so many bytes of the request's body and no more.
  *
  * With --born it names its start in GET /api/report, else it refuses that.
@@ -98,6 +102,7 @@
 	char *method;
 	char *target;
 	char *id;
+	size_t left; /* bytes of the body that are read after the answer */
 	int64_t last_event;
 	bool stream;
 	bool reused;		   /* not the first on its connection */
@@ -183,6 +188,9 @@
 static gint report_ms;
 static gint report_ends;
 static gint unframed;
+static gint unread;
+static gint pieces = 1;
+static gint64 stride = 1;
 
 static const GOptionEntry entries[] = {
 	{ "listen", 0, 0, G_OPTION_ARG_STRING, &listen_address, "Address",
@@ -227,6 +235,12 @@
 	  "End the connection after each Nth GET /api/report", "N" },
 	{ "unframed", 0, 0, G_OPTION_ARG_INT, &unframed,
 	  "Of a hundred answers, have neither a length nor chunks", "N" },
+	{ "unread", 0, 0, G_OPTION_ARG_INT, &unread,
+	  "Of a hundred requests, have bytes unread while they run", "N" },
+	{ "pieces", 0, 0, G_OPTION_ARG_INT, &pieces,
+	  "Parts of each event, over half of the time to the next", "N" },
+	{ "stride", 0, 0, G_OPTION_ARG_INT64, &stride,
+	  "Between the ids of two events", "N" },
 	{ "born", 0, 0, G_OPTION_ARG_INT64, &born, "Wall time of its start",
 	  "MS" },
 	{ 0 },
@@ -298,7 +312,8 @@
 static bool fill_(int fd, GString *in)
 {
 	char data[4096];
-	ssize_t n = recv(fd, data, sizeof(data), 0);
+	/* What follows stays in the socket. */
+	ssize_t n = recv(fd, data, unread ? 1 : sizeof(data), 0);
 
 	if (!passes_() || n <= 0)
 		return false;
@@ -314,7 +329,7 @@
 	r->method = g_strdup(words[0]);
 	r->target = g_strdup(words[1] ? words[1] : "");
 	r->id = header_(r, id_header);
-	r->last_event = *last ? g_ascii_strtoll(last, NULL, 10) : 0;
+	r->last_event = *last ? g_ascii_strtoll(last, NULL, 10) / stride : 0;
 	r->stream = strstr(r->target, "/stream/") != NULL;
 	r->big = big_bytes && g_str_hash(r->id) % BIG_EVERY == 0;
 	g_free(last);
@@ -335,6 +350,12 @@
 	return want;
 }
 
+/* Whether the last byte of its body waits in the socket. */
+static bool leaves_unread_(const request_t *r)
+{
+	return *r->id && (int)(g_str_hash(r->id) / 7 % 100) < unread;
+}
+
 /* Reads one request; in keeps what follows it. */
 static bool read_request_(int fd, GString *in, request_t *r)
 {
@@ -353,6 +374,10 @@
 	length = header_(r, "Content-Length");
 	want = read_before_(r, (size_t)g_ascii_strtoull(length, NULL, 10));
 	g_free(length);
+	if (want && leaves_unread_(r)) {
+		r->left = 1;
+		want--;
+	}
 	r->body = g_string_new(NULL);
 	while (in->len < want) {
 		if (!fill_(fd, in))
@@ -363,6 +388,17 @@
 	return true;
 }
 
+/* Of the body, what was left until the answer had ended. */
+static bool read_left_(int fd, GString *in, size_t left)
+{
+	while (in->len < left) {
+		if (!fill_(fd, in))
+			return false;
+	}
+	g_string_erase(in, 0, (gssize)left);
+	return true;
+}
+
 static bool send_(int fd, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 
 static bool send_(int fd, const char *fmt, ...)
@@ -758,10 +794,11 @@
 {
 	GString *text = g_string_new(NULL);
 
-	g_string_printf(
-		text,
-		"id: %" G_GINT64_FORMAT "\ndata: %s%s%s-%" G_GINT64_FORMAT, i,
-		version ? version : "", version ? "/" : "", r->id, i);
+	g_string_printf(text,
+			"id: %" G_GINT64_FORMAT
+			"\ndata: %s%s%s-%" G_GINT64_FORMAT,
+			i * stride, version ? version : "", version ? "/" : "",
+			r->id, i);
 	if (r->big) {
 		g_string_append_c(text, ' ');
 		for (int n = 0; n < big_bytes; n++)
@@ -776,6 +813,23 @@
 	return g_string_free(text, FALSE);
 }
 
+/* An event in --pieces parts, and the time to the next. */
+static bool event_(int fd, bool framed, const char *text)
+{
+	size_t len = strlen(text) / (size_t)pieces;
+	bool ok = true;
+
+	for (int i = 1; ok && i < pieces; i++, text += len) {
+		char *part = g_strndup(text, len);
+
+		ok = piece_(fd, framed, part) &&
+		     pause_(fd, gap_ms / 2 / (pieces - 1));
+		g_free(part);
+	}
+	return ok && piece_(fd, framed, text) &&
+	       pause_(fd, pieces > 1 ? gap_ms / 2 : gap_ms);
+}
+
 typedef enum trouble {
 	TROUBLE_NONE,
 	TROUBLE_END,
@@ -944,7 +998,7 @@
 			event[strlen(event) / 2] = '\0';
 		if (i == plight.event && is_inside_(plight.trouble))
 			event[strlen(event) / 2] = '\0';
-		if (!piece_(fd, framed, event) || !pause_(fd, gap_ms)) {
+		if (!event_(fd, framed, event)) {
 			g_free(event);
 			return false;
 		}
@@ -1382,6 +1436,7 @@
 		r.reused = reused;
 		reused = true;
 		kept = serve_(own->fd, &r, &copy);
+		kept = read_left_(own->fd, in, r.left) && kept;
 		request_clear_(&r);
 	}
 	g_free(copy.text);
