--- a/tests/scenarios/harm_words.lua
+++ b/tests/scenarios/harm_words.lua
@@ -9,7 +9,7 @@
 
 -- Nodes: each is up, or comes back at a moment or once it has ended.
 
-local function hurt(g)
+function hurt(g)
 	local how = math.random(3)
 	g.back_at = now_ms() + 100 + math.random(DARK_MAX_MS - 100)
 	if how == 1 then
