Starts: a part of an answer does not make an upstream one that names no start

Callers saw: streams that are taken up are refused more often. Cause: GET /api/report answered without framing and cut (runners may truncate answers) holds no start, as an answer that names none. The upstream counted as one that never does until its next start and was not asked again; only heartbeats proved it. A cut answer with a length was a silence already.

Change: 200, without framing and no JSON, is a silence: it is asked again after 5 s, and after three in a row counts as one that names none, as before. Whole answers without a start, framed or not, count as before.

--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -142,6 +142,21 @@
 		++u->silences < SILENT_MAX ? now + ASK_AGAIN_MS : MSTIME_NEVER;
 }
 
+/* A part of an answer names no start, though the whole one may. */
+static bool may_be_part_(http_call_t *call)
+{
+	str_t body = http_call_body(call);
+	json_t *root;
+	bool part;
+
+	if (!http_call_unframed(call))
+		return false;
+	root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
+	part = !root;
+	json_decref(root);
+	return part;
+}
+
 /*
  * What an answer says of the start, which is kept with its connection.
  *
@@ -158,7 +173,8 @@
 
 	if (start > u->start_id)
 		u->refuted = true;
-	if (err || is_busy_(status) || (start && !kept))
+	if (err || is_busy_(status) || (start && !kept) ||
+	    (status == 200 && may_be_part_(call)))
 		note_silence_(u, now);
 	else if (!start)
 		u->nameless_until = MSTIME_NEVER;
--- a/tests/standin/runner.c
+++ b/tests/standin/runner.c
@@ -30,6 +30,7 @@
  * Mode "unread READ" reads so many bytes of the request's body and no more.
  *
  * With --born it names its start in GET /api/report, else it refuses that.
+ * POST /fault {"report_cut": true} has it answer that in part, without framing.
  *
  * With --waits it has room for as many requests as it has slots, and for so
  * many that wait; it refuses the others at once. POST /fault {"brittle": N,
@@ -151,6 +152,7 @@
 	int turned_away;   /* for want of room, since the start */
 	int falls;
 	int reports; /* asked for */
+	bool report_cut;
 	int listener;
 	mstime_t fallen_until;
 } state;
@@ -405,6 +407,7 @@
 	const char *mode = json_string_value(json_object_get(f, "mode"));
 	const char *health = json_string_value(json_object_get(f, "health"));
 	json_t *brittle = json_object_get(f, "brittle");
+	json_t *report_cut = json_object_get(f, "report_cut");
 
 	g_mutex_lock(&state.lock);
 	if (brittle) {
@@ -413,6 +416,8 @@
 			(int)json_integer_value(json_object_get(f, "waits"));
 		state.brittle_from = clock_now() + BRITTLE_LEAD_MS;
 		g_array_set_size(state.turned_at, 0);
+	} else if (report_cut) {
+		state.report_cut = json_is_true(report_cut);
 	} else if (health) {
 		g_strlcpy(state.health, health, sizeof(state.health));
 	} else {
@@ -1164,13 +1169,19 @@
 /* False when the connection ends after it. */
 static bool report_(int fd)
 {
+	bool cut;
 	int n;
 
 	g_mutex_lock(&state.lock);
 	n = ++state.reports;
+	cut = state.report_cut;
 	g_mutex_unlock(&state.lock);
 	if (report_ms)
 		g_usleep((gulong)report_ms * 1000);
+	if (cut) {
+		send_(fd, "HTTP/1.1 200 OK\r\n\r\n{\"state\":\"re");
+		return false;
+	}
 	if (born)
 		send_json_(fd, json_pack("{s:s,s:i,s:I}", "state", "ready",
 					 "active", state.running, "born",
