--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -2,9 +2,16 @@
 
 #include "../../platform/platform_protocol.h"
 
+#include <arpa/inet.h>
+#include <ev.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define NOW 5000
+#define ADDRESS "127.0.9.4"
+#define DEADLINE_MS 3000
 
 static const struct {
 	const char *text; /* as published */
@@ -300,6 +307,133 @@
 }
 END_TEST
 
+/* An answer of the log without framing, of which each beginning is sent. */
+typedef struct cut_log {
+	const char *head;
+	str_t body;
+	int listener;
+	char address[32];
+} cut_log_t;
+
+typedef struct cut_result {
+	bool done;
+	int err;
+	size_t count;
+	uint64_t next;
+	bool has_more;
+} cut_result_t;
+
+static gpointer serve_parts_(gpointer data)
+{
+	const cut_log_t *l = data;
+
+	for (size_t len = 0; len <= l->body.len; len++) {
+		char request[1024];
+		int fd = accept(l->listener, NULL, NULL);
+
+		ck_assert(recv(fd, request, sizeof(request), 0) > 0);
+		send(fd, l->head, strlen(l->head), MSG_NOSIGNAL);
+		send(fd, l->body.data, len, MSG_NOSIGNAL);
+		close(fd);
+	}
+	return NULL;
+}
+
+static GThread *start_log_(cut_log_t *l)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sa);
+
+	l->head = "HTTP/1.1 200 OK\r\nStore-Era: 1\r\n\r\n";
+	l->listener = socket(AF_INET, SOCK_STREAM, 0);
+	sa.sin_addr.s_addr = inet_addr(ADDRESS);
+	ck_assert(!bind(l->listener, (struct sockaddr *)&sa, sizeof(sa)));
+	ck_assert(!listen(l->listener, 1));
+	ck_assert(!getsockname(l->listener, (struct sockaddr *)&sa, &len));
+	g_snprintf(l->address, sizeof(l->address), ADDRESS ":%d",
+		   ntohs(sa.sin_port));
+	return g_thread_new("log", serve_parts_, l);
+}
+
+static void on_part_(void *arg, int err, const feed_batch_t *batch)
+{
+	*(cut_result_t *)arg =
+		(cut_result_t){ true, err, batch->count, batch->next_offset,
+				batch->has_more };
+}
+
+static cut_result_t read_part_(feed_client_t *c, struct ev_loop *loop,
+			       bool latest, uint64_t from)
+{
+	cut_result_t result = { 0 };
+	mstime_t deadline = clock_now() + DEADLINE_MS;
+
+	if (latest)
+		c->ops->read_latest(c, FEED_UPSTREAMS, NULL, deadline, on_part_,
+				    &result);
+	else
+		c->ops->read_from(c, FEED_UPSTREAMS, from, 0, deadline,
+				  on_part_, &result);
+	while (!result.done)
+		ev_run(loop, EVRUN_ONCE);
+	return result;
+}
+
+/* What is missing of an answer is read again, and removes nothing. */
+static void check_records_(size_t len, const cut_result_t *r)
+{
+	/* Where the records end. */
+	static const size_t ends[] = { 23, 29, 36 };
+	size_t whole = 0;
+
+	while (whole < G_N_ELEMENTS(ends) && len >= ends[whole])
+		whole++;
+	ck_assert_msg(r->err == (len < 16 ? FEED_EBAD : FEED_OK), "%zu: %d",
+		      len, r->err);
+	if (r->err)
+		return;
+	ck_assert_msg(r->count == whole, "%zu: %zu records", len, r->count);
+	ck_assert_msg(r->next == 4 + whole, "%zu: next is %lld", len,
+		      (long long)r->next);
+	ck_assert_msg(r->has_more == (whole < G_N_ELEMENTS(ends)), "%zu: %d",
+		      len, r->has_more);
+}
+
+START_TEST(test_part_of_a_log_taken_for_its_end)
+{
+	cut_log_t logs_cut[] = {
+		{ .body = BYTES(ENDS("\7") "\0\0\0\3\1kv"
+					   "\0\0\0\2\1k"
+					   "\0\0\0\3\1lv") },
+		{ .body = BYTES("{\"end_offset\":7,\"entries\":[{\"key\":\"k\","
+				"\"data\":\"dg==\",\"offset\":4}],"
+				"\"has_more\":false}") },
+	};
+	bool latest = _i;
+	cut_log_t *l = &logs_cut[_i];
+	GThread *thread = start_log_(l);
+	struct ev_loop *loop = ev_loop_new(0);
+	http_client_t http;
+	feed_client_t c = { &platform_feed_ops, &http, l->address };
+
+	http_client_init(&http, loop);
+	for (size_t len = 0; len <= l->body.len; len++) {
+		cut_result_t r = read_part_(&c, loop, latest, 4);
+
+		if (!latest)
+			check_records_(len, &r);
+		else
+			ck_assert_msg(r.err == (len < l->body.len ? FEED_EBAD
+								  : FEED_OK),
+				      "%zu: %d", len, r.err);
+	}
+	g_thread_join(thread);
+	http_client_finish(&http);
+	ev_loop_destroy(loop);
+	close(l->listener);
+}
+END_TEST
+
 /* Slots were lost when a further figure followed them. */
 static const struct {
 	const char *text;
@@ -375,6 +509,7 @@
 	tcase_add_test(c, test_rollout_status);
 	tcase_add_loop_test(c, test_operator_change, 0, G_N_ELEMENTS(changes));
 	tcase_add_loop_test(c, test_log_records, 0, G_N_ELEMENTS(logs));
+	tcase_add_loop_test(c, test_part_of_a_log_taken_for_its_end, 0, 2);
 	suite_add_tcase(s, c);
 	return s;
 }
