Gateway: after a lost question a nameless answer proves no end

Cause, by the nodes' logs: the question whether the upstream goes on was itself lost in the ending process, but not refused ("connection broke" on a new connection, "cannot connect"), so that it proved nothing and was put again 50 ms later; by then the next process listened, answered that it names no start, and the end counted as prompt.

Change: the time of the last question that an upstream has not answered is kept; an answer without a name proves no end that was seen before it or up to 100 ms after. Named starts and older connections prove as before. The ends of one process that were traced were seen by a node in the same ms; that it is never 100 ms is assumed.

Passed: unframed_answers, unframed_answers_unnamed, streams_cut_by_ends, http_1_0_streams; units balance, origins, routing, start_order, rate_limit, reach, quarantine.

A sound unframed end within 100 ms of a lost question, at such an upstream, is cut or repeated as not proven.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -90,6 +90,8 @@
 	/* It does not name its start when it is asked before, or has not. */
 	mstime_t nameless_until;
 	int silences; /* questions in a row that it has not answered */
+	mstime_t unanswered_at; /* the last question after an answer's end that
+				   it has not answered, 0 for none */
 	mstime_t next_opening_at; /* of a connection that heartbeats prove */
 	mstime_t cold_until;
 	mstime_t ejected_until; /* gets no requests until then */
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -6,7 +6,8 @@
  *
  * A start that names itself proves its own end. Of others the answer on a
  * connection that is older than the request tells, as a process takes its
- * connections with it; if there is none, that something answers at once.
+ * connections with it; if there is none, that something answers at once, and no
+ * question has been lost since.
  */
 #include "private/forward.h"
 
@@ -87,7 +88,18 @@
 		  F_INT("ms", clock_now() - f->end.at));
 }
 
-static verdict_t judge_(const forward_t *f, const reply_t *r)
+/*
+ * A question that was lost, since the end or shortly before it, may have met a
+ * process that was ending; what answers later may be the next one.
+ */
+static bool is_doubted_(const balance_upstream_t *u, const forward_t *f)
+{
+	return u->unanswered_at &&
+	       u->unanswered_at + PROMPT_MAX_MS >= f->end.at;
+}
+
+static verdict_t judge_(const balance_upstream_t *u, const forward_t *f,
+			const reply_t *r)
 {
 	if (r->refused)
 		return VERDICT_GONE;
@@ -98,7 +110,7 @@
 	if (r->named)
 		return r->named == f->end.start ? VERDICT_ALIVE : VERDICT_GONE;
 	/* The next process needs longer to answer than a prompt end to come. */
-	return r->nameless && f->end.silence_ms >= 0 &&
+	return r->nameless && !is_doubted_(u, f) && f->end.silence_ms >= 0 &&
 			       f->end.silence_ms <= PROMPT_MAX_MS
 		       ? VERDICT_ALIVE
 		       : VERDICT_NONE;
@@ -132,7 +144,7 @@
 		g_ptr_array_add(judged, c->waiting->pdata[i]);
 	for (guint i = 0; i < judged->len; i++) {
 		forward_t *f = judged->pdata[i];
-		verdict_t verdict = judge_(f, r);
+		verdict_t verdict = judge_(c->upstream, f, r);
 
 		if (verdict == VERDICT_NONE && now < f->end.until)
 			continue;
@@ -162,6 +174,8 @@
 	reply_t reply = { .received = !err, .refused = err == HTTP_EREFUSED };
 
 	c->call = NULL;
+	if (err)
+		c->upstream->unanswered_at = clock_now();
 	/* An idle connection may have ended just then. */
 	if (err == HTTP_ECUT && http_call_reused(call)) {
 		ask_(c);
