--- a/include/kcf/end_proof.h
+++ b/include/kcf/end_proof.h
@@ -27,6 +27,7 @@
 /* What a question after the end has brought. */
 typedef struct end_reply {
 	mstime_t asked_at;
+	mstime_t lost_at; /* the last question that was not answered, or 0 */
 	bool received;
 	bool silent;	/* it was taken in, and not answered in time */
 	bool refused;	/* nobody listens there */
--- a/packages/decide/end_proof.c
+++ b/packages/decide/end_proof.c
@@ -11,6 +11,15 @@
 
 const char *const end_verdict_string[] = { "unproven", "alive", "gone" };
 
+/*
+ * A question that was lost, since the end or shortly before it, may have met a
+ * process that was ending; what answers later may be the next one.
+ */
+static bool is_doubted_(const end_seen_t *end, const end_reply_t *reply)
+{
+	return reply->lost_at && reply->lost_at + PROMPT_MAX_MS >= end->at;
+}
+
 /*
  * Whether both the end and the question came at once: the next process needs
  * longer until it is there.
@@ -19,7 +28,8 @@
 {
 	return !end->waited && end->silence_ms >= 0 &&
 	       end->silence_ms <= PROMPT_MAX_MS &&
-	       reply->asked_at - end->at < ASKED_MAX_MS;
+	       reply->asked_at - end->at < ASKED_MAX_MS &&
+	       !is_doubted_(end, reply);
 }
 
 end_verdict_t end_proof_judge(const end_seen_t *end, const end_reply_t *reply)
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -121,6 +121,9 @@
 			      .since = http_call_peer(call).since };
 
 	c->call = NULL;
+	if (err && !reply.silent)
+		c->upstream->unanswered_at = clock_now();
+	reply.lost_at = c->upstream->unanswered_at;
 	/* An idle connection may have ended just then. */
 	if (err == HTTP_ECUT && http_call_reused(call)) {
 		ask_(c);
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -149,7 +149,7 @@
 	json_t *root;
 	bool part;
 
-	if (!http_call_unframed(call))
+	if (!http_call_ends_with_connection(call))
 		return false;
 	root = json_loadb(body.data ? body.data : "", body.len, 0, NULL);
 	part = !root;
