--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -88,7 +88,7 @@
 	bool contested;	   /* another start has written its entry */
 	/* Its entry was that of another start until then, or 0. */
 	mstime_t replaced_at;
-	bool refuted;	   /* a later start has answered */
+	bool refuted; /* a later start has answered */
 	/* It does not name its start when it is asked before, or has not. */
 	mstime_t nameless_until;
 	int silences; /* questions in a row that it has not answered */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -56,8 +56,8 @@
 	GBytes *data; /* NULL once the key is removed */
 	uint64_t epoch;
 	uint64_t offset;
-	bool corrected; /* newer than the log's record at this offset */
-	bool contested; /* it does not tell that its start lives */
+	bool corrected;	     /* newer than the log's record at this offset */
+	bool contested;	     /* it does not tell that its start lives */
 	start_order_t order; /* of an upstream, kept after its removal */
 	mstime_t removed_at;
 	uint64_t change_offset; /* of the last record that was not only a
