--- a/tests/scenarios/unframed_answers_asked_late.lua
+++ b/tests/scenarios/unframed_answers_asked_late.lua
@@ -17,8 +17,11 @@
 	set_fault(r, "unframed_stall", -1)
 	local second = http_start { ask(g, "/hold/second") }
 	sleep_ms(40)
-	kill(r)
+	-- The next one answers within 50 ms, which a wait for the end of this one would take alone.
+	local gone = { name = r.name, pid = r.pid }
+	kill_process(gone.pid, 9)
 	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	wait_exit(gone, 2000)
 	http_finish(first)
 	local a = http_finish(second)[1]
 	if a.status == 200 and not a.err then bad[#bad + 1] = string.format("%q", a.body) end
