Gateway: an end that waited for the node proves nothing of an upstream without a name

Change: the kernel tells how long the end had been there (tcpi_last_ack_recv: an end acknowledges, and nothing comes after it); from then to the question 20 ms may pass. A question that breaks off is a sign of a process that ends: what answers after it proves nothing for an upstream without a name. answer.unframed has both.

--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -161,6 +161,12 @@
  */
 int64_t http_call_silence(const http_call_t *call);
 
+/*
+ * http_call_end_unread - milliseconds that the end of the connection of a call
+ * that is done had been there when it was closed, -1 if this is unknown.
+ */
+int64_t http_call_end_unread(const http_call_t *call);
+
 /*
  * http_call_acked - whether the other end's kernel had taken in all that was
  * written on the connection of a call that is done when it was closed.
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -22,6 +22,8 @@
 #define ASK_AGAIN_MS 50
 /* An end that was lost on the way is sent again later than this. */
 #define PROMPT_MAX_MS 100
+/* From an end to the question; a process needs longer to start. */
+#define ASKED_MAX_MS 20
 
 typedef enum verdict {
 	VERDICT_NONE, /* it may be asked again */
@@ -36,9 +38,10 @@
 typedef struct reply {
 	mstime_t asked_at;
 	bool received;
-	bool refused;	/* nobody listens there */
-	bool silent;	/* it was taken in, and not answered in time */
-	bool nameless;	/* its start will not be named */
+	bool refused;  /* nobody listens there */
+	bool silent;   /* it was taken in, and not answered in time */
+	bool nameless; /* its start will not be named */
+	bool broke;    /* a question before it has, as at a process that ends */
 	uint64_t named; /* start, or 0 */
 	mstime_t since; /* the connection has reached the process */
 } reply_t;
@@ -50,6 +53,7 @@
 	http_call_t *call;	      /* NULL between questions */
 	GPtrArray *waiting;	      /* forward_t * */
 	mstime_t asked_at;	      /* last, 0 before the first question */
+	bool broke;		      /* a question has */
 	ev_timer again;
 };
 
@@ -87,14 +91,19 @@
 		  F_INT("older", r->received && r->since <= f->sent_at),
 		  F_INT("last_event", f->last_event_id),
 		  F_INT("silence_ms", f->end.silence_ms),
+		  F_INT("unread_ms", f->end.unread_ms),
+		  F_INT("broke", r->broke),
 		  F_INT("ms", clock_now() - f->end.at));
 }
 
-/* The next process needs longer to answer than such an end and its question. */
+/* Whether the next process can't have been there when it was asked. */
 static bool is_prompt_(const forward_t *f, const reply_t *r)
 {
-	return f->end.silence_ms >= 0 && f->end.silence_ms <= PROMPT_MAX_MS &&
-	       r->asked_at - f->end.at < ASK_AGAIN_MS;
+	const answer_end_t *e = &f->end;
+
+	return !r->broke && e->silence_ms >= 0 &&
+	       e->silence_ms <= PROMPT_MAX_MS && e->unread_ms >= 0 &&
+	       e->unread_ms + r->asked_at - e->at <= ASKED_MAX_MS;
 }
 
 static verdict_t judge_(const forward_t *f, const reply_t *r)
@@ -160,12 +169,14 @@
 	end_proof_t *c = ctx;
 	reply_t reply = { .asked_at = c->asked_at,
 			  .received = !err,
+			  .broke = c->broke,
 			  .refused = err == HTTP_EREFUSED,
 			  .silent =
 				  err == HTTP_ETIMEOUT && http_call_acked(call),
 			  .since = http_call_peer(call).since };
 
 	c->call = NULL;
+	c->broke = c->broke || err == HTTP_ECUT;
 	/* An idle connection may have ended just then. */
 	if (err == HTTP_ECUT && http_call_reused(call)) {
 		ask_(c);
@@ -232,6 +243,7 @@
 		.at = now,
 		.until = now + PROOF_MAX_MS,
 		.silence_ms = http_call_silence(call),
+		.unread_ms = http_call_end_unread(call),
 	};
 	g_ptr_array_add(f->end.proof->waiting, f);
 }
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -108,6 +108,7 @@
 	mstime_t at;	     /* when it was seen */
 	mstime_t until;	     /* it is proven, or does not count */
 	mstime_t silence_ms; /* before it, -1 if unknown */
+	mstime_t unread_ms;  /* until it was seen, -1 if unknown */
 } answer_end_t;
 
 typedef struct forward {
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -71,6 +71,7 @@
 	size_t head_bytes;
 	size_t upload_bytes; /* of the request's body */
 	int64_t silence_ms;  /* before its connection was closed, or -1 */
+	int64_t unread_ms;   /* that the end of it waited, or -1 */
 	bool unacked; /* the connection closed before all of it was received */
 	bool broken;  /* the connection is, which libcurl was not told */
 	int sends;    /* connections on which the request was begun */
@@ -226,7 +227,7 @@
 	call->tag = spec->tag;
 	call->peer = (http_peer_t){ MSTIME_NEVER, MSTIME_NEVER, 0 };
 	call->peer_start = spec->peer_start;
-	call->silence_ms = -1;
+	call->silence_ms = call->unread_ms = -1;
 	call->fresh = spec->fresh;
 	if (spec->bare)
 		omit_default_headers_(call, spec);
@@ -360,6 +361,12 @@
 	return call->silence_ms;
 }
 
+int64_t http_call_end_unread(const http_call_t *call)
+{
+	assert(call);
+	return call->unread_ms;
+}
+
 bool http_call_acked(const http_call_t *call)
 {
 	assert(call);
@@ -824,8 +831,11 @@
 	struct tcp_info info = { 0 };
 	socklen_t len = sizeof(info);
 
-	if (!getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
-		call->silence_ms = info.tcpi_last_data_recv;
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len))
+		return;
+	call->silence_ms = info.tcpi_last_data_recv;
+	/* An end acknowledges as well, and nothing comes after it. */
+	call->unread_ms = info.tcpi_last_ack_recv;
 }
 
 static int on_close_(void *userp, curl_socket_t fd)
