--- a/include/kcf/end_proof.h
+++ b/include/kcf/end_proof.h
@@ -17,7 +17,8 @@
 	uint64_t start; /* of the upstream that answered, as far as is known */
 	mstime_t sent_at;    /* of the request */
 	mstime_t at;	     /* when it was seen */
-	mstime_t silence_ms; /* from its last bytes to its end, -1 if unknown */
+	mstime_t silence_ms; /* from its last bytes until it was seen, or -1 */
+	mstime_t unread_ms;  /* that it was there before, -1 if unknown */
 	/* Reading has paused: what a full socket holds back at its sender comes
 	 * late, and the end right behind it.
 	 */
--- a/packages/decide/end_proof.c
+++ b/packages/decide/end_proof.c
@@ -7,7 +7,8 @@
  * waited for a paused process is seen later.
  */
 #define PROMPT_MAX_MS 100
-#define ASKED_MAX_MS 50
+/* From an end to the question; a process needs longer to start. */
+#define ASKED_MAX_MS 20
 
 const char *const end_verdict_string[] = { "unproven", "alive", "gone" };
 
@@ -27,8 +28,8 @@
 static bool is_prompt_(const end_seen_t *end, const end_reply_t *reply)
 {
 	return !end->waited && end->silence_ms >= 0 &&
-	       end->silence_ms <= PROMPT_MAX_MS &&
-	       reply->asked_at - end->at < ASKED_MAX_MS &&
+	       end->silence_ms <= PROMPT_MAX_MS && end->unread_ms >= 0 &&
+	       end->unread_ms + reply->asked_at - end->at <= ASKED_MAX_MS &&
 	       !is_doubted_(end, reply);
 }
 
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -22,6 +22,7 @@
 	http_call_t *call;	      /* NULL between questions */
 	GPtrArray *waiting;	      /* forward_t * */
 	mstime_t asked_at;	      /* last, 0 before the first question */
+	bool broke;		      /* a question has */
 	ev_timer again;
 };
 
@@ -60,6 +61,7 @@
 		  F_INT("older", r->received && r->since <= f->sent_at),
 		  F_INT("last_event", f->last_event_id),
 		  F_INT("silence_ms", f->end.seen.silence_ms),
+		  F_INT("unread_ms", f->end.seen.unread_ms),
 		  F_INT("waited", f->end.seen.waited),
 		  F_INT("ms", clock_now() - f->end.seen.at));
 }
@@ -193,6 +195,7 @@
 			.sent_at = f->sent_at,
 			.at = now,
 			.silence_ms = http_call_silence(call),
+			.unread_ms = http_call_end_unread(call),
 			.waited = MAX(f->read_on_at, f->gateway->late_at) >=
 				  f->sent_at,
 		},
--- a/packages/node/answer.c
+++ b/packages/node/answer.c
@@ -294,6 +294,7 @@
 			.sent_at = x->sent_at,
 			.at = clock_now(),
 			.silence_ms = http_call_silence(call),
+			.unread_ms = http_call_end_unread(call),
 		},
 	};
 	for (size_t i = 0; i < n; i++)
