--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -9,7 +9,6 @@
 #include <assert.h>
 #include <kcf/counter.h>
 #include <kcf/logline.h>
-#include <string.h>
 
 /* Callers wait for the end of a stream at least twice as long. */
 #define PROOF_MAX_MS 1000
@@ -22,7 +21,6 @@
 	http_call_t *call;	      /* NULL between questions */
 	GPtrArray *waiting;	      /* forward_t * */
 	mstime_t asked_at;	      /* last, 0 before the first question */
-	bool broke;		      /* a question has */
 	ev_timer again;
 };
 
