Gateway: a server error is sent again before its head is prepared

Seen in review, by reading: with the wait for ends the head of a response is prepared before a server error is tried at another upstream, so that one of another node's caller counts once more as a relay that was of no use.

--- a/packages/gateway/answer.c
+++ b/packages/gateway/answer.c
@@ -795,18 +795,14 @@
 						  : FAULT_DISCONNECT);
 }
 
-/* A server error may not recur at another upstream: retries before reporting
- * it to the caller.
- */
-static void handle_upstream_error_(forward_t *f)
+/* A server error may not recur at another upstream. */
+static bool retry_error_(forward_t *f)
 {
-	if (!forward_can_retry(f)) {
-		send_response_(f);
-		return;
-	}
+	if (is_stream_(f) || f->response.status < 500 || f->way ||
+	    !forward_can_retry(f))
+		return false;
 	forward_record_fault(f, FAULT_ERROR);
-	if (!forward_retry(f, FAULT_ERROR))
-		send_response_(f);
+	return forward_retry(f, FAULT_ERROR);
 }
 
 void answer_end(forward_t *f, bool whole)
@@ -815,8 +811,6 @@
 		handle_incomplete_(f);
 	else if (is_stream_(f))
 		finish_stream_(f);
-	else if (f->response.status >= 500 && !f->way)
-		handle_upstream_error_(f);
 	else
 		send_response_(f);
 }
@@ -839,12 +833,14 @@
 	bool unframed = f->framing == FRAMING_CONNECTION;
 
 	/* Other nodes mark the ends of what they pass on. */
-	if (!is_whole_(f) || (unframed && !f->selected)) {
+	if (!is_whole_(f) || (unframed && f->way)) {
 		handle_incomplete_(f);
 		return;
 	}
+	if (retry_error_(f))
+		return;
 	prepare_head_(f, call);
-	if (!unframed) {
+	if (!unframed || !f->selected) {
 		answer_end(f, true);
 		return;
 	}
