Feeds: a further scan gives entries that a restored log lacks no more time

Cause: since nodes that differ in the start of an upstream compare again after 5 s, g3 read all upstreams once more 5.4 s after the restore (feed.scanned at), and each scan put off by 6 s the drop of what nobody has written again; g1, g2 and g4 dropped it 6.2 s after the restore. Change: only the first whole scan of an epoch sets the time. unit_feed_epochs: test_missing_after_two_scans fails before.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -686,7 +686,9 @@
 	s->scanning = false;
 	s->scan_end = end;
 	removed = remove_unseen_(s, now);
-	s->drop_older_at = now + DROP_OLDER_MS;
+	/* Later scans of an epoch give its older entries no more time. */
+	if (!s->complete || !s->drop_older_at)
+		s->drop_older_at = now + DROP_OLDER_MS;
 	LOG_EVENT(LOG_NOTICE, "feed.scanned",
 		  F_STR("feed", feed_string[s->feed]),
 		  F_STR("source", feed_source_string[s->source]),
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -1265,6 +1265,28 @@
 }
 END_TEST
 
+/* Guards against entries that a restored log lacks and that each further scan
+ * keeps.
+ */
+START_TEST(test_missing_after_two_scans)
+{
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+
+	feeds_observe_epoch(&one, 1, NOW);
+	put_all_(&one);
+	feeds_observe_epoch(&one, 2, NOW);
+	for (mstime_t at = NOW; at <= NOW + 5000; at += 5000) {
+		feeds_begin_scan(s);
+		put_(&one, 0, 0);
+		feeds_end_scan(s, 1, at, at);
+	}
+	feeds_apply_deferred_removals(s, NOW + 5900);
+	ck_assert(knows_(&one, "u-0") && knows_(&one, "u-1"));
+	feeds_apply_deferred_removals(s, NOW + 6100);
+	ck_assert(knows_(&one, "u-0") && !knows_(&one, "u-1"));
+}
+END_TEST
+
 /* What the restored log lacks is used until it had time to be written again. */
 START_TEST(test_missing_after_a_restore)
 {
@@ -1360,6 +1382,7 @@
 	tcase_add_loop_test(c, test_overruled_clock_is_told, 0,
 			    G_N_ELEMENTS(told_cases));
 	tcase_add_test(c, test_missing_after_a_restore);
+	tcase_add_test(c, test_missing_after_two_scans);
 	tcase_add_test(c, test_written_again_after_a_restore);
 	tcase_add_test(c, test_changes_of_another_epoch_are_not_applied);
 	suite_add_tcase(s, c);
