Tests: the next process is started again where its address was not free yet

Trace: the scenario starts the next process right after it has killed the one before, without a wait, and that had not let go of its address yet, so that the next one ended at once and nobody answered in the next round; no answer looked complete.

--- a/tests/scenarios/unframed_answers_asked_late.lua
+++ b/tests/scenarios/unframed_answers_asked_late.lua
@@ -25,6 +25,8 @@
 	http_finish(first)
 	local a = http_finish(second)[1]
 	if a.status == 200 and not a.err then bad[#bad + 1] = string.format("%q", a.body) end
+	-- The address may not have been free when it was started.
+	if exited(r.pid) then r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log") end
 	announce(f, r, { sequence = i + 1, born = wall_ms() })
 	sleep_ms(1500)
 end
--- a/tests/scenarios/unframed_answers_busy_node.lua
+++ b/tests/scenarios/unframed_answers_busy_node.lua
@@ -20,6 +20,8 @@
 	sleep_ms(BUSY_MS)
 	thaw(g)
 	wait_exit(gone, 2000)
+	-- The address may not have been free when it was started.
+	if exited(r.pid) then r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log") end
 	local a = http_finish(load)[1]
 	if a.status == 200 and not a.err then bad = bad + 1 end
 	announce(f, r, { sequence = i + 1, born = wall_ms() })
