Ends: times of a proof stand once, an answer to a question is read once

Read again after the landing: both ends.c named the same two times, which belong to end_proof; starts_take_answer read the start out of an answer that take_answer_ had just read it from.

--- a/include/kcf/end_proof.h
+++ b/include/kcf/end_proof.h
@@ -12,6 +12,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Callers wait for the end of a stream at least twice as long. */
+#define END_PROOF_MAX_MS 1000
+/* Between two questions. */
+#define END_PROOF_ASK_AGAIN_MS 50
+
 /* How an answer ended that nothing but its connection marks the end of. */
 typedef struct end_seen {
 	uint64_t start; /* of the upstream that answered, as far as is known */
--- a/packages/gateway/ends.c
+++ b/packages/gateway/ends.c
@@ -10,10 +10,6 @@
 #include <kcf/counter.h>
 #include <kcf/logline.h>
 
-/* Callers wait for the end of a stream at least twice as long. */
-#define PROOF_MAX_MS 1000
-#define ASK_AGAIN_MS 50
-
 /* Requests whose answers one upstream has ended before it is first asked. */
 struct end_wait {
 	gateway_t *gateway;
@@ -98,7 +94,8 @@
 	/* The last one has taken it along. */
 	if (!g_hash_table_contains(g->end_waits, c))
 		return;
-	ev_timer_set(&c->again, (double)ASK_AGAIN_MS / MSEC_PER_SEC, 0);
+	ev_timer_set(&c->again, (double)END_PROOF_ASK_AGAIN_MS / MSEC_PER_SEC,
+		     0);
 	ev_timer_start(g->loop, &c->again);
 }
 
@@ -186,7 +183,7 @@
 	f->may_have_run = true;
 	f->end = (answer_end_t){
 		.wait = wait_of_(f->gateway, f->selected),
-		.until = now + PROOF_MAX_MS,
+		.until = now + END_PROOF_MAX_MS,
 		.seen = {
 			.start = peer.start ? peer.start
 					    : f->selected->start_id,
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -157,17 +157,22 @@
 	return part;
 }
 
+/* The start that an answer names, or 0. */
+static uint64_t start_in_(const gateway_t *g, const http_call_t *call, int err)
+{
+	return err ? 0 : g->protocol->parse_state(http_call_body(call));
+}
+
 /*
  * What an answer says of the start, which is kept with its connection.
  *
+ * start: that it names
  * Return: whether it is that of the entry.
  */
-static bool take_answer_(gateway_t *g, balance_upstream_t *u, http_call_t *call,
-			 int err, int status)
+static bool take_answer_(balance_upstream_t *u, http_call_t *call,
+			 uint64_t start, int err, int status)
 {
 	mstime_t now = clock_now();
-	uint64_t start =
-		err ? 0 : g->protocol->parse_state(http_call_body(call));
 	/* What is said on a connection that ends proves nothing later. */
 	bool kept = start && http_call_name_peer(call, start);
 
@@ -196,8 +201,10 @@
 uint64_t starts_take_answer(gateway_t *g, balance_upstream_t *u,
 			    http_call_t *call, int status)
 {
-	take_answer_(g, u, call, HTTP_OK, status);
-	return g->protocol->parse_state(http_call_body(call));
+	uint64_t start = start_in_(g, call, HTTP_OK);
+
+	take_answer_(u, call, start, HTTP_OK, status);
+	return start;
 }
 
 static void on_answer_(void *ctx, http_call_t *call, int err, int status)
@@ -216,7 +223,8 @@
 		start_question_(f);
 		return;
 	}
-	if (take_answer_(f->gateway, f->selected, call, err, status) ||
+	if (take_answer_(f->selected, call, start_in_(f->gateway, call, err),
+			 err, status) ||
 	    !is_required_(f))
 		forward_send(f);
 	else
@@ -317,8 +325,8 @@
 	const balance_upstream_t *u = balance_find_key(&g->balance, o->key);
 
 	if (u && clock_now() >= u->nameless_until && !http_unsent(err))
-		take_answer_(g, g_hash_table_lookup(g->balance.by_id, u->id),
-			     call, err, status);
+		take_answer_(g_hash_table_lookup(g->balance.by_id, u->id), call,
+			     start_in_(g, call, err), err, status);
 	g_free(o);
 }
 
--- a/packages/node/ends.c
+++ b/packages/node/ends.c
@@ -9,9 +9,6 @@
 #include <assert.h>
 #include <kcf/logline.h>
 
-#define PROOF_MAX_MS 1000
-#define ASK_AGAIN_MS 50
-
 static void ask_(exchange_t *x);
 
 static uint64_t start_of_(http_call_t *call)
@@ -37,7 +34,7 @@
 {
 	ev_timer_stop(x->relay->task.loop, &x->retry_timer);
 	ev_timer_init(&x->retry_timer, on_again_,
-		      (double)ASK_AGAIN_MS / MSEC_PER_SEC, 0);
+		      (double)END_PROOF_ASK_AGAIN_MS / MSEC_PER_SEC, 0);
 	x->retry_timer.data = x;
 	ev_timer_start(x->relay->task.loop, &x->retry_timer);
 }
@@ -80,7 +77,8 @@
 	/* For the requests that are sent on this connection. */
 	if (start)
 		http_call_name_peer(call, start);
-	if (verdict == END_UNPROVEN && clock_now() - end->at < PROOF_MAX_MS) {
+	if (verdict == END_UNPROVEN &&
+	    clock_now() - end->at < END_PROOF_MAX_MS) {
 		/* An idle connection may have ended just then. */
 		if (err == HTTP_ECUT && http_call_reused(call))
 			ask_(x);
@@ -102,7 +100,7 @@
 	http_call_spec_t spec = {
 		.method = "GET",
 		.url = url,
-		.deadline = x->held->end.at + PROOF_MAX_MS,
+		.deadline = x->held->end.at + END_PROOF_MAX_MS,
 		.single = true,
 	};
 
--- a/packages/node/private/exchange.h
+++ b/packages/node/private/exchange.h
@@ -14,8 +14,8 @@
 
 #include "hop.h"
 #include "relay.h"
-#include <kcf/end_proof.h>
 #include <kcf/counter.h>
+#include <kcf/end_proof.h>
 #include <kcf/sse.h>
 
 /* Whether a request has run at an upstream, as reported to the caller. */
