Tests: words for what scenarios wrote for themselves

runner_of, events_of, spawn_runner and remove_runner in gateway_words, begin_streams and take_up_streams in version_words, in place of copies in the scenarios; cases, bounds and expectations are as before.

--- a/tests/scenarios/cold_before_check_in.lua
+++ b/tests/scenarios/cold_before_check_in.lua
@@ -12,7 +12,7 @@
 kill(r)
 r.born = wall_ms()
 for i, w in ipairs(r.argv) do if w == "--born" then r.argv[i + 1] = tostring(r.born) end end
-r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+spawn_runner(f, r)
 wait_for(r.name .. " answers", 5000, function()
 	return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
 end)
--- a/tests/scenarios/gateway_charges.lua
+++ b/tests/scenarios/gateway_charges.lua
@@ -34,7 +34,7 @@
 				end
 			end
 			if r.fault == "gone" then
-				r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+				spawn_runner(f, r)
 			elseif r.fault then
 				set_fault(r, "", 0)
 			end
--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -41,6 +41,16 @@
 	store_put(f, "keyed.servers", r.name, json_encode(e))
 end
 
+-- Starts its process, the first time or again; its address may not be free yet if the one before has just been killed.
+function spawn_runner(f, r) r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log") end
+
+-- Its process ends, and its entry goes.
+function remove_runner(f, r)
+	kill(r)
+	r.gone = true
+	store_drop(f, "keyed.servers", r.name)
+end
+
 -- A scenario sets names_start to false before for runners that do not name their start.
 function start_runner(f, name, service, dc, o)
 	local n = #f.runners + 1
@@ -52,7 +62,7 @@
 		argv[#argv + 1] = tostring(v)
 	end
 	r.argv = argv
-	r.pid = spawn(argv, f.dir .. "/" .. name .. ".log")
+	spawn_runner(f, r)
 	f.runners[n] = r
 	f[name] = r
 	wait_for(name .. " answers", 5000, function()
@@ -200,6 +210,25 @@
 	return n
 end
 
+-- The upstream of a list that runs a request, once one does.
+function runner_of(list, id)
+	local found
+	wait_for(id .. " runs", 3000, function()
+		for _, r in ipairs(list) do
+			if (seen(r).runs[id] or 0) > 0 then found = r end
+		end
+		return found
+	end)
+	return found
+end
+
+-- The events of an upstream's stream that has no version and no padding.
+function events_of(id, from, to)
+	local text = ""
+	for i = from, to do text = text .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
+	return text
+end
+
 -- The body of a chunked answer, and whether its end came.
 function unchunk(bytes)
 	local at = select(2, bytes:find("\r\n\r\n", 1, true)) + 1
--- a/tests/scenarios/half_line_ends.lua
+++ b/tests/scenarios/half_line_ends.lua
@@ -8,12 +8,6 @@
 local g = f.gateways[1]
 local engines = { f["engine-1"], f["engine-2"], f["engine-3"] }
 
-local function events_of(id, from, to)
-	local text = ""
-	for i = from, to do text = text .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
-	return text
-end
-
 -- The events that a caller sees which splits lines at LF alone, as "id=data,data".
 local function read_at_lf(body)
 	local list, event, data = {}, "", {}
--- a/tests/scenarios/incomplete_streams.lua
+++ b/tests/scenarios/incomplete_streams.lua
@@ -14,12 +14,6 @@
 	return send(g, "/single/stream/w").status == 200 and send(other, "/single/stream/w").status == 200
 end)
 
-local function events_of(id, from, to)
-	local text = ""
-	for i = from, to do text = text .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
-	return text
-end
-
 local cases = {
 	-- events before, what comes after them, whether the stream is whole
 	{ 8, "", true },
--- a/tests/scenarios/joined_after_removal.lua
+++ b/tests/scenarios/joined_after_removal.lua
@@ -19,7 +19,7 @@
 		r.back_at, r.dead = nil, nil
 		r.born, r.sequence, r.beat_at = wall_ms(), 0, now_ms() + 100
 		set_word(r.argv, "--born", tostring(r.born))
-		r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+		spawn_runner(f, r)
 	end
 end
 
--- a/tests/scenarios/joined_at_first_of_a_version.lua
+++ b/tests/scenarios/joined_at_first_of_a_version.lua
@@ -5,18 +5,13 @@
 for _ = 1, 3 do add("v1") end
 local engines = checking_in()
 pass(engines, 3000)
-local begun = {}
-for i = 1, STREAMS do begun[i] = { id = fresh_id(), path = "/stream/long/" .. i } end
-for _, a in ipairs(answers(engines, begun, 2600)) do expect(a.status == 200, "not begun: %s", a.err or a.status) end
+local begun = begin_streams(engines, STREAMS)
 pass(engines, 6000)
 start_again(engines[1])
 engines[1].beat_at = now_ms() + 1e9
 for i = 2, #engines do set_fault(engines[i], "shed", -1) end
-local list, joined, whole = {}, 0, 0
-for i, s in ipairs(begun) do
-	list[i] = { path = s.path, headers = { ["Last-Event-Id"] = tostring(AFTER), Resumes = s.id } }
-end
-for _, a in ipairs(answers(engines, list, 2600)) do
+local joined, whole = 0, 0
+for _, a in ipairs(take_up_streams(engines, begun, AFTER)) do
 	if (a.body or ""):match("data: v1%.1/") then joined = joined + 1 end
 	if a.status == 200 then whole = whole + 1 end
 end
--- a/tests/scenarios/resumes_after_same_version.lua
+++ b/tests/scenarios/resumes_after_same_version.lua
@@ -5,9 +5,7 @@
 local STREAMS, AFTER = 24, 5
 local engines = checking_in()
 pass(engines, 3000)
-local begun = {}
-for i = 1, STREAMS do begun[i] = { id = fresh_id(), path = "/stream/long/" .. i } end
-for _, a in ipairs(answers(engines, begun, 2600)) do expect(a.status == 200, "not begun: %s", a.err or a.status) end
+local begun = begin_streams(engines, STREAMS)
 pass(engines, 3000)
 local function play(what, each)
 	for _, r in ipairs(engines) do
@@ -16,9 +14,8 @@
 		expect(r.version == "v1", "the version changed")
 		each(r)
 	end
-	local list, whole, why = {}, 0, {}
-	for i, s in ipairs(begun) do list[i] = { path = s.path, headers = { ["Last-Event-Id"] = tostring(AFTER), Resumes = s.id } } end
-	for _, a in ipairs(answers(engines, list, 3600)) do
+	local whole, why = 0, {}
+	for _, a in ipairs(take_up_streams(engines, begun, AFTER, 3600)) do
 		if a.status == 200 then whole = whole + 1 else why[#why + 1] = tostring(a.status) .. " " .. (a.body or ""):sub(1, 120) end
 	end
 	print(string.format("%s: %d taken up, %d whole", what, STREAMS, whole), why[1])
--- a/tests/scenarios/rollout_bad.lua
+++ b/tests/scenarios/rollout_bad.lua
@@ -28,9 +28,7 @@
 	expect(n <= half_bound(80 * DURATION_S) * (halves or 1), "%s: %d requests at the new version", name, n)
 	expect(last <= ended + 300, "%s: a request %d ms after the record", name, last - ended)
 	for _, r in ipairs(new) do
-		kill(r)
-		r.gone = true
-		store_drop(f, "keyed.servers", r.name)
+		remove_runner(f, r)
 	end
 	sleep_ms(500)
 end
--- a/tests/scenarios/rollout_kills.lua
+++ b/tests/scenarios/rollout_kills.lua
@@ -11,9 +11,7 @@
 
 local function remove(new)
 	for _, r in ipairs(new) do
-		kill(r)
-		r.gone = true
-		store_drop(f, "keyed.servers", r.name)
+		remove_runner(f, r)
 	end
 end
 
--- a/tests/scenarios/rollout_streams.lua
+++ b/tests/scenarios/rollout_streams.lua
@@ -23,9 +23,7 @@
 expect(n <= half_bound(a.sent), "%d of %d streams at the bad version", n, a.sent)
 expect(a.joined == 0, "%d streams hold events of two versions", a.joined)
 for _, r in ipairs(new) do
-	kill(r)
-	r.gone = true
-	store_drop(f, "keyed.servers", r.name)
+	remove_runner(f, r)
 end
 sleep_ms(1000)
 
--- a/tests/scenarios/rollout_words.lua
+++ b/tests/scenarios/rollout_words.lua
@@ -24,7 +24,7 @@
 			    born = wall_ms(), version = NEW }
 		r.argv = { bin .. "/kcf-runner", "--listen", r.address, "--id", r.name, "--born", tostring(r.born),
 			   "--version", NEW, "--slots", "16", table.unpack(new_options) }
-		r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+		spawn_runner(f, r)
 		wait_for(r.name .. " answers", 5000, function()
 			return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
 		end)
@@ -119,9 +119,7 @@
 function stop_old(f)
 	for _, r in ipairs(f.runners) do
 		if r.service == service and r.version ~= NEW and not r.gone then
-			kill(r)
-			r.gone = true
-			store_drop(f, "keyed.servers", r.name)
+			remove_runner(f, r)
 		end
 	end
 end
--- a/tests/scenarios/stream_order_rollouts.lua
+++ b/tests/scenarios/stream_order_rollouts.lua
@@ -57,9 +57,7 @@
 		stop_old(f)
 	else
 		for _, r in ipairs(new) do
-			kill(r)
-			r.gone = true
-			store_drop(f, "keyed.servers", r.name)
+			remove_runner(f, r)
 		end
 	end
 	pass(500)
--- a/tests/scenarios/streams_at_ended_reports.lua
+++ b/tests/scenarios/streams_at_ended_reports.lua
@@ -15,14 +15,11 @@
 	end
 	return n, reports
 end
-local begun = {}
-for i = 1, STREAMS do begun[i] = { id = fresh_id(), path = "/stream/long/" .. i } end
-for _, a in ipairs(answers(engines, begun, 2600)) do expect(a.status == 200, "not begun: %s", a.err or a.status) end
+local begun = begin_streams(engines, STREAMS)
 pass(engines, 8000)
-local list, whole = {}, 0
-for i, s in ipairs(begun) do list[i] = { path = s.path, headers = { ["Last-Event-Id"] = tostring(AFTER), Resumes = s.id } } end
+local whole = 0
 local before, asked = opened()
-for _, a in ipairs(answers(engines, list, 2600)) do if a.status == 200 then whole = whole + 1 end end
+for _, a in ipairs(take_up_streams(engines, begun, AFTER)) do if a.status == 200 then whole = whole + 1 end end
 local after, asked_then = opened()
 print(string.format("%d taken up, %d whole, %d connections, %d questions", STREAMS, whole, after - before, asked_then - asked))
 expect(whole >= 0.9 * STREAMS, "%d of %d went on", whole, STREAMS)
--- a/tests/scenarios/unframed_answers.lua
+++ b/tests/scenarios/unframed_answers.lua
@@ -10,36 +10,18 @@
 	if not ok then bad[#bad + 1] = string.format(...) end
 end
 
-local function events_of(id, from, to)
-	local text = ""
-	for i = from, to do text = text .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
-	return text
-end
-
 local function is_whole(path, id, body)
 	if path:find("/stream/") then return body == events_of(id, 1, EVENTS) end
 	return body:gsub('"from":"[%w-]+"', "") == '{,"id":"' .. id .. '"}'
 end
 
--- The upstream that runs a request.
-local function runner_of(list, id)
-	local found
-	wait_for(id .. " runs", 3000, function()
-		for _, r in ipairs(list) do
-			if (seen(r).runs[id] or 0) > 0 then found = r end
-		end
-		return found
-	end)
-	return found
-end
-
 -- Under its id; it checks in at once or not at all.
 local function start_again(r, checks_in)
 	r.born = wall_ms()
 	for i, w in ipairs(r.argv) do
 		if w == "--born" then r.argv[i + 1] = tostring(r.born) end
 	end
-	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	spawn_runner(f, r)
 	wait_for(r.name .. " answers", 5000, function()
 		return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
 	end)
--- a/tests/scenarios/unframed_answers_asked_late.lua
+++ b/tests/scenarios/unframed_answers_asked_late.lua
@@ -4,9 +4,7 @@
 local ROUNDS = 10
 local f = start_site { counter = { report_ms = 200 }, gateways = 1 }
 local g, r = f.gateways[1], f["counter-1"]
-store_drop(f, "keyed.servers", "counter-2")
-kill(f["counter-2"])
-f["counter-2"].gone = true
+remove_runner(f, f["counter-2"])
 sleep_ms(500)
 local bad = {}
 for i = 1, ROUNDS do
@@ -20,13 +18,13 @@
 	-- The next one answers within 50 ms, which a wait for the end of this one would take alone.
 	local gone = { name = r.name, pid = r.pid }
 	kill_process(gone.pid, 9)
-	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	spawn_runner(f, r)
 	wait_exit(gone, 2000)
 	http_finish(first)
 	local a = http_finish(second)[1]
 	if a.status == 200 and not a.err then bad[#bad + 1] = string.format("%q", a.body) end
 	-- The address may not have been free when it was started.
-	if exited(r.pid) then r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log") end
+	if exited(r.pid) then spawn_runner(f, r) end
 	announce(f, r, { sequence = i + 1, born = wall_ms() })
 	sleep_ms(1500)
 end
--- a/tests/scenarios/unframed_answers_busy_node.lua
+++ b/tests/scenarios/unframed_answers_busy_node.lua
@@ -4,9 +4,7 @@
 local ROUNDS, BUSY_MS = 6, 40
 local f = start_site { gateways = 1 }
 local g, r = f.gateways[1], f["counter-1"]
-store_drop(f, "keyed.servers", "counter-2")
-kill(f["counter-2"])
-f["counter-2"].gone = true
+remove_runner(f, f["counter-2"])
 sleep_ms(500)
 local bad = 0
 for i = 1, ROUNDS do
@@ -16,12 +14,12 @@
 	freeze(g)
 	local gone = { name = r.name, pid = r.pid }
 	kill_process(gone.pid, 9)
-	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	spawn_runner(f, r)
 	sleep_ms(BUSY_MS)
 	thaw(g)
 	wait_exit(gone, 2000)
 	-- The address may not have been free when it was started.
-	if exited(r.pid) then r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log") end
+	if exited(r.pid) then spawn_runner(f, r) end
 	local a = http_finish(load)[1]
 	if a.status == 200 and not a.err then bad = bad + 1 end
 	announce(f, r, { sequence = i + 1, born = wall_ms() })
--- a/tests/scenarios/unframed_answers_entry_changes.lua
+++ b/tests/scenarios/unframed_answers_entry_changes.lua
@@ -2,9 +2,7 @@
 dofile(scenarios .. "/gateway_words.lua")
 local f = start_site { counter = { report_ms = 600 }, gateways = 1 }
 local g, r = f.gateways[1], f["counter-1"]
-store_drop(f, "keyed.servers", "counter-2")
-kill(f["counter-2"])
-f["counter-2"].gone = true
+remove_runner(f, f["counter-2"])
 sleep_ms(500)
 set_fault(r, "unframed", -1)
 for round = 1, 3 do
--- a/tests/scenarios/unframed_answers_marked.lua
+++ b/tests/scenarios/unframed_answers_marked.lua
@@ -4,17 +4,6 @@
 local counters, engines = { f["counter-1"], f["counter-2"] }, { f["engine-1"], f["engine-2"], f["engine-3"] }
 local bad = {}
 
-local function runner_of(list, id)
-	local found
-	wait_for(id .. " runs", 3000, function()
-		for _, r in ipairs(list) do
-			if (seen(r).runs[id] or 0) > 0 then found = r end
-		end
-		return found
-	end)
-	return found
-end
-
 local cases = {
 	{ "/hold/", counters, "unframed_identity_stall" },
 	{ "/hold/", counters, "unframed_overlong_stall" },
@@ -32,7 +21,7 @@
 	kill(r)
 	local a = http_finish(load)[1]
 	if a.status == 200 and not a.err then bad[#bad + 1] = string.format("%s, %s: %q", path, mode, a.body) end
-	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	spawn_runner(f, r)
 	wait_for(r.name .. " answers", 5000, function()
 		return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
 	end)
--- a/tests/scenarios/unframed_ends_at_restarts.lua
+++ b/tests/scenarios/unframed_ends_at_restarts.lua
@@ -9,12 +9,6 @@
 local engines = { f["engine-1"], f["engine-2"], f["engine-3"] }
 for i = 4, 6 do engines[i] = start_runner(f, "engine-" .. i, "engines", "dc-" .. i - 3, { events = EVENTS, gap_ms = 5, slots = 32 }) end
 
-local function events_of(id, from, to)
-	local text = ""
-	for i = from, to do text = text .. "id: " .. i .. "\ndata: " .. id .. "-" .. i .. "\n\n" end
-	return text
-end
-
 local function start_again(r, dark_ms)
 	kill_process(r.pid, SIGKILL)
 	local till, is_over = now_ms() + dark_ms, false
@@ -22,7 +16,7 @@
 		is_over = is_over or exited(r.pid)
 		sleep_ms(1)
 	end
-	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	spawn_runner(f, r)
 	wait_for(r.name .. " answers", 5000, function()
 		return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
 	end)
--- a/tests/scenarios/unframed_ends_unread.lua
+++ b/tests/scenarios/unframed_ends_unread.lua
@@ -37,19 +37,8 @@
 	return table.concat(parts)
 end
 
-local function runner_of(id)
-	local found
-	wait_for(id .. " runs", 3000, function()
-		for _, r in ipairs(engines) do
-			if (seen(r).runs[id] or 0) > 0 then found = r end
-		end
-		return found
-	end)
-	return found
-end
-
 local function start_again(r)
-	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	spawn_runner(f, r)
 	wait_for(r.name .. " answers", 5000, function()
 		return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
 	end)
@@ -75,7 +64,7 @@
 		local id = fresh_id()
 		everywhere(engines, "unframed_stall", -1)
 		local fd = open(path, id)
-		local r = runner_of(id)
+		local r = runner_of(engines, id)
 		everywhere(engines, "", 0)
 		if who == "node" then freeze(g) end
 		sleep_ms(WRITTEN_MS)
--- a/tests/scenarios/version_words.lua
+++ b/tests/scenarios/version_words.lua
@@ -114,7 +114,7 @@
 	set_word(r.argv, "--id", r.name)
 	set_word(r.argv, "--version", r.version)
 	set_word(r.argv, "--born", tostring(r.born))
-	r.pid = spawn(r.argv, f.dir .. "/" .. r.name .. ".log")
+	spawn_runner(f, r)
 	wait_for(r.name .. " answers", 5000, function()
 		return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
 	end)
@@ -185,3 +185,18 @@
 	pass(list, ms)
 	return http_finish(load)
 end
+
+-- Streams that are begun and end while upstreams of list check in.
+function begin_streams(list, count)
+	local begun = {}
+	for i = 1, count do begun[i] = { id = fresh_id(), path = "/stream/long/" .. i } end
+	for _, a in ipairs(answers(list, begun, 2600)) do expect(a.status == 200, "not begun: %s", a.err or a.status) end
+	return begun
+end
+
+-- Answers to callers that take up such streams.
+function take_up_streams(list, begun, after, ms)
+	local requests = {}
+	for i, s in ipairs(begun) do requests[i] = { path = s.path, headers = { ["Last-Event-Id"] = tostring(after), Resumes = s.id } } end
+	return answers(list, requests, ms or 2600)
+end
