Gateway: streams of a route over several services are told to other nodes

Cause: two questions were answered by different sets. A stream was told to its homes and noted in the log only while its own service had several versions; whoever takes it up counts the versions of all services of the route. Two services of one version each are two there, and nobody was told.

Now a stream is told unless its version is the only one that its route, and the one now in force, reach; open streams are looked at again when a version or a configuration comes. A start that is not proven is told as a doubt, which names the service: where that has one version, nothing else is asked.

Ruled out: the service computed from the caller's id (changes with the weights), former routes kept at each node (when a stream began is not known where it is taken up).

--- a/packages/decide/origins.c
+++ b/packages/decide/origins.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <kcf/rank.h>
+#include <string.h>
 
 /* Streams that are remembered, about 80 bytes each. */
 #define STREAMS_MAX 32768
@@ -101,14 +102,30 @@
 	lru_expire(&o->streams, now);
 }
 
-/* Versions of all services that the route may choose. */
-static int count_versions_(const versions_t *v, const origin_query_t *query,
-			   mstime_t now, uint32_t *only)
+/* The service at which a stream was begun, also in doubt, or NULL. */
+static const char *begun_service_(const origins_t *o, const versions_t *v,
+				  uint64_t stream)
 {
+	const origin_doubt_t *doubt = origins_find_doubt(o, stream);
+	const version_t *version =
+		doubt ? versions_find(v, doubt->begin.version) : NULL;
+
+	return version ? version->service : NULL;
+}
+
+/* Versions of the services at which the stream can have been begun. */
+static int count_versions_(const origins_t *o, const versions_t *v,
+			   const origin_query_t *query, mstime_t now,
+			   uint32_t *only)
+{
+	const char *begun = begun_service_(o, v, query->stream);
 	int count = 0;
 
-	for (int i = 0; i < query->service_count; i++)
-		count += versions_count(v, query->services[i], now, only);
+	for (int i = 0; i < query->service_count; i++) {
+		if (!begun || !strcmp(begun, query->services[i]))
+			count += versions_count(v, query->services[i], now,
+						only);
+	}
 	return count;
 }
 
@@ -134,7 +151,7 @@
 	/* Another node may know a version that this one has not seen yet. */
 	if (query->stream && !query->asked)
 		return verdict_(ORIGIN_ASK);
-	count = count_versions_(v, query, now, &only);
+	count = count_versions_(o, v, query, now, &only);
 	complete = versions_is_complete(v, now);
 	if (count <= 1 && !complete && !query->read)
 		return verdict_(ORIGIN_READ);
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -102,7 +102,7 @@
 		  F_INT("keys", g_hash_table_size(table->customers)));
 	route_table_unref(g->table);
 	g->table = table;
-	resumes_set_life(g);
+	resumes_apply_table(g);
 	counter_add(COUNTER_CONFIG_APPLIED, 1);
 	counter_set(GAUGE_APPLIED_OFFSET, (int64_t)offset);
 	for (guint i = 0; i < table->services->len; i++) {
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -138,6 +138,7 @@
 	uint64_t stream;	/* its key, 0 if unknown */
 	uint32_t bound_version; /* key of the only one that may go on, or 0 */
 	bool origin_noted;
+	bool origin_told;	   /* other nodes were told of the version */
 	resume_wait_t resume_wait; /* while resume_timer runs */
 	int resume_asks;
 	bool resume_asked;  /* the homes of the stream */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -471,8 +471,8 @@
 /* The record of versions, or the log of streams, was read. */
 void resumes_record_read(gateway_t *g);
 void resumes_log_read(gateway_t *g);
-/* A configuration came into force: sets for how long streams are known. */
-void resumes_set_life(gateway_t *g);
+/* A configuration came into force. */
+void resumes_apply_table(gateway_t *g);
 /* The entry of an upstream is new or has changed. */
 void resumes_observe(gateway_t *g, const char *id, mstime_t now);
 /* Another node is not sure of versions that may have begun streams. */
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -133,25 +133,57 @@
 	origins_finish(&g->origins);
 }
 
-/* Another version has come: nobody was told of the streams that are open. */
-static void tell_open_(gateway_t *g, const char *service)
+/* Whether a version is the only one that can begin streams of a route. */
+static bool is_only_version_(const gateway_t *g, const routing_route_t *r,
+			     uint32_t version)
+{
+	mstime_t now = clock_now();
+	uint32_t only = 0;
+	int count = 0;
+
+	for (guint i = 0; i < r->targets->len; i++)
+		count += versions_count(
+			&g->versions,
+			g_array_index(r->targets, route_target_t, i).service,
+			now, &only);
+	return count == 1 && only == version;
+}
+
+/*
+ * Whether a node that takes the stream up finds its version without being told:
+ * by the route that began it, or by the one now in force.
+ */
+static bool is_implied_(const forward_t *f)
+{
+	const gateway_t *g = f->gateway;
+	const routing_route_t *current =
+		f->table == g->table
+			? f->route
+			: route_table_match(g->table, f->in.host, f->in.path);
+
+	return is_only_version_(g, f->route, f->bound_version) &&
+	       (!current || is_only_version_(g, current, f->bound_version));
+}
+
+/* Streams that are open can have been begun at another version by now. */
+static void tell_open_(gateway_t *g)
 {
 	GHashTableIter iter;
 	gpointer key;
 
-	if (!resumes_is_mixed(g, service))
-		return;
 	g_hash_table_iter_init(&iter, g->forwards);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		forward_t *f = key;
 
 		if (!f->stream || !f->bound_version || f->done ||
-		    strcmp(f->service, service) != 0)
+		    f->origin_told || is_implied_(f))
 			continue;
-		if (f->begun_sure)
+		if (f->begun_sure) {
+			f->origin_told = true;
 			tell_(g, f->stream, f->bound_version);
-		else if (f->begun.id)
+		} else if (f->begun.id) {
 			doubt_(f);
+		}
 	}
 }
 
@@ -161,7 +193,7 @@
 		return;
 	LOG_EVENT(LOG_NOTICE, "version.seen", F_STR("service", u->service),
 		  F_STR("version", u->version), F_STR("upstream", u->id));
-	tell_open_(g, u->service);
+	tell_open_(g);
 }
 
 void resumes_observe(gateway_t *g, const char *id, mstime_t now)
@@ -182,7 +214,7 @@
 		observe_(g, value, now);
 }
 
-void resumes_set_life(gateway_t *g)
+void resumes_apply_table(gateway_t *g)
 {
 	mstime_t longest = 0;
 
@@ -193,6 +225,7 @@
 			longest = MAX(longest, r->timeout_ms);
 	}
 	versions_set_life(&g->versions, longest * LIFE_TIMEOUT_FACTOR);
+	tell_open_(g);
 }
 
 void resumes_tick(gateway_t *g, mstime_t now)
@@ -222,14 +255,16 @@
 		F_INT("connection_ms", now - peer.witnessed_since));
 }
 
-/* The version that began a stream is known. */
-static void note_(gateway_t *g, uint64_t stream, uint32_t version)
+/* The version that began a stream of this node is known. */
+static void note_(forward_t *f)
 {
-	const version_t *v = versions_find(&g->versions, version);
+	gateway_t *g = f->gateway;
 
-	origins_put(&g->origins, stream, version, clock_now());
-	if (v && resumes_is_mixed(g, v->service))
-		tell_(g, stream, version);
+	origins_put(&g->origins, f->stream, f->bound_version, clock_now());
+	if (is_implied_(f))
+		return;
+	f->origin_told = true;
+	tell_(g, f->stream, f->bound_version);
 }
 
 static void send_doubt_(gateway_t *g, const origin_doubt_t *d, const char *to)
@@ -283,7 +318,7 @@
 	settle_(g);
 }
 
-/* While a service has one version, no doubt matters. */
+/* While the version is implied, no doubt matters. */
 static void doubt_(forward_t *f)
 {
 	origin_doubt_t doubt = { .stream = f->stream,
@@ -305,8 +340,8 @@
 			       &f->begun);
 	f->begun_sure = starts_is_proven(g, f->selected, peer);
 	if (f->begun_sure)
-		note_(g, f->stream, f->bound_version);
-	else if (resumes_is_mixed(g, f->service))
+		note_(f);
+	else if (!is_implied_(f))
 		doubt_(f);
 }
 
@@ -322,7 +357,7 @@
 		f->stream = stream_key_(f, f->in.id);
 	f->begun_sure = known;
 	if (known)
-		note_(f->gateway, f->stream, f->bound_version);
+		note_(f);
 	else
 		note_begin_(f);
 }
@@ -372,6 +407,13 @@
 			  : -1));
 }
 
+static void settle_sure_(gateway_t *g, const origin_doubt_t *d)
+{
+	origins_put(&g->origins, d->stream, d->begin.version, clock_now());
+	if (d->own)
+		tell_(g, d->stream, d->begin.version);
+}
+
 static void settle_(gateway_t *g)
 {
 	GArray *rebound = g_array_new(FALSE, FALSE, sizeof(origin_doubt_t));
@@ -390,11 +432,8 @@
 			g_array_append_val(rebound, doubt);
 		else if (!sure)
 			counter_add(COUNTER_ORIGINS_DROPPED, 1);
-		else if (doubt.own)
-			note_(g, doubt.stream, doubt.begin.version);
 		else
-			origins_put(&g->origins, doubt.stream,
-				    doubt.begin.version, clock_now());
+			settle_sure_(g, &doubt);
 	}
 	for (guint i = 0; i < rebound->len; i++)
 		origins_doubt(&g->origins,
--- a/packages/gateway/stream_log.c
+++ b/packages/gateway/stream_log.c
@@ -1,7 +1,7 @@
 /*
  * The versions that began streams, in the platform's log for some seconds, for
  * streams whose homes have all restarted. One reader writes what the others
- * tell it; they do so only while a service has several versions.
+ * tell it; they do so only while a route reaches several versions.
  */
 #include "private/gateway.h"
 
--- a/tests/unit/test_origins.c
+++ b/tests/unit/test_origins.c
@@ -31,6 +31,7 @@
 	STEP_END,
 	STEP_SEEN,  /* an upstream of the service and version is known */
 	STEP_BEGUN, /* a stream was begun at the version */
+	STEP_DOUBT, /* it was begun there, unless another start answered */
 } step_kind_t;
 
 typedef struct step {
@@ -166,8 +167,82 @@
 	  STREAM,
 	  true,
 	  ORIGIN_NONE },
+	{ "in doubt at a service of one version, of two services",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "b", "v1" },
+	    { STEP_DOUBT, 10, "b", "v1" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_FOUND,
+	  "b",
+	  "v1" },
+	{ "the homes are asked all the same",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "b", "v1" },
+	    { STEP_DOUBT, 10, "b", "v1" } },
+	  1000,
+	  STREAM,
+	  false,
+	  ORIGIN_ASK },
+	{ "in doubt at a service of two versions",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "b", "v1" },
+	    { STEP_SEEN, 0, "b", "v2" },
+	    { STEP_DOUBT, 10, "b", "v1" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "in doubt, and the try is not named",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "b", "v1" },
+	    { STEP_DOUBT, 10, "b", "v1" } },
+	  1000,
+	  0,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "in doubt at a service that the route does not choose any more",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "c", "v1" },
+	    { STEP_DOUBT, 10, "c", "v1" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_NONE },
+	{ "in doubt at a version that is not known here",
+	  { { STEP_SEEN, 0, "a", "v1" },
+	    { STEP_SEEN, 0, "b", "v1" },
+	    { STEP_DOUBT, 10, "b", "v2" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
 };
 
+static void take_step_(const step_t *s)
+{
+	uint32_t version = versions_key(s->service, s->version);
+	origin_doubt_t doubt = { .stream = STREAM,
+				 .begin = { .id = 1, .version = version },
+				 .until = NOW + ORIGIN_DOUBT_MAX_MS };
+
+	switch (s->kind) {
+	case STEP_SEEN:
+		versions_observe(&versions, s->service, s->version,
+				 NOW + s->at);
+		break;
+	case STEP_BEGUN:
+		origins_put(&origins, STREAM, version, NOW + s->at);
+		break;
+	case STEP_DOUBT:
+		origins_doubt(&origins, &doubt);
+		break;
+	default:
+		break;
+	}
+}
+
 START_TEST(test_resolve)
 {
 	static const char *const services[] = { "a", "b" };
@@ -178,15 +253,8 @@
 				 .logged = cases[_i].asked };
 	origin_answer_t a;
 
-	for (const step_t *s = cases[_i].steps; s->kind != STEP_END; s++) {
-		if (s->kind == STEP_SEEN)
-			versions_observe(&versions, s->service, s->version,
-					 NOW + s->at);
-		else
-			origins_put(&origins, STREAM,
-				    versions_key(s->service, s->version),
-				    NOW + s->at);
-	}
+	for (const step_t *s = cases[_i].steps; s->kind != STEP_END; s++)
+		take_step_(s);
 	a = origins_resolve(&origins, &versions, &query, NOW + cases[_i].at);
 	ck_assert_msg(a.verdict == cases[_i].verdict, "%s: %d", cases[_i].label,
 		      (int)a.verdict);
