Gateway: a node vouches for the versions that it knew before a restore

Cause: the new epoch has all entries read anew, and each scan drops the node's set of versions (versions_miss), as the latest records do not tell what came and went. The record of versions is marked for the former epoch, and only a node with a complete set may mark it anew: nobody, for the life of a stream. What the log forgot was taken for what its readers forgot.

Evidence: the reason of the refusal is that of an incomplete set alone; a compaction, which has the same scans and reads but not the epoch, holds.

Now a reader that knew all before the restore asks the other nodes three times for the versions that they have seen, reads the entries anew and vouches again, then writes versions and mark; a gap of more than 10 s, a pause, or a stream of a version without an entry keeps it from that. The refusal says when to come back. A starting node does not go by a record that it has read in the former epoch.

--- a/include/kcf/datagram.h
+++ b/include/kcf/datagram.h
@@ -99,6 +99,16 @@
 			   peer_doubts_t *m);
 void datagram_free_doubts(peer_doubts_t *m);
 
+/*
+ * datagram_encode_versions, datagram_decode_versions, datagram_free_versions -
+ * the same for PEER_VERSIONS.
+ */
+int datagram_encode_versions(const unsigned char *key, const peer_versions_t *m,
+			     unsigned char *out, size_t *len);
+int datagram_decode_versions(const unsigned char *key, str_t data,
+			     mstime_t wall, peer_versions_t *m);
+void datagram_free_versions(peer_versions_t *m);
+
 /*
  * datagram_encode_warmth, datagram_decode_warmth, datagram_free_warmth - the
  * same for PEER_WARMTH.
--- a/include/kcf/peer_socket.h
+++ b/include/kcf/peer_socket.h
@@ -25,6 +25,8 @@
 	void (*evidence)(void *ctx, const peer_rollout_evidence_t *m,
 			 const char *from);
 	void (*rollout)(void *ctx, const peer_rollout_state_t *m);
+	/* The same. */
+	void (*versions)(void *ctx, const peer_versions_t *m, const char *from);
 } peer_socket_ops_t;
 
 /*
@@ -86,6 +88,13 @@
 void peer_socket_send_doubts(const peer_sender_t *s, const char *to,
 			     const peer_doubts_t *m);
 
+/*
+ * peer_socket_send_versions - sends versions that may have begun streams, or
+ * asks for them, also when the budget is exhausted.
+ */
+void peer_socket_send_versions(const peer_sender_t *s, const char *to,
+			       const peer_versions_t *m);
+
 /*
  * peer_socket_send_warmth - sends upstreams that have prompts cached, or asks
  * for them, also when the budget is exhausted.
--- a/include/kcf/versions.h
+++ b/include/kcf/versions.h
@@ -6,8 +6,12 @@
  * was last among the known entries. A node that has just started does not know
  * which versions left before: it takes them from a record in the platform's
  * log, which one node writes when the set changes. Until it has read the
- * record, or has run for the life of a stream, its set is not complete. Pure
- * logic: no socket, no clock.
+ * record, or has run for the life of a stream, its set is not complete.
+ *
+ * A log that was restored from an older copy lacks what was written last, but a
+ * node that has run all the while still knows what it has seen. It vouches for
+ * its set again once it has read the entries of the restored log and has asked
+ * the other nodes. Pure logic: no socket, no clock.
  */
 #ifndef KCF_VERSIONS_H
 #define KCF_VERSIONS_H
@@ -22,6 +26,16 @@
  * its caller to take it up; longer where routes allow longer streams.
  */
 #define VERSIONS_STREAM_LIFE_MS 30000
+/*
+ * Entries that were not read for longer, before and after a restore of the log,
+ * may have been those of a version that came and went, and whose streams were
+ * begun by nodes that are gone as well.
+ */
+#define VERSIONS_MISSED_MAX_MS 10000
+/* The other nodes are asked as often, since messages may be lost. */
+#define VERSIONS_ASKS 3
+/* Between them, and for the last answers: some round trips in a region. */
+#define VERSIONS_ASK_INTERVAL_MS 300
 
 typedef struct version {
 	uint32_t key;
@@ -38,7 +52,13 @@
 	mstime_t life_ms;      /* of a stream */
 	mstime_t watched_from; /* no change was missed since */
 	bool complete;	       /* the record was read and lacks none */
-	bool marked; /* the record says of which epoch it is complete */
+	bool restored;	       /* this node has seen a restore of the log */
+	bool resumes;	       /* it was complete before the last one */
+	bool rescanned;	       /* the entries were read since */
+	int asks;	       /* of the other nodes since */
+	mstime_t next_ask_at;
+	GHashTable *unnamed; /* uint32_t keys to the second they were told */
+	bool marked;	     /* the record says of which epoch it is complete */
 	uint64_t mark_epoch;
 } versions_t;
 
@@ -74,6 +94,42 @@
  */
 void versions_miss(versions_t *v, mstime_t now);
 
+/*
+ * versions_restore - the log was restored from an older copy: the set is not
+ * complete until the record says so, or versions_take_ask has.
+ */
+void versions_restore(versions_t *v, mstime_t now);
+
+/*
+ * versions_is_resuming - whether the set was complete before the last restore,
+ * and may be so again.
+ */
+bool versions_is_resuming(const versions_t *v);
+
+/*
+ * versions_rescan - the entries of the restored log were read.
+ * @missed_ms: since all earlier ones were known
+ */
+void versions_rescan(versions_t *v, mstime_t missed_ms, mstime_t now);
+
+/*
+ * versions_take_ask - whether the other nodes are to be asked now which
+ * versions they know, since the log was restored; when all answers had time,
+ * the set is complete.
+ */
+bool versions_take_ask(versions_t *v, mstime_t now);
+
+/*
+ * versions_hear - another node has told of a stream of a version.
+ */
+void versions_hear(versions_t *v, uint32_t key, mstime_t now);
+
+/*
+ * versions_is_possible - whether a version may have begun a stream.
+ */
+bool versions_is_possible(const versions_t *v, const version_t *version,
+			  mstime_t now);
+
 /*
  * versions_observe - records that an upstream with this version is known.
  *
--- a/packages/decide/versions.c
+++ b/packages/decide/versions.c
@@ -29,12 +29,14 @@
 	*v = (versions_t){ .life_ms = VERSIONS_STREAM_LIFE_MS,
 			   .watched_from = now };
 	v->by_key = g_hash_table_new_full(NULL, NULL, NULL, version_free_);
+	v->unnamed = g_hash_table_new(NULL, NULL);
 }
 
 void versions_finish(versions_t *v)
 {
 	assert(v);
 	g_hash_table_destroy(v->by_key);
+	g_hash_table_destroy(v->unnamed);
 }
 
 void versions_set_life(versions_t *v, mstime_t life_ms)
@@ -48,11 +50,90 @@
 	assert(v);
 	v->watched_from = now;
 	v->complete = false;
+	v->resumes = false;
 }
 
-static bool is_possible_(const versions_t *v, const version_t *version,
-			 mstime_t now)
+void versions_restore(versions_t *v, mstime_t now)
 {
+	bool known;
+
+	assert(v);
+	known = v->resumes || versions_is_complete(v, now);
+	versions_miss(v, now);
+	v->restored = true;
+	v->resumes = known;
+	v->rescanned = false;
+	v->asks = 0;
+	v->next_ask_at = now;
+}
+
+bool versions_is_resuming(const versions_t *v)
+{
+	assert(v);
+	return v->resumes;
+}
+
+void versions_rescan(versions_t *v, mstime_t missed_ms, mstime_t now)
+{
+	assert(v);
+	if (!v->resumes)
+		return;
+	if (missed_ms > VERSIONS_MISSED_MAX_MS)
+		versions_miss(v, now);
+	else
+		v->rescanned = true;
+}
+
+static uint32_t seconds_(mstime_t now)
+{
+	return (uint32_t)(now / MSEC_PER_SEC);
+}
+
+/* Whether a stream of a version was told whose entry is not known. */
+static bool has_unnamed_(const versions_t *v, mstime_t now)
+{
+	GHashTableIter iter;
+	gpointer at;
+
+	g_hash_table_iter_init(&iter, v->unnamed);
+	while (g_hash_table_iter_next(&iter, NULL, &at)) {
+		if ((seconds_(now) - GPOINTER_TO_UINT(at)) * MSEC_PER_SEC <=
+		    v->life_ms)
+			return true;
+		g_hash_table_iter_remove(&iter);
+	}
+	return false;
+}
+
+bool versions_take_ask(versions_t *v, mstime_t now)
+{
+	assert(v);
+	if (!v->resumes || now < v->next_ask_at)
+		return false;
+	if (v->asks < VERSIONS_ASKS) {
+		v->asks++;
+		v->next_ask_at = now + VERSIONS_ASK_INTERVAL_MS;
+		return true;
+	}
+	if (v->rescanned && !has_unnamed_(v, now)) {
+		v->complete = true;
+		v->resumes = false;
+	}
+	return false;
+}
+
+void versions_hear(versions_t *v, uint32_t key, mstime_t now)
+{
+	assert(v);
+	if (key && !versions_find(v, key))
+		g_hash_table_insert(v->unnamed, GUINT_TO_POINTER(key),
+				    GUINT_TO_POINTER(seconds_(now)));
+}
+
+bool versions_is_possible(const versions_t *v, const version_t *version,
+			  mstime_t now)
+{
+	assert(v && version);
 	return version->seen && now - version->seen_at <= v->life_ms;
 }
 
@@ -76,6 +157,7 @@
 	version->service = g_strdup(service);
 	version->name = g_strdup(name);
 	g_hash_table_insert(v->by_key, GUINT_TO_POINTER(key), version);
+	g_hash_table_remove(v->unnamed, GUINT_TO_POINTER(key));
 	return version;
 }
 
@@ -87,7 +169,7 @@
 
 	assert(v && service && name);
 	version = get_(v, service, name);
-	fresh = !is_possible_(v, version, now);
+	fresh = !versions_is_possible(v, version, now);
 	note_seen_(version, now);
 	return fresh;
 }
@@ -110,7 +192,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const version_t *version = value;
 
-		if (!is_possible_(v, version, now) ||
+		if (!versions_is_possible(v, version, now) ||
 		    strcmp(version->service, service) != 0)
 			continue;
 		*only = version->key;
@@ -186,8 +268,10 @@
 	v->marked = marked;
 	v->mark_epoch = mark_epoch;
 	/* Without any record no node has run before this one. */
-	if (marked ? mark_epoch >= read_epoch : !is_any_recorded_(v))
-		v->complete = true;
+	if (marked ? mark_epoch < read_epoch : is_any_recorded_(v))
+		return;
+	v->complete = true;
+	v->resumes = false;
 }
 
 static void remove_obsolete_(versions_t *v, mstime_t now)
@@ -199,7 +283,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const version_t *version = value;
 
-		if (!version->recorded && !is_possible_(v, version, now))
+		if (!version->recorded &&
+		    !versions_is_possible(v, version, now))
 			g_hash_table_iter_remove(&iter);
 	}
 }
@@ -210,8 +295,8 @@
 	bool current = version->recorded && version->recorded_epoch >= epoch;
 
 	if (kind == VERSIONS_ADD)
-		return is_possible_(v, version, now) && !current;
-	return !is_possible_(v, version, now) && version->recorded;
+		return versions_is_possible(v, version, now) && !current;
+	return !versions_is_possible(v, version, now) && version->recorded;
 }
 
 static version_t *find_change_(const versions_t *v, uint64_t epoch,
@@ -236,10 +321,13 @@
 	assert(v && change);
 	remove_obsolete_(v, now);
 	marked = v->marked && v->mark_epoch >= epoch;
-	/* A first record without the mark would look like an incomplete one. */
+	/* A first record without the mark would look like an incomplete one;
+	 * that of a restored log is one until it has all.
+	 */
 	change->kind = VERSIONS_MARK;
 	change->version = NULL;
-	if (!v->marked && !is_any_recorded_(v) && versions_is_complete(v, now))
+	if (!v->marked && !v->restored && !is_any_recorded_(v) &&
+	    versions_is_complete(v, now))
 		return g_hash_table_size(v->by_key) > 0;
 	change->kind = VERSIONS_ADD;
 	change->version = find_change_(v, epoch, now, VERSIONS_ADD);
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -657,7 +657,8 @@
 	gpointer value;
 
 	/* The latest records do not tell what came and went since. */
-	if (s->feed == FEED_UPSTREAMS && s->loaded)
+	if (s->feed == FEED_UPSTREAMS && s->loaded &&
+	    !versions_is_resuming(&s->gateway->versions))
 		versions_miss(&s->gateway->versions, clock_now());
 	s->scanning = true;
 	s->scan_source = s->source;
@@ -685,6 +686,9 @@
 
 	s->scanning = false;
 	s->scan_end = end;
+	if (s->feed == FEED_UPSTREAMS)
+		versions_rescan(&s->gateway->versions, as_of - s->current_as_of,
+				now);
 	removed = remove_unseen_(s, now);
 	/* Later scans of an epoch give its older entries no more time. */
 	if (!s->complete || !s->drop_older_at)
@@ -800,6 +804,8 @@
 	feeds_cancel_scan(s);
 	if (s->call)
 		http_call_cancel(s->call);
+	if (s->feed == FEED_UPSTREAMS)
+		versions_restore(&s->gateway->versions, now);
 	s->call = NULL;
 	s->epoch = epoch;
 	s->end_at = 0;
@@ -836,6 +842,9 @@
 		if (s->loaded) {
 			begin_epoch_(s, epoch, now);
 			g->first_copy_until = now + FIRST_COPY_MAX_MS;
+		} else if (s->feed == FEED_UPSTREAMS) {
+			/* The record may have been read in the one before. */
+			versions_miss(&g->versions, now);
 		}
 		s->epoch = epoch;
 	}
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -318,6 +318,11 @@
 	resumes_receive_doubts(ctx, m);
 }
 
+static void on_versions_(void *ctx, const peer_versions_t *m, const char *from)
+{
+	resumes_receive_versions(ctx, m, from);
+}
+
 static void on_evidence_(void *ctx, const peer_rollout_evidence_t *m,
 			 const char *from)
 {
@@ -348,8 +353,8 @@
 }
 
 static const peer_socket_ops_t socket_ops = {
-	on_message_, on_crashes_, on_origins_,	on_doubts_,
-	on_warmth_,  on_work_,	  on_evidence_, on_rollout_,
+	on_message_, on_crashes_,  on_origins_, on_doubts_,   on_warmth_,
+	on_work_,    on_evidence_, on_rollout_, on_versions_,
 };
 
 static const char *warmth_peer_(void *ctx)
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -475,8 +475,15 @@
 void resumes_apply_table(gateway_t *g);
 /* The entry of an upstream is new or has changed. */
 void resumes_observe(gateway_t *g, const char *id, mstime_t now);
+/* The version that began a stream of another node; false if it was known. */
+bool resumes_learn(gateway_t *g, uint64_t stream, uint32_t version,
+		   mstime_t now);
 /* Another node is not sure of versions that may have begun streams. */
 void resumes_receive_doubts(gateway_t *g, const peer_doubts_t *m);
+/* Asks all nodes for the versions that may have begun streams. */
+void resumes_ask_versions(gateway_t *g);
+void resumes_receive_versions(gateway_t *g, const peer_versions_t *m,
+			      const char *from);
 /* Heartbeats of upstreams may have been read. */
 void resumes_feeds_updated(gateway_t *g);
 /* Whether streams of a service may have been begun by several versions. */
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -21,6 +21,8 @@
 #define ORIGIN_BYTES_PER_S 65536
 /* Until this node knows the version of a stream that another one knows. */
 #define RETRY_UNSEEN_MS 300
+/* By then the record is complete again after a restore of the log. */
+#define RETRY_INCOMPLETE_MS 1000
 /* Until the next heartbeat of an upstream is known, in most cases; callers give
  * a stream up after two seconds without an event.
  */
@@ -196,6 +198,75 @@
 	tell_open_(g);
 }
 
+void resumes_ask_versions(gateway_t *g)
+{
+	peer_versions_t m = { .sent = (u_quad_t)clock_wall(), .wanted = TRUE };
+	peer_sender_t sender = sender_(g);
+
+	LOG_EVENT(LOG_NOTICE, "version.asked", F_INT("nodes", g->ranking->len),
+		  F_INT("asks", g->versions.asks));
+	for (guint i = 0; i < g->ranking->len; i++) {
+		const member_t *member = gateway_peers_at_rank(g, i);
+
+		if (member != g->members.self)
+			peer_socket_send_versions(&sender, member->peer, &m);
+	}
+}
+
+static void send_versions_(gateway_t *g, const char *to)
+{
+	peer_version_t list[PEER_VERSIONS_MAX];
+	peer_versions_t m = { .sent = (u_quad_t)clock_wall(),
+			      .list = { 0, list } };
+	peer_sender_t sender = sender_(g);
+	mstime_t now = clock_now();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, g->versions.by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const version_t *v = value;
+
+		if (!versions_is_possible(&g->versions, v, now))
+			continue;
+		if (m.list.list_len == PEER_VERSIONS_MAX) {
+			peer_socket_send_versions(&sender, to, &m);
+			m.list.list_len = 0;
+		}
+		list[m.list.list_len++] =
+			(peer_version_t){ v->service, v->name,
+					  (u_int)MAX(0, now - v->seen_at) };
+	}
+	if (m.list.list_len)
+		peer_socket_send_versions(&sender, to, &m);
+}
+
+void resumes_receive_versions(gateway_t *g, const peer_versions_t *m,
+			      const char *from)
+{
+	mstime_t now = clock_now();
+	bool fresh = false;
+
+	if (m->wanted) {
+		send_versions_(g, from);
+		return;
+	}
+	for (u_int i = 0; i < m->list.list_len; i++) {
+		const peer_version_t *v = &m->list.list_val[i];
+
+		if (!versions_observe(&g->versions, v->service, v->name,
+				      now - (mstime_t)v->age_ms))
+			continue;
+		fresh = true;
+		LOG_EVENT(LOG_NOTICE, "version.told",
+			  F_STR("service", v->service),
+			  F_STR("version", v->name), F_STR("from", from),
+			  F_INT("age_ms", v->age_ms));
+	}
+	if (fresh)
+		tell_open_(g);
+}
+
 void resumes_observe(gateway_t *g, const char *id, mstime_t now)
 {
 	const balance_upstream_t *u = g_hash_table_lookup(g->balance.by_id, id);
@@ -311,6 +382,7 @@
 			.until = now + ORIGIN_DOUBT_MAX_MS,
 		};
 
+		versions_hear(&g->versions, d->software, now);
 		if (!doubt.stream || !origins_doubt(&g->origins, &doubt))
 			continue;
 		stream_log_note_doubt(g, &doubt);
@@ -576,6 +648,14 @@
 	return true;
 }
 
+/* When a stream that is refused may be known, or 0. */
+static mstime_t retry_ms_(const forward_t *f, origin_verdict_t verdict)
+{
+	if (origins_find_doubt(&f->gateway->origins, f->stream))
+		return RETRY_AFTER_START_MS;
+	return verdict == ORIGIN_INCOMPLETE ? RETRY_INCOMPLETE_MS : 0;
+}
+
 /* False while the request waits, or when it was refused. */
 static bool resolve_(forward_t *f)
 {
@@ -611,9 +691,7 @@
 		/* fall through */
 	default:
 		refuse_(f, &a, verdict_text[a.verdict],
-			origins_find_doubt(&g->origins, f->stream)
-				? RETRY_AFTER_START_MS
-				: 0);
+			retry_ms_(f, a.verdict));
 		return false;
 	}
 }
@@ -846,6 +924,13 @@
 	peer_socket_send_origins(&sender, to, &reply);
 }
 
+bool resumes_learn(gateway_t *g, uint64_t stream, uint32_t version,
+		   mstime_t now)
+{
+	versions_hear(&g->versions, version, now);
+	return origins_put(&g->origins, stream, version, now);
+}
+
 void resumes_receive(gateway_t *g, const peer_origins_t *m, const char *from)
 {
 	if (m->asks) {
@@ -858,8 +943,8 @@
 		if (!origin->stream)
 			continue;
 		if (origin->software &&
-		    origins_put(&g->origins, origin->stream, origin->software,
-				clock_now()))
+		    resumes_learn(g, origin->stream, origin->software,
+				  clock_now()))
 			stream_log_note(g, origin->stream, origin->software);
 		continue_waiting_(g, is_answered_, origin->stream);
 	}
--- a/packages/gateway/stream_log.c
+++ b/packages/gateway/stream_log.c
@@ -150,7 +150,7 @@
 		if (!version)
 			apply_doubt_(g, stream, &data, now);
 		else if (stream)
-			origins_put(&g->origins, stream, version, now);
+			resumes_learn(g, stream, version, now);
 	}
 }
 
--- a/packages/gateway/version_record.c
+++ b/packages/gateway/version_record.c
@@ -120,8 +120,11 @@
 	const feed_state_t *s = &g->feed_states[FEED_NODES];
 	versions_change_t change;
 
-	if (g->record_writing || !s->loaded || g->own_rank < 0 ||
-	    !reader_is_self(g, now))
+	if (g->own_rank < 0 || !reader_is_self(g, now))
+		return;
+	if (versions_take_ask(&g->versions, now))
+		resumes_ask_versions(g);
+	if (g->record_writing || !s->loaded)
 		return;
 	if (!versions_next_change(&g->versions, s->epoch, now, &change)) {
 		g->record_due_since = 0;
--- a/packages/wire/datagram.c
+++ b/packages/wire/datagram.c
@@ -93,6 +93,14 @@
 		       out, len);
 }
 
+int datagram_encode_versions(const unsigned char *key, const peer_versions_t *m,
+			     unsigned char *out, size_t *len)
+{
+	assert(key && m && out && len);
+	return encode_(key, PEER_VERSIONS, 0, (xdrproc_t)xdr_peer_versions_t, m,
+		       out, len);
+}
+
 int datagram_encode_warmth(const unsigned char *key, const peer_warmth_t *m,
 			   unsigned char *out, size_t *len)
 {
@@ -289,6 +297,27 @@
 	memset(m, 0, sizeof(*m));
 }
 
+int datagram_decode_versions(const unsigned char *key, str_t data,
+			     mstime_t wall, peer_versions_t *m)
+{
+	peer_versions_t versions = { 0 };
+	int err;
+
+	assert(key && m);
+	err = decode_call_(key, data, wall, PEER_VERSIONS,
+			   (xdrproc_t)xdr_peer_versions_t, &versions,
+			   &versions.sent);
+	if (!err)
+		*m = versions;
+	return err;
+}
+
+void datagram_free_versions(peer_versions_t *m)
+{
+	xdr_free((xdrproc_t)xdr_peer_versions_t, m);
+	memset(m, 0, sizeof(*m));
+}
+
 int datagram_decode_warmth(const unsigned char *key, str_t data, mstime_t wall,
 			   peer_warmth_t *m)
 {
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -16,6 +16,8 @@
 const PEER_WARMTH_MAX = 64;
 const PEER_WORK_MAX = 4;
 const PEER_ROLLOUT_ROUTES_MAX = 16;
+const PEER_VERSION_TEXT_MAX = 127;
+const PEER_VERSIONS_MAX = 4;
 
 /* Membership record of one node. */
 struct peer_update_t {
@@ -210,6 +212,20 @@
 	peer_rollout_pace_t paces<PEER_ROLLOUT_ROUTES_MAX>;
 };
 
+/* A software version whose upstreams were known age_ms ago. */
+struct peer_version_t {
+	string service<PEER_VERSION_TEXT_MAX>;
+	string name<PEER_VERSION_TEXT_MAX>;
+	unsigned int age_ms;
+};
+
+/* A node that wants them is sent all that may have begun a stream. */
+struct peer_versions_t {
+	unsigned hyper sent;
+	bool wanted;
+	peer_version_t list<PEER_VERSIONS_MAX>;
+};
+
 program PEER_PROGRAM {
 	version PEER_VERSION {
 		void PEER_PING(peer_message_t) = 1;
@@ -225,5 +241,6 @@
 		void PEER_ROLLOUT_STATE(peer_rollout_state_t) = 11;
 		void PEER_WORK(peer_work_t) = 12;
 		void PEER_WARMTH(peer_warmth_t) = 13;
+		void PEER_VERSIONS(peer_versions_t) = 14;
 	} = 1;
 } = 0x20004b43;
--- a/packages/wire/peer_socket.c
+++ b/packages/wire/peer_socket.c
@@ -98,6 +98,22 @@
 	datagram_free_doubts(&m);
 }
 
+static void handle_versions_(const unsigned char *key, str_t data,
+			     const char *from, const peer_socket_ops_t *ops,
+			     void *ctx)
+{
+	peer_versions_t m = { 0 };
+	int err = datagram_decode_versions(key, data, clock_wall(), &m);
+
+	if (err) {
+		reject_(from, err);
+		return;
+	}
+	if (ops->versions)
+		ops->versions(ctx, &m, from);
+	datagram_free_versions(&m);
+}
+
 static void handle_warmth_(const unsigned char *key, str_t data,
 			   const char *from, const peer_socket_ops_t *ops,
 			   void *ctx)
@@ -187,6 +203,9 @@
 		case PEER_DOUBTS:
 			handle_doubts_(key, view, from, ops, ctx);
 			break;
+		case PEER_VERSIONS:
+			handle_versions_(key, view, from, ops, ctx);
+			break;
 		case PEER_WARMTH:
 			handle_warmth_(key, view, from, ops, ctx);
 			break;
@@ -300,6 +319,20 @@
 		counter_add(COUNTER_CONTROL_DROPPED, 1);
 }
 
+void peer_socket_send_versions(const peer_sender_t *s, const char *to,
+			       const peer_versions_t *m)
+{
+	unsigned char data[DATAGRAM_MAX];
+	struct sockaddr_in sa;
+	size_t len = 0;
+
+	assert(s && to && m);
+	if (!address_parse(to, &sa) ||
+	    datagram_encode_versions(s->key, m, data, &len) ||
+	    !send_datagram_(s, &sa, data, len, true))
+		counter_add(COUNTER_CONTROL_DROPPED, 1);
+}
+
 size_t peer_socket_send_warmth(const peer_sender_t *s, const char *to,
 			       const peer_warmth_t *m)
 {
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -55,6 +55,20 @@
 	datagram_free_doubts(&m);
 }
 
+static void fuzz_versions_(const uint8_t *data, size_t size)
+{
+	peer_versions_t m = { 0 };
+	XDR xdrs;
+
+	if (!datagram_decode_versions(key, view_(data, size), 0, &m))
+		datagram_free_versions(&m);
+	m = (peer_versions_t){ 0 };
+	xdrmem_create(&xdrs, (char *)data, (u_int)size, XDR_DECODE);
+	(void)xdr_peer_versions_t(&xdrs, &m);
+	xdr_destroy(&xdrs);
+	datagram_free_versions(&m);
+}
+
 static void fuzz_warmth_(const uint8_t *data, size_t size)
 {
 	peer_warmth_t m = { 0 };
@@ -124,6 +138,7 @@
 	fuzz_crash_report_(data, size);
 	fuzz_origins_(data, size);
 	fuzz_doubts_(data, size);
+	fuzz_versions_(data, size);
 	fuzz_warmth_(data, size);
 	fuzz_rollout_(data, size);
 	return 0;
--- a/tests/model/model_origins.c
+++ b/tests/model/model_origins.c
@@ -2,7 +2,8 @@
  * Model of a fleet whose callers take streams up while versions of a service
  * come and go: nodes see the entries late, messages are lost and delayed, nodes
  * are restarted one after the other or all at once, reads of the platform fail,
- * and its log is restored from an older copy.
+ * and its log is restored from an older copy, after which nobody can read any
+ * more what a node had not read yet.
  *
  * Invariants: no stream goes on at another version than the one that began it,
  * at most two of those whose callers do not name the try that began them;
@@ -45,7 +46,9 @@
 	origins_t origins;
 	mstime_t in_touch_at;
 	mstime_t down_until;
-	mstime_t lag; /* of its view of the entries */
+	mstime_t lag;	  /* of its view of the entries */
+	mstime_t scan_at; /* it reads the restored log, 0: has done so */
+	mstime_t read_to; /* what it knows until then */
 	mstime_t write_at;
 	bool has_read; /* the record */
 } model_node_t;
@@ -106,7 +109,9 @@
 	uint64_t next_stream;
 	resume_t resumes[RESUMES_MAX];
 	message_t messages[MESSAGES_MAX];
-	bool restores; /* of the log */
+	bool restores;	      /* of the log */
+	mstime_t restore_at;  /* one that is planned, or 0 */
+	mstime_t kill_all_at; /* the end of all nodes after it, or 0 */
 	uint64_t epoch;
 	mstime_t marked_at; /* for the first time, NEVER if it is not */
 	mstime_t mark_written_at;
@@ -139,6 +144,12 @@
 	return at >= v->serves_from && at < v->serves_until;
 }
 
+/* Whether the version is among the entries that a node knows. */
+static bool sees_(const model_node_t *n, const model_version_t *v)
+{
+	return serves_(v, n->scan_at ? n->read_to : m.now - n->lag);
+}
+
 static void add_version_(mstime_t from)
 {
 	model_version_t *v = &m.versions[m.version_count++];
@@ -210,6 +221,7 @@
 	n->in_touch_at = n->down_until + CONTACT_MS;
 	n->lag = between_(0, LAG_MAX_MS);
 	n->has_read = false;
+	n->scan_at = 0;
 	versions_init(&n->versions, n->down_until);
 	origins_init(&n->origins);
 }
@@ -239,7 +251,7 @@
 
 static void trouble_nodes_(void)
 {
-	bool all = chance_(0.0007);
+	bool all = m.now == m.kill_all_at || chance_(0.0007);
 
 	if (!all && !chance_(0.003))
 		return;
@@ -264,14 +276,36 @@
 	}
 }
 
+/* A version that few nodes may know when the log loses its entries. */
+static void add_short_version_(void)
+{
+	if (!m.restores || m.version_count > 1 || !chance_(0.003))
+		return;
+	add_version_(m.now);
+	m.versions[m.version_count - 1].serves_until =
+		m.now + between_(200, 2500);
+	m.restore_at = m.now + STEP_MS * between_(5, 200);
+	m.kill_all_at = m.restore_at + STEP_MS * between_(0, 500);
+}
+
 /* The log comes back without what was written last. */
 static void restore_log_(void)
 {
 	mstime_t copy = m.now - between_(100, RESTORE_MAX_MS);
 
-	if (!m.restores || !chance_(0.0004))
+	if (!m.restores || (m.now != m.restore_at && !chance_(0.0004)))
 		return;
 	m.epoch++;
+	for (int i = 0; i < m.node_count; i++) {
+		model_node_t *n = &m.nodes[i];
+
+		if (!is_up_(i))
+			continue;
+		versions_restore(&n->versions, m.now);
+		if (!n->scan_at)
+			n->read_to = m.now - n->lag;
+		n->scan_at = m.now + n->lag;
+	}
 	for (int i = 0; i < m.version_count; i++) {
 		if (m.versions[i].recorded_at > copy)
 			m.versions[i].recorded_at = NEVER;
@@ -301,10 +335,33 @@
 	n->has_read = true;
 }
 
+/* Each of the other nodes answers, unless a message is lost. */
+static void ask_versions_(model_node_t *n)
+{
+	for (int i = 0; i < m.node_count; i++) {
+		const versions_t *known = &m.nodes[i].versions;
+
+		if (&m.nodes[i] == n || !is_up_(i) || chance_(m.loss) ||
+		    chance_(m.loss))
+			continue;
+		for (int k = 0; k < m.version_count; k++) {
+			const version_t *v =
+				versions_find(known, m.versions[k].key);
+
+			if (v && versions_is_possible(known, v, m.now))
+				versions_observe(&n->versions, SERVICE, v->name,
+						 v->seen_at);
+		}
+	}
+}
+
 static void write_record_(model_node_t *n)
 {
 	versions_change_t change;
 
+	if (versions_take_ask(&n->versions, m.now))
+		ask_versions_(n);
+
 	if (!n->has_read)
 		read_record_(n);
 	if (m.now < n->write_at ||
@@ -353,8 +410,13 @@
 
 		if (!is_up_(i))
 			continue;
+		if (n->scan_at && m.now >= n->scan_at) {
+			versions_rescan(&n->versions, m.now - n->read_to,
+					m.now);
+			n->scan_at = 0;
+		}
 		for (int k = 0; k < m.version_count; k++) {
-			if (serves_(&m.versions[k], m.now - n->lag))
+			if (sees_(n, &m.versions[k]))
 				versions_observe(&n->versions, SERVICE,
 						 m.versions[k].name, m.now);
 		}
@@ -372,6 +434,17 @@
 	}
 }
 
+/* The writer of the log of streams is told. */
+static void batch_(stream_t *s)
+{
+	int writer = writer_();
+
+	s->batched = true;
+	if (writer >= 0)
+		versions_hear(&m.nodes[writer].versions,
+			      m.versions[s->version].key, m.now);
+}
+
 static void tell_(const stream_t *s)
 {
 	int homes[ORIGINS_ASKED];
@@ -390,7 +463,7 @@
 	uint32_t only;
 
 	if (!is_up_(node) || !serves_(&m.versions[version], m.now) ||
-	    !serves_(&m.versions[version], m.now - n->lag))
+	    !sees_(n, &m.versions[version]))
 		return;
 	for (int i = 0; i < STREAMS_MAX; i++) {
 		stream_t *s = &m.streams[i];
@@ -403,7 +476,8 @@
 			    m.now);
 		if (versions_count(&n->versions, SERVICE, m.now, &only) > 1) {
 			tell_(s);
-			s->batched = !chance_(m.loss);
+			if (!chance_(m.loss))
+				batch_(s);
 		}
 		return;
 	}
@@ -422,7 +496,7 @@
 		if (versions_count(&m.nodes[s->node].versions, SERVICE, m.now,
 				   &only) > 1) {
 			tell_(s);
-			s->batched = true;
+			batch_(s);
 		}
 	}
 }
@@ -543,9 +617,11 @@
 		      origins_get(&n->origins, message->stream, m.now));
 		return;
 	}
-	if (message->version)
+	if (message->version) {
+		versions_hear(&n->versions, message->version, m.now);
 		origins_put(&n->origins, message->stream, message->version,
 			    m.now);
+	}
 	for (int i = 0; i < RESUMES_MAX; i++) {
 		resume_t *r = &m.resumes[i];
 
@@ -588,6 +664,7 @@
 	for (; m.now < START + RUN_MS && !m.violated; m.now += STEP_MS) {
 		trouble_nodes_();
 		change_versions_();
+		add_short_version_();
 		restore_log_();
 		deliver_();
 		tick_nodes_();
--- a/tests/unit/test_origins.c
+++ b/tests/unit/test_origins.c
@@ -594,6 +594,81 @@
 }
 END_TEST
 
+/* What becomes of a set when the log was restored from an older copy. */
+static const struct {
+	const char *label;
+	bool missed_before; /* the set was not complete */
+	bool twice;	    /* the log was restored again, 500 ms later */
+	bool rescanned;
+	mstime_t missed_ms; /* between the last entries and these */
+	bool told;	    /* of a stream of a version without an entry */
+	bool named;	    /* another node has seen that version */
+	bool paused;	    /* the node, later */
+	int asks;
+	bool complete;
+} restores[] = {
+	{ "the entries were read anew", .rescanned = true, .missed_ms = 2000,
+	  .asks = 3, .complete = true },
+	{ "they were not", .asks = 3 },
+	{ "much may have come and gone", .rescanned = true,
+	  .missed_ms = VERSIONS_MISSED_MAX_MS + 1 },
+	{ "the node did not know all before", .missed_before = true,
+	  .rescanned = true },
+	{ "restored twice", .twice = true, .rescanned = true, .asks = 5,
+	  .complete = true },
+	{ "a stream of an unknown version was told", .rescanned = true,
+	  .told = true, .asks = 3 },
+	{ "its version is known elsewhere", .rescanned = true, .told = true,
+	  .named = true, .asks = 3, .complete = true },
+	{ "the node pauses", .rescanned = true, .paused = true, .asks = 2 },
+};
+
+START_TEST(test_restored)
+{
+	int asks = 0;
+
+	versions_observe(&versions, "a", "v1", NOW);
+	if (restores[_i].missed_before)
+		versions_miss(&versions, NOW);
+	versions_restore(&versions, NOW);
+	ck_assert(!versions_is_complete(&versions, NOW));
+	if (restores[_i].rescanned)
+		versions_rescan(&versions, restores[_i].missed_ms, NOW);
+	if (restores[_i].told)
+		versions_hear(&versions, versions_key("a", "v2"), NOW);
+	if (restores[_i].named)
+		versions_observe(&versions, "a", "v2", NOW - 500);
+	for (mstime_t at = 0; at <= 2000; at += 100) {
+		if (at == 500 && restores[_i].twice) {
+			versions_restore(&versions, NOW + at);
+			versions_rescan(&versions, 0, NOW + at);
+		}
+		if (at == 500 && restores[_i].paused)
+			versions_miss(&versions, NOW + at);
+		asks += versions_take_ask(&versions, NOW + at);
+	}
+	ck_assert_msg(asks == restores[_i].asks, "%s: %d asks",
+		      restores[_i].label, asks);
+	ck_assert_msg(versions_is_complete(&versions, NOW + 2000) ==
+			      restores[_i].complete,
+		      "%s", restores[_i].label);
+}
+END_TEST
+
+/* A version that nobody names does not hold a set back for ever. */
+START_TEST(test_unnamed_expires)
+{
+	mstime_t later = NOW + VERSIONS_STREAM_LIFE_MS + 2000;
+
+	versions_hear(&versions, versions_key("a", "v2"), NOW);
+	versions_restore(&versions, later);
+	versions_rescan(&versions, 0, later);
+	for (mstime_t at = 0; at <= 2000; at += 100)
+		versions_take_ask(&versions, later + at);
+	ck_assert(versions_is_complete(&versions, later + 2000));
+}
+END_TEST
+
 static void check_change_(uint64_t epoch, mstime_t at, int kind,
 			  const char *name)
 {
@@ -631,6 +706,62 @@
 }
 END_TEST
 
+/* A restored log without a record gets all versions before the mark. */
+START_TEST(test_changes_after_restore)
+{
+	versions_observe(&versions, "a", "v1", NOW);
+	versions_observe(&versions, "a", "v2", NOW);
+	versions_restore(&versions, NOW);
+	versions_rescan(&versions, 0, NOW);
+	check_change_(1, 0, VERSIONS_ADD, NULL);
+	check_change_(1, 0, VERSIONS_ADD, NULL);
+	check_change_(1, 0, -1, NULL);
+	for (mstime_t at = 0; at <= 2000; at += 100)
+		versions_take_ask(&versions, NOW + at);
+	check_change_(1, 2000, VERSIONS_MARK, NULL);
+	check_change_(1, 2000, -1, NULL);
+}
+END_TEST
+
+START_TEST(test_versions_message)
+{
+	static const unsigned char key[DATAGRAM_KEY_BYTES] = "key";
+	unsigned char data[DATAGRAM_MAX];
+	char text[PEER_VERSION_TEXT_MAX + 1];
+	peer_version_t list[PEER_VERSIONS_MAX];
+	peer_versions_t m = { .sent = (u_quad_t)clock_wall(),
+			      .list = { PEER_VERSIONS_MAX, list } };
+	peer_versions_t got;
+	size_t len;
+	str_t view;
+
+	memset(text, 'v', PEER_VERSION_TEXT_MAX);
+	text[PEER_VERSION_TEXT_MAX] = 0;
+	for (u_int i = 0; i < PEER_VERSIONS_MAX; i++)
+		list[i] = (peer_version_t){ text, text, i };
+	ck_assert_int_eq(datagram_encode_versions(key, &m, data, &len),
+			 DATAGRAM_OK);
+	view = (str_t){ (char *)data, len };
+	ck_assert_uint_eq(datagram_proc(view), PEER_VERSIONS);
+	ck_assert_int_eq(
+		datagram_decode_versions(key, view, clock_wall(), &got),
+		DATAGRAM_OK);
+	ck_assert_uint_eq(got.list.list_len, PEER_VERSIONS_MAX);
+	ck_assert_str_eq(got.list.list_val[3].service, text);
+	ck_assert_str_eq(got.list.list_val[3].name, text);
+	ck_assert_uint_eq(got.list.list_val[3].age_ms, 3);
+	ck_assert(!got.wanted);
+	datagram_free_versions(&got);
+	ck_assert_int_eq(datagram_decode_versions(key, view,
+						  clock_wall() + 3600000, &got),
+			 DATAGRAM_EAGE);
+	data[len - 1] ^= 1;
+	ck_assert_int_eq(
+		datagram_decode_versions(key, view, clock_wall(), &got),
+		DATAGRAM_EMAC);
+}
+END_TEST
+
 Suite *origins_suite(void)
 {
 	Suite *s = suite_create("origins");
@@ -650,6 +781,10 @@
 	tcase_add_test(c, test_record_expires);
 	tcase_add_test(c, test_missed);
 	tcase_add_test(c, test_changes);
+	tcase_add_test(c, test_changes_after_restore);
+	tcase_add_loop_test(c, test_restored, 0, G_N_ELEMENTS(restores));
+	tcase_add_test(c, test_unnamed_expires);
+	tcase_add_test(c, test_versions_message);
 	suite_add_tcase(s, c);
 	return s;
 }
