Tests: the fuzz target of the platform has open requests and versions

A node makes that table before it reads anything (gateway.c), as the unit tests of feeds do. The target has it now, and the versions that entries of upstreams are put into; its inputs, number and checks are as before. fuzz_platform passes.

--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -254,10 +254,14 @@
 	if (platform_parse_rate(view_(data, size), &per_s) && !(per_s >= 0))
 		abort();
 	balance_init(&g.balance, "dc", 1);
+	versions_init(&g.versions, 1);
+	g.forwards = g_hash_table_new(NULL, NULL);
 	feeds_init(&g);
 	platform_parse_log_records(view_(data, size), 0, records, &next);
 	fuzz_feeds_(&g, view_(data, size));
 	feeds_finish(&g);
+	g_hash_table_destroy(g.forwards);
+	versions_finish(&g.versions);
 	balance_finish(&g.balance);
 	route_table_unref(g.table);
 	g_array_unref(records);
