Gateway: new streams begin at starts whose version is known

It fits the users' report of joined streams; that it is what they saw is only suspected.

Cause: while a node knows one version of a service, nobody asks which start answers a new stream; the version of the entry was taken for it, and the only known version for the stream's wherever it was taken up.

Now a new stream is asked for where a connection to the upstream has ended since its last known heartbeat; an upstream at which another start has answered gets none until its entry comes, unless no other takes it; what begins there is in doubt, also while one version is known, and goes on only once that start's entry has come.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -212,8 +212,9 @@
 	bool avoid_others;
 	uint32_t barred_version;     /* is excluded in any case, 0 for none */
 	balance_trust_t least_trust; /* of those of that version */
-	bool no_brittle;	     /* was refused by a brittle upstream */
-	bool over_share;	     /* its customer uses more than its share */
+	bool no_refuted; /* none whose entry is that of an earlier start */
+	bool no_brittle; /* was refused by a brittle upstream */
+	bool over_share; /* its customer uses more than its share */
 	work_tokens_t tokens;
 	mstime_t objective_ms;	 /* of its latency, 0 if unset */
 	admission_claim_t claim; /* see admission_decide */
@@ -363,6 +364,12 @@
  */
 const balance_upstream_t *balance_find_key(const balance_t *b, uint32_t key);
 
+/*
+ * balance_has_refuted - whether another start than that of its entry has
+ * answered at an upstream of a service.
+ */
+bool balance_has_refuted(const balance_t *b, const char *service);
+
 /*
  * balance_has_version - whether an upstream with this version is known.
  * @version: see versions_key
--- a/include/kcf/http_client.h
+++ b/include/kcf/http_client.h
@@ -82,6 +82,7 @@
 	GHashTable *opened;    /* descriptors whose ends are not known yet */
 	GHashTable *by_remote; /* remote address to GPtrArray of open ones */
 	GHashTable *connected; /* ends of a connection to its descriptor */
+	GHashTable *ended;     /* remote address to mstime_t * */
 	int unsent_max;	       /* bytes of a request that the kernel takes and
 				  cannot send yet; 0 for its own bound */
 	int unread_max;	       /* bytes that it takes of an answer that is not
@@ -210,6 +211,13 @@
 http_peer_t http_client_next_peer(http_client_t *c, const char *address,
 				  mstime_t idle_max_ms);
 
+/*
+ * http_client_ended_at - when a connection to an address was last found ended
+ * by the other side, 0 if that is not known; it may have ended earlier.
+ * @address: IP:PORT
+ */
+mstime_t http_client_ended_at(const http_client_t *c, const char *address);
+
 /*
  * http_call_keep_off - keeps later calls with the tag of this one off its
  * connection, where a second copy of its answer may still arrive. Nothing in
--- a/include/kcf/origins.h
+++ b/include/kcf/origins.h
@@ -89,6 +89,12 @@
  */
 bool origins_put(origins_t *o, uint64_t stream, uint32_t version, mstime_t now);
 
+/*
+ * origins_put_unknown - records that nobody knows the version that began a
+ * stream, however many are known.
+ */
+void origins_put_unknown(origins_t *o, uint64_t stream, mstime_t now);
+
 /*
  * origins_doubt - keeps the version that may have begun a stream, until it is
  * known.
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -331,6 +331,22 @@
 	return g_hash_table_lookup(b->by_key, GUINT_TO_POINTER(key));
 }
 
+bool balance_has_refuted(const balance_t *b, const char *service)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	assert(b && service);
+	g_hash_table_iter_init(&iter, b->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const balance_upstream_t *u = value;
+
+		if (u->refuted && !strcmp(u->service, service))
+			return true;
+	}
+	return false;
+}
+
 bool balance_has_version(const balance_t *b, uint32_t version)
 {
 	GHashTableIter iter;
--- a/packages/decide/balance_choose.c
+++ b/packages/decide/balance_choose.c
@@ -312,6 +312,8 @@
 		    (request->version != u->version_key ||
 		     balance_trust(u, now) < request->least_trust))
 			continue;
+		if (request->no_refuted && u->refuted)
+			continue;
 		update_preferred_(r, (int)i, score);
 		r->has_own =
 			r->has_own || (entry && copy_preference_(entry, u));
--- a/packages/decide/origins.c
+++ b/packages/decide/origins.c
@@ -8,7 +8,7 @@
 #define STREAMS_MAX 32768
 /* Streams of some seconds, of which few begin while an upstream starts. */
 #define DOUBTS_MAX 4096
-/* A stream for which two versions were named. */
+/* A stream for which two versions were named, or whose start had none. */
 #define CONTRADICTED 0
 
 const char *const origin_source_string[] = { "unknown", "told", "only one" };
@@ -40,6 +40,12 @@
 	return !e;
 }
 
+void origins_put_unknown(origins_t *o, uint64_t stream, mstime_t now)
+{
+	assert(o && stream);
+	lru_put(&o->streams, now, stream, CONTRADICTED, 1);
+}
+
 const origin_doubt_t *origins_find_doubt(const origins_t *o, uint64_t stream)
 {
 	assert(o);
@@ -102,11 +108,10 @@
 	lru_expire(&o->streams, now);
 }
 
-/* The service at which a stream was begun, also in doubt, or NULL. */
-static const char *begun_service_(const origins_t *o, const versions_t *v,
-				  uint64_t stream)
+/* The service at which a stream was begun in doubt, or NULL. */
+static const char *begun_service_(const versions_t *v,
+				  const origin_doubt_t *doubt)
 {
-	const origin_doubt_t *doubt = origins_find_doubt(o, stream);
 	const version_t *version =
 		doubt ? versions_find(v, doubt->begin.version) : NULL;
 
@@ -114,11 +119,11 @@
 }
 
 /* Versions of the services at which the stream can have been begun. */
-static int count_versions_(const origins_t *o, const versions_t *v,
-			   const origin_query_t *query, mstime_t now,
+static int count_versions_(const versions_t *v, const origin_query_t *query,
+			   const origin_doubt_t *doubt, mstime_t now,
 			   uint32_t *only)
 {
-	const char *begun = begun_service_(o, v, query->stream);
+	const char *begun = begun_service_(v, doubt);
 	int count = 0;
 
 	for (int i = 0; i < query->service_count; i++) {
@@ -137,6 +142,7 @@
 origin_answer_t origins_resolve(const origins_t *o, const versions_t *v,
 				const origin_query_t *query, mstime_t now)
 {
+	const origin_doubt_t *doubt;
 	const lru_entry_t *e;
 	uint32_t only = 0;
 	bool complete;
@@ -151,7 +157,11 @@
 	/* Another node may know a version that this one has not seen yet. */
 	if (query->stream && !query->asked)
 		return verdict_(ORIGIN_ASK);
-	count = count_versions_(o, v, query, now, &only);
+	doubt = origins_find_doubt(o, query->stream);
+	/* Its start has named itself, and has written no entry yet. */
+	if (doubt && !doubt->begin.version)
+		return verdict_(ORIGIN_AMBIGUOUS);
+	count = count_versions_(v, query, doubt, now, &only);
 	complete = versions_is_complete(v, now);
 	if (count <= 1 && !complete && !query->read)
 		return verdict_(ORIGIN_READ);
--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -326,6 +326,22 @@
 		request->exclude[request->exclude_count++] = f->tried_ids[i];
 }
 
+/* A stream begins at a start whose version is known, or else where it can. */
+static balance_pick_t choose_known_(const forward_t *f,
+				    balance_request_t *request, mstime_t now)
+{
+	balance_t *b = &f->gateway->balance;
+	balance_pick_t pick;
+
+	request->no_refuted = f->route->resumable;
+	pick = balance_choose(b, request, now);
+	if (pick.upstream || !request->no_refuted ||
+	    !balance_has_refuted(b, request->service))
+		return pick;
+	request->no_refuted = false;
+	return balance_choose(b, request, now);
+}
+
 /* A stream goes on where the start is proven, or else where it can be. */
 static balance_pick_t choose_trusted_(forward_t *f, balance_request_t *request,
 				      mstime_t now)
@@ -333,6 +349,8 @@
 	balance_t *b = &f->gateway->balance;
 	balance_pick_t pick;
 
+	if (!request->version)
+		return choose_known_(f, request, now);
 	request->least_trust = resumes_wanted_trust(f, request);
 	pick = balance_choose(b, request, now);
 	if (pick.upstream || request->least_trust != BALANCE_TRUST_SURE ||
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -413,7 +413,7 @@
 	f->begun_sure = starts_is_proven(g, f->selected, peer);
 	if (f->begun_sure)
 		note_(f);
-	else if (!is_implied_(f))
+	else if (!f->begun.version || !is_implied_(f))
 		doubt_(f);
 }
 
@@ -486,6 +486,16 @@
 		tell_(g, d->stream, d->begin.version);
 }
 
+/* A start of which no entry has come may have been of a version that nobody
+ * knows.
+ */
+static void settle_unknown_(gateway_t *g, const origin_doubt_t *d)
+{
+	counter_add(COUNTER_ORIGINS_DROPPED, 1);
+	if (!d->begin.version)
+		origins_put_unknown(&g->origins, d->stream, clock_now());
+}
+
 static void settle_(gateway_t *g)
 {
 	GArray *rebound = g_array_new(FALSE, FALSE, sizeof(origin_doubt_t));
@@ -502,10 +512,10 @@
 				     : "dropped");
 		if (again)
 			g_array_append_val(rebound, doubt);
-		else if (!sure)
-			counter_add(COUNTER_ORIGINS_DROPPED, 1);
-		else
+		else if (sure)
 			settle_sure_(g, &doubt);
+		else
+			settle_unknown_(g, &doubt);
 	}
 	for (guint i = 0; i < rebound->len; i++)
 		origins_doubt(&g->origins,
@@ -755,6 +765,14 @@
 	return trust;
 }
 
+/* Whether a stream may have been begun at another version than it is bound to.
+ */
+static bool may_be_misbound_(const forward_t *f)
+{
+	return resumes_is_mixed(f->gateway, f->service) ||
+	       (f->begun.id && !f->begun.version && !f->begun_sure);
+}
+
 /* Whether a stream may go on at an upstream of its version. */
 static bool has_upstream_(const forward_t *f)
 {
@@ -777,8 +795,7 @@
 
 	if (!f->bound_version)
 		return RESUME_GOES_ON;
-	begin = resumes_is_mixed(f->gateway, f->service) ? check_begin_(f)
-							 : BALANCE_TRUST_SURE;
+	begin = may_be_misbound_(f) ? check_begin_(f) : BALANCE_TRUST_SURE;
 	if (begin == BALANCE_TRUST_SURE && has_upstream_(f))
 		return RESUME_GOES_ON;
 	return begin != BALANCE_TRUST_NONE && may_wait_(f) ? RESUME_WAITS
@@ -793,8 +810,7 @@
 
 	if (!f->bound_version || !starts_may_matter(g, f->service))
 		return true;
-	if (resumes_is_mixed(g, f->service) &&
-	    check_begin_(f) != BALANCE_TRUST_SURE)
+	if (may_be_misbound_(f) && check_begin_(f) != BALANCE_TRUST_SURE)
 		return false;
 	forward_describe(f, &request);
 	starts_observe(g, request.version);
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -62,6 +62,17 @@
 						      send_idle_max(u)));
 }
 
+/*
+ * Whether another start may answer than that of the entry, though no other
+ * version is known: a connection has ended since the last known heartbeat.
+ */
+static bool may_be_other_(const gateway_t *g, const balance_upstream_t *u)
+{
+	mstime_t ended_at = http_client_ended_at(&g->upstreams, u->address);
+
+	return ended_at && !balance_is_start(&g->balance, u, ended_at, 0);
+}
+
 /* Whether it matters which start the request reaches. */
 static bool concerns_(const forward_t *f)
 {
@@ -71,7 +82,8 @@
 		return false;
 	if (f->bound_version)
 		return starts_may_matter(g, f->service);
-	return f->route->resumable && resumes_is_mixed(g, f->service);
+	return f->route->resumable && (resumes_is_mixed(g, f->service) ||
+				       may_be_other_(g, f->selected));
 }
 
 static bool can_ask_(const forward_t *f)
@@ -79,12 +91,19 @@
 	return clock_now() >= f->selected->nameless_until && starts_may_ask(f);
 }
 
-/* A stream of the only version also goes on at upstreams that cannot tell. */
+/*
+ * A stream of the only version also goes on at upstreams that cannot tell. A
+ * new one waits for one answer.
+ */
 static bool is_required_(const forward_t *f)
 {
-	return f->bound_version && concerns_(f) &&
-	       (resumes_is_mixed(f->gateway, f->service) ||
-		f->selected->refuted || can_ask_(f));
+	if (!concerns_(f))
+		return false;
+	if (!f->bound_version)
+		return !f->asked && !f->selected->refuted && can_ask_(f) &&
+		       may_be_other_(f->gateway, f->selected);
+	return resumes_is_mixed(f->gateway, f->service) ||
+	       f->selected->refuted || can_ask_(f);
 }
 
 /* start: connections to another one are not used; 0 for any */
@@ -207,6 +226,12 @@
 	return start;
 }
 
+/* A new stream is chosen another upstream once the start is refuted. */
+static bool may_begin_elsewhere_(const forward_t *f)
+{
+	return !f->bound_version && f->selected->refuted && starts_may_ask(f);
+}
+
 static void on_answer_(void *ctx, http_call_t *call, int err, int status)
 {
 	forward_t *f = ctx;
@@ -225,7 +250,7 @@
 	}
 	if (take_answer_(f->selected, call, start_in_(f->gateway, call, err),
 			 err, status) ||
-	    !is_required_(f))
+	    (!is_required_(f) && !may_begin_elsewhere_(f)))
 		forward_send(f);
 	else
 		choose_again_(f);
@@ -248,12 +273,22 @@
 			   f->selected->start_id, &question_ops, f);
 }
 
+/* The start that would answer a new stream has named itself as another one. */
+static bool is_other_named_(const forward_t *f)
+{
+	return !f->bound_version && f->selected->refuted &&
+	       http_client_next_peer(&f->gateway->upstreams,
+				     f->selected->address,
+				     send_idle_max(f->selected))
+		       .start;
+}
+
 void starts_send(forward_t *f)
 {
 	f->answers_lost = 0;
 	f->asked = false;
 	if (!concerns_(f) || !can_ask_(f) ||
-	    is_next_proven_(f->gateway, f->selected))
+	    is_next_proven_(f->gateway, f->selected) || is_other_named_(f))
 		forward_send(f);
 	else
 		start_question_(f);
--- a/packages/http/client.c
+++ b/packages/http/client.c
@@ -34,6 +34,9 @@
 #define STATUS_NOT_MODIFIED 304
 /* Requests kept off one connection; one with more is replaced. */
 #define KEPT_OFF_MAX 64
+/* Remote addresses whose last end is remembered, and for how long if more. */
+#define ENDED_MAX 1024
+#define ENDED_KEEP_MS 60000
 
 /* An open connection, whoever uses it. */
 typedef struct connection {
@@ -134,6 +137,8 @@
 				      (GDestroyNotify)g_ptr_array_unref);
 	c->connected = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					     g_free, NULL);
+	c->ended = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					 g_free);
 	ev_timer_init(&c->timer, on_timer_, 0, 0);
 	c->timer.data = c;
 	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket_);
@@ -164,6 +169,7 @@
 	g_hash_table_destroy(c->opened);
 	g_hash_table_destroy(c->by_remote);
 	g_hash_table_destroy(c->connected);
+	g_hash_table_destroy(c->ended);
 	g_hash_table_destroy(c->connections);
 }
 
@@ -687,6 +693,16 @@
 	return connection->peer;
 }
 
+mstime_t http_client_ended_at(const http_client_t *c, const char *address)
+{
+	uint64_t remote = remote_of_(address);
+	const mstime_t *at;
+
+	assert(c && address);
+	at = g_hash_table_lookup(c->ended, &remote);
+	return at ? *at : 0;
+}
+
 /* Before its first request. */
 static void identify_(http_client_t *c, connection_t *connection,
 		      uint64_t remote)
@@ -838,6 +854,30 @@
 	call->unread_ms = info.tcpi_last_ack_recv;
 }
 
+static gboolean is_long_ago_(gpointer key, gpointer at, gpointer now)
+{
+	(void)key;
+	return *(mstime_t *)now - *(mstime_t *)at > ENDED_KEEP_MS;
+}
+
+/* Notes that the other side has ended a connection which is closed now. */
+static void note_end_(http_client_t *c, const connection_t *connection)
+{
+	mstime_t now = clock_now();
+	ssize_t n;
+	char byte;
+
+	n = recv(connection->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
+		return;
+	if (g_hash_table_size(c->ended) >= ENDED_MAX)
+		g_hash_table_foreach_remove(c->ended, is_long_ago_, &now);
+	g_hash_table_insert(
+		c->ended,
+		g_memdup2(&connection->remote, sizeof(connection->remote)),
+		g_memdup2(&now, sizeof(now)));
+}
+
 static int on_close_(void *userp, curl_socket_t fd)
 {
 	http_client_t *c = userp;
@@ -848,8 +888,10 @@
 		note_unacked_(connection->call, fd);
 		note_silence_(connection->call, fd);
 	}
-	if (connection && connection->remote)
+	if (connection && connection->remote) {
+		note_end_(c, connection);
 		remove_remote_(c, connection);
+	}
 	forget_socket_(c, fd);
 	g_hash_table_remove(c->connections, GINT_TO_POINTER(fd));
 	return close(fd);
--- a/tests/unit/test_origins.c
+++ b/tests/unit/test_origins.c
@@ -32,6 +32,8 @@
 	STEP_SEEN,  /* an upstream of the service and version is known */
 	STEP_BEGUN, /* a stream was begun at the version */
 	STEP_DOUBT, /* it was begun there, unless another start answered */
+	STEP_OTHER, /* it was begun at a start that has no entry yet */
+	STEP_GONE,  /* of which none has come */
 } step_kind_t;
 
 typedef struct step {
@@ -210,6 +212,18 @@
 	  STREAM,
 	  true,
 	  ORIGIN_NONE },
+	{ "at a start without an entry, while one version is known",
+	  { { STEP_SEEN, 0, "a", "v1" }, { STEP_OTHER, 10, "a", "v1" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
+	{ "at a start of which no entry has come",
+	  { { STEP_SEEN, 0, "a", "v1" }, { STEP_GONE, 10, "a", "v1" } },
+	  1000,
+	  STREAM,
+	  true,
+	  ORIGIN_AMBIGUOUS },
 	{ "in doubt at a version that is not known here",
 	  { { STEP_SEEN, 0, "a", "v1" },
 	    { STEP_SEEN, 0, "b", "v1" },
@@ -235,9 +249,15 @@
 	case STEP_BEGUN:
 		origins_put(&origins, STREAM, version, NOW + s->at);
 		break;
+	case STEP_OTHER:
+		doubt.begin.version = 0;
+		/* fall through */
 	case STEP_DOUBT:
 		origins_doubt(&origins, &doubt);
 		break;
+	case STEP_GONE:
+		origins_put_unknown(&origins, STREAM, NOW + s->at);
+		break;
 	default:
 		break;
 	}
