Versions, http client: a field named for what it holds, a test of ends

versions_t.was_complete was named resumes, like the streams that callers take up. The end of a connection by the other side, on which new streams ask for the start since, has a table of its own in unit http_client (sound end, reset, within a head; not: kept, closed here). Behaviour is as before.

--- a/include/kcf/versions.h
+++ b/include/kcf/versions.h
@@ -53,7 +53,7 @@
 	mstime_t watched_from; /* no change was missed since */
 	bool complete;	       /* the record was read and lacks none */
 	bool restored;	       /* this node has seen a restore of the log */
-	bool resumes;	       /* it was complete before the last one */
+	bool was_complete;     /* before the last one, and may be again */
 	bool rescanned;	       /* the entries were read since */
 	int asks;	       /* of the other nodes since */
 	mstime_t next_ask_at;
@@ -101,10 +101,10 @@
 void versions_restore(versions_t *v, mstime_t now);
 
 /*
- * versions_is_resuming - whether the set was complete before the last restore,
+ * versions_is_restoring - whether the set was complete before the last restore,
  * and may be so again.
  */
-bool versions_is_resuming(const versions_t *v);
+bool versions_is_restoring(const versions_t *v);
 
 /*
  * versions_rescan - the entries of the restored log were read.
--- a/packages/decide/versions.c
+++ b/packages/decide/versions.c
@@ -50,7 +50,7 @@
 	assert(v);
 	v->watched_from = now;
 	v->complete = false;
-	v->resumes = false;
+	v->was_complete = false;
 }
 
 void versions_restore(versions_t *v, mstime_t now)
@@ -58,25 +58,25 @@
 	bool known;
 
 	assert(v);
-	known = v->resumes || versions_is_complete(v, now);
+	known = v->was_complete || versions_is_complete(v, now);
 	versions_miss(v, now);
 	v->restored = true;
-	v->resumes = known;
+	v->was_complete = known;
 	v->rescanned = false;
 	v->asks = 0;
 	v->next_ask_at = now;
 }
 
-bool versions_is_resuming(const versions_t *v)
+bool versions_is_restoring(const versions_t *v)
 {
 	assert(v);
-	return v->resumes;
+	return v->was_complete;
 }
 
 void versions_rescan(versions_t *v, mstime_t missed_ms, mstime_t now)
 {
 	assert(v);
-	if (!v->resumes)
+	if (!v->was_complete)
 		return;
 	if (missed_ms > VERSIONS_MISSED_MAX_MS)
 		versions_miss(v, now);
@@ -108,7 +108,7 @@
 bool versions_take_ask(versions_t *v, mstime_t now)
 {
 	assert(v);
-	if (!v->resumes || now < v->next_ask_at)
+	if (!v->was_complete || now < v->next_ask_at)
 		return false;
 	if (v->asks < VERSIONS_ASKS) {
 		v->asks++;
@@ -117,7 +117,7 @@
 	}
 	if (v->rescanned && !has_unnamed_(v, now)) {
 		v->complete = true;
-		v->resumes = false;
+		v->was_complete = false;
 	}
 	return false;
 }
@@ -271,7 +271,7 @@
 	if (marked ? mark_epoch < read_epoch : is_any_recorded_(v))
 		return;
 	v->complete = true;
-	v->resumes = false;
+	v->was_complete = false;
 }
 
 static void remove_obsolete_(versions_t *v, mstime_t now)
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -658,7 +658,7 @@
 
 	/* The latest records do not tell what came and went since. */
 	if (s->feed == FEED_UPSTREAMS && s->loaded &&
-	    !versions_is_resuming(&s->gateway->versions))
+	    !versions_is_restoring(&s->gateway->versions))
 		versions_miss(&s->gateway->versions, clock_now());
 	s->scanning = true;
 	s->scan_source = s->source;
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -479,6 +479,7 @@
 			  : -1));
 }
 
+/* Homes may have dropped the doubt, or know the upstream by older entries. */
 static void settle_sure_(gateway_t *g, const origin_doubt_t *d)
 {
 	origins_put(&g->origins, d->stream, d->begin.version, clock_now());
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -293,6 +293,35 @@
 }
 END_TEST
 
+static const struct {
+	play_t play;
+	bool ended; /* by the other side */
+} ends[] = {
+	{ { "sound end", OK_BARE, 0, ALL, ENDED }, true },
+	{ { "reset", OK_BARE, 0, ALL, RESET }, true },
+	{ { "within a head", "HTTP/1.1 20", 0, ALL, ENDED }, true },
+	{ { "kept", OK_LENGTH, 0, ALL, KEPT }, false },
+	{ { "closed here", STATUS("999 None"), 0, ALL, KEPT }, false },
+};
+
+START_TEST(test_end_by_the_other_side)
+{
+	server_t s;
+	client_t c;
+	bool ended;
+
+	start_server_(&s, &ends[_i].play);
+	s.thread = g_thread_new("server", serve_, &s);
+	start_call_(&c, &s, "");
+	ck_assert(!http_client_ended_at(&c.http, s.address));
+	while (!c.done)
+		ev_run(c.loop, EVRUN_ONCE);
+	ended = http_client_ended_at(&c.http, s.address) > 0;
+	finish_(&c, &s);
+	ck_assert_msg(ended == ends[_i].ended, "%s", ends[_i].play.what);
+}
+END_TEST
+
 Suite *http_client_suite(void)
 {
 	Suite *s = suite_create("http_client");
@@ -304,6 +333,8 @@
 			    G_N_ELEMENTS(uploads));
 	tcase_add_test(
 		c, test_part_taken_for_whole_after_a_look_at_its_connection);
+	tcase_add_loop_test(c, test_end_by_the_other_side, 0,
+			    G_N_ELEMENTS(ends));
 	suite_add_tcase(s, c);
 	return s;
 }
