--- a/tests/scenarios/restore_words.lua
+++ b/tests/scenarios/restore_words.lua
@@ -46,9 +46,7 @@
 	configure(f, 2, streams_only())
 end
 
-function begin_load(seed, ms, rate, more)
-	local o = { to = callers_of(f), path = "/stream/long", rate = rate, duration_ms = ms, timeout_ms = 12000, tries = 40,
-		    pause_ms = 250, seed = seed, distinct = "", resume = "" }
-	for k, v in pairs(more or {}) do o[k] = v end
-	return start_callers(f, o)
+function begin_load(seed, ms, rate)
+	return start_callers(f, { to = callers_of(f), path = "/stream/long", rate = rate, duration_ms = ms, timeout_ms = 12000, tries = 40,
+				  pause_ms = 250, seed = seed, distinct = "", resume = "" })
 end
