Resumes: logs say how old a node's entries were, and who was asked

A node that is behind and one that has just started wrote the same line of stream.resume: "only one". It now has the age of the entries, the homes that were asked and those that were told nothing, whether the log of streams could be read, and the live nodes. A home counts once, however often it replies, and is not asked again once it has.

--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -141,11 +141,12 @@
 	bool origin_told;	   /* other nodes were told of the version */
 	resume_wait_t resume_wait; /* while resume_timer runs */
 	int resume_asks;
-	bool resume_asked;  /* the homes of the stream */
-	bool resume_silent; /* none of them has replied */
-	bool resume_read;   /* the record of versions */
-	bool resume_logged; /* the log of streams */
-	int asked_count;    /* homes that have not replied yet */
+	bool resume_asked;	       /* the homes of the stream */
+	bool resume_read;	       /* the record of versions */
+	bool resume_logged;	       /* the log of streams */
+	uint32_t homes[ORIGINS_ASKED]; /* keys of those that were asked */
+	int home_count;
+	unsigned int untold; /* bits of those that know nothing of it */
 	ev_timer resume_timer;
 	balance_begin_t begun; /* without an id if it began elsewhere */
 	bool begun_sure;
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -75,11 +75,11 @@
 				&g->origins_budget };
 }
 
-/* Addresses of the homes of a stream among the other nodes. */
-static int homes_(gateway_t *g, uint64_t stream, int max, const char **out)
+/* The homes of a stream among the other nodes. */
+static int homes_(gateway_t *g, uint64_t stream, int max, const member_t **out)
 {
 	uint32_t *keys = g_new(uint32_t, g->ranking->len + 1);
-	const char **peers = g_new(const char *, g->ranking->len + 1);
+	const member_t **nodes = g_new(const member_t *, g->ranking->len + 1);
 	guint homes[ORIGINS_ASKED];
 	guint others = 0;
 	int count;
@@ -90,13 +90,13 @@
 		if (m == g->members.self)
 			continue;
 		keys[others] = m->key;
-		peers[others++] = m->peer;
+		nodes[others++] = m;
 	}
 	count = origins_select_homes(stream, keys, others, homes, max);
 	for (int i = 0; i < count; i++)
-		out[i] = peers[homes[i]];
+		out[i] = nodes[homes[i]];
 	g_free(keys);
-	g_free(peers);
+	g_free(nodes);
 	return count;
 }
 
@@ -105,13 +105,13 @@
 	peer_origin_t origin = { stream, version };
 	peer_origins_t m = { .sent = (u_quad_t)clock_wall(),
 			     .list = { 1, &origin } };
-	const char *homes[ORIGINS_ASKED];
+	const member_t *homes[ORIGINS_ASKED];
 	int count = homes_(g, stream, ORIGINS_HOMES, homes);
 	const member_t *writer = stream_log_writer(g);
 	peer_sender_t sender = sender_(g);
 
 	for (int i = 0; i < count; i++)
-		peer_socket_send_origins(&sender, homes[i], &m);
+		peer_socket_send_origins(&sender, homes[i]->peer, &m);
 	stream_log_note(g, stream, version);
 	if (writer && writer != g->members.self)
 		peer_socket_send_origins(&sender, writer->peer, &m);
@@ -359,12 +359,12 @@
 /* Homes settle the doubt by themselves, should this node be gone by then. */
 static void tell_doubt_(gateway_t *g, const origin_doubt_t *d)
 {
-	const char *homes[ORIGINS_ASKED];
+	const member_t *homes[ORIGINS_ASKED];
 	int count = homes_(g, d->stream, ORIGINS_HOMES, homes);
 	const member_t *writer = stream_log_writer(g);
 
 	for (int i = 0; i < count; i++)
-		send_doubt_(g, d, homes[i]);
+		send_doubt_(g, d, homes[i]->peer);
 	stream_log_note_doubt(g, d);
 	if (writer && writer != g->members.self)
 		send_doubt_(g, d, writer->peer);
@@ -528,11 +528,37 @@
 	g_array_unref(rebound);
 }
 
+/* Whether a home has said that it knows nothing of the stream. */
+static bool is_untold_(const forward_t *f, uint32_t key)
+{
+	for (int i = 0; i < f->home_count; i++) {
+		if (f->homes[i] == key)
+			return f->untold & 1u << i;
+	}
+	return false;
+}
+
+static int count_untold_(const forward_t *f)
+{
+	return __builtin_popcount(f->untold);
+}
+
+/* Whether the log of streams was read for the request. */
+static const char *log_text_(const forward_t *f)
+{
+	const feed_state_t *s = &f->gateway->feed_states[FEED_STREAMS];
+
+	if (!f->resume_logged)
+		return "unread";
+	return s->current_as_of >= f->received_at ? "read" : "failed";
+}
+
 static void log_resume_(const forward_t *f, const origin_answer_t *a,
 			const char *outcome)
 {
-	const version_t *version =
-		versions_find(&f->gateway->versions, a->version);
+	const gateway_t *g = f->gateway;
+	const version_t *version = versions_find(&g->versions, a->version);
+	mstime_t now = clock_now();
 	char key[STREAM_TEXT_MAX];
 
 	LOG_EVENT(LOG_NOTICE, "stream.resume", F_VIEW("request", f->in.id),
@@ -542,10 +568,13 @@
 		  F_STR("service", f->service),
 		  F_STR("version", version ? version->name : "-"),
 		  F_STR("known", origin_source_string[a->source]),
-		  F_STR("versions", versions_basis_text(&f->gateway->versions,
-							clock_now())),
-		  F_INT("ms", clock_now() - f->received_at),
-		  F_STR("outcome", outcome));
+		  F_STR("versions", versions_basis_text(&g->versions, now)),
+		  F_INT("entries_age_ms",
+			now - g->feed_states[FEED_UPSTREAMS].current_as_of),
+		  F_INT("homes", f->home_count),
+		  F_INT("untold", count_untold_(f)), F_STR("log", log_text_(f)),
+		  F_INT("nodes", g->ranking->len),
+		  F_INT("ms", now - f->received_at), F_STR("outcome", outcome));
 }
 
 static void refuse_(forward_t *f, const origin_answer_t *a, const char *why,
@@ -606,7 +635,7 @@
 	ev_timer_start(f->gateway->loop, &f->resume_timer);
 }
 
-/* False if there is nobody to ask. */
+/* Asks the homes that have not replied; false if there is none. */
 static bool ask_(forward_t *f)
 {
 	gateway_t *g = f->gateway;
@@ -614,13 +643,23 @@
 	peer_origins_t m = { .sent = (u_quad_t)clock_wall(),
 			     .asks = TRUE,
 			     .list = { 1, &origin } };
-	const char *homes[ORIGINS_ASKED];
+	const member_t *homes[ORIGINS_ASKED];
 	peer_sender_t sender = sender_(g);
-
-	f->asked_count = homes_(g, f->stream, ORIGINS_ASKED, homes);
-	for (int i = 0; i < f->asked_count; i++)
-		peer_socket_send_origins(&sender, homes[i], &m);
-	return f->asked_count > 0;
+	int count = homes_(g, f->stream, ORIGINS_ASKED, homes);
+	uint32_t keys[ORIGINS_ASKED];
+	unsigned int untold = 0;
+
+	for (int i = 0; i < count; i++) {
+		keys[i] = homes[i]->key;
+		if (is_untold_(f, keys[i]))
+			untold |= 1u << i;
+		else
+			peer_socket_send_origins(&sender, homes[i]->peer, &m);
+	}
+	memcpy(f->homes, keys, sizeof(keys[0]) * (size_t)count);
+	f->home_count = count;
+	f->untold = untold;
+	return count > count_untold_(f);
 }
 
 static origin_answer_t query_origin_(const forward_t *f)
@@ -632,7 +671,7 @@
 				 .services = services,
 				 .service_count = (int)targets->len,
 				 .asked = f->resume_asked,
-				 .silent = f->resume_silent,
+				 .silent = !f->untold,
 				 .read = f->resume_read,
 				 .logged = f->resume_logged };
 	origin_answer_t a;
@@ -684,7 +723,6 @@
 		return go_on_(f, &a);
 	case ORIGIN_ASK:
 		f->resume_asked = ++f->resume_asks == ASKS;
-		f->resume_silent = true;
 		if (!ask_(f)) {
 			f->resume_asked = true;
 			return resolve_(f);
@@ -860,10 +898,17 @@
 	return resolve_(f);
 }
 
+/* What a home says of a stream. */
+typedef struct reply {
+	uint64_t stream;
+	uint32_t home;	  /* key of the node, 0 if it is not known */
+	uint32_t version; /* 0 if it was told nothing */
+} reply_t;
+
 /* Waiting requests that a condition holds for go on. */
 static void continue_waiting_(gateway_t *g,
-			      bool (*fits)(forward_t *f, uint64_t stream),
-			      uint64_t stream)
+			      bool (*fits)(forward_t *f, const reply_t *reply),
+			      const reply_t *reply)
 {
 	GList *all = g_hash_table_get_keys(g->forwards);
 
@@ -871,26 +916,26 @@
 		forward_t *f = l->data;
 
 		if (ev_is_active(&f->resume_timer) && !f->done &&
-		    fits(f, stream))
+		    fits(f, reply))
 			continue_(f);
 	}
 	g_list_free(all);
 }
 
-static bool waits_for_record_(forward_t *f, uint64_t stream)
+static bool waits_for_record_(forward_t *f, const reply_t *reply)
 {
-	(void)stream;
+	(void)reply;
 	return f->resume_wait == RESUME_WAITS_FOR_RECORD;
 }
 
 void resumes_record_read(gateway_t *g)
 {
-	continue_waiting_(g, waits_for_record_, 0);
+	continue_waiting_(g, waits_for_record_, NULL);
 }
 
-static bool may_go_on_(forward_t *f, uint64_t stream)
+static bool may_go_on_(forward_t *f, const reply_t *reply)
 {
-	(void)stream;
+	(void)reply;
 	return f->resume_wait == RESUME_WAITS_FOR_START &&
 	       resumes_check(f) != RESUME_WAITS;
 }
@@ -898,31 +943,35 @@
 void resumes_feeds_updated(gateway_t *g)
 {
 	settle_(g);
-	continue_waiting_(g, may_go_on_, 0);
+	continue_waiting_(g, may_go_on_, NULL);
 }
 
-static bool waits_for_log_(forward_t *f, uint64_t stream)
+static bool waits_for_log_(forward_t *f, const reply_t *reply)
 {
-	(void)stream;
+	(void)reply;
 	return f->resume_wait == RESUME_WAITS_FOR_LOG;
 }
 
 void resumes_log_read(gateway_t *g)
 {
-	continue_waiting_(g, waits_for_log_, 0);
+	continue_waiting_(g, waits_for_log_, NULL);
 }
 
 /* Whether a reply of a home ends the wait. */
-static bool is_answered_(forward_t *f, uint64_t stream)
+static bool is_answered_(forward_t *f, const reply_t *reply)
 {
 	const gateway_t *g = f->gateway;
 
-	if (f->stream != stream || f->resume_wait != RESUME_WAITS_FOR_HOMES)
+	if (f->stream != reply->stream ||
+	    f->resume_wait != RESUME_WAITS_FOR_HOMES)
 		return false;
-	f->resume_silent = false;
-	f->resume_asked = f->resume_asked || --f->asked_count <= 0;
-	return f->asked_count <= 0 ||
-	       origins_get(&g->origins, stream, clock_now());
+	for (int i = 0; i < f->home_count && !reply->version; i++) {
+		if (f->homes[i] == reply->home)
+			f->untold |= 1u << i;
+	}
+	f->resume_asked = f->resume_asked || count_untold_(f) == f->home_count;
+	return f->resume_asked ||
+	       origins_get(&g->origins, f->stream, clock_now());
 }
 
 static void reply_(gateway_t *g, const peer_origins_t *m, const char *to)
@@ -956,12 +1005,16 @@
 
 void resumes_receive(gateway_t *g, const peer_origins_t *m, const char *from)
 {
+	const member_t *home = members_find_by_address(&g->members, from);
+
 	if (m->asks) {
 		reply_(g, m, from);
 		return;
 	}
 	for (u_int i = 0; i < m->list.list_len; i++) {
 		const peer_origin_t *origin = &m->list.list_val[i];
+		reply_t reply = { origin->stream, home ? home->key : 0,
+				  origin->software };
 
 		if (!origin->stream)
 			continue;
@@ -969,6 +1022,6 @@
 		    resumes_learn(g, origin->stream, origin->software,
 				  clock_now()))
 			stream_log_note(g, origin->stream, origin->software);
-		continue_waiting_(g, is_answered_, origin->stream);
+		continue_waiting_(g, is_answered_, &reply);
 	}
 }
