--- a/tests/scenarios/gateway_words.lua
+++ b/tests/scenarios/gateway_words.lua
@@ -111,8 +111,8 @@
 	g.started = now_ms()
 	local argv = { (g.bin or bin) .. "/kingcupforkd", "--gateway", path }
 	if g.source then
-		table.move({ "/usr/bin/env", "LD_PRELOAD=" .. bin .. "/kcf-source.so", "KCF_SOURCE=" .. g.source,
-			     table.unpack(argv) }, 1, #argv + 3, 1, argv)
+		argv = { "/usr/bin/env", "LD_PRELOAD=" .. bin .. "/kcf-source.so", "KCF_SOURCE=" .. g.source,
+			 "KCF_CUT=" .. (g.cut_file or ""), table.unpack(argv) }
 	end
 	if g.descriptors_max then
 		argv = { "/bin/sh", "-c", 'ulimit -n ' .. g.descriptors_max .. '; exec "$@"', "sh", table.unpack(argv) }
--- a/tests/scenarios/restore_words.lua
+++ b/tests/scenarios/restore_words.lua
@@ -30,8 +30,9 @@
 	sleep_ms(SETTLED_MS)
 end
 
-function add_version(version)
-	local r = start_runner(f, "engine-" .. version, "engines", "dc-1", options(version))
+function add_version(version, name)
+	local r = start_runner(f, name or "engine-" .. version, "engines", "dc-1", options(version))
+	r.version = version
 	announce(f, r, { version = version, slot_count = STREAM.slots })
 	return r
 end
