Reader: entries are known up to the question, not up to the answer

Cause: the age of the known entries was counted from the arrival of an empty answer, and from the request of a scan's last page, though a scan covers what was written before its first one (a node that starts in a large fleet may read the next pages 10 s later). A long poll of the operators' feed still counts from its end.

unit_feeds, known_up_to_the_question, fails on the code before.

--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -107,8 +107,9 @@
 	 * this node or to one that it copies from, or was not asked.
 	 */
 	mstime_t outage_from;
-	uint64_t scan_end; /* end of the feed when the scan began */
-	char *scan_after;  /* last key of the previous page, or NULL */
+	uint64_t scan_end;   /* end of the feed when the scan began */
+	mstime_t scan_as_of; /* when its first page was asked for */
+	char *scan_after;    /* last key of the previous page, or NULL */
 	bool scanning;
 	feed_source_t scan_source; /* only its records count as found */
 	bool down;		   /* the platform does not respond */
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -131,8 +131,10 @@
 	}
 	s->source = FEED_FROM_PLATFORM;
 	feeds_record_response(s, now);
-	if (!s->scan_after)
+	if (!s->scan_after) {
 		s->scan_end = batch->next_offset;
+		s->scan_as_of = s->requested_at;
+	}
 	for (size_t i = 0; i < batch->count; i++)
 		feeds_apply_record(s, &batch->records[i], now);
 	g_clear_pointer(&s->scan_after, g_free);
@@ -147,7 +149,7 @@
 	if (s->scan_end < s->next_offset) {
 		feeds_cancel_scan(s);
 	} else {
-		feeds_end_scan(s, s->scan_end, s->requested_at, now);
+		feeds_end_scan(s, s->scan_end, s->scan_as_of, now);
 		s->next_read_at = now;
 	}
 	finish_read_(s, now);
@@ -189,7 +191,10 @@
 		feeds_set_current(s, s->current_as_of, batch->next_offset);
 		s->next_read_at = now;
 	} else {
-		feeds_set_current(s, batch->count ? s->requested_at : now,
+		/* Only a read that waits is answered at its end. */
+		bool at_end = s->feed == FEED_OPERATORS && !batch->count;
+
+		feeds_set_current(s, at_end ? now : s->requested_at,
 				  batch->next_offset);
 		feeds_set_end(s, batch->next_offset, s->requested_at);
 	}
--- a/tests/unit/test_feeds.c
+++ b/tests/unit/test_feeds.c
@@ -448,6 +448,8 @@
 	return keep_scan_(c, feed, NULL, deadline, fn, arg);
 }
 
+#define ANSWER_LATE_MS 20
+
 static const feed_client_ops_t kept_ops = { .read_latest = keep_scan_,
 					    .read_from = keep_read_ };
 
@@ -494,6 +496,42 @@
 }
 END_TEST
 
+static void answer_later_(const feed_batch_t *batch)
+{
+	g_usleep(ANSWER_LATE_MS * 1000);
+	asked.fn(asked.arg, FEED_OK, batch);
+}
+
+/* What an answer has was written before its question, or the first of several.
+ */
+START_TEST(test_known_up_to_the_question)
+{
+	gateway_conf_t conf = { .apply_limit_ms = 2000 };
+	feed_record_t r = { .key = str_of("u-0") };
+	feed_batch_t page = {
+		.records = &r, .count = 1, .has_more = true, .next_offset = 5
+	};
+	feed_batch_t end = { .next_offset = 5 };
+	feed_state_t *s = &one.feed_states[FEED_UPSTREAMS];
+	mstime_t asked_at;
+
+	start_seed_(&one, &conf);
+	asked_at = s->requested_at;
+	answer_later_(&page);
+	s->next_read_at = 0;
+	reader_tick(&one, clock_now());
+	answer_later_(&end);
+	ck_assert(s->complete);
+	ck_assert_int_eq(s->current_as_of, asked_at);
+	s->next_read_at = 0;
+	reader_tick(&one, clock_now());
+	asked_at = s->requested_at;
+	answer_later_(&end);
+	ck_assert_int_eq(s->current_as_of, asked_at);
+	stop_seed_(&one);
+}
+END_TEST
+
 /*
  * What one node has written another one reads that has just started. Its
  * entries may be older than a doubt, and it passes the doubt's age on.
@@ -1454,6 +1492,7 @@
 	tcase_add_test(c, test_sync_of_truncated_response);
 	tcase_add_test(c, test_sync_of_all_records);
 	tcase_add_test(c, test_sync_ends_a_scan);
+	tcase_add_test(c, test_known_up_to_the_question);
 	tcase_add_test(c, test_versions_after_a_scan_behind_a_copy);
 	tcase_add_test(c, test_versions_after_a_cancelled_scan);
 	tcase_add_test(c, test_versions_of_older_records);
