Origins: the only known version is vouched for, or the stream is refused

What callers saw: a stream that was begun at v2 went on at v1 (rule ORDER).

Cause: a node that is cut off from the platform and the other nodes, and is reached by callers and upstreams, knows the versions of the time before. It asked the stream's homes and read the log of streams, got no answer from either, and took that for "told nothing". Its set of versions counted as complete whatever its age.

Now silence, a read that failed and old entries are told from an answer. Of a stream that was begun elsewhere the only known version counts if - its homes say that they were told nothing: all but one of them (one may be the node that began it), with those that were lost since the latest known entries counted as silent, and with most of the fleet in reach. Homes that have started since those entries do not say so. This holds with the platform away for all; or - the log of streams was read after the caller came, and so were the entries: a version that can have begun the stream is in them. Else 503 with a Retry-After at once: not run; other nodes can tell. What a node began or was told itself goes on as before. Reads for waiting requests are shared, at most one in 300 ms a feed, and count only if they began after the request; a read of the log that was younger than 1 s used to count as well.

Why it works: who begins a stream under two versions tells its homes and the log when its first event passes; who knows one version began the stream at it, and a node whose entries reach past that moment knows that one too.

--- a/include/kcf/origins.h
+++ b/include/kcf/origins.h
@@ -53,12 +53,14 @@
 
 typedef enum origin_verdict {
 	ORIGIN_FOUND,
-	ORIGIN_ASK,	   /* the homes first */
-	ORIGIN_READ,	   /* the record of versions first */
-	ORIGIN_READ_LOG,   /* the log of streams first */
-	ORIGIN_AMBIGUOUS,  /* several versions can have begun it */
+	ORIGIN_ASK,	     /* the homes first */
+	ORIGIN_READ,	     /* the record of versions first */
+	ORIGIN_READ_LOG,     /* the log of streams first */
+	ORIGIN_READ_ENTRIES, /* the latest entries of upstreams first */
+	ORIGIN_AMBIGUOUS,    /* several versions can have begun it */
 	ORIGIN_INCOMPLETE, /* versions that this node does not know can, too */
 	ORIGIN_NONE,	   /* the services have had no version */
+	ORIGIN_UNVOUCHED,  /* versions can that came after what is known here */
 } origin_verdict_t;
 
 /* A stream that a caller takes up. */
@@ -66,12 +68,25 @@
 	uint64_t stream;	     /* its key, 0 if the caller names no try */
 	const char *const *services; /* that its route may choose */
 	int service_count;
-	bool asked;  /* the homes have answered, or had time to */
-	bool silent; /* none has */
-	bool read;   /* the record was read, or there was time to */
-	bool logged; /* the log of streams was */
+	mstime_t came_at;  /* it was begun before */
+	mstime_t known_to; /* all entries written before are known */
+	mstime_t log_to;   /* all of the log of streams written before is */
+	bool asked;	   /* the homes have answered, or had time to */
+	bool untold;	   /* see origins_is_untold */
+	bool read;	   /* the record was read, or there was time to */
+	bool logged;	   /* the log of streams was */
+	bool refreshed;	   /* the latest entries were */
 } origin_query_t;
 
+/* Another node, as one that is told of streams. */
+typedef struct origin_witness {
+	uint32_t key;
+	/* It has gone since the entries that are known here were written. */
+	bool lost;
+	/* It was told nothing of the stream, and has run since then. */
+	bool untold;
+} origin_witness_t;
+
 typedef struct origin_answer {
 	origin_verdict_t verdict;
 	origin_source_t source;
@@ -138,6 +153,16 @@
 origin_answer_t origins_resolve(const origins_t *o, const versions_t *v,
 				const origin_query_t *query, mstime_t now);
 
+/*
+ * origins_is_untold - whether nodes that would know of a stream of several
+ * versions say that they do not. Where one may be missing, most of the fleet
+ * has to be in reach: a node that is cut off with a few others may be told
+ * nothing, and know no entries that were written since.
+ * @nodes: the others that are there or lost
+ */
+bool origins_is_untold(uint64_t stream, const origin_witness_t *nodes,
+		       guint count);
+
 /*
  * origins_select_homes - the nodes ranked first for a stream.
  * @nodes: keys of the nodes, in any order
--- a/packages/decide/origins.c
+++ b/packages/decide/origins.c
@@ -139,6 +139,26 @@
 	return (origin_answer_t){ .verdict = verdict };
 }
 
+/* Whether nothing that the log of streams could tell is missing here. */
+static bool is_log_known_(const origin_query_t *query)
+{
+	return !query->stream || query->log_to >= query->came_at;
+}
+
+/*
+ * The only version that is known may have begun the stream, and so may one that
+ * has come since the latest entries that are known.
+ */
+static origin_answer_t vouch_(const origin_query_t *query, uint32_t only)
+{
+	if (query->untold ||
+	    (is_log_known_(query) && query->known_to >= query->came_at))
+		return (origin_answer_t){ ORIGIN_FOUND, ORIGIN_ONLY, only };
+	if (is_log_known_(query) && !query->refreshed)
+		return verdict_(ORIGIN_READ_ENTRIES);
+	return verdict_(ORIGIN_UNVOUCHED);
+}
+
 origin_answer_t origins_resolve(const origins_t *o, const versions_t *v,
 				const origin_query_t *query, mstime_t now)
 {
@@ -165,7 +185,7 @@
 	complete = versions_is_complete(v, now);
 	if (count <= 1 && !complete && !query->read)
 		return verdict_(ORIGIN_READ);
-	if ((count > 1 || !complete || query->silent) && query->stream &&
+	if ((count > 1 || !complete || !query->untold) && query->stream &&
 	    !query->logged)
 		return verdict_(ORIGIN_READ_LOG);
 	if (count > 1)
@@ -174,7 +194,29 @@
 		return verdict_(ORIGIN_INCOMPLETE);
 	if (!count)
 		return verdict_(ORIGIN_NONE);
-	return (origin_answer_t){ ORIGIN_FOUND, ORIGIN_ONLY, only };
+	return vouch_(query, only);
+}
+
+bool origins_is_untold(uint64_t stream, const origin_witness_t *nodes,
+		       guint count)
+{
+	uint32_t *keys = g_new(uint32_t, count + 1);
+	guint homes[ORIGINS_ASKED];
+	guint there = 1; /* this node */
+	int untold = 0;
+	int found;
+
+	assert(nodes || !count);
+	for (guint i = 0; i < count; i++) {
+		keys[i] = nodes[i].key;
+		there += !nodes[i].lost;
+	}
+	found = origins_select_homes(stream, keys, count, homes, ORIGINS_ASKED);
+	for (int i = 0; i < found; i++)
+		untold += nodes[homes[i]].untold;
+	g_free(keys);
+	/* One of them may be the node that began it, and is not told. */
+	return untold >= MAX(1, found - 1) && 2 * there > count + 1;
 }
 
 int origins_select_homes(uint64_t stream, const uint32_t *nodes, guint count,
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -47,8 +47,9 @@
 	RESUME_WAITS_FOR_HOMES,
 	RESUME_WAITS_FOR_RECORD,
 	RESUME_WAITS_FOR_LOG,
-	RESUME_WAITS_FOR_ORIGIN, /* until its first node is sure */
-	RESUME_WAITS_FOR_START,	 /* of an upstream, until one is sure */
+	RESUME_WAITS_FOR_ENTRIES, /* that are younger than the request */
+	RESUME_WAITS_FOR_ORIGIN,  /* until its first node is sure */
+	RESUME_WAITS_FOR_START,	  /* of an upstream, until one is sure */
 } resume_wait_t;
 
 /* What becomes of a stream that has to go on. */
@@ -144,6 +145,7 @@
 	bool resume_asked;	       /* the homes of the stream */
 	bool resume_read;	       /* the record of versions */
 	bool resume_logged;	       /* the log of streams */
+	bool resume_refreshed;	       /* the entries of upstreams */
 	uint32_t homes[ORIGINS_ASKED]; /* keys of those that were asked */
 	int home_count;
 	unsigned int untold; /* bits of those that know nothing of it */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -102,6 +102,9 @@
 	http_call_t *call;
 	mstime_t requested_at;
 	mstime_t next_read_at;
+	/* Requests wait for all that was written before, or 0. */
+	mstime_t wanted_to;
+	mstime_t wanted_read_at; /* not before */
 	mstime_t fallback_at; /* next read of a node that cannot sync, or 0 */
 	/* An outage is counted from here: before, the platform responded to
 	 * this node or to one that it copies from, or was not asked.
@@ -233,11 +236,9 @@
 	version_entries_t version_entries;
 	/* the log of streams there */
 	GByteArray *stream_batch; /* to be written by this node */
-	bool stream_log_wanted;	  /* a request waits for it */
 	bool stream_log_writing;
 	mstime_t stream_log_written_at;
-	mstime_t stream_log_read_at; /* 0 if not read yet */
-	guint stream_log_slot;	     /* of the next batch */
+	guint stream_log_slot; /* of the next batch */
 	balance_t balance;
 	shares_t shares;       /* outstanding requests of each customer */
 	admission_t admission; /* recent requests of each service */
@@ -355,6 +356,12 @@
 void reader_tick(gateway_t *g, mstime_t now);
 /* Whether this node is a reader: it reads the platform for other nodes. */
 bool reader_is_self(const gateway_t *g, mstime_t now);
+/*
+ * reader_want - reads a feed for requests that wait, soon and without the other
+ * conditions on reads.
+ * @to: all that was written before is wanted
+ */
+void reader_want(gateway_t *g, feed_t feed, mstime_t to);
 /* Restarts all reads after a pause of the process. */
 void reader_resume(gateway_t *g, mstime_t gap, mstime_t now);
 
@@ -491,9 +498,10 @@
 void resumes_finish(gateway_t *g);
 void resumes_tick(gateway_t *g, mstime_t now);
 void resumes_receive(gateway_t *g, const peer_origins_t *m, const char *from);
-/* The record of versions, or the log of streams, was read. */
+/* The record of versions was read. */
 void resumes_record_read(gateway_t *g);
-void resumes_log_read(gateway_t *g);
+/* A feed that requests wait for could not be read. */
+void resumes_read_failed(gateway_t *g, feed_t feed);
 /* A configuration came into force. */
 void resumes_apply_table(gateway_t *g);
 /* The entry of an upstream is new or has changed. */
@@ -569,10 +577,6 @@
 void stream_log_tick(gateway_t *g, mstime_t now);
 /* Applies one batch that was read. */
 void stream_log_apply(gateway_t *g, str_t data, mstime_t now);
-/* Reads the log, and resumes_log_read follows; false if it was read just now.
- */
-bool stream_log_read(gateway_t *g, mstime_t now);
-void stream_log_end_read(gateway_t *g, mstime_t now);
 
 /* rollout_ops.c */
 extern const rollouts_ops_t gateway_rollouts_ops;
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -38,6 +38,10 @@
 #define START_IMMEDIATE_ONE_IN 4
 #define START_DELAY_MS 150
 #define START_SPREAD_MS 10000
+/* Between reads that requests wait for; callers wait for a third of a second
+ * without harm.
+ */
+#define WANTED_INTERVAL_MS 300
 #define RETRY_MS 250
 /* Keeps nodes that start together from retrying together. */
 #define RETRY_JITTER_MS 250
@@ -52,6 +56,10 @@
 		now + RETRY_MS +
 		g_rand_int_range(s->gateway->rand, 0, RETRY_JITTER_MS);
 	counter_add(COUNTER_LOG_ERRORS, 1);
+	if (s->wanted_to) {
+		s->wanted_to = 0;
+		resumes_read_failed(s->gateway, s->feed);
+	}
 	if (s->down)
 		return;
 	s->down = true;
@@ -111,8 +119,6 @@
 {
 	if (s->feed == FEED_NODES)
 		nodes_update(s->gateway, now);
-	if (s->feed == FEED_STREAMS)
-		stream_log_end_read(s->gateway, now);
 	gateway_feeds_updated(s->gateway, now);
 }
 
@@ -140,7 +146,7 @@
 	g_clear_pointer(&s->scan_after, g_free);
 	if (batch->has_more && batch->count) {
 		s->scan_after = str_dup(batch->records[batch->count - 1].key);
-		s->next_read_at = now;
+		s->next_read_at = s->wanted_read_at = now;
 		delay_scan_(s, now);
 		return;
 	}
@@ -189,7 +195,7 @@
 	}
 	if (batch->has_more) {
 		feeds_set_current(s, s->current_as_of, batch->next_offset);
-		s->next_read_at = now;
+		s->next_read_at = s->wanted_read_at = now;
 	} else {
 		/* Only a read that waits is answered at its end. */
 		bool at_end = s->feed == FEED_OPERATORS && !batch->count;
@@ -201,6 +207,12 @@
 	finish_read_(s, now);
 }
 
+/* Whether requests wait for a read. */
+static bool is_wanted_(const feed_state_t *s)
+{
+	return s->wanted_to > s->current_as_of;
+}
+
 static void send_request_(feed_state_t *s, mstime_t now)
 {
 	feed_client_t *c = &s->gateway->feed_client;
@@ -210,6 +222,8 @@
 				: 0;
 
 	s->requested_at = now;
+	if (is_wanted_(s))
+		s->wanted_read_at = now + WANTED_INTERVAL_MS;
 	feeds_record_request(s, read_interval_(s), now);
 	if (!s->complete && !s->scanning) {
 		s->source = FEED_FROM_PLATFORM;
@@ -297,12 +311,14 @@
 
 static bool read_due_(feed_state_t *s, bool reader, mstime_t now)
 {
-	if (s->call || now < s->next_read_at)
+	if (s->call)
+		return false;
+	if (is_wanted_(s) && now >= s->wanted_read_at)
+		return true;
+	if (s->feed == FEED_STREAMS || now < s->next_read_at)
 		return false;
 	if (s->feed == FEED_NODES)
 		return nodes_read_due(s->gateway, now);
-	if (s->feed == FEED_STREAMS)
-		return s->gateway->stream_log_wanted;
 	return reader || fallback_due_(s, now);
 }
 
@@ -319,6 +335,14 @@
 	}
 }
 
+void reader_want(gateway_t *g, feed_t feed, mstime_t to)
+{
+	feed_state_t *s = &g->feed_states[feed];
+
+	s->wanted_to = MAX(s->wanted_to, to);
+	reader_tick(g, clock_now());
+}
+
 void reader_resume(gateway_t *g, mstime_t gap, mstime_t now)
 {
 	for (int i = 0; i < FEED_COUNT; i++) {
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -43,15 +43,23 @@
 	[ORIGIN_ASK] = "",
 	[ORIGIN_READ] = "",
 	[ORIGIN_READ_LOG] = "",
+	[ORIGIN_READ_ENTRIES] = "",
 	[ORIGIN_AMBIGUOUS] = "several versions can have begun the stream",
 	[ORIGIN_INCOMPLETE] = "the versions of the service are not known yet",
 	[ORIGIN_NONE] = "no version of the service is known",
+	[ORIGIN_UNVOUCHED] = "nobody in reach can tell the stream's version",
 };
 
 static void on_wait_over_(struct ev_loop *loop, ev_timer *w, int revents);
 static void settle_(gateway_t *g);
 static void doubt_(forward_t *f);
 
+/* All that was written to a feed before this time is known. */
+static mstime_t known_to_(const gateway_t *g, feed_t feed)
+{
+	return g->feed_states[feed].current_as_of;
+}
+
 /* Key of a stream as logs name it. */
 static const char *stream_text_(uint64_t stream, char *out)
 {
@@ -546,11 +554,10 @@
 /* Whether the log of streams was read for the request. */
 static const char *log_text_(const forward_t *f)
 {
-	const feed_state_t *s = &f->gateway->feed_states[FEED_STREAMS];
-
 	if (!f->resume_logged)
 		return "unread";
-	return s->current_as_of >= f->received_at ? "read" : "failed";
+	return known_to_(f->gateway, FEED_STREAMS) >= f->received_at ? "read"
+								     : "failed";
 }
 
 static void log_resume_(const forward_t *f, const origin_answer_t *a,
@@ -569,8 +576,7 @@
 		  F_STR("version", version ? version->name : "-"),
 		  F_STR("known", origin_source_string[a->source]),
 		  F_STR("versions", versions_basis_text(&g->versions, now)),
-		  F_INT("entries_age_ms",
-			now - g->feed_states[FEED_UPSTREAMS].current_as_of),
+		  F_INT("entries_age_ms", now - known_to_(g, FEED_UPSTREAMS)),
 		  F_INT("homes", f->home_count),
 		  F_INT("untold", count_untold_(f)), F_STR("log", log_text_(f)),
 		  F_INT("nodes", g->ranking->len),
@@ -639,7 +645,9 @@
 static bool ask_(forward_t *f)
 {
 	gateway_t *g = f->gateway;
-	peer_origin_t origin = { f->stream, 0 };
+	mstime_t age = clock_now() - known_to_(g, FEED_UPSTREAMS);
+	/* Of a question, the second number is what homes have to cover. */
+	peer_origin_t origin = { f->stream, (u_int)MIN(age, G_MAXINT32) };
 	peer_origins_t m = { .sent = (u_quad_t)clock_wall(),
 			     .asks = TRUE,
 			     .list = { 1, &origin } };
@@ -662,6 +670,41 @@
 	return count > count_untold_(f);
 }
 
+/* Whether a node has gone, or was cut off, since a time. */
+static bool is_lost_since_(const member_t *m, mstime_t since)
+{
+	return (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD) &&
+	       m->since >= since;
+}
+
+static bool is_vouched_for_(const forward_t *f)
+{
+	const gateway_t *g = f->gateway;
+	mstime_t known_to = known_to_(g, FEED_UPSTREAMS);
+	GArray *nodes;
+	GHashTableIter iter;
+	gpointer value;
+	bool vouched;
+
+	if (!f->untold)
+		return false;
+	nodes = g_array_new(FALSE, FALSE, sizeof(origin_witness_t));
+	g_hash_table_iter_init(&iter, g->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const member_t *m = value;
+		origin_witness_t w = { m->key, is_lost_since_(m, known_to),
+				       is_untold_(f, m->key) };
+
+		if (m != g->members.self && (w.lost || m->state == MEMBER_LIVE))
+			g_array_append_val(nodes, w);
+	}
+	vouched = origins_is_untold(
+		f->stream, (const origin_witness_t *)(void *)nodes->data,
+		nodes->len);
+	g_array_unref(nodes);
+	return vouched;
+}
+
 static origin_answer_t query_origin_(const forward_t *f)
 {
 	const gateway_t *g = f->gateway;
@@ -670,10 +713,14 @@
 	origin_query_t query = { .stream = f->stream,
 				 .services = services,
 				 .service_count = (int)targets->len,
+				 .came_at = f->received_at,
+				 .known_to = known_to_(g, FEED_UPSTREAMS),
+				 .log_to = known_to_(g, FEED_STREAMS),
 				 .asked = f->resume_asked,
-				 .silent = !f->untold,
+				 .untold = is_vouched_for_(f),
 				 .read = f->resume_read,
-				 .logged = f->resume_logged };
+				 .logged = f->resume_logged,
+				 .refreshed = f->resume_refreshed };
 	origin_answer_t a;
 
 	for (guint i = 0; i < targets->len; i++)
@@ -709,6 +756,8 @@
 {
 	if (origins_find_doubt(&f->gateway->origins, f->stream))
 		return RETRY_AFTER_START_MS;
+	if (verdict == ORIGIN_UNVOUCHED)
+		return RETRY_UNSEEN_MS;
 	return verdict == ORIGIN_INCOMPLETE ? RETRY_INCOMPLETE_MS : 0;
 }
 
@@ -736,9 +785,15 @@
 		return false;
 	case ORIGIN_READ_LOG:
 		f->resume_logged = true;
-		if (!stream_log_read(g, clock_now()))
+		if (known_to_(g, FEED_STREAMS) >= f->received_at)
 			return resolve_(f);
 		wait_(f, RESUME_WAITS_FOR_LOG, READ_MAX_MS);
+		reader_want(g, FEED_STREAMS, f->received_at);
+		return false;
+	case ORIGIN_READ_ENTRIES:
+		f->resume_refreshed = true;
+		wait_(f, RESUME_WAITS_FOR_ENTRIES, READ_MAX_MS);
+		reader_want(g, FEED_UPSTREAMS, f->received_at);
 		return false;
 	case ORIGIN_AMBIGUOUS:
 		if (a.source == ORIGIN_UNKNOWN && wait_for_origin_(f))
@@ -935,9 +990,19 @@
 
 static bool may_go_on_(forward_t *f, const reply_t *reply)
 {
+	const gateway_t *g = f->gateway;
+
 	(void)reply;
-	return f->resume_wait == RESUME_WAITS_FOR_START &&
-	       resumes_check(f) != RESUME_WAITS;
+	switch (f->resume_wait) {
+	case RESUME_WAITS_FOR_START:
+		return resumes_check(f) != RESUME_WAITS;
+	case RESUME_WAITS_FOR_LOG:
+		return known_to_(g, FEED_STREAMS) >= f->received_at;
+	case RESUME_WAITS_FOR_ENTRIES:
+		return known_to_(g, FEED_UPSTREAMS) >= f->received_at;
+	default:
+		return false;
+	}
 }
 
 void resumes_feeds_updated(gateway_t *g)
@@ -952,9 +1017,18 @@
 	return f->resume_wait == RESUME_WAITS_FOR_LOG;
 }
 
-void resumes_log_read(gateway_t *g)
+static bool waits_for_entries_(forward_t *f, const reply_t *reply)
 {
-	continue_waiting_(g, waits_for_log_, NULL);
+	(void)reply;
+	return f->resume_wait == RESUME_WAITS_FOR_ENTRIES;
+}
+
+void resumes_read_failed(gateway_t *g, feed_t feed)
+{
+	if (feed == FEED_STREAMS)
+		continue_waiting_(g, waits_for_log_, NULL);
+	if (feed == FEED_UPSTREAMS)
+		continue_waiting_(g, waits_for_entries_, NULL);
 }
 
 /* Whether a reply of a home ends the wait. */
@@ -978,22 +1052,27 @@
 {
 	peer_origin_t list[PEER_ORIGINS_MAX];
 	peer_origins_t reply = { .sent = (u_quad_t)clock_wall(),
-				 .list = { m->list.list_len, list } };
+				 .list = { 0, list } };
 	peer_sender_t sender = sender_(g);
+	mstime_t now = clock_now();
 
 	for (u_int i = 0; i < m->list.list_len; i++) {
-		uint64_t stream = m->list.list_val[i].stream;
+		const peer_origin_t *asked = &m->list.list_val[i];
+		uint32_t version = origins_get(&g->origins, asked->stream, now);
 		const origin_doubt_t *doubt =
-			origins_find_doubt(&g->origins, stream);
+			origins_find_doubt(&g->origins, asked->stream);
 
 		/* It comes first, so that the reply does not end the wait. */
 		if (doubt)
 			send_doubt_(g, doubt, to);
-		list[i] = (peer_origin_t){
-			stream, origins_get(&g->origins, stream, clock_now())
-		};
+		/* Streams of that time may have been told before this start. */
+		if (!version && asked->software > now - g->started_at)
+			continue;
+		list[reply.list.list_len++] =
+			(peer_origin_t){ asked->stream, version };
 	}
-	peer_socket_send_origins(&sender, to, &reply);
+	if (reply.list.list_len)
+		peer_socket_send_origins(&sender, to, &reply);
 }
 
 bool resumes_learn(gateway_t *g, uint64_t stream, uint32_t version,
--- a/packages/gateway/stream_log.c
+++ b/packages/gateway/stream_log.c
@@ -22,8 +22,6 @@
 /* Below the greatest record of the log. */
 #define BATCH_MAX_BYTES (128 * 1024)
 #define RESPONSE_MAX_MS 900
-/* A node reads the log no more often than this. */
-#define READ_INTERVAL_MS 1000
 #define KEY_TEXT_MAX 32
 
 void stream_log_init(gateway_t *g)
@@ -153,20 +151,3 @@
 			resumes_learn(g, stream, version, now);
 	}
 }
-
-bool stream_log_read(gateway_t *g, mstime_t now)
-{
-	if (g->stream_log_read_at &&
-	    now - g->stream_log_read_at < READ_INTERVAL_MS)
-		return false;
-	g->stream_log_wanted = true;
-	reader_tick(g, now);
-	return true;
-}
-
-void stream_log_end_read(gateway_t *g, mstime_t now)
-{
-	g->stream_log_wanted = false;
-	g->stream_log_read_at = now;
-	resumes_log_read(g);
-}
--- a/packages/wire/peer.x
+++ b/packages/wire/peer.x
@@ -94,7 +94,11 @@
 	peer_answered_t answered<PEER_ANSWERED_MAX>;
 };
 
-/* The software version that began a stream; 0 if it is not known. */
+/*
+ * The software version that began a stream; 0 if it is not known. In a question
+ * the age, in milliseconds, of the entries that the asking node knows: a node
+ * that has started since does not say that it was told nothing.
+ */
 struct peer_origin_t {
 	unsigned hyper stream;
 	unsigned int software;
--- a/tests/model/model_origins.c
+++ b/tests/model/model_origins.c
@@ -3,7 +3,9 @@
  * come and go: nodes see the entries late, messages are lost and delayed, nodes
  * are restarted one after the other or all at once, reads of the platform fail,
  * and its log is restored from an older copy, after which nobody can read any
- * more what a node had not read yet. Versions serve from their first entry on,
+ * more what a node had not read yet. Fewer than half of the nodes are cut off
+ * together from the platform and the others, or the platform is away for all.
+ * Versions serve from their first entry on,
  * long before the record has them, and may be gone by then. An offset in the
  * log of entries is the time of the write.
  *
@@ -41,6 +43,11 @@
 #define MARK_AGE_MS 2000
 /* A restored log lacks at most so much of what was written last. */
 #define RESTORE_MAX_MS 5000
+/* A node that is gone or cut off counts as lost after so long. */
+#define DETECT_MIN_MS 800
+#define DETECT_SPREAD 500
+#define CUT_MAX_MS 9000
+#define AWAY_MAX_MS 6000
 #define GO_ON_MIN 20 /* streams from which the share is judged */
 #define JOINED_MAX 2
 
@@ -51,9 +58,13 @@
 	origins_t origins;
 	mstime_t in_touch_at;
 	mstime_t down_until;
-	mstime_t lag;	  /* of its view of the entries */
-	mstime_t scan_at; /* it reads the restored log, 0: has done so */
-	mstime_t read_to; /* what it knows until then */
+	mstime_t down_from; /* when it ended last, or 0 */
+	bool cut;	    /* is among those that are cut off, or were last */
+	mstime_t lag;	    /* of its view of the entries */
+	mstime_t ahead_to;  /* that it has read to, beside its view */
+	mstime_t seen_to;   /* that it has looked at, or 0 */
+	mstime_t scan_at;   /* it reads the restored log, 0: has done so */
+	mstime_t read_to;   /* what it knows until then */
 	mstime_t write_at;
 	bool has_read;	  /* the record */
 	bool has_scanned; /* the entries, since it started */
@@ -84,12 +95,16 @@
 	bool used;
 	stream_t copy;
 	int node;
-	int asked_count; /* homes that have not replied yet */
+	int homes[ORIGINS_ASKED];
+	int home_count;
+	bool untold[NODES_MAX]; /* nodes that were told nothing of it */
+	int untold_count;
 	int asks;
 	origin_query_t query;
 	mstime_t wait_until;
-	mstime_t read_at; /* a read of the platform ends, NEVER if it fails */
-	bool reads_log;
+	mstime_t asked_at; /* the platform */
+	mstime_t read_at;  /* a read of the platform ends, NEVER if it fails */
+	origin_verdict_t reads;
 } resume_t;
 
 typedef struct message {
@@ -98,7 +113,7 @@
 	int from;
 	int to;
 	uint64_t stream;
-	uint32_t version;
+	uint32_t version; /* of a question, the age of the entries known */
 	mstime_t at;
 } message_t;
 
@@ -116,6 +131,12 @@
 	uint64_t next_stream;
 	resume_t resumes[RESUMES_MAX];
 	message_t messages[MESSAGES_MAX];
+	mstime_t cut_from;
+	mstime_t cut_until;    /* the nodes that are cut off */
+	mstime_t comes_at;     /* a version, while they are, or 0 */
+	mstime_t kill_some_at; /* nodes that are not, after that, or 0 */
+	mstime_t away_from;
+	mstime_t away_until;  /* the platform */
 	bool restores;	      /* of the log */
 	mstime_t restore_at;  /* one that is planned, or 0 */
 	mstime_t kill_all_at; /* the end of all nodes after it, or 0 */
@@ -148,15 +169,67 @@
 	return m.now >= m.nodes[node].down_until;
 }
 
+static bool is_cut_(int node)
+{
+	return m.nodes[node].cut && m.now < m.cut_until;
+}
+
+/* Whether a node reaches the platform. */
+static bool reaches_platform_(int node)
+{
+	return m.now >= m.away_until && !is_cut_(node);
+}
+
+/* Whether messages pass between two nodes. */
+static bool is_linked_(int a, int b)
+{
+	return is_cut_(a) == is_cut_(b);
+}
+
+/* How long a node has not reached another one; 0 if it does. */
+static mstime_t missed_ms_(int node, int other)
+{
+	if (!is_up_(other))
+		return m.now - m.nodes[other].down_from;
+	return is_linked_(node, other) ? 0 : m.now - m.cut_from;
+}
+
+/* Nodes find out at different times. */
+static mstime_t detect_ms_(int node, int other)
+{
+	return DETECT_MIN_MS +
+	       (node * 31 + other * 17) % DETECT_SPREAD * STEP_MS;
+}
+
+static bool is_detected_(int node, int other)
+{
+	return missed_ms_(node, other) > detect_ms_(node, other);
+}
+
 static bool serves_(const model_version_t *v, mstime_t at)
 {
 	return at >= v->serves_from && at < v->serves_until;
 }
 
+/* Up to when a node knows the entries. */
+static mstime_t view_to_(int node)
+{
+	const model_node_t *n = &m.nodes[node];
+	mstime_t to = m.now - n->lag;
+
+	if (n->scan_at)
+		return n->read_to;
+	if (is_cut_(node))
+		to = m.cut_from - n->lag;
+	if (m.now < m.away_until)
+		to = MIN(to, m.away_from);
+	return MAX(to, n->ahead_to);
+}
+
 /* Whether the version is among the entries that a node knows. */
-static bool sees_(const model_node_t *n, const model_version_t *v)
+static bool sees_(int node, const model_version_t *v)
 {
-	return serves_(v, n->scan_at ? n->read_to : m.now - n->lag);
+	return serves_(v, view_to_(node));
 }
 
 static void add_version_(mstime_t from)
@@ -170,6 +243,11 @@
 	v->recorded_at = NEVER;
 }
 
+static uint32_t key_(int node)
+{
+	return 7919u * (uint32_t)(node + 1);
+}
+
 static int home_list_(int self, uint64_t stream, int max, int *out)
 {
 	uint32_t keys[NODES_MAX];
@@ -179,9 +257,9 @@
 	int count;
 
 	for (int i = 0; i < m.node_count; i++) {
-		if (i == self)
+		if (i == self || is_detected_(self, i))
 			continue;
-		keys[others] = 7919u * (uint32_t)(i + 1);
+		keys[others] = key_(i);
 		nodes[others++] = i;
 	}
 	count = origins_select_homes(stream, keys, others, homes, max);
@@ -193,7 +271,7 @@
 static void send_(int from, int to, bool asks, uint64_t stream,
 		  uint32_t version)
 {
-	if (chance_(m.loss))
+	if (chance_(m.loss) || !is_linked_(from, to))
 		return;
 	for (int i = 0; i < MESSAGES_MAX; i++) {
 		message_t *message = &m.messages[i];
@@ -216,7 +294,7 @@
 static int writer_(void)
 {
 	for (int i = 0; i < m.node_count; i++) {
-		if (is_up_(i))
+		if (is_up_(i) && !is_cut_(i))
 			return i;
 	}
 	return -1;
@@ -226,7 +304,9 @@
 {
 	model_node_t *n = &m.nodes[i];
 
+	n->down_from = m.now;
 	n->down_until = m.now + dark_ms;
+	n->ahead_to = n->seen_to = 0;
 	n->in_touch_at = n->down_until + CONTACT_MS;
 	n->lag = between_(0, LAG_MAX_MS);
 	n->has_read = false;
@@ -273,6 +353,51 @@
 	}
 }
 
+/* Fewer than half of the nodes at a time. */
+static void cut_nodes_(void)
+{
+	int left = (m.node_count - 1) / 2;
+
+	if (m.restores || m.now < m.cut_until + CONTACT_MS || !chance_(0.003))
+		return;
+	m.cut_from = m.now;
+	m.cut_until = m.now + STEP_MS * between_(20, CUT_MAX_MS / STEP_MS);
+	for (int i = 0; i < m.node_count; i++) {
+		model_node_t *n = &m.nodes[i];
+
+		n->cut = left > 0 && is_up_(i) && chance_(0.4);
+		left -= n->cut;
+		if (n->cut)
+			n->in_touch_at =
+				MAX(n->in_touch_at, m.cut_until + CONTACT_MS);
+	}
+	if (m.version_count > 1)
+		return;
+	m.comes_at = m.now + STEP_MS * between_(0, 200);
+	m.kill_some_at = m.comes_at + STEP_MS * between_(20, 250);
+}
+
+/* What the nodes that are cut off do not know has begun streams, and ends. */
+static void come_in_cut_(void)
+{
+	if (m.now == m.comes_at && m.version_count == 1)
+		add_version_(m.now);
+	for (int i = 0; i < m.node_count && m.now == m.kill_some_at; i++) {
+		if (is_cut_(i) || !is_up_(i) || chance_(0.4))
+			continue;
+		stop_node_(i);
+		start_node_(i, between_(100, 2500));
+	}
+}
+
+static void lose_platform_(void)
+{
+	if (m.restores || m.now < m.away_until + CONTACT_MS || !chance_(0.001))
+		return;
+	m.away_from = m.now;
+	m.away_until = m.now + STEP_MS * between_(20, AWAY_MAX_MS / STEP_MS);
+}
+
 /* Versions come, and an older one leaves soon after or serves on beside. */
 static void change_versions_(void)
 {
@@ -418,8 +543,9 @@
 	}
 }
 
-static void write_record_(model_node_t *n)
+static void write_record_(int writer)
 {
+	model_node_t *n = &m.nodes[writer];
 	versions_change_t change;
 
 	if (versions_take_ask(&n->versions, m.now))
@@ -434,7 +560,7 @@
 	n->write_at = m.now + between_(10, m.write_late_ms);
 	if (chance_(0.1))
 		return;
-	change.offset = (uint64_t)(m.now - n->lag);
+	change.offset = (uint64_t)view_to_(writer);
 	versions_apply_change(&n->versions, &change, m.epoch, m.now);
 	if (change.kind == VERSIONS_MARK) {
 		write_mark_(n, change.offset);
@@ -464,6 +590,22 @@
 	}
 }
 
+static void see_versions_(int node)
+{
+	model_node_t *n = &m.nodes[node];
+	mstime_t to = view_to_(node);
+
+	for (int k = 0; k < m.version_count; k++) {
+		const model_version_t *v = &m.versions[k];
+
+		/* Those that came and went since the last look, too. */
+		if (serves_(v, to) || (n->seen_to && !n->scan_at &&
+				       has_written_(v, n->seen_to, to)))
+			versions_observe(&n->versions, SERVICE, v->name, m.now);
+	}
+	n->seen_to = n->scan_at ? 0 : to;
+}
+
 static void tick_nodes_(void)
 {
 	int writer = writer_();
@@ -479,21 +621,24 @@
 			n->scan_at = 0;
 			n->has_scanned = false;
 		}
-		if (!n->scan_at && !n->has_scanned) {
+		if (!n->scan_at && !n->has_scanned && reaches_platform_(i)) {
 			n->has_scanned = true;
-			versions_see_from(&n->versions,
-					  (uint64_t)(m.now - n->lag), m.now);
-		}
-		for (int k = 0; k < m.version_count; k++) {
-			if (sees_(n, &m.versions[k]))
-				versions_observe(&n->versions, SERVICE,
-						 m.versions[k].name, m.now);
+			versions_see_from(&n->versions, (uint64_t)view_to_(i),
+					  m.now);
 		}
+		if (n->has_scanned || n->scan_at)
+			see_versions_(i);
+		/* Most nodes copy it from one that has read it. */
+		if (n->has_scanned && !n->has_read && reaches_platform_(i) &&
+		    chance_(0.02))
+			read_record_(n);
 		origins_tick(&n->origins, VERSIONS_STREAM_LIFE_MS, m.now);
-		if (i == writer)
-			write_record_(n);
+		if (i == writer && reaches_platform_(i))
+			write_record_(i);
 	}
-	for (int i = 0; i < STREAMS_MAX && m.now % FLUSH_MS == 0; i++) {
+	for (int i = 0;
+	     i < STREAMS_MAX && m.now % FLUSH_MS == 0 && m.now >= m.away_until;
+	     i++) {
 		stream_t *s = &m.streams[i];
 
 		if (s->key && s->batched) {
@@ -508,6 +653,8 @@
 {
 	int writer = writer_();
 
+	if (is_cut_(s->node))
+		return;
 	s->batched = true;
 	if (writer >= 0)
 		versions_hear(&m.nodes[writer].versions,
@@ -531,8 +678,9 @@
 	int version = g_rand_int_range(m.rand, 0, m.version_count);
 	uint32_t only;
 
-	if (!is_up_(node) || !serves_(&m.versions[version], m.now) ||
-	    !sees_(n, &m.versions[version]))
+	if (!is_up_(node) || !(n->has_scanned || n->scan_at) ||
+	    !serves_(&m.versions[version], m.now) ||
+	    !sees_(node, &m.versions[version]))
 		return;
 	for (int i = 0; i < STREAMS_MAX; i++) {
 		stream_t *s = &m.streams[i];
@@ -543,7 +691,8 @@
 		s->breaks_at = m.now + between_(50, AGE_MAX_MS);
 		origins_put(&n->origins, s->key, m.versions[version].key,
 			    m.now);
-		if (versions_count(&n->versions, SERVICE, m.now, &only) > 1) {
+		if (versions_count(&n->versions, SERVICE, m.now, &only) > 1 ||
+		    !versions_is_complete(&n->versions, m.now)) {
 			tell_(s);
 			if (!chance_(m.loss))
 				batch_(s);
@@ -588,31 +737,62 @@
 	m.went_on += counts;
 }
 
+/* Whether those who would have been told of the stream were not. */
+static bool is_untold_(const resume_t *r)
+{
+	origin_witness_t nodes[NODES_MAX];
+	guint count = 0;
+
+	for (int i = 0; i < m.node_count; i++) {
+		bool detected = is_detected_(r->node, i);
+		mstime_t lost_at =
+			m.now - missed_ms_(r->node, i) + detect_ms_(r->node, i);
+
+		if (i == r->node || (detected && lost_at < view_to_(r->node)))
+			continue;
+		nodes[count++] =
+			(origin_witness_t){ key_(i), detected, r->untold[i] };
+	}
+	return origins_is_untold(r->query.stream, nodes, count);
+}
+
+static void ask_homes_(resume_t *r)
+{
+	r->home_count =
+		home_list_(r->node, r->query.stream, ORIGINS_ASKED, r->homes);
+	for (int i = 0; i < r->home_count; i++) {
+		if (!r->untold[r->homes[i]])
+			send_(r->node, r->homes[i], true, r->query.stream,
+			      (uint32_t)(m.now - view_to_(r->node)));
+	}
+}
+
 static void resolve_(resume_t *r)
 {
 	model_node_t *n = &m.nodes[r->node];
-	origin_answer_t a =
-		origins_resolve(&n->origins, &n->versions, &r->query, m.now);
-	int homes[ORIGINS_ASKED] = { 0 };
+	origin_answer_t a;
+
+	r->query.known_to = view_to_(r->node);
+	r->query.untold = is_untold_(r);
+	a = origins_resolve(&n->origins, &n->versions, &r->query, m.now);
 
 	r->read_at = NEVER;
 	switch (a.verdict) {
 	case ORIGIN_ASK:
 		r->query.asked = ++r->asks == ASKS;
-		r->query.silent = true;
-		r->asked_count = home_list_(r->node, r->query.stream,
-					    ORIGINS_ASKED, homes);
-		for (int i = 0; i < r->asked_count; i++)
-			send_(r->node, homes[i], true, r->query.stream, 0);
+		ask_homes_(r);
 		r->wait_until = m.now + ASK_MAX_MS;
 		return;
 	case ORIGIN_READ:
 	case ORIGIN_READ_LOG:
-		r->reads_log = a.verdict == ORIGIN_READ_LOG;
-		r->query.read = r->query.read || !r->reads_log;
-		r->query.logged = r->query.logged || r->reads_log;
+	case ORIGIN_READ_ENTRIES:
+		r->reads = a.verdict;
+		r->query.read |= r->reads == ORIGIN_READ;
+		r->query.logged |= r->reads == ORIGIN_READ_LOG;
+		r->query.refreshed |= r->reads == ORIGIN_READ_ENTRIES;
 		r->wait_until = m.now + READ_MAX_MS;
-		if (!chance_(0.05))
+		r->asked_at = m.now;
+		if (!chance_(0.05) && reaches_platform_(r->node))
 			r->read_at = m.now + between_(5, 100);
 		return;
 	default:
@@ -625,7 +805,10 @@
 {
 	int node = g_rand_int_range(m.rand, 0, m.node_count);
 
-	for (int i = 0; i < RESUMES_MAX && is_up_(node); i++) {
+	/* A node that starts without the platform is not ready. */
+	for (int i = 0; i < RESUMES_MAX && is_up_(node) &&
+			(m.nodes[node].has_scanned || m.nodes[node].scan_at);
+	     i++) {
 		resume_t *r = &m.resumes[i];
 
 		if (r->used)
@@ -634,7 +817,8 @@
 		r->query =
 			(origin_query_t){ .stream = chance_(0.05) ? 0 : s->key,
 					  .services = services,
-					  .service_count = 1 };
+					  .service_count = 1,
+					  .came_at = m.now };
 		resolve_(r);
 		return;
 	}
@@ -658,6 +842,21 @@
 	}
 }
 
+static void end_read_(resume_t *r)
+{
+	model_node_t *n = &m.nodes[r->node];
+
+	if (r->reads == ORIGIN_READ_LOG) {
+		read_log_(n);
+		r->query.log_to = r->asked_at;
+	} else if (r->reads == ORIGIN_READ) {
+		read_record_(n);
+	} else if (!n->scan_at) {
+		n->ahead_to = MAX(n->ahead_to, r->asked_at);
+		see_versions_(r->node);
+	}
+}
+
 static void advance_resumes_(void)
 {
 	for (int i = 0; i < RESUMES_MAX; i++) {
@@ -666,10 +865,7 @@
 		if (!r->used)
 			continue;
 		if (m.now >= r->read_at) {
-			if (r->reads_log)
-				read_log_(&m.nodes[r->node]);
-			else
-				read_record_(&m.nodes[r->node]);
+			end_read_(r);
 			resolve_(r);
 		} else if (m.now >= r->wait_until) {
 			resolve_(r);
@@ -682,8 +878,12 @@
 	model_node_t *n = &m.nodes[message->to];
 
 	if (message->asks) {
-		send_(message->to, message->from, false, message->stream,
-		      origins_get(&n->origins, message->stream, m.now));
+		uint32_t version =
+			origins_get(&n->origins, message->stream, m.now);
+
+		if (version || message->version <= m.now - n->down_until)
+			send_(message->to, message->from, false,
+			      message->stream, version);
 		return;
 	}
 	if (message->version) {
@@ -697,8 +897,12 @@
 		if (!r->used || r->node != message->to || r->read_at != NEVER ||
 		    r->query.stream != message->stream)
 			continue;
-		r->query.silent = false;
-		r->query.asked = r->query.asked || --r->asked_count <= 0;
+		if (!message->version && !r->untold[message->from]) {
+			r->untold[message->from] = true;
+			r->untold_count++;
+		}
+		if (r->untold_count >= r->home_count)
+			r->query.asked = true;
 		if (message->version || r->query.asked)
 			resolve_(r);
 	}
@@ -736,6 +940,9 @@
 		change_versions_();
 		add_short_version_();
 		restore_log_();
+		cut_nodes_();
+		come_in_cut_();
+		lose_platform_();
 		deliver_();
 		tick_nodes_();
 		tell_open_();
--- a/tests/unit/test_origins.c
+++ b/tests/unit/test_origins.c
@@ -317,6 +317,131 @@
 }
 END_TEST
 
+/*
+ * Who can vouch for the only version that is known, of a stream that was begun
+ * elsewhere before CAME_AT.
+ */
+#define CAME_AT (NOW + 5000)
+static const struct {
+	const char *label;
+	uint64_t stream;
+	bool untold;
+	mstime_t log_to;
+	mstime_t known_to;
+	bool logged;
+	bool refreshed;
+	origin_verdict_t verdict;
+} vouchers[] = {
+	{ "homes", STREAM, true, 0, CAME_AT - 1, false, false, ORIGIN_FOUND },
+	{ "homes, though the platform is away", STREAM, true, 0, CAME_AT - 4000,
+	  false, false, ORIGIN_FOUND },
+	{ "nobody yet", STREAM, false, 0, CAME_AT - 1, false, false,
+	  ORIGIN_READ_LOG },
+	{ "the log, and entries are older", STREAM, false, CAME_AT, CAME_AT - 1,
+	  true, false, ORIGIN_READ_ENTRIES },
+	{ "the log, and entries of now", STREAM, false, CAME_AT, CAME_AT, true,
+	  true, ORIGIN_FOUND },
+	{ "the log, and no entries", STREAM, false, CAME_AT, CAME_AT - 1, true,
+	  true, ORIGIN_UNVOUCHED },
+	{ "entries of now, and no log", STREAM, false, CAME_AT - 1, CAME_AT,
+	  true, false, ORIGIN_UNVOUCHED },
+	{ "neither", STREAM, false, CAME_AT - 1, CAME_AT - 1, true, false,
+	  ORIGIN_UNVOUCHED },
+	{ "nobody was told of a try without a name", 0, false, 0, CAME_AT - 1,
+	  false, false, ORIGIN_READ_ENTRIES },
+	{ "entries of now", 0, false, 0, CAME_AT, false, true, ORIGIN_FOUND },
+	{ "no entries", 0, false, 0, CAME_AT - 1, false, true,
+	  ORIGIN_UNVOUCHED },
+};
+
+START_TEST(test_vouchers)
+{
+	static const char *const services[] = { "a" };
+	origin_query_t query = { .stream = vouchers[_i].stream,
+				 .services = services,
+				 .service_count = 1,
+				 .came_at = CAME_AT,
+				 .known_to = vouchers[_i].known_to,
+				 .log_to = vouchers[_i].log_to,
+				 .asked = true,
+				 .untold = vouchers[_i].untold,
+				 .logged = vouchers[_i].logged,
+				 .refreshed = vouchers[_i].refreshed };
+	origin_answer_t a;
+
+	versions_observe(&versions, "a", "v1", CAME_AT);
+	a = origins_resolve(&origins, &versions, &query, CAME_AT);
+	ck_assert_msg(a.verdict == vouchers[_i].verdict, "%s: %d",
+		      vouchers[_i].label, (int)a.verdict);
+	/* What was told needs nobody, and two versions are not one. */
+	versions_observe(&versions, "a", "v2", CAME_AT);
+	a = origins_resolve(&origins, &versions, &query, CAME_AT);
+	ck_assert_int_ne(a.verdict, ORIGIN_FOUND);
+	origins_put(&origins, STREAM, versions_key("a", "v2"), CAME_AT);
+	a = origins_resolve(&origins, &versions, &query, CAME_AT);
+	ck_assert(!query.stream || a.source == ORIGIN_TOLD);
+}
+END_TEST
+
+/* Of the other nodes, by their rank for the stream: '.' was told nothing, '?'
+ * is silent, 'x' is lost.
+ */
+static const struct {
+	const char *label;
+	const char *others;
+	bool untold;
+} witnesses[] = {
+	{ "a node that is alone", "", false },
+	{ "two nodes", ".", true },
+	{ "the other one is silent", "?", false },
+	{ "the other one is lost", "x", false },
+	{ "the one that began it is lost, of three", "x.", true },
+	{ "all answer", "......", true },
+	{ "the one that began it is silent", "?.....", true },
+	{ "it is lost", ".x....", true },
+	{ "two homes are silent", "??....", false },
+	{ "a home is silent, one is lost", ".?x...", false },
+	{ "those behind the homes are not asked", "....??", true },
+	{ "cut off with one more", ".?????", false },
+	{ "the others are lost by now", ".xxxxx", false },
+	{ "cut off with the nodes of a zone", "..????", false },
+	{ "the others are lost by now", "..xxxx", false },
+	{ "most are lost, the homes are there", "....xxxxx", false },
+	{ "half of them are lost", "....xxxx", true },
+};
+
+START_TEST(test_witnesses)
+{
+	guint count = (guint)strlen(witnesses[_i].others);
+	origin_witness_t *nodes = g_new0(origin_witness_t, count + 1);
+	uint32_t *keys = g_new0(uint32_t, count + 1);
+
+	for (guint i = 0; i < count; i++)
+		nodes[i].key = keys[i] = 7919 * (i + 1);
+	/* By rank, each time the first of those that are left. */
+	for (guint rank = 0; rank < count; rank++) {
+		char word = witnesses[_i].others[rank];
+		guint left = count - rank;
+		guint first;
+
+		ck_assert_int_eq(
+			origins_select_homes(STREAM, keys, left, &first, 1), 1);
+		for (guint i = 0; i < count; i++) {
+			if (nodes[i].key != keys[first])
+				continue;
+			nodes[i].untold = word == '.';
+			nodes[i].lost = word == 'x';
+		}
+		keys[first] = keys[left - 1];
+	}
+	ck_assert_msg(origins_is_untold(STREAM, nodes, count) ==
+			      witnesses[_i].untold,
+		      "%s", witnesses[_i].label);
+	g_free(nodes);
+	g_free(keys);
+}
+END_TEST
+
 /* The node that begins a stream and the one that asks leave themselves out. */
 START_TEST(test_homes)
 {
@@ -1025,6 +1150,8 @@
 	tcase_add_checked_fixture(c, setup_, teardown_);
 	tcase_add_loop_test(c, test_resolve, 0, G_N_ELEMENTS(cases));
 	tcase_add_test(c, test_sources);
+	tcase_add_loop_test(c, test_vouchers, 0, G_N_ELEMENTS(vouchers));
+	tcase_add_loop_test(c, test_witnesses, 0, G_N_ELEMENTS(witnesses));
 	tcase_add_test(c, test_homes);
 	tcase_add_test(c, test_few_homes);
 	tcase_add_test(c, test_bounded);
