Origins: sixteen nodes vouch for the only version, not four

Cause: the nodes of a data centre that is cut off answer one another's questions, and for seconds only some of the others count as lost. Callers saw streams of two versions.

Sixteen nodes are asked now, the homes first, and all but one of them have to say that they were told nothing; those that were lost since the latest known entries are silent. Up to seventeen nodes that is the whole fleet. In a larger one fewer than half of the nodes, cut off together, are fifteen of the sixteen in less than 3 of 10,000 draws. Where too many are silent the log and the entries are read. Cost: twelve questions and answers more for a stream that is taken up at a node which does not know it.

--- a/include/kcf/origins.h
+++ b/include/kcf/origins.h
@@ -18,8 +18,11 @@
 
 /* Nodes that are told of a stream, besides the one that began it. */
 #define ORIGINS_HOMES 3
-/* Nodes that are asked; views of the fleet may differ by one. */
-#define ORIGINS_ASKED 4
+/*
+ * Nodes that are asked, the homes first: so many that fewer than half of a
+ * fleet, cut off together, cannot be all of them but one.
+ */
+#define ORIGINS_ASKED 16
 
 /*
  * A stream that was begun at an upstream whose entry may describe an earlier
@@ -81,8 +84,6 @@
 /* Another node, as one that is told of streams. */
 typedef struct origin_witness {
 	uint32_t key;
-	/* It has gone since the entries that are known here were written. */
-	bool lost;
 	/* It was told nothing of the stream, and has run since then. */
 	bool untold;
 } origin_witness_t;
@@ -155,9 +156,9 @@
 
 /*
  * origins_is_untold - whether nodes that would know of a stream of several
- * versions say that they do not. Where one may be missing, most of the fleet
- * has to be in reach: a node that is cut off with a few others may be told
- * nothing, and know no entries that were written since.
+ * versions say that they do not: all that are asked but one, which may be the
+ * one that began it. Nodes that are cut off together are told nothing, and know
+ * no entries that were written since.
  * @nodes: the others that are there or lost
  */
 bool origins_is_untold(uint64_t stream, const origin_witness_t *nodes,
--- a/packages/decide/origins.c
+++ b/packages/decide/origins.c
@@ -202,21 +202,18 @@
 {
 	uint32_t *keys = g_new(uint32_t, count + 1);
 	guint homes[ORIGINS_ASKED];
-	guint there = 1; /* this node */
 	int untold = 0;
 	int found;
 
 	assert(nodes || !count);
-	for (guint i = 0; i < count; i++) {
+	for (guint i = 0; i < count; i++)
 		keys[i] = nodes[i].key;
-		there += !nodes[i].lost;
-	}
 	found = origins_select_homes(stream, keys, count, homes, ORIGINS_ASKED);
 	for (int i = 0; i < found; i++)
 		untold += nodes[homes[i]].untold;
 	g_free(keys);
 	/* One of them may be the node that began it, and is not told. */
-	return untold >= MAX(1, found - 1) && 2 * there > count + 1;
+	return untold >= MAX(1, found - 1);
 }
 
 int origins_select_homes(uint64_t stream, const uint32_t *nodes, guint count,
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -692,10 +692,10 @@
 	g_hash_table_iter_init(&iter, g->members.by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const member_t *m = value;
-		origin_witness_t w = { m->key, is_lost_since_(m, known_to),
-				       is_untold_(f, m->key) };
+		origin_witness_t w = { m->key, is_untold_(f, m->key) };
 
-		if (m != g->members.self && (w.lost || m->state == MEMBER_LIVE))
+		if (m != g->members.self &&
+		    (m->state == MEMBER_LIVE || is_lost_since_(m, known_to)))
 			g_array_append_val(nodes, w);
 	}
 	vouched = origins_is_untold(
