Starts: entries that are old say less of a start, not more

What callers saw: a stream that was begun at v1 went on at v2 (rule ORDER).

Cause: while a node knew one version and its entries were older than 3 s, it asked no upstream for its start: "streams of the only one go on as long as the platform is away". A node that is cut off sent streams of v1 to an upstream that had started again as v2 under its id, and did so still in the first second after the cut, before it had read the new entry.

A stream that goes on is now asked for wherever its connection is not proven, however old the entries are; the upstream names its start to whoever asks, platform or not. A new stream is asked for at upstreams whose entries are older than 3 s, so that it is remembered under the start that wrote it. Cost: one question for each new connection while the platform is away.

--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -527,8 +527,6 @@
 bool resumes_is_mixed(const gateway_t *g, const char *service);
 
 /* starts.c */
-/* Whether the start that a stream goes on at may be of another version. */
-bool starts_may_matter(const gateway_t *g, const char *service);
 /* Whether a connection to a process reaches the start of an upstream's entry.
  */
 bool starts_is_proven(const gateway_t *g, const balance_upstream_t *u,
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -820,9 +820,7 @@
 static balance_trust_t least_trust_(const forward_t *f, const char *service)
 {
 	if (!resumes_is_mixed(f->gateway, service))
-		return starts_may_matter(f->gateway, service)
-			       ? BALANCE_TRUST_UNSURE
-			       : BALANCE_TRUST_REFUTED;
+		return BALANCE_TRUST_UNSURE;
 	return starts_may_ask(f) ? BALANCE_TRUST_UNKNOWN : BALANCE_TRUST_SURE;
 }
 
@@ -908,7 +906,7 @@
 	balance_request_t request;
 	balance_trust_t best;
 
-	if (!f->bound_version || !starts_may_matter(g, f->service))
+	if (!f->bound_version)
 		return true;
 	if (may_be_misbound_(f) && check_begin_(f) != BALANCE_TRUST_SURE)
 		return false;
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -21,10 +21,7 @@
 #define ASK_AGAIN_MS 5000
 /* After as many in a row it counts as one that does not name its start. */
 #define SILENT_MAX 3
-/*
- * Entries that are older do not tell of another version in time; streams of
- * the only one go on as long as the platform is away.
- */
+/* Upstreams have written several heartbeats since older entries. */
 #define ENTRIES_FRESH_MS 3000
 /* Answers whose connection did not take the request after them. */
 #define ANSWERS_LOST_MAX 2
@@ -47,13 +44,6 @@
 	       peer.witnessed_since <= u->alive_at;
 }
 
-bool starts_may_matter(const gateway_t *g, const char *service)
-{
-	return resumes_is_mixed(g, service) ||
-	       clock_now() - g->feed_states[FEED_UPSTREAMS].current_as_of <=
-		       ENTRIES_FRESH_MS;
-}
-
 /* What the next request to an upstream would reach. */
 static bool is_next_proven_(gateway_t *g, const balance_upstream_t *u)
 {
@@ -64,13 +54,16 @@
 
 /*
  * Whether another start may answer than that of the entry, though no other
- * version is known: a connection has ended since the last known heartbeat.
+ * version is known: a connection has ended since the last known heartbeat, or
+ * heartbeats have not been read for long.
  */
 static bool may_be_other_(const gateway_t *g, const balance_upstream_t *u)
 {
 	mstime_t ended_at = http_client_ended_at(&g->upstreams, u->address);
+	mstime_t known_to = g->feed_states[FEED_UPSTREAMS].current_as_of;
 
-	return ended_at && !balance_is_start(&g->balance, u, ended_at, 0);
+	return (ended_at && !balance_is_start(&g->balance, u, ended_at, 0)) ||
+	       clock_now() - known_to > ENTRIES_FRESH_MS;
 }
 
 /* Whether it matters which start the request reaches. */
@@ -81,7 +74,7 @@
 	if (!f->selected || f->route->kind != ROUTE_KIND_STREAM)
 		return false;
 	if (f->bound_version)
-		return starts_may_matter(g, f->service);
+		return true;
 	return f->route->resumable && (resumes_is_mixed(g, f->service) ||
 				       may_be_other_(g, f->selected));
 }
