Starts: a question that breaks with its connection is no silence

Cause: an upstream that did not answer a question for its start was not asked again for 5 s and counted as unsure meanwhile, which is enough for a stream that goes on while one version is known. So did one whose connection broke with the question, though it breaks because the process has ended; the next one at the address, of another version and not checked in, got the streams unasked.

After such a break the upstream counts like one at which another start has answered, until it has named itself or a heartbeat is known that was written later: streams go on elsewhere, or wait for the heartbeat, or get 503. A question that times out, or an answer in part, is a silence as before.

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -91,7 +91,9 @@
 	bool refuted; /* a later start has answered */
 	/* It does not name its start when it is asked before, or has not. */
 	mstime_t nameless_until;
-	int silences; /* questions in a row that it has not answered */
+	mstime_t broke_at; /* a question did, with its connection, or 0 */
+	bool ended;	   /* it may have ended then */
+	int silences;	   /* questions in a row that it has not answered */
 	mstime_t unanswered_at; /* the last question after an answer's end that
 				   it has not answered, 0 for none */
 	mstime_t next_opening_at; /* of a connection that heartbeats prove */
@@ -185,7 +187,7 @@
 /* Whether the start that an entry describes is the one that would answer. */
 typedef enum balance_trust {
 	BALANCE_TRUST_NONE,    /* there is no such upstream */
-	BALANCE_TRUST_REFUTED, /* another start has answered */
+	BALANCE_TRUST_REFUTED, /* another start has answered, or may */
 	BALANCE_TRUST_UNSURE,  /* nothing can tell before its next heartbeat */
 	BALANCE_TRUST_UNKNOWN, /* it can be asked */
 	BALANCE_TRUST_SURE,    /* a request is known to reach it */
--- a/packages/decide/balance.c
+++ b/packages/decide/balance.c
@@ -321,8 +321,9 @@
 		return BALANCE_TRUST_REFUTED;
 	if (u->proven)
 		return BALANCE_TRUST_SURE;
-	return now < u->nameless_until ? BALANCE_TRUST_UNSURE
-				       : BALANCE_TRUST_UNKNOWN;
+	if (now >= u->nameless_until)
+		return BALANCE_TRUST_UNKNOWN;
+	return u->ended ? BALANCE_TRUST_REFUTED : BALANCE_TRUST_UNSURE;
 }
 
 const balance_upstream_t *balance_find_key(const balance_t *b, uint32_t key)
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -834,10 +834,10 @@
 	if (!request->version)
 		return BALANCE_TRUST_NONE;
 	least = least_trust_(f, request->service);
+	starts_observe(g, request->version);
 	/* Without a choice of versions, the warmest upstream is asked. */
 	if (least <= BALANCE_TRUST_UNSURE && !f->moving)
 		return least;
-	starts_observe(g, request->version);
 	best = balance_best_trust(&g->balance, request, clock_now());
 	/* None that would have to be asked. */
 	if (f->moving && best == BALANCE_TRUST_UNKNOWN)
@@ -880,8 +880,7 @@
 
 	forward_describe(f, &request);
 	least = least_trust_(f, request.service);
-	if (least > BALANCE_TRUST_UNSURE)
-		starts_observe(f->gateway, request.version);
+	starts_observe(f->gateway, request.version);
 	best = balance_best_trust(&f->gateway->balance, &request, clock_now());
 	/* None at all is another matter, for whoever places the request. */
 	return best == BALANCE_TRUST_NONE || best >= least;
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -66,6 +66,12 @@
 	       clock_now() - known_to > ENTRIES_FRESH_MS;
 }
 
+/* Whether it may have ended with a question, and not only not answer it. */
+static bool may_have_ended_(const gateway_t *g, const balance_upstream_t *u)
+{
+	return u->broke_at && !balance_is_start(&g->balance, u, u->broke_at, 0);
+}
+
 /* Whether it matters which start the request reaches. */
 static bool concerns_(const forward_t *f)
 {
@@ -96,7 +102,8 @@
 		return !f->asked && !f->selected->refuted && can_ask_(f) &&
 		       may_be_other_(f->gateway, f->selected);
 	return resumes_is_mixed(f->gateway, f->service) ||
-	       f->selected->refuted || can_ask_(f);
+	       f->selected->refuted || can_ask_(f) ||
+	       may_have_ended_(f->gateway, f->selected);
 }
 
 /* start: connections to another one are not used; 0 for any */
@@ -190,6 +197,7 @@
 
 	if (start > u->start_id)
 		u->refuted = true;
+	u->broke_at = err == HTTP_ECUT ? now : 0;
 	if (err || is_busy_(status) || (start && !kept) ||
 	    (status == 200 && may_be_part_(call)))
 		note_silence_(u, now);
@@ -327,8 +335,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		balance_upstream_t *u = value;
 
-		if (u->version_key == version)
-			u->proven = is_next_proven_(g, u);
+		if (u->version_key != version)
+			continue;
+		u->proven = is_next_proven_(g, u);
+		u->ended = may_have_ended_(g, u);
 	}
 }
 
--- a/tests/scenarios/restore_words.lua
+++ b/tests/scenarios/restore_words.lua
@@ -7,6 +7,7 @@
 local function options(version)
 	local o = { version = version }
 	for k, v in pairs(STREAM) do o[k] = v end
+	o.events = upstream_events or o.events -- set by a scenario before
 	return o
 end
 
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -951,12 +951,19 @@
 	mstime_t nameless_until;
 	bool refuted;
 	balance_trust_t trust;
+	bool ended;
 } trust_cases[] = {
 	{ "it can be asked", false, 0, false, BALANCE_TRUST_UNKNOWN },
 	{ "it can be asked again", false, NOW, false, BALANCE_TRUST_UNKNOWN },
 	{ "a request is known to reach it", true, 0, false,
 	  BALANCE_TRUST_SURE },
 	{ "it has not answered", false, NOW + 1, false, BALANCE_TRUST_UNSURE },
+	{ "it may have ended when it was asked", false, NOW + 1, false,
+	  BALANCE_TRUST_REFUTED, true },
+	{ "it may have, and has been asked since", true, NOW + 1, false,
+	  BALANCE_TRUST_SURE, true },
+	{ "it may have, and can be asked again", false, NOW, false,
+	  BALANCE_TRUST_UNKNOWN, true },
 	{ "it does not name its start", false, MSTIME_NEVER, false,
 	  BALANCE_TRUST_UNSURE },
 	{ "nor does it need to", true, MSTIME_NEVER, false,
@@ -977,6 +984,7 @@
 	u->proven = trust_cases[_i].proven;
 	u->nameless_until = trust_cases[_i].nameless_until;
 	u->refuted = trust_cases[_i].refuted;
+	u->ended = trust_cases[_i].ended;
 	request.version = u->version_key;
 	ck_assert_msg(balance_best_trust(&b, &request, NOW) ==
 			      trust_cases[_i].trust,
