Versions: a set was watched up to the entries that were read, not up to now

Cause: a node that has run for a stream's life counted its set of versions as complete by its clock alone. One that had read the entries once and was then cut off for 30 s called that watching, and believed that no version had left just before it started.

--- a/include/kcf/versions.h
+++ b/include/kcf/versions.h
@@ -78,6 +78,7 @@
 	GHashTable *by_key;    /* uint32_t to version_t * */
 	mstime_t life_ms;      /* of a stream */
 	mstime_t watched_from; /* no change was missed since */
+	mstime_t watched_to;   /* entries written before are known */
 	versions_basis_t basis;
 	/* All versions of entries written from this offset on were seen. */
 	uint64_t seen_from;
@@ -157,6 +158,12 @@
  */
 void versions_see_from(versions_t *v, uint64_t offset, mstime_t now);
 
+/*
+ * versions_watch - all entries that were written before a time were observed,
+ * but for those that were missed or skipped.
+ */
+void versions_watch(versions_t *v, mstime_t to);
+
 /*
  * versions_copy - the entries in force were copied from another node.
  */
--- a/packages/decide/versions.c
+++ b/packages/decide/versions.c
@@ -98,6 +98,12 @@
 	complete_by_record_(v);
 }
 
+void versions_watch(versions_t *v, mstime_t to)
+{
+	assert(v);
+	v->watched_to = MAX(v->watched_to, to);
+}
+
 static void copy_complete_(versions_t *v, uint64_t seen_from, mstime_t now)
 {
 	versions_see_from(v, MIN(v->seen_from, seen_from), now);
@@ -300,8 +306,9 @@
 	assert(v);
 	if (v->basis != VERSIONS_UNKNOWN)
 		return v->basis;
-	return now - v->watched_from > v->life_ms ? VERSIONS_WATCHED
-						  : VERSIONS_UNKNOWN;
+	return MIN(now, v->watched_to) - v->watched_from > v->life_ms
+		       ? VERSIONS_WATCHED
+		       : VERSIONS_UNKNOWN;
 }
 
 const char *versions_basis_text(const versions_t *v, mstime_t now)
--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -621,8 +621,10 @@
 	s->next_offset = MAX(s->next_offset, next_offset);
 	s->current_as_of = MAX(s->current_as_of, as_of);
 	s->outage_from = MAX(s->outage_from, as_of);
-	if (s->feed == FEED_UPSTREAMS)
+	if (s->feed == FEED_UPSTREAMS) {
 		record_all_alive_(s);
+		versions_watch(&s->gateway->versions, s->current_as_of);
+	}
 	if (!s->loaded)
 		LOG_EVENT(LOG_NOTICE, "feed.loaded",
 			  F_STR("feed", feed_string[s->feed]),
--- a/tests/model/model_origins.c
+++ b/tests/model/model_origins.c
@@ -604,6 +604,7 @@
 			versions_observe(&n->versions, SERVICE, v->name, m.now);
 	}
 	n->seen_to = n->scan_at ? 0 : to;
+	versions_watch(&n->versions, to);
 }
 
 static void tick_nodes_(void)
--- a/tests/unit/test_origins.c
+++ b/tests/unit/test_origins.c
@@ -811,6 +811,7 @@
 	versions_end_record(&v, mark, records[_i].read_epoch, NOW);
 	query.read = true;
 	versions_observe(&v, "a", records[_i].known, at);
+	versions_watch(&v, at);
 	a = origins_resolve(&origins, &v, &query, at);
 	ck_assert_msg(a.verdict == records[_i].verdict, "%s: %d",
 		      records[_i].label, (int)a.verdict);
@@ -854,8 +855,12 @@
 
 	versions_init(&v, NOW);
 	versions_see_from(&v, 10, late);
+	versions_watch(&v, late + 1);
 	ck_assert_int_eq(versions_basis(&v, late + 1), VERSIONS_UNKNOWN);
 	late += VERSIONS_STREAM_LIFE_MS + 1;
+	/* Nothing was read since. */
+	ck_assert_int_eq(versions_basis(&v, late), VERSIONS_UNKNOWN);
+	versions_watch(&v, late);
 	ck_assert_int_eq(versions_basis(&v, late), VERSIONS_WATCHED);
 	versions_finish(&v);
 }
@@ -952,6 +957,7 @@
 	ck_assert(versions_is_complete(&versions, NOW));
 	versions_miss(&versions, NOW + 1000);
 	ck_assert(!versions_is_complete(&versions, NOW + 1001));
+	versions_watch(&versions, NOW + 1001 + VERSIONS_STREAM_LIFE_MS);
 	ck_assert(versions_is_complete(&versions,
 				       NOW + 1001 + VERSIONS_STREAM_LIFE_MS));
 	versions_begin_record(&versions);
