--- a/tests/scenarios/joined_at_cut_off_nodes.lua
+++ b/tests/scenarios/joined_at_cut_off_nodes.lua
@@ -8,7 +8,8 @@
 
 -- early_ms: the cut begins so long before the second version comes, and ends late_ms after that. how: as in cut_words; from: "store", "nodes" or
 -- both. group: so many nodes are cut off together. renamed: the second version has ids of its own. second: upstreams of it. kill_ms: three
--- other nodes end so long after it comes. away: the store is away for all, too, that long after it comes.
+-- other nodes end so long after it comes. away: the store is away for all, too, that long after it comes, until the cut ends. leaves: the first
+-- version does, so long after. storm: further troubles, each {after the second comes, what, node}.
 local plays = {
 	{ name = "4 s before", early_ms = 4000, late_ms = 4000, renamed = true },
 	{ name = "4 s before, one upstream", early_ms = 4000, late_ms = 4000, renamed = true, second = 1 },
@@ -26,6 +27,13 @@
 		    how = ({ "reset", "silent", "deaf" })[math.random(3)], second = math.random(SECOND), kill_ms = math.random(800, 2500) }
 	if chance(3) then p.from = chance(2) and "store" or "nodes" end
 	if chance(5) then p.away = math.random(2000) end
+	if chance(4) then p.leaves = math.random(4000) end
+	if chance(2) then
+		p.storm = {}
+		for i = 1, math.random(6) do
+			p.storm[i] = { math.random(0, p.late_ms + 2000), ({ "kill", "pause", "cut", "store" })[math.random(4)], math.random(NODES) }
+		end
+	end
 	p.name = "seed " .. seed .. " " .. json_encode(p)
 	return p
 end
@@ -60,6 +68,51 @@
 	return list
 end
 
+local function leave(list)
+	for _, r in ipairs(list) do
+		announce(f, r, { version = r.version, slot_count = 64, state = "draining", sequence = 2 })
+	end
+end
+
+-- Brings a node in trouble, and out of it again; others may have had it by then.
+local TROUBLES = {
+	kill = function(g) kill_process(g.pid, 9) end,
+	pause = freeze,
+	cut = function(g) cut_off(g, "reset", { f.store, f.gateways[1], f.gateways[NODES] }) end,
+	store = function() fault(f.store, { busy = 1 }) end,
+}
+local ENDS = {
+	kill = function(g)
+		wait_exit(g, 5000)
+		start_gateway(f, g)
+	end,
+	pause = thaw, cut = rejoin, store = function() fault(f.store, { busy = 0 }) end,
+}
+local TROUBLE_MS = 1600
+
+-- All that is done after the second version has come, in order.
+local function steps_of(p, group, killed, first)
+	local list = { { p.kill_ms or KILL_MS, function()
+		for _, g in ipairs(killed) do kill_process(g.pid, 9) end
+	end }, { p.late_ms, function()
+		for _, g in ipairs(group) do rejoin(g) end
+		if p.away then fault(f.store, { busy = 0 }) end
+	end } }
+	if p.away then list[#list + 1] = { p.away, function() fault(f.store, { busy = 1 }) end } end
+	if p.leaves then list[#list + 1] = { p.leaves, function() leave(first) end } end
+	for _, t in ipairs(p.storm or {}) do
+		local g, free = f.gateways[t[3]], true
+		for _, k in ipairs(killed) do free = free and k ~= g end
+		if free or t[2] == "store" then
+			list[#list + 1] = { t[1], function() TROUBLES[t[2]](g) end }
+			list[#list + 1] = { t[1] + TROUBLE_MS, function() ENDS[t[2]](g) end }
+			killed = { g, table.unpack(killed) } -- one trouble each
+		end
+	end
+	table.sort(list, function(a, b) return a[1] < b[1] end)
+	return list
+end
+
 local function play(i, p)
 	fresh_site(NODES, function(site)
 		f = site
@@ -69,18 +122,16 @@
 	local group, others = begin_cut(p)
 	local killed = { table.unpack(others, 1, KILLED) }
 	sleep_ms(p.early_ms)
+	local first = p.renamed and engines_of_site() or { table.unpack(engines_of_site(), (p.second or SECOND) + 1) }
 	second_comes(p)
 	local came = now_ms()
-	local load = begin_load(p.seed or i, p.kill_ms or KILL_MS, RATE, callers_between(killed, group))
-	if p.away then
-		sleep_ms(p.away)
-		fault(f.store, { busy = 1 })
+	local nodes = callers_between(killed, group)
+	for _, g in ipairs(p.storm and others or {}) do nodes[#nodes + 1] = g end
+	local load = begin_load(p.seed or i, p.kill_ms or KILL_MS, RATE, nodes)
+	for _, step in ipairs(steps_of(p, group, killed, first)) do
+		sleep_ms(math.max(0, came + step[1] - now_ms()))
+		step[2]()
 	end
-	sleep_ms(math.max(0, came + (p.kill_ms or KILL_MS) - now_ms()))
-	for _, g in ipairs(killed) do kill_process(g.pid, 9) end
-	sleep_ms(math.max(0, came + p.late_ms - now_ms()))
-	for _, g in ipairs(group) do rejoin(g) end
-	if p.away then fault(f.store, { busy = 0 }) end
 	local a = finish_callers(load)
 	print(string.format("%s: %d streams, %d whole, %d taken up, %d of them to the end, %d joined", p.name, a.sent, a.whole, a.resumed, a.resumed_whole,
 			    a.joined))
