Starts: a platform that is away for all stops no stream

Entries that are old call for a question only where others may know later ones: more nodes than one, and than one in sixteen, are lost since those entries, or nobody is heard. Where all are in reach nobody knows more, and streams go on as before.

--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -28,6 +28,8 @@
 /* Request rates in gossip are in hundredths of a request a second. */
 #define RATE_STEPS_PER_UNIT 100.0
 #define RATE_MAX 4e9
+/* Nodes that are lost together: more than one, and than one in so many. */
+#define CUT_ONE_IN 16
 /* Fraction of the budget that must be available to send more than probes. */
 #define BUDGET_FULL_FRACTION 0.5
 
@@ -613,3 +615,22 @@
 {
 	return sharing_nodes(&g->sharing, clock_now());
 }
+
+bool gateway_peers_is_lost(const member_t *m, mstime_t since)
+{
+	return (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD) &&
+	       m->since >= since;
+}
+
+bool gateway_peers_may_be_cut(const gateway_t *g, mstime_t since)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint lost = 0;
+
+	g_hash_table_iter_init(&iter, g->members.by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		lost += gateway_peers_is_lost(value, since);
+	return lost > MAX(1, g->ranking->len / CUT_ONE_IN) ||
+	       members_is_isolated(&g->members, clock_now());
+}
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -457,6 +457,13 @@
 const member_t *gateway_peers_at_rank(const gateway_t *g, guint rank);
 /* Number of nodes that share limits, this one included. */
 int gateway_peers_sharing_count(const gateway_t *g);
+/* Whether a node has gone, or was cut off, since a time. */
+bool gateway_peers_is_lost(const member_t *m, mstime_t since);
+/*
+ * Whether this node and those in reach may have been cut off from others since
+ * a time: more are lost than are lost one by one, or nobody is heard.
+ */
+bool gateway_peers_may_be_cut(const gateway_t *g, mstime_t since);
 
 /* Divides the request rates that upstreams name among the serving nodes. */
 void gateway_peers_share_rates(gateway_t *g, mstime_t now);
@@ -527,6 +534,8 @@
 bool resumes_is_mixed(const gateway_t *g, const char *service);
 
 /* starts.c */
+/* Whether the start that a stream goes on at may be of another version. */
+bool starts_may_matter(const gateway_t *g, const char *service);
 /* Whether a connection to a process reaches the start of an upstream's entry.
  */
 bool starts_is_proven(const gateway_t *g, const balance_upstream_t *u,
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -670,13 +670,6 @@
 	return count > count_untold_(f);
 }
 
-/* Whether a node has gone, or was cut off, since a time. */
-static bool is_lost_since_(const member_t *m, mstime_t since)
-{
-	return (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD) &&
-	       m->since >= since;
-}
-
 static bool is_vouched_for_(const forward_t *f)
 {
 	const gateway_t *g = f->gateway;
@@ -695,7 +688,8 @@
 		origin_witness_t w = { m->key, is_untold_(f, m->key) };
 
 		if (m != g->members.self &&
-		    (m->state == MEMBER_LIVE || is_lost_since_(m, known_to)))
+		    (m->state == MEMBER_LIVE ||
+		     gateway_peers_is_lost(m, known_to)))
 			g_array_append_val(nodes, w);
 	}
 	vouched = origins_is_untold(
@@ -820,7 +814,9 @@
 static balance_trust_t least_trust_(const forward_t *f, const char *service)
 {
 	if (!resumes_is_mixed(f->gateway, service))
-		return BALANCE_TRUST_UNSURE;
+		return starts_may_matter(f->gateway, service)
+			       ? BALANCE_TRUST_UNSURE
+			       : BALANCE_TRUST_REFUTED;
 	return starts_may_ask(f) ? BALANCE_TRUST_UNKNOWN : BALANCE_TRUST_SURE;
 }
 
@@ -905,7 +901,7 @@
 	balance_request_t request;
 	balance_trust_t best;
 
-	if (!f->bound_version)
+	if (!f->bound_version || !starts_may_matter(g, f->service))
 		return true;
 	if (may_be_misbound_(f) && check_begin_(f) != BALANCE_TRUST_SURE)
 		return false;
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -21,7 +21,10 @@
 #define ASK_AGAIN_MS 5000
 /* After as many in a row it counts as one that does not name its start. */
 #define SILENT_MAX 3
-/* Upstreams have written several heartbeats since older entries. */
+/*
+ * Entries that are older do not tell of another version in time. While the
+ * platform is away for all, streams of the only one go on all the same.
+ */
 #define ENTRIES_FRESH_MS 3000
 /* Answers whose connection did not take the request after them. */
 #define ANSWERS_LOST_MAX 2
@@ -44,6 +47,26 @@
 	       peer.witnessed_since <= u->alive_at;
 }
 
+static bool are_entries_old_(const gateway_t *g)
+{
+	return clock_now() - g->feed_states[FEED_UPSTREAMS].current_as_of >
+	       ENTRIES_FRESH_MS;
+}
+
+/* Whether others may know entries that this node lacks. */
+static bool is_behind_(const gateway_t *g)
+{
+	return are_entries_old_(g) &&
+	       gateway_peers_may_be_cut(
+		       g, g->feed_states[FEED_UPSTREAMS].current_as_of);
+}
+
+bool starts_may_matter(const gateway_t *g, const char *service)
+{
+	return resumes_is_mixed(g, service) || !are_entries_old_(g) ||
+	       is_behind_(g);
+}
+
 /* What the next request to an upstream would reach. */
 static bool is_next_proven_(gateway_t *g, const balance_upstream_t *u)
 {
@@ -55,15 +78,14 @@
 /*
  * Whether another start may answer than that of the entry, though no other
  * version is known: a connection has ended since the last known heartbeat, or
- * heartbeats have not been read for long.
+ * others may know later ones.
  */
 static bool may_be_other_(const gateway_t *g, const balance_upstream_t *u)
 {
 	mstime_t ended_at = http_client_ended_at(&g->upstreams, u->address);
-	mstime_t known_to = g->feed_states[FEED_UPSTREAMS].current_as_of;
 
 	return (ended_at && !balance_is_start(&g->balance, u, ended_at, 0)) ||
-	       clock_now() - known_to > ENTRIES_FRESH_MS;
+	       is_behind_(g);
 }
 
 /* Whether it may have ended with a question, and not only not answer it. */
@@ -80,7 +102,7 @@
 	if (!f->selected || f->route->kind != ROUTE_KIND_STREAM)
 		return false;
 	if (f->bound_version)
-		return true;
+		return starts_may_matter(g, f->service);
 	return f->route->resumable && (resumes_is_mixed(g, f->service) ||
 				       may_be_other_(g, f->selected));
 }
