Resumes: nobody knows is not told nothing

What callers saw: streams that v2 began went on at v1, at nodes in touch.

Cause: a home that holds a stream of which nobody can know the version (its start ended before its first check-in) answered a question like one that was told nothing. The asking node took the only version that it knew. A home that asks about a time in which the asking node's versions were all gone here answered likewise.

Such a home now sends a doubt without an upstream, which older builds read as one; the stream is refused at once. Homes are silent where the asking node's entries are a stream's life behind their own (by reading, no play).

--- a/include/kcf/origins.h
+++ b/include/kcf/origins.h
@@ -146,6 +146,12 @@
  */
 uint32_t origins_get(const origins_t *o, uint64_t stream, mstime_t now);
 
+/*
+ * origins_is_unknown - whether nobody can know any more which version began a
+ * stream.
+ */
+bool origins_is_unknown(const origins_t *o, uint64_t stream, mstime_t now);
+
 /*
  * origins_tick - drops streams that no caller takes up any more.
  * @life_ms: for which a stream may be taken up
--- a/packages/decide/origins.c
+++ b/packages/decide/origins.c
@@ -101,6 +101,15 @@
 	return e ? e->value : 0;
 }
 
+bool origins_is_unknown(const origins_t *o, uint64_t stream, mstime_t now)
+{
+	const lru_entry_t *e;
+
+	assert(o);
+	e = lru_get(&o->streams, now, stream);
+	return e && e->value == CONTRADICTED;
+}
+
 void origins_tick(origins_t *o, mstime_t life_ms, mstime_t now)
 {
 	assert(o);
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -54,6 +54,7 @@
 
 static void on_wait_over_(struct ev_loop *loop, ev_timer *w, int revents);
 static void settle_(gateway_t *g);
+static void hear_unknown_(gateway_t *g, uint64_t stream);
 static void doubt_(forward_t *f);
 
 /* All that was written to a feed before this time is known. */
@@ -397,6 +398,10 @@
 		};
 
 		versions_hear(&g->versions, d->software, now);
+		if (d->stream && !d->upstream && !d->software) {
+			hear_unknown_(g, d->stream);
+			continue;
+		}
 		if (!doubt.stream || !origins_doubt(&g->origins, &doubt))
 			continue;
 		stream_log_note_doubt(g, &doubt);
@@ -1042,7 +1047,41 @@
 	}
 	f->resume_asked = f->resume_asked || count_untold_(f) == f->home_count;
 	return f->resume_asked ||
-	       origins_get(&g->origins, f->stream, clock_now());
+	       origins_get(&g->origins, f->stream, clock_now()) ||
+	       origins_is_unknown(&g->origins, f->stream, clock_now());
+}
+
+static void hear_unknown_(gateway_t *g, uint64_t stream)
+{
+	const reply_t reply = { .stream = stream };
+	mstime_t now = clock_now();
+
+	if (!origins_get(&g->origins, stream, now))
+		origins_put_unknown(&g->origins, stream, now);
+	continue_waiting_(g, is_answered_, &reply);
+}
+
+/* Says that nobody can know the version of a stream. */
+static void send_unknown_(gateway_t *g, uint64_t stream, const char *to)
+{
+	origin_doubt_t doubt = { .stream = stream,
+				 .begin = { .since = clock_now() } };
+
+	send_doubt_(g, &doubt, to);
+}
+
+/*
+ * Whether this node would have been told of a stream that the asking one does
+ * not know. Streams of the time before its start may have been told then. A
+ * version that alone was left here for a stream's life is not told.
+ *
+ * age_ms: of the entries that the asking node knows
+ */
+static bool covers_(const gateway_t *g, mstime_t age_ms, mstime_t now)
+{
+	mstime_t ahead_ms = known_to_(g, FEED_UPSTREAMS) - (now - age_ms);
+
+	return age_ms <= now - g->started_at && ahead_ms < g->versions.life_ms;
 }
 
 static void reply_(gateway_t *g, const peer_origins_t *m, const char *to)
@@ -1059,11 +1098,14 @@
 		const origin_doubt_t *doubt =
 			origins_find_doubt(&g->origins, asked->stream);
 
+		if (origins_is_unknown(&g->origins, asked->stream, now)) {
+			send_unknown_(g, asked->stream, to);
+			continue;
+		}
 		/* It comes first, so that the reply does not end the wait. */
 		if (doubt)
 			send_doubt_(g, doubt, to);
-		/* Streams of that time may have been told before this start. */
-		if (!version && asked->software > now - g->started_at)
+		if (!version && !covers_(g, asked->software, now))
 			continue;
 		list[reply.list.list_len++] =
 			(peer_origin_t){ asked->stream, version };
