Starts: silence after a question is no proof of the start before

Cause: the break of a question counts as the end of the process since; a time-out or a busy answer did not, and erased the break before it.

Now any question without an answer leaves the upstream in doubt until it has named its start, or a heartbeat is known that was written later. A request that may ask no more does not choose the same upstream without end (by reading).

--- a/include/kcf/balance.h
+++ b/include/kcf/balance.h
@@ -91,9 +91,9 @@
 	bool refuted; /* a later start has answered */
 	/* It does not name its start when it is asked before, or has not. */
 	mstime_t nameless_until;
-	mstime_t broke_at; /* a question did, with its connection, or 0 */
-	bool ended;	   /* it may have ended then */
-	int silences;	   /* questions in a row that it has not answered */
+	mstime_t silent_at; /* the last question that it did not answer, or 0 */
+	bool ended;	    /* it may have ended since */
+	int silences;	    /* questions in a row that it has not answered */
 	mstime_t unanswered_at; /* the last question after an answer's end that
 				   it has not answered, 0 for none */
 	mstime_t next_opening_at; /* of a connection that heartbeats prove */
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -88,10 +88,11 @@
 	       is_behind_(g);
 }
 
-/* Whether it may have ended with a question, and not only not answer it. */
+/* Whether it may have ended since it did not answer a question. */
 static bool may_have_ended_(const gateway_t *g, const balance_upstream_t *u)
 {
-	return u->broke_at && !balance_is_start(&g->balance, u, u->broke_at, 0);
+	return u->silent_at &&
+	       !balance_is_start(&g->balance, u, u->silent_at, 0);
 }
 
 /* Whether it matters which start the request reaches. */
@@ -154,7 +155,9 @@
 static void choose_again_(forward_t *f)
 {
 	forward_release(f, BALANCE_ABANDONED);
-	f->attempt_count--;
+	/* It may be chosen again while it can be asked again. */
+	if (starts_may_ask(f))
+		f->attempt_count--;
 	forward_retry_or_end(f, f->placing_fault);
 }
 
@@ -219,7 +222,10 @@
 
 	if (start > u->start_id)
 		u->refuted = true;
-	u->broke_at = err == HTTP_ECUT ? now : 0;
+	if (err || is_busy_(status))
+		u->silent_at = now;
+	else if (start)
+		u->silent_at = 0;
 	if (err || is_busy_(status) || (start && !kept) ||
 	    (status == 200 && may_be_part_(call)))
 		note_silence_(u, now);
