Feeds: late records of another epoch name versions too; waited-for scans begin at once

A record of another epoch that is not newer was dropped without its version; one of the same epoch was observed. A scan that requests wait for began up to 300 ms late after the log's history had gone.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -546,6 +546,8 @@
 	bool newer = is_newer_content_(s, e, r, now);
 	bool changed;
 
+	if (s->feed == FEED_UPSTREAMS)
+		feeds_observe_version(s->gateway, r, s->source, now);
 	if (later && newer) {
 		apply_(s, e, r, now);
 		/* Nodes that copy know it as of the older epoch. */
@@ -864,6 +866,7 @@
 	s->complete = false;
 	s->drop_older_at = 0;
 	s->next_read_at = now;
+	s->wanted_read_at = now;
 	s->fallback_at = 0;
 }
 
--- a/packages/gateway/reader.c
+++ b/packages/gateway/reader.c
@@ -176,7 +176,7 @@
 			  F_INT("next", (int64_t)s->next_offset));
 		s->source = FEED_FROM_PLATFORM;
 		feeds_begin_scan(s);
-		s->next_read_at = now;
+		s->next_read_at = s->wanted_read_at = now;
 		return;
 	}
 	if (err) {
