--- a/tests/scenarios/joined_at_cut_off_nodes.lua
+++ b/tests/scenarios/joined_at_cut_off_nodes.lua
@@ -101,13 +101,14 @@
 	end } }
 	if p.away then list[#list + 1] = { p.away, function() fault(f.store, { busy = 1 }) end } end
 	if p.leaves then list[#list + 1] = { p.leaves, function() leave(first) end } end
+	local troubled = {}
+	for _, g in ipairs(killed) do troubled[g] = true end
 	for _, t in ipairs(p.storm or {}) do
-		local g, free = f.gateways[t[3]], true
-		for _, k in ipairs(killed) do free = free and k ~= g end
-		if free or t[2] == "store" then
+		local g = t[2] == "store" and f.store or f.gateways[t[3]]
+		if not troubled[g] then
 			list[#list + 1] = { t[1], function() TROUBLES[t[2]](g) end }
 			list[#list + 1] = { t[1] + TROUBLE_MS, function() ENDS[t[2]](g) end }
-			killed = { g, table.unpack(killed) } -- one trouble each
+			troubled[g] = true -- one trouble each
 		end
 	end
 	table.sort(list, function(a, b) return a[1] < b[1] end)
