Resumes: one wait for a feed, one name for how far a feed is known

No change of behaviour. Two kinds of wait, for the log of streams and for the entries of upstreams, had a predicate and a condition each; they are one that names its feed. current_as_of was read by three names (feeds_known_to now). The test for a lost member is used in peers.c alone since, and a split in kcf-source had one caller.

--- a/packages/gateway/feeds.c
+++ b/packages/gateway/feeds.c
@@ -618,6 +618,11 @@
 					  s->current_as_of - ENTRY_LAPSE_MS);
 }
 
+mstime_t feeds_known_to(const gateway_t *g, feed_t feed)
+{
+	return g->feed_states[feed].current_as_of;
+}
+
 void feeds_set_current(feed_state_t *s, mstime_t as_of, uint64_t next_offset)
 {
 	s->next_offset = MAX(s->next_offset, next_offset);
--- a/packages/gateway/peers.c
+++ b/packages/gateway/peers.c
@@ -616,7 +616,8 @@
 	return sharing_nodes(&g->sharing, clock_now());
 }
 
-bool gateway_peers_is_lost(const member_t *m, mstime_t since)
+/* Whether a node has gone, or was cut off, since a time. */
+static bool is_lost_since_(const member_t *m, mstime_t since)
 {
 	return (m->state == MEMBER_SUSPECT || m->state == MEMBER_DEAD) &&
 	       m->since >= since;
@@ -630,7 +631,7 @@
 
 	g_hash_table_iter_init(&iter, g->members.by_name);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		lost += gateway_peers_is_lost(value, since);
+		lost += is_lost_since_(value, since);
 	return lost > MAX(1, g->ranking->len / CUT_ONE_IN) ||
 	       members_is_isolated(&g->members, clock_now());
 }
--- a/packages/gateway/private/forward.h
+++ b/packages/gateway/private/forward.h
@@ -46,10 +46,9 @@
 typedef enum resume_wait {
 	RESUME_WAITS_FOR_HOMES,
 	RESUME_WAITS_FOR_RECORD,
-	RESUME_WAITS_FOR_LOG,
-	RESUME_WAITS_FOR_ENTRIES, /* that are younger than the request */
-	RESUME_WAITS_FOR_ORIGIN,  /* until its first node is sure */
-	RESUME_WAITS_FOR_START,	  /* of an upstream, until one is sure */
+	RESUME_WAITS_FOR_FEED,
+	RESUME_WAITS_FOR_ORIGIN, /* until its first node is sure */
+	RESUME_WAITS_FOR_START,	 /* of an upstream, until one is sure */
 } resume_wait_t;
 
 /* What becomes of a stream that has to go on. */
@@ -141,6 +140,7 @@
 	bool origin_noted;
 	bool origin_told;	   /* other nodes were told of the version */
 	resume_wait_t resume_wait; /* while resume_timer runs */
+	feed_t awaited;		   /* RESUME_WAITS_FOR_FEED */
 	int resume_asks;
 	bool resume_asked;	       /* the homes of the stream */
 	bool resume_read;	       /* the record of versions */
--- a/packages/gateway/private/gateway.h
+++ b/packages/gateway/private/gateway.h
@@ -326,6 +326,8 @@
  */
 void feeds_observe_version(gateway_t *g, const feed_record_t *r,
 			   feed_source_t source, mstime_t now);
+/* All records of a feed that were written before this time are known. */
+mstime_t feeds_known_to(const gateway_t *g, feed_t feed);
 /*
  * feeds_set_current - marks all records written before a time as known.
  * @next_offset: offset after the last of them
@@ -457,8 +459,6 @@
 const member_t *gateway_peers_at_rank(const gateway_t *g, guint rank);
 /* Number of nodes that share limits, this one included. */
 int gateway_peers_sharing_count(const gateway_t *g);
-/* Whether a node has gone, or was cut off, since a time. */
-bool gateway_peers_is_lost(const member_t *m, mstime_t since);
 /*
  * Whether this node and those in reach may have been cut off from others since
  * a time: more are lost than are lost one by one, or nobody is heard.
--- a/packages/gateway/resumes.c
+++ b/packages/gateway/resumes.c
@@ -57,12 +57,6 @@
 static void hear_unknown_(gateway_t *g, uint64_t stream);
 static void doubt_(forward_t *f);
 
-/* All that was written to a feed before this time is known. */
-static mstime_t known_to_(const gateway_t *g, feed_t feed)
-{
-	return g->feed_states[feed].current_as_of;
-}
-
 /* Key of a stream as logs name it. */
 static const char *stream_text_(uint64_t stream, char *out)
 {
@@ -558,13 +552,18 @@
 	return __builtin_popcount(f->untold);
 }
 
+/* Whether a feed was read since the request came. */
+static bool is_read_for_(const forward_t *f, feed_t feed)
+{
+	return feeds_known_to(f->gateway, feed) >= f->received_at;
+}
+
 /* Whether the log of streams was read for the request. */
 static const char *log_text_(const forward_t *f)
 {
 	if (!f->resume_logged)
 		return "unread";
-	return known_to_(f->gateway, FEED_STREAMS) >= f->received_at ? "read"
-								     : "failed";
+	return is_read_for_(f, FEED_STREAMS) ? "read" : "failed";
 }
 
 static void log_resume_(const forward_t *f, const origin_answer_t *a,
@@ -583,7 +582,8 @@
 		  F_STR("version", version ? version->name : "-"),
 		  F_STR("known", origin_source_string[a->source]),
 		  F_STR("versions", versions_basis_text(&g->versions, now)),
-		  F_INT("entries_age_ms", now - known_to_(g, FEED_UPSTREAMS)),
+		  F_INT("entries_age_ms",
+			now - feeds_known_to(g, FEED_UPSTREAMS)),
 		  F_INT("homes", f->home_count),
 		  F_INT("untold", count_untold_(f)), F_STR("log", log_text_(f)),
 		  F_INT("nodes", g->ranking->len),
@@ -648,11 +648,18 @@
 	ev_timer_start(f->gateway->loop, &f->resume_timer);
 }
 
+static void wait_for_feed_(forward_t *f, feed_t feed)
+{
+	f->awaited = feed;
+	wait_(f, RESUME_WAITS_FOR_FEED, READ_MAX_MS);
+	reader_want(f->gateway, feed, f->received_at);
+}
+
 /* Asks the homes that have not replied; false if there is none. */
 static bool ask_(forward_t *f)
 {
 	gateway_t *g = f->gateway;
-	mstime_t age = clock_now() - known_to_(g, FEED_UPSTREAMS);
+	mstime_t age = clock_now() - feeds_known_to(g, FEED_UPSTREAMS);
 	/* Of a question, the second number is what homes have to cover. */
 	peer_origin_t origin = { f->stream, (u_int)MIN(age, G_MAXINT32) };
 	peer_origins_t m = { .sent = (u_quad_t)clock_wall(),
@@ -680,7 +687,7 @@
 static bool is_vouched_for_(const forward_t *f)
 {
 	const gateway_t *g = f->gateway;
-	mstime_t known_to = known_to_(g, FEED_UPSTREAMS);
+	mstime_t known_to = feeds_known_to(g, FEED_UPSTREAMS);
 	GArray *nodes;
 	GHashTableIter iter;
 	gpointer value;
@@ -717,8 +724,8 @@
 				 .services = services,
 				 .service_count = (int)targets->len,
 				 .came_at = f->received_at,
-				 .known_to = known_to_(g, FEED_UPSTREAMS),
-				 .log_to = known_to_(g, FEED_STREAMS),
+				 .known_to = feeds_known_to(g, FEED_UPSTREAMS),
+				 .log_to = feeds_known_to(g, FEED_STREAMS),
 				 .asked = f->resume_asked,
 				 .untold = is_vouched_for_(f),
 				 .read = f->resume_read,
@@ -788,15 +795,13 @@
 		return false;
 	case ORIGIN_READ_LOG:
 		f->resume_logged = true;
-		if (known_to_(g, FEED_STREAMS) >= f->received_at)
+		if (is_read_for_(f, FEED_STREAMS))
 			return resolve_(f);
-		wait_(f, RESUME_WAITS_FOR_LOG, READ_MAX_MS);
-		reader_want(g, FEED_STREAMS, f->received_at);
+		wait_for_feed_(f, FEED_STREAMS);
 		return false;
 	case ORIGIN_READ_ENTRIES:
 		f->resume_refreshed = true;
-		wait_(f, RESUME_WAITS_FOR_ENTRIES, READ_MAX_MS);
-		reader_want(g, FEED_UPSTREAMS, f->received_at);
+		wait_for_feed_(f, FEED_UPSTREAMS);
 		return false;
 	case ORIGIN_AMBIGUOUS:
 		if (a.source == ORIGIN_UNKNOWN && wait_for_origin_(f))
@@ -964,24 +969,23 @@
 
 /* Waiting requests that a condition holds for go on. */
 static void continue_waiting_(gateway_t *g,
-			      bool (*fits)(forward_t *f, const reply_t *reply),
-			      const reply_t *reply)
+			      bool (*fits)(forward_t *f, const void *arg),
+			      const void *arg)
 {
 	GList *all = g_hash_table_get_keys(g->forwards);
 
 	for (GList *l = all; l; l = l->next) {
 		forward_t *f = l->data;
 
-		if (ev_is_active(&f->resume_timer) && !f->done &&
-		    fits(f, reply))
+		if (ev_is_active(&f->resume_timer) && !f->done && fits(f, arg))
 			continue_(f);
 	}
 	g_list_free(all);
 }
 
-static bool waits_for_record_(forward_t *f, const reply_t *reply)
+static bool waits_for_record_(forward_t *f, const void *arg)
 {
-	(void)reply;
+	(void)arg;
 	return f->resume_wait == RESUME_WAITS_FOR_RECORD;
 }
 
@@ -990,18 +994,14 @@
 	continue_waiting_(g, waits_for_record_, NULL);
 }
 
-static bool may_go_on_(forward_t *f, const reply_t *reply)
+static bool may_go_on_(forward_t *f, const void *arg)
 {
-	const gateway_t *g = f->gateway;
-
-	(void)reply;
+	(void)arg;
 	switch (f->resume_wait) {
 	case RESUME_WAITS_FOR_START:
 		return resumes_check(f) != RESUME_WAITS;
-	case RESUME_WAITS_FOR_LOG:
-		return known_to_(g, FEED_STREAMS) >= f->received_at;
-	case RESUME_WAITS_FOR_ENTRIES:
-		return known_to_(g, FEED_UPSTREAMS) >= f->received_at;
+	case RESUME_WAITS_FOR_FEED:
+		return is_read_for_(f, f->awaited);
 	default:
 		return false;
 	}
@@ -1013,30 +1013,23 @@
 	continue_waiting_(g, may_go_on_, NULL);
 }
 
-static bool waits_for_log_(forward_t *f, const reply_t *reply)
+static bool waits_for_feed_(forward_t *f, const void *arg)
 {
-	(void)reply;
-	return f->resume_wait == RESUME_WAITS_FOR_LOG;
-}
+	const feed_t *feed = arg;
 
-static bool waits_for_entries_(forward_t *f, const reply_t *reply)
-{
-	(void)reply;
-	return f->resume_wait == RESUME_WAITS_FOR_ENTRIES;
+	return f->resume_wait == RESUME_WAITS_FOR_FEED && f->awaited == *feed;
 }
 
 void resumes_read_failed(gateway_t *g, feed_t feed)
 {
-	if (feed == FEED_STREAMS)
-		continue_waiting_(g, waits_for_log_, NULL);
-	if (feed == FEED_UPSTREAMS)
-		continue_waiting_(g, waits_for_entries_, NULL);
+	continue_waiting_(g, waits_for_feed_, &feed);
 }
 
 /* Whether a reply of a home ends the wait. */
-static bool is_answered_(forward_t *f, const reply_t *reply)
+static bool is_answered_(forward_t *f, const void *arg)
 {
 	const gateway_t *g = f->gateway;
+	const reply_t *reply = arg;
 
 	if (f->stream != reply->stream ||
 	    f->resume_wait != RESUME_WAITS_FOR_HOMES)
@@ -1079,7 +1072,7 @@
  */
 static bool covers_(const gateway_t *g, mstime_t age_ms, mstime_t now)
 {
-	mstime_t ahead_ms = known_to_(g, FEED_UPSTREAMS) - (now - age_ms);
+	mstime_t ahead_ms = feeds_known_to(g, FEED_UPSTREAMS) - (now - age_ms);
 
 	return age_ms <= now - g->started_at && ahead_ms < g->versions.life_ms;
 }
--- a/packages/gateway/starts.c
+++ b/packages/gateway/starts.c
@@ -49,7 +49,7 @@
 
 static bool are_entries_old_(const gateway_t *g)
 {
-	return clock_now() - g->feed_states[FEED_UPSTREAMS].current_as_of >
+	return clock_now() - feeds_known_to(g, FEED_UPSTREAMS) >
 	       ENTRIES_FRESH_MS;
 }
 
@@ -57,8 +57,7 @@
 static bool is_behind_(const gateway_t *g)
 {
 	return are_entries_old_(g) &&
-	       gateway_peers_may_be_cut(
-		       g, g->feed_states[FEED_UPSTREAMS].current_as_of);
+	       gateway_peers_may_be_cut(g, feeds_known_to(g, FEED_UPSTREAMS));
 }
 
 bool starts_may_matter(const gateway_t *g, const char *service)
--- a/tests/standin/source.c
+++ b/tests/standin/source.c
@@ -101,9 +101,10 @@
 	return !bind(fd, (struct sockaddr *)&source, sizeof(source));
 }
 
-/* Of 1000 packets that come. */
-static void lose_(int fd, unsigned int share)
+static void lose_some_(int fd)
 {
+	const char *text = getenv("KCF_LOSS");
+	unsigned int share = text ? (unsigned int)atoi(text) : 0;
 	struct sock_filter code[] = {
 		BPF_STMT(BPF_LD | BPF_W | BPF_ABS,
 			 (unsigned int)SKF_AD_OFF + SKF_AD_RANDOM),
@@ -119,13 +120,6 @@
 			   sizeof(program));
 }
 
-static void lose_some_(int fd)
-{
-	const char *text = getenv("KCF_LOSS");
-
-	lose_(fd, text ? (unsigned int)atoi(text) : 0);
-}
-
 static void lose_all_(int fd)
 {
 	struct sock_filter code[] = { BPF_STMT(BPF_RET | BPF_K, 0) };
