--- a/tests/scenarios/joined_at_broken_questions.lua
+++ b/tests/scenarios/joined_at_broken_questions.lua
@@ -34,15 +34,9 @@
 	sleep_ms(QUESTION_MS // 2)
 	for _, r in ipairs(engines) do kill_process(r.pid, 9) end
 	for _, r in ipairs(engines) do
-		wait_exit(r, 5000)
-		r.born = wall_ms()
-		for i, word in ipairs(r.argv) do
-			if word == "--version" then r.argv[i + 1] = "v2" end
-			if word == "--born" then r.argv[i + 1] = tostring(r.born) end
-		end
 		if report_ms then table.move({ "--report-ms", tostring(report_ms) }, 1, 2, #r.argv + 1, r.argv) end
-		spawn_runner(f, r)
 	end
+	start_unannounced_as(engines, "v2")
 	for i = 2, TRIES do
 		sleep_ms(PAUSE_MS)
 		answers[i] = take_up()
--- a/tests/scenarios/joined_when_nobody_knows.lua
+++ b/tests/scenarios/joined_when_nobody_knows.lua
@@ -6,27 +6,11 @@
 fresh_site(NODES)
 local engines = engines_of_site()
 fault(f.store, { heartbeat_ms = 0 })
-local function again(version)
-	for _, r in ipairs(engines) do
-		kill(r)
-		r.born = wall_ms()
-		for i, word in ipairs(r.argv) do
-			if word == "--version" then r.argv[i + 1] = version end
-			if word == "--born" then r.argv[i + 1] = tostring(r.born) end
-		end
-		spawn_runner(f, r)
-	end
-	for _, r in ipairs(engines) do
-		wait_for(r.name .. " answers", 5000, function()
-			return http { url = "http://" .. r.address .. "/stats", timeout_ms = 500 }.status == 200
-		end)
-	end
-end
 -- The nodes see that connections end.
 local warm = {}
 for _, g in ipairs(f.gateways) do for i = 1, 4 do warm[#warm + 1] = ask(g, "/stream/warm/" .. i, { left = 9000, timeout_ms = 9000 }) end end
 for _, a in ipairs(http_all(warm)) do expect(a.status == 200, "not served") end
-again("v2")
+start_unannounced_as(engines, "v2")
 local begun, batch, list = {}, {}, {}
 for i = 1, STREAMS do
 	begun[i] = { id = fresh_id(), path = "/stream/long/" .. i }
@@ -37,8 +21,7 @@
 	if a.status == 200 and (a.body or ""):find("data: v2/", 1, true) then at_v2[#at_v2 + 1] = begun[i] end
 end
 print(#at_v2 .. " of " .. STREAMS .. " begun at v2 before it has checked in")
-again("v1")
-for _, r in ipairs(engines) do announce(f, r, { version = "v1", slot_count = 64, sequence = 1 }) end
+start_again_as(engines, "v1")
 sleep_ms(1500)
 local n = { v1 = 0, v2 = 0, refused = 0 }
 for k = 2, NODES do
--- a/tests/scenarios/restore_words.lua
+++ b/tests/scenarios/restore_words.lua
@@ -58,8 +58,8 @@
 	for _, r in ipairs(list) do announce(f, r, { version = r.version, slot_count = STREAM.slots }) end
 end
 
--- Upstreams end, and start again at their addresses in another version, under their ids or under new ones.
-function start_again_as(list, version, renamed)
+-- Upstreams end, and start again at their addresses in another version, under their ids or under new ones; they do not check in yet.
+function start_unannounced_as(list, version, renamed)
 	for _, r in ipairs(list) do
 		kill(r)
 		if renamed then
@@ -80,6 +80,10 @@
 		end)
 		r.version = version
 	end
+end
+
+function start_again_as(list, version, renamed)
+	start_unannounced_as(list, version, renamed)
 	check_in(list)
 end
 
